--- /dev/null
+++ b/packages/ownership/src/lib/balance/placement.ts
@@ -0,0 +1,105 @@
+import { type BalanceServer, type ShardLoad, byId, mayReceive } from './balance-types.js';
+
+/** Share of the mean load that an idle shard counts as, so that idle shards spread evenly too. */
+const IDLE_SHARE = 0.05;
+/** Share of its fair load that a cold server takes. */
+const COLD_SHARE = 0.5;
+
+/** A shard with the weight that balancing gives it. @internal */
+export interface WeighedShard extends ShardLoad {
+  readonly weight: number;
+}
+
+/** A backend server with the shards that it owns in the course of a plan. @internal */
+export interface PlacedServer {
+  readonly server: BalanceServer;
+  readonly capacity: number;
+  readonly shards: Map<number, WeighedShard>;
+  weight: number;
+}
+
+/** Weighs shards by measured load; without any load all weigh the same. @internal */
+export function weighShards(shards: readonly ShardLoad[]): WeighedShard[] {
+  const total = shards.reduce((sum, it) => sum + Math.max(0, it.load), 0);
+  const mean = total > 0 ? total / shards.length : 1;
+  return shards.map((it) => ({ ...it, weight: Math.max(0, it.load) + mean * IDLE_SHARE }));
+}
+
+function capacityOf(server: BalanceServer): number {
+  return server.state === 'cold' ? server.slots * COLD_SHARE : server.slots;
+}
+
+/** Who owns what while a plan is made. @internal */
+export class Placement {
+  readonly #servers = new Map<string, PlacedServer>();
+  /** Servers that can take shards, by id. */
+  readonly receivers: readonly PlacedServer[];
+
+  constructor(shards: readonly WeighedShard[], servers: readonly BalanceServer[]) {
+    for (const server of [...servers].sort(byId)) {
+      const capacity = capacityOf(server);
+      this.#servers.set(server.id, { server, capacity, shards: new Map(), weight: 0 });
+    }
+    for (const shard of shards) this.#add(shard, shard.owner);
+    this.receivers = [...this.#servers.values()].filter((it) => mayReceive(it.server));
+  }
+
+  /** Returns the server if it can take shards. */
+  receiver(id: string | undefined): PlacedServer | undefined {
+    const found = id === undefined ? undefined : this.#servers.get(id);
+    return found && mayReceive(found.server) ? found : undefined;
+  }
+
+  stateOf(id: string | undefined): BalanceServer['state'] | undefined {
+    return id === undefined ? undefined : this.#servers.get(id)?.server.state;
+  }
+
+  move(shard: WeighedShard, from: string | undefined, to: PlacedServer): void {
+    const source = from === undefined ? undefined : this.#servers.get(from);
+    if (source?.shards.delete(shard.shard)) source.weight -= shard.weight;
+    to.shards.set(shard.shard, shard);
+    to.weight += shard.weight;
+  }
+
+  /** Weight for each unit of capacity if the receivers shared everything evenly. */
+  meanUse(): number {
+    const weight = this.receivers.reduce((sum, it) => sum + it.weight, 0);
+    const capacity = this.receivers.reduce((sum, it) => sum + it.capacity, 0);
+    return capacity > 0 ? weight / capacity : 0;
+  }
+
+  /** Receiver with the least weight for its capacity after taking an extra weight. */
+  leastUsed(extra = 0): PlacedServer | undefined {
+    return minBy(this.receivers, (it) => (it.weight + extra) / it.capacity);
+  }
+
+  /** Receiver with the most weight for its capacity. */
+  mostUsed(): PlacedServer | undefined {
+    return minBy(this.receivers, (it) => -useOf(it));
+  }
+
+  #add(shard: WeighedShard, id: string | undefined): void {
+    const server = id === undefined ? undefined : this.#servers.get(id);
+    if (!server) return;
+    server.shards.set(shard.shard, shard);
+    server.weight += shard.weight;
+  }
+}
+
+/** Weight for each unit of capacity. @internal */
+export function useOf(it: PlacedServer): number {
+  return it.weight / it.capacity;
+}
+
+/** First item with the least value. @internal */
+export function minBy<T>(items: Iterable<T>, valueOf: (item: T) => number): T | undefined {
+  let least: T | undefined;
+  let leastValue = Infinity;
+  for (const item of items) {
+    const value = valueOf(item);
+    if (value >= leastValue) continue;
+    least = item;
+    leastValue = value;
+  }
+  return least;
+}
--- /dev/null
+++ b/packages/ownership/src/lib/balance/plan-moves.ts
@@ -0,0 +1,144 @@
+import type { BalanceServer, ShardLoad } from './balance-types.js';
+import { Placement, type WeighedShard, useOf, weighShards } from './placement.js';
+import { findBalancingMove } from './find-balancing-move.js';
+import { type HotKey, type PinSuggestion, suggestPins } from './suggest-pins.js';
+
+/**
+ * Why a shard moves:
+ * - `no-owner`: nobody owns it, or its owner is not configured any more.
+ * - `owner-gone`: its owner is lost.
+ * - `owner-draining`: its owner takes no new work.
+ * - `balance`: its owner has more load than others.
+ */
+export type MoveReason = 'no-owner' | 'owner-gone' | 'owner-draining' | 'balance';
+
+/** A shard that should get another owner. */
+export interface Move {
+  readonly shard: number;
+  readonly from: string | undefined;
+  readonly to: string;
+  readonly reason: MoveReason;
+}
+
+/** What a plan is made from. */
+export interface BalanceInput {
+  /** All shards of the service; a pin counts as a shard of its own. */
+  readonly shards: readonly ShardLoad[];
+  readonly servers: readonly BalanceServer[];
+  /** What the service weighs more. */
+  readonly weigh: 'unavailable-time' | 'churn';
+  /** Most moves for reason `balance`; others are not limited. */
+  readonly budget: number;
+  /** Hottest keys, for suggestions of pins. */
+  readonly hotKeys?: readonly HotKey[];
+  /** Hashes of keys that are pinned already. */
+  readonly pins?: ReadonlySet<string>;
+}
+
+/** Moves and advice. */
+export interface BalancePlan {
+  readonly moves: readonly Move[];
+  readonly pinSuggestions: readonly PinSuggestion[];
+  /** Load of the busiest server over the mean, before and after the moves. */
+  readonly imbalanceBefore: number;
+  readonly imbalanceAfter: number;
+}
+
+/** When balancing starts and when it is done, as load of a server over the mean. */
+interface Thresholds {
+  readonly startAbove: number;
+  readonly startBelow: number;
+  readonly stopAbove: number;
+  readonly stopBelow: number;
+}
+
+const THRESHOLDS: Readonly<Record<BalanceInput['weigh'], Thresholds>> = {
+  'unavailable-time': { startAbove: 1.1, startBelow: 0.8, stopAbove: 1.04, stopBelow: 0.93 },
+  churn: { startAbove: 1.15, startBelow: 0.7, stopAbove: 1.08, stopBelow: 0.9 },
+};
+
+function imbalanceOf(placement: Placement): number {
+  const mean = placement.meanUse();
+  const most = placement.mostUsed();
+  return most && mean > 0 ? useOf(most) / mean : 1;
+}
+
+function exceeds(placement: Placement, above: number, below: number): boolean {
+  const mean = placement.meanUse();
+  const most = placement.mostUsed();
+  const least = placement.leastUsed();
+  if (!most || !least) return false;
+  return useOf(most) > mean * above || useOf(least) < mean * below;
+}
+
+function repairReason(placement: Placement, shard: ShardLoad): MoveReason | undefined {
+  switch (placement.stateOf(shard.owner)) {
+    case undefined:
+      return 'no-owner';
+    case 'gone':
+      return 'owner-gone';
+    case 'draining':
+      return 'owner-draining';
+    default:
+      return undefined;
+  }
+}
+
+/** Moves what its owner can't keep, heaviest first. A lost owner's shards go to their successors. */
+function repair(placement: Placement, shards: readonly WeighedShard[]): Move[] {
+  const moves: Move[] = [];
+  const heaviestFirst = [...shards].sort((a, b) => b.weight - a.weight || a.shard - b.shard);
+  for (const shard of heaviestFirst) {
+    const reason = repairReason(placement, shard);
+    if (!reason) continue;
+    const stored = reason === 'owner-gone' ? placement.receiver(shard.successor) : undefined;
+    const to = stored ?? placement.leastUsed(shard.weight);
+    if (!to) continue;
+    placement.move(shard, shard.owner, to);
+    moves.push({ shard: shard.shard, from: shard.owner, to: to.server.id, reason });
+  }
+  return moves;
+}
+
+/** Moves shards from the busiest to the least busy servers until the load is even enough. */
+function balance(placement: Placement, input: BalanceInput, fixed: Set<number>): Move[] {
+  const { startAbove, startBelow, stopAbove, stopBelow } = THRESHOLDS[input.weigh];
+  const moves: Move[] = [];
+  if (!exceeds(placement, startAbove, startBelow)) return moves;
+  while (moves.length < input.budget && exceeds(placement, stopAbove, stopBelow)) {
+    const found = findBalancingMove(placement, fixed);
+    if (!found) break;
+    placement.move(found.shard, found.from, found.to);
+    fixed.add(found.shard.shard);
+    const { shard, from, to } = found;
+    moves.push({ shard: shard.shard, from, to: to.server.id, reason: 'balance' });
+  }
+  return moves;
+}
+
+/**
+ * Plans which shards should move. Shards whose owner is lost, draining or missing always move;
+ * others only while a server's load stands out from the mean by more than a start threshold, and
+ * then until all are within a tighter stop threshold, so that a load that wavers moves nothing.
+ * No shard moves twice in a plan. The same input gives the same plan.
+ */
+export function planMoves(input: BalanceInput): BalancePlan {
+  const shards = weighShards(input.shards);
+  const placement = new Placement(shards, input.servers);
+  const imbalanceBefore = imbalanceOf(placement);
+  const repairs = repair(placement, shards);
+  const fixed = new Set(repairs.map((it) => it.shard));
+  const moves = [...repairs, ...balance(placement, input, fixed)];
+  const serverCount = placement.receivers.length;
+  return {
+    moves,
+    pinSuggestions: suggestPins(
+      input.hotKeys ?? [],
+      input.pins ?? new Set(),
+      input.shards,
+      serverCount,
+    ),
+    imbalanceBefore,
+    imbalanceAfter: imbalanceOf(placement),
+  };
+}
