--- a/packages/config/src/lib/service-config.ts
+++ b/packages/config/src/lib/service-config.ts
@@ -81,7 +81,7 @@
 /** Times of the lease protocol. `docs/OPERATING.md` explains the trade-off of the tenure. */
 export const leaseConfigSchema = v.strictObject({
   /** Time that a grant lasts on the backend server's own clock. */
-  leaseMs: v.optional(wholeNumber(50, 60_000), 500),
+  leaseMs: v.optional(wholeNumber(50, 60_000), 700),
   /** Time between two renewals. */
   renewEveryMs: v.optional(wholeNumber(10, 30_000), 100),
   /** Longest time that a keeper acts without having read the table. */
--- /dev/null
+++ b/packages/ownership/src/lib/keeper-peers.ts
@@ -0,0 +1,34 @@
+import type { MoveOrder } from './move-order.js';
+import type { KeeperSeat } from './table-rows.js';
+
+/** Answer to a request to stand down. */
+export interface StandDownAnswer {
+  /** True when the peer promises, for a tenure, neither to renew the backend server nor to claim it. */
+  readonly accepted: boolean;
+  /** True when the peer has renewed it from its present seat at any time. */
+  readonly hasActed: boolean;
+}
+
+/** What a keeper asks of its peers. */
+export interface KeeperPeers {
+  /**
+   * Asks the standby to stand down for the keeper that acts under `actingEpoch`. Returns `undefined`
+   * when this start of the standby did not answer in time.
+   */
+  standDown(
+    standby: KeeperSeat,
+    server: string,
+    actingEpoch: number,
+  ): Promise<StandDownAnswer | undefined>;
+  /** Asks every router that this one ever heard of; true when all have promised. */
+  standDownEveryone(server: string, actingEpoch: number): Promise<boolean>;
+  /** Asks the keeper of a backend server to move shards; false when it did not. */
+  moveShards(
+    keeper: string,
+    server: string,
+    orders: readonly MoveOrder[],
+    reason: string,
+  ): Promise<boolean>;
+  /** Sends this router's newest rows and unrecorded moves to all peers at once. */
+  announce(): void;
+}
--- /dev/null
+++ b/packages/ownership/src/lib/keeper-seats.ts
@@ -0,0 +1,73 @@
+import type { BackendServer } from '@boragepoint/config';
+
+import { rankCandidates } from './key-hash.js';
+import type { RouterInstance } from './membership.js';
+import type { OwnershipContext } from './ownership-context.js';
+import type { KeeperRow, KeeperSeat } from './table-rows.js';
+
+function distance(server: BackendServer, router: RouterInstance): number {
+  if (router.region !== server.region) return 2;
+  return router.availabilityZone === server.availabilityZone ? 1 : 0;
+}
+
+/**
+ * Orders the live routers as keepers of a backend server: routers of its region in another
+ * availability zone first, so that the loss of one zone never takes the server and its keepers.
+ */
+export function rankKeepers(ctx: OwnershipContext, server: BackendServer): RouterInstance[] {
+  const live = new Map(ctx.membership.live().map((it) => [it.id, it]));
+  const ranked = rankCandidates(ctx.hasher, server.id, [...live.keys()]);
+  const routers = ranked.flatMap((id) => live.get(id) ?? []);
+  return routers.sort((a, b) => distance(server, a) - distance(server, b));
+}
+
+function seatOf(router: RouterInstance, epoch: number): KeeperSeat {
+  return { router: router.id, incarnation: router.incarnation, epoch };
+}
+
+/** A keeper row without its writer token. */
+export type KeeperRowValue = Omit<KeeperRow, 'writer'>;
+
+/** Seats for an acting keeper and the first other router of the ranking, under new epochs. */
+export function takeSeats(
+  ctx: OwnershipContext,
+  service: string,
+  server: BackendServer,
+  acting: RouterInstance,
+  before: KeeperRow | undefined,
+): KeeperRowValue {
+  const epoch = before?.nextEpoch ?? 1;
+  const standby = rankKeepers(ctx, server).find((it) => it.id !== acting.id);
+  return {
+    service,
+    acting: seatOf(acting, epoch),
+    standby: standby && seatOf(standby, epoch + 1),
+    nextEpoch: epoch + 2,
+    serverStart: before?.serverStart,
+    deposedUpTo: before?.deposedUpTo,
+  };
+}
+
+/** Seats after a standby that stepped in: it keeps its epoch, and gets a standby of its own. */
+export function promoteStandby(
+  ctx: OwnershipContext,
+  server: BackendServer,
+  row: KeeperRow,
+  promoted: KeeperSeat,
+): KeeperRowValue {
+  const next = rankKeepers(ctx, server).find((it) => it.id !== promoted.router);
+  return {
+    service: row.service,
+    acting: promoted,
+    standby: next && seatOf(next, row.nextEpoch),
+    nextEpoch: row.nextEpoch + 1,
+    serverStart: row.serverStart,
+    deposedUpTo: row.deposedUpTo,
+  };
+}
+
+/** True when the seat belongs to this start of this router. */
+export function isOwnSeat(ctx: OwnershipContext, seat: KeeperSeat | undefined): boolean {
+  const { id, incarnation } = ctx.membership.self;
+  return seat?.router === id && seat.incarnation === incarnation;
+}
--- /dev/null
+++ b/packages/ownership/src/lib/lease-client.ts
@@ -0,0 +1,49 @@
+import {
+  LEASE_PATH,
+  type LeaseAnswer,
+  type LeaseRequest,
+  leaseAnswerSchema,
+} from '@boragepoint/platform';
+import { type Result, err, ok } from 'neverthrow';
+import { Agent } from 'undici';
+import * as v from 'valibot';
+
+/** A renewal that got no usable answer. */
+export class LeaseError extends Error {
+  override readonly name = 'LeaseError';
+}
+
+/** Sends renewals to backend servers. */
+export interface LeaseClient extends AsyncDisposable {
+  /** @param address IP address and port. @param timeoutMs Longest wait for the answer. */
+  send(
+    address: string,
+    req: LeaseRequest,
+    timeoutMs: number,
+  ): Promise<Result<LeaseAnswer, LeaseError>>;
+}
+
+/** Creates a client with connections of its own, so that requests in flight don't delay renewals. */
+export function createLeaseClient(): LeaseClient {
+  const agent = new Agent({ connections: 1, pipelining: 1, keepAliveTimeout: 10_000 });
+  return {
+    async send(address, req, timeoutMs) {
+      try {
+        const res = await agent.request({
+          origin: `http://${address}`,
+          path: LEASE_PATH,
+          method: 'POST',
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify(req),
+          signal: AbortSignal.timeout(timeoutMs),
+        });
+        return ok(v.parse(leaseAnswerSchema, await res.body.json()));
+      } catch (cause) {
+        return err(new LeaseError(`no usable answer from ${address}`, { cause }));
+      }
+    },
+    async [Symbol.asyncDispose]() {
+      await agent.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/ownership/src/lib/lease-renewer.ts
@@ -0,0 +1,94 @@
+import type { LeaseAnswer, LeaseRequest, ShardEpoch } from '@boragepoint/platform';
+
+import type { LeaseClient } from './lease-client.js';
+import { monotonicMs } from './pause.js';
+
+/** Outcome of one renewal. */
+export type RenewOutcome =
+  | { readonly kind: 'renewed'; readonly answer: LeaseAnswer }
+  /** The backend server answered for the first time, or as a new start: nothing was granted. */
+  | { readonly kind: 'new-start'; readonly answer: LeaseAnswer }
+  /** A keeper with a higher epoch was there. */
+  | { readonly kind: 'replaced'; readonly keeperEpoch: number }
+  | { readonly kind: 'no-answer' };
+
+/** What one renewal carries. */
+export interface Renewal {
+  readonly address: string;
+  readonly leaseMs: number;
+  readonly timeoutMs: number;
+  readonly grants: readonly ShardEpoch[];
+  readonly release: readonly ShardEpoch[];
+}
+
+/** Renews the lease of one backend server under one keeper epoch. */
+export interface LeaseRenewer {
+  readonly keeperEpoch: number;
+  renew(renewal: Renewal): Promise<RenewOutcome>;
+  /** Asks for an answer without extending or granting anything. */
+  probe(address: string, timeoutMs: number): Promise<RenewOutcome>;
+  /** Time of the last answer received, or of creation. The lease can't outlast it by more than its length. */
+  lastAnswerAt(): number;
+  /**
+   * True once that start of the backend server accepted this keeper epoch, so that it refuses lower
+   * ones; always true when there was no start yet.
+   */
+  isFenced(start: string | undefined): boolean;
+  /** Start that answered last. */
+  serverStart(): string | undefined;
+  lastAnswer(): LeaseAnswer | undefined;
+}
+
+/**
+ * Creates a renewer. Each renewal echoes the sequence number of the last answer.
+ * @param previous This router's renewer under an earlier keeper epoch, whose answers go on counting.
+ */
+export function createLeaseRenewer(
+  client: LeaseClient,
+  keeper: string,
+  keeperEpoch: number,
+  previous?: LeaseRenewer,
+): LeaseRenewer {
+  let last = previous?.lastAnswer();
+  let lastAnswerAt = previous?.lastAnswerAt() ?? monotonicMs();
+  const fencedStarts = new Set<string>();
+
+  function echo(): LeaseRequest['echo'] {
+    return last && { start: last.start, sequence: last.sequence };
+  }
+
+  async function send(
+    address: string,
+    req: LeaseRequest,
+    timeoutMs: number,
+  ): Promise<RenewOutcome> {
+    const answer = await client.send(address, req, timeoutMs);
+    if (answer.isErr()) return { kind: 'no-answer' };
+    return accept(answer.value);
+  }
+
+  function accept(answer: LeaseAnswer): RenewOutcome {
+    if (!answer.accepted) return { kind: 'replaced', keeperEpoch: answer.keeperEpoch };
+    const isNewStart = last?.start !== answer.start;
+    last = answer;
+    lastAnswerAt = monotonicMs();
+    fencedStarts.add(answer.start);
+    return { kind: isNewStart ? 'new-start' : 'renewed', answer };
+  }
+
+  return {
+    keeperEpoch,
+    renew({ address, leaseMs, timeoutMs, grants, release }) {
+      const req = { keeper, keeperEpoch, leaseMs, grants: [...grants], release: [...release] };
+      return send(address, last === undefined ? req : { ...req, echo: echo() }, timeoutMs);
+    },
+    probe(address, timeoutMs) {
+      const req = { keeper, keeperEpoch, leaseMs: 0, grants: [], release: [] };
+      return send(address, req, timeoutMs);
+    },
+    lastAnswerAt: () => lastAnswerAt,
+    isFenced: (start) => start === undefined || fencedStarts.has(start),
+    serverStart: () => last?.start,
+    lastAnswer: () => last,
+  };
+}
--- /dev/null
+++ b/packages/ownership/src/lib/release-list.ts
@@ -0,0 +1,68 @@
+import type { LeaseAnswer, ShardEpoch } from '@boragepoint/platform';
+
+import type { Assignment } from './table-rows.js';
+
+interface Release {
+  readonly shard: number;
+  readonly epoch: number;
+  wasSent: boolean;
+  resolve(): void;
+}
+
+/** Shards that a backend server is asked to release, until their new owners are recorded. */
+export interface ReleaseList {
+  has(shard: number, epoch: number): boolean;
+  /** What the next renewal asks for. */
+  list(service: string): ShardEpoch[];
+  /** Notes which releases an answer confirms. */
+  settle(answer: LeaseAnswer): void;
+  /** Resolves when the backend server has confirmed all releases, or the signal aborts. */
+  release(
+    assignments: readonly Assignment[],
+    onAdded: () => void,
+    signal: AbortSignal,
+  ): Promise<void>;
+  /** Drops releases whose outcome is recorded. */
+  forget(shards: readonly { readonly shard: number }[]): void;
+}
+
+function isConfirmed(release: Release, answer: LeaseAnswer): boolean {
+  const still = [...answer.held, ...answer.releasing];
+  return release.wasSent && !still.some((it) => it.shard === release.shard);
+}
+
+/** Creates an empty list. */
+export function createReleaseList(): ReleaseList {
+  const releases = new Map<number, Release>();
+
+  function addOne(assignment: Assignment, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const { shard, epoch } = assignment;
+      releases.set(shard, { shard, epoch, wasSent: false, resolve });
+      signal.addEventListener('abort', () => {
+        resolve();
+      });
+    });
+  }
+
+  return {
+    has: (shard, epoch) => releases.get(shard)?.epoch === epoch,
+    list(service) {
+      for (const release of releases.values()) release.wasSent = true;
+      return [...releases.values()].map(({ shard, epoch }) => ({ service, shard, epoch }));
+    },
+    settle(answer) {
+      for (const release of releases.values()) {
+        if (isConfirmed(release, answer)) release.resolve();
+      }
+    },
+    async release(assignments, onAdded, signal) {
+      const confirmed = assignments.map((it) => addOne(it, signal));
+      onAdded();
+      await Promise.all(confirmed);
+    },
+    forget(shards) {
+      for (const { shard } of shards) releases.delete(shard);
+    },
+  };
+}
--- /dev/null
+++ b/packages/ownership/src/lib/row-store.ts
@@ -0,0 +1,112 @@
+import type { TableRow } from '@boragepoint/platform';
+import * as v from 'valibot';
+
+import type { KeyHasher } from './key-hash.js';
+import {
+  type AssignRow,
+  type ConfigRow,
+  type KeeperRow,
+  ROW_PREFIXES,
+  assignRowSchema,
+  configRowSchema,
+  keeperRowSchema,
+} from './table-rows.js';
+
+/** A row with its checked value. */
+export interface HeldRow<T> {
+  readonly key: string;
+  readonly version: number;
+  readonly value: T;
+}
+
+interface StoredRow extends HeldRow<unknown> {
+  readonly text: string;
+}
+
+/** Called with the key of a row that has a new version. */
+export type RowListener = (key: string) => void;
+
+/**
+ * Rows of the table that this router knows, from the table or from peers. A row's version never
+ * goes back.
+ */
+export interface RowStore {
+  /** Takes a row in; false when it is no newer than the one held, or not well formed. */
+  offer(row: TableRow): boolean;
+  config(key: string): HeldRow<ConfigRow> | undefined;
+  assign(key: string): HeldRow<AssignRow> | undefined;
+  keeper(key: string): HeldRow<KeeperRow> | undefined;
+  keys(prefix: string): string[];
+  /** All rows whose version is above the one given; rows not named count as version 0. */
+  newerThan(held: ReadonlyMap<string, number>): TableRow[];
+  versions(): Map<string, number>;
+  /** Equal on two routers that hold the same versions. */
+  digest(): string;
+  onChange(listener: RowListener): Disposable;
+}
+
+function parseValue(key: string, text: string): unknown {
+  const json = JSON.parse(text) as unknown;
+  if (key.startsWith(ROW_PREFIXES.config)) return v.parse(configRowSchema, json);
+  if (key.startsWith(ROW_PREFIXES.assign)) return v.parse(assignRowSchema, json);
+  if (key.startsWith(ROW_PREFIXES.keeper)) return v.parse(keeperRowSchema, json);
+  throw new RangeError(`${key} is not a row that routers share`);
+}
+
+/** Creates an empty row store. `onBadRow` hears of rows that are not well formed. */
+export function createRowStore(
+  hasher: KeyHasher,
+  onBadRow: (key: string, cause: unknown) => void,
+): RowStore {
+  const rows = new Map<string, StoredRow>();
+  const listeners = new Set<RowListener>();
+  let digest = 0n;
+
+  function addToDigest(row: StoredRow): void {
+    digest ^= hasher.score(row.key, String(row.version));
+  }
+
+  function held<T>(key: string): HeldRow<T> | undefined {
+    return rows.get(key) as HeldRow<T> | undefined;
+  }
+
+  function replace(row: StoredRow): void {
+    const before = rows.get(row.key);
+    if (before !== undefined) addToDigest(before);
+    addToDigest(row);
+    rows.set(row.key, row);
+    for (const listener of [...listeners]) listener(row.key);
+  }
+
+  return {
+    offer({ key, version, value }) {
+      const before = rows.get(key);
+      if (before !== undefined && before.version >= version) return false;
+      try {
+        replace({ key, version, text: value, value: parseValue(key, value) });
+        return true;
+      } catch (cause) {
+        onBadRow(key, cause);
+        return false;
+      }
+    },
+    config: (key) => held<ConfigRow>(key),
+    assign: (key) => held<AssignRow>(key),
+    keeper: (key) => held<KeeperRow>(key),
+    keys: (prefix) => [...rows.keys()].filter((key) => key.startsWith(prefix)),
+    newerThan(versions) {
+      const newer = [...rows.values()].filter((row) => row.version > (versions.get(row.key) ?? 0));
+      return newer.map(({ key, version, text }) => ({ key, version, value: text }));
+    },
+    versions: () => new Map([...rows.values()].map((row) => [row.key, row.version])),
+    digest: () => digest.toString(16),
+    onChange(listener) {
+      listeners.add(listener);
+      return {
+        [Symbol.dispose]() {
+          listeners.delete(listener);
+        },
+      };
+    },
+  };
+}
--- /dev/null
+++ b/packages/ownership/src/lib/server-recovery.ts
@@ -0,0 +1,218 @@
+import type { ServiceConfig } from '@boragepoint/config';
+import type { LeaseAnswer } from '@boragepoint/platform';
+
+import { takeSeats } from './keeper-seats.js';
+import type { OwnershipContext } from './ownership-context.js';
+import { monotonicMs, pause } from './pause.js';
+import type { HeldRow } from './row-store.js';
+import type { ShardChange } from './shard-mover.js';
+import { type SilenceQuestion, lapseMs, proveSilence } from './silence-proof.js';
+import { type Assignment, type KeeperRow, ROW_PREFIXES } from './table-rows.js';
+import { chooseTargets, usableServers } from './target-chooser.js';
+
+/** Time that a write may take before a move to stored successors goes ahead without it. */
+const UNRECORDED_AFTER_MS = 150;
+/** Step to an epoch that no stored successor could have been given. */
+const RECORDED_EPOCH_STEP = 2;
+/** Step to the epoch that is reserved for the stored successor. */
+const SUCCESSOR_EPOCH_STEP = 1;
+
+/** What the acting keeper does about a backend server that is lost or comes back. */
+export interface ServerRecovery {
+  /** Moves the shards of a server that no longer answers, once nothing can renew its lease. */
+  moveFromLostServer(
+    row: HeldRow<KeeperRow>,
+    service: ServiceConfig,
+    question: SilenceQuestion,
+  ): Promise<void>;
+  /** Gives shards new epochs after the server was started anew, then accepts that start. */
+  adoptStart(
+    row: HeldRow<KeeperRow>,
+    service: ServiceConfig,
+    start: string,
+    question: SilenceQuestion,
+  ): Promise<void>;
+  /**
+   * Completes moves that an earlier keeper may have carried out without a record: shards that the
+   * server no longer holds go to their stored successors. True when none is left.
+   */
+  completeMoves(
+    row: HeldRow<KeeperRow>,
+    service: ServiceConfig,
+    answer: LeaseAnswer,
+  ): Promise<boolean>;
+  serverAnswered(): void;
+  /** True when the standby has stood down, so that new keeper epochs are needed. */
+  needsNewSeats(): boolean;
+  seatsWritten(): void;
+}
+
+/**
+ * Creates the recovery of one backend server.
+ * @param hasOpenSuccessorWrite True while a write of stored successors has an open outcome, so that
+ *   the table may authorise another successor than the one known here.
+ */
+export function createServerRecovery(
+  ctx: OwnershipContext,
+  serverId: string,
+  hasOpenSuccessorWrite: () => boolean,
+  signal: AbortSignal,
+): ServerRecovery {
+  let standbyStoodDown = false;
+  let isLost = false;
+
+  function toSuccessor(assignment: Assignment, reason: string): ShardChange {
+    return {
+      shard: assignment.shard,
+      from: serverId,
+      to: assignment.successor,
+      epoch: assignment.epoch + SUCCESSOR_EPOCH_STEP,
+      successor: '',
+      reason,
+    };
+  }
+
+  function toTarget(assignment: Assignment, to: string, reason: string): ShardChange {
+    const epoch = assignment.epoch + RECORDED_EPOCH_STEP;
+    return { shard: assignment.shard, from: serverId, to, epoch, successor: '', reason };
+  }
+
+  function planMoves(service: ServiceConfig, owned: Assignment[], reason: string): ShardChange[] {
+    const usable = new Set(usableServers(ctx, service).map((it) => it.id));
+    usable.delete(serverId);
+    const ready = owned.filter((it) => usable.has(it.successor));
+    const others = owned.filter((it) => !usable.has(it.successor));
+    const targets = chooseTargets(ctx, service, serverId, others.length);
+    const chosen = others.flatMap((it, i) => {
+      const target = targets[i];
+      return target === undefined ? [] : [toTarget(it, target, reason)];
+    });
+    return [...ready.map((it) => toSuccessor(it, reason)), ...chosen];
+  }
+
+  /** Carries out authorised moves before the table shows them, once no router can claim the seat. */
+  async function moveUnrecorded(
+    row: HeldRow<KeeperRow>,
+    service: ServiceConfig,
+    owned: Assignment[],
+    all: ShardChange[],
+  ): Promise<void> {
+    if (hasOpenSuccessorWrite()) return;
+    const tenureEnd = ctx.lastTableReadAt() + service.lease.tenureMs;
+    const promised = await ctx.peers.standDownEveryone(serverId, row.value.acting.epoch);
+    if (!promised || monotonicMs() >= tenureEnd) return;
+    if (ctx.map.keeper(serverId)?.version !== row.version) return;
+    const successors = new Map(owned.map((it) => [it.shard, it.successor]));
+    const authorised = all.filter((it) => it.to === successors.get(it.shard));
+    const moves = authorised.map(({ shard, to, epoch }) => ({
+      service: service.name,
+      shard,
+      owner: to,
+      epoch,
+    }));
+    ctx.map.addUnrecorded(moves);
+    ctx.peers.announce();
+    ctx.journal.add(
+      'shards-moved-unrecorded',
+      serverId,
+      `${moves.length} shards to stored successors`,
+    );
+  }
+
+  async function recordMoves(
+    row: HeldRow<KeeperRow>,
+    service: ServiceConfig,
+    owned: Assignment[],
+    changes: ShardChange[],
+  ): Promise<void> {
+    if (changes.length === 0) return;
+    const recording = ctx.mover.record(service.name, row, changes, signal);
+    const late = new AbortController();
+    const first = await Promise.race([
+      recording.then(() => 'recorded' as const),
+      pause(ctx.isTableUp() ? UNRECORDED_AFTER_MS : 0, late.signal).then(() => 'late' as const),
+    ]);
+    late.abort();
+    if (first === 'late') await moveUnrecorded(row, service, owned, changes);
+    const recorded = await recording;
+    ctx.peers.announce();
+    if (recorded.isOk()) {
+      ctx.journal.add('shards-moved', serverId, `${changes.length} shards: ${changes[0]?.reason}`);
+    }
+  }
+
+  async function dropStandby(row: HeldRow<KeeperRow>): Promise<void> {
+    const found = ctx.map.server(serverId);
+    if (found === undefined || !ctx.isTableUp()) return;
+    const { self } = ctx.membership;
+    const value = takeSeats(ctx, row.value.service, found.server, self, row.value);
+    await ctx.writer.write([{ key: row.key, expectedVersion: row.version, value }], signal);
+    ctx.peers.announce();
+  }
+
+  /** Waits until no lease can be live; false when that can't be proved yet. */
+  async function waitForLapse(
+    row: HeldRow<KeeperRow>,
+    service: ServiceConfig,
+    question: SilenceQuestion,
+  ): Promise<boolean> {
+    const silence = await proveSilence(ctx, question);
+    if (silence === 'tenure-not-over') return false;
+    if (silence === 'standby-unreachable') {
+      await dropStandby(row);
+      return false;
+    }
+    standbyStoodDown = row.value.standby !== undefined;
+    await pause(silence.since + lapseMs(service.lease) - monotonicMs(), signal);
+    return !signal.aborted && ctx.map.keeper(serverId)?.version === row.version;
+  }
+
+  return {
+    async moveFromLostServer(row, service, question) {
+      if (!isLost) ctx.journal.add('server-lost', serverId, 'renewals go unanswered');
+      isLost = true;
+      const owned = ctx.map.ownedBy(service.name, serverId);
+      if (owned.length === 0) return;
+      if (!(await waitForLapse(row, service, question))) return;
+      const changes = planMoves(service, owned, 'the owner was lost');
+      await recordMoves(row, service, owned, changes);
+    },
+    async adoptStart(row, service, start, question) {
+      const owned = ctx.map.ownedBy(service.name, serverId);
+      if (row.value.serverStart !== undefined && owned.length > 0) {
+        if (!(await waitForLapse(row, service, question))) return;
+        const reason = 'the owner was started anew';
+        const changes = ctx.isTableUp()
+          ? owned.map((it) => toTarget(it, serverId, reason))
+          : planMoves(service, owned, reason);
+        await recordMoves(row, service, owned, changes);
+      }
+      const value = { ...row.value, serverStart: start };
+      await ctx.writer.write([{ key: row.key, expectedVersion: row.version, value }], signal);
+      ctx.peers.announce();
+    },
+    async completeMoves(row, service, answer) {
+      const keys = ctx.rows.keys(`${ROW_PREFIXES.assign}${service.name}/`);
+      if (!(await ctx.writer.refresh(keys))) return false;
+      const held = new Set(answer.leaseLeftMs > 0 ? answer.held.map((it) => it.shard) : []);
+      const owned = ctx.map.ownedBy(service.name, serverId);
+      const lapsed = owned.filter((it) => !held.has(it.shard));
+      if (lapsed.length === 0) return true;
+      const reason = 'a replaced keeper may have moved the shard';
+      const changes = lapsed.map((it) =>
+        it.successor === '' ? toTarget(it, serverId, reason) : toSuccessor(it, reason),
+      );
+      const recorded = await ctx.mover.record(service.name, row, changes, signal);
+      ctx.peers.announce();
+      return recorded.isOk();
+    },
+    serverAnswered() {
+      if (isLost) ctx.journal.add('server-back', serverId, 'the server answers again');
+      isLost = false;
+    },
+    needsNewSeats: () => standbyStoodDown,
+    seatsWritten() {
+      standbyStoodDown = false;
+    },
+  };
+}
--- /dev/null
+++ b/packages/ownership/src/lib/service-planner.ts
@@ -0,0 +1,122 @@
+import type { ServiceConfig } from '@boragepoint/config';
+
+import { type Move, assignInitially, chooseSuccessors, planMoves } from './balance/index.js';
+import { groupBy } from './balance/group-by.js';
+import { rankCandidates } from './key-hash.js';
+import type { MoveOrder } from './move-order.js';
+import type { OwnershipContext } from './ownership-context.js';
+import { pause } from './pause.js';
+import { balanceServers, balanceShards } from './successor-upkeep.js';
+import { type Assignment, SHARDS_PER_ROW, assignKey } from './table-rows.js';
+
+/** Time between two plans of a service. */
+const PLAN_EVERY_MS = 1_000;
+const MINUTE_MS = 60_000;
+
+/** Writes first assignments and asks keepers to move shards, for services that it comes first for. */
+export interface ServicePlanner extends AsyncDisposable {
+  /** Plans at once instead of at the next interval. */
+  planNow(): Promise<void>;
+}
+
+/** Sends move orders to the acting keeper of the server that owns the shards. */
+export type MoveSender = (
+  server: string,
+  orders: readonly MoveOrder[],
+  reason: string,
+) => Promise<boolean>;
+
+/** Creates the planner and starts its task. */
+export function createServicePlanner(ctx: OwnershipContext, sendMoves: MoveSender): ServicePlanner {
+  const stopping = new AbortController();
+  const budgets = new Map<string, number>();
+  const moving = new Set<string>();
+  const done = run();
+
+  async function run(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      await pause(PLAN_EVERY_MS, stopping.signal);
+      await planAll();
+    }
+  }
+
+  async function planAll(): Promise<void> {
+    if (!ctx.isTableUp()) return;
+    for (const service of ctx.map.services()) {
+      if (comesFirst(service.name)) await planOne(service);
+    }
+  }
+
+  function comesFirst(service: string): boolean {
+    const live = ctx.membership.live().map((it) => it.id);
+    return rankCandidates(ctx.hasher, service, live)[0] === ctx.membership.self.id;
+  }
+
+  async function planOne(service: ServiceConfig): Promise<void> {
+    if (ctx.map.assignments(service.name).length < service.shards) await assignFirst(service);
+    else orderMoves(service);
+  }
+
+  async function assignFirst(service: ServiceConfig): Promise<void> {
+    const servers = balanceServers(ctx, service);
+    const owners = assignInitially(service.shards, servers);
+    const loads = owners.map((it) => ({ ...it, load: 0 }));
+    const successors = chooseSuccessors(loads, servers);
+    const shards = owners.map(({ shard, owner }, i): Assignment => {
+      const successor = successors[i]?.successor ?? '';
+      return { shard, owner, epoch: 1, successor };
+    });
+    for (let first = 0; first < shards.length; first += SHARDS_PER_ROW) {
+      const key = assignKey(service.name, first);
+      if (ctx.rows.assign(key) !== undefined) continue;
+      const value = { shards: shards.slice(first, first + SHARDS_PER_ROW), history: [] };
+      const written = await ctx.writer.write([{ key, expectedVersion: 0, value }], stopping.signal);
+      if (written.isErr()) await ctx.writer.refresh([key]);
+    }
+    ctx.peers.announce();
+  }
+
+  function refillBudget(service: ServiceConfig): number {
+    const most = Math.max(1, service.movesPerMinute / 4);
+    const perPlan = (service.movesPerMinute * PLAN_EVERY_MS) / MINUTE_MS;
+    const budget = Math.min(most, (budgets.get(service.name) ?? most) + perPlan);
+    budgets.set(service.name, budget);
+    return Math.floor(budget);
+  }
+
+  function orderMoves(service: ServiceConfig): void {
+    const budget = refillBudget(service);
+    const shards = balanceShards(ctx, service);
+    const servers = balanceServers(ctx, service);
+    const { moves } = planMoves({ shards, servers, weigh: service.weigh, budget });
+    const wanted = moves.filter((it) => it.reason === 'balance' || it.reason === 'owner-draining');
+    const spent = wanted.filter((it) => it.reason === 'balance').length;
+    budgets.set(service.name, (budgets.get(service.name) ?? 0) - spent);
+    const byOwner = groupBy(wanted, (it) => it.from ?? '');
+    for (const [server, group] of byOwner) void sendGroup(service, server, group);
+  }
+
+  async function sendGroup(
+    service: ServiceConfig,
+    server: string,
+    moves: readonly Move[],
+  ): Promise<void> {
+    if (server === '' || moving.has(server)) return;
+    moving.add(server);
+    const orders = moves.map(({ shard, to }): MoveOrder => {
+      const epoch = ctx.map.assignment(service.name, shard)?.epoch ?? 0;
+      return { shard, epoch, to };
+    });
+    const reason = moves[0]?.reason === 'owner-draining' ? 'the owner is draining' : 'balance';
+    await sendMoves(server, orders, reason);
+    moving.delete(server);
+  }
+
+  return {
+    planNow: planAll,
+    async [Symbol.asyncDispose]() {
+      stopping.abort();
+      await done;
+    },
+  };
+}
--- /dev/null
+++ b/packages/ownership/src/lib/table-sync.ts
@@ -0,0 +1,69 @@
+import type { InstanceList, TableService } from '@boragepoint/platform';
+
+import type { Membership } from './membership.js';
+import { monotonicMs, pause } from './pause.js';
+import type { RowStore } from './row-store.js';
+import { ROW_PREFIXES } from './table-rows.js';
+
+/** Time between two reads of the table and of the instance list. */
+const POLL_EVERY_MS = 500;
+
+/** Reads the shared rows and the instance list again and again. */
+export interface TableSync extends AsyncDisposable {
+  /** When the last complete read was sent, on the monotonic clock; `-Infinity` when none was. */
+  lastReadAt(): number;
+  /** False after a failed read or write, until a read succeeds. */
+  isUp(): boolean;
+  /** Notes that a call to the table failed. */
+  noteFailure(): void;
+  pollNow(): Promise<void>;
+}
+
+/** Creates the task and starts it. */
+export function createTableSync(
+  table: TableService,
+  instances: InstanceList,
+  rows: RowStore,
+  membership: Membership,
+): TableSync {
+  const stopping = new AbortController();
+  let lastReadAt = -Infinity;
+  let up = false;
+  const done = run();
+
+  async function run(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      await Promise.all([pollTable(), pollInstances()]);
+      await pause(POLL_EVERY_MS, stopping.signal);
+    }
+  }
+
+  async function pollTable(): Promise<void> {
+    const sentAt = monotonicMs();
+    const scans = await Promise.all(
+      Object.values(ROW_PREFIXES).map((prefix) => table.scan(prefix)),
+    );
+    up = scans.every((it) => it.isOk());
+    if (!up) return;
+    for (const row of scans.flatMap((it) => it.unwrapOr([]))) rows.offer(row);
+    lastReadAt = sentAt;
+  }
+
+  async function pollInstances(): Promise<void> {
+    const listed = await instances.list();
+    if (listed.isOk()) membership.listed(listed.value);
+  }
+
+  return {
+    lastReadAt: () => lastReadAt,
+    isUp: () => up,
+    noteFailure() {
+      up = false;
+    },
+    pollNow: pollTable,
+    async [Symbol.asyncDispose]() {
+      stopping.abort();
+      await done;
+    },
+  };
+}
