Add the stand-in platform and backend server

Both are small HTTP programs: the platform keeps its table in memory with versions that never go back, the backend server follows the lease rules 3, 4, 5 and 8 of packages/ownership/DESIGN.md and logs what it runs.

Tried by hand over loopback: transact, scan, lease, grant, run, lapse, refusal.

--- /dev/null
+++ b/packages/standin/src/bin/standin-backend.ts
@@ -0,0 +1,61 @@
+#!/usr/bin/env node
+/** Serves a backend server that holds shards under leases and runs requests for them. */
+import { cac } from 'cac';
+
+import { createBackendApps } from '../lib/backend/app.js';
+import { listen, type Listener } from '../lib/listen.js';
+
+const SECOND_MS = 1_000;
+
+interface Options {
+  readonly id: string;
+  readonly port: number;
+  readonly log?: string;
+  readonly checks: boolean;
+  readonly slots: number;
+  readonly connections: number;
+  readonly maxWaiting: number;
+  readonly serviceMs: number;
+  readonly coldSeconds: number;
+  readonly coldFactor: number;
+}
+
+async function serve(options: Options): Promise<void> {
+  let service: Listener | undefined = undefined;
+  let open = 0;
+  const apps = createBackendApps(
+    {
+      ...options,
+      server: options.id,
+      log: options.log,
+      coldMs: options.coldSeconds * SECOND_MS,
+    },
+    () => open,
+  );
+  service = await listen(apps.service, options.port);
+  service.server.maxConnections = options.connections;
+  service.server.on('connection', (socket) => {
+    open += 1;
+    socket.once('close', () => (open -= 1));
+  });
+  const control = await listen(apps.control, 0);
+  console.log(JSON.stringify({ listening: service.address, control: control.address }));
+  process.once('SIGTERM', () => process.exit(0));
+}
+
+const cli = cac('standin-backend');
+cli
+  .command('', 'Serve a backend server on the loopback address')
+  .option('--id <name>', 'Name of the backend server', { default: 'backend' })
+  .option('--port <port>', 'TCP port; 0 takes a free one', { default: 0 })
+  .option('--log <file>', 'File that takes events as JSON lines')
+  .option('--no-checks', 'Run requests whatever their epoch and lease')
+  .option('--slots <count>', 'Requests that run at the same time', { default: 2 })
+  .option('--connections <count>', 'Most open connections', { default: 130 })
+  .option('--max-waiting <count>', 'Most requests that wait', { default: 256 })
+  .option('--service-ms <ms>', 'Time that a request takes', { default: 1 })
+  .option('--cold-seconds <s>', 'Time after the start with slower work', { default: 0 })
+  .option('--cold-factor <factor>', 'Factor on the time of work while cold', { default: 1 })
+  .action(serve);
+cli.help();
+cli.parse();
--- /dev/null
+++ b/packages/standin/src/lib/backend/lease-holder.ts
@@ -0,0 +1,166 @@
+import type { LeaseAnswer, LeaseRequest, RefusalReason, ShardEpoch } from '@boragepoint/platform';
+import { v4 as randomUuid } from 'uuid';
+
+import { monotonicMs } from '../clock.js';
+import type { EventSink, ShardEvent } from './event-log.js';
+
+const ANSWERS_REMEMBERED = 64;
+
+/** Why a request for a shard is not run. */
+export interface ShardRefusal {
+  readonly reason: RefusalReason;
+  /** With `stale-epoch`: the epoch that is held. */
+  readonly epoch?: number;
+}
+
+function nameOf({ service, shard }: Pick<ShardEpoch, 'service' | 'shard'>): string {
+  return `${service}/${shard}`;
+}
+
+/** The shards that a backend server holds, by the rules of `packages/ownership/DESIGN.md`. */
+export class LeaseHolder {
+  readonly start = randomUuid();
+  readonly #server: string;
+  readonly #log: EventSink;
+  readonly #held = new Map<string, ShardEpoch>();
+  /** Shards that are no longer held although requests for them run or wait. */
+  readonly #releasing = new Map<string, ShardEpoch>();
+  /** Names in `releasing` whose waiting requests may still begin; a lapse ends that. */
+  readonly #finishing = new Set<string>();
+  readonly #releasedEpochs = new Map<string, number>();
+  readonly #active = new Map<string, number>();
+  readonly #answerTimes = new Map<number, number>();
+  #keeperEpoch = 0;
+  #sequence = 0;
+  #leaseEnd = 0;
+  #lapseTimer: NodeJS.Timeout | undefined;
+
+  constructor(server: string, log: EventSink) {
+    this.#server = server;
+    this.#log = log;
+  }
+
+  /** Handles a renewal and returns its answer. */
+  renew(req: LeaseRequest): LeaseAnswer {
+    this.#lapseIfDue();
+    const accepted = req.keeperEpoch >= this.#keeperEpoch;
+    if (accepted) {
+      this.#keeperEpoch = req.keeperEpoch;
+      this.#extend(req);
+      req.release.forEach((it) => {
+        this.#release(it);
+      });
+      if (this.#leaseEnd > monotonicMs())
+        req.grants.forEach((it) => {
+          this.#grant(it, req);
+        });
+    }
+    return this.#answer(accepted);
+  }
+
+  /** Returns why a request may not run now, or `undefined` when it may. */
+  refusalOf(request: ShardEpoch, waited: boolean): ShardRefusal | undefined {
+    this.#lapseIfDue();
+    const name = nameOf(request);
+    const mayFinish = waited && this.#finishing.has(name);
+    const held = this.#held.get(name) ?? (mayFinish ? this.#releasing.get(name) : undefined);
+    if (held === undefined || this.#leaseEnd <= monotonicMs()) return { reason: 'not-owner' };
+    if (held.epoch !== request.epoch) return { reason: 'stale-epoch', epoch: held.epoch };
+    return undefined;
+  }
+
+  /** Notes that a request of the shard waits or runs. */
+  enter(request: ShardEpoch): void {
+    const name = nameOf(request);
+    this.#active.set(name, (this.#active.get(name) ?? 0) + 1);
+  }
+
+  /** Notes that a request of the shard is over. */
+  leave(request: ShardEpoch): void {
+    const name = nameOf(request);
+    const left = (this.#active.get(name) ?? 1) - 1;
+    if (left > 0) {
+      this.#active.set(name, left);
+      return;
+    }
+    this.#active.delete(name);
+    const released = this.#releasing.get(name);
+    if (released === undefined) return;
+    this.#releasing.delete(name);
+    this.#finishing.delete(name);
+    this.#write('released', released);
+  }
+
+  #extend({ echo, leaseMs }: LeaseRequest): void {
+    if (echo?.start !== this.start) return;
+    const sentAt = this.#answerTimes.get(echo.sequence);
+    if (sentAt === undefined) return;
+    this.#leaseEnd = Math.max(this.#leaseEnd, sentAt + leaseMs);
+    this.#watchLapse();
+  }
+
+  #grant(grant: ShardEpoch, { echo }: LeaseRequest): void {
+    if (echo?.start !== this.start || !this.#answerTimes.has(echo.sequence)) return;
+    const name = nameOf(grant);
+    if (grant.epoch <= (this.#releasedEpochs.get(name) ?? 0)) return;
+    const held = this.#held.get(name);
+    if (held !== undefined && grant.epoch <= held.epoch) return;
+    if (held !== undefined) this.#write('released', held);
+    this.#releasing.delete(name);
+    this.#finishing.delete(name);
+    this.#held.set(name, grant);
+    this.#write('granted', grant);
+  }
+
+  #release(release: ShardEpoch): void {
+    const name = nameOf(release);
+    const final = Math.max(release.epoch, this.#releasedEpochs.get(name) ?? 0);
+    this.#releasedEpochs.set(name, final);
+    const held = this.#held.get(name);
+    if (held === undefined || held.epoch > release.epoch) return;
+    this.#held.delete(name);
+    if (!this.#active.has(name)) {
+      this.#write('released', held);
+      return;
+    }
+    this.#releasing.set(name, held);
+    this.#finishing.add(name);
+  }
+
+  #answer(accepted: boolean): LeaseAnswer {
+    this.#sequence += 1;
+    this.#answerTimes.set(this.#sequence, monotonicMs());
+    this.#answerTimes.delete(this.#sequence - ANSWERS_REMEMBERED);
+    return {
+      accepted,
+      start: this.start,
+      sequence: this.#sequence,
+      keeperEpoch: this.#keeperEpoch,
+      held: [...this.#held.values()],
+      releasing: [...this.#releasing.values()],
+      leaseLeftMs: Math.max(0, this.#leaseEnd - monotonicMs()),
+    };
+  }
+
+  #watchLapse(): void {
+    clearTimeout(this.#lapseTimer);
+    const left = Math.max(0, this.#leaseEnd - monotonicMs());
+    this.#lapseTimer = setTimeout(() => {
+      this.#lapseIfDue();
+    }, Math.ceil(left)).unref();
+  }
+
+  #lapseIfDue(): void {
+    if (this.#leaseEnd > monotonicMs()) return;
+    for (const [name, held] of this.#held) {
+      if (this.#active.has(name)) this.#releasing.set(name, held);
+      this.#write('lapsed', held, this.#leaseEnd);
+    }
+    this.#held.clear();
+    this.#finishing.clear();
+  }
+
+  #write(kind: ShardEvent['kind'], { service, shard, epoch }: ShardEpoch, at?: number): void {
+    this.#log({ kind, at: at ?? monotonicMs(), server: this.#server, service, shard, epoch });
+  }
+}
--- /dev/null
+++ b/packages/standin/src/lib/backend/work-slots.ts
@@ -0,0 +1,77 @@
+import { monotonicMs } from '../clock.js';
+
+const LOAD_WINDOW_MS = 1_000;
+
+interface Interval {
+  readonly from: number;
+  readonly to: number;
+}
+
+/** The units of concurrency of a backend server, with a queue in order of arrival. */
+export class WorkSlots {
+  running = 0;
+  readonly #slots: number;
+  readonly #queue: (() => void)[] = [];
+  #finished: Interval[] = [];
+  readonly #startedAt = new Set<number>();
+
+  constructor(slots: number) {
+    this.#slots = slots;
+  }
+
+  get waiting(): number {
+    return this.#queue.length;
+  }
+
+  /** Waits for a slot; returns false when the signal aborted before one was free. */
+  async take(signal: AbortSignal): Promise<boolean> {
+    if (signal.aborted) return false;
+    if (this.running < this.#slots) {
+      this.running += 1;
+      return true;
+    }
+    return await new Promise<boolean>((resolve) => {
+      const begin = () => {
+        signal.removeEventListener('abort', giveUp);
+        resolve(true);
+      };
+      const giveUp = () => {
+        this.#queue.splice(this.#queue.indexOf(begin), 1);
+        resolve(false);
+      };
+      this.#queue.push(begin);
+      signal.addEventListener('abort', giveUp, { once: true });
+    });
+  }
+
+  /** Frees a slot that `take` gave; the next waiting request gets it. */
+  free(): void {
+    const next = this.#queue.shift();
+    if (next === undefined) this.running -= 1;
+    else next();
+  }
+
+  /** Runs work in a slot that was taken and counts it towards the utilization. */
+  async measure(work: () => Promise<void>): Promise<void> {
+    const from = monotonicMs();
+    this.#startedAt.add(from);
+    try {
+      await work();
+    } finally {
+      this.#startedAt.delete(from);
+      this.#finished.push({ from, to: monotonicMs() });
+    }
+  }
+
+  /** Work done in the last second as a share of the slots. */
+  utilization(): number {
+    const now = monotonicMs();
+    const since = now - LOAD_WINDOW_MS;
+    this.#finished = this.#finished.filter((it) => it.to > since);
+    const open = [...this.#startedAt].map((from) => ({ from, to: now }));
+    const busyMs = [...this.#finished, ...open]
+      .map((it) => it.to - Math.max(since, it.from))
+      .reduce((sum, ms) => sum + ms, 0);
+    return busyMs / (LOAD_WINDOW_MS * this.#slots);
+  }
+}
--- /dev/null
+++ b/packages/standin/src/lib/platform/memory-table.ts
@@ -0,0 +1,49 @@
+import type { TableRow, TableWrite, TransactOutcome } from '@boragepoint/platform';
+
+interface StoredRow {
+  readonly version: number;
+  /** `null` marks a deleted row, whose version the next insert continues. */
+  readonly value: string | null;
+}
+
+/** A table in memory. Transactions are atomic, and a key's versions never go back. */
+export interface MemoryTable {
+  read(keys: readonly string[]): TableRow[];
+  scan(prefix: string): TableRow[];
+  transact(writes: readonly TableWrite[]): TransactOutcome;
+}
+
+/** Creates an empty table. */
+export function createMemoryTable(): MemoryTable {
+  const rows = new Map<string, StoredRow>();
+
+  function rowOf(key: string): TableRow[] {
+    const row = rows.get(key);
+    if (row?.value == null) return [];
+    return [{ key, version: row.version, value: row.value }];
+  }
+
+  function liveVersion(key: string): number {
+    return rowOf(key)[0]?.version ?? 0;
+  }
+
+  function write({ key, value }: TableWrite): void {
+    if (value === undefined) return;
+    const version = (rows.get(key)?.version ?? 0) + 1;
+    rows.set(key, { version, value });
+  }
+
+  return {
+    read: (keys) => keys.flatMap(rowOf),
+    scan(prefix) {
+      const keys = [...rows.keys()].filter((key) => key.startsWith(prefix));
+      return keys.sort().flatMap(rowOf);
+    },
+    transact(writes) {
+      const stale = writes.filter((it) => liveVersion(it.key) !== it.expectedVersion);
+      if (stale.length > 0) return { committed: false, conflicts: stale.map((it) => it.key) };
+      writes.forEach(write);
+      return { committed: true };
+    },
+  };
+}
