Add the ledger of non-idempotent requests, the quarantine and settled writes

Non-idempotent requests need an intent in the table before dispatch, and a lost answer of the table must not leave their fate open.

Ruled out: settling a lost answer by reading back, since the request may land after the read. The same compare-and-set is sent again instead.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -5,5 +5,6 @@
 export * from './lib/instance-list.js';
 export * from './lib/object-store.js';
 export * from './lib/platform-error.js';
+export * from './lib/settled-write.js';
 export * from './lib/table-service.js';
 export * from './lib/table-wire.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './lib/ledger/index.js';
+export * from './lib/quarantine/index.js';
--- /dev/null
+++ b/packages/routing/src/lib/ledger/group-commit.ts
@@ -0,0 +1,179 @@
+import { type TableRow, type TableService, settledWrite } from '@boragepoint/platform';
+
+import type { LedgerClock } from './ledger-clock.js';
+import type { LedgerConfig } from './ledger-config.js';
+
+/** A write of one row; the transaction's token is added to its value as `writer`. */
+export interface RowWrite {
+  readonly key: string;
+  /** Version that the row must have; 0 when it must not exist. */
+  readonly expectedVersion: number;
+  readonly value: object;
+}
+
+/** What became of one row. The kinds mean the same as those of `SettledOutcome`. */
+export type RowOutcome =
+  | { readonly kind: 'committed'; readonly version: number }
+  | { readonly kind: 'conflict'; readonly row: TableRow | undefined }
+  | { readonly kind: 'unavailable' }
+  | { readonly kind: 'unsettled' };
+
+/** A row that waits or is being written. */
+export interface SubmittedRow {
+  readonly outcome: Promise<RowOutcome>;
+  /** Takes the row back if no transaction has begun with it; returns whether it did. */
+  withdraw(): boolean;
+}
+
+/** Writes rows of many requests in few transactions. */
+export interface GroupCommit {
+  submit(write: RowWrite): SubmittedRow;
+  /** True while rows are unlikely to be written soon: every allowed transaction stalls. */
+  isStalled(): boolean;
+  counts(): { readonly transactions: number; readonly rows: number; readonly queued: number };
+}
+
+/** What a group commit needs. */
+export interface GroupCommitOptions {
+  readonly table: TableService;
+  /** Returns a token that was never used before. */
+  readonly newToken: () => string;
+  readonly clock: LedgerClock;
+  readonly cfg: LedgerConfig;
+}
+
+interface Entry {
+  readonly write: RowWrite;
+  readonly bytes: number;
+  readonly resolve: (outcome: RowOutcome) => void;
+}
+
+/**
+ * Creates a group commit. One transaction is in flight at a time while the next batch collects;
+ * when it stalls, another starts beside it, so that one lost answer does not hold up everybody. A
+ * row that conflicts is taken out of its batch and the others are written without it.
+ */
+export function createGroupCommit(options: GroupCommitOptions): GroupCommit {
+  const { table, newToken, clock, cfg } = options;
+  let queue: Entry[] = [];
+  const startTimes = new Set<{ readonly at: number }>();
+  let lastStartAt = -Infinity;
+  let timer: NodeJS.Timeout | undefined;
+  let transactions = 0;
+  let rows = 0;
+
+  function isStalledAt(now: number): boolean {
+    return [...startTimes].every((start) => now - start.at >= cfg.stallMs);
+  }
+
+  function waitBeforeNextMs(): number {
+    const now = clock.now();
+    const gapMs = lastStartAt + cfg.batchGapMs - now;
+    if (startTimes.size === 0) return Math.max(0, gapMs);
+    const youngest = Math.max(...[...startTimes].map((start) => start.at));
+    return Math.max(0, gapMs, youngest + cfg.stallMs - now);
+  }
+
+  function schedule(): void {
+    clearTimeout(timer);
+    timer = undefined;
+    if (queue.length === 0 || startTimes.size >= cfg.maxInFlight) return;
+    const waitMs = waitBeforeNextMs();
+    if (waitMs > 0) timer = setTimeout(schedule, Math.ceil(waitMs));
+    else void runBatch(takeBatch());
+  }
+
+  function takeBatch(): Entry[] {
+    const batch: Entry[] = [];
+    const rest: Entry[] = [];
+    const keys = new Set<string>();
+    let bytes = 0;
+    for (const entry of queue) {
+      const fits = batch.length < cfg.batchRows && bytes + entry.bytes <= cfg.batchBytes;
+      if ((fits || batch.length === 0) && !keys.has(entry.write.key)) {
+        batch.push(entry);
+        keys.add(entry.write.key);
+        bytes += entry.bytes;
+      } else rest.push(entry);
+    }
+    queue = rest;
+    return batch;
+  }
+
+  async function runBatch(batch: Entry[]): Promise<void> {
+    const start = { at: clock.now() };
+    startTimes.add(start);
+    lastStartAt = start.at;
+    let left = batch;
+    while (left.length > 0) left = await writeOnce(left);
+    startTimes.delete(start);
+    schedule();
+  }
+
+  /** Writes a batch; returns the rows that have to be tried again without those in conflict. */
+  async function writeOnce(batch: Entry[]): Promise<Entry[]> {
+    const token = newToken();
+    const writes = batch.map(({ write }) => ({
+      key: write.key,
+      expectedVersion: write.expectedVersion,
+      value: JSON.stringify({ ...write.value, writer: token }),
+    }));
+    transactions += 1;
+    const outcome = await settledWrite(table, writes, token, {
+      deadlineAt: clock.now() + cfg.settleMs,
+      now: () => clock.now(),
+      retryGapMs: cfg.settleGapMs,
+    });
+    if (outcome.kind === 'conflict') return resolveConflicts(batch, outcome);
+    for (const entry of batch) {
+      if (outcome.kind === 'committed') {
+        rows += 1;
+        entry.resolve({ kind: 'committed', version: entry.write.expectedVersion + 1 });
+      } else entry.resolve({ kind: outcome.kind });
+    }
+    return [];
+  }
+
+  function resolveConflicts(
+    batch: Entry[],
+    outcome: { readonly conflicts: readonly string[]; readonly rows: readonly TableRow[] },
+  ): Entry[] {
+    const conflicts = new Set(outcome.conflicts);
+    const found = new Map(outcome.rows.map((row) => [row.key, row]));
+    for (const { write, resolve } of batch) {
+      if (conflicts.has(write.key)) resolve({ kind: 'conflict', row: found.get(write.key) });
+    }
+    return batch.filter(({ write }) => !conflicts.has(write.key));
+  }
+
+  return {
+    submit(write) {
+      if (queue.length >= cfg.maxQueued) {
+        return { outcome: Promise.resolve({ kind: 'unavailable' }), withdraw: () => false };
+      }
+      const { promise, resolve } = withResolvers<RowOutcome>();
+      const entry: Entry = { write, bytes: JSON.stringify(write.value).length, resolve };
+      queue.push(entry);
+      // A batch starts once all that were submitted in this turn of the event loop are queued.
+      setImmediate(schedule);
+      return { outcome: promise, withdraw: () => withdraw(entry) };
+    },
+    isStalled: () => startTimes.size >= cfg.maxInFlight && isStalledAt(clock.now()),
+    counts: () => ({ transactions, rows, queued: queue.length }),
+  };
+
+  function withdraw(entry: Entry): boolean {
+    const isQueued = queue.includes(entry);
+    if (isQueued) queue = queue.filter((it) => it !== entry);
+    return isQueued;
+  }
+}
+
+/** `Promise.withResolvers`, which Node.js 20 lacks. @internal */
+export function withResolvers<T>() {
+  let resolve!: (value: T) => void;
+  const promise = new Promise<T>((res) => {
+    resolve = res;
+  });
+  return { promise, resolve };
+}
--- /dev/null
+++ b/packages/routing/src/lib/ledger/idempotency-key.ts
@@ -0,0 +1,45 @@
+import { validate, version } from 'uuid';
+
+import type { LedgerConfig } from './ledger-config.js';
+
+const MAX_KEY_LENGTH = 255;
+const PRINTABLE = /^[\x21-\x7e]+$/;
+const TIME_ORDERED_VERSION = 7;
+const TIME_HEX_DIGITS = 12;
+const HEX = 16;
+
+/** Returns the time inside a time-ordered UUID in milliseconds, or `undefined` for other keys. */
+export function timeOfKey(idempotencyKey: string): number | undefined {
+  if (!validate(idempotencyKey) || version(idempotencyKey) !== TIME_ORDERED_VERSION) {
+    return undefined;
+  }
+  return parseInt(idempotencyKey.replaceAll('-', '').slice(0, TIME_HEX_DIGITS), HEX);
+}
+
+/** Whether a key may be used, and until when its record has to be kept. */
+export type KeyVerdict =
+  | { readonly kind: 'usable'; readonly expiresAtMs: number }
+  | { readonly kind: 'expired' }
+  | { readonly kind: 'bad-key'; readonly message: string };
+
+/**
+ * Checks a caller's key. A time-ordered key is refused for good before its record may be removed,
+ * whatever the caller's clock says: records outlast the last moment at which any router takes the
+ * key by the allowed difference of clocks. Keys without a time are forgotten with their record.
+ */
+export function checkKey(idempotencyKey: string, wallNow: number, cfg: LedgerConfig): KeyVerdict {
+  if (idempotencyKey.length > MAX_KEY_LENGTH || !PRINTABLE.test(idempotencyKey)) {
+    return { kind: 'bad-key', message: 'must be 1 to 255 printable ASCII characters' };
+  }
+  const madeAtMs = timeOfKey(idempotencyKey);
+  if (madeAtMs === undefined) return usableFrom(wallNow, cfg);
+  if (madeAtMs > wallNow + cfg.clockSkewMs) {
+    return { kind: 'bad-key', message: 'its time lies in the future' };
+  }
+  if (madeAtMs + cfg.retentionMs < wallNow) return { kind: 'expired' };
+  return usableFrom(Math.max(madeAtMs, wallNow), cfg);
+}
+
+function usableFrom(timeMs: number, cfg: LedgerConfig): KeyVerdict {
+  return { kind: 'usable', expiresAtMs: timeMs + cfg.retentionMs + cfg.clockSkewMs };
+}
--- /dev/null
+++ b/packages/routing/src/lib/ledger/ledger-clock.ts
@@ -0,0 +1,36 @@
+/** Clocks of the ledger. */
+export interface LedgerClock {
+  /** Monotonic time in milliseconds; deadlines are given in it. */
+  now(): number;
+  /** Time since the Unix epoch in milliseconds; records expire by it. */
+  wallNow(): number;
+}
+
+/** The clocks of this process. */
+export const systemClock: LedgerClock = {
+  now: () => performance.now(),
+  wallNow: () => Date.now(),
+};
+
+/**
+ * Waits for a promise until a deadline; returns `undefined` when the deadline comes first.
+ * @internal
+ */
+export async function untilDeadline<T>(
+  promise: Promise<T>,
+  deadlineAt: number,
+  clock: LedgerClock,
+): Promise<T | undefined> {
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<undefined>((resolve) => {
+    const leftMs = Math.max(0, deadlineAt - clock.now());
+    timer = setTimeout(() => {
+      resolve(undefined);
+    }, leftMs);
+  });
+  try {
+    return await Promise.race([promise, late]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/quarantine/index.ts
@@ -0,0 +1,2 @@
+export * from './quarantine-entry.js';
+export * from './quarantine.js';
