--- a/packages/spec/src/index.ts
+++ b/packages/spec/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './lib/trace/trace-event.js';
