--- a/packages/spec/src/index.ts
+++ b/packages/spec/src/index.ts
@@ -1,1 +1,4 @@
+export * from './lib/trace/check-trace.js';
+export * from './lib/trace/parse-trace.js';
 export * from './lib/trace/trace-event.js';
+export * from './lib/trace/trace-violation.js';
--- /dev/null
+++ b/packages/spec/src/lib/trace/check-requests.ts
@@ -0,0 +1,50 @@
+import { groupBy } from './group-by.js';
+import type { RanEvent, TraceEvent } from './trace-event.js';
+import type { TraceViolation } from './trace-violation.js';
+
+/** Result codes from here up to {@link FIRST_UNKNOWN_CODE} say that the request was not run. */
+const FIRST_NOT_RUN_CODE = 100;
+const FIRST_UNKNOWN_CODE = 200;
+/** Result codes from here up to {@link FIRST_OPERATOR_CODE} refuse a request that is wrong. */
+const FIRST_BAD_REQUEST_CODE = 300;
+const FIRST_OPERATOR_CODE = 400;
+
+function saysNotRun(code: number): boolean {
+  const isNotRun = code >= FIRST_NOT_RUN_CODE && code < FIRST_UNKNOWN_CODE;
+  const isBadRequest = code >= FIRST_BAD_REQUEST_CODE && code < FIRST_OPERATOR_CODE;
+  return isNotRun || isBadRequest;
+}
+
+function onceKey(event: RanEvent): string {
+  const id = event.idempotencyKey;
+  return id === undefined ? `request ${event.requestId}` : `idempotency key ${id}`;
+}
+
+/** Checks that no non-idempotent request ran twice. @internal */
+export function checkAtMostOnce(events: readonly TraceEvent[]): TraceViolation[] {
+  const once = events.filter((it) => it.kind === 'ran').filter((it) => !it.idempotent);
+  return [...groupBy(once, (it) => `${it.service}: ${onceKey(it)}`)].flatMap(([name, runs]) =>
+    runs.slice(1).map((run): TraceViolation => {
+      const message = `${name} ran ${runs.length} times, the last at ${run.server}`;
+      return { rule: 'at-most-once', at: run.at, message };
+    }),
+  );
+}
+
+/**
+ * Checks that no request ran of which its caller was told "not run". The answer speaks of one
+ * request, not of earlier requests under the same idempotency key. @internal
+ */
+export function checkNotRun(events: readonly TraceEvent[]): TraceViolation[] {
+  const ran = groupBy(
+    events.filter((it) => it.kind === 'ran'),
+    (it) => it.requestId,
+  );
+  return events.flatMap((event): TraceViolation[] => {
+    if (event.kind !== 'answered' || !saysNotRun(event.code)) return [];
+    const run = ran.get(event.requestId)?.[0];
+    if (run === undefined) return [];
+    const message = `${event.requestId} was answered ${event.code}, not run, but ran at ${run.server}`;
+    return [{ rule: 'not-run-is-true', at: event.at, message }];
+  });
+}
