Add the settings schema and the operators' API schemas

Cause: the daemon, the command line and the routers' operators' listener need one checked form of the settings and of the HTTP bodies before they can be written. Change: loadSettings reports all wrong, unknown and missing settings together, with lines; valibot schemas for every request and answer under /v1; unknown fields of a configuration are all reported, where v.strictObject stops at the first; addresses are parsed, where the pattern let 999.1.1.1 pass.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,2 +1,11 @@
+export * from './lib/burn-report.js';
+export { type IpEndpoint, parseIpEndpoint } from './lib/ip-address.js';
+export { type Problem, formatProblem } from './lib/problem.js';
+export * from './lib/operator-api.js';
+export * from './lib/operator-error-body.js';
+export * from './lib/operator-history.js';
+export * from './lib/operator-status.js';
 export * from './lib/result-codes.js';
 export * from './lib/service-config.js';
+export * from './lib/settings.js';
+export * from './lib/settings-schema.js';
--- /dev/null
+++ b/packages/config/src/lib/burn-report.ts
@@ -0,0 +1,51 @@
+import * as v from 'valibot';
+
+import { objectiveSchema } from './service-config.js';
+
+/** Requests of one window of time, held against the objective. */
+export const burnWindowSchema = v.object({
+  /** Length of the window, in milliseconds. */
+  windowMs: v.number(),
+  /** Requests answered well within the objective's latency bound. */
+  good: v.number(),
+  bad: v.number(),
+  /** Share of bad requests over the share that the objective allows; 1 spends the budget exactly. */
+  burnRate: v.number(),
+});
+export type BurnWindow = v.InferOutput<typeof burnWindowSchema>;
+
+/** How many bad requests one key, server or cause accounts for. */
+export const burnShareSchema = v.object({ name: v.string(), bad: v.number() });
+export type BurnShare = v.InferOutput<typeof burnShareSchema>;
+
+/** Burn rate over one step of the plotted time. */
+export const burnPointSchema = v.object({
+  /** Wall-clock time at the end of the step, in milliseconds since 1970. */
+  atMs: v.number(),
+  burnRate: v.number(),
+});
+export type BurnPoint = v.InferOutput<typeof burnPointSchema>;
+
+/** Burn of one rule's error budget. */
+export const ruleBurnSchema = v.object({
+  service: v.string(),
+  rule: v.string(),
+  objective: objectiveSchema,
+  windows: v.array(burnWindowSchema),
+  points: v.array(burnPointSchema),
+  /** Largest shares first, over the longest window. */
+  keys: v.array(burnShareSchema),
+  servers: v.array(burnShareSchema),
+  causes: v.array(burnShareSchema),
+});
+export type RuleBurn = v.InferOutput<typeof ruleBurnSchema>;
+
+/** Answer of `GET /v1/report/burn`. */
+export const burnReportSchema = v.object({
+  /** Wall-clock time in milliseconds since 1970. */
+  atMs: v.number(),
+  rules: v.array(ruleBurnSchema),
+  /** Counters that are missing from the report, and why; empty when it is complete. */
+  missing: v.array(v.string()),
+});
+export type BurnReport = v.InferOutput<typeof burnReportSchema>;
--- a/packages/config/src/lib/service-config.ts
+++ b/packages/config/src/lib/service-config.ts
@@ -1,33 +1,21 @@
 import * as v from 'valibot';
 
-const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
-const ADDRESS_PATTERN = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/;
+import { exactObject } from './exact-object.js';
+import { ipEndpointSchema } from './ip-address.js';
+import { nameSchema, wholeNumber } from './scalars.js';
+
 const MIN_SHARDS = 1;
 const MAX_SHARDS = 65_536;
 const MAX_DEADLINE_MS = 600_000;
 const MAX_CONNECTIONS = 10_000;
 const MAX_ANSWER_BYTES = 67_108_864;
 
-const nameSchema = v.pipe(
-  v.string(),
-  v.regex(NAME_PATTERN, 'must be lower-case letters, digits and hyphens'),
-);
-
-const addressSchema = v.pipe(
-  v.string(),
-  v.regex(ADDRESS_PATTERN, 'must be an IP address and a port, such as 10.0.0.5:8080'),
-);
-
-function wholeNumber(min: number, max: number) {
-  return v.pipe(v.number(), v.integer(), v.minValue(min), v.maxValue(max));
-}
-
 /** Where a request carries its key. */
 export const keySourceSchema = v.variant('from', [
-  v.strictObject({ from: v.literal('header'), name: v.pipe(v.string(), v.minLength(1)) }),
-  v.strictObject({ from: v.literal('query'), name: v.pipe(v.string(), v.minLength(1)) }),
+  exactObject({ from: v.literal('header'), name: v.pipe(v.string(), v.minLength(1)) }),
+  exactObject({ from: v.literal('query'), name: v.pipe(v.string(), v.minLength(1)) }),
   /** Segment of the path after the service's name, counted from 0. */
-  v.strictObject({ from: v.literal('path'), segment: wholeNumber(0, 16) }),
+  exactObject({ from: v.literal('path'), segment: wholeNumber(0, 16) }),
 ]);
 export type KeySource = v.InferOutput<typeof keySourceSchema>;
 
@@ -36,7 +24,7 @@
 export type Priority = v.InferOutput<typeof prioritySchema>;
 
 /** A service-level objective of one rule. */
-export const objectiveSchema = v.strictObject({
+export const objectiveSchema = exactObject({
   /** Share of requests that must succeed within the latency bound, for example 0.999. */
   target: v.pipe(v.number(), v.minValue(0.5), v.maxValue(0.99999)),
   /** Latency bound of a good answer, in milliseconds. */
@@ -45,7 +33,7 @@
 export type Objective = v.InferOutput<typeof objectiveSchema>;
 
 /** A rule says how one kind of request is treated. The first rule that matches applies. */
-export const ruleSchema = v.strictObject({
+export const ruleSchema = exactObject({
   name: nameSchema,
   /** HTTP method, or `*` for any. */
   method: v.picklist(['*', 'GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']),
@@ -63,10 +51,10 @@
 export type Rule = v.InferOutput<typeof ruleSchema>;
 
 /** A server that owns keys of the service. */
-export const backendServerSchema = v.strictObject({
+export const backendServerSchema = exactObject({
   id: nameSchema,
   /** IP address and port. */
-  address: addressSchema,
+  address: ipEndpointSchema,
   availabilityZone: nameSchema,
   region: nameSchema,
   /** Connections that all routers together may open to it. */
@@ -79,7 +67,7 @@
 export type BackendServer = v.InferOutput<typeof backendServerSchema>;
 
 /** Times of the lease protocol. `docs/OPERATING.md` explains the trade-off of the tenure. */
-export const leaseConfigSchema = v.strictObject({
+export const leaseConfigSchema = exactObject({
   /** Time that a grant lasts on the backend server's own clock. */
   leaseMs: v.optional(wholeNumber(50, 60_000), 500),
   /** Time between two renewals. */
@@ -92,7 +80,7 @@
 const isPowerOfTwo = (n: number) => (n & (n - 1)) === 0;
 
 /** Configuration of one service: the unit that is accepted and versioned as a whole. */
-export const serviceConfigSchema = v.strictObject({
+export const serviceConfigSchema = exactObject({
   name: nameSchema,
   /** Number of ranges that the key hash space is cut into; a power of two that never changes. */
   shards: v.pipe(
@@ -110,7 +98,7 @@
   /** Most shards that balancing moves in a minute; repairs are not counted. */
   movesPerMinute: v.optional(wholeNumber(0, 10_000), 60),
   /** Keys that get an owner of their own, apart from the shard they hash to. */
-  pins: v.optional(v.array(v.strictObject({ key: v.pipe(v.string(), v.minLength(1)) })), []),
+  pins: v.optional(v.array(exactObject({ key: v.pipe(v.string(), v.minLength(1)) })), []),
 });
 export type ServiceConfig = v.InferOutput<typeof serviceConfigSchema>;
 export type ServiceConfigInput = v.InferInput<typeof serviceConfigSchema>;
@@ -119,7 +107,7 @@
 export const CONFIGURATION_FORMAT = 'boragepoint/1';
 
 /** The document that an operator submits. */
-export const configurationSchema = v.strictObject({
+export const configurationSchema = exactObject({
   format: v.literal(CONFIGURATION_FORMAT),
   services: v.array(serviceConfigSchema),
 });
--- /dev/null
+++ b/packages/config/src/lib/settings.ts
@@ -0,0 +1,65 @@
+import { type Result, err, ok } from 'neverthrow';
+import { TomlError, parse } from 'smol-toml';
+import * as v from 'valibot';
+
+import { type Problem, formatPath, formatProblem, keysOf, messageOf } from './problem.js';
+import { type Settings, settingsSchema } from './settings-schema.js';
+import { createTomlLines } from './toml-lines.js';
+
+/** Stands in for tables that are left out, so that each missing setting is named. */
+const EMPTY_TABLES = { instance: {}, listen: {}, platform: {}, operators: {} };
+const FREE_PORT = ':0';
+
+/** Settings that can't be used; `problems` lists every mistake. */
+export class SettingsError extends Error {
+  override readonly name = 'SettingsError';
+
+  constructor(readonly problems: readonly Problem[]) {
+    super(problems.map(formatProblem).join('\n'));
+  }
+}
+
+function parseToml(text: string): Result<object, SettingsError> {
+  try {
+    return ok(parse(text));
+  } catch (cause) {
+    if (!(cause instanceof TomlError)) {
+      return err(new SettingsError([{ path: '', message: `not TOML: ${String(cause)}` }]));
+    }
+    const summary = cause.message.split('\n')[0] ?? 'not TOML';
+    return err(new SettingsError([{ path: '', line: cause.line, message: summary }]));
+  }
+}
+
+/** Keys of the listeners whose address stands at an earlier listener too. */
+function repeatedListeners(listen: Settings['listen']): string[] {
+  const entries = Object.entries(listen).filter(([, address]) => !address.endsWith(FREE_PORT));
+  const isRepeated = (address: string, index: number) =>
+    entries.findIndex(([, other]) => other === address) < index;
+  return entries.filter(([, address], index) => isRepeated(address, index)).map(([key]) => key);
+}
+
+/**
+ * Reads the settings of `boragepointd` from TOML text. All wrong, unknown and missing settings are
+ * reported together, each with its line where it stands; text that is no TOML has one problem.
+ */
+export function loadSettings(tomlText: string): Result<Settings, SettingsError> {
+  const lines = createTomlLines(tomlText);
+  const problem = (keys: (string | number)[], message: string): Problem => {
+    const line = lines.lineOf(keys);
+    return { path: formatPath(keys), message, ...(line === undefined ? {} : { line }) };
+  };
+  return parseToml(tomlText).andThen((document) => {
+    const parsed = v.safeParse(settingsSchema, { ...EMPTY_TABLES, ...document });
+    if (!parsed.success) {
+      const problems = parsed.issues.map((issue) => problem(keysOf(issue), messageOf(issue)));
+      return err(new SettingsError(problems));
+    }
+    const repeated = repeatedListeners(parsed.output.listen);
+    if (repeated.length === 0) return ok(parsed.output);
+    const problems = repeated.map((key) =>
+      problem(['listen', key], 'another listener has the same address'),
+    );
+    return err(new SettingsError(problems));
+  });
+}
--- /dev/null
+++ b/packages/config/src/lib/toml-lines.ts
@@ -0,0 +1,44 @@
+/** Finds the lines of a TOML text on which tables and settings stand. @internal */
+export interface TomlLines {
+  /** Line of a setting, or of its table when the setting itself is not there. */
+  lineOf(keys: readonly (string | number)[]): number | undefined;
+}
+
+const HEADER = /^\s*\[+\s*([^\]]+?)\s*\]+/;
+const ASSIGNMENT = /^\s*((?:[A-Za-z0-9_-]+|"[^"]*"|'[^']*')(?:\s*\.\s*[A-Za-z0-9_-]+)*)\s*=/;
+
+function normalize(dotted: string): string {
+  return dotted
+    .split('.')
+    .map((part) => part.trim().replace(/^(["'])(.*)\1$/, '$2'))
+    .join('.');
+}
+
+function indexLines(text: string): Map<string, number> {
+  const lines = new Map<string, number>();
+  let table = '';
+  for (const [index, line] of text.split('\n').entries()) {
+    const header = HEADER.exec(line)?.[1];
+    const name = ASSIGNMENT.exec(line)?.[1];
+    if (header !== undefined) table = normalize(header);
+    const path = header !== undefined ? table : name && [table, normalize(name)].join('.');
+    if (!path) continue;
+    const key = path.replace(/^\./, '');
+    if (!lines.has(key)) lines.set(key, index + 1);
+  }
+  return lines;
+}
+
+/** Indexes a TOML text by the names that stand on its lines. @internal */
+export function createTomlLines(text: string): TomlLines {
+  const lines = indexLines(text);
+  return {
+    lineOf(keys) {
+      for (let length = keys.length; length > 0; length -= 1) {
+        const line = lines.get(keys.slice(0, length).join('.'));
+        if (line !== undefined) return line;
+      }
+      return undefined;
+    },
+  };
+}
