Limit, queue and retry requests to each backend server

Cause: a batch of one caller can starve another's requests, and a server that fails or sheds load must not be retried without bound. Change: adaptive limiter with circuit breaker and slow start, admission queue by priority, caller and deadline, retry budget. Time comes through an injected clock.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './lib/admission/index.js';
--- /dev/null
+++ b/packages/routing/src/lib/admission/clock.ts
@@ -0,0 +1,22 @@
+/** Source of time and timers; tests pass one that they advance by hand. */
+export interface Clock {
+  /** Monotonic time in milliseconds. */
+  now(): number;
+  /** Calls `fn` once after `ms` milliseconds unless the returned timer is disposed first. */
+  schedule(ms: number, fn: () => void): Disposable;
+}
+
+/** Creates a clock on the process's monotonic time. Its timers don't keep the process alive. */
+export function createSystemClock(): Clock {
+  return {
+    now: () => performance.now(),
+    schedule(ms, fn) {
+      const timer = setTimeout(fn, ms).unref();
+      return {
+        [Symbol.dispose]() {
+          clearTimeout(timer);
+        },
+      };
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/src/lib/admission/deadline-heap.ts
@@ -0,0 +1,75 @@
+/** An item of a {@link DeadlineHeap}; the heap maintains its position. @internal */
+export interface HeapItem {
+  /** Time by which the item leaves the heap. */
+  readonly dropAt: number;
+  position: number;
+}
+
+/** Binary heap of items by time, from which any item can be removed. @internal */
+export class DeadlineHeap<T extends HeapItem> {
+  readonly #items: T[] = [];
+
+  get size(): number {
+    return this.#items.length;
+  }
+
+  /** Item with the earliest time. */
+  peek(): T | undefined {
+    return this.#items[0];
+  }
+
+  push(item: T): void {
+    this.#place(item, this.#items.length);
+    this.#up(item);
+  }
+
+  pop(): T | undefined {
+    const first = this.#items[0];
+    if (first) this.remove(first);
+    return first;
+  }
+
+  remove(item: T): void {
+    const last = this.#items.pop();
+    if (!last || last === item) return;
+    this.#place(last, item.position);
+    this.#up(last);
+    this.#down(last);
+  }
+
+  /** Item with the latest time, found by a scan. */
+  latest(): T | undefined {
+    let latest = this.#items[0];
+    for (const item of this.#items) {
+      if (latest && item.dropAt > latest.dropAt) latest = item;
+    }
+    return latest;
+  }
+
+  #place(item: T, position: number): void {
+    this.#items[position] = item;
+    item.position = position;
+  }
+
+  #up(item: T): void {
+    while (item.position > 0) {
+      const { position } = item;
+      const parent = this.#items[(position - 1) >> 1];
+      if (!parent || parent.dropAt <= item.dropAt) return;
+      this.#place(item, parent.position);
+      this.#place(parent, position);
+    }
+  }
+
+  #down(item: T): void {
+    for (;;) {
+      const { position } = item;
+      const left = this.#items[2 * position + 1];
+      const right = this.#items[2 * position + 2];
+      const child = right && left && right.dropAt < left.dropAt ? right : left;
+      if (!child || child.dropAt >= item.dropAt) return;
+      this.#place(item, child.position);
+      this.#place(child, position);
+    }
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/admission/fair-queue.ts
@@ -0,0 +1,124 @@
+import { DeadlineHeap, type HeapItem } from './deadline-heap.js';
+
+/** An item that belongs to a caller. @internal */
+export interface FairItem extends HeapItem {
+  readonly caller: string;
+}
+
+/** Waiting items of one caller. */
+interface Flow<T extends FairItem> {
+  readonly caller: string;
+  readonly items: DeadlineHeap<T>;
+}
+
+/**
+ * Queue that serves callers in turn and each caller's items by deadline. Callers that were idle
+ * are served before those that keep a queue, as in FQ-CoDel (RFC 8290), so that a large batch does
+ * not delay a caller that sends little. A caller that has just been served in this way joins the
+ * others even if it has nothing waiting, so that it can't stay ahead of them.
+ * @internal
+ */
+export class FairQueue<T extends FairItem> {
+  readonly #flows = new Map<string, Flow<T>>();
+  readonly #fresh = new Set<Flow<T>>();
+  readonly #backlogged = new Set<Flow<T>>();
+  #size = 0;
+  #busyFlows = 0;
+
+  /** Number of items that wait. */
+  get size(): number {
+    return this.#size;
+  }
+
+  push(item: T): void {
+    const flow = this.#flows.get(item.caller) ?? this.#addFlow(item.caller);
+    if (flow.items.size === 0) this.#busyFlows += 1;
+    flow.items.push(item);
+    this.#size += 1;
+  }
+
+  /** Takes the item whose turn it is. */
+  pop(): T | undefined {
+    while (this.#size > 0) {
+      const item = this.#popFrom(this.#fresh) ?? this.#popFrom(this.#backlogged);
+      if (item) return item;
+    }
+    return undefined;
+  }
+
+  remove(item: T): void {
+    const flow = this.#flows.get(item.caller);
+    if (!flow) return;
+    flow.items.remove(item);
+    this.#removed(flow);
+  }
+
+  /** Upper estimate of the items that are served before a new one of the caller. */
+  aheadOf(caller: string): number {
+    const own = this.waitingOf(caller);
+    if (own === 0 && !this.#flows.has(caller)) return Math.min(this.#size, this.#fresh.size);
+    return Math.min(this.#size, (own + 1) * this.#busyFlows);
+  }
+
+  /** Number of items of one caller that wait. */
+  waitingOf(caller: string): number {
+    return this.#flows.get(caller)?.items.size ?? 0;
+  }
+
+  /** Latest item of the caller that has most items waiting. */
+  latestOfLongest(): T | undefined {
+    let longest: Flow<T> | undefined;
+    for (const flow of this.#flows.values()) {
+      if (flow.items.size > (longest?.items.size ?? 0)) longest = flow;
+    }
+    return longest?.items.latest();
+  }
+
+  /** Earliest time by which an item leaves, or `Infinity`. */
+  nextDropAt(): number {
+    let next = Infinity;
+    for (const flow of this.#flows.values()) {
+      next = Math.min(next, flow.items.peek()?.dropAt ?? Infinity);
+    }
+    return next;
+  }
+
+  /** Removes and returns the items whose time has come. */
+  takeExpired(now: number): T[] {
+    const expired: T[] = [];
+    for (const flow of this.#flows.values()) {
+      for (let item = flow.items.peek(); item && item.dropAt <= now; item = flow.items.peek()) {
+        this.remove(item);
+        expired.push(item);
+      }
+    }
+    return expired;
+  }
+
+  #addFlow(caller: string): Flow<T> {
+    const flow = { caller, items: new DeadlineHeap<T>() };
+    this.#flows.set(caller, flow);
+    this.#fresh.add(flow);
+    return flow;
+  }
+
+  /** Serves the first flow of a list, and puts it at the end of the backlogged ones. */
+  #popFrom(list: Set<Flow<T>>): T | undefined {
+    const [flow] = list;
+    if (!flow) return undefined;
+    list.delete(flow);
+    const item = flow.items.pop();
+    if (!item && list === this.#backlogged) {
+      this.#flows.delete(flow.caller);
+      return undefined;
+    }
+    this.#backlogged.add(flow);
+    if (item) this.#removed(flow);
+    return item;
+  }
+
+  #removed(flow: Flow<T>): void {
+    this.#size -= 1;
+    if (flow.items.size === 0) this.#busyFlows -= 1;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/admission/retry-budget.ts
@@ -0,0 +1,68 @@
+import type { Clock } from './clock.js';
+
+/** Options of a {@link RetryBudget}. */
+export interface RetryBudgetOptions {
+  readonly clock: Clock;
+  /** Retries allowed for each first attempt; 0.1 unless given. */
+  readonly ratio?: number;
+  /** Returns a number from 0 to below 1; `Math.random` unless given. */
+  readonly random?: () => number;
+}
+
+/** Limits retries to a share of requests. */
+export interface RetryBudget {
+  /** Counts a first attempt. */
+  recordRequest(): void;
+  /**
+   * Asks for one retry. Returns the delay before it in milliseconds, or `undefined` when the
+   * budget is spent or the retry could not finish before the deadline.
+   */
+  tryRetry(retry: RetryRequest): number | undefined;
+}
+
+/** A retry that is asked for. */
+export interface RetryRequest {
+  /** Delay before the previous retry of this request in milliseconds; 0 for the first. */
+  readonly previousDelayMs: number;
+  /** Time on the clock by which the caller needs its answer. */
+  readonly deadlineAt: number;
+  /** Expected latency of the retry in milliseconds. */
+  readonly expectedLatencyMs: number;
+}
+
+const DEFAULT_RATIO = 0.1;
+/** Tokens to begin with, so that a router that has just started can retry. */
+const INITIAL_TOKENS = 1;
+/** Tokens that can be saved up. */
+const MAX_TOKENS = 100;
+const BASE_DELAY_MS = 5;
+const MAX_DELAY_MS = 500;
+const DELAY_GROWTH = 3;
+
+/**
+ * Creates a retry budget: a token bucket that each first attempt fills by `ratio` (Beyer et
+ * al., "Site Reliability Engineering", 2016, chapter 21). Delays follow decorrelated jitter (Brooker,
+ * "Exponential Backoff and Jitter", AWS Architecture Blog, 2015).
+ */
+export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
+  const { clock, ratio = DEFAULT_RATIO, random = Math.random } = options;
+  let tokens = INITIAL_TOKENS;
+
+  function nextDelayMs(previousMs: number): number {
+    const highest = Math.max(BASE_DELAY_MS, previousMs) * DELAY_GROWTH;
+    return Math.min(MAX_DELAY_MS, BASE_DELAY_MS + random() * (highest - BASE_DELAY_MS));
+  }
+
+  return {
+    recordRequest() {
+      tokens = Math.min(MAX_TOKENS, tokens + ratio);
+    },
+    tryRetry({ previousDelayMs, deadlineAt, expectedLatencyMs }) {
+      if (tokens < 1) return undefined;
+      const delayMs = nextDelayMs(previousDelayMs);
+      if (clock.now() + delayMs + expectedLatencyMs > deadlineAt) return undefined;
+      tokens -= 1;
+      return delayMs;
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/src/lib/admission/server-limiter.ts
@@ -0,0 +1,153 @@
+import { CircuitBreaker, type CircuitState } from './circuit-breaker.js';
+import type { Clock } from './clock.js';
+import { connectionShare } from './connection-share.js';
+import { LatencyLimit } from './latency-limit.js';
+import type { Outcome } from './outcome.js';
+import { SlowStart } from './slow-start.js';
+
+/** Options of a {@link ServerLimiter}. */
+export interface ServerLimiterOptions {
+  readonly clock: Clock;
+  /** Connections that all routers together may open to the server. */
+  readonly connections: number;
+  /** Routers that share the connections, this one included. */
+  readonly liveRouters: number;
+  /** True when the server has just started; work is then given gradually. */
+  readonly cold?: boolean;
+  /** Returns a number from 0 to below 1; `Math.random` unless given. */
+  readonly random?: () => number;
+}
+
+/** What a limiter knows about its server. */
+export interface ServerLimiterState {
+  /** Requests that may be in flight now; at least 1, and at most `share`. */
+  readonly limit: number;
+  readonly inFlight: number;
+  /** This router's share of the server's connections. */
+  readonly share: number;
+  readonly circuit: CircuitState;
+  /** Milliseconds until an open circuit lets a probe pass; 0 unless open. */
+  readonly retryInMs: number;
+  /** Mean latency measured lately, in milliseconds; a guess before the first request. */
+  readonly latencyMs: number;
+  /** Mean latency without load, in milliseconds; a guess before the first request. */
+  readonly baselineMs: number;
+  /** Share of recent requests that failed, from 0 to 1. */
+  readonly failureShare: number;
+}
+
+/** A place in flight to a backend server. */
+export interface Slot {
+  /** Gives the place back, once; without an outcome nothing is learnt from it. */
+  release(outcome?: Outcome): void;
+}
+
+/** Limits the requests that one router has in flight to one backend server. */
+export interface ServerLimiter {
+  /** Takes a place in flight; `undefined` when the limit is reached or the circuit open. */
+  tryAcquire(): Slot | undefined;
+  /** Adjusts this router's share as routers come and go. */
+  setLiveRouters(liveRouters: number): void;
+  /** Adjusts to a changed configuration. */
+  setConnections(connections: number): void;
+  /** Takes the server's health report; it weighs less than measured outcomes. */
+  reportHealth(healthy: boolean): void;
+  /** Gives work gradually again, for example after the server has been restarted. */
+  markCold(): void;
+  /** Current state. */
+  state(): ServerLimiterState;
+}
+
+/** Latency assumed before the first measurement. */
+const ASSUMED_LATENCY_MS = 10;
+/** Limit of a server that is not cold, before the first measurement. */
+const INITIAL_LIMIT = 4;
+
+/**
+ * Creates a limiter for one backend server as one router sees it. The limit adapts to measured
+ * latency and refusals, stays within the router's share of connections, rises gradually
+ * after a cold start or a failure, and a circuit breaker stops requests to a server that fails.
+ */
+export function createServerLimiter(options: ServerLimiterOptions): ServerLimiter {
+  const { clock, random = Math.random } = options;
+  let { connections, liveRouters } = options;
+  let inFlight = 0;
+  const adaptive = new LatencyLimit(INITIAL_LIMIT, clock.now());
+  const slowStart = new SlowStart(clock);
+  const breaker = new CircuitBreaker({ clock, random, onClose: startSlowly });
+  if (options.cold) startSlowly();
+
+  function startSlowly(): void {
+    adaptive.restart(1);
+    slowStart.begin();
+  }
+
+  function share(): number {
+    return connectionShare(connections, liveRouters);
+  }
+
+  function limit(): number {
+    if (breaker.state !== 'closed') return 1;
+    const max = slowStart.bound(share());
+    return Math.max(1, Math.floor(Math.min(adaptive.limit, max)));
+  }
+
+  function learn(outcome: Outcome, generation: number): void {
+    breaker.record(outcome.kind, generation);
+    switch (outcome.kind) {
+      case 'ok':
+      case 'timeout':
+        adaptive.sample(outcome.latencyMs, inFlight, clock.now(), share());
+        break;
+      case 'refused':
+      case 'connection-lost':
+        adaptive.refuse();
+        break;
+      case 'error':
+        break;
+    }
+  }
+
+  function createSlot(): Slot {
+    const generation = breaker.generation;
+    let released = false;
+    return {
+      release(outcome) {
+        if (released) return;
+        released = true;
+        if (outcome) learn(outcome, generation);
+        inFlight -= 1;
+      },
+    };
+  }
+
+  return {
+    tryAcquire() {
+      if (breaker.state === 'open' || inFlight >= limit()) return undefined;
+      inFlight += 1;
+      return createSlot();
+    },
+    setLiveRouters(count) {
+      liveRouters = count;
+      adaptive.bound(share());
+    },
+    setConnections(count) {
+      connections = count;
+      adaptive.bound(share());
+    },
+    reportHealth(healthy) {
+      breaker.report(healthy);
+    },
+    markCold: startSlowly,
+    state: () => ({
+      limit: limit(),
+      inFlight,
+      share: share(),
+      circuit: breaker.state,
+      retryInMs: breaker.retryInMs,
+      latencyMs: adaptive.latencyMs ?? ASSUMED_LATENCY_MS,
+      baselineMs: adaptive.baselineMs ?? ASSUMED_LATENCY_MS,
+      failureShare: breaker.failureShare,
+    }),
+  };
+}
