--- a/packages/ownership/src/lib/server-recovery.ts
+++ b/packages/ownership/src/lib/server-recovery.ts
@@ -113,8 +113,7 @@
     ctx.map.addUnrecorded(moves);
     ctx.peers.announce();
     ctx.journal.add(
-      'shards-moved-unrecorded',
-      serverId,
+      'move', { server: serverId },
       `${moves.length} shards to stored successors`,
     );
   }
@@ -137,7 +136,7 @@
     const recorded = await recording;
     ctx.peers.announce();
     if (recorded.isOk()) {
-      ctx.journal.add('shards-moved', serverId, `${changes.length} shards: ${changes[0]?.reason}`);
+      ctx.journal.add('move', { server: serverId }, `${changes.length} shards: ${changes[0]?.reason}`);
     }
   }
 
@@ -169,7 +168,7 @@
 
   return {
     async moveFromLostServer(row, service, question) {
-      if (!isLost) ctx.journal.add('server-lost', serverId, 'renewals go unanswered');
+      if (!isLost) ctx.journal.add('lapse', { server: serverId }, 'renewals go unanswered');
       isLost = true;
       const owned = ctx.map.ownedBy(service.name, serverId);
       if (owned.length === 0) return;
@@ -207,7 +206,7 @@
       return recorded.isOk();
     },
     serverAnswered() {
-      if (isLost) ctx.journal.add('server-back', serverId, 'the server answers again');
+      if (isLost) ctx.journal.add('lapse', { server: serverId }, 'the server answers again');
       isLost = false;
     },
     needsNewSeats: () => standbyStoodDown,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,2 +1,4 @@
+export * from './lib/admission/index.js';
+export * from './lib/dispatch/index.js';
 export * from './lib/ledger/index.js';
 export * from './lib/quarantine/index.js';
--- /dev/null
+++ b/packages/routing/src/lib/dispatch/owner-wait.ts
@@ -0,0 +1,14 @@
+import { type AssignmentMap, createBell } from '@boragepoint/ownership';
+
+/** Waits until rows change, the time is over or the signal aborts. */
+export async function waitForChange(
+  map: AssignmentMap,
+  ms: number,
+  signal: AbortSignal,
+): Promise<void> {
+  const bell = createBell();
+  using _watch = map.onChange(() => {
+    bell.ring();
+  });
+  await bell.wait(ms, signal);
+}
