--- a/packages/config/src/lib/operator-api.ts
+++ b/packages/config/src/lib/operator-api.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 
 import { exactObject } from './exact-object.js';
+import { MAX_KEY_LENGTH } from './request-key.js';
 import { nameSchema, wholeNumber } from './scalars.js';
 import { serviceConfigSchema } from './service-config.js';
 
@@ -25,7 +26,6 @@
 /** Paths for the platform and for metrics; they need no token. */
 export const PROBE_PATHS = { live: '/livez', ready: '/readyz', metrics: '/metrics' } as const;
 
-const MAX_KEY_LENGTH = 1_024;
 const MAX_WRITER_LENGTH = 128;
 const MAX_SHARD = 65_535;
 
--- /dev/null
+++ b/packages/config/src/lib/path-pattern.ts
@@ -0,0 +1,77 @@
+/** Pattern that stands for exactly one segment. */
+const ONE = '*';
+/** Closing pattern that stands for the rest of a path, which may be empty. */
+const REST = '**';
+const DOT_SEGMENTS = new Set(['.', '..']);
+const SEPARATORS = /[/\\]/;
+
+/** Says what is wrong with the text of a pattern; `undefined` when nothing is. @internal */
+export function patternMistake(pattern: string): string | undefined {
+  if (!pattern.startsWith('/')) return 'must start with /';
+  if (/[?#\s]/.test(pattern)) return 'must hold no query, fragment or white space';
+  const segments = segmentsOf(pattern);
+  if (segments.includes('')) return 'must hold no empty segment';
+  if (segments.some((it) => DOT_SEGMENTS.has(it))) return 'must hold no . or .. segment';
+  if (segments.slice(0, -1).includes(REST)) return 'may hold ** only at its end';
+  const isPartial = (it: string) => it.includes(ONE) && it !== ONE && it !== REST;
+  if (segments.some(isPartial)) return 'may use * and ** only as a whole segment';
+  return undefined;
+}
+
+/** Splits a path or pattern into segments; a closing slash makes no difference. @internal */
+export function segmentsOf(path: string): string[] {
+  const trimmed = path.replace(/^\//, '').replace(/\/$/, '');
+  return trimmed === '' ? [] : trimmed.split('/');
+}
+
+function decode(segment: string): string | undefined {
+  try {
+    return decodeURIComponent(segment);
+  } catch {
+    return undefined;
+  }
+}
+
+function isAmbiguous(segment: string): boolean {
+  if (segment === '') return true;
+  return segment.split(SEPARATORS).some((part) => DOT_SEGMENTS.has(part));
+}
+
+/**
+ * Decodes the segments of a request's path. Returns `undefined` for a path that a backend server
+ * might read as another one: empty or dot segments, also when percent-encoded. @internal
+ */
+export function decodePath(path: string): string[] | undefined {
+  if (!path.startsWith('/')) return undefined;
+  const decoded: string[] = [];
+  for (const raw of segmentsOf(path)) {
+    const segment = decode(raw);
+    if (segment === undefined || isAmbiguous(segment)) return undefined;
+    decoded.push(segment);
+  }
+  return decoded;
+}
+
+/** Tells whether a pattern matches the decoded segments of a path. @internal */
+export function matchesPattern(pattern: readonly string[], path: readonly string[]): boolean {
+  const isOpen = pattern.at(-1) === REST;
+  const fixed = isOpen ? pattern.slice(0, -1) : pattern;
+  if (isOpen ? path.length < fixed.length : path.length !== fixed.length) return false;
+  return fixed.every((segment, index) => segment === ONE || segment === path[index]);
+}
+
+/** Tells whether every path that the narrow pattern matches is matched by the wide one. @internal */
+export function coversPattern(wide: readonly string[], narrow: readonly string[]): boolean {
+  for (const [index, segment] of wide.entries()) {
+    if (segment === REST) return true;
+    const other = narrow[index];
+    if (other === undefined || other === REST) return false;
+    if (segment !== ONE && segment !== other) return false;
+  }
+  return narrow.length === wide.length;
+}
+
+/** Tells whether paths that match the pattern have a segment at this position. @internal */
+export function reachesSegment(pattern: readonly string[], position: number): boolean {
+  return pattern.length > position || pattern.at(-1) === REST;
+}
--- a/packages/config/src/lib/result-codes.ts
+++ b/packages/config/src/lib/result-codes.ts
@@ -38,6 +38,7 @@
   notInForce: 405,
   storeUnavailable: 406,
   moveRefused: 407,
+  internalError: 408,
 } as const;
 
 /** Name of a result code. */
--- a/packages/config/src/lib/service-config.ts
+++ b/packages/config/src/lib/service-config.ts
@@ -2,6 +2,7 @@
 
 import { exactObject } from './exact-object.js';
 import { ipEndpointSchema } from './ip-address.js';
+import { patternMistake } from './path-pattern.js';
 import { nameSchema, wholeNumber } from './scalars.js';
 
 const MIN_SHARDS = 1;
@@ -32,13 +33,18 @@
 });
 export type Objective = v.InferOutput<typeof objectiveSchema>;
 
+function reportPatternMistake({ dataset, addIssue }: v.RawCheckContext<string>): void {
+  const message = dataset.typed ? patternMistake(dataset.value) : undefined;
+  if (message !== undefined) addIssue({ message });
+}
+
 /** A rule says how one kind of request is treated. The first rule that matches applies. */
 export const ruleSchema = exactObject({
   name: nameSchema,
   /** HTTP method, or `*` for any. */
   method: v.picklist(['*', 'GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']),
   /** Path after the service's name; `*` stands for one segment, a closing `**` for the rest. */
-  path: v.pipe(v.string(), v.startsWith('/')),
+  path: v.pipe(v.string(), v.rawCheck(reportPatternMistake)),
   /** True when the request may be repeated without harm. */
   idempotent: v.boolean(),
   /** Time within which the caller needs its answer, in milliseconds. */
