--- /dev/null
+++ b/packages/daemon/src/lib/callers/caller-answer.ts
@@ -0,0 +1,41 @@
+import { RESULT_CODES, type ResultName, familyOf, httpStatusOf } from '@boragepoint/config';
+import type { RoutedAnswer } from '@boragepoint/routing';
+
+const SECOND_MS = 1_000;
+/** Header with the numbered result code of a refusal. */
+export const RESULT_HEADER = 'bp-result';
+/** Header with the request's id. */
+export const REQUEST_ID_HEADER = 'bp-request-id';
+/** Header that marks an answer kept from an earlier run of the same Idempotency-Key. */
+export const REPLAYED_HEADER = 'bp-replayed';
+
+const STATUS_WITHOUT_BODY = new Set([101, 204, 205, 304]);
+
+/** Writes a refusal: its code, name, family and message as JSON. */
+export function refusalResponse(
+  requestId: string,
+  result: ResultName,
+  message: string,
+  retryAfterMs?: number,
+): Response {
+  const code = RESULT_CODES[result];
+  const body = { code, name: result, family: familyOf(code), message, requestId, retryAfterMs };
+  const headers = new Headers({ [RESULT_HEADER]: String(code), [REQUEST_ID_HEADER]: requestId });
+  if (retryAfterMs !== undefined) {
+    headers.set('retry-after', String(Math.max(1, Math.ceil(retryAfterMs / SECOND_MS))));
+  }
+  return Response.json(body, { status: httpStatusOf(code), headers });
+}
+
+/** Writes an answer for a caller. */
+export function toResponse(requestId: string, routed: RoutedAnswer): Response {
+  if (routed.kind === 'refused') {
+    return refusalResponse(requestId, routed.result, routed.message, routed.retryAfterMs);
+  }
+  const { status, headers: lines, body } = routed.answer;
+  const headers = new Headers(lines.map((it): [string, string] => [it.name, it.value]));
+  headers.set(REQUEST_ID_HEADER, requestId);
+  if (routed.replayed) headers.set(REPLAYED_HEADER, 'true');
+  const content = STATUS_WITHOUT_BODY.has(status) ? null : (body as Uint8Array<ArrayBuffer>);
+  return new Response(content, { status, headers });
+}
--- /dev/null
+++ b/packages/daemon/src/lib/callers/caller-app.ts
@@ -0,0 +1,142 @@
+import type { IncomingMessage } from 'node:http';
+
+import { type ServiceConfig, extractKey, matchRule } from '@boragepoint/config';
+import type { AssignmentMap } from '@boragepoint/ownership';
+import {
+  type HeaderLine,
+  type RequestRouter,
+  type RoutedAnswer,
+  type RoutedRequest,
+  refusal,
+} from '@boragepoint/routing';
+import { Hono } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
+import { v7 as newRequestId } from 'uuid';
+
+import type { Metrics } from '../metrics.js';
+import { refusalResponse, toResponse } from './caller-answer.js';
+
+const SECOND_MS = 1_000;
+const CALLER_HEADER = 'bp-caller';
+const IDEMPOTENCY_HEADER = 'idempotency-key';
+const UNMATCHED = 'none';
+
+/** What serving callers needs. */
+export interface CallerAppContext {
+  readonly map: AssignmentMap;
+  readonly router: RequestRouter;
+  readonly metrics: Metrics;
+  readonly maxBodyBytes: number;
+  /** Why this router is not ready; empty when it is. */
+  notReady(): string[];
+}
+
+interface Bindings {
+  readonly incoming: IncomingMessage;
+}
+
+interface Target {
+  readonly serviceName: string;
+  readonly path: string;
+  readonly query: string;
+}
+
+/** Splits a URL into the service's name and the path after it. */
+function targetOf(url: string): Target {
+  const [pathname = '/', query = ''] = url.split('?', 2);
+  const end = pathname.indexOf('/', 1);
+  const serviceName = pathname.slice(1, end === -1 ? undefined : end);
+  return { serviceName, path: end === -1 ? '/' : pathname.slice(end), query };
+}
+
+function headerLines(req: IncomingMessage): HeaderLine[] {
+  return Object.entries(req.headersDistinct).flatMap(([name, values]) =>
+    values === undefined ? [] : [{ name, value: values.join(', ') }],
+  );
+}
+
+function matchRequest(
+  service: ServiceConfig,
+  req: IncomingMessage,
+  target: Target,
+): (RoutedAnswer & { kind: 'refused' }) | Pick<RoutedRequest, 'rule' | 'key'> {
+  const rule = matchRule(service, req.method ?? '', target.path);
+  if (rule === undefined) return refusal('noMatchingRule', 'no rule matches the method and path');
+  const key = extractKey(service, {
+    path: target.path,
+    query: target.query,
+    header: (name) => req.headersDistinct[name.toLowerCase()]?.[0],
+  });
+  if (key === undefined) return refusal('missingKey', 'the request carries no key');
+  return { rule, key };
+}
+
+/** Creates the app that callers talk to. */
+export function createCallerApp(ctx: CallerAppContext): Hono<{ Bindings: Bindings }> {
+  const app = new Hono<{ Bindings: Bindings }>();
+
+  app.get('/livez', (c) => c.text('ok'));
+  app.get('/readyz', (c) => {
+    const reasons = ctx.notReady();
+    return reasons.length === 0 ? c.text('ok') : c.json({ reasons }, 503);
+  });
+  app.use(
+    bodyLimit({
+      maxSize: ctx.maxBodyBytes,
+      onError: () => refusalResponse(newRequestId(), 'bodyTooLarge', 'the body is too large'),
+    }),
+  );
+  app.all('*', async (c) => {
+    const requestId = newRequestId();
+    const startedAt = performance.now();
+    const { incoming } = c.env;
+    const target = targetOf(incoming.url ?? '/');
+    const service = ctx.map.service(target.serviceName);
+    if (service === undefined) {
+      const message = 'no such service: the path begins with its name';
+      return refusalResponse(requestId, 'unknownService', message);
+    }
+    const matched = matchRequest(service, incoming, target);
+    if ('kind' in matched) {
+      ctx.metrics.requests.inc({ service: service.name, rule: UNMATCHED, result: matched.result });
+      return toResponse(requestId, matched);
+    }
+    const body = await readBody(c.req.raw);
+    const routed = await ctx.router.handle({
+      requestId,
+      service,
+      ...matched,
+      method: incoming.method ?? 'GET',
+      path: target.query === '' ? target.path : `${target.path}?${target.query}`,
+      headers: headerLines(incoming),
+      body,
+      caller: incoming.headersDistinct[CALLER_HEADER]?.[0] ?? incoming.socket.remoteAddress ?? '',
+      idempotencyKey: incoming.headersDistinct[IDEMPOTENCY_HEADER]?.[0],
+      deadlineAt: startedAt + matched.rule.deadlineMs,
+      signal: c.req.raw.signal,
+    });
+    observe(service, matched.rule.name, routed, startedAt);
+    return toResponse(requestId, routed);
+  });
+
+  function observe(service: ServiceConfig, rule: string, routed: RoutedAnswer, startedAt: number) {
+    const labels = { service: service.name, rule };
+    const result = routed.kind === 'answered' ? 'ok' : routed.result;
+    ctx.metrics.requests.inc({ ...labels, result });
+    ctx.metrics.latency.observe(labels, (performance.now() - startedAt) / SECOND_MS);
+  }
+
+  app.onError((cause, c) => {
+    const requestId = newRequestId();
+    const message = `the request could not be read: ${cause.message}`;
+    return c.req.raw.signal.aborted
+      ? new Response(null, { status: 400 })
+      : refusalResponse(requestId, 'badRequest', message);
+  });
+  return app;
+}
+
+async function readBody(req: Request): Promise<Uint8Array> {
+  if (req.method === 'GET' || req.method === 'HEAD') return new Uint8Array();
+  return new Uint8Array(await req.arrayBuffer());
+}
--- /dev/null
+++ b/packages/daemon/src/lib/http-listener.ts
@@ -0,0 +1,81 @@
+import { type Server, createServer } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
+import { RESULT_CODES, type ResultName, httpStatusOf } from '@boragepoint/config';
+import { createAdaptorServer } from '@hono/node-server';
+import type { Env, Hono } from 'hono';
+
+/** Limits of a listener. */
+export interface ListenerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxConnections: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** A listener for HTTP. Disposing of it lets requests in flight finish. */
+export interface HttpListener extends AsyncDisposable {
+  readonly port: number;
+  /** Takes no new connections and closes idle ones; resolves when the last request is answered. */
+  drain(): Promise<void>;
+}
+
+/** An IP address and a port. */
+export function splitAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+  return { host, port: Number(address.slice(colon + 1)) };
+}
+
+function answerGarbage(err: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || err.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const name: ResultName = err.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'badRequest';
+  const code = RESULT_CODES[name];
+  const body = JSON.stringify({ code, name, message: 'the request is not well formed' });
+  const lines = [
+    `HTTP/1.1 ${httpStatusOf(code)} Error`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    `bp-result: ${code}`,
+    'connection: close',
+  ];
+  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`);
+}
+
+/** Starts a listener that serves an app. */
+export async function createHttpListener<E extends Env>(
+  app: Hono<E>,
+  address: string,
+  limits: ListenerLimits,
+): Promise<HttpListener> {
+  const { host, port } = splitAddress(address);
+  const server = createAdaptorServer({
+    fetch: app.fetch,
+    createServer,
+    serverOptions: { maxHeaderSize: limits.maxHeaderBytes },
+  }) as Server;
+  server.maxConnections = limits.maxConnections;
+  server.keepAliveTimeout = limits.idleTimeoutMs;
+  server.on('clientError', answerGarbage);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+
+  async function drain(): Promise<void> {
+    const closed = new Promise((resolve) => server.close(resolve));
+    server.closeIdleConnections();
+    await closed;
+  }
+
+  return {
+    port: (server.address() as AddressInfo).port,
+    drain,
+    async [Symbol.asyncDispose]() {
+      server.closeAllConnections();
+      await new Promise((resolve) => server.close(resolve));
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/lib/peers/peer-client.ts
@@ -0,0 +1,23 @@
+import { PeerService } from '@boragepoint/protocol';
+import { type Client, createClient } from '@connectrpc/connect';
+import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
+
+/** A client of one peer. */
+export interface PeerClient extends Disposable {
+  readonly address: string;
+  readonly rpc: Client<typeof PeerService>;
+}
+
+/** Creates a client; it connects with the first call and again after a loss. */
+export function createPeerClient(address: string): PeerClient {
+  const baseUrl = `http://${address}`;
+  const sessionManager = new Http2SessionManager(baseUrl);
+  const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager });
+  return {
+    address,
+    rpc: createClient(PeerService, transport),
+    [Symbol.dispose]() {
+      sessionManager.abort();
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/lib/peers/peer-state.ts
@@ -0,0 +1,67 @@
+import type { AssignmentMap, Membership, RowStore } from '@boragepoint/ownership';
+import { configKey } from '@boragepoint/ownership';
+import { type PeerState, PeerStateSchema } from '@boragepoint/protocol';
+import type { Quarantine } from '@boragepoint/routing';
+import { type MessageInitShape } from '@bufbuild/protobuf';
+
+/** Most quarantine entries in one heartbeat; the newest go first. */
+const MAX_QUARANTINE_ENTRIES = 32;
+
+/** What the state of a router is read from and merged into. */
+export interface PeerStateContext {
+  readonly rows: RowStore;
+  readonly map: AssignmentMap;
+  readonly membership: Membership;
+  readonly quarantine: Quarantine;
+  /** Backend servers that this router keeps and can't reach. */
+  ownUnreachable(): string[];
+}
+
+/** Describes this router for a heartbeat. */
+export function describeSelf(ctx: PeerStateContext): MessageInitShape<typeof PeerStateSchema> {
+  const { id, incarnation, availabilityZone, region, leaving } = ctx.membership.self;
+  return {
+    sender: { id, incarnation },
+    availabilityZone,
+    region,
+    rowsDigest: ctx.rows.digest(),
+    leaving,
+    unreachableServers: ctx.ownUnreachable(),
+    unrecordedMoves: ctx.map.unrecorded().map((it) => ({ ...it, epoch: BigInt(it.epoch) })),
+    quarantine: ctx.quarantine.entries(MAX_QUARANTINE_ENTRIES).map((it) => ({
+      ...it,
+      expiresAtMs: BigInt(it.expiresAtMs),
+      changedAtMs: BigInt(it.changedAtMs),
+    })),
+    configurations: ctx.map.services().map(({ name }) => ({
+      key: configKey(name),
+      version: BigInt(ctx.map.configVersion(name)),
+    })),
+  };
+}
+
+/** Takes in what a peer tells of itself. */
+export function mergePeerState(ctx: PeerStateContext, state: PeerState): void {
+  const { sender, availabilityZone, region, leaving } = state;
+  if (sender === undefined) return;
+  const { id, incarnation } = sender;
+  ctx.membership.heardFrom({ id, incarnation, availabilityZone, region, leaving });
+  ctx.map.addUnrecorded(
+    state.unrecordedMoves.map((it) => ({
+      service: it.service,
+      shard: it.shard,
+      owner: it.owner,
+      epoch: Number(it.epoch),
+    })),
+  );
+  ctx.quarantine.merge(
+    state.quarantine.map((it) => ({
+      service: it.service,
+      fingerprint: it.fingerprint,
+      suspect: it.suspect,
+      released: it.released,
+      expiresAtMs: Number(it.expiresAtMs),
+      changedAtMs: Number(it.changedAtMs),
+    })),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/lib/readiness.ts
@@ -0,0 +1,49 @@
+import { monotonicMs } from '@boragepoint/ownership';
+
+import type { Readiness } from './operators/index.js';
+import type { RouterNode } from './router-node.js';
+
+/** Time without the table and without any peer after which a router is not ready. */
+const CUT_OFF_AFTER_MS = 3_000;
+
+/** Tells whether a router takes requests. */
+export interface ReadinessCheck {
+  /** Why it is not ready; empty when it is. */
+  reasons(): string[];
+  readiness(): Readiness;
+  /** Makes the router not ready for good, for a shutdown. */
+  leave(): void;
+}
+
+/** Creates the check of one router. */
+export function createReadiness(node: RouterNode): ReadinessCheck {
+  let leaving = false;
+
+  function isCutOff(): boolean {
+    const hasTable = monotonicMs() - node.sync.lastReadAt() < CUT_OFF_AFTER_MS;
+    return !hasTable && !node.membership.heardAnyWithin(CUT_OFF_AFTER_MS);
+  }
+
+  function hasRows(): boolean {
+    return Number.isFinite(node.sync.lastReadAt()) || node.map.services().length > 0;
+  }
+
+  function reasons(): string[] {
+    const found: string[] = [];
+    if (leaving) found.push('the router is shutting down');
+    if (!hasRows()) found.push('no configuration was read from the table or from a peer');
+    if (isCutOff()) found.push('neither the table nor any peer can be reached');
+    return found;
+  }
+
+  return {
+    reasons,
+    readiness() {
+      const found = reasons();
+      return { ready: found.length === 0, reasons: found };
+    },
+    leave() {
+      leaving = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/lib/router-node.ts
@@ -0,0 +1,184 @@
+import type { Settings } from '@boragepoint/config';
+import {
+  type AssignmentMap,
+  type Journal,
+  type KeeperManager,
+  type Membership,
+  type OwnershipContext,
+  type RowStore,
+  type RowWriter,
+  type ServicePlanner,
+  type TableSync,
+  createAssignmentMap,
+  createJournal,
+  createKeeperManager,
+  createKeyHasher,
+  createLeaseClient,
+  createMembership,
+  createRowStore,
+  createRowWriter,
+  createServicePlanner,
+  createShardMover,
+  createTableSync,
+} from '@boragepoint/ownership';
+import {
+  createHttpInstanceList,
+  createHttpObjectStore,
+  createHttpTableService,
+} from '@boragepoint/platform';
+import {
+  type Ledger,
+  type Quarantine,
+  type RequestRouter,
+  type ServerLinks,
+  createLedger,
+  createQuarantine,
+  createRequestRouter,
+  createRetryBudget,
+  createServerLinks,
+  createSystemClock,
+} from '@boragepoint/routing';
+import { Pool } from 'undici';
+import { v4 as newIncarnation } from 'uuid';
+
+import type { Log } from './log.js';
+import type { Metrics } from './metrics.js';
+import { createPeerForwarder } from './peers/peer-forwarder.js';
+import { type PeerLinks, createPeerLinks } from './peers/peer-links.js';
+import { watchTable } from './table-watch.js';
+
+const PLATFORM_CONNECTIONS = 8;
+
+/** All parts of a router without its listeners. */
+export interface RouterNode extends AsyncDisposable {
+  readonly membership: Membership;
+  readonly rows: RowStore;
+  readonly map: AssignmentMap;
+  readonly writer: RowWriter;
+  readonly sync: TableSync;
+  readonly keepers: KeeperManager;
+  readonly planner: ServicePlanner;
+  readonly journal: Journal;
+  readonly links: PeerLinks;
+  readonly servers: ServerLinks;
+  readonly ledger: Ledger;
+  readonly quarantine: Quarantine;
+  readonly router: RequestRouter;
+}
+
+function platformPool(url: string): Pool {
+  return new Pool(url, { connections: PLATFORM_CONNECTIONS, pipelining: 1 });
+}
+
+/** Creates the parts of a router and starts their tasks. */
+export async function createRouterNode(
+  settings: Settings,
+  log: Log,
+  metrics: Metrics,
+): Promise<RouterNode> {
+  const stack = new AsyncDisposableStack();
+  const incarnation = newIncarnation();
+  const clock = createSystemClock();
+  const hasher = await createKeyHasher();
+  const pools = [settings.platform.table, settings.platform.objects, settings.platform.instances];
+  const [tablePool, objectPool, instancePool] = pools.map(platformPool) as [Pool, Pool, Pool];
+  const table = watchTable(createHttpTableService(tablePool), () => {
+    sync.noteFailure();
+  });
+  const membership = createMembership({ ...settings.instance, incarnation });
+  const rows = createRowStore(hasher, (key, cause) => {
+    log.error('a row of the table is not well formed', { key, cause });
+  });
+  const map = createAssignmentMap(rows, hasher);
+  const writer = createRowWriter(table, rows);
+  const journal = createJournal(settings.instance.id, (event) => {
+    log.info(event.message, { event: event.kind, server: event.server, service: event.service });
+  });
+  const sync = createTableSync(table, createHttpInstanceList(instancePool), rows, membership);
+  const quarantine = createQuarantine({ spread: (entries) => links.spreadQuarantine(entries) });
+  const ownUnreachable = () => keepers.unreachable();
+  const links: PeerLinks = createPeerLinks({
+    rows,
+    map,
+    membership,
+    quarantine,
+    ownUnreachable,
+    log,
+    metrics,
+  });
+  const ownership: OwnershipContext = {
+    rows,
+    map,
+    writer,
+    mover: createShardMover(rows, writer, settings.instance.id),
+    membership,
+    lease: createLeaseClient(),
+    peers: links,
+    journal,
+    hasher,
+    lastTableReadAt: () => sync.lastReadAt(),
+    isTableUp: () => sync.isUp(),
+    shardLoads: () => new Map(),
+    unreachableServers,
+  };
+  const keepers: KeeperManager = createKeeperManager(ownership);
+  const planner = createServicePlanner(ownership, sendMoves);
+  const servers = createServerLinks(clock);
+  const ledger = createLedger({ table, objects: createHttpObjectStore(objectPool), incarnation });
+  const router = createRequestRouter({
+    map,
+    keepers,
+    ledger,
+    links: servers,
+    quarantine,
+    budget: createRetryBudget({ clock }),
+    membership,
+    forwarder: createPeerForwarder(links),
+  });
+
+  function unreachableServers(): ReadonlySet<string> {
+    const told = [...links.states()].filter(([id]) => membership.isLive(id));
+    return new Set([...ownUnreachable(), ...told.flatMap(([, it]) => it.unreachableServers)]);
+  }
+
+  async function sendMoves(...[server, orders, reason]: Parameters<typeof keepers.moveShards>) {
+    const keeper = map.keeper(server)?.value.acting.router;
+    if (keeper === undefined) return false;
+    if (keeper === membership.self.id) return keepers.moveShards(server, orders, reason);
+    return links.moveShards(keeper, server, orders, reason);
+  }
+
+  const shares = setInterval(() => {
+    servers.setLiveRouters(membership.live().length);
+    metrics.keeping.set(keepers.acting().length);
+  }, 500);
+  for (const pool of [tablePool, objectPool, instancePool]) {
+    stack.defer(() => pool.destroy());
+  }
+  stack.use(ownership.lease);
+  stack.use(links);
+  stack.use(sync);
+  stack.use(ledger);
+  stack.use(servers);
+  stack.use(planner);
+  stack.use(keepers);
+  stack.defer(() => {
+    clearInterval(shares);
+  });
+  return {
+    membership,
+    rows,
+    map,
+    writer,
+    sync,
+    keepers,
+    planner,
+    journal,
+    links,
+    servers,
+    ledger,
+    quarantine,
+    router,
+    [Symbol.asyncDispose]: () => stack.disposeAsync(),
+  };
+}
--- a/packages/ownership/src/lib/server-recovery.ts
+++ b/packages/ownership/src/lib/server-recovery.ts
@@ -112,10 +112,7 @@
     }));
     ctx.map.addUnrecorded(moves);
     ctx.peers.announce();
-    ctx.journal.add(
-      'move', { server: serverId },
-      `${moves.length} shards to stored successors`,
-    );
+    ctx.journal.add('move', { server: serverId }, `${moves.length} shards to stored successors`);
   }
 
   async function recordMoves(
@@ -136,7 +133,11 @@
     const recorded = await recording;
     ctx.peers.announce();
     if (recorded.isOk()) {
-      ctx.journal.add('move', { server: serverId }, `${changes.length} shards: ${changes[0]?.reason}`);
+      ctx.journal.add(
+        'move',
+        { server: serverId },
+        `${changes.length} shards: ${changes[0]?.reason}`,
+      );
     }
   }
 
--- a/packages/routing/src/lib/dispatch/keeper-run.ts
+++ b/packages/routing/src/lib/dispatch/keeper-run.ts
@@ -1,4 +1,4 @@
-import { RESULT_CODES, type ResultName } from '@boragepoint/config';
+import { RESULT_CODES, type ResultName, nameOf } from '@boragepoint/config';
 import type { AssignmentMap, KeeperManager, Placement } from '@boragepoint/ownership';
 
 import {
@@ -22,15 +22,6 @@
   readonly ledger: Ledger;
 }
 
-const NAMES = new Map(
-  Object.entries(RESULT_CODES).map(([name, code]) => [code as number, name as ResultName]),
-);
-
-/** Name of a result code. */
-export function resultNameOf(code: number): ResultName {
-  return NAMES.get(code) ?? 'outcomeUnknown';
-}
-
 /** The owner of the request's key, if this router acts as its keeper. */
 function placeHere(ctx: KeeperRunContext, req: RoutedRequest): Placement | undefined {
   const placement = ctx.map.place(req.service, req.key);
@@ -72,7 +63,7 @@
   if (result.kind === 'answered') {
     return { kind: 'answered', answer: result.answer, replayed: result.replayed };
   }
-  return refusal(resultNameOf(result.code), result.message, result.retryAfterMs);
+  return refusal(nameOf(result.code), result.message, result.retryAfterMs);
 }
 
 /** Sends a request to the owner once; nothing but the deadline cuts it once it was sent. */
