--- a/packages/config/src/lib/check-service.ts
+++ b/packages/config/src/lib/check-service.ts
@@ -60,7 +60,7 @@
   return [...rules, ...pins];
 }
 
-/** Checks one service for what its schema can't see. @internal */
+/** Checks one service for what its schema can't see; paths of the problems start at the service. */
 export function checkService(service: ServiceConfig): Problem[] {
   const rules = service.rules.flatMap((rule, index) => checkRule(service, rule, index));
   return [...checkLease(service), ...checkNames(service), ...rules];
--- a/packages/config/src/lib/operator-api.ts
+++ b/packages/config/src/lib/operator-api.ts
@@ -109,7 +109,10 @@
 const keyMoveSchema = exactObject({ service: nameSchema, key: keySchema, to: nameSchema });
 
 /** Body of `POST /v1/move`: one shard, named by its number or by a key in it. */
-export const moveRequestSchema = v.union([shardMoveSchema, keyMoveSchema]);
+export const moveRequestSchema = v.union(
+  [shardMoveSchema, keyMoveSchema],
+  'must hold service, to, and either shard or key',
+);
 export type MoveRequest = v.InferOutput<typeof moveRequestSchema>;
 
 /** Answer of `POST /v1/move`. */
--- a/packages/config/src/lib/problem.ts
+++ b/packages/config/src/lib/problem.ts
@@ -34,7 +34,7 @@
   return issue.message;
 }
 
-/** Turns issues of a schema into problems. @internal */
+/** Turns the issues of a schema into problems. */
 export function problemsOf(issues: readonly v.BaseIssue<unknown>[]): Problem[] {
   return issues.map((issue) => ({
     path: formatPath(keysOf(issue)),
--- a/packages/config/src/lib/scalars.ts
+++ b/packages/config/src/lib/scalars.ts
@@ -2,7 +2,7 @@
 
 const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
 
-/** Name of a service, rule, server, availability zone or region. @internal */
+/** Name of a service, rule, server, availability zone or region. */
 export const nameSchema = v.pipe(
   v.string(),
   v.regex(
--- /dev/null
+++ b/packages/daemon/src/lib/operators/operator-operations.ts
@@ -0,0 +1,68 @@
+import type {
+  BurnReport,
+  DeposeAnswer,
+  DeposeRequest,
+  DrainRequest,
+  EventsAnswer,
+  EventsQuery,
+  ExplainAnswer,
+  KeyQuery,
+  MoveAnswer,
+  MoveRequest,
+  OwnerAnswer,
+  PinRequest,
+  PutService,
+  QuarantineList,
+  ReleaseAnswer,
+  ReleaseRequest,
+  ServiceDocument,
+  ServiceList,
+  StatusAnswer,
+  WrittenVersion,
+} from '@boragepoint/config';
+import type { Result } from 'neverthrow';
+
+import type { OperatorError } from './operator-error.js';
+
+/** Outcome of one operation. */
+export type Outcome<T> = Promise<Result<T, OperatorError>>;
+
+/** Whether the router takes requests, and why not. */
+export interface Readiness {
+  readonly ready: boolean;
+  /** Why it is not ready; empty when it is. */
+  readonly reasons: readonly string[];
+}
+
+/** What operators may ask of a router. Inputs were checked against their schemas. */
+export interface OperatorOperations {
+  /** Tells whether the router takes requests. */
+  readiness(): Readiness;
+  /** Lists the services in force on this router. */
+  listServices(): Outcome<ServiceList>;
+  /** Reads one configuration from the table. Errors: `notFound`, `storeUnavailable`. */
+  getService(name: string): Outcome<ServiceDocument>;
+  /**
+   * Writes one configuration by compare-and-set. Errors: `versionConflict` with the current version
+   * and its writer, `invalidConfiguration` with problems across services, `storeUnavailable`.
+   */
+  putService(put: PutService): Outcome<WrittenVersion>;
+  status(): Outcome<StatusAnswer>;
+  /** Errors: `unknownService`. */
+  owner(query: KeyQuery): Outcome<OwnerAnswer>;
+  /** Errors: `unknownService`, `notFound`, `versionConflict`, `storeUnavailable`. */
+  drain(req: DrainRequest): Outcome<WrittenVersion>;
+  /** Errors: `unknownService`, `notFound`, `moveRefused`, `storeUnavailable`. */
+  move(req: MoveRequest): Outcome<MoveAnswer>;
+  /** Errors: `unknownService`, `versionConflict`, `storeUnavailable`. */
+  pin(req: PinRequest): Outcome<WrittenVersion>;
+  /** Errors: `notFound`, `versionConflict`, `storeUnavailable`. */
+  depose(req: DeposeRequest): Outcome<DeposeAnswer>;
+  /** Errors: `unknownService`. */
+  explain(query: KeyQuery): Outcome<ExplainAnswer>;
+  events(query: EventsQuery): Outcome<EventsAnswer>;
+  listQuarantine(): Outcome<QuarantineList>;
+  /** Errors: `unknownService`, `notFound`. */
+  releaseQuarantine(req: ReleaseRequest): Outcome<ReleaseAnswer>;
+  burnReport(): Outcome<BurnReport>;
+}
