--- a/packages/daemon/src/bin/boragepointd.ts
+++ b/packages/daemon/src/bin/boragepointd.ts
@@ -23,7 +23,9 @@
 async function start(settingsFile: string): Promise<void> {
   const settings = loadSettings(await readOrExit(settingsFile, 'settings file'));
   if (settings.isErr()) {
-    process.stderr.write(`boragepointd: ${settingsFile} can't be used\n${settings.error.message}\n`);
+    process.stderr.write(
+      `boragepointd: ${settingsFile} can't be used\n${settings.error.message}\n`,
+    );
     process.exit(EXIT_USAGE);
   }
   const cfg = settings.value;
--- /dev/null
+++ b/packages/daemon/src/lib/burn/burn-counters.ts
@@ -0,0 +1,142 @@
+import type {
+  BurnReport,
+  BurnShare,
+  Objective,
+  RuleBurn,
+  ServiceConfig,
+} from '@boragepoint/config';
+import { LRUCache } from 'lru-cache';
+
+const MINUTE_MS = 60_000;
+/** Windows of the report: five minutes, an hour and six hours. */
+const WINDOWS_MS = [5 * MINUTE_MS, 60 * MINUTE_MS, 360 * MINUTE_MS];
+const BUCKETS = 360;
+/** Most names counted for each of keys, servers and causes of one rule. */
+const MAX_NAMES = 256;
+const SHARES_SHOWN = 10;
+
+/** One finished request. */
+export interface BurnSample {
+  readonly service: string;
+  readonly rule: string;
+  readonly objective: Objective;
+  readonly latencyMs: number;
+  /** Name of the result: `ok` for an answer of the backend server. */
+  readonly result: string;
+  readonly key: string;
+  readonly server: string;
+}
+
+/** Counts good and bad requests against the objectives of their rules. */
+export interface BurnCounters {
+  add(sample: BurnSample): void;
+  report(services: readonly ServiceConfig[]): BurnReport;
+}
+
+interface Bucket {
+  minute: number;
+  good: number;
+  bad: number;
+}
+
+interface RuleCounters {
+  readonly buckets: Bucket[];
+  readonly keys: LRUCache<string, number>;
+  readonly servers: LRUCache<string, number>;
+  readonly causes: LRUCache<string, number>;
+}
+
+function createRuleCounters(): RuleCounters {
+  return {
+    buckets: [],
+    keys: new LRUCache({ max: MAX_NAMES }),
+    servers: new LRUCache({ max: MAX_NAMES }),
+    causes: new LRUCache({ max: MAX_NAMES }),
+  };
+}
+
+function bump(counts: LRUCache<string, number>, name: string): void {
+  counts.set(name, (counts.get(name) ?? 0) + 1);
+}
+
+function largest(counts: LRUCache<string, number>): BurnShare[] {
+  const shares = [...counts.entries()].map(([name, bad]) => ({ name, bad }));
+  return shares.sort((a, b) => b.bad - a.bad).slice(0, SHARES_SHOWN);
+}
+
+function burnRate(good: number, bad: number, target: number): number {
+  const total = good + bad;
+  return total === 0 ? 0 : bad / total / (1 - target);
+}
+
+/** Creates the counters of one router; they begin anew with each start. */
+export function createBurnCounters(wallNow: () => number = Date.now): BurnCounters {
+  const counters = new Map<string, RuleCounters>();
+
+  function countersOf(service: string, rule: string): RuleCounters {
+    const id = `${service}/${rule}`;
+    const known = counters.get(id) ?? createRuleCounters();
+    counters.set(id, known);
+    return known;
+  }
+
+  function bucketNow(rule: RuleCounters): Bucket {
+    const minute = Math.floor(wallNow() / MINUTE_MS);
+    const last = rule.buckets.at(-1);
+    if (last?.minute === minute) return last;
+    const bucket = { minute, good: 0, bad: 0 };
+    rule.buckets.push(bucket);
+    if (rule.buckets.length > BUCKETS) rule.buckets.shift();
+    return bucket;
+  }
+
+  function reportRule(service: string, rule: string, objective: Objective): RuleBurn {
+    const { buckets, keys, servers, causes } = countersOf(service, rule);
+    const now = Math.floor(wallNow() / MINUTE_MS);
+    const windows = WINDOWS_MS.map((windowMs) => {
+      const within = buckets.filter((it) => now - it.minute < windowMs / MINUTE_MS);
+      const good = within.reduce((sum, it) => sum + it.good, 0);
+      const bad = within.reduce((sum, it) => sum + it.bad, 0);
+      return { windowMs, good, bad, burnRate: burnRate(good, bad, objective.target) };
+    });
+    const points = buckets.map((it) => ({
+      atMs: (it.minute + 1) * MINUTE_MS,
+      burnRate: burnRate(it.good, it.bad, objective.target),
+    }));
+    return {
+      service,
+      rule,
+      objective,
+      windows,
+      points,
+      keys: largest(keys),
+      servers: largest(servers),
+      causes: largest(causes),
+    };
+  }
+
+  return {
+    add({ service, rule, objective, latencyMs, result, key, server }) {
+      const counted = countersOf(service, rule);
+      const bucket = bucketNow(counted);
+      const isSlow = latencyMs > objective.withinMs;
+      if (result === 'ok' && !isSlow) {
+        bucket.good += 1;
+        return;
+      }
+      bucket.bad += 1;
+      bump(counted.keys, key);
+      bump(counted.servers, server);
+      bump(counted.causes, result === 'ok' ? 'slow' : result);
+    },
+    report(services) {
+      const rules = services.flatMap((service) =>
+        service.rules.flatMap(({ name, objective }) =>
+          objective === undefined ? [] : [reportRule(service.name, name, objective)],
+        ),
+      );
+      const missing = ['counters of other routers, and those from before this router started'];
+      return { atMs: wallNow(), rules, missing };
+    },
+  };
+}
--- a/packages/daemon/src/lib/callers/caller-app.ts
+++ b/packages/daemon/src/lib/callers/caller-app.ts
@@ -13,6 +13,7 @@
 import { bodyLimit } from 'hono/body-limit';
 import { v7 as newRequestId } from 'uuid';
 
+import type { BurnCounters } from '../burn/burn-counters.js';
 import type { Metrics } from '../metrics.js';
 import { refusalResponse, toResponse } from './caller-answer.js';
 
@@ -26,6 +27,7 @@
   readonly map: AssignmentMap;
   readonly router: RequestRouter;
   readonly metrics: Metrics;
+  readonly burn: BurnCounters;
   readonly maxBodyBytes: number;
   /** Why this router is not ready; empty when it is. */
   notReady(): string[];
@@ -115,15 +117,24 @@
       deadlineAt: startedAt + matched.rule.deadlineMs,
       signal: c.req.raw.signal,
     });
-    observe(service, matched.rule.name, routed, startedAt);
+    observe(service, matched, routed, startedAt);
     return toResponse(requestId, routed);
   });
 
-  function observe(service: ServiceConfig, rule: string, routed: RoutedAnswer, startedAt: number) {
-    const labels = { service: service.name, rule };
+  function observe(
+    service: ServiceConfig,
+    { rule, key }: Pick<RoutedRequest, 'rule' | 'key'>,
+    routed: RoutedAnswer,
+    startedAt: number,
+  ): void {
+    const labels = { service: service.name, rule: rule.name };
     const result = routed.kind === 'answered' ? 'ok' : routed.result;
+    const latencyMs = performance.now() - startedAt;
     ctx.metrics.requests.inc({ ...labels, result });
-    ctx.metrics.latency.observe(labels, (performance.now() - startedAt) / SECOND_MS);
+    ctx.metrics.latency.observe(labels, latencyMs / SECOND_MS);
+    if (rule.objective === undefined) return;
+    const server = ctx.map.place(service, key)?.server.id ?? '';
+    ctx.burn.add({ ...labels, objective: rule.objective, latencyMs, result, key, server });
   }
 
   app.onError((cause, c) => {
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -2,6 +2,7 @@
 
 import { createCallerApp } from './callers/caller-app.js';
 import { type HttpListener, createHttpListener, splitAddress } from './http-listener.js';
+import { createCleanUp } from './clean-up.js';
 import type { Log } from './log.js';
 import { createMetrics } from './metrics.js';
 import { createOperations } from './operations/operations.js';
@@ -23,7 +24,7 @@
 
 /** Starts a router. @param token The operators' token. */
 export async function createDaemon(settings: Settings, token: string, log: Log): Promise<Daemon> {
-  const stack = new AsyncDisposableStack();
+  const stack = createCleanUp();
   const metrics = createMetrics();
   const node = stack.use(await createRouterNode(settings, log, metrics));
   const readiness = createReadiness(node);
@@ -34,7 +35,7 @@
     metrics,
     ownUnreachable: () => node.keepers.unreachable(),
     maxBodyBytes: limits.maxBodyBytes,
-    notReady: readiness.reasons,
+    notReady: () => readiness.reasons(),
   };
   stack.use(await createPeerServer(context, peerAddress.host, peerAddress.port));
   const operatorApp = createOperatorApp({
@@ -60,12 +61,12 @@
       setTimeout(resolve, settings.shutdown.drainTimeoutMs).unref();
     });
     await Promise.race([callers.drain(), timeout]);
-    await stack.disposeAsync();
+    await stack[Symbol.asyncDispose]();
   }
 
   return {
     callerPort: callers.port,
     shutDown,
-    [Symbol.asyncDispose]: () => stack.disposeAsync(),
+    [Symbol.asyncDispose]: () => stack[Symbol.asyncDispose](),
   };
 }
--- a/packages/daemon/src/lib/operations/config-operations.ts
+++ b/packages/daemon/src/lib/operations/config-operations.ts
@@ -73,7 +73,9 @@
     const version = current?.version ?? 0;
     const by = current?.value.operator ?? 'nobody';
     const message = `the configuration has version ${version}, written by ${by}, not ${expectedVersion}`;
-    return err(new OperatorError('versionConflict', message, { version, writer: by }));
+    return err(
+      new OperatorError('versionConflict', message, { currentVersion: version, writer: by }),
+    );
   }
 
   async function change(
@@ -89,7 +91,9 @@
 
   return {
     listServices() {
-      const services = map.services().map(({ name }) => ({ name, version: map.configVersion(name) }));
+      const services = map
+        .services()
+        .map(({ name }) => ({ name, version: map.configVersion(name) }));
       return Promise.resolve(ok({ services }));
     },
     async getService(name) {
--- a/packages/daemon/src/lib/operations/history-operations.ts
+++ b/packages/daemon/src/lib/operations/history-operations.ts
@@ -12,10 +12,26 @@
 export function createHistoryOperations(node: RouterNode): HistoryOperations {
   return {
     events({ since, kind }) {
-      const events = node.journal
-        .events()
-        .filter((it) => it.atMs >= since && (kind === undefined || it.kind === kind));
-      return Promise.resolve(ok({ events: [...events] }));
+      const all = node.journal.events();
+      const events = all.filter(
+        (it) => it.atMs >= since && (kind === undefined || it.kind === kind),
+      );
+      return Promise.resolve(ok({ events, truncated: (all[0]?.atMs ?? 0) > since && since > 0 }));
     },
+    listQuarantine() {
+      const entries = node.quarantine.list().map(({ service, fingerprint, expiresAtMs }) => ({
+        service,
+        fingerprint,
+        expiresAtMs,
+        reason: 'two backend servers were lost while they ran it',
+      }));
+      return Promise.resolve(ok({ entries }));
+    },
+    async releaseQuarantine({ service, fingerprint }) {
+      const released = await node.quarantine.release(service, fingerprint);
+      if (released) return ok({ released });
+      return err(new OperatorError('notFound', `${service} has no such quarantined request`));
+    },
+    burnReport: () => Promise.resolve(ok(node.burn.report(node.map.services()))),
   };
 }
--- a/packages/daemon/src/lib/operations/operations.ts
+++ b/packages/daemon/src/lib/operations/operations.ts
@@ -9,7 +9,7 @@
 /** Creates what operators may ask of this router. */
 export function createOperations(node: RouterNode, readiness: ReadinessCheck): OperatorOperations {
   return {
-    readiness: readiness.readiness,
+    readiness: () => readiness.readiness(),
     status: createStatusOperation(node, readiness),
     ...createConfigOperations(node),
     ...createOwnershipOperations(node),
--- a/packages/daemon/src/lib/operations/ownership-operations.ts
+++ b/packages/daemon/src/lib/operations/ownership-operations.ts
@@ -93,7 +93,8 @@
         reason: it.reason,
       }));
       const oldest = moves.at(-1);
-      const truncated = oldest === undefined ? (map.assignment(name, shard)?.epoch ?? 1) > 1 : false;
+      const truncated =
+        oldest === undefined ? (map.assignment(name, shard)?.epoch ?? 1) > 1 : false;
       return Promise.resolve(ok({ service: name, key, shard, history, truncated }));
     },
   };
--- a/packages/daemon/src/lib/router-node.ts
+++ b/packages/daemon/src/lib/router-node.ts
@@ -41,6 +41,8 @@
 import { Pool } from 'undici';
 import { v4 as newIncarnation } from 'uuid';
 
+import { type BurnCounters, createBurnCounters } from './burn/burn-counters.js';
+import { createCleanUp } from './clean-up.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import { createPeerForwarder } from './peers/peer-forwarder.js';
@@ -64,6 +66,7 @@
   readonly ledger: Ledger;
   readonly quarantine: Quarantine;
   readonly router: RequestRouter;
+  readonly burn: BurnCounters;
 }
 
 function platformPool(url: string): Pool {
@@ -76,7 +79,7 @@
   log: Log,
   metrics: Metrics,
 ): Promise<RouterNode> {
-  const stack = new AsyncDisposableStack();
+  const stack = createCleanUp();
   const incarnation = newIncarnation();
   const clock = createSystemClock();
   const hasher = await createKeyHasher();
@@ -179,6 +182,7 @@
     ledger,
     quarantine,
     router,
-    [Symbol.asyncDispose]: () => stack.disposeAsync(),
+    burn: createBurnCounters(),
+    [Symbol.asyncDispose]: () => stack[Symbol.asyncDispose](),
   };
 }
--- a/packages/ownership/src/lib/table-rows.ts
+++ b/packages/ownership/src/lib/table-rows.ts
@@ -68,7 +68,12 @@
 export type KeeperRow = v.InferOutput<typeof keeperRowSchema>;
 
 /** Value of a `config/SERVICE` row. */
-export const configRowSchema = v.object({ writer: v.string(), config: serviceConfigSchema });
+export const configRowSchema = v.object({
+  writer: v.string(),
+  /** Who submitted it; another operator sees this in a conflict. */
+  operator: v.optional(v.string()),
+  config: serviceConfigSchema,
+});
 export type ConfigRow = v.InferOutput<typeof configRowSchema>;
 
 /** Key of the row that holds a service's configuration. */
--- a/packages/routing/src/lib/dispatch/owner-wait.ts
+++ b/packages/routing/src/lib/dispatch/owner-wait.ts
@@ -7,8 +7,9 @@
   signal: AbortSignal,
 ): Promise<void> {
   const bell = createBell();
-  using _watch = map.onChange(() => {
+  const watch = map.onChange(() => {
     bell.ring();
   });
   await bell.wait(ms, signal);
+  watch[Symbol.dispose]();
 }
--- a/packages/routing/src/lib/dispatch/run-idempotent.ts
+++ b/packages/routing/src/lib/dispatch/run-idempotent.ts
@@ -25,13 +25,14 @@
   map: AssignmentMap,
   req: RoutedRequest,
   placement: Placement,
-): { signal: AbortSignal } & Disposable {
+): { readonly signal: AbortSignal; hasMoved(): boolean } & Disposable {
   const moved = new AbortController();
   const watch = map.onChange(() => {
     if (!isSameOwner(placement, map.place(req.service, req.key))) moved.abort();
   });
   return {
     signal: AbortSignal.any([req.signal, moved.signal]),
+    hasMoved: () => moved.signal.aborted,
     [Symbol.dispose]() {
       watch[Symbol.dispose]();
     },
@@ -95,7 +96,7 @@
     using owner = watchOwner(ctx.map, req, placement);
     const attempted = await admittedAttempt(ctx, req, fingerprint, placement, owner.signal);
     if (attempted.isErr()) {
-      if (owner.signal.aborted && !req.signal.aborted) continue;
+      if (owner.hasMoved()) continue;
       return attempted.error;
     }
     last = attempted.value;
--- a/packages/routing/src/lib/dispatch/server-attempt.ts
+++ b/packages/routing/src/lib/dispatch/server-attempt.ts
@@ -130,7 +130,7 @@
 ): Promise<AttemptOutcome> {
   try {
     const res = await pool.request({
-      method: req.method as Dispatcher.HttpMethod,
+      method: req.method,
       path: req.path,
       headers: requestHeaders(req, target),
       body: req.body.length === 0 ? null : req.body,
