Add the harness that starts, ends and cuts stand-in fleets

Fault tests need real processes that can be killed, frozen, restarted and partitioned by name.

A backend server logs one clock reading for check and run, and logs a lapse for shards under release, so that the trace checker sees the true holding.

--- a/packages/standin/src/lib/backend/event-log.ts
+++ b/packages/standin/src/lib/backend/event-log.ts
@@ -3,7 +3,7 @@
 /** Something that a stand-in backend server did; `at` is the host's monotonic time in ms. */
 export type BackendEvent = RanEvent | ShardEvent | DroppedEvent;
 
-/** A request was begun. Written before the work, so that a crash can't hide it. */
+/** A request was begun; `at` is the time that its ownership check used. Written before the work, so that a crash can't hide it. */
 export interface RanEvent {
   readonly kind: 'ran';
   readonly at: number;
@@ -16,7 +16,7 @@
   /** Path and query of the request. */
   readonly key: string;
   readonly idempotencyKey?: string;
-  readonly idempotent?: boolean;
+  readonly idempotent: boolean;
 }
 
 /** A shard was granted, was released by order, or lapsed with the lease. */
--- a/packages/standin/src/lib/backend/lease-holder.ts
+++ b/packages/standin/src/lib/backend/lease-holder.ts
@@ -58,13 +58,13 @@
     return this.#answer(accepted);
   }
 
-  /** Returns why a request may not run now, or `undefined` when it may. */
-  refusalOf(request: ShardEpoch, waited: boolean): ShardRefusal | undefined {
+  /** Returns why a request may not run at the monotonic time `now`, or `undefined` when it may. */
+  refusalOf(request: ShardEpoch, waited: boolean, now: number): ShardRefusal | undefined {
     this.#lapseIfDue();
     const name = nameOf(request);
     const mayFinish = waited && this.#finishing.has(name);
     const held = this.#held.get(name) ?? (mayFinish ? this.#releasing.get(name) : undefined);
-    if (held === undefined || this.#leaseEnd <= monotonicMs()) return { reason: 'not-owner' };
+    if (held === undefined || this.#leaseEnd <= now) return { reason: 'not-owner' };
     if (held.epoch !== request.epoch) return { reason: 'stale-epoch', epoch: held.epoch };
     return undefined;
   }
@@ -87,8 +87,7 @@
     const released = this.#releasing.get(name);
     if (released === undefined) return;
     this.#releasing.delete(name);
-    this.#finishing.delete(name);
-    this.#write('released', released);
+    if (this.#finishing.delete(name)) this.#write('released', released);
   }
 
   #extend({ echo, leaseMs }: LeaseRequest): void {
@@ -152,12 +151,17 @@
 
   #lapseIfDue(): void {
     if (this.#leaseEnd > monotonicMs()) return;
+    for (const name of this.#finishing) this.#lapse(this.#releasing.get(name));
+    this.#finishing.clear();
     for (const [name, held] of this.#held) {
       if (this.#active.has(name)) this.#releasing.set(name, held);
-      this.#write('lapsed', held, this.#leaseEnd);
+      this.#lapse(held);
     }
     this.#held.clear();
-    this.#finishing.clear();
+  }
+
+  #lapse(shard: ShardEpoch | undefined): void {
+    if (shard !== undefined) this.#write('lapsed', shard, this.#leaseEnd);
   }
 
   #write(kind: ShardEvent['kind'], { service, shard, epoch }: ShardEpoch, at?: number): void {
--- a/packages/standin/src/lib/backend/server-request.ts
+++ b/packages/standin/src/lib/backend/server-request.ts
@@ -12,18 +12,20 @@
   crash: 'x-crash',
   /** Size of the answer, in bytes. */
   answerBytes: 'x-answer-bytes',
-  /** `1` or `0`: whether the request may be repeated; taken into the log. */
+  /** `1` or `0`: whether the request may be repeated; without it, the method decides. */
   idempotent: 'x-idempotent',
   idempotencyKey: 'idempotency-key',
 } as const;
 
+const SAFE_METHODS = new Set(['GET', 'HEAD']);
+
 /** A caller's request as a router hands it to a backend server. */
 export interface ServerRequest {
   readonly shard: ShardEpoch;
   readonly requestId: string;
   readonly key: string;
   readonly idempotencyKey: string | undefined;
-  readonly idempotent: boolean | undefined;
+  readonly idempotent: boolean;
   /** Monotonic time after which the request isn't begun. */
   readonly deadline: number;
   readonly workMs: number | undefined;
@@ -50,7 +52,7 @@
     requestId: header(REQUEST_HEADERS.requestId) ?? '',
     key: url.pathname + url.search,
     idempotencyKey: header(WORK_HEADERS.idempotencyKey),
-    idempotent: idempotent === undefined ? undefined : idempotent === '1',
+    idempotent: idempotent === undefined ? SAFE_METHODS.has(c.req.method) : idempotent === '1',
     deadline: monotonicMs() + deadlineMs,
     workMs: numberFrom(header(WORK_HEADERS.workMs)),
     crashes: header(WORK_HEADERS.crash) === '1',
--- a/packages/standin/src/lib/backend/worker.ts
+++ b/packages/standin/src/lib/backend/worker.ts
@@ -69,8 +69,10 @@
     if (!hasSlot) return this.#drop(req);
     try {
       if (signal.aborted) return this.#drop(req);
-      const refusal = this.#refusalOf(req, true);
+      const now = monotonicMs();
+      const refusal = this.#refusalOf(req, true, now);
       if (refusal !== undefined) return { kind: 'refused', refusal };
+      this.#logRun(req, now);
       await this.#slots.measure(() => this.#run(req, signal));
       return { kind: 'ran', runs: this.#countRun(req) };
     } finally {
@@ -83,19 +85,18 @@
     if (this.#faults.draining) return refuse('draining');
     if (this.#faults.refuse !== null) return refuse(this.#faults.refuse);
     if (this.#slots.waiting >= this.#settings.maxWaiting) return refuse('overloaded');
-    return this.#refusalOf(req, false);
+    return this.#refusalOf(req, false, monotonicMs());
   }
 
-  #refusalOf(req: ServerRequest, waited: boolean): ShardRefusal | undefined {
-    if (req.deadline <= monotonicMs()) return { reason: 'deadline' };
-    return this.#settings.checks ? this.#lease.refusalOf(req.shard, waited) : undefined;
+  #refusalOf(req: ServerRequest, waited: boolean, now: number): ShardRefusal | undefined {
+    if (req.deadline <= now) return { reason: 'deadline' };
+    return this.#settings.checks ? this.#lease.refusalOf(req.shard, waited, now) : undefined;
   }
 
   async #run(req: ServerRequest, signal: AbortSignal): Promise<void> {
-    this.#logRun(req);
     if (req.crashes) process.exit(CRASH_EXIT_CODE);
     const factor = this.#faults.slowFactor * this.#coldFactor();
-    const cancel = req.idempotent === true ? signal : undefined;
+    const cancel = req.idempotent ? signal : undefined;
     await sleep((req.workMs ?? this.#faults.serviceMs) * factor, cancel);
   }
 
@@ -116,17 +117,17 @@
     return { kind: 'dropped' };
   }
 
-  #logRun(req: ServerRequest): void {
+  #logRun(req: ServerRequest, at: number): void {
     this.#log({
       kind: 'ran',
-      at: monotonicMs(),
+      at,
       server: this.#settings.server,
       start: this.#lease.start,
       ...req.shard,
       requestId: req.requestId,
       key: req.key,
       ...(req.idempotencyKey === undefined ? {} : { idempotencyKey: req.idempotencyKey }),
-      ...(req.idempotent === undefined ? {} : { idempotent: req.idempotent }),
+      idempotent: req.idempotent,
     });
   }
 }
--- /dev/null
+++ b/packages/standin/src/lib/harness/backend-node.ts
@@ -0,0 +1,97 @@
+import path from 'node:path';
+
+import type { InstanceRecord } from '@boragepoint/platform';
+
+import { monotonicMs } from '../clock.js';
+import type { BackendControl } from '../backend/control.js';
+import { startProgram, type Program } from './child-program.js';
+import { controlBackend } from './control-client.js';
+import { reserveAddresses, portOf } from './free-ports.js';
+import { PROGRAMS, waitForListening } from './programs.js';
+
+/** Where a process stands. */
+export interface Place {
+  readonly availabilityZone: string;
+  readonly region: string;
+}
+
+/** The run ended a backend server; `at` is the last monotonic time at which it could act. */
+export interface StoppedEvent {
+  readonly kind: 'stopped';
+  readonly at: number;
+  readonly server: string;
+}
+
+/** What a stand-in backend server is started with. */
+export interface BackendPlan {
+  readonly id: string;
+  readonly service: string;
+  readonly place: Place;
+  readonly args: readonly string[];
+  readonly folder: string;
+}
+
+/** A stand-in backend server of a fleet. */
+export interface BackendNode extends AsyncDisposable {
+  readonly id: string;
+  readonly service: string;
+  readonly place: Place;
+  readonly address: string;
+  /** File with its events. */
+  readonly logFile: string;
+  readonly program: Program;
+  readonly stops: readonly StoppedEvent[];
+  readonly record: InstanceRecord;
+  control(change: BackendControl): Promise<void>;
+  /** Ends it at once; returns the monotonic time in milliseconds. */
+  kill(): Promise<number>;
+  /** Starts it again, with another start identity, at the same address. */
+  restart(): Promise<void>;
+}
+
+/** Starts a stand-in backend server. */
+export async function startBackend(plan: BackendPlan): Promise<BackendNode> {
+  const { id, service, place, folder } = plan;
+  const [address = ''] = await reserveAddresses(1);
+  const logFile = path.join(folder, `${id}.events.jsonl`);
+  const outputFile = path.join(folder, `${id}.out`);
+  const port = String(portOf(address));
+  const args = ['--id', id, '--port', port, '--log', logFile, ...plan.args];
+  const stops: StoppedEvent[] = [];
+
+  async function start() {
+    const program = startProgram({ name: id, script: PROGRAMS.backendServer, args, outputFile });
+    const { control } = await waitForListening(program);
+    return { program, control };
+  }
+
+  async function kill(): Promise<number> {
+    const gone = await current.program.kill();
+    stops.push({ kind: 'stopped', at: gone, server: id });
+    return gone;
+  }
+
+  let current = await start();
+  return {
+    id,
+    service,
+    place,
+    address,
+    logFile,
+    get program() {
+      return current.program;
+    },
+    stops,
+    record: { id, role: 'backend-server', ...place, address, state: 'live' },
+    control: (change) => controlBackend(current.control, change),
+    kill,
+    async restart() {
+      if (current.program.exit === undefined) await kill();
+      else stops.push({ kind: 'stopped', at: monotonicMs(), server: id });
+      current = await start();
+    },
+    async [Symbol.asyncDispose]() {
+      await current.program[Symbol.asyncDispose]();
+    },
+  };
+}
--- /dev/null
+++ b/packages/standin/src/lib/harness/child-program.ts
@@ -0,0 +1,122 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createWriteStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+
+import { monotonicMs } from '../clock.js';
+import { waitUntil } from './wait-until.js';
+
+const STOP_TIMEOUT_MS = 15_000;
+const LAST_LINES = 20;
+
+const running = new Set<ChildProcess>();
+
+/** Ends child processes when this process exits early. */
+function killRunning(): void {
+  for (const child of running) child.kill('SIGKILL');
+}
+
+process.once('exit', killRunning);
+
+/** How to start a program. */
+export interface ProgramPlan {
+  readonly name: string;
+  /** Path of the compiled program. */
+  readonly script: string;
+  readonly args: readonly string[];
+  /** File that takes the program's output. */
+  readonly outputFile: string;
+}
+
+/** How a program ended. */
+export interface ProgramExit {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+/** A program that runs as a child process; disposal kills it. */
+export interface Program extends AsyncDisposable {
+  readonly name: string;
+  readonly pid: number;
+  /** Set once the program has ended. */
+  readonly exit: ProgramExit | undefined;
+  /** Waits for the first output line that the function takes, and returns what it made of it. */
+  waitForLine<T>(what: string, take: (line: string) => T | undefined): Promise<T>;
+  /** Ends the program at once; returns the monotonic time at which it was known to be gone. */
+  kill(): Promise<number>;
+  /** Stops the program's execution; returns the monotonic time just after. */
+  freeze(): number;
+  /** Lets a frozen program go on. */
+  thaw(): void;
+  /** Asks the program to shut down and waits for its end. */
+  stop(): Promise<ProgramExit>;
+}
+
+/** Starts a compiled program with this Node.js. */
+export function startProgram(plan: ProgramPlan): Program {
+  const child = spawn(process.execPath, [plan.script, ...plan.args], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  const output = createWriteStream(plan.outputFile, { flags: 'a' });
+  const lines: string[] = [];
+  let exit: ProgramExit | undefined;
+
+  running.add(child);
+  child.once('exit', (code, signal) => {
+    running.delete(child);
+    exit = { code, signal };
+  });
+  child.once('error', () => (exit ??= { code: null, signal: null }));
+  for (const stream of [child.stdout, child.stderr]) {
+    stream.pipe(output, { end: false });
+    createInterface({ input: stream }).on('line', (line) => {
+      lines.push(line);
+      if (lines.length > LAST_LINES) lines.shift();
+    });
+  }
+
+  function failIfEnded(): void {
+    if (exit === undefined) return;
+    const how = exit.signal ?? `code ${exit.code}`;
+    throw new Error(`${plan.name} ended with ${how}:\n${lines.join('\n')}`);
+  }
+
+  async function waitForExit(): Promise<ProgramExit> {
+    return await waitUntil(`end of ${plan.name}`, () => exit, STOP_TIMEOUT_MS);
+  }
+
+  async function kill(): Promise<number> {
+    if (exit === undefined) child.kill('SIGKILL');
+    await waitForExit();
+    output.end();
+    return monotonicMs();
+  }
+
+  return {
+    name: plan.name,
+    pid: child.pid ?? 0,
+    get exit() {
+      return exit;
+    },
+    waitForLine: (what, take) =>
+      waitUntil(`${plan.name}: ${what}`, () => {
+        const taken = lines.map(take).find((it) => it !== undefined);
+        if (taken === undefined) failIfEnded();
+        return taken;
+      }),
+    kill,
+    freeze() {
+      child.kill('SIGSTOP');
+      return monotonicMs();
+    },
+    thaw() {
+      child.kill('SIGCONT');
+    },
+    async stop() {
+      child.kill('SIGTERM');
+      return await waitForExit();
+    },
+    async [Symbol.asyncDispose]() {
+      await kill();
+    },
+  };
+}
--- /dev/null
+++ b/packages/standin/src/lib/harness/fleet.ts
@@ -0,0 +1,167 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+
+import { CONFIGURATION_FORMAT, type ServiceConfigInput } from '@boragepoint/config';
+
+import type { PlatformControl, PlatformCounters } from '../platform/control.js';
+import { startBackend, type BackendNode, type Place } from './backend-node.js';
+import { startProgram, type Program } from './child-program.js';
+import { controlPlatform, readPlatformCounters } from './control-client.js';
+import { createLinks, type Links } from './links.js';
+import { PROGRAMS, waitForListening } from './programs.js';
+import { reserveListeners, startRouter, type RouterNode } from './router-node.js';
+
+const OPERATORS_TOKEN = 'stand-in-operators-token';
+const ID_DIGITS = 2;
+
+/** A service and the number of stand-in backend servers that it gets. */
+export interface ServicePlan {
+  readonly config: Omit<ServiceConfigInput, 'backendServers'>;
+  readonly backendServers: number;
+  /** Further arguments of its stand-in backend servers. */
+  readonly backendArgs?: readonly string[];
+}
+
+/** What a fleet is made of. Processes are spread evenly over the places. */
+export interface FleetPlan {
+  readonly places: readonly Place[];
+  readonly routers: number;
+  readonly services: readonly ServicePlan[];
+  /** Connects routers with one another and with the platform by links that can be cut. */
+  readonly linked?: boolean;
+  readonly logLevel?: string;
+  /** Keeps settings, logs and output in this folder; else they go with the fleet. */
+  readonly folder?: string;
+}
+
+/** A platform, backend servers and routers as child processes; disposal ends them all. */
+export interface Fleet extends AsyncDisposable {
+  readonly folder: string;
+  readonly tokenFile: string;
+  readonly token: string;
+  readonly platform: { readonly address: string; readonly program: Program };
+  readonly links: Links;
+  readonly routers: RouterNode[];
+  readonly backendServers: BackendNode[];
+  controlPlatform(change: PlatformControl): Promise<void>;
+  platformCounters(): Promise<PlatformCounters>;
+  /** Returns the document that an operator submits, with all backend servers started so far. */
+  configuration(): { format: string; services: ServiceConfigInput[] };
+  /** Starts one more backend server; it gets work once the configuration names it. */
+  addBackend(service: string): Promise<BackendNode>;
+  /** Starts one more router and lists it. */
+  addRouter(): Promise<RouterNode>;
+  /** Writes the state of all processes into the platform's instance list. */
+  publishInstances(): Promise<void>;
+}
+
+/** Starts a fleet and waits until every router is up. The configuration is not submitted yet. */
+export async function startFleet(plan: FleetPlan): Promise<Fleet> {
+  const folder = plan.folder ?? (await mkdtemp(path.join(tmpdir(), 'boragepoint-')));
+  const started: AsyncDisposable[] = [];
+  try {
+    const fleet = await startParts(plan, folder, started);
+    for (const { config, backendServers } of plan.services) {
+      for (let i = 0; i < backendServers; i += 1) await fleet.addBackend(config.name);
+    }
+    for (let i = 0; i < plan.routers; i += 1) await fleet.addRouter();
+    return fleet;
+  } catch (cause) {
+    await disposeAll(started);
+    throw cause;
+  }
+}
+
+async function startPlatform(folder: string): Promise<Fleet['platform']> {
+  const program = startProgram({
+    name: 'platform',
+    script: PROGRAMS.platform,
+    args: [],
+    outputFile: path.join(folder, 'platform.out'),
+  });
+  const { listening } = await waitForListening(program);
+  return { address: listening, program };
+}
+
+async function disposeAll(parts: readonly AsyncDisposable[]): Promise<void> {
+  await Promise.all(parts.map((it) => it[Symbol.asyncDispose]()));
+}
+
+async function startParts(
+  plan: FleetPlan,
+  folder: string,
+  started: AsyncDisposable[],
+): Promise<Fleet> {
+  const tokenFile = path.join(folder, 'operators-token');
+  await writeFile(tokenFile, `${OPERATORS_TOKEN}\n`, { mode: 0o600 });
+  const platform = await startPlatform(folder);
+  const links = createLinks(platform.address, plan.linked !== true);
+  started.push(platform.program, links);
+  const routers: RouterNode[] = [];
+  const backendServers: BackendNode[] = [];
+
+  function placeOf(index: number): Place {
+    const place = plan.places[index % plan.places.length];
+    if (place === undefined) throw new Error('a fleet needs a place');
+    return place;
+  }
+
+  function idOf(name: string, count: number): string {
+    return `${name}-${String(count + 1).padStart(ID_DIGITS, '0')}`;
+  }
+
+  function configOf({ config }: ServicePlan): ServiceConfigInput {
+    const servers = backendServers.filter((it) => it.service === config.name);
+    return {
+      ...config,
+      backendServers: servers.map(({ id, address, place }) => ({ id, address, ...place })),
+    };
+  }
+
+  const fleet: Fleet = {
+    folder,
+    tokenFile,
+    token: OPERATORS_TOKEN,
+    platform,
+    links,
+    routers,
+    backendServers,
+    controlPlatform: (change) => controlPlatform(platform.address, change),
+    platformCounters: () => readPlatformCounters(platform.address),
+    configuration: () => ({ format: CONFIGURATION_FORMAT, services: plan.services.map(configOf) }),
+    async addBackend(service) {
+      const servicePlan = plan.services.find((it) => it.config.name === service);
+      const count = backendServers.filter((it) => it.service === service).length;
+      const checks = servicePlan?.config.checksOrders === false ? ['--no-checks'] : [];
+      const args = [...checks, ...(servicePlan?.backendArgs ?? [])];
+      const id = idOf(service, count);
+      const node = await startBackend({ id, service, place: placeOf(count), args, folder });
+      started.push(node);
+      backendServers.push(node);
+      return node;
+    },
+    async addRouter() {
+      const id = idOf('router', routers.length);
+      const listeners = await reserveListeners();
+      const addresses = { ...listeners, ...(await links.add(id, listeners.peers)) };
+      const place = placeOf(routers.length);
+      const logLevel = plan.logLevel ?? 'info';
+      const node = await startRouter({ id, place, addresses, tokenFile, logLevel, folder });
+      started.push(node);
+      routers.push(node);
+      await fleet.publishInstances();
+      await node.waitUntilReady();
+      return node;
+    },
+    async publishInstances() {
+      const live = [...routers, ...backendServers].filter((it) => it.program.exit === undefined);
+      await fleet.controlPlatform({ instances: live.map((it) => it.record) });
+    },
+    async [Symbol.asyncDispose]() {
+      await disposeAll(started);
+      if (plan.folder === undefined) await rm(folder, { recursive: true, force: true });
+    },
+  };
+  return fleet;
+}
--- /dev/null
+++ b/packages/standin/src/lib/harness/router-node.ts
@@ -0,0 +1,108 @@
+import path from 'node:path';
+
+import type { InstanceRecord } from '@boragepoint/platform';
+import { request } from 'undici';
+
+import type { Place } from './backend-node.js';
+import { startProgram, type Program } from './child-program.js';
+import { reserveAddresses } from './free-ports.js';
+import { PROGRAMS } from './programs.js';
+import { writeRouterSettings } from './settings-file.js';
+import { waitUntil } from './wait-until.js';
+
+const HTTP_OK = 200;
+const READY_TIMEOUT_MS = 15_000;
+
+/** Addresses at which a router reaches the platform, and its own listeners. */
+export interface RouterAddresses {
+  readonly callers: string;
+  readonly operators: string;
+  readonly peers: string;
+  readonly table: string;
+  readonly instances: string;
+}
+
+/** What a router is started with. */
+export interface RouterPlan {
+  readonly id: string;
+  readonly place: Place;
+  readonly addresses: RouterAddresses;
+  readonly tokenFile: string;
+  readonly logLevel: string;
+  readonly folder: string;
+}
+
+/** A router of a fleet. */
+export interface RouterNode extends AsyncDisposable {
+  readonly id: string;
+  readonly place: Place;
+  readonly callers: string;
+  readonly operators: string;
+  readonly peers: string;
+  readonly program: Program;
+  readonly record: InstanceRecord;
+  /** Shown to the platform's instance list. */
+  state: InstanceRecord['state'];
+  /** Waits until it says that it is ready. */
+  waitUntilReady(): Promise<void>;
+}
+
+/** Reserves the three listeners of a router. */
+export async function reserveListeners() {
+  const [callers = '', operators = '', peers = ''] = await reserveAddresses(3);
+  return { callers, operators, peers };
+}
+
+async function isReady(callers: string): Promise<true | undefined> {
+  try {
+    const res = await request(`http://${callers}/readyz`);
+    await res.body.dump();
+    return res.statusCode === HTTP_OK ? true : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Starts a router. */
+export async function startRouter(plan: RouterPlan): Promise<RouterNode> {
+  const { id, place, addresses, tokenFile, logLevel, folder } = plan;
+  const settings = path.join(folder, `${id}.toml`);
+  const { callers, operators, peers, table, instances } = addresses;
+  const listeners = { callers, operators, peers };
+  const platform = { table, objects: table, instances };
+  await writeRouterSettings(settings, {
+    id,
+    ...place,
+    ...listeners,
+    ...platform,
+    tokenFile,
+    logLevel,
+  });
+  const program = startProgram({
+    name: id,
+    script: PROGRAMS.router,
+    args: ['--settings', settings],
+    outputFile: path.join(folder, `${id}.out`),
+  });
+  const node: RouterNode = {
+    id,
+    place,
+    ...listeners,
+    program,
+    state: 'live',
+    get record(): InstanceRecord {
+      return { id, role: 'router', ...place, address: peers, state: node.state };
+    },
+    async waitUntilReady() {
+      const ready = async () => {
+        if (program.exit !== undefined) await program.waitForLine('ready', () => undefined);
+        return await isReady(callers);
+      };
+      await waitUntil(`${id} ready`, ready, READY_TIMEOUT_MS);
+    },
+    async [Symbol.asyncDispose]() {
+      await program[Symbol.asyncDispose]();
+    },
+  };
+  return node;
+}
--- /dev/null
+++ b/packages/standin/src/lib/harness/wait-until.ts
@@ -0,0 +1,29 @@
+import { monotonicMs, sleep } from '../clock.js';
+
+const POLL_MS = 20;
+const DEFAULT_TIMEOUT_MS = 10_000;
+
+/** A condition that did not come true in time. */
+export class WaitTimeoutError extends Error {
+  override readonly name = 'WaitTimeoutError';
+}
+
+/**
+ * Waits until a condition returns a value other than `undefined` and returns that value.
+ *
+ * @param what Names the condition in the error.
+ * @throws WaitTimeoutError when the time in milliseconds is over.
+ */
+export async function waitUntil<T>(
+  what: string,
+  condition: () => Promise<T | undefined> | T | undefined,
+  timeoutMs = DEFAULT_TIMEOUT_MS,
+): Promise<T> {
+  const end = monotonicMs() + timeoutMs;
+  for (;;) {
+    const value = await condition();
+    if (value !== undefined) return value;
+    if (monotonicMs() > end) throw new WaitTimeoutError(`${what}: not within ${timeoutMs} ms`);
+    await sleep(POLL_MS);
+  }
+}
