--- /dev/null
+++ b/packages/standin/src/lib/group-by.ts
@@ -0,0 +1,11 @@
+/** Groups items by a name; groups stand in the order of their first item. @internal */
+export function groupBy<T, K>(items: readonly T[], nameOf: (item: T) => K): Map<K, T[]> {
+  const groups = new Map<K, T[]>();
+  for (const item of items) {
+    const name = nameOf(item);
+    const group = groups.get(name);
+    if (group === undefined) groups.set(name, [item]);
+    else group.push(item);
+  }
+  return groups;
+}
--- /dev/null
+++ b/packages/standin/src/lib/load/load-result.ts
@@ -0,0 +1,96 @@
+import { RESULT_CODES, familyOf, type ResultCode } from '@boragepoint/config';
+import { build, type Histogram } from 'hdr-histogram-js';
+
+import { groupBy } from '../group-by.js';
+import type { AttemptRecord } from './load-plan.js';
+
+const MICROSECONDS_PER_MS = 1_000;
+const P50 = 50;
+const P99 = 99;
+
+/** Figures of one kind of request. Latencies are of answered requests, in milliseconds. */
+export interface KindResult {
+  readonly kind: string;
+  readonly requests: number;
+  /** Requests with a whole answer of their own and result code 0. */
+  readonly ok: number;
+  /** Requests whose last attempt was refused as not run. */
+  readonly notRun: number;
+  /** Requests whose last attempt left the outcome unknown. */
+  readonly unknown: number;
+  /** Requests whose last attempt was refused as wrong. */
+  readonly badRequest: number;
+  /** Requests whose last attempt got no whole answer. */
+  readonly lost: number;
+  /** Answers that belong to another request. */
+  readonly mismatched: number;
+  readonly attempts: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly maxMs: number;
+  /** Number of attempts by result code. */
+  readonly codes: Readonly<Record<string, number>>;
+}
+
+/** What became of a load. */
+export interface LoadResult {
+  readonly attempts: readonly AttemptRecord[];
+  readonly kinds: readonly KindResult[];
+}
+
+type Ending = 'ok' | 'notRun' | 'unknown' | 'badRequest' | 'lost';
+
+/** Says how an attempt ended. */
+export function endingOf({ code, status }: Pick<AttemptRecord, 'code' | 'status'>): Ending {
+  if (status === 0 || code < 0) return 'lost';
+  if (code === RESULT_CODES.ok) return 'ok';
+  const family = familyOf(code as ResultCode);
+  if (family === 'not-run') return 'notRun';
+  return family === 'bad-request' ? 'badRequest' : 'unknown';
+}
+
+/** Works out the figures of a load from its attempts. */
+export function summarizeLoad(attempts: readonly AttemptRecord[]): LoadResult {
+  const names = [...new Set(attempts.map((it) => it.kind))].sort();
+  const kinds = names.map((name) =>
+    summarizeKind(
+      name,
+      attempts.filter((it) => it.kind === name),
+    ),
+  );
+  return { attempts, kinds };
+}
+
+function summarizeKind(kind: string, attempts: readonly AttemptRecord[]): KindResult {
+  const endings: Record<Ending, number> = { ok: 0, notRun: 0, unknown: 0, badRequest: 0, lost: 0 };
+  const latencies = build();
+  const byRequest = groupBy(attempts, (it) => it.request);
+  for (const ofRequest of byRequest.values()) {
+    const good = ofRequest.find((it) => endingOf(it) === 'ok');
+    const last = good ?? ofRequest.at(-1);
+    if (last === undefined) continue;
+    endings[endingOf(last)] += 1;
+    if (good !== undefined) recordLatency(latencies, good);
+  }
+  return {
+    kind,
+    requests: byRequest.size,
+    ...endings,
+    mismatched: attempts.filter((it) => it.mismatched).length,
+    attempts: attempts.length,
+    p50Ms: latencies.getValueAtPercentile(P50) / MICROSECONDS_PER_MS,
+    p99Ms: latencies.getValueAtPercentile(P99) / MICROSECONDS_PER_MS,
+    maxMs: latencies.maxValue / MICROSECONDS_PER_MS,
+    codes: countCodes(attempts),
+  };
+}
+
+function recordLatency(latencies: Histogram, { latencyMs }: AttemptRecord): void {
+  latencies.recordValue(Math.max(1, Math.round(latencyMs * MICROSECONDS_PER_MS)));
+}
+
+function countCodes(attempts: readonly AttemptRecord[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { code } of attempts) counts[code] = (counts[code] ?? 0) + 1;
+  return counts;
+}
--- /dev/null
+++ b/packages/standin/src/lib/load/run-load.ts
@@ -0,0 +1,108 @@
+import { Agent } from 'undici';
+import { v7 as timeOrderedUuid } from 'uuid';
+
+import { monotonicMs, sleep } from '../clock.js';
+import { createRandom, type Random } from '../random.js';
+import { createKeyPicker, type KeyPicker } from './key-picker.js';
+import type { AttemptRecord, LoadPlan, RequestKind } from './load-plan.js';
+import { endingOf, summarizeLoad, type LoadResult } from './load-result.js';
+import { sendAttempt, type LoadRequest } from './send-attempt.js';
+
+const SECOND_MS = 1_000;
+const DEFAULT_CONNECTIONS = 128;
+
+/** A request and the time at which it is due, in milliseconds from the start. */
+interface DueRequest {
+  readonly dueMs: number;
+  readonly req: LoadRequest;
+  readonly repeats: boolean;
+}
+
+/** Sends a load and waits for the end of its last request. */
+export async function runLoad(
+  plan: LoadPlan,
+  onAttempt: (record: AttemptRecord) => void = () => undefined,
+): Promise<LoadResult> {
+  const agent = new Agent({ connections: plan.connections ?? DEFAULT_CONNECTIONS });
+  const routerRandom = createRandom(plan.seed + 1);
+  const attempts: AttemptRecord[] = [];
+  const start = monotonicMs();
+
+  async function attempt(req: LoadRequest, number: number, dueAt: number) {
+    const routers = plan.routers();
+    const router = routers[routerRandom.below(routers.length)] ?? '';
+    const { timeoutMs } = plan;
+    const record = await sendAttempt(agent, req, { number, router, dueAt, timeoutMs });
+    attempts.push(record);
+    onAttempt(record);
+    return record;
+  }
+
+  async function follow({ req, dueMs, repeats }: DueRequest): Promise<void> {
+    let dueAt = start + dueMs;
+    for (let number = 1; number <= plan.attempts; number += 1) {
+      const record = await attempt(req, number, dueAt);
+      if (!mayRepeat(req, record)) break;
+      await sleep(plan.retryAfterMs);
+      dueAt = monotonicMs();
+    }
+    if (repeats) await attempt(req, plan.attempts + 1, monotonicMs());
+  }
+
+  const open = new Set<Promise<void>>();
+  for (const due of dueRequests(plan)) {
+    await sleep(start + due.dueMs - monotonicMs());
+    const following = follow(due).finally(() => open.delete(following));
+    open.add(following);
+  }
+  await Promise.all(open);
+  await agent.close();
+  return summarizeLoad(attempts);
+}
+
+/** Without an idempotency key, a request that may have run is not sent again. */
+function mayRepeat(req: LoadRequest, record: AttemptRecord): boolean {
+  const ending = endingOf(record);
+  if (ending === 'ok' || ending === 'badRequest') return false;
+  const isSafe = req.kind.idempotent || req.idempotencyKey !== undefined;
+  return isSafe || ending === 'notRun';
+}
+
+function* dueRequests(plan: LoadPlan): Generator<DueRequest> {
+  const random = createRandom(plan.seed);
+  const pickKey = createKeyPicker(plan.keys, random);
+  let dueMs = 0;
+  for (let number = 1; number <= plan.requests; number += 1) {
+    dueMs += (-Math.log(1 - random.next()) * SECOND_MS) / plan.ratePerSecond;
+    const req = createRequest(plan, number, dueMs, random, pickKey);
+    const repeats = random.next() < (req.kind.repeatShare ?? 0);
+    yield { dueMs, req, repeats };
+  }
+}
+
+function createRequest(
+  plan: LoadPlan,
+  number: number,
+  dueMs: number,
+  random: Random,
+  pickKey: KeyPicker,
+): LoadRequest {
+  const kind = pickKind(plan.kinds, random);
+  return {
+    kind,
+    number,
+    key: pickKey(dueMs),
+    caller: plan.callers[random.below(plan.callers.length)] ?? '',
+    idempotencyKey: kind.idempotent ? undefined : timeOrderedUuid(),
+  };
+}
+
+function pickKind(kinds: readonly RequestKind[], random: Random): RequestKind {
+  const total = kinds.reduce((sum, it) => sum + it.share, 0);
+  let left = random.next() * total;
+  for (const kind of kinds) {
+    left -= kind.share;
+    if (left < 0) return kind;
+  }
+  throw new Error('a load needs kinds of request with shares above 0');
+}
