--- a/packages/ownership/src/lib/keeper-session.ts
+++ b/packages/ownership/src/lib/keeper-session.ts
@@ -121,7 +121,7 @@
     const { router, incarnation } = row.acting;
     if (ctx.membership.silenceOf(router, incarnation) < STEP_IN_AFTER_MS) return false;
     steppedInEpoch = seat.epoch;
-    ctx.journal.add('keeper-stepped-in', serverId, `the keeper ${router} is silent`);
+    ctx.journal.add('takeover', { server: serverId }, `the keeper ${router} is silent`);
     return true;
   }
 
@@ -131,7 +131,7 @@
     mayHaveMoved = isActingSeat(row.value) && !wasKeeper && seat.epoch > 1;
     renewer = createLeaseRenewer(ctx.lease, ctx.membership.self.id, seat.epoch, renewer);
     seatedAt = monotonicMs();
-    ctx.journal.add('keeper-started', serverId, `keeper epoch ${seat.epoch}`);
+    ctx.journal.add('takeover', { server: serverId }, `keeper epoch ${seat.epoch}`);
   }
 
   function grantsFor(row: KeeperRow, service: ServiceConfig): ShardEpoch[] {
@@ -181,7 +181,7 @@
 
   function noteReplaced(keeperEpoch: number): void {
     refusedEpoch = renewer?.keeperEpoch ?? 0;
-    ctx.journal.add('keeper-replaced', serverId, `keeper epoch ${keeperEpoch} is in place`);
+    ctx.journal.add('takeover', { server: serverId }, `keeper epoch ${keeperEpoch} is in place`);
     void ctx.writer.refresh([`keeper/${serverId}`]);
   }
 
@@ -289,7 +289,7 @@
     const current = ctx.map.keeper(serverId) ?? row;
     const recorded = await ctx.mover.record(found.service.name, current, changes, stopping.signal);
     releases.forget(changes);
-    if (recorded.isOk()) ctx.journal.add('shards-moved', serverId, reason);
+    if (recorded.isOk()) ctx.journal.add('move', { server: serverId }, reason);
     ctx.peers.announce();
     return recorded;
   }
