Add the demo: requests of both kinds, a killed server, a drain

The demo starts everything as processes, checks all backend servers' logs with the trace checker and fails when a request was lost or run twice. It can't run yet: boragepointd does not exist. Configurations go into the table directly until boragectl is there; that is one function in harness/operator.ts.

--- /dev/null
+++ b/packages/standin/src/lib/demo/demo-plan.ts
@@ -0,0 +1,75 @@
+import type { FleetPlan, ServicePlan } from '../harness/fleet.js';
+import type { LoadPlan, RequestKind } from '../load/load-plan.js';
+
+const REGION = 'costa';
+const KEYS = 40;
+
+/** Service that the demo and the fault cases serve. */
+export const CATALOGUE: ServicePlan['config'] = {
+  name: 'vitrina',
+  shards: 64,
+  key: { from: 'path', segment: 1 },
+  rules: [
+    {
+      name: 'pay',
+      method: 'POST',
+      path: '/prints/*',
+      idempotent: false,
+      deadlineMs: 3_000,
+      priority: 'high',
+    },
+    { name: 'browse', method: 'GET', path: '/prints/*', idempotent: true, deadlineMs: 1_500 },
+  ],
+};
+
+/** Availability zones of the demo and the fault cases. */
+export const PLACES = [
+  { availabilityZone: 'lima-norte', region: REGION },
+  { availabilityZone: 'trujillo', region: REGION },
+] as const;
+
+/** Names of all keys that are asked for. */
+export const KEY_NAMES = Array.from({ length: KEYS }, (_, index) => `key-${index}`);
+
+/** Requests that may be repeated. */
+export const BROWSE: RequestKind = {
+  name: 'browse',
+  service: CATALOGUE.name,
+  method: 'GET',
+  path: '/prints/{key}',
+  idempotent: true,
+  share: 0.7,
+};
+
+/** Requests that must not run twice; some are sent again under the same idempotency key. */
+export const PAY: RequestKind = {
+  name: 'pay',
+  service: CATALOGUE.name,
+  method: 'POST',
+  path: '/prints/{key}',
+  idempotent: false,
+  share: 0.3,
+  repeatShare: 0.3,
+};
+
+/** Processes of the demo. */
+export const DEMO_FLEET: FleetPlan = {
+  places: PLACES,
+  routers: 3,
+  services: [{ config: CATALOGUE, backendServers: 4, backendArgs: ['--service-ms', '2'] }],
+};
+
+/** Returns a load of both kinds; a caller tries for about ten seconds to get its answer. */
+export function mixedLoad(
+  plan: Pick<LoadPlan, 'seed' | 'requests' | 'ratePerSecond' | 'routers'>,
+): LoadPlan {
+  return {
+    ...plan,
+    kinds: [BROWSE, PAY],
+    keys: { kind: 'uniform', count: KEYS },
+    callers: ['plaza', 'mercado', 'terminal'],
+    timeoutMs: 4_000,
+    attempts: 40,
+    retryAfterMs: 250,
+  };
+}
--- /dev/null
+++ b/packages/standin/src/lib/demo/run-demo.ts
@@ -0,0 +1,127 @@
+import { monotonicMs } from '../clock.js';
+import type { BackendNode } from '../harness/backend-node.js';
+import { collectTrace, violationsOf } from '../harness/collect-trace.js';
+import { startFleet, type Fleet } from '../harness/fleet.js';
+import { drainServer, submitConfiguration } from '../harness/operator.js';
+import { waitUntil } from '../harness/wait-until.js';
+import type { AttemptRecord } from '../load/load-plan.js';
+import type { LoadResult } from '../load/load-result.js';
+import { startProbe, type Probe } from '../load/probe.js';
+import { runLoad } from '../load/run-load.js';
+import { BROWSE, CATALOGUE, DEMO_FLEET, KEY_NAMES, mixedLoad } from './demo-plan.js';
+
+const REQUESTS = 200;
+const REQUESTS_PER_SECOND = 40;
+const KILL_AFTER = 50;
+const DRAIN_AFTER = 120;
+const PROBE_EVERY_MS = 100;
+const WAIT_MS = 15_000;
+
+/** What the demo saw. */
+export interface DemoResult {
+  readonly requests: number;
+  readonly ok: number;
+  /** Non-idempotent requests whose outcome the routers could not tell. */
+  readonly unknown: number;
+  /** Requests that never got an answer of their own. */
+  readonly lost: number;
+  /** Rules that were broken, runs that were repeated among them. */
+  readonly violations: readonly string[];
+  /** Time until the killed server's keys were served again, in milliseconds. */
+  readonly servedAgainMs: number;
+  /** Time until the drained server's keys were served elsewhere, in milliseconds. */
+  readonly drainedMs: number;
+  /** Processes that did not end by themselves when they were asked to. */
+  readonly badExits: readonly string[];
+}
+
+/** Runs the demo; `say` takes a line for each step. */
+export async function runDemo(seed: number, say: (line: string) => void): Promise<DemoResult> {
+  await using fleet = await startFleet(DEMO_FLEET);
+  const routers = () => fleet.routers.map((it) => it.callers);
+  say(`${fleet.routers.length} routers and ${fleet.backendServers.length} backend servers are up`);
+  await submitConfiguration(fleet);
+  const probe = startProbe({
+    seed,
+    kind: BROWSE,
+    keys: KEY_NAMES,
+    everyMs: PROBE_EVERY_MS,
+    routers,
+  });
+  await waitUntil('all keys served', () => noneOf(probe.unservedSince(1)), WAIT_MS);
+  say('the configuration is in force and every key is served');
+
+  const seen: AttemptRecord[] = [];
+  const plan = mixedLoad({
+    seed,
+    requests: REQUESTS,
+    ratePerSecond: REQUESTS_PER_SECOND,
+    routers,
+  });
+  const loading = runLoad(plan, (it) => seen.push(it));
+  const faults = bringFaults(fleet, probe, seen, say);
+  const [load, times] = await Promise.all([loading, faults]);
+  await probe.stop();
+  const badExits = await stopAll(fleet);
+  const trace = await collectTrace(fleet, load.attempts);
+  return { ...countEndings(load), ...times, badExits, violations: violationsOf(trace) };
+}
+
+function noneOf(names: readonly string[]): true | undefined {
+  return names.length === 0 ? true : undefined;
+}
+
+async function bringFaults(
+  fleet: Fleet,
+  probe: Probe,
+  seen: readonly AttemptRecord[],
+  say: (line: string) => void,
+) {
+  const [killed, drained] = fleet.backendServers;
+  if (killed === undefined || drained === undefined) throw new Error('the demo needs 2 servers');
+  const reached = (count: number) => () => (seen.length >= count ? true : undefined);
+  await waitUntil('requests before the kill', reached(KILL_AFTER), WAIT_MS);
+  const servedAgainMs = await killServer(killed, probe);
+  say(`${killed.id} was killed; its keys were served again after ${Math.round(servedAgainMs)} ms`);
+  await waitUntil('requests before the drain', reached(DRAIN_AFTER), WAIT_MS);
+  const drainedMs = await drain(fleet, drained, probe);
+  say(`${drained.id} was drained after ${Math.round(drainedMs)} ms`);
+  return { servedAgainMs, drainedMs };
+}
+
+async function killServer(server: BackendNode, probe: Probe): Promise<number> {
+  const killedAt = await server.kill();
+  const served = () => noneOf([...probe.unservedSince(killedAt), ...keysOf(server, probe)]);
+  await waitUntil(`keys of ${server.id} served again`, served, WAIT_MS);
+  return monotonicMs() - killedAt;
+}
+
+async function drain(fleet: Fleet, server: BackendNode, probe: Probe): Promise<number> {
+  const drainedAt = monotonicMs();
+  await drainServer(fleet, CATALOGUE.name, server.id);
+  await waitUntil(`drain of ${server.id}`, () => noneOf(keysOf(server, probe)), WAIT_MS);
+  return monotonicMs() - drainedAt;
+}
+
+function keysOf(server: BackendNode, probe: Probe): string[] {
+  return [...probe.servers()].filter(([, id]) => id === server.id).map(([key]) => key);
+}
+
+async function stopAll(fleet: Fleet): Promise<string[]> {
+  const stopped = await Promise.all(
+    [...fleet.routers, ...fleet.backendServers]
+      .filter((it) => it.program.exit === undefined)
+      .map(async ({ id, program }) => ({ id, exit: await program.stop() })),
+  );
+  return stopped.filter((it) => it.exit.code !== 0).map((it) => it.id);
+}
+
+function countEndings({ kinds }: LoadResult) {
+  const sum = (numbers: readonly number[]) => numbers.reduce((total, it) => total + it, 0);
+  return {
+    requests: sum(kinds.map((it) => it.requests)),
+    ok: sum(kinds.map((it) => it.ok)),
+    unknown: sum(kinds.map((it) => it.unknown)),
+    lost: sum(kinds.map((it) => it.lost + it.notRun + it.badRequest + it.mismatched)),
+  };
+}
--- a/packages/standin/src/lib/harness/fleet.ts
+++ b/packages/standin/src/lib/harness/fleet.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 
-import { CONFIGURATION_FORMAT, type ServiceConfigInput } from '@boragepoint/config';
+import type { ServiceConfigInput } from '@boragepoint/config';
 
 import type { PlatformControl, PlatformCounters } from '../platform/control.js';
 import { startBackend, type BackendNode, type Place } from './backend-node.js';
@@ -46,8 +46,8 @@
   readonly backendServers: BackendNode[];
   controlPlatform(change: PlatformControl): Promise<void>;
   platformCounters(): Promise<PlatformCounters>;
-  /** Returns the document that an operator submits, with all backend servers started so far. */
-  configuration(): { format: string; services: ServiceConfigInput[] };
+  /** Returns what an operator submits, with all backend servers started so far. */
+  services(): ServiceConfigInput[];
   /** Starts one more backend server; it gets work once the configuration names it. */
   addBackend(service: string): Promise<BackendNode>;
   /** Starts one more router and lists it. */
@@ -129,7 +129,7 @@
     backendServers,
     controlPlatform: (change) => controlPlatform(platform.address, change),
     platformCounters: () => readPlatformCounters(platform.address),
-    configuration: () => ({ format: CONFIGURATION_FORMAT, services: plan.services.map(configOf) }),
+    services: () => plan.services.map(configOf),
     async addBackend(service) {
       const servicePlan = plan.services.find((it) => it.config.name === service);
       const count = backendServers.filter((it) => it.service === service).length;
--- /dev/null
+++ b/packages/standin/src/lib/harness/run-program.ts
@@ -0,0 +1,20 @@
+import { execFile } from 'node:child_process';
+
+const TIMEOUT_MS = 30_000;
+
+/** What a program that ran to its end printed. */
+export interface ProgramResult {
+  readonly code: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/** Runs a compiled program to its end; one that takes longer than 30 s is killed. */
+export async function runProgram(script: string, args: readonly string[]): Promise<ProgramResult> {
+  const options = { timeout: TIMEOUT_MS, killSignal: 'SIGKILL' } as const;
+  return await new Promise((resolve) => {
+    const child = execFile(process.execPath, [script, ...args], options, (_, stdout, stderr) => {
+      resolve({ code: child.exitCode ?? -1, stdout, stderr });
+    });
+  });
+}
