--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -60,7 +60,7 @@
     const timeout = new Promise((resolve) => {
       setTimeout(resolve, settings.shutdown.drainTimeoutMs).unref();
     });
-    await Promise.race([callers.drain(), timeout]);
+    await Promise.race([callers.drain().then(() => node.router.idle()), timeout]);
     await stack[Symbol.asyncDispose]();
   }
 
--- a/packages/daemon/src/lib/http-listener.ts
+++ b/packages/daemon/src/lib/http-listener.ts
@@ -5,6 +5,9 @@
 import { createAdaptorServer } from '@hono/node-server';
 import type { Env, Hono } from 'hono';
 
+/** Time between two closings of idle connections while a listener drains. */
+const IDLE_SWEEP_MS = 20;
+
 /** Limits of a listener. */
 export interface ListenerLimits {
   readonly maxHeaderBytes: number;
@@ -67,7 +70,12 @@
   async function drain(): Promise<void> {
     const closed = new Promise((resolve) => server.close(resolve));
     server.closeIdleConnections();
+    // Connections that are kept alive become idle one by one as their requests are answered.
+    const sweep = setInterval(() => {
+      server.closeIdleConnections();
+    }, IDLE_SWEEP_MS);
     await closed;
+    clearInterval(sweep);
   }
 
   return {
--- a/packages/ownership/src/lib/lease-client.ts
+++ b/packages/ownership/src/lib/lease-client.ts
@@ -1,5 +1,6 @@
 import {
   LEASE_PATH,
+  abortAfter,
   type LeaseAnswer,
   type LeaseRequest,
   leaseAnswerSchema,
@@ -28,6 +29,7 @@
   const agent = new Agent({ connections: 1, pipelining: 1, keepAliveTimeout: 10_000 });
   return {
     async send(address, req, timeoutMs) {
+      using timeout = abortAfter(timeoutMs);
       try {
         const res = await agent.request({
           origin: `http://${address}`,
@@ -35,7 +37,7 @@
           method: 'POST',
           headers: { 'content-type': 'application/json' },
           body: JSON.stringify(req),
-          signal: AbortSignal.timeout(timeoutMs),
+          signal: timeout.signal,
         });
         return ok(v.parse(leaseAnswerSchema, await res.body.json()));
       } catch (cause) {
--- a/packages/ownership/src/lib/release-list.ts
+++ b/packages/ownership/src/lib/release-list.ts
@@ -35,13 +35,21 @@
 export function createReleaseList(): ReleaseList {
   const releases = new Map<number, Release>();
 
-  function addOne(assignment: Assignment, signal: AbortSignal): Promise<void> {
+  function addOne({ shard, epoch }: Assignment): Promise<void> {
     return new Promise((resolve) => {
-      const { shard, epoch } = assignment;
       releases.set(shard, { shard, epoch, wasSent: false, resolve });
-      signal.addEventListener('abort', () => {
-        resolve();
-      });
+    });
+  }
+
+  function abortOf(signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      signal.addEventListener(
+        'abort',
+        () => {
+          resolve();
+        },
+        { once: true },
+      );
     });
   }
 
@@ -57,9 +65,9 @@
       }
     },
     async release(assignments, onAdded, signal) {
-      const confirmed = assignments.map((it) => addOne(it, signal));
+      const confirmed = assignments.map(addOne);
       onAdded();
-      await Promise.all(confirmed);
+      await Promise.race([Promise.all(confirmed), abortOf(signal)]);
     },
     forget(shards) {
       for (const { shard } of shards) releases.delete(shard);
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,3 +1,4 @@
+export * from './lib/abort-after.js';
 export * from './lib/backend-server-protocol.js';
 export * from './lib/http-instance-list.js';
 export * from './lib/http-object-store.js';
--- a/packages/platform/src/lib/http-call.ts
+++ b/packages/platform/src/lib/http-call.ts
@@ -2,6 +2,7 @@
 import type { Pool } from 'undici';
 import * as v from 'valibot';
 
+import { abortAfter } from './abort-after.js';
 import { PlatformError } from './platform-error.js';
 
 /** Longest time that one call to the platform may take. */
@@ -34,13 +35,14 @@
   pool: Pool,
   call: PlatformCall,
 ): Promise<Result<PlatformAnswer, PlatformError>> {
+  using timeout = abortAfter(CALL_TIMEOUT_MS);
   try {
     const res = await pool.request({
       method: call.method,
       path: call.path,
       body: call.body ?? null,
       headers: { 'content-type': 'application/json' },
-      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+      signal: timeout.signal,
     });
     const body = new Uint8Array(await res.body.arrayBuffer());
     if (res.statusCode === HTTP_SERVICE_UNAVAILABLE) {
--- a/packages/routing/src/lib/dispatch/admitted-attempt.ts
+++ b/packages/routing/src/lib/dispatch/admitted-attempt.ts
@@ -1,4 +1,5 @@
 import type { Placement } from '@boragepoint/ownership';
+import { abortAfter } from '@boragepoint/platform';
 import { type Result, err, ok } from 'neverthrow';
 
 import type { AdmissionRefusal, Outcome, OutcomeKind } from '../admission/index.js';
@@ -78,9 +79,8 @@
   }
   if (entered.kind === 'too-late') return err(refusal('overloaded', 'no turn before the deadline'));
   const sentAt = performance.now();
-  const leftMs = Math.max(1, deadlineAt - sentAt);
-  const attemptSignal = AbortSignal.any([signal, AbortSignal.timeout(Math.ceil(leftMs))]);
-  const outcome = await sendAttempt(link.pool, req, assignment, attemptSignal);
+  using timeout = abortAfter(Math.max(1, deadlineAt - sentAt), signal);
+  const outcome = await sendAttempt(link.pool, req, assignment, timeout.signal);
   const learnt = measured(outcome, performance.now() - sentAt, signal.aborted);
   if (learnt !== undefined) permit.release(learnt);
   await endRun(entered.run, outcome);
--- a/packages/routing/src/lib/dispatch/request-router.ts
+++ b/packages/routing/src/lib/dispatch/request-router.ts
@@ -35,6 +35,8 @@
   handle(req: RoutedRequest): Promise<RoutedAnswer>;
   /** Runs a request that a peer forwarded, if this router is the keeper of its key's owner. */
   handleForwarded(req: RoutedRequest): Promise<RoutedAnswer>;
+  /** Resolves when no request is in progress. */
+  idle(): Promise<void>;
 }
 
 function fingerprintOfRequest(req: RoutedRequest): string {
@@ -44,6 +46,9 @@
 
 /** Creates the request path. */
 export function createRequestRouter(ctx: RouterContext): RequestRouter {
+  let inProgress = 0;
+  const whenIdle: (() => void)[] = [];
+
   /** The live router that should act for the owner of the key. */
   function keeperOf(req: RoutedRequest): string | undefined {
     const placement = ctx.map.place(req.service, req.key);
@@ -98,16 +103,34 @@
     return refusal('quarantined', 'the request crashed backend servers', retryAfterMs);
   }
 
+  async function route(req: RoutedRequest): Promise<RoutedAnswer> {
+    const fingerprint = fingerprintOfRequest(req);
+    const refused = barred(req, fingerprint);
+    if (refused !== undefined) return refused;
+    const needsKeeper =
+      !req.rule.idempotent || ctx.quarantine.isSuspect(req.service.name, fingerprint);
+    if (needsKeeper) return runThroughKeeper(req, fingerprint);
+    return runIdempotent(ctx, req, fingerprint);
+  }
+
+  async function counted(answering: Promise<RoutedAnswer>): Promise<RoutedAnswer> {
+    inProgress += 1;
+    try {
+      return await answering;
+    } finally {
+      inProgress -= 1;
+      if (inProgress === 0)
+        whenIdle.splice(0).forEach((resolve) => {
+          resolve();
+        });
+    }
+  }
+
   return {
-    async handle(req) {
-      const fingerprint = fingerprintOfRequest(req);
-      const refused = barred(req, fingerprint);
-      if (refused !== undefined) return refused;
-      const needsKeeper =
-        !req.rule.idempotent || ctx.quarantine.isSuspect(req.service.name, fingerprint);
-      if (needsKeeper) return runThroughKeeper(req, fingerprint);
-      return runIdempotent(ctx, req, fingerprint);
+    handle: (req) => counted(route(req)),
+    handleForwarded: (req) => counted(runAtKeeper(ctx, req, fingerprintOfRequest(req))),
+    async idle() {
+      if (inProgress > 0) await new Promise<void>((resolve) => whenIdle.push(resolve));
     },
-    handleForwarded: (req) => runAtKeeper(ctx, req, fingerprintOfRequest(req)),
   };
 }
--- a/packages/routing/src/lib/dispatch/run-idempotent.ts
+++ b/packages/routing/src/lib/dispatch/run-idempotent.ts
@@ -1,5 +1,7 @@
 import type { AssignmentMap, Placement } from '@boragepoint/ownership';
 
+import { abortAfter } from '@boragepoint/platform';
+
 import type { RetryBudget } from '../admission/index.js';
 import { type AttemptContext, admittedAttempt } from './admitted-attempt.js';
 import { waitForChange } from './owner-wait.js';
@@ -26,15 +28,18 @@
   req: RoutedRequest,
   placement: Placement,
 ): { readonly signal: AbortSignal; hasMoved(): boolean } & Disposable {
-  const moved = new AbortController();
+  let moved = false;
+  const attempt = abortAfter(req.deadlineAt - performance.now(), req.signal);
   const watch = map.onChange(() => {
-    if (!isSameOwner(placement, map.place(req.service, req.key))) moved.abort();
+    moved = !isSameOwner(placement, map.place(req.service, req.key));
+    if (moved) attempt.abort();
   });
   return {
-    signal: AbortSignal.any([req.signal, moved.signal]),
-    hasMoved: () => moved.signal.aborted,
+    signal: attempt.signal,
+    hasMoved: () => moved,
     [Symbol.dispose]() {
       watch[Symbol.dispose]();
+      attempt[Symbol.dispose]();
     },
   };
 }
