--- a/packages/daemon/src/lib/peers/peer-forwarder.ts
+++ b/packages/daemon/src/lib/peers/peer-forwarder.ts
@@ -18,7 +18,7 @@
     async forward(router, req) {
       const client = links.client(router);
       if (client === undefined) return { kind: 'not-sent' };
-      const timeoutMs = Math.max(1, req.deadlineAt - performance.now()) + GRACE_MS;
+      const timeoutMs = Math.ceil(Math.max(0, req.deadlineAt - performance.now()) + GRACE_MS);
       try {
         const options = { timeoutMs, signal: req.signal };
         const res = await client.rpc.forward(encodeRequest(req), options);
--- /dev/null
+++ b/packages/daemon/src/test/peer-forwarder_test.ts
@@ -0,0 +1,60 @@
+import { test } from 'node:test';
+
+import { type ServiceConfigInput, serviceConfigSchema } from '@boragepoint/config';
+import { expect } from 'earl';
+import * as v from 'valibot';
+
+import { createPeerForwarder } from '../lib/peers/peer-forwarder.js';
+import type { PeerLinks } from '../lib/peers/peer-links.js';
+
+const SERVICE: ServiceConfigInput = {
+  name: 'caja',
+  shards: 1,
+  key: { from: 'path', segment: 0 },
+  rules: [{ name: 'pay', method: 'POST', path: '/**', idempotent: false, deadlineMs: 900 }],
+  backendServers: [
+    { id: 'caja-1', address: '127.0.0.1:9100', availabilityZone: 'cusco', region: 'sierra' },
+  ],
+};
+
+interface CallOptions {
+  readonly timeoutMs: number;
+}
+
+function linksTo(answeredId: string, seen: CallOptions[]): PeerLinks {
+  const forward = (_req: unknown, options: CallOptions) => {
+    seen.push(options);
+    return Promise.resolve({ requestId: answeredId, code: 0, status: 200, headers: [], body: [] });
+  };
+  return { client: () => ({ rpc: { forward } }) } as unknown as PeerLinks;
+}
+
+function requestTo(links: PeerLinks) {
+  const service = v.parse(serviceConfigSchema, SERVICE);
+  const [rule] = service.rules;
+  if (rule === undefined) throw new Error('the service has no rule');
+  return createPeerForwarder(links).forward('router-2', {
+    requestId: 'request-1',
+    service,
+    rule,
+    key: 'k',
+    method: 'POST',
+    path: '/k',
+    headers: [],
+    body: new Uint8Array(),
+    caller: 'kiosk-1',
+    deadlineAt: performance.now() + 900.25,
+    signal: new AbortController().signal,
+  });
+}
+
+test('the timeout of a forwarded request is a whole number, which the protocol demands', async () => {
+  const seen: CallOptions[] = [];
+  await requestTo(linksTo('request-1', seen));
+  expect(Number.isInteger(seen[0]?.timeoutMs)).toEqual(true);
+});
+
+test('an answer to another request does not pass for the answer', async () => {
+  const outcome = await requestTo(linksTo('request-2', []));
+  expect(outcome).toEqual({ kind: 'lost' });
+});
--- a/packages/ownership/src/lib/keeper-manager.ts
+++ b/packages/ownership/src/lib/keeper-manager.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 import type { BackendServer, ServiceConfig } from '@boragepoint/config';
 
 import type { StandDownAnswer } from './keeper-peers.js';
@@ -34,6 +36,8 @@
 /** Creates the manager and starts its task. */
 export function createKeeperManager(ctx: OwnershipContext): KeeperManager {
   const stopping = new AbortController();
+  // Each seat that is being claimed waits on this signal.
+  setMaxListeners(0, stopping.signal);
   const bell = createBell();
   const sessions = new Map<string, KeeperSession>();
   const vacantSince = new Map<string, number>();
--- a/packages/ownership/src/lib/release-list.ts
+++ b/packages/ownership/src/lib/release-list.ts
@@ -41,18 +41,6 @@
     });
   }
 
-  function abortOf(signal: AbortSignal): Promise<void> {
-    return new Promise((resolve) => {
-      signal.addEventListener(
-        'abort',
-        () => {
-          resolve();
-        },
-        { once: true },
-      );
-    });
-  }
-
   return {
     has: (shard, epoch) => releases.get(shard)?.epoch === epoch,
     list(service) {
@@ -67,7 +55,12 @@
     async release(assignments, onAdded, signal) {
       const confirmed = assignments.map(addOne);
       onAdded();
-      await Promise.race([Promise.all(confirmed), abortOf(signal)]);
+      const abandon = () => {
+        for (const { shard } of assignments) releases.get(shard)?.resolve();
+      };
+      signal.addEventListener('abort', abandon);
+      await Promise.all(confirmed);
+      signal.removeEventListener('abort', abandon);
     },
     forget(shards) {
       for (const { shard } of shards) releases.delete(shard);
