Add boragectl

Cause: operators need to submit, compare and observe from a desk, and two of them may race. Ruled out: taking the version to compare with only from the moment of the write, since an operator edits what an earlier get printed; get therefore prints the versions with the document, and apply refuses it when another operator has written since. Retrying a write without reading back, since its answer may be lost after it took effect.

--- /dev/null
+++ b/packages/cli/src/lib/api-transport.ts
@@ -0,0 +1,102 @@
+import { errorBodySchema } from '@boragepoint/config';
+import { type Result, err, ok } from 'neverthrow';
+import { type Dispatcher, request } from 'undici';
+import * as v from 'valibot';
+
+import { CliError, EXIT_CODES, refusedError } from './cli-error.js';
+
+const CALL_TIMEOUT_MS = 5_000;
+const HTTP_ERRORS = 400;
+const HTTP_SERVICE_UNAVAILABLE = 503;
+
+/** One request of the operators' API. @internal */
+export interface ApiRequest {
+  readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly query?: Readonly<Record<string, string>>;
+  readonly body?: object;
+}
+
+/** A router's answer, whatever its status. @internal */
+export interface ApiAnswer {
+  readonly router: string;
+  readonly status: number;
+  readonly text: string;
+}
+
+/** How to reach the routers. @internal */
+export interface Routers {
+  /** Base URLs, tried in their order. */
+  readonly urls: readonly string[];
+  readonly token: string;
+}
+
+function urlOf(router: string, req: ApiRequest): URL {
+  const url = new URL(req.path, router);
+  for (const [name, value] of Object.entries(req.query ?? {})) url.searchParams.set(name, value);
+  return url;
+}
+
+async function sendTo(
+  dispatcher: Dispatcher,
+  router: string,
+  token: string,
+  req: ApiRequest,
+): Promise<Result<ApiAnswer, string>> {
+  try {
+    const res = await request(urlOf(router, req), {
+      dispatcher,
+      method: req.method,
+      headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json' },
+      body: req.body === undefined ? null : JSON.stringify(req.body),
+      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+    });
+    return ok({ router, status: res.statusCode, text: await res.body.text() });
+  } catch (cause) {
+    return err(`${router}: ${cause instanceof Error ? cause.message || cause.name : 'no answer'}`);
+  }
+}
+
+/** Sends a request to the first router that answers and is not unavailable. @internal */
+export async function sendToFirst(
+  dispatcher: Dispatcher,
+  routers: Routers,
+  req: ApiRequest,
+): Promise<Result<ApiAnswer, CliError>> {
+  const failures: string[] = [];
+  let unavailable: ApiAnswer | undefined;
+  for (const router of routers.urls) {
+    const answer = await sendTo(dispatcher, router, routers.token, req);
+    if (answer.isErr()) failures.push(answer.error);
+    else if (answer.value.status !== HTTP_SERVICE_UNAVAILABLE) return ok(answer.value);
+    else unavailable ??= answer.value;
+  }
+  if (unavailable !== undefined) return ok(unavailable);
+  return err(new CliError(EXIT_CODES.unreachable, `no router answered: ${failures.join('; ')}`));
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Checks an answer against its schema; an error status becomes the error that its body tells. @internal */
+export function readAnswer<S extends v.GenericSchema>(
+  answer: ApiAnswer,
+  schema: S,
+): Result<v.InferOutput<S>, CliError> {
+  const json = parseJson(answer.text);
+  const place = `${answer.router} answered with status ${answer.status}`;
+  if (answer.status >= HTTP_ERRORS) {
+    const body = v.safeParse(errorBodySchema, json);
+    if (body.success) return err(refusedError(body.output));
+    return err(new CliError(EXIT_CODES.failed, `${place} and no error of the operators' API`));
+  }
+  const parsed = v.safeParse(schema, json);
+  if (parsed.success) return ok(parsed.output);
+  const issue = parsed.issues[0].message;
+  return err(new CliError(EXIT_CODES.failed, `${place} and an unexpected body: ${issue}`));
+}
--- /dev/null
+++ b/packages/cli/src/lib/commands/apply.ts
@@ -0,0 +1,97 @@
+import { userInfo } from 'node:os';
+
+import type { Configuration, PutService } from '@boragepoint/config';
+import { type Result, err, ok } from 'neverthrow';
+
+import { CliError } from '../cli-error.js';
+import { type Options, type RouterCommand, textOption } from '../command.js';
+import { readConfiguration } from '../configuration-input.js';
+import { waitInForce } from '../in-force.js';
+import type { OperatorClient } from '../operator-client.js';
+import { type Written, alreadyWritten, readDocument, writeService } from '../service-writer.js';
+import { formatTable } from '../table.js';
+import { parseDuration } from '../time-argument.js';
+
+const DEFAULT_TIMEOUT = '10s';
+
+/** One service as `apply` found it: to be written, or written already. */
+type Plan = { readonly put: PutService } | { readonly written: Written };
+
+function writerName(options: Options): string {
+  const given = textOption(options, 'as');
+  if (given !== undefined) return given;
+  try {
+    return userInfo().username;
+  } catch {
+    return 'unknown operator';
+  }
+}
+
+async function planWrites(
+  client: OperatorClient,
+  configuration: Configuration,
+  writer: string,
+): Promise<Result<Plan[], CliError>> {
+  const plans: Plan[] = [];
+  for (const config of configuration.services) {
+    const document = await readDocument(client, config.name);
+    if (document.isErr()) return err(document.error);
+    const written = alreadyWritten(document.value, config);
+    const expected = configuration.expectedVersions?.[config.name];
+    const expectedVersion = expected ?? document.value?.version ?? 0;
+    plans.push(written === undefined ? { put: { expectedVersion, writer, config } } : { written });
+  }
+  return ok(plans);
+}
+
+function withWritten(error: CliError, done: readonly Written[]): CliError {
+  const changed = done.filter((it) => it.changed).map((it) => `${it.name} version ${it.version}`);
+  if (changed.length === 0) return error;
+  const message = `${error.message}. Written before this: ${changed.join(', ')}`;
+  return new CliError(error.exitCode, message, error.body, error.problems);
+}
+
+async function writeAll(
+  client: OperatorClient,
+  plans: readonly Plan[],
+): Promise<Result<Written[], CliError>> {
+  const done: Written[] = [];
+  for (const plan of plans) {
+    const written = 'put' in plan ? await writeService(client, plan.put) : ok(plan.written);
+    if (written.isErr()) return err(withWritten(written.error, done));
+    done.push(written.value);
+  }
+  return ok(done);
+}
+
+function formatWritten(written: readonly Written[]): string {
+  const rows = written.map((it) => [it.name, it.version, it.changed ? 'written' : 'unchanged']);
+  return formatTable(['SERVICE', 'VERSION', 'OUTCOME'], rows);
+}
+
+/** `boragectl apply FILE`. @internal */
+export const applyCommand: RouterCommand = {
+  usage: 'apply <file>',
+  description: 'Submit a configuration and wait until every live router has it in force',
+  options: [
+    ['--timeout <time>', `Longest wait, such as 30s (default: ${DEFAULT_TIMEOUT})`],
+    ['--as <name>', 'Who submits it, shown to others in a conflict (default: your user name)'],
+  ],
+  examples: ['apply services.json', 'apply - --timeout 30s < services.json'],
+  needsRouter: true,
+  async run({ client, environment, output }, [file = ''], options) {
+    const timeoutMs = parseDuration('--timeout', textOption(options, 'timeout') ?? DEFAULT_TIMEOUT);
+    if (timeoutMs.isErr()) return err(timeoutMs.error);
+    const configuration = await readConfiguration(environment, file);
+    if (configuration.isErr()) return err(configuration.error);
+    const plans = await planWrites(client, configuration.value, writerName(options));
+    if (plans.isErr()) return err(plans.error);
+    const written = await writeAll(client, plans.value);
+    if (written.isErr()) return err(written.error);
+    const inForce = await waitInForce(client, written.value, timeoutMs.value);
+    return inForce.map((it) => {
+      output.result({ services: written.value, ...it }, () => formatWritten(written.value));
+      output.info(`in force on all ${it.routers} live routers after ${it.elapsedMs} ms`);
+    });
+  },
+};
--- /dev/null
+++ b/packages/cli/src/lib/config-diff.ts
@@ -0,0 +1,55 @@
+import { isDeepStrictEqual } from 'node:util';
+
+/** One difference between two configurations. */
+export interface Change {
+  /** Path of the field; entries of lists are named by their `id` or `name`. */
+  readonly path: string;
+  /** Value before; left out when the field was added. */
+  readonly before?: unknown;
+  /** Value after; left out when the field was removed. */
+  readonly after?: unknown;
+}
+
+type Fields = Readonly<Record<string, unknown>>;
+
+function isObject(value: unknown): value is Fields {
+  return typeof value === 'object' && value !== null;
+}
+
+function entryName(entry: unknown, index: number): string {
+  if (!isObject(entry)) return String(index);
+  const name = entry.id ?? entry.name ?? entry.key;
+  return typeof name === 'string' ? name : String(index);
+}
+
+/** Turns a list into fields by the names of its entries, so that moved entries stay comparable. */
+function fieldsOf(value: Fields): Fields {
+  if (!Array.isArray(value)) return value;
+  return Object.fromEntries(value.map((entry, index) => [entryName(entry, index), entry]));
+}
+
+/** Reports when entries that stand in both lists follow another order. */
+function diffOrder(before: unknown, after: unknown, path: string): Change[] {
+  if (!Array.isArray(before) || !Array.isArray(after)) return [];
+  const old = before.map(entryName);
+  const now = after.map(entryName);
+  const oldOrder = old.filter((name) => now.includes(name));
+  const newOrder = now.filter((name) => old.includes(name));
+  if (isDeepStrictEqual(oldOrder, newOrder)) return [];
+  return [{ path: `${path} (order)`, before: oldOrder, after: newOrder }];
+}
+
+/** Lists the differences between two JSON values. */
+export function diffConfig(before: unknown, after: unknown, path = ''): Change[] {
+  if (isDeepStrictEqual(before, after)) return [];
+  if (before === undefined) return [{ path, after }];
+  if (after === undefined) return [{ path, before }];
+  if (!isObject(before) || !isObject(after)) return [{ path, before, after }];
+  const old = fieldsOf(before);
+  const now = fieldsOf(after);
+  const names = [...new Set([...Object.keys(old), ...Object.keys(now)])];
+  const changes = names.flatMap((name) =>
+    diffConfig(old[name], now[name], path === '' ? name : `${path}.${name}`),
+  );
+  return [...changes, ...diffOrder(before, after, path)];
+}
--- /dev/null
+++ b/packages/cli/src/lib/environment.ts
@@ -0,0 +1,25 @@
+/** What a command sees of the process that it runs in; tests bring their own. */
+export interface Environment {
+  readonly variables: Readonly<Record<string, string | undefined>>;
+  /** Takes results. */
+  readonly stdout: NodeJS.WritableStream;
+  /** Takes messages for people. */
+  readonly stderr: NodeJS.WritableStream;
+  readStandardInput(): Promise<string>;
+}
+
+async function readAll(stream: NodeJS.ReadableStream): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of stream) chunks.push(Buffer.from(chunk));
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+/** Returns the environment of this process. */
+export function processEnvironment(): Environment {
+  return {
+    variables: process.env,
+    stdout: process.stdout,
+    stderr: process.stderr,
+    readStandardInput: () => readAll(process.stdin),
+  };
+}
--- /dev/null
+++ b/packages/cli/src/lib/routers-option.ts
@@ -0,0 +1,60 @@
+import { readFile } from 'node:fs/promises';
+
+import { type Result, err, ok } from 'neverthrow';
+
+import type { Routers } from './api-transport.js';
+import { type CliError, usageError } from './cli-error.js';
+import { type Options, textOption, textOptions } from './command.js';
+import type { Environment } from './environment.js';
+
+const ROUTERS_VARIABLE = 'BORAGECTL_ROUTERS';
+const TOKEN_FILE_VARIABLE = 'BORAGECTL_TOKEN_FILE';
+
+function isHttpUrl(text: string): boolean {
+  return URL.canParse(text) && /^https?:$/.test(new URL(text).protocol);
+}
+
+function readUrls(environment: Environment, options: Options): Result<string[], CliError> {
+  const given = textOptions(options, 'router');
+  const fallback = environment.variables[ROUTERS_VARIABLE]?.split(',').filter((it) => it !== '');
+  const urls = given.length > 0 ? given : (fallback ?? []);
+  if (urls.length === 0) {
+    return err(usageError(`name a router by --router URL or in ${ROUTERS_VARIABLE}`));
+  }
+  const wrong = urls.find((it) => !isHttpUrl(it));
+  if (wrong !== undefined) {
+    return err(usageError(`'${wrong}' is no router's URL, such as http://10.0.0.1:8081`));
+  }
+  return ok(urls);
+}
+
+async function readToken(
+  environment: Environment,
+  options: Options,
+): Promise<Result<string, CliError>> {
+  const file = textOption(options, 'tokenFile') ?? environment.variables[TOKEN_FILE_VARIABLE];
+  if (file === undefined) {
+    return err(
+      usageError(`name the token's file by --token-file FILE or in ${TOKEN_FILE_VARIABLE}`),
+    );
+  }
+  try {
+    const token = (await readFile(file, 'utf8')).trim();
+    const isSendable = /^[\x21-\x7e]+$/.test(token);
+    return isSendable ? ok(token) : err(usageError(`${file} holds no token on one line`));
+  } catch (cause) {
+    const reason = cause instanceof Error ? cause.message : 'it does not open';
+    return err(usageError(`cannot read the token: ${reason}`));
+  }
+}
+
+/** Reads from options and environment variables how to reach the routers. @internal */
+export async function readRouters(
+  environment: Environment,
+  options: Options,
+): Promise<Result<Routers, CliError>> {
+  const urls = readUrls(environment, options);
+  if (urls.isErr()) return err(urls.error);
+  const token = await readToken(environment, options);
+  return token.map((it) => ({ urls: urls.value, token: it }));
+}
--- /dev/null
+++ b/packages/cli/src/lib/service-writer.ts
@@ -0,0 +1,74 @@
+import { isDeepStrictEqual } from 'node:util';
+
+import {
+  type PutService,
+  RESULT_CODES,
+  type ServiceConfig,
+  type ServiceDocument,
+} from '@boragepoint/config';
+import { type Result, err, ok } from 'neverthrow';
+
+import { CliError, EXIT_CODES } from './cli-error.js';
+import type { OperatorClient } from './operator-client.js';
+
+/** A service whose configuration is the submitted one. */
+export interface Written {
+  readonly name: string;
+  readonly version: number;
+  /** False when the table already held this configuration. */
+  readonly changed: boolean;
+}
+
+/** Reads a service's document; `undefined` when there is no such service. @internal */
+export async function readDocument(
+  client: OperatorClient,
+  name: string,
+): Promise<Result<ServiceDocument | undefined, CliError>> {
+  const document = await client.getService(name);
+  if (document.isErr() && document.error.body?.code === RESULT_CODES.notFound) return ok(undefined);
+  return document;
+}
+
+function holds(document: ServiceDocument | undefined, config: ServiceConfig): boolean {
+  return document !== undefined && isDeepStrictEqual(document.config, config);
+}
+
+function conflictError(put: PutService, error: CliError): CliError {
+  const { name } = put.config;
+  const { currentVersion, writer } = error.body?.details ?? {};
+  const current = currentVersion === undefined ? 'a newer version' : `version ${currentVersion}`;
+  const message =
+    `conflict: ${name} was version ${put.expectedVersion} when it was read, ` +
+    `but ${current} was written by ${writer ?? 'another operator'}. ` +
+    `Your configuration of ${name} was not written. Look at 'boragectl get ${name}' and ` +
+    `'boragectl diff FILE', then apply again`;
+  return new CliError(EXIT_CODES.failed, message, error.body);
+}
+
+/**
+ * Writes a service by compare-and-set. A failed write is settled by reading back: when the table
+ * holds the submitted configuration, the write took effect and only its answer was lost. @internal
+ */
+export async function writeService(
+  client: OperatorClient,
+  put: PutService,
+): Promise<Result<Written, CliError>> {
+  const { name } = put.config;
+  const written = await client.putService(put);
+  if (written.isOk()) return ok({ name, version: written.value.version, changed: true });
+  const document = await readDocument(client, name);
+  if (document.isOk() && document.value !== undefined && holds(document.value, put.config)) {
+    return ok({ name, version: document.value.version, changed: true });
+  }
+  const isConflict = written.error.body?.code === RESULT_CODES.versionConflict;
+  return err(isConflict ? conflictError(put, written.error) : written.error);
+}
+
+/** Returns the service as written already when the table holds this configuration. @internal */
+export function alreadyWritten(
+  document: ServiceDocument | undefined,
+  config: ServiceConfig,
+): Written | undefined {
+  if (document === undefined || !holds(document, config)) return undefined;
+  return { name: config.name, version: document.version, changed: false };
+}
--- /dev/null
+++ b/packages/cli/src/test/apply_test.ts
@@ -0,0 +1,124 @@
+import { EventEmitter, once } from 'node:events';
+import { test } from 'node:test';
+
+import { type ServiceConfigInput, formatConfiguration } from '@boragepoint/config';
+import { expect } from 'earl';
+
+import { type FakeTable, runCli, startFakeRouter } from './fake-router.js';
+
+function printed(name: string, some: Partial<ServiceConfigInput> = {}): string {
+  const service: ServiceConfigInput = {
+    name,
+    shards: 16,
+    key: { from: 'header', name: 'member' },
+    rules: [{ name: 'pay', method: 'POST', path: '/**', idempotent: false, deadlineMs: 900 }],
+    backendServers: [
+      { id: name, address: '127.0.0.1:9000', availabilityZone: 'cusco', region: 'sierra' },
+    ],
+    ...some,
+  };
+  return formatConfiguration([service])._unsafeUnwrap();
+}
+
+test('apply writes, waits until in force, and says so', async () => {
+  const table: FakeTable = new Map();
+  await using router = await startFakeRouter(table);
+  const setup = { routers: [router.url], input: printed('caja') };
+  const run = await runCli(['apply', '-', '--as', 'rosa', '--json'], setup);
+  const report = JSON.parse(run.stdout) as { services: unknown; routers: number };
+  expect(run.exitCode).toEqual(0);
+  expect(report.services).toEqual([{ name: 'caja', version: 1, changed: true }]);
+  expect(report.routers).toEqual(1);
+  expect(table.get('caja')?.writer).toEqual('rosa');
+});
+
+test('apply of what is there already writes nothing', async () => {
+  const table: FakeTable = new Map();
+  await using router = await startFakeRouter(table);
+  const setup = { routers: [router.url], input: printed('caja') };
+  await runCli(['apply', '-'], setup);
+  const run = await runCli(['apply', '-'], setup);
+  expect(run.exitCode).toEqual(0);
+  expect(run.stdout.includes('unchanged')).toEqual(true);
+  expect(table.get('caja')?.version).toEqual(1);
+});
+
+test('of two operators who read the same version one wins and the other is told', async () => {
+  const table: FakeTable = new Map();
+  let reads = 0;
+  const gate = new EventEmitter();
+  const opened = once(gate, 'open');
+  const beforeRead = async () => {
+    reads += 1;
+    if (reads === 2) gate.emit('open');
+    await opened;
+  };
+  await using router = await startFakeRouter(table, { beforeRead });
+  const apply = (as: string, movesPerMinute: number) =>
+    runCli(['apply', '-', '--as', as], {
+      routers: [router.url],
+      input: printed('caja', { movesPerMinute }),
+    });
+  const runs = await Promise.all([apply('rosa', 10), apply('elias', 20)]);
+  const winner = table.get('caja')?.writer;
+  const [lost] = runs.filter((it) => it.exitCode !== 0);
+  expect(runs.map((it) => it.exitCode).sort()).toEqual([0, 1]);
+  expect(lost?.stderr.includes(`version 1 was written by ${winner}`)).toEqual(true);
+  expect(table.get('caja')?.version).toEqual(1);
+});
+
+test('a document from get is refused when another operator has written since', async () => {
+  const table: FakeTable = new Map();
+  await using router = await startFakeRouter(table);
+  const routers = [router.url];
+  await runCli(['apply', '-'], { routers, input: printed('caja') });
+  const old = await runCli(['get', 'caja'], { routers });
+  const other = printed('caja', { movesPerMinute: 7 });
+  await runCli(['apply', '-', '--as', 'elias'], { routers, input: other });
+  const edited = old.stdout.replace('"movesPerMinute": 60', '"movesPerMinute": 9');
+  const run = await runCli(['apply', '-'], { routers, input: edited });
+  expect(run.exitCode).toEqual(1);
+  expect(run.stderr.includes('version 2 was written by elias')).toEqual(true);
+  expect(table.get('caja')?.config.movesPerMinute).toEqual(7);
+});
+
+test('a write whose answer was lost is found by reading back', async () => {
+  const table: FakeTable = new Map();
+  await using router = await startFakeRouter(table, { answersToLose: 1 });
+  const run = await runCli(['apply', '-'], { routers: [router.url], input: printed('caja') });
+  expect(run.exitCode).toEqual(0);
+  expect(table.get('caja')?.version).toEqual(1);
+});
+
+test('a router that lags is named, and one that is leaving is not waited for', async () => {
+  const place = { availabilityZone: 'iquitos', region: 'selva', services: [], reportAgeMs: 5 };
+  const routers = [
+    { id: 'router-2', state: 'live' as const, ...place },
+    { id: 'router-3', state: 'leaving' as const, ...place },
+  ];
+  await using router = await startFakeRouter(new Map(), { routers });
+  const setup = { routers: [router.url], input: printed('caja') };
+  const run = await runCli(['apply', '-', '--timeout', '250ms'], setup);
+  expect(run.exitCode).toEqual(3);
+  expect(run.stderr.includes('router-2 (iquitos): reports caja at version 0, not 1')).toEqual(true);
+  expect(run.stderr.includes('router-3')).toEqual(false);
+});
+
+test('an invalid configuration is refused before any router is asked', async () => {
+  const input = printed('caja').replace('"shards": 16', '"shards": 3, "colour": 1');
+  const run = await runCli(['apply', '-'], { routers: ['http://127.0.0.1:1'], input });
+  expect(run.exitCode).toEqual(2);
+  expect(run.stderr.includes('services[0].shards: must be a power of two')).toEqual(true);
+  expect(run.stderr.includes('services[0].colour: unknown field')).toEqual(true);
+});
+
+test('diff shows changed fields by the names of their entries', async () => {
+  await using router = await startFakeRouter(new Map());
+  const routers = [router.url];
+  await runCli(['apply', '-'], { routers, input: printed('caja') });
+  const input = printed('caja').replace('"deadlineMs": 900', '"deadlineMs": 950');
+  const run = await runCli(['diff', '-'], { routers, input });
+  expect(run.stdout).toEqual(
+    'caja (version 1):\n  - rules.pay.deadlineMs: 900\n  + rules.pay.deadlineMs: 950\n',
+  );
+});
--- a/packages/config/src/lib/problem.ts
+++ b/packages/config/src/lib/problem.ts
@@ -5,7 +5,7 @@
   /** Where it is, such as `listen.callers` or `services[0].rules[2].path`; empty for the whole. */
   readonly path: string;
   /** Line in the text, counted from 1, when it is known. */
-  readonly line?: number;
+  readonly line?: number | undefined;
   /** What is wrong and what is expected. */
   readonly message: string;
 }
--- a/packages/config/src/lib/service-config.ts
+++ b/packages/config/src/lib/service-config.ts
@@ -116,5 +116,10 @@
 export const configurationSchema = exactObject({
   format: v.literal(CONFIGURATION_FORMAT),
   services: v.array(serviceConfigSchema),
+  /**
+   * Version of each service that the document was made from. `boragectl get` prints it, so that
+   * `boragectl apply` refuses the document when another operator has written since.
+   */
+  expectedVersions: v.optional(v.record(nameSchema, wholeNumber(0, Number.MAX_SAFE_INTEGER))),
 });
 export type Configuration = v.InferOutput<typeof configurationSchema>;
--- a/packages/config/src/lib/settings.ts
+++ b/packages/config/src/lib/settings.ts
@@ -45,10 +45,11 @@
  */
 export function loadSettings(tomlText: string): Result<Settings, SettingsError> {
   const lines = createTomlLines(tomlText);
-  const problem = (keys: (string | number)[], message: string): Problem => {
-    const line = lines.lineOf(keys);
-    return { path: formatPath(keys), message, ...(line === undefined ? {} : { line }) };
-  };
+  const problem = (keys: (string | number)[], message: string): Problem => ({
+    path: formatPath(keys),
+    line: lines.lineOf(keys),
+    message,
+  });
   return parseToml(tomlText).andThen((document) => {
     const parsed = v.safeParse(settingsSchema, { ...EMPTY_TABLES, ...document });
     if (!parsed.success) {
