--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './lib/admission/index.js';
+export * from './lib/dispatch/index.js';
+export * from './lib/ledger/index.js';
+export * from './lib/quarantine/index.js';
--- /dev/null
+++ b/packages/routing/src/lib/dispatch/keeper-run.ts
@@ -0,0 +1,114 @@
+import { RESULT_CODES, type ResultName, nameOf } from '@boragepoint/config';
+import type { AssignmentMap, KeeperManager, Placement } from '@boragepoint/ownership';
+
+import {
+  type DispatchOutcome,
+  type Ledger,
+  type NonIdempotentResult,
+  runNonIdempotent,
+} from '../ledger/index.js';
+import { type AttemptContext, admittedAttempt } from './admitted-attempt.js';
+import { waitForChange } from './owner-wait.js';
+import { type RoutedAnswer, type RoutedRequest, refusal } from './routed-request.js';
+import type { AttemptOutcome } from './server-attempt.js';
+
+/** Longest wait for news of the owner before the next try. */
+const OWNER_CHECK_MS = 20;
+
+/** What a keeper needs to run requests. */
+export interface KeeperRunContext extends AttemptContext {
+  readonly map: AssignmentMap;
+  readonly keepers: KeeperManager;
+  readonly ledger: Ledger;
+}
+
+/** The owner of the request's key, if this router acts as its keeper. */
+function placeHere(ctx: KeeperRunContext, req: RoutedRequest): Placement | undefined {
+  const placement = ctx.map.place(req.service, req.key);
+  if (placement === undefined) return undefined;
+  return ctx.keepers.session(placement.server.id)?.isActing() === true ? placement : undefined;
+}
+
+function notRun(reason: string, result: ResultName, mayRetry: boolean) {
+  return { kind: 'not-run', reason, code: RESULT_CODES[result], mayRetry } as const;
+}
+
+function toDispatchOutcome(outcome: AttemptOutcome): DispatchOutcome {
+  switch (outcome.kind) {
+    case 'answered':
+      return { ...outcome.answer, kind: 'answered' };
+    case 'refused':
+      return notRun(`the owner refused: ${outcome.reason}`, 'refusedByServer', true);
+    case 'not-connected':
+      return notRun('the owner took no connection', 'ownerUnreachable', true);
+    case 'too-large':
+      return {
+        kind: 'unknown',
+        reason: 'the answer is larger than the rule allows',
+        code: RESULT_CODES.answerTooLarge,
+      };
+    case 'given-up':
+      return {
+        kind: 'unknown',
+        reason: 'no answer came before the deadline',
+        code: RESULT_CODES.deadlinePassed,
+      };
+    case 'connection-lost':
+    case 'wrong-answer':
+      return { kind: 'unknown', reason: 'the answer did not arrive whole' };
+  }
+}
+
+function toAnswer(result: NonIdempotentResult): RoutedAnswer {
+  if (result.kind === 'answered') {
+    return { kind: 'answered', answer: result.answer, replayed: result.replayed };
+  }
+  return refusal(nameOf(result.code), result.message, result.retryAfterMs);
+}
+
+/** Sends a request to the owner once; nothing but the deadline cuts it once it was sent. */
+async function dispatchOnce(
+  ctx: KeeperRunContext,
+  req: RoutedRequest,
+  fingerprint: string,
+  attempt: number,
+): Promise<DispatchOutcome> {
+  if (attempt > 1) await waitForChange(ctx.map, OWNER_CHECK_MS, req.signal);
+  const placement = placeHere(ctx, req);
+  if (placement === undefined) {
+    return notRun('this router is not the keeper of the owner', 'unfinishedElsewhere', false);
+  }
+  const followed = new AbortController().signal;
+  const attempted = await admittedAttempt(ctx, req, fingerprint, placement, followed);
+  if (attempted.isOk()) return toDispatchOutcome(attempted.value);
+  const { result, message, retryAfterMs } = attempted.error;
+  const outcome = notRun(message, result, false);
+  return retryAfterMs === undefined ? outcome : { ...outcome, retryAfterMs };
+}
+
+/**
+ * Runs a request at the keeper of its key's owner: a non-idempotent one at most once, through the
+ * ledger. An answer with result `unfinishedElsewhere` says that another router is keeper and that
+ * nothing was run.
+ */
+export async function runAtKeeper(
+  ctx: KeeperRunContext,
+  req: RoutedRequest,
+  fingerprint: string,
+): Promise<RoutedAnswer> {
+  if (placeHere(ctx, req) === undefined) {
+    return refusal('unfinishedElsewhere', 'this router is not the keeper of the owner');
+  }
+  const result = await runNonIdempotent({
+    ledger: ctx.ledger,
+    dispatch: (attempt) => dispatchOnce(ctx, req, fingerprint, attempt),
+    req: {
+      service: req.service.name,
+      idempotencyKey: req.rule.idempotent ? undefined : req.idempotencyKey,
+      fingerprint,
+      deadlineAt: req.deadlineAt,
+      signal: req.signal,
+    },
+  });
+  return toAnswer(result);
+}
--- /dev/null
+++ b/packages/routing/src/lib/dispatch/request-router.ts
@@ -0,0 +1,113 @@
+import type { Membership } from '@boragepoint/ownership';
+
+import { fingerprintOf } from '../quarantine/index.js';
+import { type KeeperRunContext, runAtKeeper } from './keeper-run.js';
+import { waitForChange } from './owner-wait.js';
+import { type RoutedAnswer, type RoutedRequest, refusal } from './routed-request.js';
+import { type IdempotentContext, runIdempotent } from './run-idempotent.js';
+
+/** Longest wait for news before a keeper is asked again. */
+const KEEPER_CHECK_MS = 25;
+const RETRY_AFTER_MS = 1_000;
+
+/** How forwarding a request to another router ended. */
+export type ForwardOutcome =
+  | { readonly kind: 'answered'; readonly answer: RoutedAnswer }
+  /** The peer never got the request. */
+  | { readonly kind: 'not-sent' }
+  /** The link broke, so the peer may have run the request. */
+  | { readonly kind: 'lost' };
+
+/** Forwards requests to the routers that keep their owners. */
+export interface Forwarder {
+  forward(router: string, req: RoutedRequest): Promise<ForwardOutcome>;
+}
+
+/** What the request path of one router needs. */
+export interface RouterContext extends KeeperRunContext, IdempotentContext {
+  readonly membership: Membership;
+  readonly forwarder: Forwarder;
+}
+
+/** The request path of one router. */
+export interface RequestRouter {
+  /** Routes a caller's request. The answer comes by the deadline. */
+  handle(req: RoutedRequest): Promise<RoutedAnswer>;
+  /** Runs a request that a peer forwarded, if this router is the keeper of its key's owner. */
+  handleForwarded(req: RoutedRequest): Promise<RoutedAnswer>;
+}
+
+function fingerprintOfRequest(req: RoutedRequest): string {
+  const { service, method, path, body } = req;
+  return fingerprintOf({ service: service.name, method, path, body });
+}
+
+/** Creates the request path. */
+export function createRequestRouter(ctx: RouterContext): RequestRouter {
+  /** The live router that should act for the owner of the key. */
+  function keeperOf(req: RoutedRequest): string | undefined {
+    const placement = ctx.map.place(req.service, req.key);
+    const row = placement && ctx.map.keeper(placement.server.id)?.value;
+    if (row === undefined || placement === undefined) return undefined;
+    if (ctx.keepers.session(placement.server.id)?.isActing() === true) {
+      return ctx.membership.self.id;
+    }
+    const seats = [row.acting, ...(row.standby ? [row.standby] : [])];
+    return seats.find((it) => ctx.membership.isLive(it.router, it.incarnation))?.router;
+  }
+
+  async function askKeeper(req: RoutedRequest, fingerprint: string): Promise<ForwardOutcome> {
+    const keeper = keeperOf(req);
+    if (keeper === undefined) return { kind: 'not-sent' };
+    if (keeper !== ctx.membership.self.id) return ctx.forwarder.forward(keeper, req);
+    return { kind: 'answered', answer: await runAtKeeper(ctx, req, fingerprint) };
+  }
+
+  function isElsewhere(answer: RoutedAnswer): boolean {
+    return answer.kind === 'refused' && answer.result === 'unfinishedElsewhere';
+  }
+
+  /** Tries keepers until one answers; after a lost link only when the ledger makes it harmless. */
+  async function runThroughKeeper(req: RoutedRequest, fingerprint: string): Promise<RoutedAnswer> {
+    const mayRepeat = req.rule.idempotent || req.idempotencyKey !== undefined;
+    let mayHaveRun = false;
+    while (performance.now() < req.deadlineAt && !req.signal.aborted) {
+      const outcome = await askKeeper(req, fingerprint);
+      if (outcome.kind === 'answered' && !isElsewhere(outcome.answer)) {
+        return honestAnswer(outcome.answer, mayHaveRun);
+      }
+      if (outcome.kind === 'lost') mayHaveRun = true;
+      if (mayHaveRun && !mayRepeat) break;
+      const leftMs = req.deadlineAt - performance.now();
+      await waitForChange(ctx.map, Math.min(KEEPER_CHECK_MS, leftMs), req.signal);
+    }
+    return mayHaveRun
+      ? refusal('outcomeUnknown', 'the link to the keeper broke before its answer')
+      : refusal('noOwner', 'no router acts as the keeper of the owner', RETRY_AFTER_MS);
+  }
+
+  /** A keeper that refuses "not run" speaks of its own try alone; an earlier try may have run. */
+  function honestAnswer(answer: RoutedAnswer, mayHaveRun: boolean): RoutedAnswer {
+    if (!mayHaveRun || answer.kind === 'answered') return answer;
+    return refusal('outcomeUnknown', answer.message, answer.retryAfterMs);
+  }
+
+  function barred(req: RoutedRequest, fingerprint: string): RoutedAnswer | undefined {
+    const retryAfterMs = ctx.quarantine.barredForMs(req.service.name, fingerprint);
+    if (retryAfterMs === undefined) return undefined;
+    return refusal('quarantined', 'the request crashed backend servers', retryAfterMs);
+  }
+
+  return {
+    async handle(req) {
+      const fingerprint = fingerprintOfRequest(req);
+      const refused = barred(req, fingerprint);
+      if (refused !== undefined) return refused;
+      const needsKeeper =
+        !req.rule.idempotent || ctx.quarantine.isSuspect(req.service.name, fingerprint);
+      if (needsKeeper) return runThroughKeeper(req, fingerprint);
+      return runIdempotent(ctx, req, fingerprint);
+    },
+    handleForwarded: (req) => runAtKeeper(ctx, req, fingerprintOfRequest(req)),
+  };
+}
