Take a bare address of a router, and a service that a router does not know as new

Cause: the demo names routers by IP address and port, and boragectl refused that; the routers answer unknownService for a service that isn't there, which apply took as a failure. Change: an address without a scheme is taken as http; unknownService and notFound both mean no version.

--- a/packages/cli/src/lib/command-line.ts
+++ b/packages/cli/src/lib/command-line.ts
@@ -34,7 +34,10 @@
 }
 
 function addGlobalOptions(cli: CAC): void {
-  cli.option('--router <url>', "URL of a router's operators' listener; repeat it for others");
+  cli.option(
+    '--router <url>',
+    "Address or URL of a router's operators' listener; repeat it for others",
+  );
   cli.option('--token-file <file>', "File that holds the operators' token");
   cli.option('--json', 'Print JSON for programs');
   cli.help((sections) => [
--- a/packages/cli/src/lib/routers-option.ts
+++ b/packages/cli/src/lib/routers-option.ts
@@ -1,5 +1,6 @@
 import { readFile } from 'node:fs/promises';
 
+import { parseIpEndpoint } from '@boragepoint/config';
 import { type Result, err, ok } from 'neverthrow';
 
 import type { Routers } from './api-transport.js';
@@ -10,6 +11,11 @@
 const ROUTERS_VARIABLE = 'BORAGECTL_ROUTERS';
 const TOKEN_FILE_VARIABLE = 'BORAGECTL_TOKEN_FILE';
 
+/** Returns the base URL that a person means; a bare IP address and port is taken as `http`. */
+function toUrl(text: string): string {
+  return parseIpEndpoint(text) === undefined ? text : `http://${text}`;
+}
+
 function isHttpUrl(text: string): boolean {
   return URL.canParse(text) && /^https?:$/.test(new URL(text).protocol);
 }
@@ -17,13 +23,17 @@
 function readUrls(environment: Environment, options: Options): Result<string[], CliError> {
   const given = textOptions(options, 'router');
   const fallback = environment.variables[ROUTERS_VARIABLE]?.split(',').filter((it) => it !== '');
-  const urls = given.length > 0 ? given : (fallback ?? []);
+  const urls = (given.length > 0 ? given : (fallback ?? [])).map(toUrl);
   if (urls.length === 0) {
     return err(usageError(`name a router by --router URL or in ${ROUTERS_VARIABLE}`));
   }
   const wrong = urls.find((it) => !isHttpUrl(it));
   if (wrong !== undefined) {
-    return err(usageError(`'${wrong}' is no router's URL, such as http://10.0.0.1:8081`));
+    return err(
+      usageError(
+        `'${wrong}' is no router's address, such as 10.0.0.1:8081 or http://10.0.0.1:8081`,
+      ),
+    );
   }
   return ok(urls);
 }
--- a/packages/cli/src/lib/service-writer.ts
+++ b/packages/cli/src/lib/service-writer.ts
@@ -25,8 +25,10 @@
   name: string,
 ): Promise<Result<ServiceDocument | undefined, CliError>> {
   const document = await client.getService(name);
-  if (document.isErr() && document.error.body?.code === RESULT_CODES.notFound) return ok(undefined);
-  return document;
+  if (document.isOk()) return document;
+  const code = document.error.body?.code;
+  const isAbsent = code === RESULT_CODES.unknownService || code === RESULT_CODES.notFound;
+  return isAbsent ? ok(undefined) : err(document.error);
 }
 
 function holds(document: ServiceDocument | undefined, config: ServiceConfig): boolean {
--- a/packages/cli/src/test/commands_test.ts
+++ b/packages/cli/src/test/commands_test.ts
@@ -115,7 +115,9 @@
 
 test('the next router is asked when one is down', async () => {
   await using router = await startFakeRouter(new Map());
-  const run = await runCli(['status'], { routers: ['http://127.0.0.1:1', router.url] });
+  const run = await runCli(['status'], {
+    routers: ['127.0.0.1:1', router.url.replace('http://', '')],
+  });
   expect(run.exitCode).toEqual(0);
 });
 
--- a/packages/cli/src/test/fake-router.ts
+++ b/packages/cli/src/test/fake-router.ts
@@ -60,7 +60,7 @@
   app.get('/v1/services/:name', async (c) => {
     const document = table.get(c.req.param('name'));
     await behaviour.beforeRead?.();
-    return document === undefined ? fail(c, 'notFound') : c.json(document);
+    return document === undefined ? fail(c, 'unknownService') : c.json(document);
   });
   app.put('/v1/services/:name', async (c) => {
     const put = v.parse(putServiceSchema, await c.req.json());
--- a/packages/daemon/src/lib/operators/operator-operations.ts
+++ b/packages/daemon/src/lib/operators/operator-operations.ts
@@ -40,7 +40,7 @@
   readiness(): Readiness;
   /** Lists the services in force on this router. */
   listServices(): Outcome<ServiceList>;
-  /** Reads one configuration from the table. Errors: `notFound`, `storeUnavailable`. */
+  /** Reads one configuration from the table. Errors: `unknownService`, `storeUnavailable`. */
   getService(name: string): Outcome<ServiceDocument>;
   /**
    * Writes one configuration by compare-and-set. Errors: `versionConflict` with the current version
