--- a/packages/config/src/lib/result-status.ts
+++ b/packages/config/src/lib/result-status.ts
@@ -1,36 +1,34 @@
 import { RESULT_CODES, type ResultCode, type ResultName } from './result-codes.js';
 
+/** Whether an answer says in `Retry-After` when to come back: always, when known, or never. */
+export type RetryAfter = 'yes' | 'may' | 'no';
+
 /** How a result code is answered over HTTP. */
-export interface ResultStatus {
+interface ResultStatus {
   readonly httpStatus: number;
-  /** True when the answer says in `Retry-After` when to come back. */
-  readonly retryAfter: boolean;
-}
-
-function status(httpStatus: number): ResultStatus {
-  return { httpStatus, retryAfter: false };
+  readonly retryAfter: RetryAfter;
 }
 
-function comeBack(httpStatus: number): ResultStatus {
-  return { httpStatus, retryAfter: true };
+function status(httpStatus: number, retryAfter: RetryAfter = 'no'): ResultStatus {
+  return { httpStatus, retryAfter };
 }
 
 const STATUSES: Readonly<Record<ResultName, ResultStatus>> = {
   ok: status(200),
 
-  overloaded: comeBack(503),
-  noOwner: comeBack(503),
-  deadlineTooShort: comeBack(503),
-  tableUnavailable: comeBack(503),
-  quarantined: status(422),
-  routerNotReady: comeBack(503),
-  ownerUnreachable: comeBack(503),
-  refusedByServer: comeBack(503),
-  unfinishedElsewhere: comeBack(409),
+  overloaded: status(503, 'yes'),
+  noOwner: status(503, 'yes'),
+  deadlineTooShort: status(503, 'yes'),
+  tableUnavailable: status(503, 'yes'),
+  quarantined: status(422, 'yes'),
+  routerNotReady: status(503, 'yes'),
+  ownerUnreachable: status(503, 'yes'),
+  refusedByServer: status(503, 'yes'),
+  unfinishedElsewhere: status(409, 'yes'),
 
-  outcomeUnknown: status(502),
-  answerIncomplete: status(502),
-  deadlinePassed: status(504),
+  outcomeUnknown: status(502, 'may'),
+  answerIncomplete: status(502, 'may'),
+  deadlinePassed: status(504, 'may'),
   answerTooLarge: status(502),
   answerExpired: status(410),
 
@@ -48,7 +46,7 @@
   versionConflict: status(409),
   notFound: status(404),
   notInForce: status(504),
-  storeUnavailable: comeBack(503),
+  storeUnavailable: status(503, 'yes'),
   moveRefused: status(409),
   internalError: status(500),
 };
@@ -67,7 +65,7 @@
   return STATUSES[nameOf(code)].httpStatus;
 }
 
-/** Tells whether an answer with this code says in `Retry-After` when to come back. */
-export function hasRetryAfter(code: ResultCode): boolean {
+/** Returns whether an answer with this code says in `Retry-After` when to come back. */
+export function retryAfterOf(code: ResultCode): RetryAfter {
   return STATUSES[nameOf(code)].retryAfter;
 }
--- a/packages/daemon/src/lib/operators/operator-answer.ts
+++ b/packages/daemon/src/lib/operators/operator-answer.ts
@@ -3,8 +3,8 @@
   RESULT_CODES,
   type ResultName,
   errorBody,
-  hasRetryAfter,
   httpStatusOf,
+  retryAfterOf,
 } from '@boragepoint/config';
 import type { Context } from 'hono';
 import type { ContentfulStatusCode } from 'hono/utils/http-status';
@@ -22,7 +22,7 @@
   details?: ErrorDetails,
 ): Response {
   const code = RESULT_CODES[name];
-  if (hasRetryAfter(code)) c.header('retry-after', String(RETRY_AFTER_SECONDS));
+  if (retryAfterOf(code) === 'yes') c.header('retry-after', String(RETRY_AFTER_SECONDS));
   const status = httpStatusOf(code) as ContentfulStatusCode;
   return c.json(errorBody(name, message, details), status);
 }
