--- /dev/null
+++ b/packages/standin/src/lib/faults/cases.ts
@@ -0,0 +1,15 @@
+import type { FaultCase } from './fault-case.js';
+import { keeperFrozen, keeperKilled } from './keeper-cases.js';
+import { ownerFrozen, ownerKilled, ownerKilledStoreDown, zoneKilled } from './owner-cases.js';
+import { storeDown } from './store-cases.js';
+
+/** All fault cases, in the order in which they run. */
+export const FAULT_CASES: readonly FaultCase[] = [
+  ownerKilled,
+  ownerKilledStoreDown,
+  ownerFrozen,
+  keeperKilled,
+  keeperFrozen,
+  zoneKilled,
+  storeDown,
+];
--- /dev/null
+++ b/packages/standin/src/lib/faults/keeper-cases.ts
@@ -0,0 +1,63 @@
+import { sleep } from '../clock.js';
+import type { RouterNode } from '../harness/router-node.js';
+import { readKeepers } from '../harness/table-view.js';
+import { waitUntil } from '../harness/wait-until.js';
+import { keysOf, pick, type CaseContext, type FaultCase } from './fault-case.js';
+import { unservedTimes, waitUntilServed } from './unserved-time.js';
+
+/** Longer than a lease and the heartbeat timeout together. */
+const FROZEN_MS = 3_000;
+/** Time after the fault for which keys are watched. */
+const WATCHED_MS = 3_000;
+const REPLACED_TIMEOUT_MS = 20_000;
+
+async function pickKeeper({ fleet, probe, random }: CaseContext) {
+  const server = pick(fleet.backendServers, random);
+  const { acting } = await readKeepers(fleet.platform.address, server.id);
+  const keeper = fleet.routers.find((it) => it.id === acting);
+  if (keeper === undefined) throw new Error(`${acting} is no router of this fleet`);
+  return { server, keeper, keys: keysOf(probe, [server]) };
+}
+
+async function waitUntilReplaced(context: CaseContext, server: string, keeper: RouterNode) {
+  const { address } = context.fleet.platform;
+  const replaced = async () => {
+    const { acting } = await readKeepers(address, server);
+    return acting === keeper.id ? undefined : true;
+  };
+  await waitUntil(`another keeper of ${server}`, replaced, REPLACED_TIMEOUT_MS);
+}
+
+/** The acting keeper of a backend server is killed. */
+export const keeperKilled: FaultCase = {
+  name: 'keeper-killed',
+  promise: 'no key is unserved for over 1 s when a keeper is killed',
+  async run(context) {
+    const { server, keeper, keys } = await pickKeeper(context);
+    context.avoid(keeper);
+    const killedAt = await keeper.program.kill();
+    await waitUntilReplaced(context, server.id, keeper);
+    await sleep(WATCHED_MS);
+    await waitUntilServed(context.probe, killedAt);
+    return unservedTimes(context.probe, keys, killedAt);
+  },
+};
+
+/** The acting keeper of a backend server is frozen, replaced, and goes on. */
+export const keeperFrozen: FaultCase = {
+  name: 'keeper-frozen',
+  promise: 'no key is unserved for over 1 s when a keeper freezes, and it extends nothing later',
+  async run(context) {
+    const { server, keeper, keys } = await pickKeeper(context);
+    context.avoid(keeper);
+    const frozenAt = keeper.program.freeze();
+    await waitUntilReplaced(context, server.id, keeper);
+    await sleep(FROZEN_MS);
+    keeper.program.thaw();
+    await keeper.waitUntilReady();
+    context.ask(keeper);
+    await sleep(WATCHED_MS);
+    await waitUntilServed(context.probe, frozenAt);
+    return unservedTimes(context.probe, keys, frozenAt);
+  },
+};
--- a/packages/standin/src/lib/harness/backend-node.ts
+++ b/packages/standin/src/lib/harness/backend-node.ts
@@ -1,6 +1,7 @@
 import path from 'node:path';
 
-import type { InstanceRecord } from '@boragepoint/platform';
+import { HEALTH_PATH, type InstanceRecord } from '@boragepoint/platform';
+import { request } from 'undici';
 
 import { monotonicMs } from '../clock.js';
 import type { BackendControl } from '../backend/control.js';
@@ -9,6 +10,8 @@
 import { reserveAddresses, portOf } from './free-ports.js';
 import { PROGRAMS, waitForListening } from './programs.js';
 
+const HEALTH_TIMEOUT_MS = 500;
+
 /** Where a process stands. */
 export interface Place {
   readonly availabilityZone: string;
@@ -43,12 +46,25 @@
   readonly stops: readonly StoppedEvent[];
   readonly record: InstanceRecord;
   control(change: BackendControl): Promise<void>;
+  /** Says whether it answers at its health endpoint now. */
+  isAnswering(): Promise<boolean>;
   /** Ends it at once; returns the monotonic time in milliseconds. */
   kill(): Promise<number>;
   /** Starts it again, with another start identity, at the same address. */
   restart(): Promise<void>;
 }
 
+async function answersHealth(address: string): Promise<boolean> {
+  try {
+    const signal = AbortSignal.timeout(HEALTH_TIMEOUT_MS);
+    const res = await request(`http://${address}${HEALTH_PATH}`, { signal });
+    await res.body.dump();
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 /** Starts a stand-in backend server. */
 export async function startBackend(plan: BackendPlan): Promise<BackendNode> {
   const { id, service, place, folder } = plan;
@@ -84,6 +100,7 @@
     stops,
     record: { id, role: 'backend-server', ...place, address, state: 'live' },
     control: (change) => controlBackend(current.control, change),
+    isAnswering: () => answersHealth(address),
     kill,
     async restart() {
       if (current.program.exit === undefined) await kill();
