Empty a kept folder before a case, and free a sleep's listener

Event logs are appended to, so that a second run in the same folder was judged by the first run's events. Sleeps left a listener on their signal, which Node.js warned about after ten.

--- a/packages/standin/src/lib/clock.ts
+++ b/packages/standin/src/lib/clock.ts
@@ -10,14 +10,12 @@
 export async function sleep(ms: number, signal?: AbortSignal): Promise<void> {
   if (ms <= 0 || signal?.aborted === true) return;
   await new Promise<void>((resolve) => {
-    const timer = setTimeout(resolve, ms);
-    signal?.addEventListener(
-      'abort',
-      () => {
-        clearTimeout(timer);
-        resolve();
-      },
-      { once: true },
-    );
+    const end = () => {
+      clearTimeout(timer);
+      signal?.removeEventListener('abort', end);
+      resolve();
+    };
+    const timer = setTimeout(end, ms);
+    signal?.addEventListener('abort', end);
   });
 }
--- a/packages/standin/src/lib/faults/run-case.ts
+++ b/packages/standin/src/lib/faults/run-case.ts
@@ -1,4 +1,4 @@
-import { mkdir } from 'node:fs/promises';
+import { mkdir, rm } from 'node:fs/promises';
 import path from 'node:path';
 
 import { BROWSE, CATALOGUE, KEY_NAMES, PLACES, mixedLoad } from '../demo/demo-plan.js';
@@ -34,10 +34,15 @@
   return keep === undefined ? plan : { ...plan, folder: path.join(keep, it.name) };
 }
 
+async function emptyFolder(folder: string): Promise<void> {
+  await rm(folder, { recursive: true, force: true });
+  await mkdir(folder, { recursive: true });
+}
+
 /** Runs one case against a fleet of its own and checks all backend servers' logs together. */
 export async function runCase(it: FaultCase, options: CaseOptions): Promise<CaseReport> {
   const plan = planOf(it, options);
-  if (plan.folder !== undefined) await mkdir(plan.folder, { recursive: true });
+  if (plan.folder !== undefined) await emptyFolder(plan.folder);
   const report = { case: it.name, seed: options.seed };
   try {
     await using fleet = await startFleet(plan);
--- a/packages/standin/src/lib/load/probe.ts
+++ b/packages/standin/src/lib/load/probe.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 import { Agent } from 'undici';
 
 import { monotonicMs, sleep } from '../clock.js';
@@ -42,6 +44,7 @@
   const goodTimes = new Map(plan.keys.map((key) => [key, [] as number[]]));
   const servers = new Map<string, string>();
   const stopping = new AbortController();
+  setMaxListeners(plan.keys.length, stopping.signal);
   let number = FIRST_NUMBER;
 
   async function ask(key: string): Promise<void> {
