--- a/packages/standin/src/lib/faults/cases.ts
+++ b/packages/standin/src/lib/faults/cases.ts
@@ -1,6 +1,8 @@
 import type { FaultCase } from './fault-case.js';
 import { keeperFrozen, keeperKilled } from './keeper-cases.js';
+import { drain, operatorsRace } from './operator-cases.js';
 import { ownerFrozen, ownerKilled, ownerKilledStoreDown, zoneKilled } from './owner-cases.js';
+import { routerPartitioned } from './partition-cases.js';
 import { storeDown } from './store-cases.js';
 
 /** All fault cases, in the order in which they run. */
@@ -11,5 +13,8 @@
   keeperKilled,
   keeperFrozen,
   zoneKilled,
+  drain,
+  operatorsRace,
+  routerPartitioned,
   storeDown,
 ];
--- a/packages/standin/src/lib/harness/fleet.ts
+++ b/packages/standin/src/lib/harness/fleet.ts
@@ -69,6 +69,7 @@
     return fleet;
   } catch (cause) {
     await disposeAll(started);
+    if (plan.folder === undefined) await rm(folder, { recursive: true, force: true });
     throw cause;
   }
 }
--- /dev/null
+++ b/packages/standin/src/lib/harness/operator-api.ts
@@ -0,0 +1,49 @@
+import {
+  OPERATOR_PATHS,
+  ownerAnswerSchema,
+  serviceDocumentSchema,
+  type MoveRequest,
+  type OwnerAnswer,
+  type PutServiceInput,
+} from '@boragepoint/config';
+import { request } from 'undici';
+import * as v from 'valibot';
+
+/** What a router answered to an operator. */
+export interface OperatorAnswer {
+  readonly status: number;
+  readonly text: string;
+}
+
+/** Calls the operators' API of one router. */
+export interface OperatorApi {
+  service(name: string): Promise<v.InferOutput<typeof serviceDocumentSchema>>;
+  owner(service: string, key: string): Promise<OwnerAnswer>;
+  putService(name: string, body: PutServiceInput): Promise<OperatorAnswer>;
+  move(body: MoveRequest): Promise<OperatorAnswer>;
+}
+
+/** Creates a client of a router's operators' API. */
+export function createOperatorApi(address: string, token: string): OperatorApi {
+  const headers = { authorization: `Bearer ${token}`, 'content-type': 'application/json' };
+
+  async function call(method: 'GET' | 'PUT' | 'POST', path: string, body?: unknown) {
+    const text = body === undefined ? null : JSON.stringify(body);
+    const res = await request(`http://${address}${path}`, { method, headers, body: text });
+    return { status: res.statusCode, text: await res.body.text() };
+  }
+
+  return {
+    async service(name) {
+      const { text } = await call('GET', `${OPERATOR_PATHS.services}/${name}`);
+      return v.parse(serviceDocumentSchema, JSON.parse(text));
+    },
+    async owner(service, key) {
+      const query = new URLSearchParams({ service, key });
+      const { text } = await call('GET', `${OPERATOR_PATHS.owner}?${query.toString()}`);
+      return v.parse(ownerAnswerSchema, JSON.parse(text));
+    },
+    putService: (name, body) => call('PUT', `${OPERATOR_PATHS.services}/${name}`, body),
+    move: (body) => call('POST', OPERATOR_PATHS.move, body),
+  };
+}
--- a/packages/standin/src/lib/harness/router-node.ts
+++ b/packages/standin/src/lib/harness/router-node.ts
@@ -43,6 +43,8 @@
   readonly record: InstanceRecord;
   /** Shown to the platform's instance list. */
   state: InstanceRecord['state'];
+  /** Says whether it reports itself ready now. */
+  isReady(): Promise<boolean>;
   /** Waits until it says that it is ready. */
   waitUntilReady(): Promise<void>;
 }
@@ -53,13 +55,13 @@
   return { callers, operators, peers };
 }
 
-async function isReady(callers: string): Promise<true | undefined> {
+async function isReady(callers: string): Promise<boolean> {
   try {
     const res = await request(`http://${callers}/readyz`);
     await res.body.dump();
-    return res.statusCode === HTTP_OK ? true : undefined;
+    return res.statusCode === HTTP_OK;
   } catch {
-    return undefined;
+    return false;
   }
 }
 
@@ -93,10 +95,11 @@
     get record(): InstanceRecord {
       return { id, role: 'router', ...place, address: peers, state: node.state };
     },
+    isReady: () => isReady(callers),
     async waitUntilReady() {
       const ready = async () => {
         if (program.exit !== undefined) await program.waitForLine('ready', () => undefined);
-        return await isReady(callers);
+        return (await isReady(callers)) ? true : undefined;
       };
       await waitUntil(`${id} ready`, ready, READY_TIMEOUT_MS);
     },
