Measure hot keys, shard loads and outliers

Cause: balancing needs load by shard and key across routers, and health reports mislead. The planner empties an outlier like a draining server. Ruled out: the latency of each request as its work, since a slow server would make its shards look heavy.

--- a/packages/ownership/src/lib/balance/balance-types.ts
+++ b/packages/ownership/src/lib/balance/balance-types.ts
@@ -3,9 +3,10 @@
  * - `live`: takes its whole share of the load.
  * - `cold`: started lately; takes half of its share until it is live.
  * - `draining`: gets nothing new and loses what it owns.
+ * - `outlier`: measured to be slow or to fail; it is emptied like a draining server.
  * - `gone`: lost; what it owned needs another owner.
  */
-export type BalanceServerState = 'live' | 'cold' | 'draining' | 'gone';
+export type BalanceServerState = 'live' | 'cold' | 'draining' | 'outlier' | 'gone';
 
 /** A backend server that may own shards. */
 export interface BalanceServer {
--- a/packages/ownership/src/lib/balance/plan-moves.ts
+++ b/packages/ownership/src/lib/balance/plan-moves.ts
@@ -8,9 +8,10 @@
  * - `no-owner`: nobody owns it, or its owner is not configured any more.
  * - `owner-gone`: its owner is lost.
  * - `owner-draining`: its owner takes no new work.
+ * - `owner-outlier`: its owner was measured to be slow or to fail.
  * - `balance`: its owner has more load than others.
  */
-export type MoveReason = 'no-owner' | 'owner-gone' | 'owner-draining' | 'balance';
+export type MoveReason = 'no-owner' | 'owner-gone' | 'owner-draining' | 'owner-outlier' | 'balance';
 
 /** A shard that should get another owner. */
 export interface Move {
@@ -79,6 +80,8 @@
       return 'owner-gone';
     case 'draining':
       return 'owner-draining';
+    case 'outlier':
+      return 'owner-outlier';
     default:
       return undefined;
   }
--- /dev/null
+++ b/packages/routing/src/lib/balance/merge-loads.ts
@@ -0,0 +1,82 @@
+import type { KeyLoad } from './hot-key-sketch.js';
+import type { ServerLoad, ServiceLoad } from './load-summary.js';
+
+/** Load of one shard; has the form that the planner of moves takes. */
+export interface ShardLoadEstimate {
+  readonly shard: number;
+  readonly owner: string | undefined;
+  readonly load: number;
+}
+
+function mergeKeys(loads: readonly ServiceLoad[]): KeyLoad[] {
+  const merged = new Map<string, KeyLoad>();
+  for (const key of loads.flatMap((it) => it.keys)) {
+    const known = merged.get(key.keyHash);
+    merged.set(key.keyHash, {
+      ...key,
+      load: key.load + (known?.load ?? 0),
+      error: key.error + (known?.error ?? 0),
+    });
+  }
+  return [...merged.values()].sort((a, b) => b.load - a.load);
+}
+
+function mergeServer(a: ServerLoad, b: ServerLoad): ServerLoad {
+  const requests = a.requests + b.requests;
+  const mean = (x: number, y: number) =>
+    requests > 0 ? (x * a.requests + y * b.requests) / requests : 0;
+  return {
+    id: a.id,
+    requests,
+    load: a.load + b.load,
+    latencyMs: mean(a.latencyMs, b.latencyMs),
+    failures: mean(a.failures, b.failures),
+  };
+}
+
+function mergeServers(loads: readonly ServiceLoad[]): ServerLoad[] {
+  const merged = new Map<string, ServerLoad>();
+  for (const server of loads.flatMap((it) => it.servers)) {
+    const known = merged.get(server.id);
+    merged.set(server.id, known ? mergeServer(known, server) : server);
+  }
+  return [...merged.values()];
+}
+
+/**
+ * Merges what several routers measured of one service. Counts add up (Agarwal et al., "Mergeable
+ * Summaries", PODS 2012). A key that a router left out of its summary is too low by at most
+ * the load of that router's lightest key in it.
+ */
+export function mergeServiceLoads(service: string, loads: readonly ServiceLoad[]): ServiceLoad {
+  const shards = new Map<number, number>();
+  for (const [shard, load] of loads.flatMap((it) => [...it.shards])) {
+    shards.set(shard, load + (shards.get(shard) ?? 0));
+  }
+  return {
+    service,
+    total: loads.reduce((sum, it) => sum + it.total, 0),
+    shards,
+    keys: mergeKeys(loads),
+    servers: mergeServers(loads),
+  };
+}
+
+/**
+ * Estimates the load of every shard. Shards that the merged summary does not name share what is left
+ * of the total evenly.
+ */
+export function estimateShardLoads(
+  load: ServiceLoad,
+  owners: readonly { readonly shard: number; readonly owner: string | undefined }[],
+): ShardLoadEstimate[] {
+  const named = owners.filter(({ shard }) => load.shards.has(shard));
+  const namedLoad = named.reduce((sum, { shard }) => sum + (load.shards.get(shard) ?? 0), 0);
+  const unnamed = owners.length - named.length;
+  const rest = unnamed > 0 ? Math.max(0, load.total - namedLoad) / unnamed : 0;
+  return owners.map(({ shard, owner }) => ({
+    shard,
+    owner,
+    load: load.shards.get(shard) ?? rest,
+  }));
+}
--- /dev/null
+++ b/packages/routing/src/test/hot-key-sketch_test.ts
@@ -0,0 +1,103 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+import fc from 'fast-check';
+
+import {
+  MAX_SUMMARY_BYTES,
+  type ServiceLoad,
+  createHotKeySketch,
+  createLoadMeter,
+  encodeLoadSummary,
+  estimateShardLoads,
+  mergeServiceLoads,
+  parseLoadSummary,
+} from '../lib/balance/index.js';
+import { FakeClock } from './fake-clock.js';
+
+const PROPERTY = { seed: 6, numRuns: 100 };
+const CAPACITY = 16;
+const ROUNDING = 1e-6;
+
+test('no key is counted too low, nor too high by more than the total over the capacity', () => {
+  const stream = fc.array(
+    fc.integer({ min: 0, max: 8 }).chain((bits) => fc.nat(2 ** bits)),
+    {
+      minLength: 1,
+      maxLength: 500,
+    },
+  );
+  const property = fc.property(stream, (keys) => {
+    const sketch = createHotKeySketch({ clock: new FakeClock(), capacity: CAPACITY });
+    for (const key of keys) sketch.record({ keyHash: `${key}`, shard: key % 4, workMs: 1 });
+    const reading = sketch.read();
+    const unit = reading.total / keys.length;
+    for (const { keyHash, load } of reading.keys) {
+      const truth = keys.filter((it) => `${it}` === keyHash).length * unit;
+      expect(load >= truth - ROUNDING).toEqual(true);
+      expect(load <= truth + reading.total / CAPACITY + ROUNDING).toEqual(true);
+    }
+  });
+  fc.assert(property, PROPERTY);
+});
+
+test('an old hot key gives way to a new one', () => {
+  const clock = new FakeClock();
+  const sketch = createHotKeySketch({ clock, halfLifeMs: 1_000 });
+  for (let i = 0; i < 1_000; i += 1) sketch.record({ keyHash: 'old', shard: 0, workMs: 1 });
+  clock.advance(100_000);
+  sketch.record({ keyHash: 'new', shard: 1, workMs: 1 });
+  const [hottest] = sketch.read().keys;
+  expect(hottest?.keyHash).toEqual('new');
+  expect([...sketch.read().shards.keys()]).toEqual([1]);
+});
+
+test('a steady stream is read as its rate', () => {
+  const clock = new FakeClock();
+  const sketch = createHotKeySketch({ clock, halfLifeMs: 1_000 });
+  for (let i = 0; i < 2_000; i += 1) {
+    sketch.record({ keyHash: 'a', shard: 0, workMs: 2 });
+    clock.advance(10);
+  }
+  const { total } = sketch.read();
+  expect(total > 195 && total < 205).toEqual(true);
+});
+
+function loadOf(service: string, keys: number): ServiceLoad {
+  const clock = new FakeClock();
+  const meter = createLoadMeter({ clock, service });
+  for (let key = 0; key < keys; key += 1) {
+    const keyHash = key.toString(16).padStart(16, '0');
+    const server = `backend-server-${key % 16}`;
+    const sample = { rule: 'browse', kind: 'ok', latencyMs: 5 + key / 7 } as const;
+    meter.record({ ...sample, keyHash, shard: key, server });
+  }
+  return meter.read();
+}
+
+test('the summary of busy services stays within its bound and can be read back', () => {
+  const services = ['vitrina', 'caja', 'bandeja'].map((it) => loadOf(it, 1_000));
+  const text = encodeLoadSummary(services);
+  expect(Buffer.byteLength(text) <= MAX_SUMMARY_BYTES).toEqual(true);
+  const read = parseLoadSummary(text)._unsafeUnwrap();
+  expect(read.map((it) => it.service)).toEqual(['vitrina', 'caja', 'bandeja']);
+  expect(read.every((it) => it.keys.length > 0 && it.servers.length > 0)).toEqual(true);
+});
+
+test('a summary that is not valid is refused', () => {
+  for (const text of ['', '{}', '[{"n":"a","t":-1,"h":[],"k":[],"b":[]}]']) {
+    expect(parseLoadSummary(text).isErr()).toEqual(true);
+  }
+});
+
+test('merged loads add up, and shards that no summary names share the rest', () => {
+  const load = loadOf('vitrina', 4);
+  const merged = mergeServiceLoads('vitrina', [load, load]);
+  expect(Math.abs(merged.total - 2 * load.total) < ROUNDING).toEqual(true);
+  const truncated = { ...merged, shards: new Map([...merged.shards].slice(0, 2)) };
+  const owners = [0, 1, 2, 3].map((shard) => ({ shard, owner: 's0' }));
+  const estimates = estimateShardLoads(truncated, owners);
+  const sum = estimates.reduce((total, it) => total + it.load, 0);
+  expect(Math.abs(sum - merged.total) < ROUNDING).toEqual(true);
+  expect(estimates[2]?.load).toEqual(estimates[3]?.load ?? 0);
+});
