Measure the unloaded latency by the load that answers report

Cause: in a trial with twelve routers and a batch of three times capacity, short timeouts opened circuits and minimum tracking followed chance, or drifted up with the overload. Change: a timeout counts only after four times the usual latency; waits use the mean deviation; the baseline learns from answers that were given with a free slot.

--- a/packages/routing/src/lib/admission/admission-queue.ts
+++ b/packages/routing/src/lib/admission/admission-queue.ts
@@ -49,6 +49,8 @@
 const DEFAULT_MAX_WAITING = 1_024;
 /** Shortest time between two checks for expired requests. */
 const MIN_TIMER_MS = 1;
+/** Factor on the expected wait that a request must be able to bear when it arrives. */
+const WAIT_MARGIN = 1.2;
 
 /**
  * Creates a bounded queue in front of one backend server. Requests are served by priority, then in
@@ -112,11 +114,11 @@
 
   /** Expected time until a new request of the caller would be sent, and until its answer. */
   function estimate(caller: string, priority: Priority) {
-    const { limit, latencyMs, baselineMs, inFlight, retryInMs } = limiter.state();
+    const { limit, latencyMs, baselineMs, highLatencyMs, inFlight, retryInMs } = limiter.state();
     const isFree = room.size === 0 && inFlight < limit;
     const ahead = room.aheadOf(caller, priority) + 1;
     const waitMs = retryInMs + (isFree ? 0 : (ahead * latencyMs) / limit);
-    return { waitMs, latencyMs: isFree ? baselineMs : latencyMs, inFlight, retryInMs, baselineMs };
+    return { waitMs, highLatencyMs: isFree ? baselineMs : highLatencyMs, inFlight, retryInMs };
   }
 
   /** Refuses what can't finish in time. With nothing in flight it passes, to measure again. */
@@ -125,8 +127,8 @@
     if (req.signal?.aborted) return new AdmissionRefusal('cancelled');
     const leftMs = req.deadlineAt - clock.now();
     if (leftMs <= 0) return new AdmissionRefusal('deadline-too-short');
-    const { waitMs, latencyMs, inFlight, retryInMs } = estimate(req.caller, req.priority);
-    const lateMs = waitMs + latencyMs - leftMs;
+    const { waitMs, highLatencyMs, inFlight, retryInMs } = estimate(req.caller, req.priority);
+    const lateMs = waitMs * WAIT_MARGIN + highLatencyMs - leftMs;
     const isProbe = inFlight === 0 && room.size === 0 && retryInMs === 0;
     if (lateMs <= 0 || isProbe) return undefined;
     if (retryInMs > 0) return new AdmissionRefusal('circuit-open', Math.ceil(lateMs));
@@ -153,7 +155,7 @@
       const waiting: WaitingRequest = {
         caller: req.caller,
         priority: req.priority,
-        dropAt: req.deadlineAt - Math.min(limiter.state().baselineMs, req.deadlineAt - clock.now()),
+        dropAt: Math.max(clock.now(), req.deadlineAt - limiter.state().highLatencyMs),
         position: 0,
         settle(result) {
           req.signal?.removeEventListener('abort', onAbort);
--- /dev/null
+++ b/packages/routing/src/lib/admission/latency-baseline.ts
@@ -0,0 +1,104 @@
+/** Samples that one reading is the mean of; with fewer, chance would decide. */
+const MIN_SAMPLES = 50;
+/** Weight of a reading that was taken without load. */
+const IDLE_WEIGHT = 0.2;
+/** Weight of a reading below the baseline that was taken under load, or under unknown load. */
+const FALL_WEIGHT = 0.05;
+/** Readings up to this factor above the baseline count as chance. */
+const CHANCE_FACTOR = 1.25;
+/** Time constants of the rise towards readings above that. */
+const IDLE_RISE_MS = 60_000;
+const LOADED_RISE_MS = 300_000;
+
+/** Mean latency of several requests. */
+class Reading {
+  #sumMs = 0;
+  #samples = 0;
+
+  add(latencyMs: number): void {
+    this.#sumMs += latencyMs;
+    this.#samples += 1;
+  }
+
+  get isFull(): boolean {
+    return this.#samples >= MIN_SAMPLES;
+  }
+
+  get meanMs(): number {
+    return this.#sumMs / this.#samples;
+  }
+}
+
+/**
+ * Latency of a server without load. Requests that the server answered while it reported a free
+ * slot tell it; others can lower it, but raise it only slowly, so that an overload does
+ * not become the norm. A report that always names a free slot thus raises it slowly as well.
+ * @internal
+ */
+export class LatencyBaseline {
+  readonly #slots: number;
+  #valueMs: number | undefined;
+  #first = new Reading();
+  #idle = new Reading();
+  #loaded = new Reading();
+  #idleAt: number;
+  #loadedAt: number;
+
+  /** @param slots Requests that the server works on at the same time. */
+  constructor(slots: number, now: number) {
+    this.#slots = slots;
+    this.#idleAt = now;
+    this.#loadedAt = now;
+  }
+
+  /** Baseline in milliseconds, or `undefined` before the first sample. */
+  get valueMs(): number | undefined {
+    return this.#valueMs;
+  }
+
+  /** Takes a latency and the number of requests that ran or waited at the server, if known. */
+  add(latencyMs: number, serverLoad: number | undefined, now: number): void {
+    if (!this.#first.isFull) {
+      this.#learnFirst(latencyMs, serverLoad ?? 0);
+    } else if (serverLoad !== undefined && serverLoad <= this.#slots) {
+      this.#learnIdle(latencyMs, now);
+    } else {
+      this.#learnLoaded(latencyMs, now);
+    }
+  }
+
+  /** Until the first reading is full, waiting time at the server is taken out by its load. */
+  #learnFirst(latencyMs: number, serverLoad: number): void {
+    this.#first.add(latencyMs / Math.max(1, serverLoad / this.#slots));
+    this.#valueMs = this.#first.meanMs;
+  }
+
+  #learnIdle(latencyMs: number, now: number): void {
+    this.#idle.add(latencyMs);
+    if (!this.#idle.isFull) return;
+    const rise = riseWeight(now - this.#idleAt, IDLE_RISE_MS);
+    const isChance = this.#idle.meanMs < (this.#valueMs ?? 0) * CHANCE_FACTOR;
+    this.#follow(this.#idle.meanMs, isChance ? IDLE_WEIGHT : rise);
+    this.#idle = new Reading();
+    this.#idleAt = now;
+  }
+
+  #learnLoaded(latencyMs: number, now: number): void {
+    this.#loaded.add(latencyMs);
+    if (!this.#loaded.isFull) return;
+    const rise = riseWeight(now - this.#loadedAt, LOADED_RISE_MS);
+    const isLower = this.#loaded.meanMs < (this.#valueMs ?? 0);
+    this.#follow(this.#loaded.meanMs, isLower ? FALL_WEIGHT : rise);
+    this.#loaded = new Reading();
+    this.#loadedAt = now;
+  }
+
+  #follow(readingMs: number, weight: number): void {
+    const valueMs = this.#valueMs ?? readingMs;
+    this.#valueMs = valueMs + (readingMs - valueMs) * weight;
+  }
+}
+
+function riseWeight(passedMs: number, timeConstantMs: number): number {
+  return 1 - Math.exp(-passedMs / timeConstantMs);
+}
--- a/packages/routing/src/lib/admission/latency-limit.ts
+++ b/packages/routing/src/lib/admission/latency-limit.ts
@@ -1,6 +1,8 @@
+import { LatencyBaseline } from './latency-baseline.js';
+
 /** A limit is revised after this time, once there are enough samples. */
 const WINDOW_MS = 100;
-const MIN_SAMPLES = 5;
+const MIN_SAMPLES = 10;
 /** A window with few samples is closed after this time nevertheless. */
 const MAX_WINDOW_MS = 1_000;
 /** Latency may grow by this factor over the baseline before the limit falls. */
@@ -13,11 +15,18 @@
 const SMOOTHING = 0.4;
 /** Factor by which a refusal lowers the limit; at most once in a window. */
 const REFUSAL_FACTOR = 0.7;
-/** Weight of a window whose latency is below the baseline. */
-const BASELINE_FALL = 0.3;
-/** Time constants of the baseline's rise, while lightly loaded and otherwise. */
-const BASELINE_RISE_MS = 30_000;
-const LOADED_BASELINE_RISE_MS = 600_000;
+/** Weight of a window's mean deviation against the one known. */
+const DEVIATION_SMOOTHING = 0.25;
+
+/** A request as the limit sees it. @internal */
+export interface LatencySample {
+  readonly latencyMs: number;
+  /** Requests of this router in flight to the server when it ended. */
+  readonly inFlight: number;
+  /** Requests that ran or waited at the server, if it said so. */
+  readonly serverLoad: number | undefined;
+  readonly now: number;
+}
 
 /**
  * Adaptive concurrency limit from measured latency, after the gradient algorithm of Netflix's
@@ -30,17 +39,21 @@
  */
 export class LatencyLimit {
   #limit: number;
-  #baselineMs: number | undefined;
   #latencyMs: number | undefined;
+  #deviationMs = 0;
+  readonly #baseline: LatencyBaseline;
   #windowStart: number;
   #samples = 0;
   #sumMs = 0;
-  #mostInFlight = 0;
+  #sumDeviationsMs = 0;
+  #sumInFlight = 0;
   #refused = false;
   #slowStart = true;
 
-  constructor(initial: number, now: number) {
+  /** @param slots Requests that the server works on at the same time. */
+  constructor(initial: number, slots: number, now: number) {
     this.#limit = initial;
+    this.#baseline = new LatencyBaseline(slots, now);
     this.#windowStart = now;
   }
 
@@ -56,7 +69,12 @@
 
   /** Latency without load in milliseconds, or `undefined` before the first window. */
   get baselineMs(): number | undefined {
-    return this.#baselineMs;
+    return this.#baseline.valueMs;
+  }
+
+  /** Mean deviation of the latency in milliseconds. */
+  get deviationMs(): number {
+    return this.#deviationMs;
   }
 
   /** Starts again from a limit, and grows by doubling. */
@@ -65,11 +83,14 @@
     this.#slowStart = true;
   }
 
-  /** Takes the latency of a request, and the number in flight while it ran. */
-  sample(latencyMs: number, inFlight: number, now: number, max: number): void {
+  /** Takes a measured request; `max` is the most that the limit may become. */
+  sample(sample: LatencySample, max: number): void {
+    const { latencyMs, inFlight, serverLoad, now } = sample;
+    this.#baseline.add(latencyMs, serverLoad, now);
     this.#samples += 1;
     this.#sumMs += latencyMs;
-    this.#mostInFlight = Math.max(this.#mostInFlight, inFlight);
+    this.#sumDeviationsMs += Math.abs(latencyMs - (this.#latencyMs ?? latencyMs));
+    this.#sumInFlight += inFlight;
     const age = now - this.#windowStart;
     const isFull = age >= WINDOW_MS && this.#samples >= MIN_SAMPLES;
     if (isFull || age >= MAX_WINDOW_MS) this.#closeWindow(now, max);
@@ -90,29 +111,22 @@
 
   #closeWindow(now: number, max: number): void {
     const meanMs = this.#sumMs / this.#samples;
-    const isUsed = this.#mostInFlight >= this.#limit / 2;
+    const isUsed = this.#sumInFlight / this.#samples >= this.#limit / 2;
     this.#latencyMs = meanMs;
-    this.#followBaseline(meanMs, now - this.#windowStart, isUsed);
+    const deviationMs = this.#sumDeviationsMs / this.#samples;
+    this.#deviationMs += (deviationMs - this.#deviationMs) * DEVIATION_SMOOTHING;
     this.#revise(meanMs, isUsed, max);
     this.#windowStart = now;
     this.#samples = 0;
     this.#sumMs = 0;
-    this.#mostInFlight = 0;
+    this.#sumDeviationsMs = 0;
+    this.#sumInFlight = 0;
     this.#refused = false;
   }
 
-  #followBaseline(meanMs: number, ageMs: number, isUsed: boolean): void {
-    if (this.#baselineMs === undefined) {
-      this.#baselineMs = meanMs;
-      return;
-    }
-    const riseMs = isUsed ? LOADED_BASELINE_RISE_MS : BASELINE_RISE_MS;
-    const weight = meanMs < this.#baselineMs ? BASELINE_FALL : 1 - Math.exp(-ageMs / riseMs);
-    this.#baselineMs += (meanMs - this.#baselineMs) * weight;
-  }
-
   #revise(meanMs: number, isUsed: boolean, max: number): void {
-    const ratio = (TOLERANCE * (this.#baselineMs ?? meanMs)) / Math.max(meanMs, Number.EPSILON);
+    const ratio =
+      (TOLERANCE * (this.#baseline.valueMs ?? meanMs)) / Math.max(meanMs, Number.EPSILON);
     const gradient = Math.min(1, Math.max(MIN_GRADIENT, ratio));
     if (gradient < 1 || this.#refused) this.#slowStart = false;
     if (gradient === 1 && (!isUsed || this.#refused)) return;
--- a/packages/routing/src/lib/admission/outcome.ts
+++ b/packages/routing/src/lib/admission/outcome.ts
@@ -13,6 +13,8 @@
   readonly kind: OutcomeKind;
   /** Time from dispatch to the end, in milliseconds. */
   readonly latencyMs: number;
+  /** Requests that ran or waited at the server, as its answer said. */
+  readonly serverLoad?: number | undefined;
 }
 
 /** True when the outcome counts against the server; a refusal does not. @internal */
--- a/packages/routing/src/lib/admission/server-limiter.ts
+++ b/packages/routing/src/lib/admission/server-limiter.ts
@@ -10,6 +10,8 @@
   readonly clock: Clock;
   /** Connections that all routers together may open to the server. */
   readonly connections: number;
+  /** Requests that the server works on at the same time; 2 unless given. */
+  readonly slots?: number;
   /** Routers that share the connections, this one included. */
   readonly liveRouters: number;
   /** True when the server has just started; work is then given gradually. */
@@ -30,6 +32,8 @@
   readonly retryInMs: number;
   /** Mean latency measured lately, in milliseconds; a guess before the first request. */
   readonly latencyMs: number;
+  /** Latency that few requests exceed: the mean and twice the mean deviation, in milliseconds. */
+  readonly highLatencyMs: number;
   /** Mean latency without load, in milliseconds; a guess before the first request. */
   readonly baselineMs: number;
   /** Share of recent requests that failed, from 0 to 1. */
@@ -58,10 +62,15 @@
   state(): ServerLimiterState;
 }
 
+const DEFAULT_SLOTS = 2;
 /** Latency assumed before the first measurement. */
 const ASSUMED_LATENCY_MS = 10;
 /** Limit of a server that is not cold, before the first measurement. */
 const INITIAL_LIMIT = 4;
+/** A timeout tells of the server only if it had this many times its usual latency to answer. */
+const TELLING_TIMEOUT = 4;
+/** Mean deviations above the mean that few latencies exceed. */
+const DEVIATIONS = 2;
 
 /**
  * Creates a limiter for one backend server as one router sees it. The limit adapts to measured
@@ -69,10 +78,10 @@
  * after a cold start or a failure, and a circuit breaker stops requests to a server that fails.
  */
 export function createServerLimiter(options: ServerLimiterOptions): ServerLimiter {
-  const { clock, random = Math.random } = options;
+  const { clock, slots = DEFAULT_SLOTS, random = Math.random } = options;
   let { connections, liveRouters } = options;
   let inFlight = 0;
-  const adaptive = new LatencyLimit(INITIAL_LIMIT, clock.now());
+  const adaptive = new LatencyLimit(INITIAL_LIMIT, slots, clock.now());
   const slowStart = new SlowStart(clock);
   const breaker = new CircuitBreaker({ clock, random, onClose: startSlowly });
   if (options.cold) startSlowly();
@@ -92,12 +101,19 @@
     return Math.max(1, Math.floor(Math.min(adaptive.limit, max)));
   }
 
+  function usualMs(): number {
+    return adaptive.latencyMs ?? ASSUMED_LATENCY_MS;
+  }
+
   function learn(outcome: Outcome, generation: number): void {
+    const { latencyMs, serverLoad } = outcome;
+    const isTelling = latencyMs >= usualMs() * TELLING_TIMEOUT;
+    if (outcome.kind === 'timeout' && !isTelling) return;
     breaker.record(outcome.kind, generation);
     switch (outcome.kind) {
       case 'ok':
       case 'timeout':
-        adaptive.sample(outcome.latencyMs, inFlight, clock.now(), share());
+        adaptive.sample({ latencyMs, serverLoad, inFlight, now: clock.now() }, share());
         break;
       case 'refused':
       case 'connection-lost':
@@ -145,7 +161,8 @@
       share: share(),
       circuit: breaker.state,
       retryInMs: breaker.retryInMs,
-      latencyMs: adaptive.latencyMs ?? ASSUMED_LATENCY_MS,
+      latencyMs: usualMs(),
+      highLatencyMs: usualMs() + DEVIATIONS * adaptive.deviationMs,
       baselineMs: adaptive.baselineMs ?? ASSUMED_LATENCY_MS,
       failureShare: breaker.failureShare,
     }),
