--- a/packages/routing/src/lib/admission/latency-baseline.ts
+++ b/packages/routing/src/lib/admission/latency-baseline.ts
@@ -38,7 +38,8 @@
 export class LatencyBaseline {
   readonly #slots: number;
   #valueMs: number | undefined;
-  #first = new Reading();
+  #leastMs = Infinity;
+  readonly #first = new Reading();
   #idle = new Reading();
   #loaded = new Reading();
   #idleAt: number;
@@ -69,7 +70,9 @@
 
   /** Until the first reading is full, waiting time at the server is taken out by its load. */
   #learnFirst(latencyMs: number, serverLoad: number): void {
-    this.#first.add(latencyMs / Math.max(1, serverLoad / this.#slots));
+    this.#leastMs = Math.min(this.#leastMs, latencyMs);
+    const waitingFactor = Math.max(1, serverLoad / this.#slots);
+    this.#first.add(this.#leastMs + (latencyMs - this.#leastMs) / waitingFactor);
     this.#valueMs = this.#first.meanMs;
   }
 
