--- a/packages/routing/src/lib/admission/admission-queue.ts
+++ b/packages/routing/src/lib/admission/admission-queue.ts
@@ -51,6 +51,8 @@
 const MIN_TIMER_MS = 1;
 /** Factor on the expected wait that a request must be able to bear when it arrives. */
 const WAIT_MARGIN = 1.2;
+/** Mean time until the next of the running requests ends, as a share of the time between two. */
+const RESIDUAL = 0.5;
 
 /**
  * Creates a bounded queue in front of one backend server. Requests are served by priority, then in
@@ -116,7 +118,7 @@
   function estimate(caller: string, priority: Priority) {
     const { limit, latencyMs, baselineMs, highLatencyMs, inFlight, retryInMs } = limiter.state();
     const isFree = room.size === 0 && inFlight < limit;
-    const ahead = room.aheadOf(caller, priority) + 1;
+    const ahead = room.aheadOf(caller, priority) + RESIDUAL;
     const waitMs = retryInMs + (isFree ? 0 : (ahead * latencyMs) / limit);
     return { waitMs, highLatencyMs: isFree ? baselineMs : highLatencyMs, inFlight, retryInMs };
   }
