Plan balancing as a whole and carry it out only when it gains enough

Cause: a property with few heavy shards found plans that moved something for every wavering of the load, since the start threshold lay below what the heaviest shard forces. Change: the plan is made in full, its gain weighed, then cut to the budget; moves under way count as done.

--- a/packages/ownership/src/lib/balance/plan-moves.ts
+++ b/packages/ownership/src/lib/balance/plan-moves.ts
@@ -30,6 +30,8 @@
   readonly weigh: 'unavailable-time' | 'churn';
   /** Most moves for reason `balance`; others are not limited. */
   readonly budget: number;
+  /** Moves that are under way; they count as done and move no further. */
+  readonly pending?: readonly { readonly shard: number; readonly to: string }[];
   /** Hottest keys, for suggestions of pins. */
   readonly hotKeys?: readonly HotKey[];
   /** Hashes of keys that are pinned already. */
@@ -51,25 +53,33 @@
   readonly startBelow: number;
   readonly stopAbove: number;
   readonly stopBelow: number;
+  /** Least gain that is worth any move: fall of the highest and rise of the lowest load. */
+  readonly minGain: number;
 }
 
 const THRESHOLDS: Readonly<Record<BalanceInput['weigh'], Thresholds>> = {
-  'unavailable-time': { startAbove: 1.1, startBelow: 0.8, stopAbove: 1.04, stopBelow: 0.93 },
-  churn: { startAbove: 1.15, startBelow: 0.7, stopAbove: 1.08, stopBelow: 0.9 },
+  'unavailable-time': {
+    startAbove: 1.1,
+    startBelow: 0.8,
+    stopAbove: 1.04,
+    stopBelow: 0.93,
+    minGain: 0.06,
+  },
+  churn: { startAbove: 1.15, startBelow: 0.7, stopAbove: 1.08, stopBelow: 0.9, minGain: 0.1 },
 };
 
-function imbalanceOf(placement: Placement): number {
-  const mean = placement.meanUse();
-  const most = placement.mostUsed();
-  return most && mean > 0 ? useOf(most) / mean : 1;
+/** Loads of the busiest and the least busy server over the mean. */
+interface Spread {
+  readonly most: number;
+  readonly least: number;
 }
 
-function exceeds(placement: Placement, above: number, below: number): boolean {
+function spreadOf(placement: Placement): Spread {
   const mean = placement.meanUse();
   const most = placement.mostUsed();
   const least = placement.leastUsed();
-  if (!most || !least) return false;
-  return useOf(most) > mean * above || useOf(least) < mean * below;
+  if (!most || !least || mean === 0) return { most: 1, least: 1 };
+  return { most: useOf(most) / mean, least: useOf(least) / mean };
 }
 
 function repairReason(placement: Placement, shard: ShardLoad): MoveReason | undefined {
@@ -105,32 +115,51 @@
 
 /** Moves shards from the busiest to the least busy servers until the load is even enough. */
 function balance(placement: Placement, input: BalanceInput, fixed: Set<number>): Move[] {
-  const { startAbove, startBelow, stopAbove, stopBelow } = THRESHOLDS[input.weigh];
+  const { startAbove, startBelow, stopAbove, stopBelow, minGain } = THRESHOLDS[input.weigh];
+  const before = spreadOf(placement);
+  if (before.most <= startAbove && before.least >= startBelow) return [];
   const moves: Move[] = [];
-  if (!exceeds(placement, startAbove, startBelow)) return moves;
-  while (moves.length < input.budget && exceeds(placement, stopAbove, stopBelow)) {
+  let after = before;
+  while (after.most > stopAbove || after.least < stopBelow) {
     const found = findBalancingMove(placement, fixed);
     if (!found) break;
-    placement.move(found.shard, found.from, found.to);
-    fixed.add(found.shard.shard);
     const { shard, from, to } = found;
+    placement.move(shard, from, to);
+    fixed.add(shard.shard);
     moves.push({ shard: shard.shard, from, to: to.server.id, reason: 'balance' });
+    after = spreadOf(placement);
   }
-  return moves;
+  const gain = before.most - after.most + after.least - before.least;
+  return gain < minGain ? [] : moves.slice(0, Math.max(0, input.budget));
+}
+
+function imbalanceAfter(
+  shards: readonly ShardLoad[],
+  servers: readonly BalanceServer[],
+  moves: readonly Move[],
+): number {
+  const targets = new Map(moves.map(({ shard, to }) => [shard, to]));
+  const moved = shards.map((it) => ({ ...it, owner: targets.get(it.shard) ?? it.owner }));
+  return spreadOf(new Placement(weighShards(moved), servers)).most;
 }
 
 /**
  * Plans which shards should move. Shards whose owner is lost, draining or missing always move;
  * others only while a server's load stands out from the mean by more than a start threshold, and
- * then until all are within a tighter stop threshold, so that a load that wavers moves nothing.
+ * then until all are within a tighter stop threshold, if the whole plan gains enough. So a load that
+ * wavers moves nothing.
  * No shard moves twice in a plan. The same input gives the same plan.
  */
 export function planMoves(input: BalanceInput): BalancePlan {
-  const shards = weighShards(input.shards);
+  const pending = new Map(input.pending?.map(({ shard, to }) => [shard, to]));
+  const shards = weighShards(input.shards).map((it) => ({
+    ...it,
+    owner: pending.get(it.shard) ?? it.owner,
+  }));
   const placement = new Placement(shards, input.servers);
-  const imbalanceBefore = imbalanceOf(placement);
+  const imbalanceBefore = spreadOf(placement).most;
   const repairs = repair(placement, shards);
-  const fixed = new Set(repairs.map((it) => it.shard));
+  const fixed = new Set([...pending.keys(), ...repairs.map((it) => it.shard)]);
   const moves = [...repairs, ...balance(placement, input, fixed)];
   const serverCount = placement.receivers.length;
   return {
@@ -142,6 +171,6 @@
       serverCount,
     ),
     imbalanceBefore,
-    imbalanceAfter: imbalanceOf(placement),
+    imbalanceAfter: imbalanceAfter(shards, input.servers, moves),
   };
 }
--- a/packages/ownership/src/test/plan-moves_test.ts
+++ b/packages/ownership/src/test/plan-moves_test.ts
@@ -5,6 +5,7 @@
 
 import {
   type BalanceServer,
+  type Move,
   type ShardLoad,
   assignInitially,
   chooseSuccessors,
@@ -98,3 +99,94 @@
   );
   fc.assert(property, PROPERTY);
 });
+
+const PLAN = { weigh: 'unavailable-time', budget: 1_000 } as const;
+
+function withLoads(shards: readonly ShardLoad[], loadOf: (shard: number) => number): ShardLoad[] {
+  return shards.map((it) => ({ ...it, load: loadOf(it.shard) }));
+}
+
+function applyMoves(shards: readonly ShardLoad[], moves: readonly Move[]): ShardLoad[] {
+  const targets = new Map(moves.map(({ shard, to }) => [shard, to]));
+  return shards.map((it) => ({ ...it, owner: targets.get(it.shard) ?? it.owner }));
+}
+
+test('a load that wavers around the mean moves nothing, and a plan once carried out is stable', () => {
+  const loads = fc.array(fc.integer({ min: 1, max: 1000 }), { minLength: 96, maxLength: 96 });
+  const property = fc.property(loads, loads, (heavy, noise) => {
+    const servers = serversOf(8);
+    const skewed = withLoads(evenLoads(96, servers), (shard) => heavy[shard] ?? 0);
+    const first = planMoves({ shards: skewed, servers, ...PLAN });
+    const settled = applyMoves(skewed, first.moves);
+    const wavering = settled.map((it) => ({
+      ...it,
+      load: it.load * (1 + (noise[it.shard] ?? 0) / 50_000),
+    }));
+    expect(planMoves({ shards: wavering, servers, ...PLAN }).moves).toEqual([]);
+  });
+  fc.assert(property, PROPERTY);
+});
+
+test('loads of a dozen shards a server settle within 5 % of the mean', () => {
+  const loads = fc.array(fc.integer({ min: 250, max: 1000 }), { minLength: 96, maxLength: 96 });
+  const property = fc.property(loads, (heavy) => {
+    const servers = serversOf(8);
+    const skewed = withLoads(evenLoads(96, servers), (shard) => heavy[shard] ?? 0);
+    const { imbalanceBefore, imbalanceAfter } = planMoves({ shards: skewed, servers, ...PLAN });
+    expect(imbalanceAfter <= Math.min(imbalanceBefore, 1.1)).toEqual(true);
+    if (imbalanceBefore > 1.1) expect(imbalanceAfter <= 1.05).toEqual(true);
+  });
+  fc.assert(property, PROPERTY);
+});
+
+test('skewed loads settle at the bound that the hottest shard forces', () => {
+  const property = fc.property(fc.integer({ min: 1, max: 10_000 }), (seed) => {
+    const servers = serversOf(16);
+    const loadOf = (shard: number) => 1000 / (1 + ((shard * 7919 + seed) % 512));
+    const shards = withLoads(evenLoads(512, servers), loadOf);
+    const total = shards.reduce((sum, it) => sum + it.load, 0);
+    const hottest = Math.max(...shards.map((it) => it.load));
+    const { moves } = planMoves({ shards, servers, ...PLAN });
+    const loads = groupLoads(applyMoves(shards, moves));
+    const bound = Math.max(1.15, (hottest * 16) / total + 0.05);
+    expect((Math.max(...loads.values()) * 16) / total <= bound).toEqual(true);
+  });
+  fc.assert(property, PROPERTY);
+});
+
+function groupLoads(shards: readonly ShardLoad[]): Map<string, number> {
+  const loads = new Map<string, number>();
+  for (const { owner = '', load } of shards) loads.set(owner, load + (loads.get(owner) ?? 0));
+  return loads;
+}
+
+test('the budget limits balancing but not repairs', () => {
+  const servers = serversOf(8).map((it) =>
+    it.id === 's1' ? { ...it, state: 'outlier' as const } : it,
+  );
+  const shards = withLoads(evenLoads(64, serversOf(8)), (shard) => (shard % 8 === 0 ? 9 : 1));
+  const { moves } = planMoves({ shards, servers, weigh: 'churn', budget: 3 });
+  expect(moves.filter((it) => it.reason === 'owner-outlier').length).toEqual(8);
+  expect(moves.filter((it) => it.reason === 'balance').length <= 3).toEqual(true);
+});
+
+test('moves under way are not planned again', () => {
+  const servers = serversOf(4);
+  const shards = withLoads(evenLoads(32, servers), (shard) => (shard % 4 === 0 ? 5 : 1));
+  const { moves } = planMoves({ shards, servers, ...PLAN });
+  expect(moves.length > 0).toEqual(true);
+  expect(planMoves({ shards, servers, ...PLAN, pending: moves }).moves).toEqual([]);
+});
+
+test('a key that dominates its shard less than wholly is suggested as a pin', () => {
+  const servers = serversOf(4);
+  const shards = withLoads(evenLoads(32, servers), () => 10);
+  const hotKeys = [
+    { keyHash: 'a', shard: 0, load: 8 },
+    { keyHash: 'b', shard: 1, load: 0.5 },
+    { keyHash: 'c', shard: 2, load: 10 },
+    { keyHash: 'd', shard: 3, load: 8 },
+  ];
+  const { pinSuggestions } = planMoves({ shards, servers, ...PLAN, hotKeys, pins: new Set(['d']) });
+  expect(pinSuggestions).toEqual([{ keyHash: 'a', shard: 0, shareOfServer: 0.1 }]);
+});
--- /dev/null
+++ b/packages/routing/src/test/server-limiter_test.ts
@@ -0,0 +1,144 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+import fc from 'fast-check';
+
+import {
+  type Outcome,
+  type ServerLimiter,
+  connectionShare,
+  createServerLimiter,
+} from '../lib/admission/index.js';
+import { FakeClock } from './fake-clock.js';
+
+const SERVICE_MS = 5;
+const OK = { kind: 'ok', latencyMs: SERVICE_MS, serverLoad: 1 } as const;
+const TIMEOUT = { kind: 'timeout', latencyMs: 500 } as const;
+
+function setUp(options: { cold?: boolean; liveRouters?: number } = {}) {
+  const clock = new FakeClock();
+  const limiter = createServerLimiter({
+    clock,
+    connections: 130,
+    liveRouters: 12,
+    random: () => 0.5,
+    ...options,
+  });
+  return { clock, limiter };
+}
+
+/** Keeps the limiter full for a time; each request ends with the same outcome. */
+function saturate(limiter: ServerLimiter, clock: FakeClock, forMs: number, outcome: Outcome) {
+  const end = clock.now() + forMs;
+  while (clock.now() < end) {
+    const slots = [];
+    for (let slot = limiter.tryAcquire(); slot; slot = limiter.tryAcquire()) slots.push(slot);
+    clock.advance(Math.max(1, outcome.latencyMs));
+    for (const slot of slots) slot.release(outcome);
+  }
+}
+
+function fail(limiter: ServerLimiter, times: number, outcome: Outcome): void {
+  for (let i = 0; i < times; i += 1) limiter.tryAcquire()?.release(outcome);
+}
+
+test('the shares of all routers stay within the connections of the server', () => {
+  const property = fc.property(
+    fc.integer({ min: 1, max: 200 }),
+    fc.integer({ min: 1, max: 50 }),
+    (connections, routers) => {
+      const share = connectionShare(connections, routers);
+      expect(share >= 1).toEqual(true);
+      expect(share * routers <= Math.max(connections, routers)).toEqual(true);
+    },
+  );
+  fc.assert(property, { seed: 6, numRuns: 200 });
+  expect(connectionShare(130, 12)).toEqual(10);
+  expect(connectionShare(110, 12)).toEqual(8);
+});
+
+test('the limit grows up to the share while the latency does not rise, and follows the share', () => {
+  const { clock, limiter } = setUp();
+  saturate(limiter, clock, 10_000, OK);
+  expect(limiter.state().limit).toEqual(10);
+  limiter.setLiveRouters(40);
+  expect(limiter.state().limit).toEqual(3);
+  limiter.setLiveRouters(1_000);
+  expect(limiter.state().limit).toEqual(1);
+});
+
+test('the limit falls to one when the latency grows tenfold', () => {
+  const { clock, limiter } = setUp();
+  saturate(limiter, clock, 5_000, OK);
+  saturate(limiter, clock, 5_000, { kind: 'ok', latencyMs: SERVICE_MS * 10, serverLoad: 20 });
+  expect(limiter.state().limit).toEqual(1);
+});
+
+test('a refusal lowers the limit', () => {
+  const { clock, limiter } = setUp();
+  saturate(limiter, clock, 5_000, OK);
+  fail(limiter, 1, { kind: 'refused', latencyMs: 1 });
+  expect(limiter.state().limit).toEqual(7);
+});
+
+test('a cold server gets work gradually', () => {
+  const { clock, limiter } = setUp({ cold: true });
+  expect(limiter.state().limit).toEqual(1);
+  saturate(limiter, clock, 2_500, OK);
+  expect(limiter.state().limit <= 6).toEqual(true);
+  saturate(limiter, clock, 3_000, OK);
+  expect(limiter.state().limit).toEqual(10);
+});
+
+test('failures open the circuit whatever the health report says', () => {
+  const { limiter } = setUp();
+  limiter.reportHealth(true);
+  fail(limiter, 5, TIMEOUT);
+  expect(limiter.state().circuit).toEqual('open');
+  expect(limiter.tryAcquire()).toEqual(undefined);
+});
+
+test('an ill health report alone does not open the circuit, but fewer failures do', () => {
+  const { limiter } = setUp();
+  limiter.reportHealth(false);
+  fail(limiter, 10, OK);
+  expect(limiter.state().circuit).toEqual('closed');
+  fail(limiter, 2, TIMEOUT);
+  expect(limiter.state().circuit).toEqual('open');
+});
+
+test('timeouts of requests that had little time left do not open the circuit', () => {
+  const { clock, limiter } = setUp();
+  saturate(limiter, clock, 2_000, OK);
+  fail(limiter, 50, { kind: 'timeout', latencyMs: SERVICE_MS });
+  expect(limiter.state().circuit).toEqual('closed');
+});
+
+test('one probe at a time passes a half-open circuit; three good ones close it to slow start', () => {
+  const { clock, limiter } = setUp();
+  fail(limiter, 5, TIMEOUT);
+  clock.advance(200);
+  const probe = limiter.tryAcquire();
+  expect(limiter.tryAcquire()).toEqual(undefined);
+  probe?.release(OK);
+  fail(limiter, 2, OK);
+  expect(limiter.state().circuit).toEqual('closed');
+  expect(limiter.state().limit).toEqual(1);
+});
+
+test('a failed probe opens the circuit for twice the time', () => {
+  const { clock, limiter } = setUp();
+  fail(limiter, 5, TIMEOUT);
+  clock.advance(200);
+  fail(limiter, 1, TIMEOUT);
+  expect(limiter.state().retryInMs).toEqual(400);
+});
+
+test('late outcomes from before the circuit opened are no probes', () => {
+  const { clock, limiter } = setUp();
+  const late = limiter.tryAcquire();
+  fail(limiter, 5, TIMEOUT);
+  clock.advance(200);
+  late?.release(TIMEOUT);
+  expect(limiter.state().circuit).toEqual('half-open');
+});
