Send the load of one service in each heartbeat, in turn

Change: one service in each summary, about 70 shards named, and the rest estimated for each router alone. An exchange measures, sends, receives and merges, so that the daemon needs one object.

--- /dev/null
+++ b/packages/routing/src/lib/balance/load-exchange.ts
@@ -0,0 +1,95 @@
+import { type Result, ok } from 'neverthrow';
+
+import type { Clock } from '../admission/index.js';
+import type { KeyLoad } from './hot-key-sketch.js';
+import { type LoadMeter, type RequestSample, createLoadMeter } from './load-meter.js';
+import {
+  type LoadSummaryError,
+  type ServerLoad,
+  type ServiceLoad,
+  encodeLoadSummary,
+  parseLoadSummary,
+} from './load-summary.js';
+import { estimateShardLoads, mergeServiceLoads } from './merge-loads.js';
+
+/** A summary that has not been renewed for this time is left out. */
+const STALE_MS = 10_000;
+
+/** Measures the load of all services at this router and merges what its peers measured. */
+export interface LoadExchange {
+  /** Takes a finished request. */
+  record(service: string, sample: RequestSample): void;
+  /** Summary for the next heartbeat to all peers: one service at a time, in turn. */
+  nextSummary(): string;
+  /** Takes the summary of a peer's heartbeat; an empty one is ignored. */
+  receive(peer: string, summary: string): Result<void, LoadSummaryError>;
+  /** Forgets a peer that has gone. */
+  forget(peer: string): void;
+  /** Load of the given shards over all routers, in milliseconds of work for each second. */
+  shardLoads(service: string, shards: readonly number[]): Map<number, number>;
+  /** Backend servers as all routers measured them. */
+  servers(service: string): readonly ServerLoad[];
+  /** Hottest keys over all routers, hottest first. */
+  hotKeys(service: string): readonly KeyLoad[];
+}
+
+/** A summary with the time of its arrival. */
+interface Received {
+  readonly load: ServiceLoad;
+  readonly at: number;
+}
+
+/** Creates an exchange without any measurement. */
+export function createLoadExchange({ clock }: { readonly clock: Clock }): LoadExchange {
+  const meters = new Map<string, LoadMeter>();
+  const peers = new Map<string, Map<string, Received>>();
+  let turn = 0;
+
+  function meterOf(service: string): LoadMeter {
+    const known = meters.get(service);
+    if (known) return known;
+    const created = createLoadMeter({ clock, service });
+    meters.set(service, created);
+    return created;
+  }
+
+  function store(peer: string, load: ServiceLoad): void {
+    const services = peers.get(peer) ?? new Map<string, Received>();
+    services.set(load.service, { load, at: clock.now() });
+    peers.set(peer, services);
+  }
+
+  function loadsOf(service: string): ServiceLoad[] {
+    const oldest = clock.now() - STALE_MS;
+    const received = [...peers.values()]
+      .map((it) => it.get(service))
+      .filter((it) => it !== undefined)
+      .filter((it) => it.at >= oldest)
+      .map((it) => it.load);
+    return [meterOf(service).read(), ...received];
+  }
+
+  return {
+    record(service, sample) {
+      meterOf(service).record(sample);
+    },
+    nextSummary() {
+      const all = [...meters.values()];
+      turn = (turn + 1) % Math.max(1, all.length);
+      const meter = all[turn];
+      return meter ? encodeLoadSummary(meter.read()) : '';
+    },
+    receive(peer, summary) {
+      if (summary === '') return ok(undefined);
+      return parseLoadSummary(summary).map((load) => {
+        store(peer, load);
+      });
+    },
+    forget(peer) {
+      peers.delete(peer);
+    },
+    shardLoads: (service, shards) => estimateShardLoads(loadsOf(service), shards),
+    servers: (service) => mergeServiceLoads(service, loadsOf(service)).servers,
+    hotKeys: (service) => mergeServiceLoads(service, loadsOf(service)).keys,
+  };
+}
--- a/packages/routing/src/lib/balance/load-summary.ts
+++ b/packages/routing/src/lib/balance/load-summary.ts
@@ -27,53 +27,54 @@
   readonly servers: readonly ServerLoad[];
 }
 
-/** Compact form: tuples keep the summary small, and are turned into named fields when it is read. */
-const wireSchema = v.array(
-  v.object({
-    n: v.string(),
-    t: loadSchema,
-    /** Shard, load. */
-    h: v.array(v.tuple([v.number(), loadSchema])),
-    /** Key hash, shard, load, error. */
-    k: v.array(v.tuple([v.string(), v.number(), loadSchema, loadSchema])),
-    /** Id, requests, load, latency, failures. */
-    b: v.array(v.tuple([v.string(), loadSchema, loadSchema, loadSchema, loadSchema])),
-  }),
-);
-type WireService = v.InferOutput<typeof wireSchema>[number];
+/** Compact form: short names and tuples keep the summary small. */
+const wireSchema = v.object({
+  /** Service. */
+  n: v.string(),
+  /** Total load. */
+  t: loadSchema,
+  /** Shards, hottest first, and their loads. */
+  s: v.array(v.number()),
+  l: v.array(loadSchema),
+  /** Key hash, shard, load, error. */
+  k: v.array(v.tuple([v.string(), v.number(), loadSchema, loadSchema])),
+  /** Backend server, requests, load, latency, share of failures. */
+  b: v.array(v.tuple([v.string(), loadSchema, loadSchema, loadSchema, loadSchema])),
+});
+type WireSummary = v.InferOutput<typeof wireSchema>;
 
 /** A load summary that could not be read. */
 export class LoadSummaryError extends Error {
   override readonly name = 'LoadSummaryError';
 }
 
-/** Entries of each kind that a service starts with; fewer if the summary would be too large. */
-const MAX_ENTRIES = 64;
+const MAX_KEYS = 12;
+const MAX_SERVERS = 16;
+/** Factor by which lists are cut until the summary fits. */
+const SHRINK = 0.85;
 const SIGNIFICANT_DIGITS = 3;
 
 function round(value: number): number {
   return Number(value.toPrecision(SIGNIFICANT_DIGITS));
 }
 
-/** Share of a list that is kept, at least one entry. */
-function keep<T>(items: readonly T[], share: number): T[] {
-  return items.slice(0, Math.ceil(Math.min(items.length, MAX_ENTRIES) * share));
+/** Keeps the servers that stand out most, those of interest to others. */
+function standingOut(servers: readonly ServerLoad[]): ServerLoad[] {
+  return [...servers]
+    .sort((a, b) => b.failures - a.failures || b.latencyMs - a.latencyMs)
+    .slice(0, MAX_SERVERS);
 }
 
-function toWire(load: ServiceLoad, share: number): WireService {
+function toWire(load: ServiceLoad): WireSummary {
   const shards = [...load.shards].sort((a, b) => b[1] - a[1]);
-  const servers = [...load.servers].sort((a, b) => b.load - a.load);
+  const keys = load.keys.slice(0, MAX_KEYS);
   return {
     n: load.service,
     t: round(load.total),
-    h: keep(shards, share).map(([shard, it]) => [shard, round(it)]),
-    k: keep(load.keys, share / 2).map((it) => [
-      it.keyHash,
-      it.shard,
-      round(it.load),
-      round(it.error),
-    ]),
-    b: keep(servers, share).map((it) => [
+    s: shards.map(([shard]) => shard),
+    l: shards.map(([, it]) => round(it)),
+    k: keys.map((it) => [it.keyHash, it.shard, round(it.load), round(it.error)]),
+    b: standingOut(load.servers).map((it) => [
       it.id,
       round(it.requests),
       round(it.load),
@@ -83,28 +84,34 @@
   };
 }
 
+/** Cuts the list of shards, or once that is short, the other lists. */
+function cut(wire: WireSummary): WireSummary {
+  const FEW_SHARDS = 16;
+  const shorten = <T>(items: readonly T[]) => items.slice(0, Math.floor(items.length * SHRINK));
+  const shards = { s: shorten(wire.s), l: shorten(wire.l) };
+  if (wire.s.length > FEW_SHARDS) return { ...wire, ...shards };
+  return { ...wire, ...shards, k: shorten(wire.k), b: shorten(wire.b) };
+}
+
 /**
- * Encodes the load of all services as JSON text of at most `maxBytes` bytes. The hottest
- * shards, keys and servers are kept; entries that would make it larger are left out evenly.
+ * Encodes the load of one service as JSON text of at most `maxBytes` bytes. The hottest shards and
+ * keys are kept and the servers that stand out; as many shards as fit.
  */
-export function encodeLoadSummary(
-  services: readonly ServiceLoad[],
-  maxBytes = MAX_SUMMARY_BYTES,
-): string {
-  const SHRINK = 0.8;
-  const LEAST_SHARE = 0.01;
-  for (let share = 1; share > LEAST_SHARE; share *= SHRINK) {
-    const text = JSON.stringify(services.map((it) => toWire(it, share)));
-    if (Buffer.byteLength(text) <= maxBytes) return text;
+export function encodeLoadSummary(load: ServiceLoad, maxBytes = MAX_SUMMARY_BYTES): string {
+  let wire = toWire(load);
+  let text = JSON.stringify(wire);
+  while (Buffer.byteLength(text) > maxBytes && wire.s.length + wire.k.length + wire.b.length > 0) {
+    wire = cut(wire);
+    text = JSON.stringify(wire);
   }
-  return '[]';
+  return text;
 }
 
-function fromWire({ n, t, h, k, b }: WireService): ServiceLoad {
+function fromWire({ n, t, s, l, k, b }: WireSummary): ServiceLoad {
   return {
     service: n,
     total: t,
-    shards: new Map(h),
+    shards: new Map(s.map((shard, i) => [shard, l[i] ?? 0])),
     keys: k.map(([keyHash, shard, load, error]) => ({ keyHash, shard, load, error })),
     servers: b.map(([id, requests, load, latencyMs, failures]) => ({
       id,
@@ -117,14 +124,14 @@
 }
 
 /** Reads a summary that a peer sent. */
-export function parseLoadSummary(text: string): Result<ServiceLoad[], LoadSummaryError> {
+export function parseLoadSummary(text: string): Result<ServiceLoad, LoadSummaryError> {
   const json = Result.fromThrowable(
     () => JSON.parse(text) as unknown,
     (cause) => new LoadSummaryError('the load summary is not JSON', { cause }),
   )();
   return json.andThen((value) => {
     const parsed = v.safeParse(wireSchema, value);
-    if (parsed.success) return ok(parsed.output.map(fromWire));
+    if (parsed.success) return ok(fromWire(parsed.output));
     return err(new LoadSummaryError(`unexpected load summary: ${parsed.issues[0].message}`));
   });
 }
--- a/packages/routing/src/lib/balance/merge-loads.ts
+++ b/packages/routing/src/lib/balance/merge-loads.ts
@@ -1,13 +1,6 @@
 import type { KeyLoad } from './hot-key-sketch.js';
 import type { ServerLoad, ServiceLoad } from './load-summary.js';
 
-/** Load of one shard; has the form that the planner of moves takes. */
-export interface ShardLoadEstimate {
-  readonly shard: number;
-  readonly owner: string | undefined;
-  readonly load: number;
-}
-
 function mergeKeys(loads: readonly ServiceLoad[]): KeyLoad[] {
   const merged = new Map<string, KeyLoad>();
   for (const key of loads.flatMap((it) => it.keys)) {
@@ -62,21 +55,28 @@
   };
 }
 
+function addEstimate(
+  sums: Map<number, number>,
+  load: ServiceLoad,
+  shards: readonly number[],
+): void {
+  const namedLoad = shards.reduce((sum, shard) => sum + (load.shards.get(shard) ?? 0), 0);
+  const unnamed = shards.filter((shard) => !load.shards.has(shard)).length;
+  const rest = unnamed > 0 ? Math.max(0, load.total - namedLoad) / unnamed : 0;
+  for (const shard of shards) {
+    sums.set(shard, (sums.get(shard) ?? 0) + (load.shards.get(shard) ?? rest));
+  }
+}
+
 /**
- * Estimates the load of every shard. Shards that the merged summary does not name share what is left
- * of the total evenly.
+ * Estimates the load of every shard from what several routers measured. In each summary, the shards
+ * that it does not name share what is left of its total evenly.
  */
 export function estimateShardLoads(
-  load: ServiceLoad,
-  owners: readonly { readonly shard: number; readonly owner: string | undefined }[],
-): ShardLoadEstimate[] {
-  const named = owners.filter(({ shard }) => load.shards.has(shard));
-  const namedLoad = named.reduce((sum, { shard }) => sum + (load.shards.get(shard) ?? 0), 0);
-  const unnamed = owners.length - named.length;
-  const rest = unnamed > 0 ? Math.max(0, load.total - namedLoad) / unnamed : 0;
-  return owners.map(({ shard, owner }) => ({
-    shard,
-    owner,
-    load: load.shards.get(shard) ?? rest,
-  }));
+  loads: readonly ServiceLoad[],
+  shards: readonly number[],
+): Map<number, number> {
+  const sums = new Map<number, number>();
+  for (const load of loads) addEstimate(sums, load, shards);
+  return sums;
 }
