--- /dev/null
+++ b/packages/routing/src/lib/balance/load-summary.ts
@@ -0,0 +1,137 @@
+import { Result, err, ok } from 'neverthrow';
+import * as v from 'valibot';
+
+import type { SketchReading } from './hot-key-sketch.js';
+
+/** Largest size of an encoded summary, in bytes. */
+export const MAX_SUMMARY_BYTES = 1_536;
+
+const loadSchema = v.pipe(v.number(), v.minValue(0));
+
+/** What one router measured of one backend server. */
+export interface ServerLoad {
+  readonly id: string;
+  /** Requests for each second that this router sent to it. */
+  readonly requests: number;
+  /** Work in milliseconds for each second. */
+  readonly load: number;
+  /** Mean latency in milliseconds. */
+  readonly latencyMs: number;
+  /** Share of requests that failed, from 0 to 1. */
+  readonly failures: number;
+}
+
+/** Load of one service as one router measured it. */
+export interface ServiceLoad extends SketchReading {
+  readonly service: string;
+  readonly servers: readonly ServerLoad[];
+}
+
+/** Compact form: short names and tuples keep the summary small. */
+const wireSchema = v.object({
+  /** Service. */
+  n: v.string(),
+  /** Total load. */
+  t: loadSchema,
+  /** Shards, hottest first, and their loads. */
+  s: v.array(v.number()),
+  l: v.array(loadSchema),
+  /** Key hash, shard, load, error. */
+  k: v.array(v.tuple([v.string(), v.number(), loadSchema, loadSchema])),
+  /** Backend server, requests, load, latency, share of failures. */
+  b: v.array(v.tuple([v.string(), loadSchema, loadSchema, loadSchema, loadSchema])),
+});
+type WireSummary = v.InferOutput<typeof wireSchema>;
+
+/** A load summary that could not be read. */
+export class LoadSummaryError extends Error {
+  override readonly name = 'LoadSummaryError';
+}
+
+const MAX_KEYS = 12;
+const MAX_SERVERS = 16;
+/** Factor by which lists are cut until the summary fits. */
+const SHRINK = 0.85;
+const SIGNIFICANT_DIGITS = 3;
+
+function round(value: number): number {
+  return Number(value.toPrecision(SIGNIFICANT_DIGITS));
+}
+
+/** Keeps the servers that stand out most, those of interest to others. */
+function standingOut(servers: readonly ServerLoad[]): ServerLoad[] {
+  return [...servers]
+    .sort((a, b) => b.failures - a.failures || b.latencyMs - a.latencyMs)
+    .slice(0, MAX_SERVERS);
+}
+
+function toWire(load: ServiceLoad): WireSummary {
+  const shards = [...load.shards].sort((a, b) => b[1] - a[1]);
+  const keys = load.keys.slice(0, MAX_KEYS);
+  return {
+    n: load.service,
+    t: round(load.total),
+    s: shards.map(([shard]) => shard),
+    l: shards.map(([, it]) => round(it)),
+    k: keys.map((it) => [it.keyHash, it.shard, round(it.load), round(it.error)]),
+    b: standingOut(load.servers).map((it) => [
+      it.id,
+      round(it.requests),
+      round(it.load),
+      round(it.latencyMs),
+      round(it.failures),
+    ]),
+  };
+}
+
+/** Cuts the list of shards, or once that is short, the other lists. */
+function cut(wire: WireSummary): WireSummary {
+  const FEW_SHARDS = 16;
+  const shorten = <T>(items: readonly T[]) => items.slice(0, Math.floor(items.length * SHRINK));
+  const shards = { s: shorten(wire.s), l: shorten(wire.l) };
+  if (wire.s.length > FEW_SHARDS) return { ...wire, ...shards };
+  return { ...wire, ...shards, k: shorten(wire.k), b: shorten(wire.b) };
+}
+
+/**
+ * Encodes the load of one service as JSON text of at most `maxBytes` bytes. The hottest shards and
+ * keys are kept and the servers that stand out; as many shards as fit.
+ */
+export function encodeLoadSummary(load: ServiceLoad, maxBytes = MAX_SUMMARY_BYTES): string {
+  let wire = toWire(load);
+  let text = JSON.stringify(wire);
+  while (Buffer.byteLength(text) > maxBytes && wire.s.length + wire.k.length + wire.b.length > 0) {
+    wire = cut(wire);
+    text = JSON.stringify(wire);
+  }
+  return text;
+}
+
+function fromWire({ n, t, s, l, k, b }: WireSummary): ServiceLoad {
+  return {
+    service: n,
+    total: t,
+    shards: new Map(s.map((shard, i) => [shard, l[i] ?? 0])),
+    keys: k.map(([keyHash, shard, load, error]) => ({ keyHash, shard, load, error })),
+    servers: b.map(([id, requests, load, latencyMs, failures]) => ({
+      id,
+      requests,
+      load,
+      latencyMs,
+      failures: Math.min(1, failures),
+    })),
+  };
+}
+
+/** Reads a summary that a peer sent. */
+export function parseLoadSummary(text: string): Result<ServiceLoad, LoadSummaryError> {
+  const json = Result.fromThrowable(
+    () => JSON.parse(text) as unknown,
+    (cause) => new LoadSummaryError('the load summary is not JSON', { cause }),
+  )();
+  return json.andThen((value) => {
+    const parsed = v.safeParse(wireSchema, value);
+    if (parsed.success) return ok(fromWire(parsed.output));
+    return err(new LoadSummaryError(`unexpected load summary: ${parsed.issues[0].message}`));
+  });
+}
