Split the ledger by job, add the sweeper and the suspect flag of peers

A refusal for want of the table now looks for an earlier try first, in memory and by one bounded read, and says whether one can be ruled out.

Ruled out: removing a row whose run was proved not to have happened. A row that is inserted again starts at version 1, so a delayed removal could hit the record of a later run. The row is marked instead, and versions only rise. Expired rows are removed under a fence row, which makes a delayed removal fail.

--- /dev/null
+++ b/packages/routing/src/lib/ledger/found-row.ts
@@ -0,0 +1,62 @@
+import type { ObjectStore, TableRow } from '@boragepoint/platform';
+
+import { loadAnswer } from './answer-store.js';
+import { type IntentRecord, type RecordedAnswer, parseIntent } from './intent-record.js';
+import type { LedgerClock } from './ledger-clock.js';
+import type { BeginOutcome } from './ledger-types.js';
+import type { RunMemory } from './run-memory.js';
+
+/** What a found row means: an outcome, a row to take over, or a row to look at again later. */
+export type Verdict =
+  | BeginOutcome
+  | { readonly kind: 'take-over'; readonly version: number }
+  | { readonly kind: 'look-again' };
+
+/** What {@link createRowJudge} needs. */
+export interface RowJudgeOptions {
+  readonly objects: ObjectStore;
+  readonly incarnation: string;
+  readonly clock: LedgerClock;
+  readonly memory: Pick<RunMemory, 'isNotRun' | 'remember'>;
+}
+
+/** Decides what a row that stands in the way of an intent means. @internal */
+export type RowJudge = (row: TableRow | undefined, fingerprint: string) => Promise<Verdict>;
+
+/** A repeat of a request that was, or may have been, dispatched. @internal */
+export const OUTCOME_UNKNOWN: BeginOutcome = { kind: 'unfinished', reason: 'recorded-unknown' };
+
+/** Creates the decision over found rows of one incarnation. @internal */
+export function createRowJudge(options: RowJudgeOptions): RowJudge {
+  const { objects, incarnation, clock, memory } = options;
+
+  async function replay(
+    rowKey: string,
+    fingerprint: string,
+    recorded: RecordedAnswer,
+  ): Promise<BeginOutcome> {
+    const loaded = await loadAnswer(objects, recorded);
+    if (loaded.isErr()) return OUTCOME_UNKNOWN;
+    if (loaded.value === undefined) return { kind: 'expired' };
+    memory.remember(rowKey, fingerprint, loaded.value);
+    return { kind: 'done', answer: loaded.value };
+  }
+
+  function judgePending(row: TableRow, record: IntentRecord): Verdict {
+    if (memory.isNotRun(record.run)) return { kind: 'take-over', version: row.version };
+    return record.keeper === incarnation ? OUTCOME_UNKNOWN : { kind: 'look-again' };
+  }
+
+  return async (row, fingerprint) => {
+    if (row === undefined) return { kind: 'take-over', version: 0 };
+    const record = parseIntent(row);
+    if (record === undefined) return OUTCOME_UNKNOWN;
+    if (record.fingerprint !== fingerprint) return { kind: 'reused' };
+    const { outcome } = record;
+    if (outcome.state === 'not-run') return { kind: 'take-over', version: row.version };
+    if (record.expiresAtMs < clock.wallNow()) return { kind: 'expired' };
+    if (outcome.state === 'pending') return judgePending(row, record);
+    if (outcome.state === 'unknown') return OUTCOME_UNKNOWN;
+    return replay(row.key, fingerprint, outcome.answer);
+  };
+}
--- a/packages/routing/src/lib/ledger/group-commit.ts
+++ b/packages/routing/src/lib/ledger/group-commit.ts
@@ -2,6 +2,7 @@
 
 import type { LedgerClock } from './ledger-clock.js';
 import type { LedgerConfig } from './ledger-config.js';
+import { withResolvers } from './with-resolvers.js';
 
 /** A write of one row; the transaction's token is added to its value as `writer`. */
 export interface RowWrite {
@@ -55,7 +56,7 @@
  */
 export function createGroupCommit(options: GroupCommitOptions): GroupCommit {
   const { table, newToken, clock, cfg } = options;
-  let queue: Entry[] = [];
+  const queue = new Set<Entry>();
   const startTimes = new Set<{ readonly at: number }>();
   let lastStartAt = -Infinity;
   let timer: NodeJS.Timeout | undefined;
@@ -77,7 +78,7 @@
   function schedule(): void {
     clearTimeout(timer);
     timer = undefined;
-    if (queue.length === 0 || startTimes.size >= cfg.maxInFlight) return;
+    if (queue.size === 0 || startTimes.size >= cfg.maxInFlight) return;
     const waitMs = waitBeforeNextMs();
     if (waitMs > 0) timer = setTimeout(schedule, Math.ceil(waitMs));
     else void runBatch(takeBatch());
@@ -85,18 +86,17 @@
 
   function takeBatch(): Entry[] {
     const batch: Entry[] = [];
-    const rest: Entry[] = [];
     const keys = new Set<string>();
     let bytes = 0;
     for (const entry of queue) {
-      const fits = batch.length < cfg.batchRows && bytes + entry.bytes <= cfg.batchBytes;
-      if ((fits || batch.length === 0) && !keys.has(entry.write.key)) {
-        batch.push(entry);
-        keys.add(entry.write.key);
-        bytes += entry.bytes;
-      } else rest.push(entry);
+      if (batch.length === cfg.batchRows) break;
+      const fits = batch.length === 0 || bytes + entry.bytes <= cfg.batchBytes;
+      if (!fits || keys.has(entry.write.key)) continue;
+      batch.push(entry);
+      keys.add(entry.write.key);
+      bytes += entry.bytes;
     }
-    queue = rest;
+    for (const entry of batch) queue.delete(entry);
     return batch;
   }
 
@@ -148,32 +148,17 @@
 
   return {
     submit(write) {
-      if (queue.length >= cfg.maxQueued) {
+      if (queue.size >= cfg.maxQueued) {
         return { outcome: Promise.resolve({ kind: 'unavailable' }), withdraw: () => false };
       }
       const { promise, resolve } = withResolvers<RowOutcome>();
       const entry: Entry = { write, bytes: JSON.stringify(write.value).length, resolve };
-      queue.push(entry);
+      queue.add(entry);
       // A batch starts once all that were submitted in this turn of the event loop are queued.
       setImmediate(schedule);
-      return { outcome: promise, withdraw: () => withdraw(entry) };
+      return { outcome: promise, withdraw: () => queue.delete(entry) };
     },
     isStalled: () => startTimes.size >= cfg.maxInFlight && isStalledAt(clock.now()),
-    counts: () => ({ transactions, rows, queued: queue.length }),
+    counts: () => ({ transactions, rows, queued: queue.size }),
   };
-
-  function withdraw(entry: Entry): boolean {
-    const isQueued = queue.includes(entry);
-    if (isQueued) queue = queue.filter((it) => it !== entry);
-    return isQueued;
-  }
-}
-
-/** `Promise.withResolvers`, which Node.js 20 lacks. @internal */
-export function withResolvers<T>() {
-  let resolve!: (value: T) => void;
-  const promise = new Promise<T>((res) => {
-    resolve = res;
-  });
-  return { promise, resolve };
 }
--- a/packages/routing/src/lib/ledger/index.ts
+++ b/packages/routing/src/lib/ledger/index.ts
@@ -5,3 +5,4 @@
 export * from './ledger-types.js';
 export * from './ledger.js';
 export * from './run-non-idempotent.js';
+export * from './sweeper.js';
--- a/packages/routing/src/lib/ledger/ledger-config.ts
+++ b/packages/routing/src/lib/ledger/ledger-config.ts
@@ -34,8 +34,13 @@
   elsewhereWaitMs: v.optional(wholeNumber(0), 300),
   /** Time between two reads while it waits. */
   elsewherePollMs: v.optional(wholeNumber(1), 100),
+  /** Time since the table's first failure during which intents are tried again within their deadline. */
+  briefOutageMs: v.optional(wholeNumber(0), 250),
+  briefOutagePauseMs: v.optional(wholeNumber(1), 50),
+  /** Longest time of a read that looks for an earlier try. */
+  lookupMs: v.optional(wholeNumber(1), 100),
   /** Attempts to record an outcome after the first one failed. */
-  recordRetries: v.optional(wholeNumber(0), 60),
+  recordRetries: v.optional(wholeNumber(0), 720),
   /** First pause between these attempts; it doubles up to `recordMaxPauseMs`. */
   recordPauseMs: v.optional(wholeNumber(1), 100),
   recordMaxPauseMs: v.optional(wholeNumber(1), 5_000),
--- a/packages/routing/src/lib/ledger/ledger-types.ts
+++ b/packages/routing/src/lib/ledger/ledger-types.ts
@@ -41,8 +41,13 @@
   | { readonly kind: 'expired' }
   /** The key is malformed or bears a time in the future: not run. */
   | { readonly kind: 'bad-key'; readonly message: string }
-  /** The table did not take the intent in time: not run. */
-  | { readonly kind: 'unavailable'; readonly retryAfterMs: number };
+  /** The table did not take the intent in time: this try was not run and never will be. */
+  | {
+      readonly kind: 'unavailable';
+      /** `none` when a read proved that no earlier try under the same key was dispatched. */
+      readonly earlierTry: 'none' | 'not-known';
+      readonly retryAfterMs: number;
+    };
 
 /** Whether an outcome reached the table. */
 export type RecordOutcome = 'recorded' | 'not-recorded';
--- a/packages/routing/src/lib/ledger/run-non-idempotent.ts
+++ b/packages/routing/src/lib/ledger/run-non-idempotent.ts
@@ -36,6 +36,8 @@
   readonly fingerprint: string;
   /** Time by which the caller must be answered, in milliseconds of the monotonic clock. */
   readonly deadlineAt: number;
+  /** False when an earlier try under the same key may have been sent through another keeper. */
+  readonly firstTry?: boolean;
   /** Aborted when the caller hangs up; it stops the request only before its first dispatch. */
   readonly signal?: AbortSignal | undefined;
 }
@@ -69,7 +71,7 @@
   const clock = run.clock ?? systemClock;
   if (req.idempotencyKey === undefined) return runUnrecorded(run, clock);
   const begun = await ledger.begin({ ...req, idempotencyKey: req.idempotencyKey });
-  if (begun.kind !== 'started') return resultOfBegin(begun);
+  if (begun.kind !== 'started') return resultOfBegin(begun, req);
   if (clock.now() >= req.deadlineAt || req.signal?.aborted === true) {
     void ledger.notRun(begun.handle);
     return refuse('deadlineTooShort', 'the time was over before the request could be sent');
@@ -154,7 +156,10 @@
   return { kind: 'refused', code, message, retryAfterMs };
 }
 
-function resultOfBegin(begun: Exclude<BeginOutcome, { kind: 'started' }>): NonIdempotentResult {
+function resultOfBegin(
+  begun: Exclude<BeginOutcome, { kind: 'started' }>,
+  req: NonIdempotentRequest,
+): NonIdempotentResult {
   switch (begun.kind) {
     case 'done':
       return { kind: 'answered', answer: begun.answer, replayed: true };
@@ -169,6 +174,8 @@
     case 'bad-key':
       return refuse('badIdempotencyKey', `the Idempotency-Key ${begun.message}`);
     case 'unavailable':
-      return refuse('tableUnavailable', 'the intent could not be recorded', begun.retryAfterMs);
+      return begun.earlierTry === 'not-known' && req.firstTry === false
+        ? refuse('outcomeUnknown', 'an earlier try may have run', begun.retryAfterMs)
+        : refuse('tableUnavailable', 'the intent could not be recorded', begun.retryAfterMs);
   }
 }
--- /dev/null
+++ b/packages/routing/src/lib/ledger/sweeper.ts
@@ -0,0 +1,138 @@
+import {
+  type ObjectStore,
+  type TableRow,
+  type TableService,
+  settledWrite,
+} from '@boragepoint/platform';
+import * as v from 'valibot';
+
+import { answerObjectKey, intentPrefix, parseIntent } from './intent-record.js';
+import { type LedgerClock, systemClock } from './ledger-clock.js';
+
+const HEX = 16;
+const FENCE_PREFIX = 'intent-fence';
+
+function wholeNumber(min: number, max = Number.MAX_SAFE_INTEGER) {
+  return v.pipe(v.number(), v.integer(), v.minValue(min), v.maxValue(max));
+}
+
+/** Limits of the removal of expired records; times in milliseconds. */
+export const sweeperConfigSchema = v.strictObject({
+  /** Hexadecimal digits of the hash that one scan covers: the more, the smaller the scans. */
+  digits: v.optional(wholeNumber(1, 6), 3),
+  /** Time between two scans. */
+  everyMs: v.optional(wholeNumber(1), 1_000),
+  /** Most records removed after one scan, in one transaction. */
+  rows: v.optional(wholeNumber(1), 256),
+  /** Time that an expired record is kept on; longer than any write may be delayed. */
+  graceMs: v.optional(wholeNumber(0), 600_000),
+  /** Time within which the outcome of one transaction is settled. */
+  settleMs: v.optional(wholeNumber(1), 5_000),
+});
+export type SweeperConfigInput = v.InferInput<typeof sweeperConfigSchema>;
+
+/** What a sweeper needs. */
+export interface SweeperOptions {
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  readonly incarnation: string;
+  /** Names of the services to sweep. */
+  readonly services: () => readonly string[];
+  /** Shares the work among routers; two that both sweep a part only waste scans. */
+  readonly isMine: (service: string, digits: string) => boolean;
+  readonly clock?: LedgerClock;
+  readonly config?: SweeperConfigInput;
+}
+
+/** Removes expired records at a bounded rate until it is disposed of. */
+export interface Sweeper extends AsyncDisposable {
+  /** Scans one part and removes what has expired; returns the number of records removed. */
+  sweep(service: string, digits: string): Promise<number>;
+}
+
+/**
+ * Creates a sweeper. A removed row would start at version 1 again, so that a delayed removal could
+ * hit a later record of the same key. So each removal also raises the version of a fence row
+ * that was read before the scan: if it lands, no row of the part was removed since, hence the
+ * version it expects still belongs to the record that was scanned.
+ */
+export function createSweeper(options: SweeperOptions): Sweeper {
+  const { table, objects, incarnation, services, isMine } = options;
+  const clock = options.clock ?? systemClock;
+  const cfg = v.parse(sweeperConfigSchema, options.config ?? {});
+  const partsPerService = HEX ** cfg.digits;
+  let transactions = 0;
+  let next = 0;
+  let current = Promise.resolve(0);
+
+  function isExpired(row: TableRow): boolean {
+    const record = parseIntent(row);
+    return record !== undefined && record.expiresAtMs + cfg.graceMs < clock.wallNow();
+  }
+
+  /** Removes the object of a record; the row goes only once that is done. */
+  async function removeObject(row: TableRow): Promise<boolean> {
+    const record = parseIntent(row);
+    if (record === undefined) return false;
+    const { outcome, run } = record;
+    const isInline = outcome.state === 'done' && outcome.answer.body.in === 'row';
+    if (isInline || outcome.state === 'not-run') return true;
+    return (await objects.delete(answerObjectKey(row.key, run))).isOk();
+  }
+
+  async function sweep(service: string, digits: string): Promise<number> {
+    const fenceKey = `${FENCE_PREFIX}/${service}/${digits}`;
+    const fence = await table.read([fenceKey]);
+    const scan = await table.scan(intentPrefix(service, digits));
+    if (fence.isErr() || scan.isErr()) return 0;
+    const removable: TableRow[] = [];
+    for (const row of scan.value.filter(isExpired).slice(0, cfg.rows)) {
+      if (await removeObject(row)) removable.push(row);
+    }
+    if (removable.length === 0) return 0;
+    return removeRows(removable, fenceKey, fence.value[0]?.version ?? 0);
+  }
+
+  async function removeRows(
+    rows: readonly TableRow[],
+    fenceKey: string,
+    fenceVersion: number,
+  ): Promise<number> {
+    const token = `${incarnation}:sweep-${++transactions}`;
+    const value = JSON.stringify({ writer: token });
+    const writes = [
+      { key: fenceKey, expectedVersion: fenceVersion, value },
+      ...rows.map((row) => ({ key: row.key, expectedVersion: row.version, value: null })),
+    ];
+    const deadlineAt = clock.now() + cfg.settleMs;
+    const outcome = await settledWrite(table, writes, token, {
+      deadlineAt,
+      now: () => clock.now(),
+    });
+    return outcome.kind === 'committed' ? rows.length : 0;
+  }
+
+  async function sweepNext(): Promise<number> {
+    const names = services();
+    for (let tried = 0; tried < partsPerService * names.length; tried += 1) {
+      const index = next++ % (partsPerService * names.length);
+      const service = names[Math.floor(index / partsPerService)];
+      const digits = (index % partsPerService).toString(HEX).padStart(cfg.digits, '0');
+      if (service !== undefined && isMine(service, digits)) return sweep(service, digits);
+    }
+    return 0;
+  }
+
+  const timer = setInterval(() => {
+    current = current.then(sweepNext, sweepNext);
+  }, cfg.everyMs);
+  timer.unref();
+
+  return {
+    sweep,
+    async [Symbol.asyncDispose]() {
+      clearInterval(timer);
+      await current;
+    },
+  };
+}
--- a/packages/routing/src/lib/quarantine/index.ts
+++ b/packages/routing/src/lib/quarantine/index.ts
@@ -1,2 +1,3 @@
+export * from './peer-entry.js';
 export * from './quarantine-entry.js';
 export * from './quarantine.js';
