Test the ledger under lost answers, lost keepers and interleavings

Cases that switch a rule off by a wrapping fake show that the checks see it: intents dropped, rows removed in place of marked, removals without a fence, expected versions ignored.

--- /dev/null
+++ b/packages/platform/src/test/settled-write_test.ts
@@ -0,0 +1,113 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+import { err, ok } from 'neverthrow';
+
+import {
+  PlatformError,
+  type TableRow,
+  type TableService,
+  type TableWrite,
+  settledWrite,
+} from '../index.js';
+
+type Fate = 'answered' | 'refused' | 'lost-before' | 'lost-after' | 'delayed';
+
+/** A table whose transactions meet the given fates in turn, and then are answered. */
+function createTable(fates: Fate[]) {
+  const rows = new Map<string, TableRow>();
+  const delayed: (readonly TableWrite[])[] = [];
+
+  function apply(writes: readonly TableWrite[]): string[] {
+    const stale = writes.filter((it) => (rows.get(it.key)?.version ?? 0) !== it.expectedVersion);
+    if (stale.length > 0) return stale.map((it) => it.key);
+    for (const { key, expectedVersion, value } of writes) {
+      if (value === null) rows.delete(key);
+      else if (value !== undefined) rows.set(key, { key, version: expectedVersion + 1, value });
+    }
+    return [];
+  }
+
+  const table: TableService = {
+    read: (keys) =>
+      Promise.resolve(ok(keys.map((key) => rows.get(key)).filter((row) => row !== undefined))),
+    scan: () => Promise.resolve(ok([])),
+    transact(writes) {
+      const fate = fates.shift() ?? 'answered';
+      if (fate === 'refused') return Promise.resolve(err(new PlatformError('refused', false)));
+      if (fate === 'delayed') delayed.push(writes);
+      const conflicts = fate === 'answered' || fate === 'lost-after' ? apply(writes) : [];
+      if (fate !== 'answered') return Promise.resolve(err(new PlatformError('lost', true)));
+      return Promise.resolve(
+        ok(conflicts.length === 0 ? { committed: true } : { committed: false, conflicts }),
+      );
+    },
+  };
+  const land = () => {
+    for (const writes of delayed.splice(0)) apply(writes);
+  };
+  return { table, rows, apply, land };
+}
+
+const rowOf = (key: string, writer: string, expectedVersion = 0): TableWrite => ({
+  key,
+  expectedVersion,
+  value: JSON.stringify({ writer }),
+});
+
+const SOON = { deadlineAt: performance.now() + 10_000, retryGapMs: 1 };
+const AT_ONCE = { deadlineAt: 0 };
+
+for (const fate of ['lost-before', 'lost-after', 'delayed'] as const) {
+  test(`a write whose answer was ${fate} takes effect exactly once`, async () => {
+    const { table, rows, land } = createTable([fate]);
+    const outcome = await settledWrite(table, [rowOf('a', 't1')], 't1', SOON);
+    land();
+    expect(outcome).toEqual({ kind: 'committed' });
+    expect(rows.get('a')?.version).toEqual(1);
+  });
+}
+
+test('a lost write is in conflict only when it can no longer land', async () => {
+  const { table, rows, apply, land } = createTable(['delayed']);
+  const write = settledWrite(table, [rowOf('a', 't1'), rowOf('b', 't1')], 't1', SOON);
+  apply([rowOf('a', 'other')]);
+  const outcome = await write;
+  land();
+  expect(outcome.kind).toEqual('conflict');
+  expect(rows.has('b')).toEqual(false);
+});
+
+test('a read-back alone would miss a write that lands after it', async () => {
+  const { table, rows, land } = createTable(['delayed']);
+  await table.transact([rowOf('a', 't1')]);
+  const readBack = await table.read(['a']);
+  land();
+  expect(readBack._unsafeUnwrap()).toEqual([]);
+  expect(rows.has('a')).toEqual(true);
+});
+
+test('another row of the transaction settles one that was overwritten since', async () => {
+  const { table, apply } = createTable(['lost-after']);
+  const write = settledWrite(table, [rowOf('a', 't1'), rowOf('b', 't1')], 't1', SOON);
+  apply([rowOf('a', 'other', 1)]);
+  expect(await write).toEqual({ kind: 'committed' });
+});
+
+test('a single row that was overwritten since stays unsettled', async () => {
+  const { table, apply } = createTable(['lost-after']);
+  const write = settledWrite(table, [rowOf('a', 't1')], 't1', SOON);
+  apply([rowOf('a', 'other', 1)]);
+  expect((await write).kind).toEqual('unsettled');
+});
+
+test('a refusal counts as not written only when no earlier copy may land', async () => {
+  const refused = createTable(['refused']);
+  const first = await settledWrite(refused.table, [rowOf('a', 't1')], 't1', AT_ONCE);
+  expect(first.kind).toEqual('unavailable');
+
+  const lost = createTable(['lost-before', ...Array<Fate>(200).fill('refused')]);
+  const options = { deadlineAt: performance.now() + 20, retryGapMs: 1 };
+  const second = await settledWrite(lost.table, [rowOf('a', 't1')], 't1', options);
+  expect(second.kind).toEqual('unsettled');
+});
--- a/packages/routing/src/lib/ledger/run-non-idempotent.ts
+++ b/packages/routing/src/lib/ledger/run-non-idempotent.ts
@@ -7,7 +7,7 @@
 
 const MAX_ATTEMPTS = 4;
 const ATTEMPT_GAP_MS = 25;
-const MAX_RUN_PAST_DEADLINE_MS = 60_000;
+const DEFAULT_RUN_PAST_DEADLINE_MS = 60_000;
 const NOT_RUN_RETRY_AFTER_MS = 1_000;
 
 /** What became of one dispatch. */
@@ -59,6 +59,8 @@
   readonly dispatch: (attempt: number) => Promise<DispatchOutcome>;
   readonly req: NonIdempotentRequest;
   readonly clock?: LedgerClock;
+  /** Time after the deadline at which a dispatch without an end is recorded as unknown. */
+  readonly runPastDeadlineMs?: number;
 }
 
 /**
@@ -131,7 +133,7 @@
 }
 
 async function dispatchWithin(run: NonIdempotentRun, clock: LedgerClock): Promise<DispatchOutcome> {
-  const lastAt = run.req.deadlineAt + MAX_RUN_PAST_DEADLINE_MS;
+  const lastAt = run.req.deadlineAt + (run.runPastDeadlineMs ?? DEFAULT_RUN_PAST_DEADLINE_MS);
   const outcome = await untilDeadline(dispatchWithRetries(run, clock), lastAt, clock);
   return outcome ?? { kind: 'unknown', reason: 'the dispatch did not end' };
 }
--- /dev/null
+++ b/packages/routing/src/test/ledger-loss_test.ts
@@ -0,0 +1,184 @@
+import { test } from 'node:test';
+
+import { RESULT_CODES } from '@boragepoint/config';
+import type { TableService, TableWrite } from '@boragepoint/platform';
+import { expect } from 'earl';
+import { ok } from 'neverthrow';
+
+import { type DispatchOutcome, createSweeper, intentPrefix } from '../index.js';
+import { createFaultyTable, createSeverableTable } from './faulty-table.js';
+import { SERVICE, createFixture, eventually } from './ledger-fixture.js';
+
+const { outcomeUnknown } = RESULT_CODES;
+const NEVER = new Promise<never>(() => undefined);
+const LOST_DEADLINE_MS = 1_000;
+const YEAR_MS = 31_536_000_000;
+
+/** Where a keeper is lost, and what a repeat at another keeper is told. */
+const LOSSES = [
+  { at: 'before the intent', repeat: 'answered', runs: 1 },
+  { at: 'after the intent', repeat: outcomeUnknown, runs: 0 },
+  { at: 'after the dispatch', repeat: outcomeUnknown, runs: 1 },
+  { at: 'after the answer', repeat: outcomeUnknown, runs: 1 },
+  { at: 'after the record', repeat: 'replayed', runs: 1 },
+] as const;
+
+/** Loses one keeper at a step and repeats its request at another one. */
+async function loseKeeper(
+  at: (typeof LOSSES)[number]['at'],
+  wrap: (table: TableService) => TableService = (table) => table,
+) {
+  const fixture = createFixture();
+  const table = createSeverableTable(wrap(fixture.table));
+  const lost = fixture.keeper('lost', { table });
+  let reached!: () => void;
+  const atLoss = new Promise<void>((resolve) => (reached = resolve));
+  const dispatch = (): Promise<DispatchOutcome> => {
+    if (at === 'after the intent') {
+      table.cut();
+      reached();
+      return NEVER;
+    }
+    const answer = fixture.runAtServer('k');
+    if (at !== 'after the record') table.cut();
+    if (at === 'after the dispatch') reached();
+    return at === 'after the dispatch' ? NEVER : Promise.resolve(answer);
+  };
+  if (at === 'before the intent') table.cut();
+  const deadlineAt = performance.now() + LOST_DEADLINE_MS;
+  const seen = fixture.send(lost, 'k', dispatch, { deadlineAt });
+  void seen.then(reached);
+  await atLoss;
+  await eventually(() => at !== 'after the record' || lost.stats().unrecorded === 0);
+  const repeat = await fixture.send(fixture.keeper('next'), 'k');
+  return { repeat, runs: fixture.runsOf('k') };
+}
+
+for (const { at, repeat, runs } of LOSSES) {
+  test(`a keeper lost ${at} never leads to a second run`, async () => {
+    expect(await loseKeeper(at)).toEqual({ repeat, runs });
+  });
+}
+
+test('without the intent in the table, the repeat runs again', async () => {
+  const dropIntents = (table: TableService): TableService => ({
+    ...table,
+    transact: () => Promise.resolve(ok({ committed: true })),
+  });
+  const { runs } = await loseKeeper('after the answer', dropIntents);
+  expect(runs).toEqual(2);
+});
+
+/** Turns the record "not run" into a removal of the row, whose request arrives late. */
+function removeInsteadOfMark(table: TableService) {
+  const late: (readonly TableWrite[])[] = [];
+  const removing: TableService = {
+    ...table,
+    async transact(writes) {
+      const changed = writes.map((write) =>
+        write.value?.includes('"not-run"') === true ? { ...write, value: null } : write,
+      );
+      const isRemoval = changed.some((write) => write.value === null);
+      if (!isRemoval) return table.transact(writes);
+      const outcome = await table.transact(changed);
+      late.push(changed);
+      return outcome;
+    },
+  };
+  const land = async () => {
+    for (const writes of late) await table.transact(writes);
+  };
+  return { ...removing, land };
+}
+
+/** A run proved not to have happened, a second one at another keeper, and then a late copy. */
+async function runAfterNotRun(
+  wrap: (table: TableService) => ReturnType<typeof removeInsteadOfMark>,
+) {
+  const fixture = createFixture();
+  const table = wrap(fixture.table);
+  const first = fixture.keeper('first', { table });
+  const notRun: DispatchOutcome = { kind: 'not-run', reason: 'refused', mayRetry: false };
+  await fixture.send(first, 'k', () => Promise.resolve(notRun));
+  await eventually(() => first.stats().unrecorded === 0);
+  const second = fixture.keeper('second');
+  const begun = await second.begin({
+    service: SERVICE,
+    idempotencyKey: 'k',
+    fingerprint: 'f',
+    deadlineAt: performance.now() + LOST_DEADLINE_MS,
+  });
+  expect(begun.kind).toEqual('started');
+  fixture.runAtServer('k');
+  await table.land();
+  await fixture.send(fixture.keeper('third'), 'k');
+  return fixture.runsOf('k');
+}
+
+test('a late copy of the record "not run" does no harm to the next run', async () => {
+  const copyLate = (table: TableService) => {
+    const late: (readonly TableWrite[])[] = [];
+    const transact = (writes: readonly TableWrite[]) => {
+      late.push(writes);
+      return table.transact(writes);
+    };
+    const land = async () => {
+      for (const writes of late) await table.transact(writes);
+    };
+    return { ...table, transact, land };
+  };
+  expect(await runAfterNotRun(copyLate)).toEqual(1);
+});
+
+test('if the row were removed instead of marked, a late copy would let it run twice', async () => {
+  expect(await runAfterNotRun(removeInsteadOfMark)).toEqual(2);
+});
+
+function createOldSweeper(fixture: ReturnType<typeof createFixture>, table: TableService) {
+  return createSweeper({
+    table,
+    objects: fixture.objects,
+    incarnation: `sweeper-${Math.trunc(performance.now() * 1000)}`,
+    services: () => [],
+    isMine: () => true,
+    clock: { now: () => performance.now(), wallNow: () => Date.now() + YEAR_MS },
+    config: { settleMs: 1 },
+  });
+}
+
+/** Sweeps by one router with a delayed answer and by another; the key is then used again. */
+async function sweepLate(hasFence: boolean) {
+  const fixture = createFixture();
+  const first = fixture.keeper('first');
+  const answerLarge = (): Promise<DispatchOutcome> => {
+    fixture.runAtServer('k');
+    const body = new Uint8Array(20_000);
+    return Promise.resolve({ kind: 'answered', status: 200, headers: [], body });
+  };
+  await fixture.send(first, 'k', answerLarge);
+  await eventually(() => first.stats().unrecorded === 0);
+  const slow = createFaultyTable(fixture.table, () => 'delayed');
+  const [row] = (await fixture.table.scan(intentPrefix(SERVICE)))._unsafeUnwrap();
+  const digits = row?.key.slice(intentPrefix(SERVICE).length).slice(0, 3) ?? '';
+  const withoutFence: TableService = {
+    ...slow,
+    transact: (writes) => slow.transact(writes.filter((it) => it.value === null)),
+  };
+  await createOldSweeper(fixture, hasFence ? slow : withoutFence).sweep(SERVICE, digits);
+  const swept = await createOldSweeper(fixture, fixture.table).sweep(SERVICE, digits);
+  expect(swept).toEqual(1);
+  expect(fixture.objects.held.size).toEqual(0);
+  const second = fixture.keeper('second');
+  expect(await fixture.send(second, 'k', answerLarge)).toEqual('answered');
+  await eventually(() => second.stats().unrecorded === 0);
+  await slow.land();
+  return fixture.send(fixture.keeper('third'), 'k');
+}
+
+test('a late removal of an expired record does not hit the next record of its key', async () => {
+  expect(await sweepLate(true)).toEqual('replayed');
+});
+
+test('without the fence row, a late removal would hit it', async () => {
+  expect(await sweepLate(false)).toEqual('answered');
+});
--- /dev/null
+++ b/packages/routing/src/test/ledger_test.ts
@@ -0,0 +1,195 @@
+import { test } from 'node:test';
+
+import { RESULT_CODES } from '@boragepoint/config';
+import { expect } from 'earl';
+
+import { type DispatchOutcome, intentRowKey, parseIntent } from '../index.js';
+import { createFaultyTable } from './faulty-table.js';
+import { SERVICE, createFixture, eventually } from './ledger-fixture.js';
+
+const LARGE_BYTES = 20_000;
+const NOT_CONNECTED: DispatchOutcome = { kind: 'not-run', reason: 'refused', mayRetry: false };
+
+function request(key: string, fingerprint = 'f') {
+  const deadlineAt = performance.now() + 10_000;
+  return { service: SERVICE, idempotencyKey: key, fingerprint, deadlineAt };
+}
+
+for (const bytes of [10, LARGE_BYTES]) {
+  test(`a repeat through another keeper gets the answer of ${bytes} bytes again`, async () => {
+    const { keeper, objects } = createFixture();
+    const body = new Uint8Array(bytes).fill(7);
+    const answer = { status: 201, headers: [{ name: 'a', value: 'b' }], body };
+    const first = keeper('a');
+    const begun = await first.begin(request('k'));
+    if (begun.kind !== 'started') throw new Error(begun.kind);
+    expect(await first.finish(begun.handle, answer)).toEqual('recorded');
+    expect(await keeper('b').begin(request('k'))).toEqual({ kind: 'done', answer });
+    expect(objects.held.size).toEqual(bytes === LARGE_BYTES ? 1 : 0);
+  });
+}
+
+test('an answer whose object is gone or changed is never passed on', async () => {
+  const { keeper, objects } = createFixture();
+  const first = keeper('a');
+  const begun = await first.begin(request('k'));
+  if (begun.kind !== 'started') throw new Error(begun.kind);
+  await first.finish(begun.handle, { status: 200, headers: [], body: new Uint8Array(LARGE_BYTES) });
+  for (const key of objects.held.keys()) objects.held.set(key, new Uint8Array(LARGE_BYTES - 1));
+  expect(await keeper('b').begin(request('k'))).toEqual({ kind: 'expired' });
+});
+
+test('a key that was used for another request is refused', async () => {
+  const { keeper, send } = createFixture();
+  const ledger = keeper('a');
+  expect(await send(ledger, 'k')).toEqual('answered');
+  expect(await ledger.begin(request('k', 'other'))).toEqual({ kind: 'reused' });
+  expect(await keeper('b').begin(request('k', 'other'))).toEqual({ kind: 'reused' });
+});
+
+test('repeats that arrive while the first try runs wait for its answer', async () => {
+  const { keeper, send, runsOf } = createFixture();
+  const ledger = keeper('a');
+  const seen = await Promise.all([send(ledger, 'k'), send(ledger, 'k'), send(ledger, 'k')]);
+  expect(seen.sort()).toEqual(['answered', 'replayed', 'replayed']);
+  expect(runsOf('k')).toEqual(1);
+});
+
+test('a caller is answered at its deadline, and a repeat gets the late answer', async () => {
+  const { keeper, send, runAtServer, runsOf } = createFixture();
+  const ledger = keeper('a');
+  let answer!: () => void;
+  const answered = new Promise<void>((resolve) => (answer = resolve));
+  const slow = () => answered.then(() => runAtServer('k'));
+  const soon = { deadlineAt: performance.now() + 500 };
+  expect(await send(ledger, 'k', slow, soon)).toEqual(RESULT_CODES.deadlinePassed);
+  const repeat = send(ledger, 'k');
+  answer();
+  expect(await repeat).toEqual('replayed');
+  expect(runsOf('k')).toEqual(1);
+});
+
+test('a run proved not to have happened may run at another keeper', async () => {
+  const { keeper, send, runsOf } = createFixture();
+  const first = keeper('a');
+  const seen = await send(first, 'k', () => Promise.resolve(NOT_CONNECTED));
+  expect(seen).toEqual(RESULT_CODES.ownerUnreachable);
+  await eventually(() => first.stats().unrecorded === 0);
+  expect(await send(keeper('b'), 'k')).toEqual('answered');
+  expect(runsOf('k')).toEqual(1);
+});
+
+test('an unknown outcome is never dispatched again', async () => {
+  const { keeper, send, runsOf } = createFixture();
+  const first = keeper('a');
+  const lost: DispatchOutcome = { kind: 'unknown', reason: 'connection lost' };
+  const seen = await send(first, 'k', () => Promise.resolve(lost));
+  expect(seen).toEqual(RESULT_CODES.outcomeUnknown);
+  expect(await send(first, 'k')).toEqual(RESULT_CODES.outcomeUnknown);
+  expect(await send(keeper('b'), 'k')).toEqual(RESULT_CODES.outcomeUnknown);
+  expect(runsOf('k')).toEqual(0);
+});
+
+test('a request without a key is dispatched once and not recorded', async () => {
+  const { keeper, send, table } = createFixture();
+  let dispatched = 0;
+  const refuse = () => {
+    dispatched += 1;
+    return Promise.resolve<DispatchOutcome>({ kind: 'not-run', reason: 'refused' });
+  };
+  await send(keeper('a'), 'k', refuse, { idempotencyKey: undefined });
+  expect(dispatched).toEqual(1);
+  expect((await table.scan('intent/'))._unsafeUnwrap()).toEqual([]);
+});
+
+test('a table that is down refuses, tells the time to come back, and nothing runs', async () => {
+  const fixture = createFixture();
+  const table = createFaultyTable(fixture.table, () => 'refused');
+  const ledger = fixture.keeper('a', { table });
+  const begun = await ledger.begin(request('k'));
+  expect(begun).toEqual({ kind: 'unavailable', earlierTry: 'none', retryAfterMs: 1_000 });
+});
+
+test('reads answer a repeat while the table takes no writes', async () => {
+  const fixture = createFixture();
+  const first = fixture.keeper('a');
+  await fixture.send(first, 'k');
+  await eventually(() => first.stats().unrecorded === 0);
+  const table = createFaultyTable(fixture.table, () => 'refused');
+  expect(await fixture.send(fixture.keeper('b', { table }), 'k')).toEqual('replayed');
+});
+
+test('an answer that the table does not take is kept in memory and recorded later', async () => {
+  const fixture = createFixture();
+  let isDown = false;
+  const table = createFaultyTable(fixture.table, () => (isDown ? 'refused' : 'answered'));
+  const ledger = fixture.keeper('a', { table, config: { recordRetries: 10_000 } });
+  const seen = await fixture.send(ledger, 'k', () => {
+    isDown = true;
+    return Promise.resolve(fixture.runAtServer('k'));
+  });
+  expect(seen).toEqual('answered');
+  expect(await fixture.send(ledger, 'k')).toEqual('replayed');
+  isDown = false;
+  await eventually(() => ledger.stats().unrecorded === 0);
+  expect(await fixture.send(fixture.keeper('b'), 'k')).toEqual('replayed');
+});
+
+test('an intent that lands after its caller was refused does not bar the repeat', async () => {
+  const fixture = createFixture();
+  const fates = ['delayed', 'refused'] as const;
+  let calls = 0;
+  let isDown = true;
+  const table = createFaultyTable(fixture.table, () =>
+    isDown ? (fates[calls++] ?? 'refused') : 'answered',
+  );
+  const ledger = fixture.keeper('a', { table, config: { recordRetries: 10_000 } });
+  const seen = await fixture.send(ledger, 'k', undefined, { deadlineAt: performance.now() + 15 });
+  expect(seen).toEqual(RESULT_CODES.tableUnavailable);
+  await table.land();
+  const key = intentRowKey(SERVICE, 'k');
+  const rows = (await fixture.table.read([key]))._unsafeUnwrap();
+  expect(rows.map((row) => parseIntent(row)?.outcome.state)).toEqual(['pending']);
+  isDown = false;
+  expect(await fixture.send(ledger, 'k')).toEqual('answered');
+  expect(fixture.runsOf('k')).toEqual(1);
+});
+
+test('such an intent is marked as not run for other keepers too', async () => {
+  const fixture = createFixture();
+  let isDown = true;
+  const table = createFaultyTable(fixture.table, () => (isDown ? 'lost-after' : 'answered'));
+  const ledger = fixture.keeper('a', { table, config: { recordRetries: 10_000 } });
+  await fixture.send(ledger, 'k', undefined, { deadlineAt: performance.now() + 15 });
+  isDown = false;
+  const other = fixture.keeper('b');
+  await eventually(async () => (await fixture.send(other, 'k')) !== RESULT_CODES.outcomeUnknown);
+  expect(fixture.runsOf('k')).toEqual(1);
+});
+
+test('many requests share transactions, and one in conflict does not hold up the others', async () => {
+  const fixture = createFixture();
+  await fixture.keeper('a').begin(request('k-3'));
+  const table = createFaultyTable(fixture.table, () => 'answered');
+  const ledger = fixture.keeper('b', { table });
+  const keys = Array.from({ length: 10 }, (_, i) => `k-${i}`);
+  const begun = await Promise.all(keys.map((key) => ledger.begin(request(key))));
+  expect(begun.filter((it) => it.kind === 'started').length).toEqual(9);
+  expect(begun[3]).toEqual({ kind: 'unfinished', reason: 'pending-elsewhere' });
+  expect(table.transactions()).toEqual(2);
+});
+
+test('a time-ordered key is refused once it is older than the records, or from the future', async () => {
+  const { keeper } = createFixture();
+  const madeAtMs = 1_750_000_000_000;
+  const hex = madeAtMs.toString(16).padStart(12, '0');
+  const key = `${hex.slice(0, 8)}-${hex.slice(8)}-7000-8000-000000000000`;
+  const beginAt = (wallMs: number) => {
+    const clock = { now: () => performance.now(), wallNow: () => wallMs };
+    const config = { retentionMs: 1_000, clockSkewMs: 100 };
+    return keeper(`at-${wallMs}`, { clock, config }).begin(request(key));
+  };
+  expect((await beginAt(madeAtMs - 101)).kind).toEqual('bad-key');
+  expect((await beginAt(madeAtMs + 1_001)).kind).toEqual('expired');
+  expect((await beginAt(madeAtMs + 1_000)).kind).toEqual('started');
+});
