Split the quarantine by job and test it with several routers

The merge property found that two released entries of one time had no order; now the order is total. Simulated routers show that at most two servers go down and that no harmless request is barred; without spreading, or without running suspects at the owner's keeper, the same property fails.

--- a/packages/routing/src/lib/quarantine/quarantine-entry.ts
+++ b/packages/routing/src/lib/quarantine/quarantine-entry.ts
@@ -32,10 +32,10 @@
   return hash.digest('hex').slice(0, FINGERPRINT_HEX_DIGITS);
 }
 
-/** Strength of an entry among changes of the same time: released, barred, suspect. */
+/** Strength of an entry among changes of the same time: released before barred before suspect. */
 function rank(entry: QuarantineEntry): number {
-  if (entry.released) return 2;
-  return entry.suspect ? 0 : 1;
+  const releasedRank = entry.released ? 2 : 0;
+  return releasedRank + (entry.suspect ? 0 : 1);
 }
 
 /** Tells whether an entry replaces the one held. The order is total, so all routers agree. */
--- a/packages/routing/src/lib/quarantine/quarantine.ts
+++ b/packages/routing/src/lib/quarantine/quarantine.ts
@@ -1,29 +1,11 @@
 import * as v from 'valibot';
 
 import { type LedgerClock, systemClock, untilDeadline } from '../ledger/ledger-clock.js';
-import { type QuarantineEntry, supersedes } from './quarantine-entry.js';
+import { type EntryKind, createEntryStore } from './entry-store.js';
+import { type QuarantineConfigInput, quarantineConfigSchema } from './quarantine-config.js';
+import type { QuarantineEntry } from './quarantine-entry.js';
 import { type ServerGate, createServerGate } from './server-gate.js';
 
-function wholeNumber(min: number) {
-  return v.pipe(v.number(), v.integer(), v.minValue(min));
-}
-
-/** Limits of the quarantine; times in milliseconds. */
-export const quarantineConfigSchema = v.strictObject({
-  /** Time that a request stays suspect without running. */
-  suspectMs: v.optional(wholeNumber(1), 600_000),
-  /** Time that a request is barred. Afterwards it is suspect again and runs alone. */
-  quarantineMs: v.optional(wholeNumber(1), 3_600_000),
-  /** Time that a released entry is kept, so that older news of it does not bring it back. */
-  releasedMs: v.optional(wholeNumber(1), 600_000),
-  /** Longest time that a lost run waits for the peers to hear of it. */
-  spreadMs: v.optional(wholeNumber(0), 500),
-  /** Most entries held; the oldest change is dropped first, suspects before barred ones. */
-  maxEntries: v.optional(wholeNumber(1), 10_000),
-});
-export type QuarantineConfig = v.InferOutput<typeof quarantineConfigSchema>;
-export type QuarantineConfigInput = v.InferInput<typeof quarantineConfigSchema>;
-
 /** What a quarantine needs. */
 export interface QuarantineOptions {
   readonly config?: QuarantineConfigInput;
@@ -34,7 +16,10 @@
 
 /** One request on its way to one backend server. */
 export interface QuarantineRun {
-  /** True when nothing else may run at this backend server through this router meanwhile. */
+  /**
+   * True for a suspect. Nothing else runs at this backend server through this router meanwhile. It
+   * needs a new connection: the reset of an idle one would count as a second loss.
+   */
   readonly runAlone: boolean;
   /** The backend server answered, so this request does not crash servers. */
   answered(): void;
@@ -70,12 +55,17 @@
   enter(req: QuarantineRequest): Promise<Admission>;
   /** Tells whether a request is barred, without a turn: for a refusal on arrival. */
   barredForMs(service: string, fingerprint: string): number | undefined;
-  /** Tells whether a request is suspect and has to go through the owner's keeper. */
+  /**
+   * Tells whether a request is suspect. Suspects are run by the owner's keeper, so that two
+   * routers do not run two of them side by side and bar the innocent one with the other.
+   */
   isSuspect(service: string, fingerprint: string): boolean;
-  /** Takes entries in from a peer. */
+  /** Takes entries in from a peer; the newest change of a request wins. */
   merge(entries: readonly QuarantineEntry[]): void;
-  /** Entries to send to peers, newest change first. */
-  entries(limit?: number): QuarantineEntry[];
+  /** Entries for a peer that has just started. */
+  entries(): QuarantineEntry[];
+  /** Entries for the next heartbeat; calls in turn go through all of them. */
+  heartbeatEntries(limit: number): QuarantineEntry[];
   /** Barred requests, for an operator. */
   list(service?: string): QuarantineEntry[];
   /** Releases a request; returns whether it was barred or suspect. */
@@ -91,72 +81,14 @@
   const cfg = v.parse(quarantineConfigSchema, options.config ?? {});
   const clock = options.clock ?? systemClock;
   const spread = options.spread ?? (() => Promise.resolve());
-  const held = new Map<string, QuarantineEntry>();
+  const store = createEntryStore(cfg, clock);
   const gates = new Map<string, ServerGate>();
 
-  const keyOf = (service: string, fingerprint: string) => `${service}/${fingerprint}`;
-
-  /** Returns the entry in force: lapsed and released ones count for nothing. */
-  function find(service: string, fingerprint: string): QuarantineEntry | undefined {
-    const entry = held.get(keyOf(service, fingerprint));
-    if (entry === undefined || entry.released) return undefined;
-    return lapse(entry);
-  }
-
-  /** A bar that lapsed leaves a suspect behind; a suspect that lapsed leaves nothing. */
-  function lapse(entry: QuarantineEntry): QuarantineEntry | undefined {
-    const now = clock.wallNow();
-    if (entry.expiresAtMs > now) return entry;
-    if (entry.suspect || entry.expiresAtMs + cfg.suspectMs <= now) return undefined;
-    return { ...entry, suspect: true, expiresAtMs: entry.expiresAtMs + cfg.suspectMs };
-  }
-
-  function put(entry: QuarantineEntry): void {
-    const key = keyOf(entry.service, entry.fingerprint);
-    if (!supersedes(entry, held.get(key))) return;
-    held.delete(key);
-    held.set(key, entry);
-    if (held.size > cfg.maxEntries) dropOne();
-  }
-
-  function dropOne(): void {
-    const entries = [...held];
-    const [key] = entries.find(([, entry]) => entry.suspect || entry.released) ?? entries[0] ?? [];
-    if (key !== undefined) held.delete(key);
-  }
-
-  function removeLapsed(): void {
-    const now = clock.wallNow();
-    for (const [key, entry] of held) {
-      if (entry.expiresAtMs + cfg.suspectMs <= now) held.delete(key);
-    }
-  }
-
-  /** Stores a change made here and offers it to the peers. */
-  async function change(
-    service: string,
-    fingerprint: string,
-    kind: 'suspect' | 'barred' | 'released',
-  ): Promise<void> {
-    const now = clock.wallNow();
-    const old = held.get(keyOf(service, fingerprint));
-    const lifeMs = { suspect: cfg.suspectMs, barred: cfg.quarantineMs, released: cfg.releasedMs };
-    const entry: QuarantineEntry = {
-      service,
-      fingerprint,
-      suspect: kind === 'suspect',
-      released: kind === 'released',
-      expiresAtMs: now + lifeMs[kind],
-      // A clock that stands behind a peer's must not make this change look older.
-      changedAtMs: Math.max(now, (old?.changedAtMs ?? 0) + 1),
-    };
-    removeLapsed();
-    put(entry);
-    await untilDeadline(
-      spread([entry]).catch(() => undefined),
-      systemClock.now() + cfg.spreadMs,
-      systemClock,
-    );
+  /** Makes a change and waits until the peers have it, within bounds. */
+  async function change(service: string, fingerprint: string, kind: EntryKind): Promise<void> {
+    const entry = store.change(service, fingerprint, kind);
+    const told = spread([entry]).catch(() => undefined);
+    await untilDeadline(told, systemClock.now() + cfg.spreadMs, systemClock);
   }
 
   function gateOf(server: string): ServerGate {
@@ -179,7 +111,7 @@
     return {
       runAlone,
       answered() {
-        const isSuspect = find(service, fingerprint)?.suspect === true;
+        const isSuspect = store.find(service, fingerprint)?.suspect === true;
         if (leave() && isSuspect) void change(service, fingerprint, 'released');
       },
       ended() {
@@ -187,7 +119,7 @@
       },
       async lost() {
         const isSecond = runAlone;
-        const isBarred = find(service, fingerprint)?.suspect === false;
+        const isBarred = store.find(service, fingerprint)?.suspect === false;
         if (!leave() || isBarred) return;
         await change(service, fingerprint, isSecond ? 'barred' : 'suspect');
       },
@@ -195,13 +127,13 @@
   }
 
   function barredForMs(service: string, fingerprint: string): number | undefined {
-    const entry = find(service, fingerprint);
+    const entry = store.find(service, fingerprint);
     if (entry === undefined || entry.suspect) return undefined;
     return entry.expiresAtMs - clock.wallNow();
   }
 
   function isSuspect(service: string, fingerprint: string): boolean {
-    return find(service, fingerprint)?.suspect === true;
+    return store.find(service, fingerprint)?.suspect === true;
   }
 
   async function enter(req: QuarantineRequest): Promise<Admission> {
@@ -225,20 +157,18 @@
     barredForMs,
     isSuspect,
     merge(entries) {
-      for (const entry of entries) put(entry);
-    },
-    entries(limit = cfg.maxEntries) {
-      removeLapsed();
-      const newestFirst = [...held.values()].sort((a, b) => b.changedAtMs - a.changedAtMs);
-      return newestFirst.slice(0, limit);
+      for (const entry of entries) store.put(entry);
     },
+    entries: () => store.all(),
+    heartbeatEntries: (limit) => store.next(limit),
     list(service) {
-      return [...held.values()]
+      return store
+        .all()
         .filter((entry) => service === undefined || entry.service === service)
         .filter((entry) => barredForMs(entry.service, entry.fingerprint) !== undefined);
     },
     async release(service, fingerprint) {
-      const known = find(service, fingerprint) !== undefined;
+      const known = store.find(service, fingerprint) !== undefined;
       await change(service, fingerprint, 'released');
       return known;
     },
--- a/packages/routing/src/test/ledger_test.ts
+++ b/packages/routing/src/test/ledger_test.ts
@@ -135,6 +135,22 @@
   expect(await fixture.send(fixture.keeper('b'), 'k')).toEqual('replayed');
 });
 
+test('a run whose outcome is neither in the table nor in memory is not run again', async () => {
+  const fixture = createFixture();
+  let isDown = false;
+  const table = createFaultyTable(fixture.table, () => (isDown ? 'refused' : 'answered'));
+  const config = { recordRetries: 0, memoryBytes: 1 };
+  const ledger = fixture.keeper('a', { table, config });
+  await fixture.send(ledger, 'k', () => {
+    isDown = true;
+    return Promise.resolve(fixture.runAtServer('k'));
+  });
+  await eventually(() => ledger.stats().recordsLost === 1);
+  isDown = false;
+  expect(await fixture.send(ledger, 'k')).toEqual(RESULT_CODES.outcomeUnknown);
+  expect(fixture.runsOf('k')).toEqual(1);
+});
+
 test('an intent that lands after its caller was refused does not bar the repeat', async () => {
   const fixture = createFixture();
   const fates = ['delayed', 'refused'] as const;
--- /dev/null
+++ b/packages/routing/src/test/quarantine_test.ts
@@ -0,0 +1,237 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+import fc from 'fast-check';
+
+import {
+  type Quarantine,
+  type QuarantineEntry,
+  type QuarantineRun,
+  createQuarantine,
+  fingerprintOf,
+  fromPeerEntry,
+  toPeerEntry,
+} from '../index.js';
+
+const SERVICE = 'caja';
+const SEED = 20_260_117;
+const CRASHING = 'crashing';
+const HOUR_MS = 3_600_000;
+
+const soon = () => performance.now() + 10_000;
+
+async function enter(quarantine: Quarantine, fingerprint: string, server = 's1') {
+  return quarantine.enter({ service: SERVICE, fingerprint, server, deadlineAt: soon() });
+}
+
+async function mustRun(quarantine: Quarantine, fingerprint: string, server = 's1') {
+  const admission = await enter(quarantine, fingerprint, server);
+  if (admission.kind !== 'run') throw new Error(admission.kind);
+  return admission.run;
+}
+
+test('the fingerprint covers service, method, path and body', () => {
+  const req = { service: 'caja', method: 'POST', path: '/pay', body: new Uint8Array([1]) };
+  const others = [
+    { ...req, service: 'bandeja' },
+    { ...req, method: 'PUT' },
+    { ...req, path: '/pay?x' },
+    { ...req, body: new Uint8Array([1, 0]) },
+  ];
+  const hashes = new Set([req, { ...req }, ...others].map(fingerprintOf));
+  expect(hashes.size).toEqual(1 + others.length);
+});
+
+test('all requests in flight at a loss are suspect, run alone next, and are cleared', async () => {
+  const quarantine = createQuarantine();
+  const first = await mustRun(quarantine, 'a');
+  const second = await mustRun(quarantine, 'b');
+  expect(first.runAlone).toEqual(false);
+  await Promise.all([first.lost(), second.lost()]);
+
+  const again = await mustRun(quarantine, 'a', 's2');
+  expect(again.runAlone).toEqual(true);
+  let isAdmitted = false;
+  const beside = enter(quarantine, 'healthy', 's2').then((admission) => {
+    isAdmitted = true;
+    return admission;
+  });
+  await new Promise(setImmediate);
+  expect(isAdmitted).toEqual(false);
+  again.answered();
+  expect((await beside).kind).toEqual('run');
+  expect(quarantine.isSuspect(SERVICE, 'a')).toEqual(false);
+  expect(quarantine.isSuspect(SERVICE, 'b')).toEqual(true);
+  expect(quarantine.list()).toEqual([]);
+});
+
+test('a suspect waits for the requests that run, up to its deadline', async () => {
+  const quarantine = createQuarantine();
+  await (await mustRun(quarantine, 'a')).lost();
+  const healthy = await mustRun(quarantine, 'healthy', 's2');
+  const req = { service: SERVICE, fingerprint: 'a', server: 's2' };
+  const late = await quarantine.enter({ ...req, deadlineAt: performance.now() + 5 });
+  expect(late).toEqual({ kind: 'too-late' });
+  const waiting = mustRun(quarantine, 'a', 's2');
+  healthy.answered();
+  expect((await waiting).runAlone).toEqual(true);
+});
+
+test('a loss while running alone bars the request until an operator releases it', async () => {
+  const quarantine = createQuarantine();
+  await (await mustRun(quarantine, 'a')).lost();
+  await (await mustRun(quarantine, 'a', 's2')).lost();
+  expect((await enter(quarantine, 'a', 's3')).kind).toEqual('quarantined');
+  expect(quarantine.list(SERVICE).map((entry) => entry.fingerprint)).toEqual(['a']);
+  expect(await quarantine.release(SERVICE, 'a')).toEqual(true);
+  expect((await enter(quarantine, 'a', 's3')).kind).toEqual('run');
+});
+
+test('a bar that lapsed leaves a suspect: it runs alone and is barred again', async () => {
+  let wallMs = 1_000_000;
+  const clock = { now: () => performance.now(), wallNow: () => wallMs };
+  const quarantine = createQuarantine({ clock });
+  await (await mustRun(quarantine, 'a')).lost();
+  await (await mustRun(quarantine, 'a', 's2')).lost();
+  wallMs += HOUR_MS + 1;
+  const run = await mustRun(quarantine, 'a', 's3');
+  expect(run.runAlone).toEqual(true);
+  await run.lost();
+  expect((await enter(quarantine, 'a', 's4')).kind).toEqual('quarantined');
+});
+
+test('a request that was refused or timed out stays suspect and is not barred', async () => {
+  const quarantine = createQuarantine();
+  await (await mustRun(quarantine, 'a')).lost();
+  (await mustRun(quarantine, 'a', 's2')).ended();
+  expect((await mustRun(quarantine, 'a', 's2')).runAlone).toEqual(true);
+  expect(quarantine.list()).toEqual([]);
+});
+
+test('entries merge to the same state in any order and survive the message', () => {
+  const entryArbitrary = fc.record({
+    service: fc.constant(SERVICE),
+    fingerprint: fc.constantFrom('a', 'b'),
+    suspect: fc.boolean(),
+    released: fc.boolean(),
+    expiresAtMs: fc.integer({ min: HOUR_MS, max: HOUR_MS + 3 }),
+    changedAtMs: fc.nat(3),
+  });
+  const clock = { now: () => 0, wallNow: () => 0 };
+  const stateOf = (entries: QuarantineEntry[]) => {
+    const quarantine = createQuarantine({ clock });
+    quarantine.merge(entries.map((entry) => fromPeerEntry(toPeerEntry(entry))));
+    return quarantine.entries().sort((x, y) => (x.fingerprint < y.fingerprint ? -1 : 1));
+  };
+  const property = fc.property(fc.array(entryArbitrary, { maxLength: 6 }), (entries) => {
+    expect(stateOf([...entries].reverse())).toEqual(stateOf(entries));
+  });
+  fc.assert(property, { seed: SEED });
+});
+
+test('a heartbeat carries a bounded share, and calls in turn go through all', async () => {
+  const quarantine = createQuarantine();
+  const names = ['a', 'b', 'c', 'd', 'e'];
+  for (const name of names) await (await mustRun(quarantine, name)).lost();
+  const beats = [1, 2, 3].map(() => quarantine.heartbeatEntries(2));
+  expect(beats.every((beat) => beat.length <= 2)).toEqual(true);
+  expect(beats.flat().map((entry) => entry.fingerprint)).toEqual(names);
+});
+
+interface RuleSet {
+  /** A loss is answered only after the peers know of it. */
+  readonly spreads: boolean;
+  /** Suspects are run by the owner's keeper. */
+  readonly usesKeeper: boolean;
+}
+
+interface Round {
+  /** Router that the caller of the crashing request tries. */
+  readonly router: number;
+  /** Routers of harmless requests in flight at the same time; the index names the request. */
+  readonly harmless: readonly number[];
+}
+
+const ROUTERS = 3;
+
+/** Answers requests one after the other, with those that get their turn by it, until a stop. */
+async function answerAll(inFlight: QuarantineRun[], stop: () => boolean): Promise<void> {
+  while (!stop() && inFlight.length > 0) {
+    inFlight.shift()?.answered();
+    await new Promise(setImmediate);
+  }
+}
+
+/**
+ * Sends a crashing request again and again, each time through some router and beside harmless
+ * requests; each death of a server moves the key to the next one.
+ */
+async function crashRepeatedly(rounds: readonly Round[], rules: RuleSet) {
+  const routers: Quarantine[] = [];
+  const spread = (entries: readonly QuarantineEntry[]) => {
+    if (rules.spreads) for (const router of routers) router.merge(entries);
+    return Promise.resolve();
+  };
+  for (let i = 0; i < ROUTERS; i += 1) routers.push(createQuarantine({ spread }));
+  let deaths = 0;
+  const serverNow = () => `s${deaths}`;
+
+  function routerFor(entry: number, fingerprint: string): Quarantine {
+    const router = routers[entry % ROUTERS];
+    const keeper = routers[deaths % ROUTERS];
+    if (router === undefined || keeper === undefined) throw new Error('no such router');
+    return rules.usesKeeper && router.isSuspect(SERVICE, fingerprint) ? keeper : router;
+  }
+
+  for (const { router, harmless } of rounds) {
+    const inFlight: QuarantineRun[] = [];
+    for (const [index, entry] of harmless.entries()) {
+      const name = `harmless-${index}`;
+      void enter(routerFor(entry, name), name, serverNow()).then((it) => {
+        if (it.kind === 'run') inFlight.push(it.run);
+      });
+      await new Promise(setImmediate);
+    }
+    let crash: QuarantineRun | undefined;
+    const admitted = enter(routerFor(router, CRASHING), CRASHING, serverNow()).then((it) => {
+      if (it.kind === 'run') crash = it.run;
+    });
+    await new Promise(setImmediate);
+    await answerAll(inFlight, () => crash !== undefined);
+    await admitted;
+    if (crash !== undefined) {
+      deaths += 1;
+      await Promise.all([crash, ...inFlight.splice(0)].map((run) => run.lost()));
+    }
+    await answerAll(inFlight, () => false);
+  }
+  const barred = new Set(routers.flatMap((it) => it.list().map((entry) => entry.fingerprint)));
+  barred.delete(CRASHING);
+  return { deaths, harmlessBarred: barred.size };
+}
+
+const routerArbitrary = fc.nat(ROUTERS - 1);
+const roundsArbitrary = fc.array(
+  fc.record({ router: routerArbitrary, harmless: fc.array(routerArbitrary, { maxLength: 3 }) }),
+  { minLength: 4, maxLength: 8 },
+);
+
+function findViolation(rules: RuleSet) {
+  const property = fc.asyncProperty(roundsArbitrary, async (rounds) => {
+    const { deaths, harmlessBarred } = await crashRepeatedly(rounds, rules);
+    return deaths <= 2 && harmlessBarred === 0;
+  });
+  return fc.check(property, { seed: SEED, numRuns: 200, endOnFailure: true });
+}
+
+test('a crashing request takes down two servers through any routers, and bars no other', async () => {
+  expect((await findViolation({ spreads: true, usesKeeper: true })).failed).toEqual(false);
+});
+
+test('without spreading suspects to the peers, it takes down more', async () => {
+  expect((await findViolation({ spreads: false, usesKeeper: true })).failed).toEqual(true);
+});
+
+test('without the keeper, two suspects side by side bar a harmless one', async () => {
+  expect((await findViolation({ spreads: true, usesKeeper: false })).failed).toEqual(true);
+});
