--- a/packages/routing/src/lib/ledger/intent-record.ts
+++ b/packages/routing/src/lib/ledger/intent-record.ts
@@ -50,6 +50,8 @@
   keeper: v.string(),
   /** Hash of the request, so that a key is not used for two different ones. */
   fingerprint: v.string(),
+  /** Wall-clock time of the keeper at which the run began. */
+  startedAtMs: v.number(),
   /** Wall-clock time after which the row may be removed. */
   expiresAtMs: v.number(),
   outcome: stateSchema,
--- a/packages/routing/src/lib/ledger/ledger.ts
+++ b/packages/routing/src/lib/ledger/ledger.ts
@@ -74,9 +74,13 @@
       const known = await memory.find(rowKey, req);
       if (known !== undefined) return known;
       if (memory.isRunning(rowKey)) continue;
-      const { expiresAtMs } = key;
-      const record = { run: newToken(), keeper: incarnation, fingerprint, expiresAtMs };
-      const run = memory.start(rowKey, record);
+      const run = memory.start(rowKey, {
+        run: newToken(),
+        keeper: incarnation,
+        fingerprint,
+        startedAtMs: clock.wallNow(),
+        expiresAtMs: key.expiresAtMs,
+      });
       const outcome = await writeIntent(run, deadlineAt);
       if (outcome.kind !== 'started') memory.end(run, { kind: 'gone' });
       return outcome;
--- a/packages/routing/src/lib/ledger/sweeper.ts
+++ b/packages/routing/src/lib/ledger/sweeper.ts
@@ -55,6 +55,9 @@
  * hit a later record of the same key. So each removal also raises the version of a fence row
  * that was read before the scan: if it lands, no row of the part was removed since, hence the
  * version it expects still belongs to the record that was scanned.
+ *
+ * One wrong wall clock removes nothing too early: a record counts as expired only when a later
+ * record of another instance shows that its clock has passed the time too.
  */
 export function createSweeper(options: SweeperOptions): Sweeper {
   const { table, objects, incarnation, services, isMine } = options;
@@ -65,9 +68,17 @@
   let next = 0;
   let current = Promise.resolve(0);
 
-  function isExpired(row: TableRow): boolean {
-    const record = parseIntent(row);
-    return record !== undefined && record.expiresAtMs + cfg.graceMs < clock.wallNow();
+  /** Returns the expired rows, by this clock and by that of the last other writer among them. */
+  function expiredOf(rows: readonly TableRow[]): TableRow[] {
+    const parsed = rows.map((row) => ({ row, record: parseIntent(row) }));
+    const others = parsed
+      .filter(({ record }) => record !== undefined && record.keeper !== incarnation)
+      .map(({ record }) => record?.startedAtMs ?? 0);
+    const othersNow = others.reduce((latest, it) => Math.max(latest, it), 0);
+    const cutoffMs = Math.min(clock.wallNow(), othersNow) - cfg.graceMs;
+    return parsed
+      .filter(({ record }) => record !== undefined && record.expiresAtMs < cutoffMs)
+      .map(({ row }) => row);
   }
 
   /** Removes the object of a record; the row goes only once that is done. */
@@ -86,7 +97,7 @@
     const scan = await table.scan(intentPrefix(service, digits));
     if (fence.isErr() || scan.isErr()) return 0;
     const removable: TableRow[] = [];
-    for (const row of scan.value.filter(isExpired).slice(0, cfg.rows)) {
+    for (const row of expiredOf(scan.value).slice(0, cfg.rows)) {
       if (await removeObject(row)) removable.push(row);
     }
     if (removable.length === 0) return 0;
