--- /dev/null
+++ b/packages/ownership/src/lib/release-list.ts
@@ -0,0 +1,76 @@
+import type { LeaseAnswer, ShardEpoch } from '@boragepoint/platform';
+
+import type { Assignment } from './table-rows.js';
+
+interface Release {
+  readonly shard: number;
+  readonly epoch: number;
+  wasSent: boolean;
+  resolve(): void;
+}
+
+/** Shards that a backend server is asked to release, until their new owners are recorded. */
+export interface ReleaseList {
+  has(shard: number, epoch: number): boolean;
+  /** What the next renewal asks for. */
+  list(service: string): ShardEpoch[];
+  /** Notes which releases an answer confirms. */
+  settle(answer: LeaseAnswer): void;
+  /** Resolves when the backend server has confirmed all releases, or the signal aborts. */
+  release(
+    assignments: readonly Assignment[],
+    onAdded: () => void,
+    signal: AbortSignal,
+  ): Promise<void>;
+  /** Drops releases whose outcome is recorded. */
+  forget(shards: readonly { readonly shard: number }[]): void;
+}
+
+function isConfirmed(release: Release, answer: LeaseAnswer): boolean {
+  const still = [...answer.held, ...answer.releasing];
+  return release.wasSent && !still.some((it) => it.shard === release.shard);
+}
+
+/** Creates an empty list. */
+export function createReleaseList(): ReleaseList {
+  const releases = new Map<number, Release>();
+
+  function addOne({ shard, epoch }: Assignment): Promise<void> {
+    return new Promise((resolve) => {
+      releases.set(shard, { shard, epoch, wasSent: false, resolve });
+    });
+  }
+
+  function abortOf(signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      signal.addEventListener(
+        'abort',
+        () => {
+          resolve();
+        },
+        { once: true },
+      );
+    });
+  }
+
+  return {
+    has: (shard, epoch) => releases.get(shard)?.epoch === epoch,
+    list(service) {
+      for (const release of releases.values()) release.wasSent = true;
+      return [...releases.values()].map(({ shard, epoch }) => ({ service, shard, epoch }));
+    },
+    settle(answer) {
+      for (const release of releases.values()) {
+        if (isConfirmed(release, answer)) release.resolve();
+      }
+    },
+    async release(assignments, onAdded, signal) {
+      const confirmed = assignments.map(addOne);
+      onAdded();
+      await Promise.race([Promise.all(confirmed), abortOf(signal)]);
+    },
+    forget(shards) {
+      for (const { shard } of shards) releases.delete(shard);
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/src/lib/dispatch/server-attempt.ts
@@ -0,0 +1,145 @@
+import {
+  ANSWER_HEADERS,
+  REQUEST_HEADERS,
+  type RefusalReason,
+  refusalReasonSchema,
+} from '@boragepoint/platform';
+import type { Assignment } from '@boragepoint/ownership';
+import type { Dispatcher, Pool } from 'undici';
+import * as v from 'valibot';
+
+import type { BackendAnswer, HeaderLine, RoutedRequest } from './routed-request.js';
+
+/** How one attempt at a backend server ended. */
+export type AttemptOutcome =
+  | { readonly kind: 'answered'; readonly answer: BackendAnswer }
+  /** The backend server said that it did not run the request. */
+  | { readonly kind: 'refused'; readonly reason: RefusalReason; readonly epoch: number }
+  /** No connection was opened, so the request was not run. */
+  | { readonly kind: 'not-connected' }
+  /** The connection ended before the answer was whole. */
+  | { readonly kind: 'connection-lost' }
+  /** The attempt was given up: by the deadline, the caller or a change of owner. */
+  | { readonly kind: 'given-up' }
+  /** The answer is larger than the rule allows. */
+  | { readonly kind: 'too-large' }
+  /** The answer names another request. */
+  | { readonly kind: 'wrong-answer' };
+
+const NEVER_CONNECTED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+const MIN_DEADLINE_MS = 1;
+
+/** Headers that belong to one connection and are not passed on. */
+const HOP_HEADERS = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'host',
+  'content-length',
+  'expect',
+]);
+
+/** True for headers that are passed on between callers and backend servers. */
+export function isEndToEnd(name: string): boolean {
+  return !HOP_HEADERS.has(name) && !name.startsWith('bp-');
+}
+
+function requestHeaders(req: RoutedRequest, target: Assignment): Record<string, string> {
+  const passed = req.headers.filter((it) => isEndToEnd(it.name));
+  const leftMs = Math.max(MIN_DEADLINE_MS, Math.floor(req.deadlineAt - performance.now()));
+  return {
+    ...Object.fromEntries(passed.map((it) => [it.name, it.value])),
+    [REQUEST_HEADERS.service]: req.service.name,
+    [REQUEST_HEADERS.shard]: String(target.shard),
+    [REQUEST_HEADERS.epoch]: String(target.epoch),
+    [REQUEST_HEADERS.requestId]: req.requestId,
+    [REQUEST_HEADERS.deadline]: String(leftMs),
+  };
+}
+
+function answerHeaders(headers: Dispatcher.ResponseData['headers']): HeaderLine[] {
+  return Object.entries(headers).flatMap(([name, value]) => {
+    if (value === undefined || !isEndToEnd(name)) return [];
+    return [value].flat().map((it) => ({ name, value: it }));
+  });
+}
+
+function singleHeader(res: Dispatcher.ResponseData, name: string): string | undefined {
+  const value = res.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+async function readBody(
+  res: Dispatcher.ResponseData,
+  maxBytes: number,
+): Promise<Uint8Array | undefined> {
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  for await (const chunk of res.body as AsyncIterable<Uint8Array>) {
+    size += chunk.length;
+    if (size > maxBytes) return undefined;
+    chunks.push(chunk);
+  }
+  return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
+}
+
+async function readOutcome(
+  res: Dispatcher.ResponseData,
+  req: RoutedRequest,
+): Promise<AttemptOutcome> {
+  const reason = singleHeader(res, ANSWER_HEADERS.refusal);
+  const isOwn = singleHeader(res, ANSWER_HEADERS.requestId) === req.requestId;
+  if (!isOwn) {
+    await res.body.dump();
+    return { kind: 'wrong-answer' };
+  }
+  if (reason !== undefined) {
+    await res.body.dump();
+    const epoch = Number(singleHeader(res, ANSWER_HEADERS.epoch) ?? 0);
+    const parsed = v.safeParse(refusalReasonSchema, reason);
+    if (!parsed.success) return { kind: 'wrong-answer' };
+    return { kind: 'refused', reason: parsed.output, epoch };
+  }
+  const body = await readBody(res, req.rule.maxAnswerBytes);
+  if (body === undefined) return { kind: 'too-large' };
+  const headers = answerHeaders(res.headers);
+  return { kind: 'answered', answer: { status: res.statusCode, headers, body } };
+}
+
+function errorOutcome(cause: unknown, signal: AbortSignal): AttemptOutcome {
+  const code = cause instanceof Error && 'code' in cause ? String(cause.code) : '';
+  if (NEVER_CONNECTED.has(code)) return { kind: 'not-connected' };
+  if (signal.aborted) return { kind: 'given-up' };
+  return { kind: 'connection-lost' };
+}
+
+/**
+ * Sends a request to a backend server once and reads the whole answer. An answer that ends short, or
+ * that bears the id of another request, never passes for the answer.
+ */
+export async function sendAttempt(
+  pool: Pool,
+  req: RoutedRequest,
+  target: Assignment,
+  signal: AbortSignal,
+): Promise<AttemptOutcome> {
+  try {
+    const res = await pool.request({
+      method: req.method,
+      path: req.path,
+      headers: requestHeaders(req, target),
+      body: req.body.length === 0 ? null : req.body,
+      signal,
+      // A connection whose request is uncertain must not be retried by the client itself.
+      idempotent: false,
+    });
+    return await readOutcome(res, req);
+  } catch (cause) {
+    return errorOutcome(cause, signal);
+  }
+}
--- a/packages/routing/src/lib/quarantine/quarantine.ts
+++ b/packages/routing/src/lib/quarantine/quarantine.ts
@@ -62,8 +62,8 @@
   isSuspect(service: string, fingerprint: string): boolean;
   /** Takes entries in from a peer; the newest change of a request wins. */
   merge(entries: readonly QuarantineEntry[]): void;
-  /** Entries for a peer that has just started. */
-  entries(): QuarantineEntry[];
+  /** Entries held, the newest change first; all of them for a peer that has just started. */
+  entries(limit?: number): QuarantineEntry[];
   /** Entries for the next heartbeat; calls in turn go through all of them. */
   heartbeatEntries(limit: number): QuarantineEntry[];
   /** Barred requests, for an operator. */
@@ -159,7 +159,10 @@
     merge(entries) {
       for (const entry of entries) store.put(entry);
     },
-    entries: () => store.all(),
+    entries(limit) {
+      const newestFirst = store.all().sort((a, b) => b.changedAtMs - a.changedAtMs);
+      return newestFirst.slice(0, limit);
+    },
     heartbeatEntries: (limit) => store.next(limit),
     list(service) {
       return store
