--- /dev/null
+++ b/packages/spec/src/lib/model/explore.ts
@@ -0,0 +1,81 @@
+import { stateKey } from './state-key.js';
+
+/** One step that is possible in a state. */
+export interface Step<S> {
+  readonly name: string;
+  readonly next: S;
+}
+
+/** A transition system. States are plain data; equal states have equal fields in the same order. */
+export interface Model<S> {
+  readonly initial: S;
+  /** Every step that is possible in a state. */
+  steps(state: S): Step<S>[];
+  /** The invariant that the state breaks, or `undefined`. */
+  violation(state: S): string | undefined;
+  /** What the exploration has to reach, so that its invariants are not empty words. */
+  readonly goals: Readonly<Record<string, (state: S) => boolean>>;
+}
+
+/** A broken invariant with the names of the steps of a shortest way to it. */
+export interface Counterexample {
+  readonly message: string;
+  readonly trace: readonly string[];
+}
+
+/** What an exploration visited. */
+export interface Exploration {
+  readonly states: number;
+  readonly depth: number;
+  readonly goals: Readonly<Record<string, number>>;
+  readonly counterexample: Counterexample | undefined;
+}
+
+interface Visit<S> {
+  readonly state: S;
+  readonly depth: number;
+  readonly step: string;
+  readonly from: Visit<S> | undefined;
+}
+
+/** Visits every reachable state breadth-first and stops at the first broken invariant. */
+export function explore<S extends object>(model: Model<S>): Exploration {
+  const goals = Object.fromEntries(Object.keys(model.goals).map((name) => [name, 0]));
+  const seen = new Set([stateKey(model.initial)]);
+  let frontier: Visit<S>[] = [{ state: model.initial, depth: 0, step: '', from: undefined }];
+  let depth = 0;
+  while (frontier.length > 0) {
+    const next: Visit<S>[] = [];
+    for (const visit of frontier) {
+      depth = visit.depth;
+      countGoals(model, visit.state, goals);
+      const message = model.violation(visit.state);
+      if (message !== undefined) {
+        const counterexample = { message, trace: traceOf(visit) };
+        return { states: seen.size, depth, goals, counterexample };
+      }
+      for (const step of model.steps(visit.state)) {
+        const key = stateKey(step.next);
+        if (seen.has(key)) continue;
+        seen.add(key);
+        next.push({ state: step.next, depth: depth + 1, step: step.name, from: visit });
+      }
+    }
+    frontier = next;
+  }
+  return { states: seen.size, depth, goals, counterexample: undefined };
+}
+
+function countGoals<S>(model: Model<S>, state: S, goals: Record<string, number>): void {
+  for (const [name, isReached] of Object.entries(model.goals)) {
+    if (isReached(state)) goals[name] = (goals[name] ?? 0) + 1;
+  }
+}
+
+function traceOf<S>(visit: Visit<S>): string[] {
+  const trace: string[] = [];
+  for (let it: Visit<S> | undefined = visit; it?.from !== undefined; it = it.from) {
+    trace.push(it.step);
+  }
+  return trace.reverse();
+}
--- /dev/null
+++ b/packages/spec/src/lib/ownership/ownership-model.ts
@@ -0,0 +1,55 @@
+import type { Model, Step } from '../model/explore.js';
+import { initialState } from './initial-state.js';
+import { keeperSteps } from './keeper-steps.js';
+import { serverSteps } from './server-steps.js';
+import type { OwnershipOptions, OwnershipState } from './state.js';
+import { landStrayWrite, tableSteps } from './table-steps.js';
+import { canServerAct } from './update.js';
+
+/** Ownership of one shard that A holds at first, with A's keepers and the table. */
+export function createOwnershipModel(options: OwnershipOptions): Model<OwnershipState> {
+  return {
+    initial: initialState(options),
+    steps: (state) => steps(state, options),
+    violation,
+    goals: {
+      'an owner serves': (state) => actors(state) === 1,
+      'an acknowledged move': (state) => state.acknowledged.version > 1,
+      'the new owner serves': (state) => state.acknowledged.version > 1 && actors(state) === 1,
+      ...(options.canMoveUnrecorded && {
+        'an unrecorded owner serves': (state: OwnershipState) =>
+          state.unrecorded > 0 && state.successor.held === state.unrecorded,
+      }),
+    },
+  };
+}
+
+function steps(state: OwnershipState, options: OwnershipOptions): Step<OwnershipState>[] {
+  const ofKeepers = state.keepers.flatMap((keeper, number) => {
+    const view = { state, number, keeper };
+    return [...keeperSteps(view, options), ...tableSteps(view, options)];
+  });
+  return [...serverSteps(state, options), ...ofKeepers, ...landStrayWrite(state, options)];
+}
+
+function actors(state: OwnershipState): number {
+  const acting = [canServerAct(state), state.successor.held > 0, state.third > 0];
+  return acting.filter(Boolean).length;
+}
+
+function violation(state: OwnershipState): string | undefined {
+  const { assignment, acknowledged, unrecorded } = state;
+  if (actors(state) > 1) return 'two backend servers can act for the shard';
+  if (assignment.version < acknowledged.version) return 'an acknowledged assignment is lost';
+  if (assignment.version === acknowledged.version && assignment.owner !== acknowledged.owner) {
+    return 'an acknowledged assignment names another owner';
+  }
+  if (assignment.epoch === unrecorded && assignment.owner !== 'B') {
+    return `epoch ${unrecorded} names two owners`;
+  }
+  const granted = [state.server.held, state.successor.held, state.third];
+  if (granted.some((it) => it > assignment.epoch && it !== unrecorded)) {
+    return 'a grant is ahead of the table: an epoch went back';
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/spec/src/lib/ownership/update.ts
@@ -0,0 +1,68 @@
+import { stateKey } from '../model/state-key.js';
+import { IDLE_KEEPER } from './initial-state.js';
+import {
+  type KeeperState,
+  LAPSED,
+  LONGEST_WAIT,
+  type OwnershipState,
+  type Renewal,
+  TENURE_TICKS,
+} from './state.js';
+
+/** A keeper with its number and the state that it is part of. @internal */
+export interface KeeperView {
+  readonly state: OwnershipState;
+  readonly number: number;
+  readonly keeper: KeeperState;
+}
+
+/** Returns the state with a change to one keeper. @internal */
+export function withKeeper(
+  state: OwnershipState,
+  number: number,
+  change: Partial<KeeperState>,
+): OwnershipState {
+  const keepers = state.keepers.map((it, index) => {
+    if (index !== number) return it;
+    const changed = { ...it, ...change };
+    return changed.role === 'none' ? IDLE_KEEPER : withoutIdleClocks(changed);
+  });
+  return { ...state, keepers };
+}
+
+/** Sets what no rule looks at to its bound, so that it does not tell states apart. @internal */
+export function withoutIdleClocks(keeper: KeeperState): KeeperState {
+  if (keeper.assignment.owner !== 'A' || keeper.isStoodDown) return withoutDuties(keeper);
+  const needsProofAge =
+    keeper.standbyProof === 'removed' ||
+    (keeper.standbyProof === 'acknowledged' && keeper.sinceProof < LAPSED);
+  const { hasStopped, isAccepted } = keeper;
+  return {
+    ...keeper,
+    // A keeper that gave a move up reads its row before it renews again.
+    sinceRead: hasStopped ? TENURE_TICKS + 1 : keeper.sinceRead,
+    sinceInstalled: isAccepted ? LONGEST_WAIT : keeper.sinceInstalled,
+    sinceProof: needsProofAge ? keeper.sinceProof : LONGEST_WAIT,
+  };
+}
+
+function withoutDuties(keeper: KeeperState): KeeperState {
+  const { role, epoch, row, assignment, hasActed, isStoodDown, write } = keeper;
+  return { ...IDLE_KEEPER, role, epoch, row, assignment, hasActed, isStoodDown, write };
+}
+
+/** Returns the renewals without duplicates, in a fixed order. @internal */
+export function inFixedOrder(renewals: readonly Renewal[]): Renewal[] {
+  const byText = new Map(renewals.map((it) => [stateKey(it), it]));
+  return [...byText].sort(([a], [b]) => (a < b ? -1 : 1)).map(([, it]) => it);
+}
+
+/** Adds one tick to an age and stops at its bound. @internal */
+export function older(age: number, bound: number): number {
+  return Math.min(age + 1, bound);
+}
+
+/** True while A may act for the shard. @internal */
+export function canServerAct(state: OwnershipState): boolean {
+  return state.server.held > 0 && state.server.leaseAge < LAPSED;
+}
