Refuse a move of shards that are on the move already

Cause: two operators who moved one shard at once replaced each other's entry in the release list, so the first move waited for good (verify:faults operators-race hung). Ruled out: the table (the rows were not touched). Change: a shard that is being released is not released again; the order is refused. Before: HeadersTimeoutError after 300 s.

--- a/packages/ownership/src/lib/keeper-session.ts
+++ b/packages/ownership/src/lib/keeper-session.ts
@@ -269,8 +269,10 @@
     const owned = ctx.map.ownedBy(found.service.name, serverId);
     const wanted = owned.flatMap((it) => {
       const order = orders.find((o) => o.shard === it.shard && o.epoch === it.epoch);
-      return order === undefined ? [] : [{ assignment: it, to: order.to }];
+      const isFree = order !== undefined && !releases.has(it.shard, it.epoch);
+      return isFree ? [{ assignment: it, to: order.to }] : [];
     });
+    if (wanted.length === 0) return err(new MoveError('moved-before'));
     await releases.release(
       wanted.map((it) => it.assignment),
       () => {
--- a/packages/ownership/src/lib/shard-mover.ts
+++ b/packages/ownership/src/lib/shard-mover.ts
@@ -27,16 +27,27 @@
   readonly reason: string;
 }
 
-/** Why moves were not recorded. */
+/**
+ * Why moves were not recorded:
+ * - `replaced`: the keeper row changed, so another router may be keeper now.
+ * - `given-up`: the signal aborted while the outcome was open.
+ * - `moved-before`: the orders name an older epoch, or shards that are on the move already.
+ */
+export type MoveFailure = 'replaced' | 'given-up' | 'moved-before';
+
+const MOVE_MESSAGES: Readonly<Record<MoveFailure, string>> = {
+  replaced: 'the keeper was replaced',
+  'given-up': 'the moves were given up',
+  'moved-before': 'the shards have moved or are on the move',
+};
+
+/** Moves that were not recorded. */
 export class MoveError extends Error {
   override readonly name = 'MoveError';
 
-  /**
-   * @param reason `replaced`: the keeper row changed, so another router may be keeper now.
-   *   `given-up`: the signal aborted while the outcome was open.
-   */
-  constructor(readonly reason: 'replaced' | 'given-up') {
-    super(reason === 'replaced' ? 'the keeper was replaced' : 'the moves were given up');
+  /** @param reason Why, see {@link MoveFailure}. */
+  constructor(readonly reason: MoveFailure) {
+    super(MOVE_MESSAGES[reason]);
   }
 }
 
