--- a/packages/standin/src/lib/harness/operator-api.ts
+++ b/packages/standin/src/lib/harness/operator-api.ts
@@ -9,6 +9,8 @@
 import { request } from 'undici';
 import * as v from 'valibot';
 
+const CALL_TIMEOUT_MS = 15_000;
+
 /** What a router answered to an operator. */
 export interface OperatorAnswer {
   readonly status: number;
@@ -29,7 +31,8 @@
 
   async function call(method: 'GET' | 'PUT' | 'POST', path: string, body?: unknown) {
     const text = body === undefined ? null : JSON.stringify(body);
-    const res = await request(`http://${address}${path}`, { method, headers, body: text });
+    const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+    const res = await request(`http://${address}${path}`, { method, headers, body: text, signal });
     return { status: res.statusCode, text: await res.body.text() };
   }
 
