--- a/packages/standin/src/lib/harness/table-view.ts
+++ b/packages/standin/src/lib/harness/table-view.ts
@@ -1,9 +1,4 @@
-import {
-  createHttpTableService,
-  type TableRow,
-  type TableService,
-  type TableWrite,
-} from '@boragepoint/platform';
+import { createHttpTableService, type TableRow } from '@boragepoint/platform';
 import { Pool } from 'undici';
 import * as v from 'valibot';
 
@@ -20,20 +15,16 @@
   readonly standby: string | undefined;
 }
 
-async function withTable<T>(address: string, use: (table: TableService) => Promise<T>): Promise<T> {
+async function readRow(address: string, key: string): Promise<TableRow | undefined> {
   const pool = new Pool(`http://${address}`);
   try {
-    return await use(createHttpTableService(pool));
+    const rows = await createHttpTableService(pool).read([key]);
+    return rows.isOk() ? rows.value[0] : undefined;
   } finally {
     await pool.destroy();
   }
 }
 
-async function readRow(address: string, key: string): Promise<TableRow | undefined> {
-  const rows = await withTable(address, (table) => table.read([key]));
-  return rows.isOk() ? rows.value[0] : undefined;
-}
-
 /** Reads from the table who keeps a backend server; waits until the row is there. */
 export async function readKeepers(address: string, server: string): Promise<KeeperNames> {
   const key = `keeper/${server}`;
@@ -41,13 +32,3 @@
   const { acting, standby } = v.parse(keeperRowSchema, JSON.parse(row.value));
   return { acting: acting.router, standby: standby?.router };
 }
-
-/** Replaces the value of one row, whatever its version. */
-export async function replaceRow(address: string, key: string, value: unknown): Promise<void> {
-  await waitUntil(`write of ${key}`, async () => {
-    const expectedVersion = (await readRow(address, key))?.version ?? 0;
-    const write: TableWrite = { key, expectedVersion, value: JSON.stringify(value) };
-    const outcome = await withTable(address, (table) => table.transact([write]));
-    return outcome.isOk() && outcome.value.committed ? true : undefined;
-  });
-}
