--- a/packages/routing/src/bin/admission-bench.ts
+++ b/packages/routing/src/bin/admission-bench.ts
@@ -13,6 +13,7 @@
 const DEADLINE_MS = 60_000;
 const BACKLOG = 100;
 const KEYS = 10_000;
+const SHARDS = 512;
 const clock = createSystemClock();
 
 /** Creates the queue of a server that answers everything at once. */
@@ -47,11 +48,17 @@
 /** Records requests for keys that mostly are not among the counted ones. */
 function measureLoadMeter(requests: number): Promise<void> {
   const meter = createLoadMeter({ clock, service: 'vitrina' });
-  const sample = { rule: 'browse', server: 's0', kind: 'ok', latencyMs: 5 } as const;
   const hashes = Array.from({ length: KEYS }, (_, key) => key.toString(16).padStart(16, '0'));
   for (let i = 0; i < requests; i += 1) {
     const key = (i * 7919) % KEYS;
-    meter.record({ ...sample, keyHash: hashes[key] ?? '', shard: key % 512 });
+    meter.record({
+      rule: 'browse',
+      server: 's0',
+      kind: 'ok',
+      latencyMs: 5,
+      keyHash: hashes[key] ?? '',
+      shard: key % SHARDS,
+    });
   }
   return Promise.resolve();
 }
--- a/packages/routing/src/lib/admission/admission-queue.ts
+++ b/packages/routing/src/lib/admission/admission-queue.ts
@@ -88,7 +88,9 @@
       if (next) next.settle(ok(createPermit(slot)));
       else slot.release();
     }
-    arm();
+    if (room.size === 0) return;
+    const { retryInMs } = limiter.state();
+    if (retryInMs > 0) wakeAt(clock.now() + retryInMs);
   }
 
   function refuse(waiting: WaitingRequest, kind: RefusalKind): void {
@@ -96,13 +98,9 @@
     waiting.settle(err(new AdmissionRefusal(kind, Math.ceil(Math.max(1, waitMs)))));
   }
 
-  /** Schedules the next moment at which a request expires or the circuit lets a probe pass. */
-  function arm(): void {
-    if (room.size === 0 || closed) return;
-    const { retryInMs } = limiter.state();
-    const retryAt = retryInMs > 0 ? clock.now() + retryInMs : Infinity;
-    const at = Math.min(room.nextDropAt(), retryAt);
-    if (at >= timerAt) return;
+  /** Wakes the queue at a time, unless it wakes earlier anyway. */
+  function wakeAt(at: number): void {
+    if (at >= timerAt || closed) return;
     timer?.[Symbol.dispose]();
     timerAt = at;
     timer = clock.schedule(Math.max(MIN_TIMER_MS, at - clock.now()), onTimer);
@@ -112,6 +110,7 @@
     timerAt = Infinity;
     for (const expired of room.takeExpired(clock.now())) refuse(expired, 'expired');
     dispatch();
+    wakeAt(room.nextDropAt());
   }
 
   /** Expected time until a new request of the caller would be sent, and until its answer. */
@@ -166,6 +165,7 @@
       };
       req.signal?.addEventListener('abort', onAbort, { once: true });
       room.push(waiting);
+      wakeAt(waiting.dropAt);
       dispatch();
     });
   }
