--- a/packages/routing/src/lib/admission/latency-baseline.ts
+++ b/packages/routing/src/lib/admission/latency-baseline.ts
@@ -1,5 +1,7 @@
 /** Samples that one reading is the mean of; with fewer, chance would decide. */
 const MIN_SAMPLES = 50;
+/** Largest first baseline over the least latency, in case the first requests met an overload. */
+const MAX_FIRST_FACTOR = 3;
 /** Weight of a reading that was taken without load. */
 const IDLE_WEIGHT = 0.2;
 /** Weight of a reading below the baseline that was taken under load, or under unknown load. */
@@ -73,7 +75,7 @@
     this.#leastMs = Math.min(this.#leastMs, latencyMs);
     const waitingFactor = Math.max(1, serverLoad / this.#slots);
     this.#first.add(this.#leastMs + (latencyMs - this.#leastMs) / waitingFactor);
-    this.#valueMs = this.#first.meanMs;
+    this.#valueMs = Math.min(this.#first.meanMs, this.#leastMs * MAX_FIRST_FACTOR);
   }
 
   #learnIdle(latencyMs: number, now: number): void {
--- a/packages/routing/src/test/server-limiter_test.ts
+++ b/packages/routing/src/test/server-limiter_test.ts
@@ -74,6 +74,14 @@
   expect(limiter.state().limit).toEqual(1);
 });
 
+test('a server that always reports a free slot does not make an overload the norm', () => {
+  const { clock, limiter } = setUp();
+  fail(limiter, 1, { ...OK, serverLoad: 0 });
+  saturate(limiter, clock, 10_000, { kind: 'ok', latencyMs: SERVICE_MS * 10, serverLoad: 0 });
+  expect(limiter.state().limit).toEqual(1);
+  expect(limiter.state().baselineMs <= SERVICE_MS * 5).toEqual(true);
+});
+
 test('a refusal lowers the limit', () => {
   const { clock, limiter } = setUp();
   saturate(limiter, clock, 5_000, OK);
