--- a/packages/ownership/src/lib/release-list.ts
+++ b/packages/ownership/src/lib/release-list.ts
@@ -35,13 +35,9 @@
 export function createReleaseList(): ReleaseList {
   const releases = new Map<number, Release>();
 
-  function addOne(assignment: Assignment, signal: AbortSignal): Promise<void> {
+  function addOne({ shard, epoch }: Assignment): Promise<void> {
     return new Promise((resolve) => {
-      const { shard, epoch } = assignment;
       releases.set(shard, { shard, epoch, wasSent: false, resolve });
-      signal.addEventListener('abort', () => {
-        resolve();
-      });
     });
   }
 
@@ -57,9 +53,14 @@
       }
     },
     async release(assignments, onAdded, signal) {
-      const confirmed = assignments.map((it) => addOne(it, signal));
+      const confirmed = assignments.map(addOne);
       onAdded();
+      const abandon = () => {
+        for (const { shard } of assignments) releases.get(shard)?.resolve();
+      };
+      signal.addEventListener('abort', abandon);
       await Promise.all(confirmed);
+      signal.removeEventListener('abort', abandon);
     },
     forget(shards) {
       for (const { shard } of shards) releases.delete(shard);
--- a/packages/routing/src/lib/ledger/run-non-idempotent.ts
+++ b/packages/routing/src/lib/ledger/run-non-idempotent.ts
@@ -7,7 +7,7 @@
 
 const MAX_ATTEMPTS = 4;
 const ATTEMPT_GAP_MS = 25;
-const MAX_RUN_PAST_DEADLINE_MS = 60_000;
+const DEFAULT_RUN_PAST_DEADLINE_MS = 60_000;
 const NOT_RUN_RETRY_AFTER_MS = 1_000;
 
 /** What became of one dispatch. */
@@ -36,6 +36,8 @@
   readonly fingerprint: string;
   /** Time by which the caller must be answered, in milliseconds of the monotonic clock. */
   readonly deadlineAt: number;
+  /** False when an earlier try under the same key may have been sent through another keeper. */
+  readonly firstTry?: boolean;
   /** Aborted when the caller hangs up; it stops the request only before its first dispatch. */
   readonly signal?: AbortSignal | undefined;
 }
@@ -57,6 +59,8 @@
   readonly dispatch: (attempt: number) => Promise<DispatchOutcome>;
   readonly req: NonIdempotentRequest;
   readonly clock?: LedgerClock;
+  /** Time after the deadline at which a dispatch without an end is recorded as unknown. */
+  readonly runPastDeadlineMs?: number;
 }
 
 /**
@@ -69,7 +73,7 @@
   const clock = run.clock ?? systemClock;
   if (req.idempotencyKey === undefined) return runUnrecorded(run, clock);
   const begun = await ledger.begin({ ...req, idempotencyKey: req.idempotencyKey });
-  if (begun.kind !== 'started') return resultOfBegin(begun);
+  if (begun.kind !== 'started') return resultOfBegin(begun, req);
   if (clock.now() >= req.deadlineAt || req.signal?.aborted === true) {
     void ledger.notRun(begun.handle);
     return refuse('deadlineTooShort', 'the time was over before the request could be sent');
@@ -129,7 +133,7 @@
 }
 
 async function dispatchWithin(run: NonIdempotentRun, clock: LedgerClock): Promise<DispatchOutcome> {
-  const lastAt = run.req.deadlineAt + MAX_RUN_PAST_DEADLINE_MS;
+  const lastAt = run.req.deadlineAt + (run.runPastDeadlineMs ?? DEFAULT_RUN_PAST_DEADLINE_MS);
   const outcome = await untilDeadline(dispatchWithRetries(run, clock), lastAt, clock);
   return outcome ?? { kind: 'unknown', reason: 'the dispatch did not end' };
 }
@@ -154,7 +158,10 @@
   return { kind: 'refused', code, message, retryAfterMs };
 }
 
-function resultOfBegin(begun: Exclude<BeginOutcome, { kind: 'started' }>): NonIdempotentResult {
+function resultOfBegin(
+  begun: Exclude<BeginOutcome, { kind: 'started' }>,
+  req: NonIdempotentRequest,
+): NonIdempotentResult {
   switch (begun.kind) {
     case 'done':
       return { kind: 'answered', answer: begun.answer, replayed: true };
@@ -169,6 +176,8 @@
     case 'bad-key':
       return refuse('badIdempotencyKey', `the Idempotency-Key ${begun.message}`);
     case 'unavailable':
-      return refuse('tableUnavailable', 'the intent could not be recorded', begun.retryAfterMs);
+      return begun.earlierTry === 'not-known' && req.firstTry === false
+        ? refuse('outcomeUnknown', 'an earlier try may have run', begun.retryAfterMs)
+        : refuse('tableUnavailable', 'the intent could not be recorded', begun.retryAfterMs);
   }
 }
