--- a/packages/routing/src/lib/admission/latency-baseline.ts
+++ b/packages/routing/src/lib/admission/latency-baseline.ts
@@ -59,6 +59,11 @@
     return this.#valueMs;
   }
 
+  /** True once the baseline rests on a whole reading. */
+  get isSettled(): boolean {
+    return this.#first.isFull;
+  }
+
   /** Takes a latency and the number of requests that ran or waited at the server, if known. */
   add(latencyMs: number, serverLoad: number | undefined, now: number): void {
     if (!this.#first.isFull) {
--- a/packages/routing/src/lib/admission/latency-limit.ts
+++ b/packages/routing/src/lib/admission/latency-limit.ts
@@ -1,4 +1,5 @@
-import { LatencyBaseline } from './latency-baseline.js';
+import { LatencyWindow } from './latency-window.js';
+import { RuleBaselines } from './rule-baselines.js';
 
 /** A limit is revised after this time, once there are enough samples. */
 const WINDOW_MS = 100;
@@ -7,6 +8,8 @@
 const MAX_WINDOW_MS = 1_000;
 /** Latency may grow by this factor over the baseline before the limit falls. */
 const TOLERANCE = 1.5;
+/** Growth that may come from timers and busy event loops, in milliseconds. */
+const LATENCY_NOISE_MS = 0.5;
 /** Largest fall of the limit in one window, as a factor. */
 const MIN_GRADIENT = 0.5;
 /** Requests that each router lets wait at the server, to notice free capacity. */
@@ -21,6 +24,8 @@
 /** A request as the limit sees it. @internal */
 export interface LatencySample {
   readonly latencyMs: number;
+  /** Rule of the request; requests of one rule cost about the same. */
+  readonly rule: string;
   /** Requests of this router in flight to the server when it ended. */
   readonly inFlight: number;
   /** Requests that ran or waited at the server, if it said so. */
@@ -33,28 +38,25 @@
  * concurrency-limits ("Performance Under Load", 2018): the limit follows the ratio of an unloaded
  * baseline latency to the latency measured now. It differs in two points: the headroom is half
  * a request in place of the square root of the limit, since a dozen routers share two slots, and
- * the baseline is a slow minimum of window means, since kinds of requests differ in cost.
+ * each rule has a baseline of its own, since kinds of requests differ in cost.
  * While the latency has never risen, the limit doubles in each window (slow start, RFC 5681).
  * @internal
  */
 export class LatencyLimit {
+  readonly #baselines: RuleBaselines;
   #limit: number;
+  #window: LatencyWindow;
   #latencyMs: number | undefined;
+  #baselineMs: number | undefined;
   #deviationMs = 0;
-  readonly #baseline: LatencyBaseline;
-  #windowStart: number;
-  #samples = 0;
-  #sumMs = 0;
-  #sumDeviationsMs = 0;
-  #sumInFlight = 0;
   #refused = false;
   #slowStart = true;
 
   /** @param slots Requests that the server works on at the same time. */
   constructor(initial: number, slots: number, now: number) {
     this.#limit = initial;
-    this.#baseline = new LatencyBaseline(slots, now);
-    this.#windowStart = now;
+    this.#baselines = new RuleBaselines(slots, now);
+    this.#window = new LatencyWindow(now, undefined);
   }
 
   /** Limit in force, a fraction of at least 1. */
@@ -67,9 +69,9 @@
     return this.#latencyMs;
   }
 
-  /** Latency without load in milliseconds, or `undefined` before the first window. */
+  /** Latency that the requests of the last window would have had without load, in milliseconds. */
   get baselineMs(): number | undefined {
-    return this.#baseline.valueMs;
+    return this.#baselineMs;
   }
 
   /** Mean deviation of the latency in milliseconds. */
@@ -85,14 +87,11 @@
 
   /** Takes a measured request; `max` is the most that the limit may become. */
   sample(sample: LatencySample, max: number): void {
-    const { latencyMs, inFlight, serverLoad, now } = sample;
-    this.#baseline.add(latencyMs, serverLoad, now);
-    this.#samples += 1;
-    this.#sumMs += latencyMs;
-    this.#sumDeviationsMs += Math.abs(latencyMs - (this.#latencyMs ?? latencyMs));
-    this.#sumInFlight += inFlight;
-    const age = now - this.#windowStart;
-    const isFull = age >= WINDOW_MS && this.#samples >= MIN_SAMPLES;
+    const { now, latencyMs, inFlight } = sample;
+    const baselineMs = this.#baselines.learn(sample);
+    this.#window.add(latencyMs, baselineMs, inFlight);
+    const age = now - this.#window.startedAt;
+    const isFull = age >= WINDOW_MS && this.#window.samples >= MIN_SAMPLES;
     if (isFull || age >= MAX_WINDOW_MS) this.#closeWindow(now, max);
   }
 
@@ -110,23 +109,19 @@
   }
 
   #closeWindow(now: number, max: number): void {
-    const meanMs = this.#sumMs / this.#samples;
-    const isUsed = this.#sumInFlight / this.#samples >= this.#limit / 2;
-    this.#latencyMs = meanMs;
-    const deviationMs = this.#sumDeviationsMs / this.#samples;
-    this.#deviationMs += (deviationMs - this.#deviationMs) * DEVIATION_SMOOTHING;
-    this.#revise(meanMs, isUsed, max);
-    this.#windowStart = now;
-    this.#samples = 0;
-    this.#sumMs = 0;
-    this.#sumDeviationsMs = 0;
-    this.#sumInFlight = 0;
+    const window = this.#window;
+    this.#latencyMs = window.meanMs;
+    this.#baselineMs = window.meanBaselineMs;
+    this.#deviationMs += (window.meanDeviationMs - this.#deviationMs) * DEVIATION_SMOOTHING;
+    this.#revise(window, max);
+    this.#window = new LatencyWindow(now, window.meanMs);
     this.#refused = false;
   }
 
-  #revise(meanMs: number, isUsed: boolean, max: number): void {
-    const ratio =
-      (TOLERANCE * (this.#baseline.valueMs ?? meanMs)) / Math.max(meanMs, Number.EPSILON);
+  #revise(window: LatencyWindow, max: number): void {
+    const isUsed = window.meanInFlight >= this.#limit / 2;
+    const bearableMs = TOLERANCE * window.meanBaselineMs + LATENCY_NOISE_MS;
+    const ratio = bearableMs / Math.max(window.meanMs, Number.EPSILON);
     const gradient = Math.min(1, Math.max(MIN_GRADIENT, ratio));
     if (gradient < 1 || this.#refused) this.#slowStart = false;
     if (gradient === 1 && (!isUsed || this.#refused)) return;
--- a/packages/routing/src/lib/admission/outcome.ts
+++ b/packages/routing/src/lib/admission/outcome.ts
@@ -13,6 +13,8 @@
   readonly kind: OutcomeKind;
   /** Time from dispatch to the end, in milliseconds. */
   readonly latencyMs: number;
+  /** Rule of the request; requests of one rule cost about the same. */
+  readonly rule?: string | undefined;
   /** Requests that ran or waited at the server, as its answer said. */
   readonly serverLoad?: number | undefined;
 }
--- a/packages/routing/src/lib/admission/server-limiter.ts
+++ b/packages/routing/src/lib/admission/server-limiter.ts
@@ -106,14 +106,14 @@
   }
 
   function learn(outcome: Outcome, generation: number): void {
-    const { latencyMs, serverLoad } = outcome;
+    const { latencyMs, serverLoad, rule = '' } = outcome;
     const isTelling = latencyMs >= usualMs() * TELLING_TIMEOUT;
     if (outcome.kind === 'timeout' && !isTelling) return;
     breaker.record(outcome.kind, generation);
     switch (outcome.kind) {
       case 'ok':
       case 'timeout':
-        adaptive.sample({ latencyMs, serverLoad, inFlight, now: clock.now() }, share());
+        adaptive.sample({ latencyMs, rule, serverLoad, inFlight, now: clock.now() }, share());
         break;
       case 'refused':
       case 'connection-lost':
--- a/packages/routing/src/test/server-limiter_test.ts
+++ b/packages/routing/src/test/server-limiter_test.ts
@@ -82,6 +82,16 @@
   expect(limiter.state().baselineMs <= SERVICE_MS * 5).toEqual(true);
 });
 
+test('a rule that costs ten times more does not lower the limit once it is known', () => {
+  const { clock, limiter } = setUp();
+  const costly = { ...OK, latencyMs: SERVICE_MS * 10, rule: 'report' };
+  fail(limiter, 100, costly);
+  saturate(limiter, clock, 5_000, { ...OK, rule: 'browse' });
+  expect(limiter.state().limit).toEqual(10);
+  saturate(limiter, clock, 5_000, costly);
+  expect(limiter.state().limit).toEqual(10);
+});
+
 test('a refusal lowers the limit', () => {
   const { clock, limiter } = setUp();
   saturate(limiter, clock, 5_000, OK);
