--- a/packages/routing/src/lib/admission/rule-baselines.ts
+++ b/packages/routing/src/lib/admission/rule-baselines.ts
@@ -1,6 +1,9 @@
 import { LatencyBaseline } from './latency-baseline.js';
 import type { LatencySample } from './latency-limit.js';
 
+/** Largest baseline of a rule over that of all requests, in case the server reports its load wrongly. */
+const MAX_RULE_FACTOR = 2;
+
 /**
  * Unloaded latency by rule, since rules differ in cost. A rule has a baseline of its own once enough of
  * its requests met a free slot; until then the baseline of all requests stands in, because a rule that
@@ -26,8 +29,9 @@
     if (serverLoad !== undefined && serverLoad <= this.#slots) {
       rule.add(latencyMs, serverLoad, now);
     }
-    const baseline = rule.isSettled ? rule : this.#all;
-    return baseline.valueMs ?? latencyMs;
+    const allMs = this.#all.valueMs ?? latencyMs;
+    if (!rule.isSettled) return allMs;
+    return Math.min(rule.valueMs ?? allMs, allMs * MAX_RULE_FACTOR);
   }
 
   #ruleOf({ rule, now }: LatencySample): LatencyBaseline {
