Ask all routers for events, history and burn, and add their answers up

Ruled out: averaging the routers' burn rates, which weighs a quiet router like a busy one. The points of the report carry their counts now, so that rates are worked out from sums. Change: explain, events and report burn ask every router that is named; one that doesn't answer is named, and so is the number of live routers that were not asked. The daemon fills the counts. Conclusion: windows, points, causes and events of two fake routers are added up in a test.

--- a/packages/cli/src/lib/api-transport.ts
+++ b/packages/cli/src/lib/api-transport.ts
@@ -75,6 +75,16 @@
   return err(new CliError(EXIT_CODES.unreachable, `no router answered: ${failures.join('; ')}`));
 }
 
+/** Sends a request to every router; a router that does not answer gives the reason. @internal */
+export function sendToAll(
+  dispatcher: Dispatcher,
+  routers: Routers,
+  req: ApiRequest,
+): Promise<Result<ApiAnswer, string>[]> {
+  const urls = [...new Set(routers.urls)];
+  return Promise.all(urls.map((router) => sendTo(dispatcher, router, routers.token, req)));
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/packages/cli/src/lib/commands/diff.ts
+++ b/packages/cli/src/lib/commands/diff.ts
@@ -28,15 +28,15 @@
 }
 
 function formatChange({ path, before, after }: Change): string[] {
-  const place = path === '' ? 'service' : path;
   const lines: string[] = [];
-  if (before !== undefined) lines.push(`- ${place}: ${JSON.stringify(before)}`);
-  if (after !== undefined) lines.push(`+ ${place}: ${JSON.stringify(after)}`);
+  if (before !== undefined) lines.push(`- ${path}: ${JSON.stringify(before)}`);
+  if (after !== undefined) lines.push(`+ ${path}: ${JSON.stringify(after)}`);
   return lines;
 }
 
 function formatDiff({ service, version, changes }: ServiceDiff): string {
-  const head = version === 0 ? `${service} (new)` : `${service} (version ${version})`;
+  if (version === 0) return `${service}: new`;
+  const head = `${service} (version ${version})`;
   if (changes.length === 0) return `${head}: no difference`;
   return [`${head}:`, ...changes.flatMap(formatChange).map((line) => `  ${line}`)].join('\n');
 }
--- a/packages/cli/src/lib/commands/journal.ts
+++ b/packages/cli/src/lib/commands/journal.ts
@@ -4,6 +4,7 @@
 
 import { usageError } from '../cli-error.js';
 import { type RouterCommand, type RouterContext, type Run, textOption } from '../command.js';
+import { mergeEvents } from '../merge-answers.js';
 import { formatTable } from '../table.js';
 import { formatTime, parseSince } from '../time-argument.js';
 
@@ -27,7 +28,7 @@
 /** `boragectl events`. @internal */
 export const eventsCommand: RouterCommand = {
   usage: 'events',
-  description: 'Show what the routers did and why, oldest first',
+  description: 'Show what the routers named did and why, oldest first',
   options: [
     ['--since <time>', `A duration before now or an ISO 8601 time (default: ${DEFAULT_SINCE})`],
     ['--kind <kind>', `Only one kind: ${eventKindSchema.options.join(', ')}`],
@@ -45,8 +46,10 @@
     const answer = await client.events(
       kind.output === undefined ? filter : { ...filter, kind: kind.output },
     );
-    return answer.map((it) => {
-      output.result(it, () => formatEvents(it));
+    return answer.map(({ answers, failures }) => {
+      const merged = mergeEvents(answers);
+      output.result(merged, () => formatEvents(merged));
+      for (const failure of failures) output.warn(`events are missing: ${failure}`);
     });
   },
 };
--- a/packages/cli/src/lib/commands/ownership.ts
+++ b/packages/cli/src/lib/commands/ownership.ts
@@ -9,6 +9,7 @@
 
 import { type CliError, usageError } from '../cli-error.js';
 import type { RouterCommand } from '../command.js';
+import { mergeHistories } from '../merge-answers.js';
 import { formatFields, formatTable } from '../table.js';
 import { formatTime } from '../time-argument.js';
 
@@ -63,8 +64,10 @@
   needsRouter: true,
   async run({ client, output }, [service = '', key = '']) {
     const answer = await client.explain({ service, key });
-    return answer.map((it) => {
-      output.result(it, () => formatHistory(it));
+    return answer.map(({ answers, failures }) => {
+      const merged = mergeHistories(answers);
+      output.result(merged, () => formatHistory(merged));
+      for (const failure of failures) output.warn(`changes may be missing: ${failure}`);
     });
   },
 };
--- a/packages/cli/src/lib/commands/report.ts
+++ b/packages/cli/src/lib/commands/report.ts
@@ -1,11 +1,14 @@
 import { writeFile } from 'node:fs/promises';
 
+import type { BurnReport, StatusAnswer } from '@boragepoint/config';
 import { type Result, err, ok } from 'neverthrow';
 
 import { renderBurnPage } from '../burn-html.js';
 import { formatBurnReport } from '../burn-text.js';
 import { type CliError, usageError } from '../cli-error.js';
 import { type RouterCommand, textOption } from '../command.js';
+import { mergeBurnReports } from '../merge-answers.js';
+import type { Gathered } from '../gathered.js';
 
 async function writePage(file: string, page: string): Promise<Result<void, CliError>> {
   try {
@@ -17,6 +20,21 @@
   }
 }
 
+/** Adds the reports up and says which live routers are not in them. */
+function completeReport(
+  { answers, failures }: Gathered<BurnReport>,
+  status: Result<StatusAnswer, CliError>,
+): BurnReport {
+  const report = mergeBurnReports(answers);
+  const live = status.isOk()
+    ? status.value.routers.filter((it) => it.state === 'live').length
+    : answers.length;
+  const absent = live - answers.length;
+  const hint = `counters of ${absent} of ${live} live routers: name every router by --router`;
+  const missing = [...report.missing, ...failures, ...(absent > 0 ? [hint] : [])];
+  return { ...report, missing };
+}
+
 /** `boragectl report burn`. @internal */
 export const reportCommand: RouterCommand = {
   usage: 'report <name>',
@@ -26,15 +44,16 @@
   needsRouter: true,
   async run({ client, output }, [name], options) {
     if (name !== 'burn') return err(usageError("the only report is 'burn'"));
-    const report = await client.burnReport();
-    if (report.isErr()) return err(report.error);
+    const gathered = await client.burnReport();
+    if (gathered.isErr()) return err(gathered.error);
+    const report = completeReport(gathered.value, await client.status());
     const file = textOption(options, 'html');
     if (file !== undefined) {
-      const written = await writePage(file, renderBurnPage(report.value));
+      const written = await writePage(file, renderBurnPage(report));
       if (written.isErr()) return written;
       output.info(`wrote ${file}`);
     }
-    output.result(report.value, () => formatBurnReport(report.value));
+    output.result(report, () => formatBurnReport(report));
     return ok(undefined);
   },
 };
--- /dev/null
+++ b/packages/cli/src/lib/merge-answers.ts
@@ -0,0 +1,98 @@
+import {
+  type BurnPoint,
+  type BurnReport,
+  type BurnShare,
+  type BurnWindow,
+  type EventsAnswer,
+  type ExplainAnswer,
+  type Objective,
+  type RuleBurn,
+  burnRateOf,
+} from '@boragepoint/config';
+
+/** Combines the items of all lists that have the same id, in the order of their first place. */
+function combine<T>(
+  lists: readonly (readonly T[])[],
+  idOf: (item: T) => string,
+  add: (a: T, b: T) => T,
+): T[] {
+  const combined = new Map<string, T>();
+  for (const item of lists.flat()) {
+    const id = idOf(item);
+    const known = combined.get(id);
+    combined.set(id, known === undefined ? item : add(known, item));
+  }
+  return [...combined.values()];
+}
+
+function keepFirst<T>(first: T): T {
+  return first;
+}
+
+/** Merges what the routers' journals hold, oldest first. @internal */
+export function mergeEvents(answers: readonly EventsAnswer[]): EventsAnswer {
+  const lists = answers.map((it) => it.events);
+  const events = combine(lists, (it) => JSON.stringify(it), keepFirst);
+  events.sort((a, b) => a.atMs - b.atMs);
+  return { events, truncated: answers.some((it) => it.truncated) };
+}
+
+/** Merges what the routers know of one key's owners, newest first. @internal */
+export function mergeHistories(
+  answers: readonly [ExplainAnswer, ...ExplainAnswer[]],
+): ExplainAnswer {
+  const lists = answers.map((it) => it.history);
+  const history = combine(lists, (it) => JSON.stringify(it), keepFirst);
+  history.sort((a, b) => b.epoch - a.epoch || b.atMs - a.atMs);
+  return { ...answers[0], history, truncated: answers.some((it) => it.truncated) };
+}
+
+function addCounts<T extends BurnWindow | BurnPoint>(a: T, b: T, { target }: Objective): T {
+  const good = a.good + b.good;
+  const bad = a.bad + b.bad;
+  return { ...a, good, bad, burnRate: burnRateOf(good, bad, target) };
+}
+
+function addShares(lists: readonly (readonly BurnShare[])[]): BurnShare[] {
+  const shares = combine(
+    lists,
+    (it) => it.name,
+    (a, b) => ({ name: a.name, bad: a.bad + b.bad }),
+  );
+  return shares.sort((a, b) => b.bad - a.bad);
+}
+
+function addRules(a: RuleBurn, b: RuleBurn): RuleBurn {
+  const { objective } = a;
+  const points = combine(
+    [a.points, b.points],
+    (it) => String(it.atMs),
+    (x, y) => addCounts(x, y, objective),
+  );
+  return {
+    ...a,
+    windows: combine(
+      [a.windows, b.windows],
+      (it) => String(it.windowMs),
+      (x, y) => addCounts(x, y, objective),
+    ),
+    points: points.sort((x, y) => x.atMs - y.atMs),
+    keys: addShares([a.keys, b.keys]),
+    servers: addShares([a.servers, b.servers]),
+    causes: addShares([a.causes, b.causes]),
+  };
+}
+
+/** Adds up the counters of all routers. @internal */
+export function mergeBurnReports(reports: readonly BurnReport[]): BurnReport {
+  const rules = combine(
+    reports.map((it) => it.rules),
+    (it) => `${it.service}/${it.rule}`,
+    addRules,
+  );
+  return {
+    atMs: reports.reduce((latest, it) => Math.max(latest, it.atMs), 0),
+    rules,
+    missing: [...new Set(reports.flatMap((it) => it.missing))],
+  };
+}
--- a/packages/cli/src/lib/operator-client.ts
+++ b/packages/cli/src/lib/operator-client.ts
@@ -37,8 +37,15 @@
 import { Agent } from 'undici';
 import type * as v from 'valibot';
 
-import { type ApiRequest, type Routers, readAnswer, sendToFirst } from './api-transport.js';
+import {
+  type ApiRequest,
+  type Routers,
+  readAnswer,
+  sendToAll,
+  sendToFirst,
+} from './api-transport.js';
 import type { CliError } from './cli-error.js';
+import { type Gathered, gather } from './gathered.js';
 
 /** Outcome of one call. */
 export type Call<T> = Promise<Result<T, CliError>>;
@@ -50,7 +57,10 @@
   readonly kind?: EventKind;
 }
 
-/** Client of the operators' API; it goes on to the next router when one is down. */
+/**
+ * Client of the operators' API. It goes on to the next router when one is down; what each router
+ * knows of itself alone is asked of all of them.
+ */
 export interface OperatorClient extends AsyncDisposable {
   listServices(): Call<ServiceList>;
   getService(name: string): Call<ServiceDocument>;
@@ -61,11 +71,11 @@
   move(req: MoveRequest): Call<MoveAnswer>;
   pin(req: PinRequest): Call<WrittenVersion>;
   depose(req: DeposeRequest): Call<DeposeAnswer>;
-  explain(query: KeyQuery): Call<ExplainAnswer>;
-  events(filter: EventsFilter): Call<EventsAnswer>;
+  explain(query: KeyQuery): Call<Gathered<ExplainAnswer>>;
+  events(filter: EventsFilter): Call<Gathered<EventsAnswer>>;
   listQuarantine(): Call<QuarantineList>;
   releaseQuarantine(req: ReleaseRequest): Call<ReleaseAnswer>;
-  burnReport(): Call<BurnReport>;
+  burnReport(): Call<Gathered<BurnReport>>;
 }
 
 /** Creates a client of the routers given. */
@@ -87,6 +97,14 @@
   ): Call<v.InferOutput<S>> {
     return call(schema, { method: 'GET', path, query });
   }
+  async function getFromAll<S extends v.GenericSchema>(
+    schema: S,
+    path: string,
+    query: Record<string, string> = {},
+  ): Call<Gathered<v.InferOutput<S>>> {
+    const answers = await sendToAll(agent, routers, { method: 'GET', path, query });
+    return gather(answers, schema);
+  }
   function post<S extends v.GenericSchema>(
     schema: S,
     path: string,
@@ -107,9 +125,9 @@
     move: (req) => post(moveAnswerSchema, paths.move, req),
     pin: (req) => post(writtenVersionSchema, paths.pin, req),
     depose: (req) => post(deposeAnswerSchema, paths.depose, req),
-    explain: (query) => get(explainAnswerSchema, paths.explain, query),
+    explain: (query) => getFromAll(explainAnswerSchema, paths.explain, query),
     events: ({ sinceMs, kind }) =>
-      get(eventsAnswerSchema, paths.events, {
+      getFromAll(eventsAnswerSchema, paths.events, {
         since: String(sinceMs),
         ...(kind === undefined ? {} : { kind }),
       }),
@@ -120,7 +138,7 @@
         path: `${paths.quarantine}/${encodeURIComponent(fingerprint)}`,
         query: { service },
       }),
-    burnReport: () => get(burnReportSchema, paths.burn),
+    burnReport: () => getFromAll(burnReportSchema, paths.burn),
     [Symbol.asyncDispose]: () => agent.close(),
   };
 }
--- a/packages/cli/src/test/commands_test.ts
+++ b/packages/cli/src/test/commands_test.ts
@@ -34,11 +34,11 @@
     {
       service: 'caja',
       rule: 'pay',
-      objective: { target: 0.999, withinMs: 200 },
-      windows: [{ windowMs: 300_000, good: 990, bad: 10, burnRate: 10 }],
+      objective: { target: 0.5, withinMs: 200 },
+      windows: [{ windowMs: 300_000, good: 990, bad: 10, burnRate: 0.02 }],
       points: [
-        { atMs: 0, burnRate: 0 },
-        { atMs: 1_000, burnRate: 10 },
+        { atMs: 0, good: 490, bad: 0, burnRate: 0 },
+        { atMs: 60_000, good: 500, bad: 10, burnRate: 19.6 },
       ],
       keys: [{ name: '<script>alert(1)</script>', bad: 10 }],
       servers: [],
@@ -154,6 +154,24 @@
   }
 });
 
+test('counters and events of all routers are added up, and a router that is down is named', async () => {
+  const event = { kind: 'move', router: 'router-1', message: 'moved' };
+  const events = (atMs: number) => ({ events: [{ ...event, atMs }], truncated: false });
+  const behaviour = (atMs: number) => ({ answers: { ...ANSWERS, 'GET /v1/events': events(atMs) } });
+  await using first = await startFakeRouter(new Map(), behaviour(2_000));
+  await using second = await startFakeRouter(new Map(), behaviour(1_000));
+  const routers = [first.url, second.url, 'http://127.0.0.1:1'];
+  const report = await runCli(['report', 'burn', '--json'], { routers });
+  const listed = await runCli(['events', '--json'], { routers });
+  const { rules, missing } = JSON.parse(report.stdout) as typeof BURN;
+  expect(rules[0]?.windows).toEqual([{ windowMs: 300_000, good: 1_980, bad: 20, burnRate: 0.02 }]);
+  expect(rules[0]?.points[1]?.bad).toEqual(20);
+  expect(rules[0]?.causes).toEqual([{ name: 'overloaded', bad: 20 }]);
+  expect(missing.some((it) => it.startsWith('http://127.0.0.1:1'))).toEqual(true);
+  const { events: merged } = JSON.parse(listed.stdout) as { events: { atMs: number }[] };
+  expect(merged.map((it) => it.atMs)).toEqual([1_000, 2_000]);
+});
+
 for (const example of ['llaqta', 'al-karmel']) {
   test(`the configuration that the ${example} example prints is valid`, async () => {
     const program = path.join(ROOT, 'examples', 'dist', `${example}.js`);
--- a/packages/config/src/lib/burn-report.ts
+++ b/packages/config/src/lib/burn-report.ts
@@ -14,14 +14,22 @@
 });
 export type BurnWindow = v.InferOutput<typeof burnWindowSchema>;
 
+/** Returns the share of bad requests over the share that the target allows. */
+export function burnRateOf(good: number, bad: number, target: number): number {
+  const total = good + bad;
+  return total === 0 ? 0 : bad / total / (1 - target);
+}
+
 /** How many bad requests one key, server or cause accounts for. */
 export const burnShareSchema = v.object({ name: v.string(), bad: v.number() });
 export type BurnShare = v.InferOutput<typeof burnShareSchema>;
 
-/** Burn rate over one step of the plotted time. */
+/** Requests of one step of the plotted time. Steps end at the same times on every router. */
 export const burnPointSchema = v.object({
   /** Wall-clock time at the end of the step, in milliseconds since 1970. */
   atMs: v.number(),
+  good: v.number(),
+  bad: v.number(),
   burnRate: v.number(),
 });
 export type BurnPoint = v.InferOutput<typeof burnPointSchema>;
@@ -40,7 +48,7 @@
 });
 export type RuleBurn = v.InferOutput<typeof ruleBurnSchema>;
 
-/** Answer of `GET /v1/report/burn`. */
+/** Answer of `GET /v1/report/burn`: the counters of the answering router alone. */
 export const burnReportSchema = v.object({
   /** Wall-clock time in milliseconds since 1970. */
   atMs: v.number(),
--- a/packages/daemon/src/lib/burn/burn-counters.ts
+++ b/packages/daemon/src/lib/burn/burn-counters.ts
@@ -1,9 +1,10 @@
-import type {
-  BurnReport,
-  BurnShare,
-  Objective,
-  RuleBurn,
-  ServiceConfig,
+import {
+  type BurnReport,
+  type BurnShare,
+  type Objective,
+  type RuleBurn,
+  type ServiceConfig,
+  burnRateOf,
 } from '@boragepoint/config';
 import { LRUCache } from 'lru-cache';
 
@@ -64,11 +65,6 @@
   return shares.sort((a, b) => b.bad - a.bad).slice(0, SHARES_SHOWN);
 }
 
-function burnRate(good: number, bad: number, target: number): number {
-  const total = good + bad;
-  return total === 0 ? 0 : bad / total / (1 - target);
-}
-
 /** Creates the counters of one router; they begin anew with each start. */
 export function createBurnCounters(wallNow: () => number = Date.now): BurnCounters {
   const counters = new Map<string, RuleCounters>();
@@ -97,11 +93,13 @@
       const within = buckets.filter((it) => now - it.minute < windowMs / MINUTE_MS);
       const good = within.reduce((sum, it) => sum + it.good, 0);
       const bad = within.reduce((sum, it) => sum + it.bad, 0);
-      return { windowMs, good, bad, burnRate: burnRate(good, bad, objective.target) };
+      return { windowMs, good, bad, burnRate: burnRateOf(good, bad, objective.target) };
     });
     const points = buckets.map((it) => ({
       atMs: (it.minute + 1) * MINUTE_MS,
-      burnRate: burnRate(it.good, it.bad, objective.target),
+      good: it.good,
+      bad: it.bad,
+      burnRate: burnRateOf(it.good, it.bad, objective.target),
     }));
     return {
       service,
@@ -135,7 +133,7 @@
           objective === undefined ? [] : [reportRule(service.name, name, objective)],
         ),
       );
-      const missing = ['counters of other routers, and those from before this router started'];
+      const missing = ['counters from before the start of each router'];
       return { atMs: wallNow(), rules, missing };
     },
   };
