--- a/packages/cli/src/lib/burn-html.ts
+++ b/packages/cli/src/lib/burn-html.ts
@@ -15,6 +15,7 @@
 svg text { font-size: 11px; fill: #5b6b7b; }
 svg line.axis { stroke: #9aa8b5; }
 svg line.budget { stroke: #b3261e; stroke-dasharray: 4 4; }
+svg circle.burn { fill: #1f6feb; }
 svg polyline.burn { fill: none; stroke: #1f6feb; stroke-width: 2; }
 `;
 const BUDGET_RATE = 1;
--- a/packages/cli/src/lib/burn-plot.ts
+++ b/packages/cli/src/lib/burn-plot.ts
@@ -43,6 +43,13 @@
   return `<line class="${name}" x1="${LEFT}" x2="${WIDTH - RIGHT}" y1="${y}" y2="${y}"/>`;
 }
 
+/** Marks one point; its title shows when the pointer rests on it. */
+function dot(place: string, { atMs, burnRate, good, bad }: BurnPoint): string {
+  const [x = '', y = ''] = place.split(',');
+  const title = `${formatTime(atMs)}: burn rate ${formatBurn(burnRate)}, ${good} good, ${bad} bad`;
+  return `<circle class="burn" cx="${x}" cy="${y}" r="2.5"><title>${title}</title></circle>`;
+}
+
 /** Draws the burn rate over time as an SVG; the budget line is at rate 1. @internal */
 export function plotBurn(points: readonly BurnPoint[]): string {
   const first = points[0];
@@ -64,6 +71,7 @@
     label(LEFT, HEIGHT - textGap, 'start', formatTime(first.atMs)),
     label(WIDTH - RIGHT, HEIGHT - textGap, 'end', formatTime(last.atMs)),
     `<polyline class="burn" points="${places.join(' ')}"/>`,
+    ...points.map((it, index) => dot(places[index] ?? '', it)),
     '</svg>',
   ].join('\n');
 }
