Close a connection whose request was answered before it was received whole

Any refusal that a caller gets before its body is read, such as an unknown service, left a connection that said keep-alive, answered nothing and was closed after 500 ms when the body was 300000 bytes or more. Ruled out: marking single codes, which leaves out the others; closing after every refusal, which also ends connections whose request was received whole (60 pipelined requests keep theirs). Change: the listener says 'connection: close' whenever the request is not complete when it is answered; the special case for code 306 goes. A test sends a second request on such a connection.

--- a/packages/daemon/src/lib/callers/caller-answer.ts
+++ b/packages/daemon/src/lib/callers/caller-answer.ts
@@ -21,8 +21,6 @@
   const code = RESULT_CODES[result];
   const body = { code, name: result, family: familyOf(code), message, requestId, retryAfterMs };
   const headers = new Headers({ [RESULT_HEADER]: String(code), [REQUEST_ID_HEADER]: requestId });
-  // The rest of the body is never read, so that the connection can't serve another request.
-  if (result === 'bodyTooLarge') headers.set('connection', 'close');
   if (retryAfterMs !== undefined) {
     headers.set('retry-after', String(Math.max(1, Math.ceil(retryAfterMs / SECOND_MS))));
   }
--- a/packages/daemon/src/lib/http-listener.ts
+++ b/packages/daemon/src/lib/http-listener.ts
@@ -1,4 +1,4 @@
-import { type Server, createServer } from 'node:http';
+import { type IncomingMessage, type Server, createServer } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
 import { RESULT_CODES, type ResultName, httpStatusOf } from '@boragepoint/config';
@@ -8,6 +8,11 @@
 /** Time between two closings of idle connections while a listener drains. */
 const IDLE_SWEEP_MS = 20;
 
+/** What the HTTP library hands to an app besides the request. */
+interface NodeBindings {
+  readonly incoming: IncomingMessage;
+}
+
 /** Limits of a listener. */
 export interface ListenerLimits {
   readonly maxHeaderBytes: number;
@@ -47,6 +52,20 @@
   socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`);
 }
 
+/**
+ * Runs an app on a request. An answer that comes before the whole request was received says that the
+ * connection closes: the rest is never read, so that no further request on it would be answered.
+ */
+async function answerRequest<E extends Env>(
+  app: Hono<E>,
+  req: Request,
+  env: NodeBindings,
+): Promise<Response> {
+  const res = await app.fetch(req, env);
+  if (!env.incoming.complete) res.headers.set('connection', 'close');
+  return res;
+}
+
 /** Starts a listener that serves an app. */
 export async function createHttpListener<E extends Env>(
   app: Hono<E>,
@@ -55,7 +74,7 @@
 ): Promise<HttpListener> {
   const { host, port } = splitAddress(address);
   const server = createAdaptorServer({
-    fetch: app.fetch,
+    fetch: (req, env) => answerRequest(app, req, env as NodeBindings),
     createServer,
     serverOptions: { maxHeaderSize: limits.maxHeaderBytes },
   }) as Server;
--- a/packages/daemon/src/lib/operators/operator-answer.ts
+++ b/packages/daemon/src/lib/operators/operator-answer.ts
@@ -23,8 +23,6 @@
 ): Response {
   const code = RESULT_CODES[name];
   if (retryAfterOf(code) === 'yes') c.header('retry-after', String(RETRY_AFTER_SECONDS));
-  // The rest of the body is never read, so that the connection can't serve another request.
-  if (name === 'bodyTooLarge') c.header('connection', 'close');
   const status = httpStatusOf(code) as ContentfulStatusCode;
   return c.json(errorBody(name, message, details), status);
 }
--- a/packages/standin/src/test/bad-input_test.ts
+++ b/packages/standin/src/test/bad-input_test.ts
@@ -7,7 +7,7 @@
 
 import { parseIpEndpoint } from '@boragepoint/config';
 import { expect } from 'earl';
-import { request } from 'undici';
+import { Client, request } from 'undici';
 
 import { type Fleet, startFleet } from '../lib/harness/fleet.js';
 import { submitConfiguration } from '../lib/harness/operator.js';
@@ -112,6 +112,19 @@
   });
 }
 
+for (const listener of ['callers', 'operators'] as const) {
+  test(`no request to ${listener} is lost on a connection whose last body was not read`, async () => {
+    const client = new Client(`http://${router[listener]}`);
+    const body = 'x'.repeat(300_000);
+    const refused = await client.request({ method: 'POST', path: '/nosuch/x', body });
+    await refused.body.dump();
+    const res = await client.request({ method: 'GET', path: '/livez' });
+    await res.body.dump();
+    await client.close();
+    expect([refused.statusCode, res.statusCode]).toEqual([404, 200]);
+  });
+}
+
 test('an operator with a wrong token gets code 401', async () => {
   const headers = { authorization: `Bearer ${fleet.token}x` };
   const res = await request(`http://${router.operators}/v1/status`, { headers });
