--- a/packages/routing/src/bin/bench-ledger.ts
+++ b/packages/routing/src/bin/bench-ledger.ts
@@ -17,6 +17,8 @@
 const DEADLINE_MS = 60_000;
 const MAX_CALLERS = 5_000;
 const MAX_SECONDS = 60;
+const UNLIMITED = 1_000_000;
+const MICROS_PER_MS = 1_000;
 const ONE_SECOND_MS = 1_000;
 
 const { values } = parseArgs({
@@ -62,9 +64,16 @@
 async function measure(name: string, config: LedgerConfigInput): Promise<void> {
   const { table, transactions } = createLimitedTable();
   const ledgers = Array.from({ length: keepers }, (_, i) =>
-    createLedger({ table, objects: noObjects, incarnation: `keeper-${i}`, config }),
+    createLedger({
+      table,
+      objects: noObjects,
+      incarnation: `keeper-${i}`,
+      liveRouters: () => keepers,
+      config: { transactionsPerSecond, ...config },
+    }),
   );
   const beginMicros = build();
+  const cpuBefore = process.cpuUsage();
   const endAt = performance.now() + seconds * ONE_SECOND_MS;
   const answer = { status: 200, headers: [], body: new Uint8Array(BODY_BYTES) };
   let finished = 0;
@@ -79,7 +88,7 @@
         fingerprint: 'f',
         deadlineAt: startedAt + DEADLINE_MS,
       });
-      beginMicros.recordValue(Math.round((performance.now() - startedAt) * ONE_SECOND_MS));
+      beginMicros.recordValue(Math.round((performance.now() - startedAt) * MICROS_PER_MS));
       if (begun.kind !== 'started') {
         refused += 1;
         await sleep(ONE_SECOND_MS);
@@ -96,6 +105,7 @@
   });
   await sleep(seconds * ONE_SECOND_MS);
   const used = transactions();
+  const cpu = process.cpuUsage(cpuBefore);
   await Promise.all(calls);
   console.log(
     JSON.stringify({
@@ -105,8 +115,9 @@
       seconds,
       requestsPerSecond: Math.round(finished / seconds),
       transactionsPerSecond: Math.round(used / seconds),
-      beginP50Ms: Math.round(beginMicros.getValueAtPercentile(50) / ONE_SECOND_MS),
-      beginP99Ms: Math.round(beginMicros.getValueAtPercentile(99) / ONE_SECOND_MS),
+      beginP50Ms: Math.round(beginMicros.getValueAtPercentile(50) / MICROS_PER_MS),
+      beginP99Ms: Math.round(beginMicros.getValueAtPercentile(99) / MICROS_PER_MS),
+      cpuMicrosPerRequest: Math.round((cpu.user + cpu.system) / Math.max(1, finished)),
       refused,
     }),
   );
@@ -119,5 +130,6 @@
   stallMs: 1,
   batchRows: 1,
   batchGapMs: 0,
+  transactionsPerSecond: UNLIMITED,
   maxInFlight: MAX_CALLERS,
 });
--- a/packages/routing/src/lib/ledger/group-commit.ts
+++ b/packages/routing/src/lib/ledger/group-commit.ts
@@ -41,6 +41,8 @@
   readonly newToken: () => string;
   readonly clock: LedgerClock;
   readonly cfg: LedgerConfig;
+  /** Least time between the starts of two transactions, in milliseconds. */
+  readonly gapMs: () => number;
 }
 
 interface Entry {
@@ -55,7 +57,7 @@
  * row that conflicts is taken out of its batch and the others are written without it.
  */
 export function createGroupCommit(options: GroupCommitOptions): GroupCommit {
-  const { table, newToken, clock, cfg } = options;
+  const { table, newToken, clock, cfg, gapMs } = options;
   const queue = new Set<Entry>();
   const startTimes = new Set<{ readonly at: number }>();
   let lastStartAt = -Infinity;
@@ -69,10 +71,10 @@
 
   function waitBeforeNextMs(): number {
     const now = clock.now();
-    const gapMs = lastStartAt + cfg.batchGapMs - now;
-    if (startTimes.size === 0) return Math.max(0, gapMs);
+    const gapLeftMs = lastStartAt + gapMs() - now;
+    if (startTimes.size === 0) return Math.max(0, gapLeftMs);
     const youngest = Math.max(...[...startTimes].map((start) => start.at));
-    return Math.max(0, gapMs, youngest + cfg.stallMs - now);
+    return Math.max(0, gapLeftMs, youngest + cfg.stallMs - now);
   }
 
   function schedule(): void {
--- a/packages/routing/src/lib/ledger/ledger-config.ts
+++ b/packages/routing/src/lib/ledger/ledger-config.ts
@@ -20,6 +20,8 @@
   batchBytes: v.optional(wholeNumber(1), 262_144),
   /** Least time between the starts of two transactions. */
   batchGapMs: v.optional(wholeNumber(0), 20),
+  /** Transactions a second that all routers together may ask of the table for their ledgers. */
+  transactionsPerSecond: v.optional(wholeNumber(1), 300),
   /** Time that a transaction may take before another one is started beside it. */
   stallMs: v.optional(wholeNumber(1), 250),
   /** Most transactions at the same time; more than one only while earlier ones stall. */
--- a/packages/routing/src/lib/ledger/ledger.ts
+++ b/packages/routing/src/lib/ledger/ledger.ts
@@ -27,10 +27,14 @@
   readonly objects: ObjectStore;
   /** Random identity that is new at each start of this instance. */
   readonly incarnation: string;
+  /** Number of live routers, which share the rate of transactions; 1 when left out. */
+  readonly liveRouters?: () => number;
   readonly clock?: LedgerClock;
   readonly config?: LedgerConfigInput;
 }
 
+const ONE_SECOND_MS = 1_000;
+
 /**
  * Creates the ledger of one instance. Only compare-and-set on the intent row decides who may
  * dispatch, so two instances that both take themselves for the keeper do no harm. Rows are never
@@ -44,7 +48,10 @@
   let tokens = 0;
   const newToken = () => `${incarnation}:${++tokens}`;
   const memory = createRunMemory(cfg, clock);
-  const commit = createGroupCommit({ table, newToken, clock, cfg });
+  const liveRouters = options.liveRouters ?? (() => 1);
+  const shareMs = () => (liveRouters() * ONE_SECOND_MS) / cfg.transactionsPerSecond;
+  const gapMs = () => Math.max(cfg.batchGapMs, shareMs());
+  const commit = createGroupCommit({ table, newToken, clock, cfg, gapMs });
   const recorder = createRecorder(commit, cfg);
   const judge = createRowJudge({ objects, incarnation, clock, memory });
   const outage = createOutage(clock, cfg);
--- a/packages/routing/src/test/ledger-fixture.ts
+++ b/packages/routing/src/test/ledger-fixture.ts
@@ -15,6 +15,7 @@
 export const SERVICE = 'caja';
 export const FAST: LedgerConfigInput = {
   batchGapMs: 0,
+  transactionsPerSecond: 1_000_000,
   stallMs: 20,
   settleMs: 40,
   settleGapMs: 1,
