--- a/packages/routing/src/lib/ledger/run-non-idempotent.ts
+++ b/packages/routing/src/lib/ledger/run-non-idempotent.ts
@@ -5,8 +5,10 @@
 import { type LedgerClock, systemClock, untilDeadline } from './ledger-clock.js';
 import type { BeginOutcome, KeptAnswer, Ledger, LedgerHandle } from './ledger-types.js';
 
-const MAX_ATTEMPTS = 4;
-const ATTEMPT_GAP_MS = 25;
+const MAX_ATTEMPTS = 16;
+/** Pause after the first attempt that was proved not run; it doubles up to the longest one. */
+const FIRST_PAUSE_MS = 25;
+const MAX_PAUSE_MS = 200;
 const DEFAULT_RUN_PAST_DEADLINE_MS = 60_000;
 const NOT_RUN_RETRY_AFTER_MS = 1_000;
 
@@ -123,12 +125,14 @@
   run: NonIdempotentRun,
   clock: LedgerClock,
 ): Promise<DispatchOutcome> {
+  let pauseMs = FIRST_PAUSE_MS;
   for (let attempt = 1; ; attempt += 1) {
     const outcome = await dispatchOnce(run, attempt);
     if (outcome.kind !== 'not-run' || outcome.mayRetry === false) return outcome;
-    const isLate = clock.now() + ATTEMPT_GAP_MS >= run.req.deadlineAt;
+    const isLate = clock.now() + pauseMs >= run.req.deadlineAt;
     if (attempt === MAX_ATTEMPTS || isLate || run.req.signal?.aborted === true) return outcome;
-    await sleep(ATTEMPT_GAP_MS);
+    await sleep(pauseMs);
+    pauseMs = Math.min(2 * pauseMs, MAX_PAUSE_MS);
   }
 }
 
--- a/packages/routing/src/lib/ledger/sweeper.ts
+++ b/packages/routing/src/lib/ledger/sweeper.ts
@@ -66,7 +66,7 @@
   const partsPerService = HEX ** cfg.digits;
   let transactions = 0;
   let next = 0;
-  let current = Promise.resolve(0);
+  let current: Promise<unknown> | undefined;
 
   /** Returns the expired rows, by this clock and by that of the last other writer among them. */
   function expiredOf(rows: readonly TableRow[]): TableRow[] {
@@ -135,7 +135,9 @@
   }
 
   const timer = setInterval(() => {
-    current = current.then(sweepNext, sweepNext);
+    current ??= sweepNext().finally(() => {
+      current = undefined;
+    });
   }, cfg.everyMs);
   timer.unref();
 
--- a/packages/routing/src/test/ledger_test.ts
+++ b/packages/routing/src/test/ledger_test.ts
@@ -79,6 +79,18 @@
   expect(runsOf('k')).toEqual(1);
 });
 
+test('attempts proved not run are repeated while the owner moves', async () => {
+  const { keeper, send, runAtServer, runsOf } = createFixture();
+  let refusals = 5;
+  const movingOwner = () => {
+    refusals -= 1;
+    const refused: DispatchOutcome = { kind: 'not-run', reason: 'stale epoch' };
+    return Promise.resolve(refusals >= 0 ? refused : runAtServer('k'));
+  };
+  expect(await send(keeper('a'), 'k', movingOwner)).toEqual('answered');
+  expect(runsOf('k')).toEqual(1);
+});
+
 test('an unknown outcome is never dispatched again', async () => {
   const { keeper, send, runsOf } = createFixture();
   const first = keeper('a');
