Send a copy of a silent write before its call times out

A lost answer held a batch for the 2 s of the call; now a copy goes out after 400 ms of silence and settles it. The deadline of a settled write is firm: a table that never answers leaves it unsettled in time.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -9,3 +9,4 @@
 export * from './lib/settled-write.js';
 export * from './lib/table-service.js';
 export * from './lib/table-wire.js';
+export { writerOf } from './lib/write-evidence.js';
--- a/packages/platform/src/lib/settled-write.ts
+++ b/packages/platform/src/lib/settled-write.ts
@@ -1,18 +1,27 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { PlatformError } from './platform-error.js';
-import type { TableRow, TableService, TableWrite } from './table-service.js';
+import type { Result } from 'neverthrow';
+
+import { PlatformError } from './platform-error.js';
+import type { TableRow, TableService, TableWrite, TransactOutcome } from './table-service.js';
+import { judgeRows } from './write-evidence.js';
 
 const DEFAULT_RETRY_GAP_MS = 20;
+const DEFAULT_COPY_AFTER_MS = 400;
+const MAX_COPIES = 3;
+const NO_ANSWER = new PlatformError('the table did not answer before the deadline', true);
+const OVERWRITTEN = new PlatformError('the row was written again since', true);
 
 /** Limits of a settled write. */
 export interface SettledWriteOptions {
-  /** Time after which no further attempt begins, in milliseconds of `now`. */
+  /** Time after which no answer is waited for, in milliseconds of `now`. */
   readonly deadlineAt: number;
   /** Monotonic clock in milliseconds; `performance.now` when left out. */
   readonly now?: () => number;
-  /** Time between two attempts, in milliseconds. */
+  /** Time from an error to the next copy, in milliseconds. */
   readonly retryGapMs?: number;
+  /** Silence after which another copy is sent beside the first, in milliseconds; then it doubles. */
+  readonly copyAfterMs?: number;
 }
 
 /** What is known of a transaction once {@link settledWrite} returns. */
@@ -32,38 +41,12 @@
   /** The transaction may have taken effect, or may still do so. */
   | { readonly kind: 'unsettled'; readonly error: PlatformError };
 
-/** Returns the writer token inside a row's JSON value, if it carries one. */
-export function writerOf(row: TableRow): string | undefined {
-  try {
-    const value: unknown = JSON.parse(row.value);
-    if (typeof value !== 'object' || value === null || !('writer' in value)) return undefined;
-    return typeof value.writer === 'string' ? value.writer : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
-type Evidence = 'committed' | 'not-committed' | 'none';
-
-/** What one written row proves about a transaction that can no longer arrive. */
-function evidenceOf(write: TableWrite, row: TableRow | undefined, token: string): Evidence {
-  if (typeof write.value !== 'string') return 'none';
-  if (row !== undefined && writerOf(row) === token) return 'committed';
-  const version = row?.version ?? 0;
-  const isUntouched = version === write.expectedVersion;
-  const isTakenByAnother = version === write.expectedVersion + 1;
-  return isUntouched || isTakenByAnother ? 'not-committed' : 'none';
-}
-
-function judge(writes: readonly TableWrite[], rows: readonly TableRow[], token: string): Evidence {
-  const byKey = new Map(rows.map((row) => [row.key, row]));
-  const evidence = writes.map((write) => evidenceOf(write, byKey.get(write.key), token));
-  if (evidence.includes('committed')) return 'committed';
-  return evidence.includes('not-committed') ? 'not-committed' : 'none';
-}
+type Arrival =
+  { readonly copy: Copy; readonly answer: Result<TransactOutcome, PlatformError> } | undefined;
+type Copy = Promise<Arrival>;
 
 /**
- * Runs a transaction and settles a lost answer.
+ * Runs a transaction and settles a lost or late answer.
  *
  * Every written value must be JSON text with the field `writer: token`, and the token must be new
  * for this transaction. Deletions and version checks carry no token, so at least one row must.
@@ -72,10 +55,10 @@
  * still be on its way and land after the read. So the same transaction is sent again instead, with
  * the same expected versions. At most one of the copies can take effect, since it raises the
  * versions that the others expect:
- * - the copy commits: earlier copies can no longer take effect;
- * - the copy conflicts: some row has left its expected version, so no copy can take effect any
- *   more, and only now a read-back is final. The token in any row means that a copy committed. A
- *   row at its expected version, or one step on under another token, means that none did;
+ * - a copy commits: the others can no longer take effect;
+ * - a copy conflicts: some row has left its expected version, so no copy can take effect any more,
+ *   and only now a read-back is final. The token in any row means that a copy committed. A row at
+ *   its expected version, or one step on under another token, means that none did;
  * - no answer that decides comes before the deadline: `unsettled`.
  *
  * This holds while versions only rise. Whoever deletes rows and inserts them again under the same
@@ -89,55 +72,74 @@
 ): Promise<SettledOutcome> {
   const now = options.now ?? (() => performance.now());
   const gapMs = options.retryGapMs ?? DEFAULT_RETRY_GAP_MS;
+  let silenceMs = options.copyAfterMs ?? DEFAULT_COPY_AFTER_MS;
+  const pending = new Set<Copy>();
   let lost: PlatformError | undefined;
+
+  function send(): void {
+    const copy: Copy = table.transact(writes).then((answer) => ({ copy, answer }));
+    pending.add(copy);
+  }
+
+  send();
   for (;;) {
-    const attempt = await attemptWrite(table, writes, token, lost);
-    if (attempt.kind === 'lost') lost = attempt.error;
-    else if (attempt.kind !== 'retry') return attempt;
+    const leftMs = options.deadlineAt - now();
+    const arrival = await firstOf(pending, Math.min(silenceMs, leftMs));
+    if (arrival === undefined) {
+      if (now() >= options.deadlineAt) return { kind: 'unsettled', error: lost ?? NO_ANSWER };
+      if (pending.size < MAX_COPIES) send();
+      silenceMs *= 2;
+      continue;
+    }
+    pending.delete(arrival.copy);
+    const mayHaveLanded = lost !== undefined || pending.size > 0;
+    const settled = await settleAnswer(table, writes, token, arrival.answer, mayHaveLanded);
+    if (settled.kind !== 'open') return settled;
+    if (settled.error.mayHaveTakenEffect) lost = settled.error;
+    if (pending.size > 0) continue;
     if (now() + gapMs >= options.deadlineAt) {
-      return attempt.kind === 'retry' && lost === undefined
-        ? { kind: 'unavailable', error: attempt.error }
-        : { kind: 'unsettled', error: lost ?? attempt.error };
+      return { kind: lost === undefined ? 'unavailable' : 'unsettled', error: settled.error };
     }
     await sleep(gapMs);
+    send();
+  }
+}
+
+/** Waits for the first copy to be answered; `undefined` when none is in time. */
+async function firstOf(copies: Iterable<Copy>, timeoutMs: number): Promise<Arrival> {
+  let timer: NodeJS.Timeout | undefined;
+  const silence = new Promise<undefined>((resolve) => {
+    timer = setTimeout(resolve, Math.max(0, timeoutMs), undefined);
+  });
+  try {
+    return await Promise.race([...copies, silence]);
+  } finally {
+    clearTimeout(timer);
   }
 }
 
-type Attempt =
-  | SettledOutcome
-  | { readonly kind: 'lost'; readonly error: PlatformError }
-  | { readonly kind: 'retry'; readonly error: PlatformError };
+type Settled = SettledOutcome | { readonly kind: 'open'; readonly error: PlatformError };
 
-async function attemptWrite(
+/** Settles the transaction by the answer to one copy, if that decides. */
+async function settleAnswer(
   table: TableService,
   writes: readonly TableWrite[],
   token: string,
-  lost: PlatformError | undefined,
-): Promise<Attempt> {
-  const answer = await table.transact(writes);
+  answer: Result<TransactOutcome, PlatformError>,
+  mayHaveLanded: boolean,
+): Promise<Settled> {
   if (answer.isErr()) {
-    if (answer.error.mayHaveTakenEffect) return { kind: 'lost', error: answer.error };
-    const kind = lost === undefined ? 'unavailable' : 'retry';
-    return { kind, error: answer.error };
+    const isProved = !answer.error.mayHaveTakenEffect && !mayHaveLanded;
+    return { kind: isProved ? 'unavailable' : 'open', error: answer.error };
   }
   if (answer.value.committed) return { kind: 'committed' };
-  return readBack(table, writes, token, answer.value.conflicts, lost);
-}
-
-async function readBack(
-  table: TableService,
-  writes: readonly TableWrite[],
-  token: string,
-  conflicts: readonly string[],
-  lost: PlatformError | undefined,
-): Promise<Attempt> {
-  const keys = lost === undefined ? conflicts : writes.map((write) => write.key);
-  const read = await table.read(keys);
-  if (read.isErr()) return { kind: 'retry', error: read.error };
+  const { conflicts } = answer.value;
+  const read = await table.read(mayHaveLanded ? writes.map((write) => write.key) : conflicts);
+  if (read.isErr()) return { kind: 'open', error: read.error };
   const rows = read.value.filter((row) => conflicts.includes(row.key));
-  if (lost === undefined) return { kind: 'conflict', conflicts, rows };
-  const evidence = judge(writes, read.value, token);
+  if (!mayHaveLanded) return { kind: 'conflict', conflicts, rows };
+  const evidence = judgeRows(writes, read.value, token);
   if (evidence === 'committed') return { kind: 'committed' };
   if (evidence === 'not-committed') return { kind: 'conflict', conflicts, rows };
-  return { kind: 'unsettled', error: lost };
+  return { kind: 'unsettled', error: OVERWRITTEN };
 }
--- /dev/null
+++ b/packages/platform/src/lib/write-evidence.ts
@@ -0,0 +1,37 @@
+import type { TableRow, TableWrite } from './table-service.js';
+
+/** Returns the writer token inside a row's JSON value, if it carries one. */
+export function writerOf(row: TableRow): string | undefined {
+  try {
+    const value: unknown = JSON.parse(row.value);
+    if (typeof value !== 'object' || value === null || !('writer' in value)) return undefined;
+    return typeof value.writer === 'string' ? value.writer : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** What rows prove about a transaction of which no copy can arrive any more. @internal */
+export type Evidence = 'committed' | 'not-committed' | 'none';
+
+/** What one written row proves about a transaction that can no longer arrive. */
+function evidenceOf(write: TableWrite, row: TableRow | undefined, token: string): Evidence {
+  if (typeof write.value !== 'string') return 'none';
+  if (row !== undefined && writerOf(row) === token) return 'committed';
+  const version = row?.version ?? 0;
+  const isUntouched = version === write.expectedVersion;
+  const isTakenByAnother = version === write.expectedVersion + 1;
+  return isUntouched || isTakenByAnother ? 'not-committed' : 'none';
+}
+
+/** Judges a transaction by all its rows: it took effect whole or not at all. @internal */
+export function judgeRows(
+  writes: readonly TableWrite[],
+  rows: readonly TableRow[],
+  token: string,
+): Evidence {
+  const byKey = new Map(rows.map((row) => [row.key, row]));
+  const evidence = writes.map((write) => evidenceOf(write, byKey.get(write.key), token));
+  if (evidence.includes('committed')) return 'committed';
+  return evidence.includes('not-committed') ? 'not-committed' : 'none';
+}
--- a/packages/platform/src/test/settled-write_test.ts
+++ b/packages/platform/src/test/settled-write_test.ts
@@ -11,7 +11,7 @@
   settledWrite,
 } from '../index.js';
 
-type Fate = 'answered' | 'refused' | 'lost-before' | 'lost-after' | 'delayed';
+type Fate = 'answered' | 'refused' | 'lost-before' | 'lost-after' | 'delayed' | 'hangs-after';
 
 /** A table whose transactions meet the given fates in turn, and then are answered. */
 function createTable(fates: Fate[]) {
@@ -36,7 +36,9 @@
       const fate = fates.shift() ?? 'answered';
       if (fate === 'refused') return Promise.resolve(err(new PlatformError('refused', false)));
       if (fate === 'delayed') delayed.push(writes);
-      const conflicts = fate === 'answered' || fate === 'lost-after' ? apply(writes) : [];
+      const arrives = fate === 'answered' || fate === 'lost-after' || fate === 'hangs-after';
+      const conflicts = arrives ? apply(writes) : [];
+      if (fate === 'hangs-after') return new Promise(() => undefined);
       if (fate !== 'answered') return Promise.resolve(err(new PlatformError('lost', true)));
       return Promise.resolve(
         ok(conflicts.length === 0 ? { committed: true } : { committed: false, conflicts }),
@@ -68,6 +70,21 @@
   });
 }
 
+test('a write whose answer never comes is settled by a copy', async () => {
+  const { table, rows } = createTable(['hangs-after']);
+  const options = { ...SOON, copyAfterMs: 1 };
+  const outcome = await settledWrite(table, [rowOf('a', 't1')], 't1', options);
+  expect(outcome).toEqual({ kind: 'committed' });
+  expect(rows.get('a')?.version).toEqual(1);
+});
+
+test('a table that never answers leaves the write unsettled at the deadline', async () => {
+  const { table } = createTable(Array<Fate>(10).fill('hangs-after'));
+  const options = { deadlineAt: performance.now() + 20, copyAfterMs: 1 };
+  const outcome = await settledWrite(table, [rowOf('a', 't1')], 't1', options);
+  expect(outcome.kind).toEqual('unsettled');
+});
+
 test('a lost write is in conflict only when it can no longer land', async () => {
   const { table, rows, apply, land } = createTable(['delayed']);
   const write = settledWrite(table, [rowOf('a', 't1'), rowOf('b', 't1')], 't1', SOON);
