--- a/packages/platform/src/lib/settled-write.ts
+++ b/packages/platform/src/lib/settled-write.ts
@@ -8,7 +8,8 @@
 
 const DEFAULT_RETRY_GAP_MS = 20;
 const DEFAULT_COPY_AFTER_MS = 400;
-const MAX_COPIES = 3;
+/** Most copies on their way at the same time, so that a slow table gets at most twice the load. */
+const MAX_COPIES = 2;
 const NO_ANSWER = new PlatformError('the table did not answer before the deadline', true);
 const OVERWRITTEN = new PlatformError('the row was written again since', true);
 
--- a/packages/routing/src/bin/bench-ledger.ts
+++ b/packages/routing/src/bin/bench-ledger.ts
@@ -127,6 +127,7 @@
 // Long times keep the queue at the table from passing for an outage.
 await measure('one transaction each', {
   settleMs: DEADLINE_MS,
+  copyAfterMs: DEADLINE_MS,
   stallMs: 1,
   batchRows: 1,
   batchGapMs: 0,
--- a/packages/routing/src/lib/ledger/group-commit.ts
+++ b/packages/routing/src/lib/ledger/group-commit.ts
@@ -4,6 +4,12 @@
 import type { LedgerConfig } from './ledger-config.js';
 import { withResolvers } from './with-resolvers.js';
 
+/** Copies of a transaction wait for this many times the typical latency, up to a bound. */
+const COPY_AFTER_LATENCIES = 3;
+const MAX_COPY_AFTER_MS = 2_000;
+/** Weight of one transaction in the typical latency. */
+const LATENCY_WEIGHT = 0.1;
+
 /** A write of one row; the transaction's token is added to its value as `writer`. */
 export interface RowWrite {
   readonly key: string;
@@ -64,6 +70,12 @@
   let timer: NodeJS.Timeout | undefined;
   let transactions = 0;
   let rows = 0;
+  let typicalMs = 0;
+
+  function copyAfterMs(): number {
+    const slowMs = Math.min(COPY_AFTER_LATENCIES * typicalMs, MAX_COPY_AFTER_MS);
+    return Math.max(cfg.copyAfterMs, slowMs);
+  }
 
   function isStalledAt(now: number): boolean {
     return [...startTimes].every((start) => now - start.at >= cfg.stallMs);
@@ -121,11 +133,14 @@
       value: JSON.stringify({ ...write.value, writer: token }),
     }));
     transactions += 1;
+    const startedAt = clock.now();
     const outcome = await settledWrite(table, writes, token, {
-      deadlineAt: clock.now() + cfg.settleMs,
+      deadlineAt: startedAt + cfg.settleMs,
       now: () => clock.now(),
       retryGapMs: cfg.settleGapMs,
+      copyAfterMs: copyAfterMs(),
     });
+    typicalMs += LATENCY_WEIGHT * (clock.now() - startedAt - typicalMs);
     if (outcome.kind === 'conflict') return resolveConflicts(batch, outcome);
     for (const entry of batch) {
       if (outcome.kind === 'committed') {
--- a/packages/routing/src/lib/ledger/ledger-config.ts
+++ b/packages/routing/src/lib/ledger/ledger-config.ts
@@ -32,6 +32,8 @@
   settleMs: v.optional(wholeNumber(1), 5_000),
   /** Time between two attempts of one transaction. */
   settleGapMs: v.optional(wholeNumber(1), 20),
+  /** Least silence after which a copy of a transaction is sent; more when the table is slow. */
+  copyAfterMs: v.optional(wholeNumber(1), 400),
   /** Longest time that a repeat waits for a run at another instance to be recorded. */
   elsewhereWaitMs: v.optional(wholeNumber(0), 300),
   /** Time between two reads while it waits. */
