--- /dev/null
+++ b/packages/spec/src/lib/configurations.ts
@@ -0,0 +1,115 @@
+import { createConfigurationModel } from './configuration/configuration-model.js';
+import { type Exploration, explore } from './model/explore.js';
+import type { Mutation } from './model/rules.js';
+import { createOwnershipModel } from './ownership/ownership-model.js';
+import type { OwnershipOptions } from './ownership/state.js';
+import { createRequestModel } from './requests/request-model.js';
+
+/** One bounded model that is explored whole. */
+export interface Configuration {
+  readonly name: string;
+  /** True when it takes a few seconds at most, so that the tests explore it, too. */
+  readonly isQuick: boolean;
+  /** Rules whose removal this configuration shows. */
+  readonly mutations: readonly Mutation[];
+  run(mutation?: Mutation): Exploration;
+}
+
+const NO_FEATURES = {
+  isKeeperNew: false,
+  hasStandby: false,
+  hasReplacement: false,
+  canRelease: false,
+  canLapse: false,
+  canRestart: false,
+  canMoveUnrecorded: false,
+  outages: 0,
+  maxRenewals: 1,
+  maxKeeperVersion: 2,
+  maxMoves: 1,
+} as const;
+
+function ownership(features: Partial<OwnershipOptions>): Configuration['run'] {
+  return (mutation) => explore(createOwnershipModel({ ...NO_FEATURES, ...features, mutation }));
+}
+
+/** Every configuration; the quick ones first. */
+export const CONFIGURATIONS: readonly Configuration[] = [
+  {
+    name: 'lapse, acting keeper and standby',
+    isQuick: true,
+    mutations: ['lease-echo', 'wait-lease', 'margin', 'read-back', 'stand-down'],
+    run: ownership({ hasStandby: true, canLapse: true }),
+  },
+  {
+    name: 'lapse, replaced keeper',
+    isQuick: true,
+    mutations: ['fence-check', 'tenure', 'wait-tenure', 'keeper-row-check', 'settle-write'],
+    run: ownership({ hasReplacement: true, canLapse: true }),
+  },
+  {
+    name: 'restart, new keeper and replacement',
+    isQuick: true,
+    mutations: ['start-identity', 'start-row'],
+    run: ownership({ isKeeperNew: true, hasReplacement: true, canLapse: true, canRestart: true }),
+  },
+  {
+    name: 'release, one keeper',
+    isQuick: true,
+    mutations: ['release-final'],
+    run: ownership({ canRelease: true, maxMoves: 2 }),
+  },
+  {
+    name: 'store down, acting keeper and standby',
+    isQuick: true,
+    mutations: ['epoch-reservation', 'successor-check', 'successor-renew'],
+    run: ownership({ hasStandby: true, canLapse: true, canMoveUnrecorded: true }),
+  },
+  {
+    name: 'racing operators, 2 operators and 3 routers',
+    isQuick: true,
+    mutations: [
+      'version-check',
+      'writer-history',
+      'gossip-order',
+      'report-incarnation',
+      'start-from-peers',
+    ],
+    run: (mutation) => explore(createConfigurationModel({ mutation, operators: 2, routers: 3 })),
+  },
+  {
+    name: 'at most once, 3 attempts',
+    isQuick: true,
+    mutations: ['intent-first', 'proof-of-not-run', 'repeat-check'],
+    run: (mutation) => explore(createRequestModel({ mutation, attempts: 3 })),
+  },
+  {
+    name: 'lapse, acting keeper, standby and replacement',
+    isQuick: false,
+    mutations: [],
+    run: ownership({ hasStandby: true, hasReplacement: true, canLapse: true }),
+  },
+  {
+    name: 'restart, acting keeper, standby and replacement',
+    isQuick: false,
+    mutations: [],
+    run: ownership({ hasStandby: true, hasReplacement: true, canLapse: true, canRestart: true }),
+  },
+  {
+    name: 'release, acting keeper and standby',
+    isQuick: false,
+    mutations: [],
+    run: ownership({ hasStandby: true, canRelease: true }),
+  },
+  {
+    name: 'store down, acting keeper, standby and replacement',
+    isQuick: false,
+    mutations: [],
+    run: ownership({
+      hasStandby: true,
+      hasReplacement: true,
+      canLapse: true,
+      canMoveUnrecorded: true,
+    }),
+  },
+];
--- a/packages/spec/src/lib/model/explore.ts
+++ b/packages/spec/src/lib/model/explore.ts
@@ -74,8 +74,10 @@
 
 function traceOf<S>(visit: Visit<S>): string[] {
   const trace: string[] = [];
-  for (let it: Visit<S> | undefined = visit; it?.from !== undefined; it = it.from) {
+  let it = visit;
+  while (it.from !== undefined) {
     trace.push(it.step);
+    it = it.from;
   }
   return trace.reverse();
 }
--- a/packages/spec/src/lib/model/rules.ts
+++ b/packages/spec/src/lib/model/rules.ts
@@ -17,8 +17,12 @@
   'successor-check': 'a later keeper makes sure of the owner only, not of the stored successor',
   'successor-renew': 'a later keeper renews the owner before it has fenced the stored successor',
   'version-check': 'the configuration is written without comparing its version',
+  'writer-history': 'the row remembers its last writer only',
+  'report-incarnation': 'a report of a router counts even if the router has restarted since',
+  'start-from-peers': 'a router that starts takes the first push that it hears',
   'gossip-order': 'a router takes any configuration that a peer pushes',
   'intent-first': 'a non-idempotent request is dispatched before its intent is known to be written',
+  'repeat-check': 'a repeat goes on past the unfinished intent of an earlier attempt',
   'proof-of-not-run': 'a lost connection counts as proof that the request was not run',
 } as const;
 
--- a/packages/spec/src/lib/ownership/initial-state.ts
+++ b/packages/spec/src/lib/ownership/initial-state.ts
@@ -45,7 +45,8 @@
     seenStart: 1,
     isAccepted: true,
   };
-  const keepers = [acting];
+  const fresh = { sinceAnswer: LAPSED, seenStart: 0, isAccepted: false, sinceInstalled: 0 };
+  const keepers = [options.isKeeperNew ? { ...acting, ...fresh } : acting];
   if (options.hasStandby) keepers.push({ ...known, role: 'standby', epoch: 2 });
   if (options.hasReplacement) keepers.push(IDLE_KEEPER);
   return {
@@ -53,7 +54,13 @@
     assignment: ASSIGNMENT,
     isStoreUp: true,
     outagesLeft: options.outages,
-    server: { start: 1, highestKeeperEpoch: 1, leaseAge: 0, held: 1, released: 0 },
+    server: {
+      start: 1,
+      highestKeeperEpoch: options.isKeeperNew ? 0 : 1,
+      leaseAge: 0,
+      held: 1,
+      released: 0,
+    },
     successor: { held: 0, released: 0 },
     third: 0,
     unrecorded: 0,
--- a/packages/spec/src/lib/ownership/keeper-steps.ts
+++ b/packages/spec/src/lib/ownership/keeper-steps.ts
@@ -14,7 +14,7 @@
     ...shared,
     ...stop(view),
     ...resume(view),
-    ...askStandby(view),
+    ...(options.canLapse ? askStandby(view) : []),
     ...release(view, options),
     ...fenceSuccessor(view, options),
   ];
--- a/packages/spec/src/lib/ownership/state.ts
+++ b/packages/spec/src/lib/ownership/state.ts
@@ -121,6 +121,8 @@
 export interface OwnershipOptions {
   readonly mutation: Mutation | undefined;
   readonly hasStandby: boolean;
+  /** True when keeper 0 was just written into the row and has not called A yet. */
+  readonly isKeeperNew: boolean;
   readonly hasReplacement: boolean;
   readonly canRelease: boolean;
   readonly canLapse: boolean;
--- a/packages/spec/src/lib/ownership/table-steps.ts
+++ b/packages/spec/src/lib/ownership/table-steps.ts
@@ -21,7 +21,7 @@
   return [
     ...read(view, options),
     ...replaceKeeper(view, options),
-    ...removeStandby(view, options),
+    ...(options.canLapse ? removeStandby(view, options) : []),
     ...startWrite(view, options),
     ...landWrite(view, options),
     ...answerWrite(view, options),
@@ -37,7 +37,7 @@
     // A router whose own write of the row got no answer finds itself in it.
     const isInstalled = keeperRow.acting === number;
     if (!isInstalled) return [];
-    return [{ name, next: withKeeper(state, number, installed(state)) }];
+    return [{ name, next: withKeeper(state, number, installed(state, options)) }];
   }
   const isNamed = keeperRow.acting === number && keeperRow.actingEpoch === keeper.epoch;
   const isStandby = keeperRow.standby === number && keeper.role === 'standby';
@@ -76,7 +76,7 @@
   return { ...state, acknowledged: { version, owner } };
 }
 
-function installed(state: OwnershipState): KeeperState {
+function installed(state: OwnershipState, options: OwnershipOptions): KeeperState {
   return {
     ...IDLE_KEEPER,
     role: 'acting',
@@ -84,7 +84,7 @@
     row: state.keeperRow,
     assignment: state.assignment,
     sinceRead: 0,
-    sinceInstalled: 0,
+    sinceInstalled: options.canLapse ? 0 : LONGEST_WAIT,
   };
 }
 
@@ -104,7 +104,7 @@
   const next = { ...state, keeperRow: row };
   const name = `keeper ${number} writes itself into the keeper row`;
   return [
-    { name, next: withKeeper(next, number, installed(next)) },
+    { name, next: withKeeper(next, number, installed(next, options)) },
     { name: `${name}, the answer is lost`, next },
   ];
 }
