--- a/packages/spec/src/lib/configurations.ts
+++ b/packages/spec/src/lib/configurations.ts
@@ -38,13 +38,23 @@
   {
     name: 'lapse, acting keeper and standby',
     isQuick: true,
-    mutations: ['lease-echo', 'wait-lease', 'margin', 'read-back', 'stand-down'],
+    mutations: ['stand-down'],
     run: ownership({ hasStandby: true, canLapse: true }),
   },
   {
     name: 'lapse, replaced keeper',
     isQuick: true,
-    mutations: ['fence-check', 'tenure', 'wait-tenure', 'keeper-row-check', 'settle-write'],
+    mutations: [
+      'fence-check',
+      'lease-echo',
+      'wait-lease',
+      'margin',
+      'tenure',
+      'wait-tenure',
+      'read-back',
+      'settle-write',
+      'keeper-row-check',
+    ],
     run: ownership({ hasReplacement: true, canLapse: true }),
   },
   {
@@ -54,7 +64,7 @@
     run: ownership({ isKeeperNew: true, hasReplacement: true, canLapse: true, canRestart: true }),
   },
   {
-    name: 'release, one keeper',
+    name: 'release, two moves of one keeper',
     isQuick: true,
     mutations: ['release-final'],
     run: ownership({ canRelease: true, maxMoves: 2 }),
@@ -101,6 +111,12 @@
     mutations: [],
     run: ownership({ hasStandby: true, canRelease: true }),
   },
+  {
+    name: 'release or lapse, replaced keeper',
+    isQuick: false,
+    mutations: [],
+    run: ownership({ hasReplacement: true, canRelease: true, canLapse: true }),
+  },
   {
     name: 'store down, acting keeper, standby and replacement',
     isQuick: false,
--- a/packages/spec/src/lib/trace/check-requests.ts
+++ b/packages/spec/src/lib/trace/check-requests.ts
@@ -1,20 +1,8 @@
+import { saysNotRun } from './answer-family.js';
 import { groupBy } from './group-by.js';
 import type { RanEvent, TraceEvent } from './trace-event.js';
 import type { TraceViolation } from './trace-violation.js';
 
-/** Result codes from here up to {@link FIRST_UNKNOWN_CODE} say that the request was not run. */
-const FIRST_NOT_RUN_CODE = 100;
-const FIRST_UNKNOWN_CODE = 200;
-/** Result codes from here up to {@link FIRST_OPERATOR_CODE} refuse a request that is wrong. */
-const FIRST_BAD_REQUEST_CODE = 300;
-const FIRST_OPERATOR_CODE = 400;
-
-function saysNotRun(code: number): boolean {
-  const isNotRun = code >= FIRST_NOT_RUN_CODE && code < FIRST_UNKNOWN_CODE;
-  const isBadRequest = code >= FIRST_BAD_REQUEST_CODE && code < FIRST_OPERATOR_CODE;
-  return isNotRun || isBadRequest;
-}
-
 function onceKey(event: RanEvent): string {
   const id = event.idempotencyKey;
   return id === undefined ? `request ${event.requestId}` : `idempotency key ${id}`;
--- a/packages/spec/src/lib/trace/check-trace.ts
+++ b/packages/spec/src/lib/trace/check-trace.ts
@@ -2,6 +2,7 @@
 import { checkConfig } from './check-config.js';
 import { checkOwners } from './check-owners.js';
 import { checkAtMostOnce, checkNotRun } from './check-requests.js';
+import { checkOutcome } from './outcome.js';
 import type { TraceEvent } from './trace-event.js';
 import type { TraceViolation } from './trace-violation.js';
 
@@ -19,6 +20,7 @@
     ...checkAtMostOnce(inOrder),
     ...checkNotRun(inOrder),
     ...checkConfig(inOrder),
+    ...checkOutcome(inOrder),
   ];
   return found.toSorted((a, b) => a.at - b.at);
 }
--- a/packages/spec/src/lib/trace/trace-event.ts
+++ b/packages/spec/src/lib/trace/trace-event.ts
@@ -94,6 +94,21 @@
 });
 export type ConfigEvent = v.InferOutput<typeof configEventSchema>;
 
+/**
+ * What the recorder states of the whole run, as the last line of a trace file; see `outcomeOf`.
+ * `events` counts all other lines.
+ */
+export const outcomeEventSchema = v.strictObject({
+  kind: v.literal('outcome'),
+  at: atSchema,
+  events: countSchema,
+  runs: countSchema,
+  answeredOk: countSchema,
+  answeredNotRun: countSchema,
+  answeredUnknown: countSchema,
+});
+export type OutcomeEvent = v.InferOutput<typeof outcomeEventSchema>;
+
 /** One line of a trace file. */
 export const traceEventSchema = v.variant('kind', [
   ranEventSchema,
@@ -104,5 +119,6 @@
   assignedEventSchema,
   answeredEventSchema,
   configEventSchema,
+  outcomeEventSchema,
 ]);
 export type TraceEvent = v.InferOutput<typeof traceEventSchema>;
--- a/packages/spec/src/lib/trace/trace-violation.ts
+++ b/packages/spec/src/lib/trace/trace-violation.ts
@@ -7,7 +7,8 @@
   | 'assignment-kept'
   | 'at-most-once'
   | 'not-run-is-true'
-  | 'config-rises';
+  | 'config-rises'
+  | 'stated-outcome';
 
 /** One broken rule and where. */
 export interface TraceViolation {
--- /dev/null
+++ b/packages/spec/src/test/model_test.ts
@@ -0,0 +1,43 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { CONFIGURATIONS } from '../lib/configurations.js';
+import { type Model, explore } from '../lib/model/explore.js';
+
+for (const configuration of CONFIGURATIONS.filter((it) => it.isQuick)) {
+  test(`nothing is violated: ${configuration.name}`, () => {
+    const result = configuration.run();
+    expect(result.counterexample).toEqual(undefined);
+    expect(Object.entries(result.goals).filter(([, count]) => count === 0)).toEqual([]);
+  });
+}
+
+interface Counter {
+  readonly count: number;
+}
+
+/** Counts up by one or two to ten. */
+const COUNTER: Model<Counter> = {
+  initial: { count: 0 },
+  steps: ({ count }) =>
+    [1, 2]
+      .filter((it) => count + it <= 10)
+      .map((it) => ({ name: `add ${it}`, next: { count: count + it } })),
+  violation: ({ count }) => (count === 7 ? 'seven' : undefined),
+  goals: { 'is odd': ({ count }) => count % 2 === 1 },
+};
+
+test('an exploration visits every state and counts the goals', () => {
+  const result = explore({ ...COUNTER, violation: () => undefined });
+  expect(result).toEqual({
+    states: 11,
+    depth: 5,
+    goals: { 'is odd': 5 },
+    counterexample: undefined,
+  });
+});
+
+test('a counterexample has a shortest trace', () => {
+  expect(explore(COUNTER).counterexample?.trace.length).toEqual(4);
+});
--- /dev/null
+++ b/packages/spec/src/test/trace_test.ts
@@ -0,0 +1,118 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { type TraceEvent, checkTrace, outcomeOf, parseTrace } from '../index.js';
+
+const SHARD = { service: 'caja', shard: 7 };
+
+function ran(at: number, server: string, epoch: number, requestId: string): TraceEvent {
+  const idempotencyKey = `key-${requestId}`;
+  const request = { requestId, key: 'plaza-9', idempotencyKey, idempotent: false };
+  return { kind: 'ran', at, server, start: `${server}-1`, ...SHARD, epoch, ...request };
+}
+
+function held(
+  kind: 'granted' | 'released' | 'lapsed',
+  at: number,
+  server: string,
+  epoch: number,
+): TraceEvent {
+  return { kind, at, server, ...SHARD, epoch };
+}
+
+function assigned(at: number, owner: string, epoch: number, version: number): TraceEvent {
+  return { kind: 'assigned', at, ...SHARD, owner, epoch, version };
+}
+
+function config(at: number, router: string, version: number): TraceEvent {
+  return { kind: 'config', at, router, service: 'caja', version };
+}
+
+function answered(at: number, requestId: string, code: number, status: number): TraceEvent {
+  return { kind: 'answered', at, requestId, idempotencyKey: `key-${requestId}`, code, status };
+}
+
+/** A lapse of caja-1, a release of caja-2, and the end of caja-3 without any word of it. */
+const EVENTS: readonly TraceEvent[] = [
+  assigned(0, 'caja-1', 1, 1),
+  held('granted', 1, 'caja-1', 1),
+  config(1, 'router-1', 1),
+  ran(10, 'caja-1', 1, 'r1'),
+  answered(12, 'r1', 0, 200),
+  held('lapsed', 500, 'caja-1', 1),
+  assigned(510, 'caja-2', 3, 2),
+  held('granted', 511, 'caja-2', 3),
+  config(512, 'router-1', 2),
+  ran(520, 'caja-2', 3, 'r2'),
+  answered(525, 'r2', 201, 504),
+  answered(530, 'r3', 101, 503),
+  held('released', 600, 'caja-2', 3),
+  assigned(610, 'caja-3', 5, 3),
+  held('granted', 611, 'caja-3', 5),
+  { kind: 'stopped', at: 700, server: 'caja-3' },
+  assigned(1300, 'caja-1', 7, 4),
+  held('granted', 1301, 'caja-1', 7),
+  ran(1310, 'caja-1', 7, 'r4'),
+];
+const TRACE: readonly TraceEvent[] = [...EVENTS, outcomeOf(EVENTS)];
+
+function rulesOf(events: readonly TraceEvent[]): string[] {
+  return [...new Set(checkTrace(events).map((it) => it.rule))].sort();
+}
+
+function changed(index: number, change: Partial<TraceEvent>): TraceEvent[] {
+  return EVENTS.map((it, at) => (at === index ? ({ ...it, ...change } as TraceEvent) : it));
+}
+
+function without(kind: TraceEvent['kind'], at: number): TraceEvent[] {
+  return EVENTS.filter((it) => it.kind !== kind || it.at !== at);
+}
+
+test('a correct trace is accepted in any order of its lines', () => {
+  expect(checkTrace(TRACE)).toEqual([]);
+  expect(checkTrace(TRACE.toReversed())).toEqual([]);
+});
+
+const ALTERED: readonly (readonly [string, readonly TraceEvent[], readonly string[]])[] = [
+  ['a lapse that comes too late', changed(5, { at: 512 }), ['one-owner']],
+  ['a lapse that is cut out', without('lapsed', 500), ['one-owner']],
+  ['a release that is cut out', without('released', 600), ['one-owner']],
+  ['a stop that is cut out', without('stopped', 700), ['one-owner']],
+  ['a run after the lapse', [...EVENTS, ran(505, 'caja-1', 1, 'r5')], ['run-under-grant']],
+  ['a run under another epoch', changed(9, { epoch: 2 }), ['run-under-grant']],
+  [
+    'a grant to another server',
+    changed(7, { server: 'caja-9' }),
+    ['epoch-owner', 'one-owner', 'run-under-grant'],
+  ],
+  ['a row that loses its epoch', changed(13, { epoch: 2 }), ['epoch-rises']],
+  ['a row written twice', [...EVENTS, assigned(700, 'caja-9', 6, 3)], ['assignment-kept']],
+  ['a request that ran twice', [...EVENTS, ran(1320, 'caja-1', 7, 'r2')], ['at-most-once']],
+  ['a refusal of what ran', changed(10, { code: 107 }), ['not-run-is-true']],
+  ['a configuration that goes back', [...EVENTS, config(800, 'router-1', 1)], ['config-rises']],
+  ['a line that is cut out', TRACE.filter((it) => it.at !== 530), ['stated-outcome']],
+];
+
+for (const [name, events, rules] of ALTERED) {
+  test(`an altered trace is rejected: ${name}`, () => {
+    expect(rulesOf(events)).toEqual([...rules]);
+  });
+}
+
+test('epochs of grants that fall are rejected', () => {
+  const late = [held('granted', 1400, 'caja-2', 6), held('lapsed', 1350, 'caja-1', 7)];
+  expect(rulesOf([...EVENTS, ...late])).toEqual(['epoch-rises']);
+});
+
+test('a trace is read back from its lines', () => {
+  const text = TRACE.map((it) => JSON.stringify(it)).join('\n');
+  expect(parseTrace(text).unwrapOr([])).toEqual([...TRACE]);
+});
+
+for (const line of ['{"kind":"ran"', '{"kind":"nothing","at":1}', '{"kind":"stopped","at":"1"}']) {
+  test(`an unreadable line is refused with its number: ${line}`, () => {
+    const parsed = parseTrace(`${JSON.stringify(EVENTS[0])}\n${line}`);
+    expect(parsed.isErr() && parsed.error.message.startsWith('line 2')).toEqual(true);
+  });
+}
