Share measured load, follow non-idempotent requests past their deadline

Cause: attempts of non-idempotent requests were cut at the caller's deadline, so a late answer was recorded as unknown; a suspect ran over a connection that may have been idle, so an innocent one could be barred; a lost connection blocked idempotent requests until the owner changed. Change: attempts run up to 60 s past the deadline; a suspect gets a connection of its own; the same owner is asked again under the retry budget while it answers most requests; load summaries travel in heartbeats, and the ledger shares the table's rate among the live routers; expired records are swept; callers mark repeats by bp-repeat.

--- a/packages/daemon/src/lib/callers/caller-app.ts
+++ b/packages/daemon/src/lib/callers/caller-app.ts
@@ -19,6 +19,8 @@
 
 const SECOND_MS = 1_000;
 const CALLER_HEADER = 'bp-caller';
+/** A caller sets it to `true` when it sends a request again under the same Idempotency-Key. */
+const REPEAT_HEADER = 'bp-repeat';
 const IDEMPOTENCY_HEADER = 'idempotency-key';
 const UNMATCHED = 'none';
 
@@ -114,6 +116,7 @@
       body,
       caller: incoming.headersDistinct[CALLER_HEADER]?.[0] ?? incoming.socket.remoteAddress ?? '',
       idempotencyKey: incoming.headersDistinct[IDEMPOTENCY_HEADER]?.[0],
+      isRepeat: incoming.headersDistinct[REPEAT_HEADER]?.[0] === 'true',
       deadlineAt: startedAt + matched.rule.deadlineMs,
       signal: c.req.raw.signal,
     });
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -31,9 +31,9 @@
   const { limits, listen } = settings;
   const peerAddress = splitAddress(listen.peers);
   const context = {
+    ...node.peerState,
     ...node,
     metrics,
-    ownUnreachable: () => node.keepers.unreachable(),
     maxBodyBytes: limits.maxBodyBytes,
     notReady: () => readiness.reasons(),
   };
--- a/packages/daemon/src/lib/peers/forward-codec.ts
+++ b/packages/daemon/src/lib/peers/forward-codec.ts
@@ -23,6 +23,7 @@
     body,
     key,
     caller,
+    repeat: req.isRepeat,
     deadlineMs: Math.max(1, Math.floor(req.deadlineAt - performance.now())),
   };
 }
@@ -48,6 +49,7 @@
     body,
     caller,
     idempotencyKey: idempotencyKey === '' ? undefined : idempotencyKey,
+    isRepeat: message.repeat,
     deadlineAt: performance.now() + message.deadlineMs,
     signal,
   };
--- a/packages/daemon/src/lib/peers/peer-state.ts
+++ b/packages/daemon/src/lib/peers/peer-state.ts
@@ -1,7 +1,12 @@
 import type { AssignmentMap, Membership, RowStore } from '@boragepoint/ownership';
 import { configKey } from '@boragepoint/ownership';
 import { type PeerState, PeerStateSchema } from '@boragepoint/protocol';
-import type { Quarantine } from '@boragepoint/routing';
+import {
+  type LoadExchange,
+  type Quarantine,
+  fromPeerEntry,
+  toPeerEntry,
+} from '@boragepoint/routing';
 import { type MessageInitShape } from '@bufbuild/protobuf';
 
 /** Most quarantine entries in one heartbeat; the newest go first. */
@@ -13,6 +18,10 @@
   readonly map: AssignmentMap;
   readonly membership: Membership;
   readonly quarantine: Quarantine;
+  readonly load: LoadExchange;
+  /** Summary of the load for the next heartbeat; empty when none is due. */
+  loadSummary(): string;
+  onBadSummary(peer: string, cause: Error): void;
   /** Backend servers that this router keeps and can't reach. */
   ownUnreachable(): string[];
 }
@@ -28,11 +37,8 @@
     leaving,
     unreachableServers: ctx.ownUnreachable(),
     unrecordedMoves: ctx.map.unrecorded().map((it) => ({ ...it, epoch: BigInt(it.epoch) })),
-    quarantine: ctx.quarantine.entries(MAX_QUARANTINE_ENTRIES).map((it) => ({
-      ...it,
-      expiresAtMs: BigInt(it.expiresAtMs),
-      changedAtMs: BigInt(it.changedAtMs),
-    })),
+    quarantine: ctx.quarantine.entries(MAX_QUARANTINE_ENTRIES).map(toPeerEntry),
+    loadSummary: ctx.loadSummary(),
     configurations: ctx.map.services().map(({ name }) => ({
       key: configKey(name),
       version: BigInt(ctx.map.configVersion(name)),
@@ -54,14 +60,7 @@
       epoch: Number(it.epoch),
     })),
   );
-  ctx.quarantine.merge(
-    state.quarantine.map((it) => ({
-      service: it.service,
-      fingerprint: it.fingerprint,
-      suspect: it.suspect,
-      released: it.released,
-      expiresAtMs: Number(it.expiresAtMs),
-      changedAtMs: Number(it.changedAtMs),
-    })),
-  );
+  ctx.quarantine.merge(state.quarantine.map(fromPeerEntry));
+  const summary = ctx.load.receive(id, state.loadSummary);
+  if (summary.isErr()) ctx.onBadSummary(id, summary.error);
 }
--- a/packages/daemon/src/lib/router-node.ts
+++ b/packages/daemon/src/lib/router-node.ts
@@ -20,6 +20,7 @@
   createServicePlanner,
   createShardMover,
   createTableSync,
+  rankCandidates,
 } from '@boragepoint/ownership';
 import {
   createHttpInstanceList,
@@ -32,10 +33,12 @@
   type RequestRouter,
   type ServerLinks,
   createLedger,
+  createLoadExchange,
   createQuarantine,
   createRequestRouter,
   createRetryBudget,
   createServerLinks,
+  createSweeper,
   createSystemClock,
 } from '@boragepoint/routing';
 import { Pool } from 'undici';
@@ -46,6 +49,8 @@
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import { createPeerForwarder } from './peers/peer-forwarder.js';
+import { createSummaryTurns } from './peers/summary-turns.js';
+import type { PeerStateContext } from './peers/peer-state.js';
 import { type PeerLinks, createPeerLinks } from './peers/peer-links.js';
 import { watchTable } from './table-watch.js';
 
@@ -67,6 +72,7 @@
   readonly quarantine: Quarantine;
   readonly router: RequestRouter;
   readonly burn: BurnCounters;
+  readonly peerState: PeerStateContext;
 }
 
 function platformPool(url: string): Pool {
@@ -100,15 +106,20 @@
   const sync = createTableSync(table, createHttpInstanceList(instancePool), rows, membership);
   const quarantine = createQuarantine({ spread: (entries) => links.spreadQuarantine(entries) });
   const ownUnreachable = () => keepers.unreachable();
-  const links: PeerLinks = createPeerLinks({
+  const load = createLoadExchange({ clock });
+  const peerState: PeerStateContext = {
     rows,
     map,
     membership,
     quarantine,
+    load,
+    loadSummary: createSummaryTurns(load),
+    onBadSummary: (peer, cause) => {
+      log.warn('the load summary of a peer is not well formed', { peer, cause });
+    },
     ownUnreachable,
-    log,
-    metrics,
-  });
+  };
+  const links: PeerLinks = createPeerLinks({ ...peerState, log, metrics });
   const ownership: OwnershipContext = {
     rows,
     map,
@@ -121,18 +132,35 @@
     hasher,
     lastTableReadAt: () => sync.lastReadAt(),
     isTableUp: () => sync.isUp(),
-    shardLoads: () => new Map(),
+    shardLoads: (service) =>
+      load.shardLoads(
+        service,
+        map.assignments(service).map((it) => it.shard),
+      ),
     unreachableServers,
   };
   const keepers: KeeperManager = createKeeperManager(ownership);
   const planner = createServicePlanner(ownership, sendMoves);
   const servers = createServerLinks(clock);
-  const ledger = createLedger({ table, objects: createHttpObjectStore(objectPool), incarnation });
+  const objects = createHttpObjectStore(objectPool);
+  const liveRouters = () => membership.live().length;
+  const ledger = createLedger({ table, objects, incarnation, liveRouters });
+  const sweeper = createSweeper({
+    table,
+    objects,
+    incarnation,
+    services: () => map.services().map((it) => it.name),
+    isMine: (service, digits) => {
+      const live = membership.live().map((it) => it.id);
+      return rankCandidates(hasher, `${service}/${digits}`, live)[0] === membership.self.id;
+    },
+  });
   const router = createRequestRouter({
     map,
     keepers,
     ledger,
     links: servers,
+    load,
     quarantine,
     budget: createRetryBudget({ clock }),
     membership,
@@ -152,7 +180,7 @@
   }
 
   const shares = setInterval(() => {
-    servers.setLiveRouters(membership.live().length);
+    servers.setLiveRouters(liveRouters());
     metrics.keeping.set(keepers.acting().length);
   }, 500);
   for (const pool of [tablePool, objectPool, instancePool]) {
@@ -162,6 +190,7 @@
   stack.use(links);
   stack.use(sync);
   stack.use(ledger);
+  stack.use(sweeper);
   stack.use(servers);
   stack.use(planner);
   stack.use(keepers);
@@ -183,6 +212,7 @@
     quarantine,
     router,
     burn: createBurnCounters(),
+    peerState,
     [Symbol.asyncDispose]: () => stack[Symbol.asyncDispose](),
   };
 }
--- a/packages/daemon/src/test/peer-forwarder_test.ts
+++ b/packages/daemon/src/test/peer-forwarder_test.ts
@@ -43,6 +43,7 @@
     headers: [],
     body: new Uint8Array(),
     caller: 'kiosk-1',
+    isRepeat: false,
     deadlineAt: performance.now() + 900.25,
     signal: new AbortController().signal,
   });
--- a/packages/ownership/src/lib/assignment-map.ts
+++ b/packages/ownership/src/lib/assignment-map.ts
@@ -33,6 +33,8 @@
   configVersion(name: string): number;
   /** Backend server and its service by the server's id. */
   server(id: string): { service: ServiceConfig; server: BackendServer } | undefined;
+  /** Hash of a key in hexadecimal. */
+  keyHash(service: ServiceConfig, key: string): string;
   /** The shard of a key. */
   shardOf(service: ServiceConfig, key: string): number;
   /** The owner of a shard, or `undefined` when none is known. */
@@ -142,6 +144,7 @@
     service: (name) => rows.config(configKey(name))?.value.config,
     configVersion: (name) => rows.config(configKey(name))?.version ?? 0,
     server: (id) => servers.get(id),
+    keyHash: (service, key) => hasher.keyHash(service.name, key).toString(16),
     shardOf,
     assignment: (service, shard) => indexOf(service).byShard.get(shard),
     assignments: (service) => [...indexOf(service).byShard.values()],
--- a/packages/routing/src/lib/dispatch/admitted-attempt.ts
+++ b/packages/routing/src/lib/dispatch/admitted-attempt.ts
@@ -1,17 +1,21 @@
-import type { Placement } from '@boragepoint/ownership';
+import type { AssignmentMap, Placement } from '@boragepoint/ownership';
 import { abortAfter } from '@boragepoint/platform';
 import { type Result, err, ok } from 'neverthrow';
+import { Client } from 'undici';
 
 import type { AdmissionRefusal, Outcome, OutcomeKind } from '../admission/index.js';
+import type { LoadExchange } from '../balance/index.js';
 import type { Quarantine, QuarantineRun } from '../quarantine/index.js';
 import { type RoutedAnswer, type RoutedRequest, refusal } from './routed-request.js';
 import { type AttemptOutcome, sendAttempt } from './server-attempt.js';
-import type { ServerLinks } from './server-links.js';
+import type { ServerLink, ServerLinks } from './server-links.js';
 
 const HTTP_SERVER_ERROR = 500;
 
 /** What an attempt needs beside the request. */
 export interface AttemptContext {
+  readonly map: AssignmentMap;
+  readonly load: LoadExchange;
   readonly links: ServerLinks;
   readonly quarantine: Quarantine;
 }
@@ -34,10 +38,17 @@
   }
 }
 
-function measured(outcome: AttemptOutcome, latencyMs: number, byChange: boolean) {
+/** What the limiter learns; nothing from an attempt that a change of owner ended. */
+function measured(
+  outcome: AttemptOutcome,
+  rule: string,
+  latencyMs: number,
+  wasAborted: boolean,
+): Outcome | undefined {
   const kind = outcomeKind(outcome);
-  if (kind === undefined || byChange) return undefined;
-  return { kind, latencyMs } satisfies Outcome;
+  if (kind === undefined || wasAborted) return undefined;
+  const serverLoad = outcome.kind === 'answered' ? outcome.serverLoad : undefined;
+  return { kind, latencyMs, rule, serverLoad };
 }
 
 async function endRun(run: QuarantineRun, outcome: AttemptOutcome): Promise<void> {
@@ -50,27 +61,52 @@
   return refusal(refused.resultName, refused.message, refused.retryAfterMs);
 }
 
+/** One attempt at the owner of the request's key. */
+export interface Attempt {
+  readonly req: RoutedRequest;
+  readonly fingerprint: string;
+  readonly placement: Placement;
+  /** Aborts the attempt. */
+  readonly signal: AbortSignal;
+  /** Time on the monotonic clock at which the attempt is given up, in milliseconds. */
+  readonly endAt: number;
+}
+
+/**
+ * Sends the request. A suspect goes over a connection of its own, since the loss of a connection
+ * that had been idle says nothing about the request.
+ */
+async function send(
+  link: ServerLink,
+  { req, placement, signal, endAt }: Attempt,
+  alone: boolean,
+): Promise<AttemptOutcome> {
+  using timeout = abortAfter(Math.max(1, endAt - performance.now()), signal);
+  if (!alone) return await sendAttempt(link.pool, req, placement.assignment, timeout.signal);
+  const client = new Client(`http://${link.address}`);
+  const outcome = await sendAttempt(client, req, placement.assignment, timeout.signal);
+  await client.destroy();
+  return outcome;
+}
+
 /**
- * Waits for admission, sends the request once, and tells the limiter and the quarantine how it
- * ended. A refusal says that nothing was sent.
+ * Waits for admission, sends the request once, and tells the limiter, the load meter and the
+ * quarantine how it ended. A refusal says that nothing was sent.
  */
 export async function admittedAttempt(
   ctx: AttemptContext,
-  req: RoutedRequest,
-  fingerprint: string,
-  placement: Placement,
-  signal: AbortSignal,
+  attempt: Attempt,
 ): Promise<Result<AttemptOutcome, RoutedAnswer & { kind: 'refused' }>> {
-  const { server, assignment } = placement;
+  const { req, fingerprint, placement, signal } = attempt;
   const { caller, deadlineAt, rule, service } = req;
-  const link = ctx.links.linkTo(server);
+  const link = ctx.links.linkTo(placement.server);
   const admitted = await link.queue.admit({ caller, priority: rule.priority, deadlineAt, signal });
   if (admitted.isErr()) return err(notAdmitted(admitted.error));
   using permit = admitted.value;
   const entered = await ctx.quarantine.enter({
     service: service.name,
     fingerprint,
-    server: server.id,
+    server: placement.server.id,
     deadlineAt,
   });
   if (entered.kind === 'quarantined') {
@@ -79,10 +115,23 @@
   }
   if (entered.kind === 'too-late') return err(refusal('overloaded', 'no turn before the deadline'));
   const sentAt = performance.now();
-  using timeout = abortAfter(Math.max(1, deadlineAt - sentAt), signal);
-  const outcome = await sendAttempt(link.pool, req, assignment, timeout.signal);
-  const learnt = measured(outcome, performance.now() - sentAt, signal.aborted);
-  if (learnt !== undefined) permit.release(learnt);
+  const outcome = await send(link, attempt, entered.run.runAlone);
+  const learnt = measured(outcome, rule.name, performance.now() - sentAt, signal.aborted);
+  if (learnt !== undefined) {
+    permit.release(learnt);
+    recordLoad(ctx, attempt, learnt);
+  }
   await endRun(entered.run, outcome);
   return ok(outcome);
 }
+
+function recordLoad(ctx: AttemptContext, { req, placement }: Attempt, outcome: Outcome): void {
+  ctx.load.record(req.service.name, {
+    rule: req.rule.name,
+    keyHash: ctx.map.keyHash(req.service, req.key),
+    shard: placement.assignment.shard,
+    server: placement.server.id,
+    kind: outcome.kind,
+    latencyMs: outcome.latencyMs,
+  });
+}
--- a/packages/routing/src/lib/dispatch/keeper-run.ts
+++ b/packages/routing/src/lib/dispatch/keeper-run.ts
@@ -1,5 +1,5 @@
 import { RESULT_CODES, type ResultName, nameOf } from '@boragepoint/config';
-import type { AssignmentMap, KeeperManager, Placement } from '@boragepoint/ownership';
+import type { KeeperManager, Placement } from '@boragepoint/ownership';
 
 import {
   type DispatchOutcome,
@@ -15,9 +15,11 @@
 /** Longest wait for news of the owner before the next try. */
 const OWNER_CHECK_MS = 20;
 
+/** Time after the deadline for which an answer is awaited, so that a repeat gets it. */
+const RUN_PAST_DEADLINE_MS = 60_000;
+
 /** What a keeper needs to run requests. */
 export interface KeeperRunContext extends AttemptContext {
-  readonly map: AssignmentMap;
   readonly keepers: KeeperManager;
   readonly ledger: Ledger;
 }
@@ -36,7 +38,7 @@
 function toDispatchOutcome(outcome: AttemptOutcome): DispatchOutcome {
   switch (outcome.kind) {
     case 'answered':
-      return { ...outcome.answer, kind: 'answered' };
+      return { kind: 'answered', ...outcome.answer };
     case 'refused':
       return notRun(`the owner refused: ${outcome.reason}`, 'refusedByServer', true);
     case 'not-connected':
@@ -50,7 +52,7 @@
     case 'given-up':
       return {
         kind: 'unknown',
-        reason: 'no answer came before the deadline',
+        reason: 'no answer came in time',
         code: RESULT_CODES.deadlinePassed,
       };
     case 'connection-lost':
@@ -66,7 +68,7 @@
   return refusal(nameOf(result.code), result.message, result.retryAfterMs);
 }
 
-/** Sends a request to the owner once; nothing but the deadline cuts it once it was sent. */
+/** Sends a request to the owner once and follows it to its end, past the caller's deadline. */
 async function dispatchOnce(
   ctx: KeeperRunContext,
   req: RoutedRequest,
@@ -78,8 +80,13 @@
   if (placement === undefined) {
     return notRun('this router is not the keeper of the owner', 'unfinishedElsewhere', false);
   }
-  const followed = new AbortController().signal;
-  const attempted = await admittedAttempt(ctx, req, fingerprint, placement, followed);
+  const attempted = await admittedAttempt(ctx, {
+    req,
+    fingerprint,
+    placement,
+    signal: new AbortController().signal,
+    endAt: req.deadlineAt + RUN_PAST_DEADLINE_MS,
+  });
   if (attempted.isOk()) return toDispatchOutcome(attempted.value);
   const { result, message, retryAfterMs } = attempted.error;
   const outcome = notRun(message, result, false);
@@ -108,6 +115,7 @@
       fingerprint,
       deadlineAt: req.deadlineAt,
       signal: req.signal,
+      firstTry: !req.isRepeat,
     },
   });
   return toAnswer(result);
--- a/packages/routing/src/lib/dispatch/request-router.ts
+++ b/packages/routing/src/lib/dispatch/request-router.ts
@@ -75,19 +75,20 @@
   /** Tries keepers until one answers; after a lost link only when the ledger makes it harmless. */
   async function runThroughKeeper(req: RoutedRequest, fingerprint: string): Promise<RoutedAnswer> {
     const mayRepeat = req.rule.idempotent || req.idempotencyKey !== undefined;
-    let mayHaveRun = false;
+    let linkBroke = false;
     while (performance.now() < req.deadlineAt && !req.signal.aborted) {
       const outcome = await askKeeper(req, fingerprint);
       if (outcome.kind === 'answered' && !isElsewhere(outcome.answer)) {
-        return honestAnswer(outcome.answer, mayHaveRun);
+        return honestAnswer(outcome.answer, linkBroke);
       }
-      if (outcome.kind === 'lost') mayHaveRun = true;
-      if (mayHaveRun && !mayRepeat) break;
+      if (outcome.kind === 'lost') linkBroke = true;
+      if (linkBroke && !mayRepeat) break;
       const leftMs = req.deadlineAt - performance.now();
       await waitForChange(ctx.map, Math.min(KEEPER_CHECK_MS, leftMs), req.signal);
     }
+    const mayHaveRun = linkBroke || (req.isRepeat && !req.rule.idempotent);
     return mayHaveRun
-      ? refusal('outcomeUnknown', 'the link to the keeper broke before its answer')
+      ? refusal('outcomeUnknown', 'an earlier try may have run, and no keeper can be asked')
       : refusal('noOwner', 'no router acts as the keeper of the owner', RETRY_AFTER_MS);
   }
 
@@ -105,11 +106,13 @@
 
   async function route(req: RoutedRequest): Promise<RoutedAnswer> {
     const fingerprint = fingerprintOfRequest(req);
+    // The keeper of a non-idempotent request asks the ledger first: an earlier try may have run.
+    if (!req.rule.idempotent) return runThroughKeeper(req, fingerprint);
     const refused = barred(req, fingerprint);
     if (refused !== undefined) return refused;
-    const needsKeeper =
-      !req.rule.idempotent || ctx.quarantine.isSuspect(req.service.name, fingerprint);
-    if (needsKeeper) return runThroughKeeper(req, fingerprint);
+    if (ctx.quarantine.isSuspect(req.service.name, fingerprint)) {
+      return runThroughKeeper(req, fingerprint);
+    }
     return runIdempotent(ctx, req, fingerprint);
   }
 
--- a/packages/routing/src/lib/dispatch/routed-request.ts
+++ b/packages/routing/src/lib/dispatch/routed-request.ts
@@ -20,6 +20,8 @@
   /** Identity that fairness is kept between. */
   readonly caller: string;
   readonly idempotencyKey?: string | undefined;
+  /** True when the caller says that it has sent the request before. */
+  readonly isRepeat: boolean;
   /** Time on the monotonic clock by which the caller needs its answer, in milliseconds. */
   readonly deadlineAt: number;
   /** Aborts when the caller hangs up. */
--- a/packages/routing/src/lib/dispatch/run-idempotent.ts
+++ b/packages/routing/src/lib/dispatch/run-idempotent.ts
@@ -11,10 +11,11 @@
 /** Longest wait for news of the owner before the same owner is asked again after a refusal. */
 const OWNER_CHECK_MS = 20;
 const RETRY_AFTER_LOSS_MS = 1_000;
+/** Share of failed requests above which a server is not asked again. */
+const FAILING_SHARE = 0.5;
 
 /** What running idempotent requests needs. */
 export interface IdempotentContext extends AttemptContext {
-  readonly map: AssignmentMap;
   readonly budget: RetryBudget;
 }
 
@@ -76,10 +77,50 @@
   }
 }
 
+/** True while another try at a server that lost a connection has no prospect. */
+function isFailing(ctx: IdempotentContext, placement: Placement): boolean {
+  const { circuit, failureShare } = ctx.links.linkTo(placement.server).limiter.state();
+  return circuit !== 'closed' || failureShare >= FAILING_SHARE;
+}
+
+/** The last attempt of a request and the pause before its next one. */
+interface Progress {
+  last?: AttemptOutcome;
+  failedAt?: Placement;
+  delayMs: number;
+}
+
+/** Waits for a better prospect after an attempt; false when the retry budget is spent. */
+async function prepareRetry(
+  ctx: IdempotentContext,
+  req: RoutedRequest,
+  progress: Progress,
+): Promise<boolean> {
+  const leftMs = req.deadlineAt - performance.now();
+  const isFailure =
+    progress.last?.kind === 'connection-lost' ||
+    progress.last?.kind === 'not-connected' ||
+    progress.last?.kind === 'wrong-answer';
+  if (!isFailure) {
+    const isRefused = progress.last?.kind === 'refused';
+    if (isRefused) await waitForChange(ctx.map, Math.min(leftMs, OWNER_CHECK_MS), req.signal);
+    return true;
+  }
+  const delayMs = ctx.budget.tryRetry({
+    previousDelayMs: progress.delayMs,
+    deadlineAt: req.deadlineAt,
+    expectedLatencyMs: 0,
+  });
+  if (delayMs === undefined) return false;
+  progress.delayMs = delayMs;
+  await waitForChange(ctx.map, delayMs, req.signal);
+  return true;
+}
+
 /**
  * Runs an idempotent request at the owner of its key. It is tried again within its deadline:
- * after a refusal by an old owner as soon as the new one is known, after a lost connection only at
- * another owner or epoch, and then under the retry budget.
+ * after a refusal by an old owner as soon as the new one is known; after a lost connection under the
+ * retry budget, and at the same owner only while that answers most other requests.
  */
 export async function runIdempotent(
   ctx: IdempotentContext,
@@ -87,40 +128,32 @@
   fingerprint: string,
 ): Promise<RoutedAnswer> {
   ctx.budget.recordRequest();
-  let last: AttemptOutcome | undefined;
-  let failedAt: Placement | undefined;
-  let delayMs = 0;
+  const progress: Progress = { delayMs: 0 };
 
   while (performance.now() < req.deadlineAt && !req.signal.aborted) {
-    const leftMs = req.deadlineAt - performance.now();
     const placement = ctx.map.place(req.service, req.key);
-    if (placement === undefined || (failedAt && isSameOwner(failedAt, placement))) {
-      await waitForChange(ctx.map, leftMs, req.signal);
+    const { failedAt } = progress;
+    const isBlocked =
+      placement === undefined ||
+      (failedAt !== undefined && isSameOwner(failedAt, placement) && isFailing(ctx, placement));
+    if (isBlocked) {
+      const leftMs = req.deadlineAt - performance.now();
+      await waitForChange(ctx.map, Math.min(leftMs, OWNER_CHECK_MS), req.signal);
       continue;
     }
     using owner = watchOwner(ctx.map, req, placement);
-    const attempted = await admittedAttempt(ctx, req, fingerprint, placement, owner.signal);
+    const { signal } = owner;
+    const endAt = req.deadlineAt;
+    const attempted = await admittedAttempt(ctx, { req, fingerprint, placement, signal, endAt });
     if (attempted.isErr()) {
       if (owner.hasMoved()) continue;
       return attempted.error;
     }
-    last = attempted.value;
-    const answer = finalAnswer(last);
+    progress.last = attempted.value;
+    const answer = finalAnswer(attempted.value);
     if (answer !== undefined) return answer;
-    if (last.kind === 'refused') {
-      await waitForChange(ctx.map, Math.min(leftMs, OWNER_CHECK_MS), req.signal);
-      continue;
-    }
-    if (last.kind === 'given-up') continue;
-    failedAt = placement;
-    const retry = ctx.budget.tryRetry({
-      previousDelayMs: delayMs,
-      deadlineAt: req.deadlineAt,
-      expectedLatencyMs: 0,
-    });
-    if (retry === undefined) break;
-    delayMs = retry;
-    await waitForChange(ctx.map, delayMs, req.signal);
+    progress.failedAt = placement;
+    if (!(await prepareRetry(ctx, req, progress))) break;
   }
-  return givenUp(last);
+  return givenUp(progress.last);
 }
--- a/packages/routing/src/lib/dispatch/server-attempt.ts
+++ b/packages/routing/src/lib/dispatch/server-attempt.ts
@@ -5,14 +5,19 @@
   refusalReasonSchema,
 } from '@boragepoint/platform';
 import type { Assignment } from '@boragepoint/ownership';
-import type { Dispatcher, Pool } from 'undici';
+import type { Dispatcher } from 'undici';
 import * as v from 'valibot';
 
 import type { BackendAnswer, HeaderLine, RoutedRequest } from './routed-request.js';
 
 /** How one attempt at a backend server ended. */
 export type AttemptOutcome =
-  | { readonly kind: 'answered'; readonly answer: BackendAnswer }
+  | {
+      readonly kind: 'answered';
+      readonly answer: BackendAnswer;
+      /** Requests that ran or waited at the backend server, as it says. */
+      readonly serverLoad?: number | undefined;
+    }
   /** The backend server said that it did not run the request. */
   | { readonly kind: 'refused'; readonly reason: RefusalReason; readonly epoch: number }
   /** No connection was opened, so the request was not run. */
@@ -108,7 +113,9 @@
   const body = await readBody(res, req.rule.maxAnswerBytes);
   if (body === undefined) return { kind: 'too-large' };
   const headers = answerHeaders(res.headers);
-  return { kind: 'answered', answer: { status: res.statusCode, headers, body } };
+  const load = singleHeader(res, ANSWER_HEADERS.load);
+  const serverLoad = load === undefined ? undefined : Number(load);
+  return { kind: 'answered', answer: { status: res.statusCode, headers, body }, serverLoad };
 }
 
 function errorOutcome(cause: unknown, signal: AbortSignal): AttemptOutcome {
@@ -123,13 +130,13 @@
  * that bears the id of another request, never passes for the answer.
  */
 export async function sendAttempt(
-  pool: Pool,
+  client: Dispatcher,
   req: RoutedRequest,
   target: Assignment,
   signal: AbortSignal,
 ): Promise<AttemptOutcome> {
   try {
-    const res = await pool.request({
+    const res = await client.request({
       method: req.method,
       path: req.path,
       headers: requestHeaders(req, target),
