--- a/packages/ownership/src/lib/row-writer.ts
+++ b/packages/ownership/src/lib/row-writer.ts
@@ -1,12 +1,20 @@
-import type { TableService, TableWrite } from '@boragepoint/platform';
+import {
+  type TableRow,
+  type TableService,
+  type TableWrite,
+  settledWrite,
+  writerOf,
+} from '@boragepoint/platform';
 import { type Result, err, ok } from 'neverthrow';
 import { v4 as newToken } from 'uuid';
 
-import { pause } from './pause.js';
+import { monotonicMs, pause } from './pause.js';
 import type { RowStore } from './row-store.js';
 
-/** Time between two tries of a write whose outcome is open. */
+/** Time between two rounds of a write whose outcome is open. */
 const RETRY_EVERY_MS = 50;
+/** Longest time that one round takes. */
+const ROUND_MS = 1_000;
 
 /** A change to one row: the new value without its writer token, or a check of its version. */
 export interface RowChange {
@@ -39,11 +47,6 @@
   refresh(keys: readonly string[]): Promise<boolean>;
 }
 
-interface Attempt {
-  readonly token: string;
-  readonly writes: readonly TableWrite[];
-}
-
 function toWrite(change: RowChange, writer: string): TableWrite {
   const { key, expectedVersion, value } = change;
   if (value === undefined) return { key, expectedVersion };
@@ -59,40 +62,34 @@
     return true;
   }
 
-  function offerWritten(attempt: Attempt): void {
-    for (const { key, expectedVersion, value } of attempt.writes) {
+  function offerWritten(writes: readonly TableWrite[]): void {
+    for (const { key, expectedVersion, value } of writes) {
       if (typeof value === 'string') rows.offer({ key, version: expectedVersion + 1, value });
     }
   }
 
-  async function tookEffectBefore(attempt: Attempt): Promise<boolean | undefined> {
-    const changed = attempt.writes.find((it) => typeof it.value === 'string');
-    if (changed === undefined) return false;
-    const read = await table.read([changed.key]);
-    if (read.isErr()) return undefined;
-    for (const row of read.value) rows.offer(row);
-    const row = read.value[0];
-    return row?.version === changed.expectedVersion + 1 && row.value === changed.value;
-  }
-
-  async function tryOnce(attempt: Attempt): Promise<Result<void, RowWriteError> | undefined> {
-    const outcome = await table.transact(attempt.writes);
-    if (outcome.isErr()) return undefined;
-    if (outcome.value.committed) return ok(undefined);
-    const before = await tookEffectBefore(attempt);
-    if (before === undefined) return undefined;
-    return before ? ok(undefined) : err(new RowWriteError('conflict'));
+  /** True when one of the rows shows that an earlier round of this write took effect. */
+  function offerFound(found: readonly TableRow[], token: string): boolean {
+    for (const row of found) rows.offer(row);
+    return found.some((row) => writerOf(row) === token);
   }
 
   return {
     refresh,
     async write(changes, signal) {
       const token = newToken();
-      const attempt = { token, writes: changes.map((change) => toWrite(change, token)) };
+      const writes = changes.map((change) => toWrite(change, token));
       while (!signal.aborted) {
-        const outcome = await tryOnce(attempt);
-        if (outcome?.isOk() === true) offerWritten(attempt);
-        if (outcome !== undefined) return outcome;
+        const deadlineAt = monotonicMs() + ROUND_MS;
+        const settled = await settledWrite(table, writes, token, { deadlineAt });
+        const isCommitted =
+          settled.kind === 'committed' ||
+          (settled.kind === 'conflict' && offerFound(settled.rows, token));
+        if (isCommitted) {
+          offerWritten(writes);
+          return ok(undefined);
+        }
+        if (settled.kind === 'conflict') return err(new RowWriteError('conflict'));
         await pause(RETRY_EVERY_MS, signal);
       }
       return err(new RowWriteError('given-up'));
--- a/packages/ownership/src/lib/server-recovery.ts
+++ b/packages/ownership/src/lib/server-recovery.ts
@@ -6,14 +6,14 @@
 import { monotonicMs, pause } from './pause.js';
 import type { HeldRow } from './row-store.js';
 import type { ShardChange } from './shard-mover.js';
+import { RECORDED_EPOCH_STEP } from './shard-release.js';
 import { type SilenceQuestion, lapseMs, proveSilence } from './silence-proof.js';
 import { type Assignment, type KeeperRow, ROW_PREFIXES } from './table-rows.js';
 import { chooseTargets, usableServers } from './target-chooser.js';
 
 /** Time that a write may take before a move to stored successors goes ahead without it. */
 const UNRECORDED_AFTER_MS = 150;
-/** Step to an epoch that no stored successor could have been given. */
-const RECORDED_EPOCH_STEP = 2;
+
 /** Step to the epoch that is reserved for the stored successor. */
 const SUCCESSOR_EPOCH_STEP = 1;
 
