Split the keeper's table steps by concern

A keeper that hears of its own write now learns that write only, no longer whatever the table holds by then; the earlier reading gave it knowledge that it can't have.

--- /dev/null
+++ b/packages/spec/src/lib/ownership/keeper-row-steps.ts
@@ -0,0 +1,120 @@
+import type { Step } from '../model/explore.js';
+import { IDLE_KEEPER } from './initial-state.js';
+import {
+  LONGEST_WAIT,
+  type KeeperRow,
+  type KeeperState,
+  type OwnershipOptions,
+  type OwnershipState,
+  type PendingWrite,
+} from './state.js';
+import { type KeeperView, withKeeper } from './update.js';
+import { acknowledge } from './write-steps.js';
+
+type Steps = Step<OwnershipState>[];
+
+/** Steps by which a router reads its row and enters, leaves or changes it. @internal */
+export function keeperRowSteps(view: KeeperView, options: OwnershipOptions): Steps {
+  return [
+    ...read(view, options),
+    ...replaceKeeper(view, options),
+    ...(options.canLapse ? removeStandby(view, options) : []),
+  ];
+}
+
+function read({ state, number, keeper }: KeeperView, options: OwnershipOptions): Steps {
+  const { keeperRow } = state;
+  const name = `keeper ${number} reads the table`;
+  if (keeper.role === 'none') {
+    // A router whose own write of the row got no answer finds itself in it.
+    const isInstalled = keeperRow.acting === number;
+    if (!isInstalled) return [];
+    return [{ name, next: withKeeper(state, number, installed(state, options)) }];
+  }
+  const isNamed = keeperRow.acting === number && keeperRow.actingEpoch === keeper.epoch;
+  const isStandby = keeperRow.standby === number && keeper.role === 'standby';
+  if (!isNamed && !isStandby) {
+    const stray = keeper.write?.phase === 'flying' ? keeper.write : state.strayWrite;
+    const next = { ...state, strayWrite: stray };
+    return [{ name, next: withKeeper(next, number, { role: 'none' }) }];
+  }
+  return readAsKeeper({ state, number, keeper }, options);
+}
+
+/** Takes both rows over, settles the keeper's own write and notes a removed standby. */
+function readAsKeeper({ state, number, keeper }: KeeperView, options: OwnershipOptions): Steps {
+  const { keeperRow, assignment } = state;
+  const isNew = assignment.version > keeper.assignment.version;
+  const isSettled = keeper.write !== null && hasMovedOn(state, keeper.write);
+  const isRemoved = keeper.role === 'acting' && keeper.row.standby >= 0 && keeperRow.standby < 0;
+  const next = withKeeper(state, number, {
+    row: keeperRow,
+    assignment,
+    sinceRead: 0,
+    ...(isNew && { isReleased: false, isSuccessorFenced: false }),
+    ...(isRemoved && { standbyProof: 'removed', sinceProof: 0 }),
+    ...(isSettled && { write: null }),
+  });
+  const name = `keeper ${number} reads the table`;
+  const steps = [{ name, next: isSettled ? acknowledge(next, number, assignment) : next }];
+  if (options.mutation === 'settle-write' && keeper.write !== null && !isSettled) {
+    const stray = { ...next, strayWrite: keeper.write };
+    const given = withKeeper(stray, number, { write: null });
+    steps.push({ name: `${name} and takes its write for failed`, next: given });
+  }
+  return steps;
+}
+
+/** A write can't land any more once either of its rows has a higher version. */
+function hasMovedOn({ assignment, keeperRow }: OwnershipState, write: PendingWrite): boolean {
+  return assignment.version > write.assignVersion || keeperRow.version > write.keeperVersion;
+}
+
+function installed(state: OwnershipState, options: OwnershipOptions): KeeperState {
+  return {
+    ...IDLE_KEEPER,
+    role: 'acting',
+    epoch: state.keeperRow.actingEpoch,
+    row: state.keeperRow,
+    assignment: state.assignment,
+    sinceRead: 0,
+    sinceInstalled: options.canLapse ? 0 : LONGEST_WAIT,
+  };
+}
+
+/** The standby or another router writes itself into the keeper row as the acting keeper. */
+function replaceKeeper({ state, number, keeper }: KeeperView, options: OwnershipOptions): Steps {
+  const { keeperRow } = state;
+  const mayReplace = keeper.role !== 'acting' && number > 0;
+  if (!mayReplace || keeperRow.acting === number) return [];
+  if (keeperRow.version >= options.maxKeeperVersion) return [];
+  const row: KeeperRow = {
+    ...keeperRow,
+    version: keeperRow.version + 1,
+    acting: number,
+    standby: -1,
+    actingEpoch: keeperRow.version + 2,
+  };
+  const next = { ...state, keeperRow: row };
+  const name = `keeper ${number} writes itself into the keeper row`;
+  return [
+    { name, next: withKeeper(next, number, installed(next, options)) },
+    { name: `${name}, the answer is lost`, next },
+  ];
+}
+
+function removeStandby({ state, number, keeper }: KeeperView, options: OwnershipOptions): Steps {
+  const { keeperRow } = state;
+  const isWanted = keeper.role === 'acting' && keeper.hasStopped && keeper.row.standby >= 0;
+  if (!isWanted || keeper.standbyProof !== 'none') return [];
+  if (keeper.row.version !== keeperRow.version) return [];
+  if (keeperRow.version >= options.maxKeeperVersion) return [];
+  const row = { ...keeperRow, version: keeperRow.version + 1, standby: -1 };
+  const next = { ...state, keeperRow: row };
+  const known = { row, standbyProof: 'removed', sinceProof: 0 } as const;
+  const name = `keeper ${number} removes the standby from the row`;
+  return [
+    { name, next: withKeeper(next, number, known) },
+    { name: `${name}, the answer is lost`, next },
+  ];
+}
--- /dev/null
+++ b/packages/spec/src/lib/ownership/lapse-proof.ts
@@ -0,0 +1,26 @@
+import {
+  LAPSED,
+  LEASE_TICKS,
+  LONGEST_WAIT,
+  TENURE_TICKS,
+  type KeeperState,
+  type OwnershipOptions,
+} from './state.js';
+
+function isStandbySafe(keeper: KeeperState, options: OwnershipOptions): boolean {
+  if (options.mutation === 'stand-down') return true;
+  if (keeper.standbyProof === 'acknowledged') return keeper.sinceProof >= LAPSED;
+  if (keeper.standbyProof === 'removed') return keeper.sinceProof >= LONGEST_WAIT;
+  return keeper.row.standby < 0;
+}
+
+/** Rule 6: true when the lease of A must have lapsed. @internal */
+export function mustHaveLapsed(keeper: KeeperState, options: OwnershipOptions): boolean {
+  const { mutation } = options;
+  if (!options.canLapse || !keeper.hasStopped || !isStandbySafe(keeper, options)) return false;
+  if (mutation === 'wait-lease') return true;
+  const wait = mutation === 'margin' ? LEASE_TICKS : LAPSED;
+  if (keeper.isAccepted) return keeper.sinceAnswer >= wait;
+  const tenure = mutation === 'wait-tenure' ? 0 : TENURE_TICKS;
+  return keeper.sinceInstalled >= tenure + LAPSED;
+}
