--- a/packages/spec/src/lib/model/explore.ts
+++ b/packages/spec/src/lib/model/explore.ts
@@ -50,10 +50,8 @@
       depth = visit.depth;
       countGoals(model, visit.state, goals);
       const message = model.violation(visit.state);
-      if (message !== undefined) {
-        const counterexample = { message, trace: traceOf(visit) };
-        return { states: seen.size, depth, goals, counterexample };
-      }
+      const counterexample = message === undefined ? undefined : { message, trace: traceOf(visit) };
+      if (counterexample) return { states: seen.size, depth, goals, counterexample };
       for (const step of model.steps(visit.state)) {
         const key = stateKey(step.next);
         if (seen.has(key)) continue;
@@ -73,11 +71,5 @@
 }
 
 function traceOf<S>(visit: Visit<S>): string[] {
-  const trace: string[] = [];
-  let it = visit;
-  while (it.from !== undefined) {
-    trace.push(it.step);
-    it = it.from;
-  }
-  return trace.reverse();
+  return visit.from === undefined ? [] : [...traceOf(visit.from), visit.step];
 }
--- /dev/null
+++ b/packages/spec/src/test/programs_test.ts
@@ -0,0 +1,70 @@
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+
+import { expect } from 'earl';
+
+import { type TraceEvent, outcomeOf } from '../index.js';
+
+const BIN = fileURLToPath(new URL('../bin/', import.meta.url));
+
+interface Run {
+  readonly status: number | null;
+  readonly output: string;
+}
+
+function runProgram(name: string, ...args: string[]): Run {
+  const { status, stdout } = spawnSync(process.execPath, [path.join(BIN, name), ...args], {
+    encoding: 'utf8',
+  });
+  return { status, output: stdout };
+}
+
+function replayOf(events: readonly TraceEvent[]): Run {
+  const folder = mkdtempSync(path.join(tmpdir(), 'boragepoint-trace-'));
+  try {
+    const lines = events.map((it) => JSON.stringify(it));
+    writeFileSync(path.join(folder, 'run.jsonl'), lines.join('\n'));
+    return runProgram('verify-replay.js', folder);
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+}
+
+const EVENTS: readonly TraceEvent[] = [
+  { kind: 'config', at: 1, router: 'router-1', service: 'caja', version: 1 },
+  { kind: 'config', at: 2, router: 'router-1', service: 'caja', version: 2 },
+];
+
+test('a removed rule ends with code 1 and a shortest trace', () => {
+  const { status, output } = runProgram('verify-model.js', '--mutate', 'margin');
+  expect(status).toEqual(1);
+  expect(output.includes('shortest trace, 5 steps')).toEqual(true);
+});
+
+test('an unknown rule is refused', () => {
+  expect(runProgram('verify-model.js', '--mutate', 'nothing').status).toEqual(2);
+});
+
+test('a correct trace file is accepted', () => {
+  expect(replayOf([...EVENTS, outcomeOf(EVENTS)]).status).toEqual(0);
+});
+
+test('a trace file with an altered version is rejected', () => {
+  const altered = EVENTS.map((it) => (it.at === 1 ? { ...it, version: 3 } : it));
+  const { status, output } = replayOf([...altered, outcomeOf(EVENTS)]);
+  expect(status).toEqual(1);
+  expect(output.includes('config-rises')).toEqual(true);
+});
+
+test('a trace file without its stated outcome is rejected', () => {
+  expect(replayOf(EVENTS).status).toEqual(1);
+});
+
+test('a folder without traces is no proof', () => {
+  expect(replayOf([]).status).toEqual(1);
+  expect(runProgram('verify-replay.js', path.join(BIN, 'nowhere')).status).toEqual(1);
+});
