--- /dev/null
+++ b/packages/cli/src/lib/commands/report.ts
@@ -0,0 +1,59 @@
+import { writeFile } from 'node:fs/promises';
+
+import type { BurnReport, StatusAnswer } from '@boragepoint/config';
+import { type Result, err, ok } from 'neverthrow';
+
+import { renderBurnPage } from '../burn-html.js';
+import { formatBurnReport } from '../burn-text.js';
+import { type CliError, usageError } from '../cli-error.js';
+import { type RouterCommand, textOption } from '../command.js';
+import { mergeBurnReports } from '../merge-answers.js';
+import type { Gathered } from '../gathered.js';
+
+async function writePage(file: string, page: string): Promise<Result<void, CliError>> {
+  try {
+    await writeFile(file, page);
+    return ok(undefined);
+  } catch (cause) {
+    const reason = cause instanceof Error ? cause.message : 'it does not open';
+    return err(usageError(`cannot write ${file}: ${reason}`));
+  }
+}
+
+/** Adds the reports up and says which live routers are not in them. */
+function completeReport(
+  { answers, failures }: Gathered<BurnReport>,
+  status: Result<StatusAnswer, CliError>,
+): BurnReport {
+  const report = mergeBurnReports(answers);
+  const live = status.isOk()
+    ? status.value.routers.filter((it) => it.state === 'live').length
+    : answers.length;
+  const absent = live - answers.length;
+  const hint = `counters of ${absent} of ${live} live routers: name every router by --router`;
+  const missing = [...report.missing, ...failures, ...(absent > 0 ? [hint] : [])];
+  return { ...report, missing };
+}
+
+/** `boragectl report burn`. @internal */
+export const reportCommand: RouterCommand = {
+  usage: 'report <name>',
+  description: 'Show how fast each rule burns its error budget, and what burns it: report burn',
+  options: [['--html <file>', 'Write a page with plots too; it opens without a network']],
+  examples: ['report burn', 'report burn --html burn.html', 'report burn --json'],
+  needsRouter: true,
+  async run({ client, output }, [name], options) {
+    if (name !== 'burn') return err(usageError("the only report is 'burn'"));
+    const gathered = await client.burnReport();
+    if (gathered.isErr()) return err(gathered.error);
+    const report = completeReport(gathered.value, await client.status());
+    const file = textOption(options, 'html');
+    if (file !== undefined) {
+      const written = await writePage(file, renderBurnPage(report));
+      if (written.isErr()) return written;
+      output.info(`wrote ${file}`);
+    }
+    output.result(report, () => formatBurnReport(report));
+    return ok(undefined);
+  },
+};
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,3 +1,4 @@
+export * from './lib/abort-after.js';
 export * from './lib/backend-server-protocol.js';
 export * from './lib/http-instance-list.js';
 export * from './lib/http-object-store.js';
@@ -5,5 +6,7 @@
 export * from './lib/instance-list.js';
 export * from './lib/object-store.js';
 export * from './lib/platform-error.js';
+export * from './lib/settled-write.js';
 export * from './lib/table-service.js';
 export * from './lib/table-wire.js';
+export { writerOf } from './lib/write-evidence.js';
--- /dev/null
+++ b/packages/platform/src/lib/settled-write.ts
@@ -0,0 +1,146 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { Result } from 'neverthrow';
+
+import { PlatformError } from './platform-error.js';
+import type { TableRow, TableService, TableWrite, TransactOutcome } from './table-service.js';
+import { judgeRows } from './write-evidence.js';
+
+const DEFAULT_RETRY_GAP_MS = 20;
+const DEFAULT_COPY_AFTER_MS = 400;
+/** Most copies on their way at the same time, so that a slow table gets at most twice the load. */
+const MAX_COPIES = 2;
+const NO_ANSWER = new PlatformError('the table did not answer before the deadline', true);
+const OVERWRITTEN = new PlatformError('the row was written again since', true);
+
+/** Limits of a settled write. */
+export interface SettledWriteOptions {
+  /** Time after which no answer is waited for, in milliseconds of `now`. */
+  readonly deadlineAt: number;
+  /** Monotonic clock in milliseconds; `performance.now` when left out. */
+  readonly now?: () => number;
+  /** Time from an error to the next copy, in milliseconds. */
+  readonly retryGapMs?: number;
+  /** Silence after which another copy is sent beside the first, in milliseconds; then it doubles. */
+  readonly copyAfterMs?: number;
+}
+
+/** What is known of a transaction once {@link settledWrite} returns. */
+export type SettledOutcome =
+  /** The transaction took effect. */
+  | { readonly kind: 'committed' }
+  /** The transaction did not take effect and never will. */
+  | {
+      readonly kind: 'conflict';
+      /** Keys whose rows had other versions. */
+      readonly conflicts: readonly string[];
+      /** Those rows as read afterwards; rows that do not exist are left out. */
+      readonly rows: readonly TableRow[];
+    }
+  /** The transaction did not take effect, and no request for it is on its way. */
+  | { readonly kind: 'unavailable'; readonly error: PlatformError }
+  /** The transaction may have taken effect, or may still do so. */
+  | { readonly kind: 'unsettled'; readonly error: PlatformError };
+
+type Arrival =
+  { readonly copy: Copy; readonly answer: Result<TransactOutcome, PlatformError> } | undefined;
+type Copy = Promise<Arrival>;
+
+/**
+ * Runs a transaction and settles a lost or late answer.
+ *
+ * Every written value must be JSON text with the field `writer: token`, and the token must be new
+ * for this transaction. Deletions and version checks carry no token, so at least one row must.
+ *
+ * Reading the rows back after a lost answer would not settle anything by itself: the request may
+ * still be on its way and land after the read. So the same transaction is sent again instead, with
+ * the same expected versions. At most one of the copies can take effect, since it raises the
+ * versions that the others expect:
+ * - a copy commits: the others can no longer take effect;
+ * - a copy conflicts: some row has left its expected version, so no copy can take effect any more,
+ *   and only now a read-back is final. The token in any row means that a copy committed. A row at
+ *   its expected version, or one step on under another token, means that none did;
+ * - no answer that decides comes before the deadline: `unsettled`.
+ *
+ * This holds while versions only rise. Whoever deletes rows and inserts them again under the same
+ * key starts at version 1 again, and must keep delayed requests out by other means.
+ */
+export async function settledWrite(
+  table: TableService,
+  writes: readonly TableWrite[],
+  token: string,
+  options: SettledWriteOptions,
+): Promise<SettledOutcome> {
+  const now = options.now ?? (() => performance.now());
+  const gapMs = options.retryGapMs ?? DEFAULT_RETRY_GAP_MS;
+  let silenceMs = options.copyAfterMs ?? DEFAULT_COPY_AFTER_MS;
+  const pending = new Set<Copy>();
+  let lost: PlatformError | undefined;
+
+  function send(): void {
+    const copy: Copy = table.transact(writes).then((answer) => ({ copy, answer }));
+    pending.add(copy);
+  }
+
+  send();
+  for (;;) {
+    const leftMs = options.deadlineAt - now();
+    const arrival = await firstOf(pending, Math.min(silenceMs, leftMs));
+    if (arrival === undefined) {
+      if (now() >= options.deadlineAt) return { kind: 'unsettled', error: lost ?? NO_ANSWER };
+      if (pending.size < MAX_COPIES) send();
+      silenceMs *= 2;
+      continue;
+    }
+    pending.delete(arrival.copy);
+    const mayHaveLanded = lost !== undefined || pending.size > 0;
+    const settled = await settleAnswer(table, writes, token, arrival.answer, mayHaveLanded);
+    if (settled.kind !== 'open') return settled;
+    if (settled.error.mayHaveTakenEffect) lost = settled.error;
+    if (pending.size > 0) continue;
+    if (now() + gapMs >= options.deadlineAt) {
+      return { kind: lost === undefined ? 'unavailable' : 'unsettled', error: settled.error };
+    }
+    await sleep(gapMs);
+    send();
+  }
+}
+
+/** Waits for the first copy to be answered; `undefined` when none is in time. */
+async function firstOf(copies: Iterable<Copy>, timeoutMs: number): Promise<Arrival> {
+  let timer: NodeJS.Timeout | undefined;
+  const silence = new Promise<undefined>((resolve) => {
+    timer = setTimeout(resolve, Math.max(0, timeoutMs), undefined);
+  });
+  try {
+    return await Promise.race([...copies, silence]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
+type Settled = SettledOutcome | { readonly kind: 'open'; readonly error: PlatformError };
+
+/** Settles the transaction by the answer to one copy, if that decides. */
+async function settleAnswer(
+  table: TableService,
+  writes: readonly TableWrite[],
+  token: string,
+  answer: Result<TransactOutcome, PlatformError>,
+  mayHaveLanded: boolean,
+): Promise<Settled> {
+  if (answer.isErr()) {
+    const isProved = !answer.error.mayHaveTakenEffect && !mayHaveLanded;
+    return { kind: isProved ? 'unavailable' : 'open', error: answer.error };
+  }
+  if (answer.value.committed) return { kind: 'committed' };
+  const { conflicts } = answer.value;
+  const read = await table.read(mayHaveLanded ? writes.map((write) => write.key) : conflicts);
+  if (read.isErr()) return { kind: 'open', error: read.error };
+  const rows = read.value.filter((row) => conflicts.includes(row.key));
+  if (!mayHaveLanded) return { kind: 'conflict', conflicts, rows };
+  const evidence = judgeRows(writes, read.value, token);
+  if (evidence === 'committed') return { kind: 'committed' };
+  if (evidence === 'not-committed') return { kind: 'conflict', conflicts, rows };
+  return { kind: 'unsettled', error: OVERWRITTEN };
+}
--- /dev/null
+++ b/packages/routing/src/lib/dispatch/admitted-attempt.ts
@@ -0,0 +1,137 @@
+import type { AssignmentMap, Placement } from '@boragepoint/ownership';
+import { abortAfter } from '@boragepoint/platform';
+import { type Result, err, ok } from 'neverthrow';
+import { Client } from 'undici';
+
+import type { AdmissionRefusal, Outcome, OutcomeKind } from '../admission/index.js';
+import type { LoadExchange } from '../balance/index.js';
+import type { Quarantine, QuarantineRun } from '../quarantine/index.js';
+import { type RoutedAnswer, type RoutedRequest, refusal } from './routed-request.js';
+import { type AttemptOutcome, sendAttempt } from './server-attempt.js';
+import type { ServerLink, ServerLinks } from './server-links.js';
+
+const HTTP_SERVER_ERROR = 500;
+
+/** What an attempt needs beside the request. */
+export interface AttemptContext {
+  readonly map: AssignmentMap;
+  readonly load: LoadExchange;
+  readonly links: ServerLinks;
+  readonly quarantine: Quarantine;
+}
+
+/** Kind of outcome that the limiter learns from; `undefined` when it learns nothing. */
+function outcomeKind(outcome: AttemptOutcome): OutcomeKind | undefined {
+  switch (outcome.kind) {
+    case 'answered':
+      return outcome.answer.status >= HTTP_SERVER_ERROR ? 'error' : 'ok';
+    case 'refused':
+      return outcome.reason === 'overloaded' ? 'refused' : undefined;
+    case 'not-connected':
+    case 'connection-lost':
+      return 'connection-lost';
+    case 'given-up':
+      return 'timeout';
+    case 'too-large':
+    case 'wrong-answer':
+      return 'error';
+  }
+}
+
+/** What the limiter learns; nothing from an attempt that a change of owner ended. */
+function measured(
+  outcome: AttemptOutcome,
+  rule: string,
+  latencyMs: number,
+  wasAborted: boolean,
+): Outcome | undefined {
+  const kind = outcomeKind(outcome);
+  if (kind === undefined || wasAborted) return undefined;
+  const serverLoad = outcome.kind === 'answered' ? outcome.serverLoad : undefined;
+  return { kind, latencyMs, rule, serverLoad };
+}
+
+async function endRun(run: QuarantineRun, outcome: AttemptOutcome): Promise<void> {
+  if (outcome.kind === 'connection-lost') await run.lost();
+  else if (outcome.kind === 'answered') run.answered();
+  else run.ended();
+}
+
+function notAdmitted(refused: AdmissionRefusal): RoutedAnswer & { kind: 'refused' } {
+  return refusal(refused.resultName, refused.message, refused.retryAfterMs);
+}
+
+/** One attempt at the owner of the request's key. */
+export interface Attempt {
+  readonly req: RoutedRequest;
+  readonly fingerprint: string;
+  readonly placement: Placement;
+  /** Aborts the attempt. */
+  readonly signal: AbortSignal;
+  /** Time on the monotonic clock at which the attempt is given up, in milliseconds. */
+  readonly endAt: number;
+}
+
+/**
+ * Sends the request. A suspect goes over a connection of its own, since the loss of a connection
+ * that had been idle says nothing about the request.
+ */
+async function send(
+  link: ServerLink,
+  { req, placement, signal, endAt }: Attempt,
+  alone: boolean,
+): Promise<AttemptOutcome> {
+  using timeout = abortAfter(Math.max(1, endAt - performance.now()), signal);
+  if (!alone) return await sendAttempt(link.pool, req, placement.assignment, timeout.signal);
+  const client = new Client(`http://${link.address}`);
+  const outcome = await sendAttempt(client, req, placement.assignment, timeout.signal);
+  await client.destroy();
+  return outcome;
+}
+
+/**
+ * Waits for admission, sends the request once, and tells the limiter, the load meter and the
+ * quarantine how it ended. A refusal says that nothing was sent.
+ */
+export async function admittedAttempt(
+  ctx: AttemptContext,
+  attempt: Attempt,
+): Promise<Result<AttemptOutcome, RoutedAnswer & { kind: 'refused' }>> {
+  const { req, fingerprint, placement, signal } = attempt;
+  const { caller, deadlineAt, rule, service } = req;
+  const link = ctx.links.linkTo(placement.server);
+  const admitted = await link.queue.admit({ caller, priority: rule.priority, deadlineAt, signal });
+  if (admitted.isErr()) return err(notAdmitted(admitted.error));
+  using permit = admitted.value;
+  const entered = await ctx.quarantine.enter({
+    service: service.name,
+    fingerprint,
+    server: placement.server.id,
+    deadlineAt,
+  });
+  if (entered.kind === 'quarantined') {
+    const message = 'the request crashed backend servers and is barred';
+    return err(refusal('quarantined', message, entered.retryAfterMs));
+  }
+  if (entered.kind === 'too-late') return err(refusal('overloaded', 'no turn before the deadline'));
+  const sentAt = performance.now();
+  const outcome = await send(link, attempt, entered.run.runAlone);
+  const learnt = measured(outcome, rule.name, performance.now() - sentAt, signal.aborted);
+  if (learnt !== undefined) {
+    permit.release(learnt);
+    recordLoad(ctx, attempt, learnt);
+  }
+  await endRun(entered.run, outcome);
+  return ok(outcome);
+}
+
+function recordLoad(ctx: AttemptContext, { req, placement }: Attempt, outcome: Outcome): void {
+  ctx.load.record(req.service.name, {
+    rule: req.rule.name,
+    keyHash: ctx.map.keyHash(req.service, req.key),
+    shard: placement.assignment.shard,
+    server: placement.server.id,
+    kind: outcome.kind,
+    latencyMs: outcome.latencyMs,
+  });
+}
--- /dev/null
+++ b/packages/routing/src/lib/dispatch/run-idempotent.ts
@@ -0,0 +1,159 @@
+import type { AssignmentMap, Placement } from '@boragepoint/ownership';
+
+import { abortAfter } from '@boragepoint/platform';
+
+import type { RetryBudget } from '../admission/index.js';
+import { type AttemptContext, admittedAttempt } from './admitted-attempt.js';
+import { waitForChange } from './owner-wait.js';
+import { type RoutedAnswer, type RoutedRequest, refusal } from './routed-request.js';
+import type { AttemptOutcome } from './server-attempt.js';
+
+/** Longest wait for news of the owner before the same owner is asked again after a refusal. */
+const OWNER_CHECK_MS = 20;
+const RETRY_AFTER_LOSS_MS = 1_000;
+/** Share of failed requests above which a server is not asked again. */
+const FAILING_SHARE = 0.5;
+
+/** What running idempotent requests needs. */
+export interface IdempotentContext extends AttemptContext {
+  readonly budget: RetryBudget;
+}
+
+function isSameOwner(a: Placement, b: Placement | undefined): boolean {
+  return a.server.id === b?.server.id && a.assignment.epoch === b.assignment.epoch;
+}
+
+/** Aborts an attempt when the key gets another owner, since the old one no longer answers for it. */
+function watchOwner(
+  map: AssignmentMap,
+  req: RoutedRequest,
+  placement: Placement,
+): { readonly signal: AbortSignal; hasMoved(): boolean } & Disposable {
+  let moved = false;
+  const attempt = abortAfter(req.deadlineAt - performance.now(), req.signal);
+  const watch = map.onChange(() => {
+    moved = !isSameOwner(placement, map.place(req.service, req.key));
+    if (moved) attempt.abort();
+  });
+  return {
+    signal: attempt.signal,
+    hasMoved: () => moved,
+    [Symbol.dispose]() {
+      watch[Symbol.dispose]();
+      attempt[Symbol.dispose]();
+    },
+  };
+}
+
+function finalAnswer(outcome: AttemptOutcome): RoutedAnswer | undefined {
+  switch (outcome.kind) {
+    case 'answered':
+      return { kind: 'answered', answer: outcome.answer, replayed: false };
+    case 'too-large':
+      return refusal('answerTooLarge', 'the answer is larger than the rule allows');
+    default:
+      return undefined;
+  }
+}
+
+/** What the caller is told when the deadline ends the tries. */
+function givenUp(outcome: AttemptOutcome | undefined): RoutedAnswer {
+  switch (outcome?.kind) {
+    case undefined:
+      return refusal('noOwner', 'no backend server owns the key', RETRY_AFTER_LOSS_MS);
+    case 'refused':
+      return refusal(
+        'refusedByServer',
+        `the owner refused: ${outcome.reason}`,
+        RETRY_AFTER_LOSS_MS,
+      );
+    case 'not-connected':
+      return refusal('ownerUnreachable', 'the owner took no connection', RETRY_AFTER_LOSS_MS);
+    case 'connection-lost':
+    case 'wrong-answer':
+      return refusal('answerIncomplete', 'the answer did not arrive whole', RETRY_AFTER_LOSS_MS);
+    default:
+      return refusal('deadlinePassed', 'no answer came before the deadline', RETRY_AFTER_LOSS_MS);
+  }
+}
+
+/** True while another try at a server that lost a connection has no prospect. */
+function isFailing(ctx: IdempotentContext, placement: Placement): boolean {
+  const { circuit, failureShare } = ctx.links.linkTo(placement.server).limiter.state();
+  return circuit !== 'closed' || failureShare >= FAILING_SHARE;
+}
+
+/** The last attempt of a request and the pause before its next one. */
+interface Progress {
+  last?: AttemptOutcome;
+  failedAt?: Placement;
+  delayMs: number;
+}
+
+/** Waits for a better prospect after an attempt; false when the retry budget is spent. */
+async function prepareRetry(
+  ctx: IdempotentContext,
+  req: RoutedRequest,
+  progress: Progress,
+): Promise<boolean> {
+  const leftMs = req.deadlineAt - performance.now();
+  const isFailure =
+    progress.last?.kind === 'connection-lost' ||
+    progress.last?.kind === 'not-connected' ||
+    progress.last?.kind === 'wrong-answer';
+  if (!isFailure) {
+    const isRefused = progress.last?.kind === 'refused';
+    if (isRefused) await waitForChange(ctx.map, Math.min(leftMs, OWNER_CHECK_MS), req.signal);
+    return true;
+  }
+  const delayMs = ctx.budget.tryRetry({
+    previousDelayMs: progress.delayMs,
+    deadlineAt: req.deadlineAt,
+    expectedLatencyMs: 0,
+  });
+  if (delayMs === undefined) return false;
+  progress.delayMs = delayMs;
+  await waitForChange(ctx.map, delayMs, req.signal);
+  return true;
+}
+
+/**
+ * Runs an idempotent request at the owner of its key. It is tried again within its deadline:
+ * after a refusal by an old owner as soon as the new one is known; after a lost connection under the
+ * retry budget, and at the same owner only while that answers most other requests.
+ */
+export async function runIdempotent(
+  ctx: IdempotentContext,
+  req: RoutedRequest,
+  fingerprint: string,
+): Promise<RoutedAnswer> {
+  ctx.budget.recordRequest();
+  const progress: Progress = { delayMs: 0 };
+
+  while (performance.now() < req.deadlineAt && !req.signal.aborted) {
+    const placement = ctx.map.place(req.service, req.key);
+    const { failedAt } = progress;
+    const isBlocked =
+      placement === undefined ||
+      (failedAt !== undefined && isSameOwner(failedAt, placement) && isFailing(ctx, placement));
+    if (isBlocked) {
+      const leftMs = req.deadlineAt - performance.now();
+      await waitForChange(ctx.map, Math.min(leftMs, OWNER_CHECK_MS), req.signal);
+      continue;
+    }
+    using owner = watchOwner(ctx.map, req, placement);
+    const { signal } = owner;
+    const endAt = req.deadlineAt;
+    const attempted = await admittedAttempt(ctx, { req, fingerprint, placement, signal, endAt });
+    if (attempted.isErr()) {
+      if (owner.hasMoved()) continue;
+      return attempted.error;
+    }
+    progress.last = attempted.value;
+    const answer = finalAnswer(attempted.value);
+    if (answer !== undefined) return answer;
+    progress.failedAt = placement;
+    if (!(await prepareRetry(ctx, req, progress))) break;
+  }
+  return givenUp(progress.last);
+}
--- /dev/null
+++ b/packages/routing/src/lib/dispatch/server-links.ts
@@ -0,0 +1,76 @@
+import type { BackendServer } from '@boragepoint/config';
+import { Pool } from 'undici';
+
+import {
+  type AdmissionQueue,
+  type Clock,
+  type ServerLimiter,
+  connectionShare,
+  createAdmissionQueue,
+  createServerLimiter,
+} from '../admission/index.js';
+
+const CONNECT_TIMEOUT_MS = 500;
+const KEEP_ALIVE_MS = 30_000;
+
+/** This router's connections to one backend server and the queue in front of them. */
+export interface ServerLink {
+  readonly address: string;
+  readonly pool: Pool;
+  readonly limiter: ServerLimiter;
+  readonly queue: AdmissionQueue;
+}
+
+/** The links to all backend servers that this router has sent requests to. */
+export interface ServerLinks extends AsyncDisposable {
+  linkTo(server: BackendServer): ServerLink;
+  /** Adjusts the shares of the servers' connections. */
+  setLiveRouters(count: number): void;
+  all(): ReadonlyMap<string, ServerLink>;
+}
+
+/** Creates an empty set of links. */
+export function createServerLinks(clock: Clock): ServerLinks {
+  const links = new Map<string, ServerLink>();
+  let liveRouters = 1;
+
+  function open(server: BackendServer): ServerLink {
+    const { connections, address } = server;
+    const pool = new Pool(`http://${address}`, {
+      connections: connectionShare(connections, liveRouters),
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: KEEP_ALIVE_MS,
+    });
+    const limiter = createServerLimiter({ clock, connections, liveRouters });
+    return { address, pool, limiter, queue: createAdmissionQueue({ clock, limiter }) };
+  }
+
+  function close(link: ServerLink): Promise<void> {
+    link.queue[Symbol.dispose]();
+    return link.pool.close();
+  }
+
+  return {
+    linkTo(server) {
+      const known = links.get(server.id);
+      if (known?.address === server.address) return known;
+      if (known !== undefined) void close(known);
+      const link = open(server);
+      links.set(server.id, link);
+      return link;
+    },
+    setLiveRouters(count) {
+      if (count === liveRouters) return;
+      liveRouters = count;
+      for (const link of links.values()) {
+        link.limiter.setLiveRouters(count);
+        link.queue.dispatch();
+      }
+    },
+    all: () => links,
+    async [Symbol.asyncDispose]() {
+      await Promise.all([...links.values()].map(close));
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/src/lib/ledger/ledger.ts
@@ -0,0 +1,150 @@
+import type { ObjectStore, TableService } from '@boragepoint/platform';
+import * as v from 'valibot';
+
+import { recordAnswer } from './answer-store.js';
+import { createRowJudge } from './found-row.js';
+import { createGroupCommit } from './group-commit.js';
+import { checkKey } from './idempotency-key.js';
+import { answerObjectKey, intentRowKey } from './intent-record.js';
+import { createIntentWriter } from './intent-writer.js';
+import { type LedgerClock, systemClock } from './ledger-clock.js';
+import { type LedgerConfigInput, ledgerConfigSchema } from './ledger-config.js';
+import type {
+  BeginOutcome,
+  KeptAnswer,
+  Ledger,
+  LedgerHandle,
+  LedgerRequest,
+  RecordOutcome,
+} from './ledger-types.js';
+import { createOutage } from './outage.js';
+import { createRecorder } from './recorder.js';
+import { type Run, createRunMemory } from './run-memory.js';
+
+/** What a ledger needs. */
+export interface LedgerOptions {
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  /** Random identity that is new at each start of this instance. */
+  readonly incarnation: string;
+  /** Number of live routers, which share the rate of transactions; 1 when left out. */
+  readonly liveRouters?: () => number;
+  readonly clock?: LedgerClock;
+  readonly config?: LedgerConfigInput;
+}
+
+const ONE_SECOND_MS = 1_000;
+
+/**
+ * Creates the ledger of one instance. Only compare-and-set on the intent row decides who may
+ * dispatch, so two instances that both take themselves for the keeper do no harm. Rows are never
+ * deleted while their key may be used, so that versions only rise and a delayed write of an
+ * earlier run can't touch a later one.
+ */
+export function createLedger(options: LedgerOptions): Ledger {
+  const { table, objects, incarnation } = options;
+  const clock = options.clock ?? systemClock;
+  const cfg = v.parse(ledgerConfigSchema, options.config ?? {});
+  let tokens = 0;
+  const newToken = () => `${incarnation}:${++tokens}`;
+  const memory = createRunMemory(cfg, clock);
+  const liveRouters = options.liveRouters ?? (() => 1);
+  const shareMs = () => (liveRouters() * ONE_SECOND_MS) / cfg.transactionsPerSecond;
+  const gapMs = () => Math.max(cfg.batchGapMs, shareMs());
+  const commit = createGroupCommit({ table, newToken, clock, cfg, gapMs });
+  const recorder = createRecorder(commit, cfg);
+  const judge = createRowJudge({ objects, incarnation, clock, memory });
+  const outage = createOutage(clock, cfg);
+  const recordNotRun = (run: Run) => void recordState(run, 'not-run');
+  const writeIntent = createIntentWriter({
+    table,
+    commit,
+    judge,
+    memory,
+    outage,
+    clock,
+    cfg,
+    recordNotRun,
+  });
+
+  function recordState(run: Run, state: 'not-run' | 'unknown'): Promise<RecordOutcome> {
+    const { rowKey, record, version } = run;
+    return recorder.record({ rowKey, record, version, prepare: () => Promise.resolve({ state }) });
+  }
+
+  async function begin(req: LedgerRequest): Promise<BeginOutcome> {
+    const { service, fingerprint, deadlineAt } = req;
+    const key = checkKey(req.idempotencyKey, clock.wallNow(), cfg);
+    if (key.kind !== 'usable') return key;
+    const rowKey = intentRowKey(service, req.idempotencyKey);
+    for (;;) {
+      const known = await memory.find(rowKey, req);
+      if (known !== undefined) return known;
+      if (memory.isRunning(rowKey)) continue;
+      const run = memory.start(rowKey, {
+        run: newToken(),
+        keeper: incarnation,
+        fingerprint,
+        startedAtMs: clock.wallNow(),
+        expiresAtMs: key.expiresAtMs,
+      });
+      const outcome = await writeIntent(run, deadlineAt);
+      if (outcome.kind !== 'started') memory.end(run, { kind: 'gone' });
+      return outcome;
+    }
+  }
+
+  async function finish(handle: LedgerHandle, answer: KeptAnswer): Promise<RecordOutcome> {
+    const run = memory.runOf(handle);
+    if (run === undefined) return 'not-recorded';
+    memory.end(run, { kind: 'done', answer });
+    const { rowKey, record, version } = run;
+    const objectKey = answerObjectKey(rowKey, run.run);
+    return recorder.record({
+      rowKey,
+      record,
+      version,
+      prepare: async () => {
+        const recorded = await recordAnswer(objects, objectKey, answer, cfg.inlineBytes);
+        return recorded.isOk() ? { state: 'done', answer: recorded.value } : undefined;
+      },
+    });
+  }
+
+  async function notRun(handle: LedgerHandle): Promise<RecordOutcome> {
+    const run = memory.runOf(handle);
+    if (run === undefined) return 'not-recorded';
+    memory.setNotRun(run.run);
+    memory.end(run, { kind: 'gone' });
+    return recordState(run, 'not-run');
+  }
+
+  async function unknown(handle: LedgerHandle): Promise<RecordOutcome> {
+    const run = memory.runOf(handle);
+    if (run === undefined) return 'not-recorded';
+    memory.end(run, { kind: 'unknown' });
+    return recordState(run, 'unknown');
+  }
+
+  return {
+    begin,
+    finish,
+    notRun,
+    unknown,
+    stats() {
+      const { transactions, rows, queued } = commit.counts();
+      const { waiting, lost } = recorder.counts();
+      return {
+        transactions,
+        rowsWritten: rows,
+        rowsQueued: queued,
+        running: memory.size(),
+        unrecorded: waiting,
+        recordsLost: lost,
+      };
+    },
+    async [Symbol.asyncDispose]() {
+      await recorder[Symbol.asyncDispose]();
+    },
+  };
+}
--- /dev/null
+++ b/packages/standin/src/lib/harness/table-view.ts
@@ -0,0 +1,34 @@
+import { createHttpTableService, type TableRow } from '@boragepoint/platform';
+import { Pool } from 'undici';
+import * as v from 'valibot';
+
+import { waitUntil } from './wait-until.js';
+
+const keeperRowSchema = v.object({
+  acting: v.object({ router: v.string() }),
+  standby: v.optional(v.object({ router: v.string() })),
+});
+
+/** Routers that keep a backend server, as the table names them. */
+export interface KeeperNames {
+  readonly acting: string;
+  readonly standby: string | undefined;
+}
+
+async function readRow(address: string, key: string): Promise<TableRow | undefined> {
+  const pool = new Pool(`http://${address}`);
+  try {
+    const rows = await createHttpTableService(pool).read([key]);
+    return rows.isOk() ? rows.value[0] : undefined;
+  } finally {
+    await pool.destroy();
+  }
+}
+
+/** Reads from the table who keeps a backend server; waits until the row is there. */
+export async function readKeepers(address: string, server: string): Promise<KeeperNames> {
+  const key = `keeper/${server}`;
+  const row = await waitUntil(`row ${key}`, () => readRow(address, key));
+  const { acting, standby } = v.parse(keeperRowSchema, JSON.parse(row.value));
+  return { acting: acting.router, standby: standby?.router };
+}
