Let copies of an intent land late in the specification

settledWrite sends a second copy of a silent write; one that lands after the first one's row is gone leaves an intent that nobody dispatches.

--- a/packages/spec/src/lib/requests/request-state.ts
+++ b/packages/spec/src/lib/requests/request-state.ts
@@ -20,6 +20,8 @@
 export interface Attempt {
   readonly phase: 'outside' | 'writing' | 'ready' | 'dispatched' | 'ended';
   readonly intent: WritePhase;
+  /** A second copy of the intent, sent when the first one met silence. */
+  readonly copy: 'none' | 'flying' | 'gone';
   readonly dispatch: DispatchPhase;
   /** Dispatches that were given up without proof and may still run. */
   readonly stray: number;
@@ -45,6 +47,7 @@
 export const OUTSIDE: Attempt = {
   phase: 'outside',
   intent: 'none',
+  copy: 'none',
   dispatch: 'none',
   stray: 0,
   outcome: 'none',
--- a/packages/spec/src/lib/requests/request-steps.ts
+++ b/packages/spec/src/lib/requests/request-steps.ts
@@ -17,6 +17,7 @@
   return [
     ...arrive(view),
     ...landIntent(view),
+    ...copyIntent(view),
     ...settleIntent(view, options),
     ...dispatch(view, options),
     ...serve(view),
@@ -54,6 +55,18 @@
   return step(view, 'the intent lands', { intent: 'landed' }, row);
 }
 
+/** The copy may outlive the row that the first one wrote and land a second time. */
+function copyIntent(view: View): Steps {
+  const { state, number, attempt } = view;
+  if (attempt.copy === 'none' && attempt.phase === 'writing') {
+    return step(view, 'sends a copy of the intent', { copy: 'flying' });
+  }
+  if (attempt.copy !== 'flying') return [];
+  if (state.row.phase !== 'absent') return step(view, 'the copy is refused', { copy: 'gone' });
+  const row = { phase: 'pending', token: number } as const;
+  return step(view, 'the copy lands', { copy: 'gone' }, row);
+}
+
 /** The keeper hears the answer to the intent, or reads the row back. */
 function settleIntent(view: View, options: RequestOptions): Steps {
   const { state, number, attempt } = view;
