Serve queued callers every second time

Cause: callers that were idle went first without a bound, so a stream of new callers could starve one with a queue, and callers without requests were remembered without a bound. Change: turns alternate; at most 1,024 callers are remembered while nothing waits.

--- a/packages/routing/src/lib/admission/fair-queue.ts
+++ b/packages/routing/src/lib/admission/fair-queue.ts
@@ -5,6 +5,9 @@
   readonly caller: string;
 }
 
+/** Callers that are remembered as served lately while nothing waits. */
+const MAX_IDLE_CALLERS = 1_024;
+
 /** Waiting items of one caller. */
 interface Flow<T extends FairItem> {
   readonly caller: string;
@@ -13,9 +16,10 @@
 
 /**
  * Queue that serves callers in turn and each caller's items by deadline. Callers that were idle
- * are served before those that keep a queue, as in FQ-CoDel (RFC 8290), so that a large batch does
- * not delay a caller that sends little. A caller that has just been served in this way joins the
- * others even if it has nothing waiting, so that it can't stay ahead of them.
+ * go ahead of those that keep a queue, as in FQ-CoDel (RFC 8290), so that a large batch does not delay
+ * a caller that sends little. A caller that has just been served in this way joins the others even if it
+ * has nothing waiting, so that it can't stay ahead of them. Unlike FQ-CoDel, every second item
+ * comes from callers that keep a queue, so that a stream of new callers can't starve them.
  * @internal
  */
 export class FairQueue<T extends FairItem> {
@@ -24,6 +28,7 @@
   readonly #backlogged = new Set<Flow<T>>();
   #size = 0;
   #busyFlows = 0;
+  #servedFresh = false;
 
   /** Number of items that wait. */
   get size(): number {
@@ -40,8 +45,12 @@
   /** Takes the item whose turn it is. */
   pop(): T | undefined {
     while (this.#size > 0) {
-      const item = this.#popFrom(this.#fresh) ?? this.#popFrom(this.#backlogged);
-      if (item) return item;
+      const isFreshTurn = this.#backlogged.size === 0 || !this.#servedFresh;
+      const list = isFreshTurn && this.#fresh.size > 0 ? this.#fresh : this.#backlogged;
+      const item = this.#popFrom(list);
+      if (!item) continue;
+      this.#servedFresh = list === this.#fresh;
+      return item;
     }
     return undefined;
   }
@@ -56,7 +65,7 @@
   /** Upper estimate of the items that are served before a new one of the caller. */
   aheadOf(caller: string): number {
     const own = this.waitingOf(caller);
-    if (own === 0 && !this.#flows.has(caller)) return Math.min(this.#size, this.#fresh.size);
+    if (own === 0 && !this.#flows.has(caller)) return Math.min(this.#size, 2 * this.#fresh.size);
     return Math.min(this.#size, (own + 1) * this.#busyFlows);
   }
 
@@ -120,5 +129,12 @@
   #removed(flow: Flow<T>): void {
     this.#size -= 1;
     if (flow.items.size === 0) this.#busyFlows -= 1;
+    if (this.#size === 0 && this.#flows.size > MAX_IDLE_CALLERS) this.#forgetCallers();
+  }
+
+  #forgetCallers(): void {
+    this.#flows.clear();
+    this.#fresh.clear();
+    this.#backlogged.clear();
   }
 }
--- a/packages/routing/src/test/admission-queue_test.ts
+++ b/packages/routing/src/test/admission-queue_test.ts
@@ -81,6 +81,17 @@
   expect(served >= 9).toEqual(true);
 });
 
+test('a stream of new callers does not starve a caller with a queue', async () => {
+  const { clock, queue } = setUp();
+  const recorder = new Recorder();
+  const req = { priority: 'normal', deadlineAt: 100_000 } as const;
+  for (let i = 0; i < 40; i += 1) void recorder.admit('batch', queue, { ...req, caller: 'a' });
+  for (let i = 0; i < 40; i += 1) void recorder.admit('new', queue, { ...req, caller: `${i}` });
+  await recorder.serve(clock, 40);
+  const batch = recorder.admitted.filter((it) => it === 'batch').length;
+  expect(batch >= 15 && batch <= 25).toEqual(true);
+});
+
 test('payments go before browsing, and browsing keeps its guaranteed share', async () => {
   const { clock, queue } = setUp();
   const recorder = new Recorder();
