Let one urgent request exceed the limit by one

Cause: with a limit of one for each of twelve routers a payment waited for a whole answer to another caller. Change: one request of high priority at a time may exceed the limit by one, within the share of connections.

--- a/packages/routing/src/lib/admission/admission-queue.ts
+++ b/packages/routing/src/lib/admission/admission-queue.ts
@@ -82,7 +82,7 @@
 
   function dispatch(): void {
     while (room.size > 0) {
-      const slot = limiter.tryAcquire();
+      const slot = limiter.tryAcquire(!room.isFirst('high'));
       if (!slot) break;
       const next = room.pop();
       if (next) next.settle(ok(createPermit(slot)));
@@ -115,8 +115,10 @@
 
   /** Expected time until a new request of the caller would be sent, and until its answer. */
   function estimate(caller: string, priority: Priority) {
-    const { limit, latencyMs, baselineMs, highLatencyMs, inFlight, retryInMs } = limiter.state();
-    const isFree = room.size === 0 && inFlight < limit;
+    const state = limiter.state();
+    const { limit, latencyMs, baselineMs, highLatencyMs, inFlight, retryInMs } = state;
+    const hasSlot = priority === 'high' ? state.isFreeForUrgent : state.isFree;
+    const isFree = hasSlot && room.isFirst(priority);
     const ahead = room.aheadOf(caller, priority) + RESIDUAL;
     const waitMs = retryInMs + (isFree ? 0 : (ahead * latencyMs) / limit);
     return { waitMs, highLatencyMs: isFree ? baselineMs : highLatencyMs, inFlight, retryInMs };
@@ -174,7 +176,8 @@
     async admit(req) {
       const refusal = refusalOnArrival(req);
       if (refusal) return err(refusal);
-      const slot = room.size === 0 ? limiter.tryAcquire() : undefined;
+      const { priority } = req;
+      const slot = room.isFirst(priority) ? limiter.tryAcquire(priority === 'high') : undefined;
       if (slot) return ok(createPermit(slot));
       if (makeRoom(req)) return wait(req);
       const { waitMs } = estimate(req.caller, req.priority);
--- a/packages/routing/src/lib/admission/server-limiter.ts
+++ b/packages/routing/src/lib/admission/server-limiter.ts
@@ -25,6 +25,9 @@
   /** Requests that may be in flight now; at least 1, and at most `share`. */
   readonly limit: number;
   readonly inFlight: number;
+  /** True when a request may be sent at once, and the same for an urgent one. */
+  readonly isFree: boolean;
+  readonly isFreeForUrgent: boolean;
   /** This router's share of the server's connections. */
   readonly share: number;
   readonly circuit: CircuitState;
@@ -48,8 +51,11 @@
 
 /** Limits the requests that one router has in flight to one backend server. */
 export interface ServerLimiter {
-  /** Takes a place in flight; `undefined` when the limit is reached or the circuit open. */
-  tryAcquire(): Slot | undefined;
+  /**
+   * Takes a place in flight; `undefined` when the limit is reached or the circuit open. One urgent
+   * request at a time may exceed the limit by one, within the share of connections.
+   */
+  tryAcquire(isUrgent?: boolean): Slot | undefined;
   /** Adjusts this router's share as routers come and go. */
   setLiveRouters(liveRouters: number): void;
   /** Adjusts to a changed configuration. */
@@ -81,6 +87,7 @@
   const { clock, slots = DEFAULT_SLOTS, random = Math.random } = options;
   let { connections, liveRouters } = options;
   let inFlight = 0;
+  let urgent = 0;
   const adaptive = new LatencyLimit(INITIAL_LIMIT, slots, clock.now());
   const slowStart = new SlowStart(clock);
   const breaker = new CircuitBreaker({ clock, random, onClose: startSlowly });
@@ -101,6 +108,15 @@
     return Math.max(1, Math.floor(Math.min(adaptive.limit, max)));
   }
 
+  function isFree(): boolean {
+    return breaker.state !== 'open' && inFlight < limit();
+  }
+
+  function isFreeForUrgent(): boolean {
+    const most = Math.min(limit() + 1, share());
+    return isFree() || (breaker.state === 'closed' && urgent === 0 && inFlight < most);
+  }
+
   function usualMs(): number {
     return adaptive.latencyMs ?? ASSUMED_LATENCY_MS;
   }
@@ -124,7 +140,7 @@
     }
   }
 
-  function createSlot(): Slot {
+  function createSlot(isUrgent: boolean): Slot {
     const generation = breaker.generation;
     let released = false;
     return {
@@ -133,15 +149,17 @@
         released = true;
         if (outcome) learn(outcome, generation);
         inFlight -= 1;
+        if (isUrgent) urgent -= 1;
       },
     };
   }
 
   return {
-    tryAcquire() {
-      if (breaker.state === 'open' || inFlight >= limit()) return undefined;
+    tryAcquire(isUrgent = false) {
+      if (!(isUrgent ? isFreeForUrgent() : isFree())) return undefined;
       inFlight += 1;
-      return createSlot();
+      if (isUrgent) urgent += 1;
+      return createSlot(isUrgent);
     },
     setLiveRouters(count) {
       liveRouters = count;
@@ -158,6 +176,8 @@
     state: () => ({
       limit: limit(),
       inFlight,
+      isFree: isFree(),
+      isFreeForUrgent: isFreeForUrgent(),
       share: share(),
       circuit: breaker.state,
       retryInMs: breaker.retryInMs,
--- a/packages/routing/src/lib/admission/waiting-room.ts
+++ b/packages/routing/src/lib/admission/waiting-room.ts
@@ -27,6 +27,12 @@
     return this.#size;
   }
 
+  /** True when no request of this or a higher priority waits. */
+  isFirst(priority: Priority): boolean {
+    const ahead = PRIORITIES.slice(0, PRIORITIES.indexOf(priority) + 1);
+    return ahead.every((it) => this.#queues[it].size === 0);
+  }
+
   push(req: WaitingRequest): void {
     this.#queues[req.priority].push(req);
     this.#size += 1;
--- a/packages/routing/src/test/admission-queue_test.ts
+++ b/packages/routing/src/test/admission-queue_test.ts
@@ -15,10 +15,10 @@
 const SERVICE_MS = 10;
 const LATENCY = { kind: 'ok', latencyMs: SERVICE_MS } as const;
 
-function setUp(options: { maxWaiting?: number } = {}) {
+function setUp({ liveRouters = 200, maxWaiting = 1_024 } = {}) {
   const clock = new FakeClock();
-  const limiter = createServerLimiter({ clock, connections: 130, liveRouters: 200 });
-  const queue = createAdmissionQueue({ clock, limiter, ...options });
+  const limiter = createServerLimiter({ clock, connections: 130, liveRouters });
+  const queue = createAdmissionQueue({ clock, limiter, maxWaiting });
   return { clock, limiter, queue };
 }
 
@@ -92,6 +92,19 @@
   expect(batch >= 15 && batch <= 25).toEqual(true);
 });
 
+test('a payment need not wait for the request that runs, but a second payment does', async () => {
+  const { queue } = setUp({ liveRouters: 20 });
+  const recorder = new Recorder();
+  const req = { caller: 'a', deadlineAt: 10_000 } as const;
+  for (let i = 0; i < 10; i += 1) {
+    void recorder.admit('browsing', queue, { ...req, priority: 'normal' });
+  }
+  for (let i = 0; i < 2; i += 1)
+    void recorder.admit('payment', queue, { ...req, priority: 'high' });
+  await settle();
+  expect(recorder.admitted.filter((it) => it === 'payment').length).toEqual(1);
+});
+
 test('payments go before browsing, and browsing keeps its guaranteed share', async () => {
   const { clock, queue } = setUp();
   const recorder = new Recorder();
