Take the means of a server's latency and failures over time

Change: each request counts for the time since the one before it. The test now passes with two seconds.

--- a/packages/routing/src/lib/balance/load-meter.ts
+++ b/packages/routing/src/lib/balance/load-meter.ts
@@ -28,16 +28,24 @@
 }
 
 /** Latency and failures of servers are forgotten faster than the load of keys. */
-const SERVER_HALF_LIFE_MS = 2_000;
+const SERVER_HALF_LIFE_MS = 1_000;
+/** Bounds of the time that one request stands for, since the request before it. */
+const MIN_COVERED_MS = 0.01;
+const MAX_COVERED_MS = 500;
+/** A server with fewer requests for each second is forgotten. */
+const NEGLIGIBLE_REQUESTS = 0.001;
 /** Weight of one request in the mean cost of its rule. */
 const COST_SMOOTHING = 0.02;
 
 /** Decayed sums over the requests to one server. */
 interface ServerCounts {
   requests: number;
-  failures: number;
   workMs: number;
+  /** Time covered by the requests, and the same time weighted by failures and by latency. */
+  coveredMs: number;
+  failures: number;
   latencyMs: number;
+  lastAt: number;
 }
 
 function isFailed(kind: OutcomeKind): boolean {
@@ -47,6 +55,8 @@
 /**
  * Creates a meter for one service. The work of a request is the mean latency of its rule over all
  * backend servers, not its own latency: a slow or busy server would otherwise make its shards look heavy.
+ * Latency and failures of a server are means over time, not over requests, because a server that
+ * becomes slow also answers less often.
  */
 export function createLoadMeter({ clock, service }: LoadMeterOptions): LoadMeter {
   const sketch = createHotKeySketch({ clock });
@@ -57,8 +67,9 @@
   function rescale(factor: number): void {
     for (const counts of servers.values()) {
       counts.requests *= factor;
-      counts.failures *= factor;
       counts.workMs *= factor;
+      counts.coveredMs *= factor;
+      counts.failures *= factor;
       counts.latencyMs *= factor;
     }
   }
@@ -74,19 +85,37 @@
   function countsOf(server: string): ServerCounts {
     const found = servers.get(server);
     if (found) return found;
-    const created = { requests: 0, failures: 0, workMs: 0, latencyMs: 0 };
+    const lastAt = clock.now();
+    const created = { requests: 0, workMs: 0, coveredMs: 0, failures: 0, latencyMs: 0, lastAt };
     servers.set(server, created);
     return created;
   }
 
+  function countServer({ server, kind, latencyMs }: RequestSample, workMs: number): void {
+    const counts = countsOf(server);
+    const weight = scale.weight();
+    const now = clock.now();
+    const passedMs = Math.min(MAX_COVERED_MS, Math.max(MIN_COVERED_MS, now - counts.lastAt));
+    const covered = passedMs * weight;
+    counts.requests += weight;
+    counts.workMs += workMs * weight;
+    counts.coveredMs += covered;
+    counts.failures += isFailed(kind) ? covered : 0;
+    counts.latencyMs += latencyMs * covered;
+    counts.lastAt = now;
+  }
+
   function readServers(): ServerLoad[] {
     const toRate = scale.toRate();
+    for (const [id, { requests }] of servers) {
+      if (requests * toRate < NEGLIGIBLE_REQUESTS) servers.delete(id);
+    }
     return [...servers].map(([id, counts]) => ({
       id,
       requests: counts.requests * toRate,
       load: counts.workMs * toRate,
-      latencyMs: counts.requests > 0 ? counts.latencyMs / counts.requests : 0,
-      failures: counts.requests > 0 ? counts.failures / counts.requests : 0,
+      latencyMs: counts.latencyMs / counts.coveredMs,
+      failures: counts.failures / counts.coveredMs,
     }));
   }
 
@@ -94,12 +123,7 @@
     record(sample) {
       if (sample.kind === 'refused') return;
       const workMs = costOf(sample);
-      const weight = scale.weight();
-      const counts = countsOf(sample.server);
-      counts.requests += weight;
-      counts.failures += isFailed(sample.kind) ? weight : 0;
-      counts.workMs += workMs * weight;
-      counts.latencyMs += sample.latencyMs * weight;
+      countServer(sample, workMs);
       sketch.record({ keyHash: sample.keyHash, shard: sample.shard, workMs });
     },
     read: () => ({ service, servers: readServers(), ...sketch.read() }),
--- a/packages/routing/src/lib/balance/outlier-detector.ts
+++ b/packages/routing/src/lib/balance/outlier-detector.ts
@@ -27,7 +27,7 @@
 /** Load over the mean above which slowness is blamed on the load; the balance planner mends that. */
 const BUSY_FACTOR = 1.3;
 /** Time for which a server must stand out before it becomes an outlier. */
-const CONFIRM_MS = 1_000;
+const CONFIRM_MS = 500;
 /** Time as an outlier, multiplied by how often it became one lately. */
 const OUTLIER_MS = 30_000;
 const MAX_OUTLIER_MS = 600_000;
--- a/packages/routing/src/test/outlier-detector_test.ts
+++ b/packages/routing/src/test/outlier-detector_test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'earl';
 
-import { type ServerLoad, createOutlierDetector } from '../lib/balance/index.js';
+import { type ServerLoad, createLoadMeter, createOutlierDetector } from '../lib/balance/index.js';
 import { FakeClock } from './fake-clock.js';
 
 function serversOf(count: number): ServerLoad[] {
@@ -76,3 +76,24 @@
   clock.advance(31_000);
   expect(detector.verdictOf('s3')).toEqual('outlier');
 });
+
+test('a server that answers ten times slower, and so less often, is found within two seconds', () => {
+  const { clock, detector } = setUp();
+  const meter = createLoadMeter({ clock, service: 'vitrina' });
+  const record = (server: string, latencyMs: number) => {
+    meter.record({ rule: 'r', keyHash: 'k', shard: 0, server, kind: 'ok', latencyMs });
+  };
+  const runFor = (endMs: number, isSlow: boolean) => {
+    for (let ms = 0; ms < endMs; ms += 10) {
+      for (const server of ['s0', 's1', 's2']) record(server, 6);
+      if (!isSlow) record('s3', 6);
+      else if (ms % 100 === 0) record('s3', 60);
+      clock.advance(10);
+      if (ms % 500 === 0) detector.update(meter.read().servers);
+    }
+  };
+  runFor(10_000, false);
+  expect(detector.verdictOf('s3')).toEqual('normal');
+  runFor(2_000, true);
+  expect(detector.verdictOf('s3')).toEqual('outlier');
+});
