--- a/packages/routing/src/lib/admission/admission-queue.ts
+++ b/packages/routing/src/lib/admission/admission-queue.ts
@@ -4,8 +4,8 @@
 import type { Clock } from './clock.js';
 import type { Outcome } from './outcome.js';
 import { type RefusalKind, AdmissionRefusal } from './refusal.js';
-import type { ServerLimiter, Slot } from './server-limiter.js';
-import { type WaitingRequest, WaitingRoom } from './waiting-room.js';
+import type { ServerLimiter, LimiterToken } from './server-limiter.js';
+import { type WaitingRequest, PriorityQueue } from './priority-queue.js';
 
 /** A request that asks for admission. */
 export interface AdmissionRequest {
@@ -62,37 +62,46 @@
  */
 export function createAdmissionQueue(options: AdmissionQueueOptions): AdmissionQueue {
   const { clock, limiter, maxWaiting = DEFAULT_MAX_WAITING } = options;
-  const room = new WaitingRoom();
+  const backlog = new PriorityQueue();
   let timer: Disposable | undefined;
   let timerAt = Infinity;
   let closed = false;
 
-  function createPermit(slot: Slot): Permit {
+  function createPermit(token: LimiterToken): Permit {
     return {
       release(outcome) {
-        slot.release(outcome);
+        token.release(outcome);
         dispatch();
       },
       [Symbol.dispose]() {
-        slot.release();
+        token.release();
         dispatch();
       },
     };
   }
 
   function dispatch(): void {
-    while (room.size > 0) {
-      const slot = limiter.tryAcquire(!room.isFirst('high'));
-      if (!slot) break;
-      const next = room.pop();
-      if (next) next.settle(ok(createPermit(slot)));
-      else slot.release();
+    while (backlog.size > 0) {
+      const token = limiter.tryAcquire(!backlog.isFirst('high'));
+      if (!token) break;
+      sendNext(token);
     }
-    if (room.size === 0) return;
+    if (backlog.size === 0) return;
     const { retryInMs } = limiter.state();
     if (retryInMs > 0) wakeAt(clock.now() + retryInMs);
   }
 
+  /** Admits the next request, unless it has become too late for it. */
+  function sendNext(token: LimiterToken): void {
+    const next = backlog.pop();
+    if (next && next.dropAt > clock.now()) {
+      next.settle(ok(createPermit(token)));
+      return;
+    }
+    token.release();
+    if (next) refuse(next, 'expired');
+  }
+
   function refuse(waiting: WaitingRequest, kind: RefusalKind): void {
     const { waitMs } = estimate(waiting.caller, waiting.priority);
     waiting.settle(err(new AdmissionRefusal(kind, Math.ceil(Math.max(1, waitMs)))));
@@ -108,18 +117,18 @@
 
   function onTimer(): void {
     timerAt = Infinity;
-    for (const expired of room.takeExpired(clock.now())) refuse(expired, 'expired');
+    for (const expired of backlog.takeExpired(clock.now())) refuse(expired, 'expired');
     dispatch();
-    wakeAt(room.nextDropAt());
+    wakeAt(backlog.nextDropAt());
   }
 
   /** Expected time until a new request of the caller would be sent, and until its answer. */
   function estimate(caller: string, priority: Priority) {
     const state = limiter.state();
     const { limit, latencyMs, baselineMs, highLatencyMs, inFlight, retryInMs } = state;
-    const hasSlot = priority === 'high' ? state.isFreeForUrgent : state.isFree;
-    const isFree = hasSlot && room.isFirst(priority);
-    const ahead = room.aheadOf(caller, priority) + RESIDUAL;
+    const hasToken = priority === 'high' ? state.isFreeForUrgent : state.isFree;
+    const isFree = hasToken && backlog.isFirst(priority);
+    const ahead = backlog.aheadOf(caller, priority) + RESIDUAL;
     const waitMs = retryInMs + (isFree ? 0 : (ahead * latencyMs) / limit);
     return { waitMs, highLatencyMs: isFree ? baselineMs : highLatencyMs, inFlight, retryInMs };
   }
@@ -132,19 +141,19 @@
     if (leftMs <= 0) return new AdmissionRefusal('deadline-too-short');
     const { waitMs, highLatencyMs, inFlight, retryInMs } = estimate(req.caller, req.priority);
     const lateMs = waitMs * WAIT_MARGIN + highLatencyMs - leftMs;
-    const isProbe = inFlight === 0 && room.size === 0 && retryInMs === 0;
+    const isProbe = inFlight === 0 && backlog.size === 0 && retryInMs === 0;
     if (lateMs <= 0 || isProbe) return undefined;
     if (retryInMs > 0) return new AdmissionRefusal('circuit-open', Math.ceil(lateMs));
     if (waitMs === 0) return new AdmissionRefusal('deadline-too-short');
     return new AdmissionRefusal('overloaded', Math.ceil(lateMs));
   }
 
-  /** Makes room for a request when the queue is full; false when it must be refused itself. */
-  function makeRoom(req: AdmissionRequest): boolean {
-    if (room.size < maxWaiting) return true;
-    const victim = room.victimFor(req.caller, req.priority);
+  /** Makes place for a request when the queue is full; false when it must be refused itself. */
+  function makePlace(req: AdmissionRequest): boolean {
+    if (backlog.size < maxWaiting) return true;
+    const victim = backlog.victimFor(req.caller, req.priority);
     if (!victim) return false;
-    room.remove(victim);
+    backlog.remove(victim);
     refuse(victim, 'overloaded');
     return true;
   }
@@ -152,7 +161,7 @@
   function wait(req: AdmissionRequest): Promise<Result<Permit, AdmissionRefusal>> {
     return new Promise((resolve) => {
       const onAbort = () => {
-        room.remove(waiting);
+        backlog.remove(waiting);
         waiting.settle(err(new AdmissionRefusal('cancelled')));
       };
       const waiting: WaitingRequest = {
@@ -166,7 +175,7 @@
         },
       };
       req.signal?.addEventListener('abort', onAbort, { once: true });
-      room.push(waiting);
+      backlog.push(waiting);
       wakeAt(waiting.dropAt);
       dispatch();
     });
@@ -177,18 +186,18 @@
       const refusal = refusalOnArrival(req);
       if (refusal) return err(refusal);
       const { priority } = req;
-      const slot = room.isFirst(priority) ? limiter.tryAcquire(priority === 'high') : undefined;
-      if (slot) return ok(createPermit(slot));
-      if (makeRoom(req)) return wait(req);
+      const token = backlog.isFirst(priority) ? limiter.tryAcquire(priority === 'high') : undefined;
+      if (token) return ok(createPermit(token));
+      if (makePlace(req)) return wait(req);
       const { waitMs } = estimate(req.caller, req.priority);
       return err(new AdmissionRefusal('overloaded', Math.ceil(Math.max(1, waitMs))));
     },
     dispatch,
-    state: () => ({ waiting: room.counts() }),
+    state: () => ({ waiting: backlog.counts() }),
     [Symbol.dispose]() {
       closed = true;
       timer?.[Symbol.dispose]();
-      for (const waiting of room.takeExpired(Infinity)) {
+      for (const waiting of backlog.takeExpired(Infinity)) {
         waiting.settle(err(new AdmissionRefusal('closed')));
       }
     },
--- a/packages/routing/src/lib/admission/waiting-room.ts
+++ b/packages/routing/src/lib/admission/priority-queue.ts
@@ -9,12 +9,12 @@
 /** A request that waits for admission. @internal */
 export interface WaitingRequest extends FairItem {
   readonly priority: Priority;
-  /** Answers the request, once it has left the room. */
+  /** Answers the request, once it has left the queue. */
   settle(result: Result<Permit, AdmissionRefusal>): void;
 }
 
 /** Waiting requests of all priorities. @internal */
-export class WaitingRoom {
+export class PriorityQueue {
   readonly #queues: Readonly<Record<Priority, FairQueue<WaitingRequest>>> = {
     high: new FairQueue(),
     normal: new FairQueue(),
--- a/packages/routing/src/lib/admission/server-limiter.ts
+++ b/packages/routing/src/lib/admission/server-limiter.ts
@@ -44,7 +44,7 @@
 }
 
 /** A place in flight to a backend server. */
-export interface Slot {
+export interface LimiterToken {
   /** Gives the place back, once; without an outcome nothing is learnt from it. */
   release(outcome?: Outcome): void;
 }
@@ -55,7 +55,7 @@
    * Takes a place in flight; `undefined` when the limit is reached or the circuit open. One urgent
    * request at a time may exceed the limit by one, within the share of connections.
    */
-  tryAcquire(isUrgent?: boolean): Slot | undefined;
+  tryAcquire(isUrgent?: boolean): LimiterToken | undefined;
   /** Adjusts this router's share as routers come and go. */
   setLiveRouters(liveRouters: number): void;
   /** Adjusts to a changed configuration. */
@@ -140,7 +140,7 @@
     }
   }
 
-  function createSlot(isUrgent: boolean): Slot {
+  function createToken(isUrgent: boolean): LimiterToken {
     const generation = breaker.generation;
     let released = false;
     return {
@@ -159,7 +159,7 @@
       if (!(isUrgent ? isFreeForUrgent() : isFree())) return undefined;
       inFlight += 1;
       if (isUrgent) urgent += 1;
-      return createSlot(isUrgent);
+      return createToken(isUrgent);
     },
     setLiveRouters(count) {
       liveRouters = count;
--- a/packages/routing/src/test/server-limiter_test.ts
+++ b/packages/routing/src/test/server-limiter_test.ts
@@ -31,10 +31,10 @@
 function saturate(limiter: ServerLimiter, clock: FakeClock, forMs: number, outcome: Outcome) {
   const end = clock.now() + forMs;
   while (clock.now() < end) {
-    const slots = [];
-    for (let slot = limiter.tryAcquire(); slot; slot = limiter.tryAcquire()) slots.push(slot);
+    const tokens = [];
+    for (let it = limiter.tryAcquire(); it; it = limiter.tryAcquire()) tokens.push(it);
     clock.advance(Math.max(1, outcome.latencyMs));
-    for (const slot of slots) slot.release(outcome);
+    for (const token of tokens) token.release(outcome);
   }
 }
 
