Keep the promise of Retry-After, and warn when apply takes a drain or pin back

Cause: docs/RESULT-CODES.md says which refusals always carry Retry-After, but some refusals came without (no turn before the deadline, another router is the keeper). And a routine apply of a printed configuration silently ended a drain that an operator had commanded. Change: a refusal whose code promises it says 1 s when no better time is known; apply warns of each drain and pin that it takes back.

--- a/packages/cli/src/lib/commands/apply.ts
+++ b/packages/cli/src/lib/commands/apply.ts
@@ -1,6 +1,11 @@
 import { userInfo } from 'node:os';
 
-import type { Configuration, PutService } from '@boragepoint/config';
+import type {
+  Configuration,
+  PutService,
+  ServiceConfig,
+  ServiceDocument,
+} from '@boragepoint/config';
 import { type Result, err, ok } from 'neverthrow';
 
 import { CliError } from '../cli-error.js';
@@ -8,14 +13,22 @@
 import { readConfiguration } from '../configuration-input.js';
 import { waitInForce } from '../in-force.js';
 import type { OperatorClient } from '../operator-client.js';
-import { type Written, alreadyWritten, readDocument, writeService } from '../service-writer.js';
+import {
+  type Written,
+  alreadyWritten,
+  readDocument,
+  takenBack,
+  writeService,
+} from '../service-writer.js';
 import { formatTable } from '../table.js';
 import { parseDuration } from '../time-argument.js';
 
 const DEFAULT_TIMEOUT = '10s';
 
 /** One service as `apply` found it: to be written, or written already. */
-type Plan = { readonly put: PutService } | { readonly written: Written };
+type Plan =
+  | { readonly put: PutService; readonly warnings: readonly string[] }
+  | { readonly written: Written };
 
 function writerName(options: Options): string {
   const given = textOption(options, 'as');
@@ -27,19 +40,29 @@
   }
 }
 
+function planWrite(
+  config: ServiceConfig,
+  document: ServiceDocument | undefined,
+  expected: number | undefined,
+  writer: string,
+): Plan {
+  const written = alreadyWritten(document, config);
+  if (written !== undefined) return { written };
+  const expectedVersion = expected ?? document?.version ?? 0;
+  const warnings = document === undefined ? [] : takenBack(document.config, config);
+  return { put: { expectedVersion, writer, config }, warnings };
+}
+
 async function planWrites(
   client: OperatorClient,
-  configuration: Configuration,
+  { services, expectedVersions }: Configuration,
   writer: string,
 ): Promise<Result<Plan[], CliError>> {
   const plans: Plan[] = [];
-  for (const config of configuration.services) {
+  for (const config of services) {
     const document = await readDocument(client, config.name);
     if (document.isErr()) return err(document.error);
-    const written = alreadyWritten(document.value, config);
-    const expected = configuration.expectedVersions?.[config.name];
-    const expectedVersion = expected ?? document.value?.version ?? 0;
-    plans.push(written === undefined ? { put: { expectedVersion, writer, config } } : { written });
+    plans.push(planWrite(config, document.value, expectedVersions?.[config.name], writer));
   }
   return ok(plans);
 }
@@ -86,6 +109,8 @@
     if (configuration.isErr()) return err(configuration.error);
     const plans = await planWrites(client, configuration.value, writerName(options));
     if (plans.isErr()) return err(plans.error);
+    const warnings = plans.value.flatMap((it) => ('put' in it ? it.warnings : []));
+    for (const warning of warnings) output.warn(warning);
     const written = await writeAll(client, plans.value);
     if (written.isErr()) return err(written.error);
     const inForce = await waitInForce(client, written.value, timeoutMs.value);
--- a/packages/cli/src/lib/service-writer.ts
+++ b/packages/cli/src/lib/service-writer.ts
@@ -74,3 +74,16 @@
   if (document === undefined || !holds(document, config)) return undefined;
   return { name: config.name, version: document.version, changed: false };
 }
+
+/** Says which drains and pins in the table a new configuration takes back. @internal */
+export function takenBack(current: ServiceConfig, next: ServiceConfig): string[] {
+  const isKept = (id: string) => next.backendServers.some((it) => it.id === id && !it.draining);
+  const drains = current.backendServers
+    .filter((it) => it.draining && isKept(it.id))
+    .map((it) => `this ends the drain of ${it.id}`);
+  const pinned = new Set(next.pins.map((it) => it.key));
+  const pins = current.pins
+    .filter((it) => !pinned.has(it.key))
+    .map((it) => `this removes the pin of the key ${it.key} of ${next.name}`);
+  return [...drains, ...pins];
+}
--- a/packages/cli/src/test/apply_test.ts
+++ b/packages/cli/src/test/apply_test.ts
@@ -112,6 +112,21 @@
   expect(run.stderr.includes('services[0].colour: unknown field')).toEqual(true);
 });
 
+test('apply warns that it ends a drain and removes a pin', async () => {
+  const table: FakeTable = new Map();
+  await using router = await startFakeRouter(table);
+  const routers = [router.url];
+  const commanded = printed('caja', { pins: [{ key: 'k' }] }).replace(
+    '"draining": false',
+    '"draining": true',
+  );
+  await runCli(['apply', '-'], { routers, input: commanded });
+  const run = await runCli(['apply', '-'], { routers, input: printed('caja') });
+  expect(run.exitCode).toEqual(0);
+  expect(run.stderr.includes('warn: this ends the drain of caja')).toEqual(true);
+  expect(run.stderr.includes('warn: this removes the pin of the key k of caja')).toEqual(true);
+});
+
 test('diff shows changed fields by the names of their entries', async () => {
   await using router = await startFakeRouter(new Map());
   const routers = [router.url];
--- a/packages/daemon/src/lib/callers/caller-answer.ts
+++ b/packages/daemon/src/lib/callers/caller-answer.ts
@@ -1,7 +1,16 @@
-import { RESULT_CODES, type ResultName, familyOf, httpStatusOf } from '@boragepoint/config';
+import {
+  RESULT_CODES,
+  type ResultCode,
+  type ResultName,
+  familyOf,
+  httpStatusOf,
+  retryAfterOf,
+} from '@boragepoint/config';
 import type { RoutedAnswer } from '@boragepoint/routing';
 
 const SECOND_MS = 1_000;
+/** Told to callers when a refusal must say when to come back and knows no better time. */
+const DEFAULT_RETRY_AFTER_MS = 1_000;
 /** Header with the numbered result code of a refusal. */
 export const RESULT_HEADER = 'bp-result';
 /** Header with the request's id. */
@@ -11,14 +20,19 @@
 
 const STATUS_WITHOUT_BODY = new Set([101, 204, 205, 304]);
 
+function retryAfterFor(code: ResultCode, knownMs: number | undefined): number | undefined {
+  return knownMs ?? (retryAfterOf(code) === 'yes' ? DEFAULT_RETRY_AFTER_MS : undefined);
+}
+
 /** Writes a refusal: its code, name, family and message as JSON. */
 export function refusalResponse(
   requestId: string,
   result: ResultName,
   message: string,
-  retryAfterMs?: number,
+  knownRetryAfterMs?: number,
 ): Response {
   const code = RESULT_CODES[result];
+  const retryAfterMs = retryAfterFor(code, knownRetryAfterMs);
   const body = { code, name: result, family: familyOf(code), message, requestId, retryAfterMs };
   const headers = new Headers({ [RESULT_HEADER]: String(code), [REQUEST_ID_HEADER]: requestId });
   if (retryAfterMs !== undefined) {
--- /dev/null
+++ b/packages/daemon/src/test/caller-answer_test.ts
@@ -0,0 +1,21 @@
+import { test } from 'node:test';
+
+import { RESULT_CODES, type ResultName, retryAfterOf } from '@boragepoint/config';
+import { expect } from 'earl';
+
+import { refusalResponse } from '../lib/callers/caller-answer.js';
+
+const NAMES = Object.keys(RESULT_CODES) as ResultName[];
+
+test('a refusal says when to come back whenever its code promises that', () => {
+  const promised = NAMES.filter((it) => retryAfterOf(RESULT_CODES[it]) === 'yes');
+  const silent = promised.filter((it) => !refusalResponse('id', it, '').headers.has('retry-after'));
+  expect(promised.length > 0).toEqual(true);
+  expect(silent).toEqual([]);
+});
+
+test('a refusal without such a promise says it only when a time is known', () => {
+  expect(refusalResponse('id', 'badRequest', '').headers.has('retry-after')).toEqual(false);
+  const known = refusalResponse('id', 'deadlinePassed', '', 1_500);
+  expect(known.headers.get('retry-after')).toEqual('2');
+});
