--- a/packages/routing/src/lib/ledger/group-commit.ts
+++ b/packages/routing/src/lib/ledger/group-commit.ts
@@ -4,6 +4,12 @@
 import type { LedgerConfig } from './ledger-config.js';
 import { withResolvers } from './with-resolvers.js';
 
+/** Copies of a transaction wait for this many times the typical latency, up to a bound. */
+const COPY_AFTER_LATENCIES = 3;
+const MAX_COPY_AFTER_MS = 2_000;
+/** Weight of one transaction in the typical latency. */
+const LATENCY_WEIGHT = 0.1;
+
 /** A write of one row; the transaction's token is added to its value as `writer`. */
 export interface RowWrite {
   readonly key: string;
@@ -41,6 +47,8 @@
   readonly newToken: () => string;
   readonly clock: LedgerClock;
   readonly cfg: LedgerConfig;
+  /** Least time between the starts of two transactions, in milliseconds. */
+  readonly gapMs: () => number;
 }
 
 interface Entry {
@@ -55,13 +63,19 @@
  * row that conflicts is taken out of its batch and the others are written without it.
  */
 export function createGroupCommit(options: GroupCommitOptions): GroupCommit {
-  const { table, newToken, clock, cfg } = options;
+  const { table, newToken, clock, cfg, gapMs } = options;
   const queue = new Set<Entry>();
   const startTimes = new Set<{ readonly at: number }>();
   let lastStartAt = -Infinity;
   let timer: NodeJS.Timeout | undefined;
   let transactions = 0;
   let rows = 0;
+  let typicalMs = 0;
+
+  function copyAfterMs(): number {
+    const slowMs = Math.min(COPY_AFTER_LATENCIES * typicalMs, MAX_COPY_AFTER_MS);
+    return Math.max(cfg.copyAfterMs, slowMs);
+  }
 
   function isStalledAt(now: number): boolean {
     return [...startTimes].every((start) => now - start.at >= cfg.stallMs);
@@ -69,10 +83,10 @@
 
   function waitBeforeNextMs(): number {
     const now = clock.now();
-    const gapMs = lastStartAt + cfg.batchGapMs - now;
-    if (startTimes.size === 0) return Math.max(0, gapMs);
+    const gapLeftMs = lastStartAt + gapMs() - now;
+    if (startTimes.size === 0) return Math.max(0, gapLeftMs);
     const youngest = Math.max(...[...startTimes].map((start) => start.at));
-    return Math.max(0, gapMs, youngest + cfg.stallMs - now);
+    return Math.max(0, gapLeftMs, youngest + cfg.stallMs - now);
   }
 
   function schedule(): void {
@@ -119,11 +133,14 @@
       value: JSON.stringify({ ...write.value, writer: token }),
     }));
     transactions += 1;
+    const startedAt = clock.now();
     const outcome = await settledWrite(table, writes, token, {
-      deadlineAt: clock.now() + cfg.settleMs,
+      deadlineAt: startedAt + cfg.settleMs,
       now: () => clock.now(),
       retryGapMs: cfg.settleGapMs,
+      copyAfterMs: copyAfterMs(),
     });
+    typicalMs += LATENCY_WEIGHT * (clock.now() - startedAt - typicalMs);
     if (outcome.kind === 'conflict') return resolveConflicts(batch, outcome);
     for (const entry of batch) {
       if (outcome.kind === 'committed') {
