--- a/packages/cli/src/lib/burn-plot.ts
+++ b/packages/cli/src/lib/burn-plot.ts
@@ -14,6 +14,8 @@
 /** Burn rate that spends the error budget exactly; the axis always shows it. */
 const BUDGET_RATE = 1;
 const HEADROOM = 1.1;
+/** Least distance between two labels of the axis. */
+const LABEL_HEIGHT = 14;
 
 /** Turns points of the report into places on the plot. */
 interface Scale {
@@ -61,12 +63,13 @@
   const budgetY = round(scale.y(BUDGET_RATE));
   const baseY = HEIGHT - BOTTOM;
   const textGap = 4;
+  const hasRoom = baseY - budgetY >= LABEL_HEIGHT;
   return [
     `<svg viewBox="0 0 ${WIDTH} ${HEIGHT}" role="img" aria-label="Burn rate over time">`,
     horizontal(baseY, 'axis'),
     horizontal(budgetY, 'budget'),
     label(LEFT - textGap, TOP + textGap, 'end', formatBurn(scale.topRate)),
-    label(LEFT - textGap, budgetY + textGap, 'end', formatBurn(BUDGET_RATE)),
+    hasRoom ? label(LEFT - textGap, budgetY + textGap, 'end', formatBurn(BUDGET_RATE)) : '',
     label(LEFT - textGap, baseY, 'end', '0'),
     label(LEFT, HEIGHT - textGap, 'start', formatTime(first.atMs)),
     label(WIDTH - RIGHT, HEIGHT - textGap, 'end', formatTime(last.atMs)),
--- a/packages/cli/src/lib/in-force.ts
+++ b/packages/cli/src/lib/in-force.ts
@@ -31,6 +31,28 @@
   return new CliError(EXIT_CODES.notInForce, message, undefined, lags);
 }
 
+/** What one look at the routers' versions showed. */
+interface Look {
+  readonly liveRouters: number;
+  readonly lags: readonly Problem[];
+}
+
+/** Looks at the routers once; returns `undefined` when no answer comes in time. */
+async function lookOnce(
+  client: OperatorClient,
+  wanted: readonly ServiceVersion[],
+  timeoutMs: number,
+): Promise<Look | undefined> {
+  const timeout = delay(timeoutMs, undefined, { ref: false });
+  const status = await Promise.race([client.status(), timeout]);
+  if (status === undefined) return undefined;
+  if (status.isErr()) {
+    return { liveRouters: 0, lags: [{ path: 'status', message: status.error.message }] };
+  }
+  const live = status.value.routers.filter((it) => it.state === 'live');
+  return { liveRouters: live.length, lags: live.flatMap((it) => lagOf(it, wanted)) };
+}
+
 /** Waits until every live router reports the versions wanted or higher ones. @internal */
 export async function waitInForce(
   client: OperatorClient,
@@ -38,14 +60,13 @@
   timeoutMs: number,
 ): Promise<Result<InForce, CliError>> {
   const startMs = performance.now();
+  const elapsed = () => Math.round(performance.now() - startMs);
+  let look: Look = { liveRouters: 0, lags: [{ path: 'status', message: 'no answer in time' }] };
   for (;;) {
-    const status = await client.status();
-    const elapsedMs = Math.round(performance.now() - startMs);
-    const routers = status.isOk() ? status.value.routers.filter((it) => it.state === 'live') : [];
-    const lags = status.isOk()
-      ? routers.flatMap((it) => lagOf(it, wanted))
-      : [{ path: 'status', message: status.error.message }];
-    if (routers.length > 0 && lags.length === 0) return ok({ elapsedMs, routers: routers.length });
+    look = (await lookOnce(client, wanted, timeoutMs - elapsed())) ?? look;
+    const { liveRouters, lags } = look;
+    const elapsedMs = elapsed();
+    if (liveRouters > 0 && lags.length === 0) return ok({ elapsedMs, routers: liveRouters });
     if (elapsedMs >= timeoutMs) return err(notInForce(elapsedMs, lags));
     await delay(Math.min(POLL_INTERVAL_MS, timeoutMs - elapsedMs));
   }
--- a/packages/cli/src/lib/operator-client.ts
+++ b/packages/cli/src/lib/operator-client.ts
@@ -139,6 +139,6 @@
         query: { service },
       }),
     burnReport: () => getFromAll(burnReportSchema, paths.burn),
-    [Symbol.asyncDispose]: () => agent.close(),
+    [Symbol.asyncDispose]: () => agent.destroy(),
   };
 }
--- a/packages/config/src/lib/toml-lines.ts
+++ b/packages/config/src/lib/toml-lines.ts
@@ -19,16 +19,18 @@
   let table = '';
   for (const [index, line] of text.split('\n').entries()) {
     const header = HEADER.exec(line)?.[1];
-    const name = ASSIGNMENT.exec(line)?.[1];
     if (header !== undefined) table = normalize(header);
-    const path = header !== undefined ? table : name && [table, normalize(name)].join('.');
-    if (!path) continue;
-    const key = path.replace(/^\./, '');
-    if (!lines.has(key)) lines.set(key, index + 1);
+    const name = ASSIGNMENT.exec(line)?.[1];
+    const path = name === undefined ? table : joinPath(table, normalize(name));
+    if (path !== '' && !lines.has(path)) lines.set(path, index + 1);
   }
   return lines;
 }
 
+function joinPath(table: string, name: string): string {
+  return table === '' ? name : `${table}.${name}`;
+}
+
 /** Indexes a TOML text by the names that stand on its lines. @internal */
 export function createTomlLines(text: string): TomlLines {
   const lines = indexLines(text);
