--- a/packages/routing/src/lib/ledger/ledger-config.ts
+++ b/packages/routing/src/lib/ledger/ledger-config.ts
@@ -20,6 +20,8 @@
   batchBytes: v.optional(wholeNumber(1), 262_144),
   /** Least time between the starts of two transactions. */
   batchGapMs: v.optional(wholeNumber(0), 20),
+  /** Transactions a second that all routers together may ask of the table for their ledgers. */
+  transactionsPerSecond: v.optional(wholeNumber(1), 300),
   /** Time that a transaction may take before another one is started beside it. */
   stallMs: v.optional(wholeNumber(1), 250),
   /** Most transactions at the same time; more than one only while earlier ones stall. */
@@ -30,6 +32,8 @@
   settleMs: v.optional(wholeNumber(1), 5_000),
   /** Time between two attempts of one transaction. */
   settleGapMs: v.optional(wholeNumber(1), 20),
+  /** Least silence after which a copy of a transaction is sent; more when the table is slow. */
+  copyAfterMs: v.optional(wholeNumber(1), 400),
   /** Longest time that a repeat waits for a run at another instance to be recorded. */
   elsewhereWaitMs: v.optional(wholeNumber(0), 300),
   /** Time between two reads while it waits. */
