--- a/packages/daemon/src/lib/peers/peer-links.ts
+++ b/packages/daemon/src/lib/peers/peer-links.ts
@@ -188,8 +188,9 @@
     client: (router) => links.get(router)?.client,
     states: () => states,
     standDown,
-    async standDownEveryone(server, actingEpoch) {
-      const answers = [...links.keys()].map((id) => askToStandDown(id, server, actingEpoch));
+    async standDownEveryone(server, actingEpoch, withinMs) {
+      const routers = new Set([...links.keys(), ...membership.heardWithin(withinMs)]);
+      const answers = [...routers].map((id) => askToStandDown(id, server, actingEpoch));
       return (await Promise.all(answers)).every((it) => it?.accepted === true);
     },
     async moveShards(keeper, server, orders, reason) {
--- a/packages/daemon/src/lib/router-node.ts
+++ b/packages/daemon/src/lib/router-node.ts
@@ -52,6 +52,7 @@
 import { createSummaryTurns } from './peers/summary-turns.js';
 import type { PeerStateContext } from './peers/peer-state.js';
 import { type PeerLinks, createPeerLinks } from './peers/peer-links.js';
+import { createServerVerdicts } from './server-verdicts.js';
 import { watchTable } from './table-watch.js';
 
 const PLATFORM_CONNECTIONS = 8;
@@ -119,6 +120,7 @@
     },
     ownUnreachable,
   };
+  const verdicts = createServerVerdicts(clock, map, load);
   const links: PeerLinks = createPeerLinks({ ...peerState, log, metrics });
   const ownership: OwnershipContext = {
     rows,
@@ -131,6 +133,7 @@
     journal,
     hasher,
     lastTableReadAt: () => sync.lastReadAt(),
+    lastTableReadMs: () => sync.lastReadMs(),
     isTableUp: () => sync.isUp(),
     shardLoads: (service) =>
       load.shardLoads(
@@ -138,6 +141,7 @@
         map.assignments(service).map((it) => it.shard),
       ),
     unreachableServers,
+    serverVerdict: (service, server) => verdicts.verdict(service, server),
   };
   const keepers: KeeperManager = createKeeperManager(ownership);
   const planner = createServicePlanner(ownership, sendMoves);
@@ -196,6 +200,8 @@
   stack.use(keepers);
   stack.defer(() => {
     clearInterval(shares);
+    verdicts[Symbol.dispose]();
+    membership[Symbol.dispose]();
   });
   return {
     membership,
--- /dev/null
+++ b/packages/daemon/src/lib/server-verdicts.ts
@@ -0,0 +1,46 @@
+import type { AssignmentMap, OwnershipContext } from '@boragepoint/ownership';
+import {
+  type Clock,
+  type LoadExchange,
+  type OutlierDetector,
+  createOutlierDetector,
+} from '@boragepoint/routing';
+
+/** Time between two judgements. */
+const JUDGE_EVERY_MS = 500;
+
+/** Judges backend servers by what all routers measured of them. */
+export interface ServerVerdicts extends Disposable {
+  verdict: OwnershipContext['serverVerdict'];
+}
+
+/** Creates the judgement and starts it. */
+export function createServerVerdicts(
+  clock: Clock,
+  map: AssignmentMap,
+  load: LoadExchange,
+): ServerVerdicts {
+  const detectors = new Map<string, OutlierDetector>();
+  const timer = setInterval(judge, JUDGE_EVERY_MS);
+
+  function detectorOf(service: string): OutlierDetector {
+    const known = detectors.get(service) ?? createOutlierDetector({ clock });
+    detectors.set(service, known);
+    return known;
+  }
+
+  function judge(): void {
+    for (const { name } of map.services()) detectorOf(name).update(load.servers(name));
+  }
+
+  return {
+    verdict(service, server) {
+      const verdict = detectorOf(service).verdictOf(server);
+      if (verdict === 'normal') return 'live';
+      return verdict === 'probation' ? 'cold' : 'outlier';
+    },
+    [Symbol.dispose]() {
+      clearInterval(timer);
+    },
+  };
+}
--- a/packages/ownership/src/lib/keeper-manager.ts
+++ b/packages/ownership/src/lib/keeper-manager.ts
@@ -43,6 +43,8 @@
   const vacantSince = new Map<string, number>();
   const promises = new Map<string, { readonly epoch: number; readonly until: number }>();
   const claiming = new Set<string>();
+  /** Keeper epochs that were claimed as a stranger: nothing is renewed under them for a tenure. */
+  const strangerEpochs = new Map<string, number>();
   const startedAt = monotonicMs();
   const watch = ctx.map.onChange(wakeAll);
   const done = run();
@@ -65,7 +67,8 @@
     const row = ctx.map.keeper(server.id)?.value;
     const hasSeat = isOwnSeat(ctx, row?.acting) || isOwnSeat(ctx, row?.standby);
     if (hasSeat && !sessions.has(server.id)) {
-      sessions.set(server.id, createKeeperSession(ctx, server.id));
+      const isStrangerEpoch = (epoch: number) => strangerEpochs.get(server.id) === epoch;
+      sessions.set(server.id, createKeeperSession(ctx, server.id, isStrangerEpoch));
     }
     if (isVacant(row)) considerClaim(service, server, row);
     else vacantSince.delete(server.id);
@@ -82,12 +85,14 @@
     return promise?.epoch === row?.acting.epoch && monotonicMs() < (promise?.until ?? 0);
   }
 
-  /** True when the acting keeper may not know this router, so that it could not have asked it. */
+  /**
+   * True when the acting keeper may not know this router, so that it would not ask it for a promise
+   * before it moves shards without a record.
+   */
   function isStranger(row: KeeperRow | undefined, service: ServiceConfig): boolean {
     if (row === undefined) return false;
     const { router, incarnation } = row.acting;
-    if (Number.isFinite(ctx.membership.silenceOf(router, incarnation))) return false;
-    return monotonicMs() < startedAt + tenureEndMs(service.lease);
+    return ctx.membership.silenceOf(router, incarnation) > service.lease.tenureMs;
   }
 
   function considerClaim(
@@ -100,7 +105,7 @@
     vacantSince.set(server.id, since);
     const rank = rankKeepers(ctx, server).findIndex((it) => it.id === ctx.membership.self.id);
     if (rank < 0 || now < since + rank * CLAIM_STEP_MS) return;
-    if (hasPromised(server.id, row) || isStranger(row, service) || !ctx.isTableUp()) return;
+    if (hasPromised(server.id, row) || !ctx.isTableUp()) return;
     if (!claiming.has(server.id)) void claim(service, server);
   }
 
@@ -108,6 +113,7 @@
     claiming.add(server.id);
     const row = ctx.map.keeper(server.id);
     const value = takeSeats(ctx, service.name, server, ctx.membership.self, row?.value);
+    if (isStranger(row?.value, service)) strangerEpochs.set(server.id, value.acting.epoch);
     const change = { key: keeperKey(server.id), expectedVersion: row?.version ?? 0, value };
     const written = await ctx.writer.write([change], stopping.signal);
     if (written.isErr()) await ctx.writer.refresh([change.key]);
--- a/packages/ownership/src/lib/keeper-peers.ts
+++ b/packages/ownership/src/lib/keeper-peers.ts
@@ -20,8 +20,11 @@
     server: string,
     actingEpoch: number,
   ): Promise<StandDownAnswer | undefined>;
-  /** Asks every router that this one ever heard of; true when all have promised. */
-  standDownEveryone(server: string, actingEpoch: number): Promise<boolean>;
+  /**
+   * Asks every router that the instance list names or that was heard from within `withinMs`; true
+   * when all have promised.
+   */
+  standDownEveryone(server: string, actingEpoch: number, withinMs: number): Promise<boolean>;
   /** Asks the keeper of a backend server to move shards; false when it did not. */
   moveShards(
     keeper: string,
--- a/packages/ownership/src/lib/keeper-session.ts
+++ b/packages/ownership/src/lib/keeper-session.ts
@@ -12,6 +12,7 @@
 import { type HeldSeat, STEP_IN_AFTER_MS, createSeatHolder } from './seat-holder.js';
 import { createServerRecovery } from './server-recovery.js';
 import { MoveError } from './shard-mover.js';
+import { tenureEndMs } from './silence-proof.js';
 import { releaseAndMove } from './shard-release.js';
 import { keepSuccessors } from './successor-upkeep.js';
 import { type KeeperRow, keeperKey } from './table-rows.js';
@@ -20,6 +21,8 @@
 const GIVE_UP_SHARE = 0.5;
 /** Time without a standby's heartbeat after which another router takes its seat. */
 const REPLACE_STANDBY_AFTER_MS = 1_000;
+/** Renewals without an answer after which a backend server may count as lost. */
+const GIVE_UP_AFTER_RENEWALS = 2;
 const MIN_RENEW_TIMEOUT_MS = 100;
 /** Time between two checks of the stored successors. */
 const SUCCESSORS_EVERY_MS = 1_000;
@@ -48,8 +51,16 @@
   readonly server: BackendServer;
 }
 
-/** Creates the task and starts it. It ends when it is disposed of. */
-export function createKeeperSession(ctx: OwnershipContext, serverId: string): KeeperSession {
+/**
+ * Creates the task and starts it. It ends when it is disposed of.
+ * @param isStrangerEpoch True for a seat that this router claimed although the keeper before it may
+ *   not know of it; the tenure is waited out before it is used.
+ */
+export function createKeeperSession(
+  ctx: OwnershipContext,
+  serverId: string,
+  isStrangerEpoch: (keeperEpoch: number) => boolean,
+): KeeperSession {
   const stopping = new AbortController();
   const { signal } = stopping;
   const bell = createBell();
@@ -59,12 +70,14 @@
   let seatWrite: Promise<void> | undefined;
   let upkeep: Promise<void> | undefined;
   let successorsDueAt = 0;
+  let isHandingOver = false;
   const done = run();
 
   async function run(): Promise<void> {
     while (!signal.aborted) {
       const turn = nextTurn();
       if (turn !== undefined) await takeTurn(turn);
+      else reclaimSeat();
       const restMs = turn?.service.lease.renewEveryMs ?? STEP_IN_AFTER_MS / 4;
       await bell.wait(restMs, signal);
     }
@@ -77,10 +90,18 @@
     return row && held && found && { row, held, ...found };
   }
 
+  function reclaimSeat(): void {
+    const row = ctx.map.keeper(serverId);
+    const found = ctx.map.server(serverId);
+    if (row === undefined || found === undefined || !seats.mustReclaim(row.value)) return;
+    const { service, server } = found;
+    writeSeats(row, takeSeats(ctx, service.name, server, ctx.membership.self, row.value));
+  }
+
   /** Renews once, then sees to the seats or the stored successors. */
   async function takeTurn(turn: Turn): Promise<void> {
     const { row, held, service, server } = turn;
-    if (!withinTenure(service)) return;
+    if (!withinTenure(service) || mustWait(held, service)) return;
     await renewOnce(turn);
     if (!held.isActing) claimSeat(turn);
     else if (needsNewSeats(turn)) {
@@ -88,6 +109,10 @@
     } else refreshSuccessors(turn);
   }
 
+  function mustWait({ seat, since }: HeldSeat, service: ServiceConfig): boolean {
+    return isStrangerEpoch(seat.epoch) && monotonicMs() < since + tenureEndMs(service.lease);
+  }
+
   function withinTenure(service: ServiceConfig): boolean {
     return monotonicMs() < ctx.lastTableReadAt() + service.lease.tenureMs;
   }
@@ -145,7 +170,7 @@
 
   async function considerLoss(turn: Turn): Promise<void> {
     const { row, held, service } = turn;
-    if (!held.isActing || !isSilent(turn)) return;
+    if (!held.isActing || isHandingOver || !isSilent(turn)) return;
     await recovery.moveFromLostServer(row, service, questionOf(turn));
   }
 
@@ -154,7 +179,9 @@
     return { server: serverId, row: row.value, lease: service.lease, renewer, seatedAt: since };
   }
 
+  /** One unanswered renewal is not enough: it may have timed out because this router stalled. */
   function isSilent({ held, service }: Pick<Turn, 'held' | 'service'>): boolean {
+    if (held.renewer.unanswered() < GIVE_UP_AFTER_RENEWALS) return false;
     return monotonicMs() - held.renewer.lastAnswerAt() > service.lease.leaseMs * GIVE_UP_SHARE;
   }
 
@@ -232,6 +259,7 @@
       const { row, service } = now;
       const heir = ctx.membership.live().find((it) => it.id === row.value.standby?.router);
       if (heir === undefined) return;
+      isHandingOver = true;
       const value = takeSeats(ctx, service.name, server, heir, row.value);
       await ctx.writer.write([{ key: row.key, expectedVersion: row.version, value }], signal);
       ctx.peers.announce();
--- a/packages/ownership/src/lib/lease-renewer.ts
+++ b/packages/ownership/src/lib/lease-renewer.ts
@@ -37,6 +37,8 @@
   /** Start that answered last. */
   serverStart(): string | undefined;
   lastAnswer(): LeaseAnswer | undefined;
+  /** Renewals in a row that got no answer. */
+  unanswered(): number;
 }
 
 /**
@@ -51,6 +53,7 @@
 ): LeaseRenewer {
   let last = previous?.lastAnswer();
   let lastAnswerAt = previous?.lastAnswerAt() ?? monotonicMs();
+  let unanswered = 0;
   const fencedStarts = new Set<string>();
 
   function echo(): LeaseRequest['echo'] {
@@ -63,7 +66,11 @@
     timeoutMs: number,
   ): Promise<RenewOutcome> {
     const answer = await client.send(address, req, timeoutMs);
-    if (answer.isErr()) return { kind: 'no-answer' };
+    if (answer.isErr()) {
+      unanswered += 1;
+      return { kind: 'no-answer' };
+    }
+    unanswered = 0;
     return accept(answer.value);
   }
 
@@ -90,5 +97,6 @@
     isFenced: (start) => start === undefined || fencedStarts.has(start),
     serverStart: () => last?.start,
     lastAnswer: () => last,
+    unanswered: () => unanswered,
   };
 }
--- a/packages/ownership/src/lib/membership.ts
+++ b/packages/ownership/src/lib/membership.ts
@@ -16,7 +16,7 @@
 }
 
 /** Which routers are live: the instance list joined with the heartbeats. */
-export interface Membership {
+export interface Membership extends Disposable {
   /** This router itself. */
   readonly self: RouterInstance;
   /** Notes that a router was heard from. */
@@ -27,6 +27,8 @@
   listed(instances: readonly InstanceRecord[]): void;
   /** Peers to send heartbeats to: id to address of the peer listener. */
   peerAddresses(): Map<string, string>;
+  /** Routers heard from within the time, live or not. */
+  heardWithin(ms: number): string[];
   /** Live routers that are not leaving, with this one unless it is leaving. */
   live(): RouterInstance[];
   isLive(id: string, incarnation?: string): boolean;
@@ -40,14 +42,39 @@
   leavingServers(): ReadonlySet<string>;
 }
 
+/** Time between two checks whether this process was stalled. */
+const STALL_CHECK_MS = 50;
+
 interface Heard {
   readonly router: RouterInstance;
   at: number;
 }
 
+/**
+ * Tells of times in which this process did not run: silence that it did not hear itself does not
+ * count against its peers.
+ */
+function watchStalls(onStall: (ms: number) => void): Disposable {
+  let dueAt = monotonicMs() + STALL_CHECK_MS;
+  const timer = setInterval(() => {
+    const lateMs = monotonicMs() - dueAt;
+    if (lateMs > STALL_CHECK_MS) onStall(lateMs);
+    dueAt = monotonicMs() + STALL_CHECK_MS;
+  }, STALL_CHECK_MS);
+  return {
+    [Symbol.dispose]() {
+      clearInterval(timer);
+    },
+  };
+}
+
 /** Creates the membership view of one router. */
 export function createMembership(me: Omit<RouterInstance, 'leaving'>): Membership {
   const heard = new Map<string, Heard>();
+  const stalls = watchStalls((ms) => {
+    const now = monotonicMs();
+    for (const it of heard.values()) it.at = Math.min(now, it.at + ms);
+  });
   let instances: readonly InstanceRecord[] = [];
   let leaving = false;
 
@@ -85,11 +112,15 @@
       instances = list;
     },
     peerAddresses: () => new Map(routersListed().map((it) => [it.id, it.address])),
+    heardWithin: (ms) => [...heard.keys()].filter((id) => silence(id) < ms),
     live() {
       const peers = [...heard.values()].map((it) => it.router);
       return [self(), ...peers].filter((it) => !it.leaving && isLive(it.id));
     },
     isLive,
+    [Symbol.dispose]() {
+      stalls[Symbol.dispose]();
+    },
     silenceOf(id, incarnation) {
       const known = heard.get(id);
       return known?.router.incarnation === incarnation ? silence(id) : Infinity;
--- a/packages/ownership/src/lib/ownership-context.ts
+++ b/packages/ownership/src/lib/ownership-context.ts
@@ -21,10 +21,14 @@
   readonly hasher: KeyHasher;
   /** Time when the last complete read of the table was sent, on the monotonic clock. */
   lastTableReadAt(): number;
+  /** Time that the last read of the table took, in milliseconds. */
+  lastTableReadMs(): number;
   /** False while calls to the table fail. */
   isTableUp(): boolean;
   /** Measured work by shard, in any additive unit; shards that are not named have none. */
   shardLoads(service: string): ReadonlyMap<number, number>;
+  /** What measurement says of a backend server: `outlier` loses its shards, `cold` gets few. */
+  serverVerdict(service: string, server: string): 'live' | 'cold' | 'outlier';
   /** Backend servers that keepers, here or at peers, can't reach. */
   unreachableServers(): ReadonlySet<string>;
 }
--- a/packages/ownership/src/lib/seat-holder.ts
+++ b/packages/ownership/src/lib/seat-holder.ts
@@ -34,6 +34,11 @@
   noteNothingMoved(): void;
   /** Notes that the backend server has seen a higher keeper epoch. */
   noteRefused(): void;
+  /**
+   * True while the row names this router although the backend server refuses it, and the standby that
+   * stepped in is out of reach: it can't enter the row, so this router must take new epochs.
+   */
+  mustReclaim(row: KeeperRow): boolean;
   /** Stands down from the standby's seat. */
   standDown(): StandDownAnswer;
 }
@@ -103,6 +108,10 @@
     noteRefused() {
       refusedEpoch = held?.seat.epoch ?? 0;
     },
+    mustReclaim({ acting, standby }) {
+      if (!isOwnSeat(ctx, acting) || refusedEpoch < acting.epoch) return false;
+      return standby === undefined || !ctx.membership.isLive(standby.router, standby.incarnation);
+    },
     standDown() {
       const row = ctx.map.keeper(serverId)?.value;
       const seat = row && ownSeat(row);
--- a/packages/ownership/src/lib/server-recovery.ts
+++ b/packages/ownership/src/lib/server-recovery.ts
@@ -7,13 +7,15 @@
 import type { HeldRow } from './row-store.js';
 import type { ShardChange } from './shard-mover.js';
 import { RECORDED_EPOCH_STEP } from './shard-release.js';
-import { type SilenceQuestion, lapseMs, proveSilence } from './silence-proof.js';
+import { type SilenceQuestion, lapseMs, proveSilence, tenureEndMs } from './silence-proof.js';
 import { type Assignment, type KeeperRow, ROW_PREFIXES } from './table-rows.js';
 import { chooseTargets, usableServers } from './target-chooser.js';
 
 /** Time that a write may take before a move to stored successors goes ahead without it. */
 const UNRECORDED_AFTER_MS = 150;
 
+/** Time between two rounds of asking every router to stand down. */
+const ASK_AGAIN_MS = 50;
 /** Step to the epoch that is reserved for the stored successor. */
 const SUCCESSOR_EPOCH_STEP = 1;
 
@@ -90,18 +92,41 @@
     return [...ready.map((it) => toSuccessor(it, reason)), ...chosen];
   }
 
+  /** Asks again until every router has promised, or until the table or the tenure ends the need. */
+  async function mayMoveUnrecorded(
+    row: HeldRow<KeeperRow>,
+    service: ServiceConfig,
+    recording: Promise<unknown>,
+  ): Promise<boolean> {
+    const recorded = new AbortController();
+    void recording.then(() => {
+      recorded.abort();
+    });
+    const tenureEnd = ctx.lastTableReadAt() + service.lease.tenureMs;
+    while (!signal.aborted && !hasOpenSuccessorWrite()) {
+      const promised = await ctx.peers.standDownEveryone(
+        serverId,
+        row.value.acting.epoch,
+        tenureEndMs(service.lease),
+      );
+      const isOver =
+        monotonicMs() >= tenureEnd || ctx.map.keeper(serverId)?.version !== row.version;
+      if (recorded.signal.aborted || isOver) return false;
+      if (promised) return true;
+      await pause(ASK_AGAIN_MS, signal);
+    }
+    return false;
+  }
+
   /** Carries out authorised moves before the table shows them, once no router can claim the seat. */
   async function moveUnrecorded(
     row: HeldRow<KeeperRow>,
     service: ServiceConfig,
     owned: Assignment[],
     all: ShardChange[],
+    recording: Promise<unknown>,
   ): Promise<void> {
-    if (hasOpenSuccessorWrite()) return;
-    const tenureEnd = ctx.lastTableReadAt() + service.lease.tenureMs;
-    const promised = await ctx.peers.standDownEveryone(serverId, row.value.acting.epoch);
-    if (!promised || monotonicMs() >= tenureEnd) return;
-    if (ctx.map.keeper(serverId)?.version !== row.version) return;
+    if (!(await mayMoveUnrecorded(row, service, recording))) return;
     const successors = new Map(owned.map((it) => [it.shard, it.successor]));
     const authorised = all.filter((it) => it.to === successors.get(it.shard));
     const moves = authorised.map(({ shard, to, epoch }) => ({
@@ -129,7 +154,7 @@
       pause(ctx.isTableUp() ? UNRECORDED_AFTER_MS : 0, late.signal).then(() => 'late' as const),
     ]);
     late.abort();
-    if (first === 'late') await moveUnrecorded(row, service, owned, changes);
+    if (first === 'late') await moveUnrecorded(row, service, owned, changes, recording);
     const recorded = await recording;
     ctx.peers.announce();
     if (recorded.isOk()) {
--- a/packages/ownership/src/lib/service-planner.ts
+++ b/packages/ownership/src/lib/service-planner.ts
@@ -1,17 +1,38 @@
 import type { ServiceConfig } from '@boragepoint/config';
 
-import { type Move, assignInitially, chooseSuccessors, planMoves } from './balance/index.js';
+import {
+  type Move,
+  type MoveReason,
+  assignInitially,
+  chooseSuccessors,
+  planMoves,
+} from './balance/index.js';
 import { groupBy } from './balance/group-by.js';
 import { rankCandidates } from './key-hash.js';
 import type { MoveOrder } from './move-order.js';
 import type { OwnershipContext } from './ownership-context.js';
 import { pause } from './pause.js';
-import { balanceServers, balanceShards } from './successor-upkeep.js';
+import { SUCCESSOR_PREFERENCE, balanceServers, balanceShards } from './successor-upkeep.js';
 import { type Assignment, SHARDS_PER_ROW, assignKey } from './table-rows.js';
 
 /** Time between two plans of a service. */
 const PLAN_EVERY_MS = 1_000;
 const MINUTE_MS = 60_000;
+/** Time of a read of the table above which shards are not moved for balance. */
+const SLOW_TABLE_MS = 250;
+/** Reasons for which a keeper is asked to move; it moves the shards of lost servers by itself. */
+const KEEPER_REASONS: ReadonlySet<MoveReason> = new Set([
+  'balance',
+  'owner-draining',
+  'owner-outlier',
+]);
+const REASON_TEXTS: Readonly<Record<MoveReason, string>> = {
+  'no-owner': 'the shard had no owner',
+  'owner-gone': 'the owner was lost',
+  'owner-draining': 'the owner is draining',
+  'owner-outlier': 'the owner is far slower than others',
+  balance: 'balance',
+};
 
 /** Writes first assignments and asks keepers to move shards, for services that it comes first for. */
 export interface ServicePlanner extends AsyncDisposable {
@@ -19,6 +40,11 @@
   planNow(): Promise<void>;
 }
 
+/** A move that a keeper was asked for. */
+interface PendingMove extends Move {
+  readonly service: string;
+}
+
 /** Sends move orders to the acting keeper of the server that owns the shards. */
 export type MoveSender = (
   server: string,
@@ -30,7 +56,8 @@
 export function createServicePlanner(ctx: OwnershipContext, sendMoves: MoveSender): ServicePlanner {
   const stopping = new AbortController();
   const budgets = new Map<string, number>();
-  const moving = new Set<string>();
+  /** Moves under way by the server that they lead away from. */
+  const moving = new Map<string, readonly PendingMove[]>();
   const done = run();
 
   async function run(): Promise<void> {
@@ -61,7 +88,7 @@
     const servers = balanceServers(ctx, service);
     const owners = assignInitially(service.shards, servers);
     const loads = owners.map((it) => ({ ...it, load: 0 }));
-    const successors = chooseSuccessors(loads, servers);
+    const successors = chooseSuccessors(loads, servers, SUCCESSOR_PREFERENCE);
     const shards = owners.map(({ shard, owner }, i): Assignment => {
       const successor = successors[i]?.successor ?? '';
       return { shard, owner, epoch: 1, successor };
@@ -85,11 +112,14 @@
   }
 
   function orderMoves(service: ServiceConfig): void {
-    const budget = refillBudget(service);
+    // A shard is served by nobody between its release and the write, so balancing waits for a fast table.
+    const isFast = ctx.lastTableReadMs() < SLOW_TABLE_MS;
+    const budget = isFast ? refillBudget(service) : 0;
     const shards = balanceShards(ctx, service);
     const servers = balanceServers(ctx, service);
-    const { moves } = planMoves({ shards, servers, weigh: service.weigh, budget });
-    const wanted = moves.filter((it) => it.reason === 'balance' || it.reason === 'owner-draining');
+    const pending = [...moving.values()].flat().filter((it) => it.service === service.name);
+    const { moves } = planMoves({ shards, servers, weigh: service.weigh, budget, pending });
+    const wanted = moves.filter((it) => KEEPER_REASONS.has(it.reason));
     const spent = wanted.filter((it) => it.reason === 'balance').length;
     budgets.set(service.name, (budgets.get(service.name) ?? 0) - spent);
     const byOwner = groupBy(wanted, (it) => it.from ?? '');
@@ -102,12 +132,15 @@
     moves: readonly Move[],
   ): Promise<void> {
     if (server === '' || moving.has(server)) return;
-    moving.add(server);
+    moving.set(
+      server,
+      moves.map((it) => ({ ...it, service: service.name })),
+    );
     const orders = moves.map(({ shard, to }): MoveOrder => {
       const epoch = ctx.map.assignment(service.name, shard)?.epoch ?? 0;
       return { shard, epoch, to };
     });
-    const reason = moves[0]?.reason === 'owner-draining' ? 'the owner is draining' : 'balance';
+    const reason = REASON_TEXTS[moves[0]?.reason ?? 'balance'];
     await sendMoves(server, orders, reason);
     moving.delete(server);
   }
--- a/packages/ownership/src/lib/successor-upkeep.ts
+++ b/packages/ownership/src/lib/successor-upkeep.ts
@@ -1,20 +1,32 @@
 import type { ServiceConfig } from '@boragepoint/config';
 
-import { type BalanceServer, type ShardLoad, chooseSuccessors } from './balance/index.js';
+import {
+  type BalanceServer,
+  type BalanceServerState,
+  type ShardLoad,
+  chooseSuccessors,
+} from './balance/index.js';
 import type { OwnershipContext } from './ownership-context.js';
 import type { HeldRow } from './row-store.js';
 import type { RowChange } from './row-writer.js';
 import { type AssignRow, type KeeperRow, ROW_PREFIXES } from './table-rows.js';
 
+/** Spreads a lost server's load evenly; see the routing package's design note on load. */
+export const SUCCESSOR_PREFERENCE = 'spread';
+
 /** Describes the backend servers of a service as balancing sees them. */
 export function balanceServers(ctx: OwnershipContext, service: ServiceConfig): BalanceServer[] {
   const unreachable = ctx.unreachableServers();
   const leaving = ctx.membership.leavingServers();
   return service.backendServers.map((it) => {
-    const isDraining = it.draining || leaving.has(it.id);
-    const state = unreachable.has(it.id) ? 'gone' : isDraining ? 'draining' : 'live';
+    const state = stateOf(it.id, it.draining || leaving.has(it.id), unreachable.has(it.id));
     return { ...it, state };
   });
+
+  function stateOf(id: string, isDraining: boolean, isLost: boolean): BalanceServerState {
+    if (isLost) return 'gone';
+    return isDraining ? 'draining' : ctx.serverVerdict(service.name, id);
+  }
 }
 
 /** Describes the shards of a service as balancing sees them. */
@@ -51,7 +63,11 @@
   keeper: HeldRow<KeeperRow>,
   signal: AbortSignal,
 ): Promise<void> {
-  const wanted = chooseSuccessors(balanceShards(ctx, service), balanceServers(ctx, service));
+  const wanted = chooseSuccessors(
+    balanceShards(ctx, service),
+    balanceServers(ctx, service),
+    SUCCESSOR_PREFERENCE,
+  );
   const chosen = new Map(wanted.map((it) => [it.shard, it.successor]));
   const writes: RowChange[] = [];
   for (const key of ctx.rows.keys(`${ROW_PREFIXES.assign}${service.name}/`)) {
--- a/packages/ownership/src/lib/table-sync.ts
+++ b/packages/ownership/src/lib/table-sync.ts
@@ -14,6 +14,8 @@
   lastReadAt(): number;
   /** False after a failed read or write, until a read succeeds. */
   isUp(): boolean;
+  /** Time that the last complete read took, in milliseconds. */
+  lastReadMs(): number;
   /** Notes that a call to the table failed. */
   noteFailure(): void;
   pollNow(): Promise<void>;
@@ -28,6 +30,7 @@
 ): TableSync {
   const stopping = new AbortController();
   let lastReadAt = -Infinity;
+  let lastReadMs = 0;
   let up = false;
   const done = run();
 
@@ -47,6 +50,7 @@
     if (!up) return;
     for (const row of scans.flatMap((it) => it.unwrapOr([]))) rows.offer(row);
     lastReadAt = sentAt;
+    lastReadMs = monotonicMs() - sentAt;
   }
 
   async function pollInstances(): Promise<void> {
@@ -56,6 +60,7 @@
 
   return {
     lastReadAt: () => lastReadAt,
+    lastReadMs: () => lastReadMs,
     isUp: () => up,
     noteFailure() {
       up = false;
--- a/packages/routing/src/lib/dispatch/run-idempotent.ts
+++ b/packages/routing/src/lib/dispatch/run-idempotent.ts
@@ -1,3 +1,4 @@
+import { RESULT_CODES, familyOf } from '@boragepoint/config';
 import type { AssignmentMap, Placement } from '@boragepoint/ownership';
 
 import { abortAfter } from '@boragepoint/platform';
@@ -77,6 +78,17 @@
   }
 }
 
+function isProvedNotRun(outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'refused' || outcome.kind === 'not-connected';
+}
+
+/** Says "not run" only when no attempt of the request may have run. */
+function honestRefusal(answer: RoutedAnswer, { mayHaveRun }: Progress): RoutedAnswer {
+  if (answer.kind !== 'refused' || !mayHaveRun) return answer;
+  if (familyOf(RESULT_CODES[answer.result]) !== 'not-run') return answer;
+  return refusal('deadlinePassed', 'an attempt got no answer', answer.retryAfterMs);
+}
+
 /** True while another try at a server that lost a connection has no prospect. */
 function isFailing(ctx: IdempotentContext, placement: Placement): boolean {
   const { circuit, failureShare } = ctx.links.linkTo(placement.server).limiter.state();
@@ -88,6 +100,8 @@
   last?: AttemptOutcome;
   failedAt?: Placement;
   delayMs: number;
+  /** True once an attempt was sent whose end is not known: a refusal is no longer "not run". */
+  mayHaveRun: boolean;
 }
 
 /** Waits for a better prospect after an attempt; false when the retry budget is spent. */
@@ -128,7 +142,7 @@
   fingerprint: string,
 ): Promise<RoutedAnswer> {
   ctx.budget.recordRequest();
-  const progress: Progress = { delayMs: 0 };
+  const progress: Progress = { delayMs: 0, mayHaveRun: false };
 
   while (performance.now() < req.deadlineAt && !req.signal.aborted) {
     const placement = ctx.map.place(req.service, req.key);
@@ -147,13 +161,14 @@
     const attempted = await admittedAttempt(ctx, { req, fingerprint, placement, signal, endAt });
     if (attempted.isErr()) {
       if (owner.hasMoved()) continue;
-      return attempted.error;
+      return honestRefusal(attempted.error, progress);
     }
     progress.last = attempted.value;
     const answer = finalAnswer(attempted.value);
     if (answer !== undefined) return answer;
     progress.failedAt = placement;
+    progress.mayHaveRun ||= !isProvedNotRun(attempted.value);
     if (!(await prepareRetry(ctx, req, progress))) break;
   }
-  return givenUp(progress.last);
+  return honestRefusal(givenUp(progress.last), progress);
 }
--- a/packages/routing/src/lib/dispatch/server-links.ts
+++ b/packages/routing/src/lib/dispatch/server-links.ts
@@ -35,14 +35,14 @@
   let liveRouters = 1;
 
   function open(server: BackendServer): ServerLink {
-    const { connections, address } = server;
+    const { connections, slots, address } = server;
     const pool = new Pool(`http://${address}`, {
       connections: connectionShare(connections, liveRouters),
       pipelining: 1,
       connect: { timeout: CONNECT_TIMEOUT_MS },
       keepAliveTimeout: KEEP_ALIVE_MS,
     });
-    const limiter = createServerLimiter({ clock, connections, liveRouters });
+    const limiter = createServerLimiter({ clock, connections, slots, liveRouters });
     return { address, pool, limiter, queue: createAdmissionQueue({ clock, limiter }) };
   }
 
