Add the bench and its slopes scenario

The bench runs fleets of several sizes without callers and fits lines by least squares. Bytes come from each process's own read and write counts, so that headers are counted; renewals come from the sequence of a backend server's lease answers.

Ruled out: one fleet that grows, since its code gets faster while it runs and the warm-up shows as a slope; all fleets at once, since the busy machine then makes keepers change seats.

--- /dev/null
+++ b/packages/standin/src/lib/bench/least-squares.ts
@@ -0,0 +1,71 @@
+/** A straight line through measured points, with one slope for each input. */
+export interface Fit {
+  readonly constant: number;
+  readonly slopes: readonly number[];
+  /** Root of the mean squared distance of the points from the line. */
+  readonly residual: number;
+  /** Share of the variance that the line explains, 0 to 1. */
+  readonly explained: number;
+  readonly points: number;
+}
+
+/** One measured point. */
+export interface FitPoint {
+  readonly inputs: readonly number[];
+  readonly output: number;
+}
+
+/** Below this share of the largest entry a pivot counts as zero. */
+const SINGULAR = 1e-9;
+
+/** Fits a line by least squares. Inputs that never vary, or vary together, get the slope 0. */
+export function fitLine(points: readonly FitPoint[]): Fit {
+  const rows = points.map(({ inputs }) => [1, ...inputs]);
+  const size = rows[0]?.length ?? 1;
+  const indexes = Array.from({ length: size }, (_, index) => index);
+  const matrix = indexes.map((i) => [
+    ...indexes.map((j) => sum(rows.map((row) => (row[i] ?? 0) * (row[j] ?? 0)))),
+    sum(rows.map((row, at) => (row[i] ?? 0) * (points[at]?.output ?? 0))),
+  ]);
+  const [constant = 0, ...slopes] = solve(matrix);
+  const errors = points.map(({ inputs, output }) => {
+    const fitted = inputs.reduce((total, it, index) => total + it * (slopes[index] ?? 0), constant);
+    return output - fitted;
+  });
+  const mean = sum(points.map((it) => it.output)) / points.length;
+  const spread = sum(points.map((it) => (it.output - mean) ** 2));
+  const missed = sum(errors.map((it) => it ** 2));
+  return {
+    constant,
+    slopes,
+    residual: Math.sqrt(missed / points.length),
+    explained: spread === 0 ? 1 : 1 - missed / spread,
+    points: points.length,
+  };
+}
+
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, it) => total + it, 0);
+}
+
+/** Solves the equations, given with their right-hand side as last column, by elimination. */
+function solve(matrix: number[][]): number[] {
+  const size = matrix.length;
+  const scale = matrix.map((row, index) => Math.abs(row[index] ?? 0));
+  for (let column = 0; column < size; column += 1) {
+    const pivot = matrix[column] ?? [];
+    const isSingular = Math.abs(pivot[column] ?? 0) <= SINGULAR * (scale[column] ?? 1);
+    if (isSingular) {
+      matrix.forEach((row) => (row[column] = 0));
+      pivot.fill(0);
+      pivot[column] = 1;
+    }
+    for (const row of matrix) if (row !== pivot) subtract(row, pivot, column);
+  }
+  return matrix.map((row, index) => (row[size] ?? 0) / (row[index] ?? 1));
+}
+
+function subtract(row: number[], pivot: readonly number[], column: number): void {
+  const factor = (row[column] ?? 0) / (pivot[column] ?? 1);
+  pivot.forEach((value, index) => (row[index] = (row[index] ?? 0) - factor * value));
+}
--- /dev/null
+++ b/packages/standin/src/lib/bench/scenarios.ts
@@ -0,0 +1,5 @@
+import type { Scenario } from './scenario.js';
+import { slopes } from './slopes.js';
+
+/** All scenarios of the bench. */
+export const SCENARIOS: readonly Scenario[] = [slopes];
--- /dev/null
+++ b/packages/standin/src/lib/bench/slope-points.ts
@@ -0,0 +1,96 @@
+import { monotonicMs, sleep } from '../clock.js';
+import type { Fleet } from '../harness/fleet.js';
+import { sampleUsage, usageRate, type UsageRate } from './process-usage.js';
+import { readLeaseAnswer, scrapeRouter } from './scrape.js';
+
+const SECOND_MS = 1_000;
+
+/** Sizes of a fleet. */
+export interface FleetSize {
+  readonly routers: number;
+  readonly servers: number;
+  readonly shards: number;
+  readonly services: number;
+}
+
+/** What one router used while no caller asked. */
+export interface RouterPoint extends FleetSize, UsageRate {
+  readonly kept: number;
+  readonly peerCallsPerSecond: number;
+}
+
+/** What one backend server used while no caller asked. */
+export interface ServerPoint extends UsageRate {
+  readonly held: number;
+  readonly renewalsPerSecond: number;
+}
+
+/** What the platform served for one fleet while no caller asked. */
+export interface TablePoint extends FleetSize {
+  readonly readsPerSecond: number;
+  readonly writesPerSecond: number;
+  readonly bytesInPerSecond: number;
+  readonly bytesOutPerSecond: number;
+}
+
+/** What one fleet used at one size. */
+export interface SlopePoint {
+  readonly routers: readonly RouterPoint[];
+  readonly servers: readonly ServerPoint[];
+  readonly table: TablePoint;
+}
+
+async function sample(fleet: Fleet) {
+  const at = monotonicMs();
+  const counters = await Promise.all(fleet.routers.map((it) => scrapeRouter(it.operators)));
+  const leases = await Promise.all(fleet.backendServers.map((it) => readLeaseAnswer(it.address)));
+  const table = await fleet.platformCounters();
+  return { at, counters, leases, table };
+}
+
+async function sampleProcesses(fleet: Fleet) {
+  const usageOf = (nodes: readonly { readonly program: { readonly pid: number } }[]) =>
+    Promise.all(nodes.map((it) => sampleUsage(it.program.pid)));
+  return { routers: await usageOf(fleet.routers), servers: await usageOf(fleet.backendServers) };
+}
+
+/** Measures a fleet over a span in seconds. */
+export async function measurePoint(
+  fleet: Fleet,
+  size: FleetSize,
+  seconds: number,
+): Promise<SlopePoint> {
+  const before = await sample(fleet);
+  const usedBefore = await sampleProcesses(fleet);
+  await sleep(seconds * SECOND_MS);
+  const usedAfter = await sampleProcesses(fleet);
+  const after = await sample(fleet);
+  const span = (after.at - before.at) / SECOND_MS;
+  const rate = (from: number | undefined, to: number | undefined) =>
+    ((to ?? 0) - (from ?? 0)) / span;
+  const usageAt = (kind: 'routers' | 'servers', index: number) => {
+    const [from, to] = [usedBefore[kind][index], usedAfter[kind][index]];
+    if (from === undefined || to === undefined) throw new Error('a process is gone');
+    return usageRate(from, to);
+  };
+  return {
+    routers: after.counters.map((it, index) => ({
+      ...size,
+      ...usageAt('routers', index),
+      kept: it.kept,
+      peerCallsPerSecond: rate(before.counters[index]?.peerCalls, it.peerCalls),
+    })),
+    servers: after.leases.map((it, index) => ({
+      ...usageAt('servers', index),
+      held: it.held.length,
+      renewalsPerSecond: rate(before.leases[index]?.sequence, it.sequence - 1),
+    })),
+    table: {
+      ...size,
+      readsPerSecond: rate(before.table.reads, after.table.reads),
+      writesPerSecond: rate(before.table.writes, after.table.writes),
+      bytesInPerSecond: rate(before.table.bytesIn, after.table.bytesIn),
+      bytesOutPerSecond: rate(before.table.bytesOut, after.table.bytesOut),
+    },
+  };
+}
--- /dev/null
+++ b/packages/standin/src/lib/bench/slopes.ts
@@ -0,0 +1,77 @@
+import { sleep } from '../clock.js';
+import { PLACES, CATALOGUE } from '../demo/demo-plan.js';
+import type { Figure } from '../faults/fault-case.js';
+import { startFleet, type Fleet, type FleetPlan } from '../harness/fleet.js';
+import { submitConfiguration } from '../harness/operator.js';
+import type { Emit, Scenario, ScenarioOptions } from './scenario.js';
+import { fitPoints, printPoint } from './slope-fits.js';
+import { measurePoint, type FleetSize, type SlopePoint } from './slope-points.js';
+
+const DEFAULT_SECONDS = 4;
+/** Time for which a fleet runs before it is measured, so that its code is compiled. */
+const WARM_UP_MS = 5_000;
+const FEW: FleetSize = { routers: 3, servers: 12, shards: 64, services: 1 };
+/** Fleets that run and are measured side by side, one wave after another. */
+const WAVES: readonly (readonly FleetSize[])[] = [
+  [FEW, { ...FEW, shards: 256 }, { ...FEW, shards: 1_024 }, { ...FEW, services: 3 }],
+  [
+    { ...FEW, routers: 12 },
+    { ...FEW, servers: 24 },
+  ],
+  [
+    { ...FEW, routers: 6 },
+    { ...FEW, servers: 40 },
+  ],
+];
+
+function planOf({ routers, servers, shards, services }: FleetSize): FleetPlan {
+  const names = Array.from({ length: services }, (_, index) => `${CATALOGUE.name}-${index}`);
+  return {
+    places: PLACES,
+    routers,
+    logLevel: 'warn',
+    services: names.map((name) => ({
+      config: { ...CATALOGUE, name, shards, movesPerMinute: 0 },
+      backendServers: servers / services,
+    })),
+  };
+}
+
+async function startSize(size: FleetSize): Promise<{ size: FleetSize; fleet: Fleet }> {
+  const fleet = await startFleet(planOf(size));
+  await submitConfiguration(fleet);
+  return { size, fleet };
+}
+
+async function measureWave(
+  sizes: readonly FleetSize[],
+  seconds: number,
+  emit: Emit,
+): Promise<SlopePoint[]> {
+  const started = await Promise.all(sizes.map(startSize));
+  try {
+    await sleep(WARM_UP_MS);
+    const points = await Promise.all(
+      started.map(({ fleet, size }) => measurePoint(fleet, size, seconds)),
+    );
+    for (const point of points) printPoint(point, emit);
+    return points;
+  } finally {
+    await Promise.all(started.map(({ fleet }) => fleet[Symbol.asyncDispose]()));
+  }
+}
+
+async function run({ seconds }: ScenarioOptions, emit: Emit): Promise<Figure[]> {
+  const points: SlopePoint[] = [];
+  for (const sizes of WAVES) {
+    points.push(...(await measureWave(sizes, seconds ?? DEFAULT_SECONDS, emit)));
+  }
+  return fitPoints(points, emit);
+}
+
+/** Costs of control without callers, at several sizes, and lines fitted to them. */
+export const slopes: Scenario = {
+  name: 'slopes',
+  about: 'cost of control without callers against peers, servers, shards and services',
+  run,
+};
