--- /dev/null
+++ b/packages/standin/src/lib/bench/thread-load.ts
@@ -0,0 +1,28 @@
+import { once } from 'node:events';
+import { Worker } from 'node:worker_threads';
+
+/** What a thread sends. */
+export interface ThreadPlan {
+  readonly address: string;
+  readonly service: string;
+  readonly connections: number;
+  readonly seconds: number;
+  /** Requests a second; without it, each connection sends as fast as it gets answers. */
+  readonly perSecond?: number;
+}
+
+/** What became of it. Latencies are of good answers, from when each request was due. */
+export interface ThreadResult {
+  readonly sent: number;
+  readonly ok: number;
+  readonly seconds: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+/** Sends a load from a thread and waits for its end. */
+export async function runThreadLoad(plan: ThreadPlan): Promise<ThreadResult> {
+  const worker = new Worker(new URL('./load-thread.js', import.meta.url), { workerData: plan });
+  const [result] = (await once(worker, 'message')) as [ThreadResult];
+  return result;
+}
