--- a/packages/routing/src/lib/dispatch/request-router.ts
+++ b/packages/routing/src/lib/dispatch/request-router.ts
@@ -110,10 +110,7 @@
     if (!req.rule.idempotent) return runThroughKeeper(req, fingerprint);
     const refused = barred(req, fingerprint);
     if (refused !== undefined) return refused;
-    if (ctx.quarantine.isSuspect(req.service.name, fingerprint)) {
-      return runThroughKeeper(req, fingerprint);
-    }
-    return runIdempotent(ctx, req, fingerprint);
+    return runIdempotent(ctx, req, fingerprint, () => runThroughKeeper(req, fingerprint));
   }
 
   async function counted(answering: Promise<RoutedAnswer>): Promise<RoutedAnswer> {
--- a/packages/routing/src/lib/dispatch/run-idempotent.ts
+++ b/packages/routing/src/lib/dispatch/run-idempotent.ts
@@ -83,13 +83,25 @@
   return circuit !== 'closed' || failureShare >= FAILING_SHARE;
 }
 
-/** The last attempt of a request and the pause before its next one. */
+/** True when the backend server may have begun to run the request. */
+function mayHaveRun(outcome: AttemptOutcome): boolean {
+  return outcome.kind !== 'refused' && outcome.kind !== 'not-connected';
+}
+
+/** The attempts of a request so far and the pause before its next one. */
 interface Progress {
   last?: AttemptOutcome;
+  /** The last attempt that may have run: from then on, no refusal may say "not run". */
+  uncertain?: AttemptOutcome;
   failedAt?: Placement;
   delayMs: number;
 }
 
+/** Keeps a refusal of a later attempt from saying "not run" when an earlier one may have run. */
+function afterAttempts(answer: RoutedAnswer, { uncertain }: Progress): RoutedAnswer {
+  return answer.kind === 'answered' || uncertain === undefined ? answer : givenUp(uncertain);
+}
+
 /** Waits for a better prospect after an attempt; false when the retry budget is spent. */
 async function prepareRetry(
   ctx: IdempotentContext,
@@ -121,16 +133,24 @@
  * Runs an idempotent request at the owner of its key. It is tried again within its deadline:
  * after a refusal by an old owner as soon as the new one is known; after a lost connection under the
  * retry budget, and at the same owner only while that answers most other requests.
+ *
+ * @param runSuspect Runs the request at the owner's keeper. A request that lost its connection is
+ * suspect: were it tried again here, beside a suspect of another router, the innocent one of the
+ * two could be barred.
  */
 export async function runIdempotent(
   ctx: IdempotentContext,
   req: RoutedRequest,
   fingerprint: string,
+  runSuspect: () => Promise<RoutedAnswer>,
 ): Promise<RoutedAnswer> {
   ctx.budget.recordRequest();
   const progress: Progress = { delayMs: 0 };
 
   while (performance.now() < req.deadlineAt && !req.signal.aborted) {
+    if (ctx.quarantine.isSuspect(req.service.name, fingerprint)) {
+      return afterAttempts(await runSuspect(), progress);
+    }
     const placement = ctx.map.place(req.service, req.key);
     const { failedAt } = progress;
     const isBlocked =
@@ -147,13 +167,14 @@
     const attempted = await admittedAttempt(ctx, { req, fingerprint, placement, signal, endAt });
     if (attempted.isErr()) {
       if (owner.hasMoved()) continue;
-      return attempted.error;
+      return afterAttempts(attempted.error, progress);
     }
     progress.last = attempted.value;
+    if (mayHaveRun(attempted.value)) progress.uncertain = attempted.value;
     const answer = finalAnswer(attempted.value);
     if (answer !== undefined) return answer;
     progress.failedAt = placement;
     if (!(await prepareRetry(ctx, req, progress))) break;
   }
-  return givenUp(progress.last);
+  return givenUp(progress.uncertain ?? progress.last);
 }
--- a/packages/standin/src/lib/faults/cases.ts
+++ b/packages/standin/src/lib/faults/cases.ts
@@ -1,8 +1,10 @@
+import { crashPayment, crashPaymentRepeated, crashRequest } from './crash-cases.js';
 import type { FaultCase } from './fault-case.js';
 import { keeperFrozen, keeperKilled } from './keeper-cases.js';
 import { drain, operatorsRace } from './operator-cases.js';
 import { ownerFrozen, ownerKilled, ownerKilledStoreDown, zoneKilled } from './owner-cases.js';
 import { routerPartitioned } from './partition-cases.js';
+import { payments } from './payment-cases.js';
 import { storeDown } from './store-cases.js';
 
 /** All fault cases, in the order in which they run. */
@@ -17,4 +19,8 @@
   operatorsRace,
   routerPartitioned,
   storeDown,
+  payments,
+  crashRequest,
+  crashPayment,
+  crashPaymentRepeated,
 ];
--- /dev/null
+++ b/packages/standin/src/lib/faults/crash-cases.ts
@@ -0,0 +1,184 @@
+import { writeFile } from 'node:fs/promises';
+import path from 'node:path';
+
+import { RESULT_CODES } from '@boragepoint/config';
+import { Agent } from 'undici';
+import { v7 as timeOrderedUuid } from 'uuid';
+
+import { BROWSE, KEY_NAMES, PAY } from '../demo/demo-plan.js';
+import { monotonicMs, sleep } from '../clock.js';
+import type { AttemptRecord, RequestKind } from '../load/load-plan.js';
+import { sendAttempt } from '../load/send-attempt.js';
+import { pick, type CaseContext, type FaultCase, type Figure } from './fault-case.js';
+import { restartCrashed, type Crashes } from './restart-crashed.js';
+import { waitUntilServed } from './unserved-time.js';
+
+/** Number of the crashing request; each of its tries is the same request. */
+const CRASH_NUMBER = 3_000_000;
+const FIRST_INNOCENT = 3_100_000;
+const ROUNDS = 20;
+const PAUSE_MS = 250;
+const TIMEOUT_MS = 4_000;
+const INNOCENT_WORK_MS = '60';
+const INNOCENT_EVERY_MS = 40;
+const REFUSED_WITHIN_MS = 2_000;
+const MOST_LOST = 2;
+
+/** One way in which a crashing request comes back. */
+interface CrashVariant {
+  readonly kind: RequestKind;
+  /** Idempotency-Key of each try. */
+  readonly newKey: () => string | undefined;
+  /** What every router says in the end. */
+  readonly refusedWith: number;
+  readonly mostLost: number;
+}
+
+async function askAll(
+  { fleet }: CaseContext,
+  agent: Agent,
+  variant: CrashVariant,
+): Promise<AttemptRecord[]> {
+  const records: AttemptRecord[] = [];
+  const [key = ''] = KEY_NAMES;
+  const kind = { ...variant.kind, headers: { 'x-crash': '1' } };
+  for (const { callers } of fleet.routers) {
+    const idempotencyKey = variant.newKey();
+    const req = { kind, number: CRASH_NUMBER, key, caller: 'crasher', idempotencyKey };
+    const attempt = { number: 1, router: callers, dueAt: monotonicMs(), timeoutMs: TIMEOUT_MS };
+    records.push(await sendAttempt(agent, req, attempt));
+  }
+  return records;
+}
+
+/** Sends innocent requests that take some time, until it is stopped. */
+function startInnocents({ fleet, random }: CaseContext, agent: Agent) {
+  const stopping = new AbortController();
+  const asking: Promise<AttemptRecord>[] = [];
+  const kind = { ...BROWSE, headers: { 'x-work-ms': INNOCENT_WORK_MS } };
+  async function send(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      const number = FIRST_INNOCENT + asking.length;
+      const key = pick(KEY_NAMES, random);
+      const req = { kind, number, key, caller: 'innocent', idempotencyKey: undefined };
+      const router = pick(fleet.routers, random).callers;
+      const attempt = { number: 1, router, dueAt: monotonicMs(), timeoutMs: TIMEOUT_MS };
+      asking.push(sendAttempt(agent, req, attempt));
+      await sleep(INNOCENT_EVERY_MS, stopping.signal);
+    }
+  }
+  const sending = send();
+  return async () => {
+    stopping.abort();
+    await sending;
+    return await Promise.all(asking);
+  };
+}
+
+function refusalFigures(
+  records: readonly AttemptRecord[],
+  { refusedWith, mostLost }: CrashVariant,
+  crashes: Crashes,
+): Figure[] {
+  const lastCrashAt = crashes.times.at(-1) ?? 0;
+  const others = records.filter((it) => it.code !== refusedWith);
+  const sentAt = (it: AttemptRecord) => it.at - it.latencyMs;
+  const late = others.filter((it) => sentAt(it) > lastCrashAt + REFUSED_WITHIN_MS);
+  const last = Math.max(0, ...others.map((it) => it.at - lastCrashAt));
+  const refused = records.filter((it) => it.code === refusedWith);
+  return [
+    { name: 'tries of the crashing request', value: records.length },
+    { name: 'backend servers lost', value: crashes.times.length, atLeast: 1, atMost: mostLost },
+    { name: `tries refused with ${refusedWith}`, value: refused.length, atLeast: 1 },
+    { name: 'last other answer after the last loss ms', value: Math.round(last) },
+    {
+      name: `other answers ${REFUSED_WITHIN_MS} ms after the last loss`,
+      value: late.length,
+      atMost: 0,
+    },
+  ];
+}
+
+function innocentFigures(
+  records: readonly AttemptRecord[],
+  probed: readonly AttemptRecord[],
+): Figure[] {
+  const barred = [...records, ...probed].filter((it) => it.code === RESULT_CODES.quarantined);
+  const notAnswered = records.filter((it) => it.code !== RESULT_CODES.ok);
+  return [
+    { name: 'innocent requests', value: records.length, atLeast: 1 },
+    { name: 'innocent requests quarantined', value: barred.length, atMost: 0 },
+    { name: 'innocent requests not answered', value: notAnswered.length, atMost: 0 },
+    {
+      name: 'highest code of an innocent request',
+      value: Math.max(...records.map((it) => it.code)),
+    },
+  ];
+}
+
+/** Keeps what callers were told, one line a try, to look into a failure. */
+async function writeRecords({ fleet }: CaseContext, name: string, records: AttemptRecord[]) {
+  const lines = records.map((it) => `${JSON.stringify(it)}\n`);
+  await writeFile(path.join(fleet.folder, name), lines.join(''));
+}
+
+async function crashAgainAndAgain(context: CaseContext, variant: CrashVariant) {
+  const agent = new Agent();
+  const startedAt = monotonicMs();
+  const crashes = restartCrashed(context.fleet);
+  const stopInnocents = startInnocents(context, agent);
+  const records: AttemptRecord[] = [];
+  for (let round = 0; round < ROUNDS; round += 1) {
+    records.push(...(await askAll(context, agent, variant)));
+    await sleep(PAUSE_MS);
+  }
+  const innocents = await stopInnocents();
+  await writeRecords(context, 'innocent-requests.jsonl', innocents);
+  await writeRecords(context, 'crashing-requests.jsonl', records);
+  await crashes.stop();
+  await agent.close();
+  await waitUntilServed(context.probe, monotonicMs());
+  const probed = context.probe.attempts.filter((it) => it.at >= startedAt);
+  return [...refusalFigures(records, variant, crashes), ...innocentFigures(innocents, probed)];
+}
+
+/** An idempotent request crashes the backend server that runs it. */
+export const crashRequest: FaultCase = {
+  name: 'crash-request',
+  promise: 'a request that crashes servers takes down two at most and is then refused everywhere',
+  run: (context) =>
+    crashAgainAndAgain(context, {
+      kind: BROWSE,
+      newKey: () => undefined,
+      refusedWith: RESULT_CODES.quarantined,
+      mostLost: MOST_LOST,
+    }),
+};
+
+/** A non-idempotent request crashes servers and comes back under another Idempotency-Key each time. */
+export const crashPayment: FaultCase = {
+  name: 'crash-payment',
+  promise: 'a payment that crashes servers takes down two at most, whatever its Idempotency-Key',
+  run: (context) =>
+    crashAgainAndAgain(context, {
+      kind: PAY,
+      newKey: timeOrderedUuid,
+      refusedWith: RESULT_CODES.quarantined,
+      mostLost: MOST_LOST,
+    }),
+};
+
+/** A non-idempotent request crashes its server and is repeated under the same Idempotency-Key. */
+export const crashPaymentRepeated: FaultCase = {
+  name: 'crash-payment-repeated',
+  promise: 'a payment that crashed a server is not run again for a repeat: its outcome is unknown',
+  run(context) {
+    const idempotencyKey = timeOrderedUuid();
+    return crashAgainAndAgain(context, {
+      kind: PAY,
+      newKey: () => idempotencyKey,
+      refusedWith: RESULT_CODES.outcomeUnknown,
+      mostLost: 1,
+    });
+  },
+};
--- /dev/null
+++ b/packages/standin/src/lib/faults/pay-load.ts
@@ -0,0 +1,92 @@
+import { Agent } from 'undici';
+import { v7 as timeOrderedUuid } from 'uuid';
+
+import { KEY_NAMES } from '../demo/demo-plan.js';
+import { monotonicMs, sleep } from '../clock.js';
+import { createRandom, type Random } from '../random.js';
+import { pick } from './fault-case.js';
+import { sendTry, toldTo, type Payment, type PaymentTry, type TryPlan } from './payment-try.js';
+
+/** Numbers of payments stand apart from those of loads and probes. */
+const FIRST_NUMBER = 2_000_000;
+const SEED_STEP = 10_000;
+const MAX_WORK_MS = 150;
+const SECOND_MS = 1_000;
+/** Waits longer than any deadline, so that a late answer is seen. */
+const PATIENT_MS = 6_000;
+/** Times after which some callers hang up, in milliseconds. */
+const HURRIED_MS = [150, 500, 1_500] as const;
+const HURRIED_SHARE = 0.3;
+/** Share of tries that are sent through two routers at once. */
+const TWIN_SHARE = 0.2;
+const MAX_PAUSE_MS = 400;
+/** A caller stops when it has had this many answers that leave the outcome unknown. */
+const MAX_UNKNOWN = 4;
+
+/** What payments are sent. */
+export interface PayLoadPlan {
+  readonly seed: number;
+  readonly payments: number;
+  readonly perSecond: number;
+  /** Time for which a caller repeats its payment, in milliseconds. */
+  readonly persistMs: number;
+  /** Addresses of the routers that callers know now. */
+  readonly routers: () => readonly string[];
+}
+
+/** Tries of one caller, in the order in which they were sent. */
+export type PaymentTries = readonly PaymentTry[];
+
+function createPayment(index: number, random: Random): Payment {
+  return {
+    number: FIRST_NUMBER + index,
+    key: pick(KEY_NAMES, random),
+    idempotencyKey: timeOrderedUuid(),
+    workMs: 1 + random.below(MAX_WORK_MS),
+  };
+}
+
+/** Sends payments at a fixed rate; each is repeated by its caller until it has its answer, and once more. */
+export async function runPayLoad(plan: PayLoadPlan): Promise<PaymentTries[]> {
+  const agent = new Agent();
+
+  function planTry(random: Random, isRepeat: boolean): TryPlan {
+    const isHurried = random.next() < HURRIED_SHARE;
+    const patienceMs = isHurried ? pick(HURRIED_MS, random) : PATIENT_MS;
+    return { router: pick(plan.routers(), random), patienceMs, isRepeat };
+  }
+
+  async function sendRound(payment: Payment, random: Random, isRepeat: boolean) {
+    const first = planTry(random, isRepeat);
+    const plans = random.next() < TWIN_SHARE ? [first, planTry(random, true)] : [first];
+    return await Promise.all(plans.map((it) => sendTry(agent, payment, it)));
+  }
+
+  async function pay(index: number): Promise<PaymentTries> {
+    const random = createRandom(plan.seed * SEED_STEP + index);
+    const payment = createPayment(index, random);
+    const endAt = monotonicMs() + plan.persistMs;
+    const tries: PaymentTry[] = [];
+    while (tries.length === 0 || (mustGoOn(tries) && monotonicMs() < endAt)) {
+      tries.push(...(await sendRound(payment, random, tries.length > 0)));
+      await sleep(random.below(MAX_PAUSE_MS));
+    }
+    tries.push(...(await sendRound(payment, random, true)));
+    return tries;
+  }
+
+  const paying: Promise<PaymentTries>[] = [];
+  for (let index = 0; index < plan.payments; index += 1) {
+    paying.push(pay(index));
+    await sleep(SECOND_MS / plan.perSecond);
+  }
+  const all = await Promise.all(paying);
+  await agent.close();
+  return all;
+}
+
+function mustGoOn(tries: PaymentTries): boolean {
+  const told = tries.map(toldTo);
+  if (told.includes('ok') || told.includes('bad-request')) return false;
+  return told.filter((it) => it === 'unknown').length < MAX_UNKNOWN;
+}
--- /dev/null
+++ b/packages/standin/src/lib/faults/payment-cases.ts
@@ -0,0 +1,71 @@
+import { writeFile } from 'node:fs/promises';
+import path from 'node:path';
+
+import { CATALOGUE, PAY } from '../demo/demo-plan.js';
+import { sleep } from '../clock.js';
+import { collectTrace } from '../harness/collect-trace.js';
+import { runPayLoad, type PaymentTries } from './pay-load.js';
+import { createAbsences, type Absences } from './absences.js';
+import type { FaultCase } from './fault-case.js';
+import { paymentFigures } from './payment-figures.js';
+import { PAYMENT_FAULTS, type FaultContext, type PaymentFault } from './payment-faults.js';
+
+const PAYMENTS = 110;
+const PER_SECOND = 8;
+const PERSIST_MS = 8_000;
+/** Time between the beginnings of two faults; faults overlap. */
+const FAULT_EVERY_MS = 1_200;
+const MAX_SEED = 1_000_000;
+
+function shuffled({ random }: FaultContext): PaymentFault[] {
+  const drawn = PAYMENT_FAULTS.map((fault) => ({ fault, at: random.next() }));
+  return drawn.sort((a, b) => a.at - b.at).map((it) => it.fault);
+}
+
+async function bringFaults(ctx: FaultContext): Promise<void> {
+  const open: Promise<void>[] = [];
+  for (const fault of shuffled(ctx)) {
+    const ending = fault(ctx);
+    // A failure is reported when all faults are awaited, not as an unhandled rejection.
+    ending.catch(() => undefined);
+    open.push(ending);
+    await sleep(FAULT_EVERY_MS);
+  }
+  await Promise.all(open);
+}
+
+/** Keeps what each caller was told, one line a try, to look into a failure. */
+async function writeTries(file: string, payments: PaymentTries[], absences: Absences) {
+  const lines = payments.flat().map(({ record, sentAt, patienceMs }) => {
+    const absent = absences.covers(record.router, sentAt, record.at);
+    return JSON.stringify({ ...record, sentAt, patienceMs, absent });
+  });
+  await writeFile(file, `${lines.join('\n')}\n`);
+}
+
+/** Payments are repeated by their callers while every part of the fleet fails. */
+export const payments: FaultCase = {
+  name: 'payments',
+  promise: 'no payment runs twice, "not run" is true, and every caller is answered in time',
+  fleet: { linked: true, routers: 4 },
+  async run(context) {
+    const { fleet, random } = context;
+    const absences = createAbsences();
+    const ctx: FaultContext = { ...context, absences, taken: new Set(), known: [...fleet.routers] };
+    const running = () => ctx.known.filter((it) => it.program.exit === undefined);
+    const paying = runPayLoad({
+      seed: random.below(MAX_SEED),
+      payments: PAYMENTS,
+      perSecond: PER_SECOND,
+      persistMs: PERSIST_MS,
+      routers: () => running().map((it) => it.callers),
+    });
+    await bringFaults(ctx);
+    const tries = await paying;
+    await writeTries(path.join(fleet.folder, 'payment-tries.jsonl'), tries, absences);
+    const trace = await collectTrace(fleet, []);
+    const deadlineMs = CATALOGUE.rules.find((it) => it.name === PAY.name)?.deadlineMs ?? 0;
+    const runs = trace.filter((it) => it.kind === 'ran');
+    return paymentFigures({ payments: tries, runs, absences, deadlineMs });
+  },
+};
