--- a/packages/standin/src/lib/faults/cases.ts
+++ b/packages/standin/src/lib/faults/cases.ts
@@ -1,9 +1,11 @@
+import { crashPayment, crashPaymentRepeated, crashRequest } from './crash-cases.js';
 import { drainKeeperPaused, ownerKilledKeeperPaused } from './double-cases.js';
 import type { FaultCase } from './fault-case.js';
 import { keeperFrozen, keeperKilled } from './keeper-cases.js';
 import { drain, operatorsRace } from './operator-cases.js';
 import { ownerFrozen, ownerKilled, ownerKilledStoreDown, zoneKilled } from './owner-cases.js';
 import { routerPartitioned } from './partition-cases.js';
+import { payments } from './payment-cases.js';
 import { storeDown } from './store-cases.js';
 
 /** All fault cases, in the order in which they run. */
@@ -20,4 +22,8 @@
   ownerKilledKeeperPaused,
   drainKeeperPaused,
   storeDown,
+  payments,
+  crashRequest,
+  crashPayment,
+  crashPaymentRepeated,
 ];
