Spread keeper seats again, refuse what is not built

Change: a router gives one seat a second to the router that ranks first for it, once that has been live for 5 s; such configurations are refused with a clear error; a hand-over is given up after 2 s; a caller's own mistake burns no error budget.

--- a/packages/daemon/src/lib/callers/caller-app.ts
+++ b/packages/daemon/src/lib/callers/caller-app.ts
@@ -1,6 +1,12 @@
 import type { IncomingMessage } from 'node:http';
 
-import { type ServiceConfig, extractKey, matchRule } from '@boragepoint/config';
+import {
+  RESULT_CODES,
+  type ServiceConfig,
+  extractKey,
+  familyOf,
+  matchRule,
+} from '@boragepoint/config';
 import type { AssignmentMap } from '@boragepoint/ownership';
 import {
   type HeaderLine,
@@ -135,7 +141,7 @@
     const latencyMs = performance.now() - startedAt;
     ctx.metrics.requests.inc({ ...labels, result });
     ctx.metrics.latency.observe(labels, latencyMs / SECOND_MS);
-    if (rule.objective === undefined) return;
+    if (rule.objective === undefined || isCallersFault(routed)) return;
     const server = ctx.map.place(service, key)?.server.id ?? '';
     ctx.burn.add({ ...labels, objective: rule.objective, latencyMs, result, key, server });
   }
@@ -150,6 +156,11 @@
   return app;
 }
 
+/** True for a refusal that only the caller can mend; it burns no error budget. */
+function isCallersFault(routed: RoutedAnswer): boolean {
+  return routed.kind === 'refused' && familyOf(RESULT_CODES[routed.result]) === 'bad-request';
+}
+
 async function readBody(req: Request): Promise<Uint8Array> {
   if (req.method === 'GET' || req.method === 'HEAD') return new Uint8Array();
   return new Uint8Array(await req.arrayBuffer());
--- a/packages/daemon/src/lib/operations/config-operations.ts
+++ b/packages/daemon/src/lib/operations/config-operations.ts
@@ -46,6 +46,10 @@
     if (before !== undefined && before.shards !== config.shards) {
       problems.push(`the number of shards can't change from ${before.shards}`);
     }
+    if (config.pins.length > 0) problems.push('pins are not supported yet');
+    if (!config.checksOrders) {
+      problems.push('backend servers that do not check their orders are not supported yet');
+    }
     for (const { id } of config.backendServers) {
       const other = map.server(id)?.service.name;
       if (other !== undefined && other !== config.name) {
--- a/packages/daemon/src/lib/operations/history-operations.ts
+++ b/packages/daemon/src/lib/operations/history-operations.ts
@@ -16,7 +16,9 @@
       const events = all.filter(
         (it) => it.atMs >= since && (kind === undefined || it.kind === kind),
       );
-      return Promise.resolve(ok({ events, truncated: (all[0]?.atMs ?? 0) > since && since > 0 }));
+      return Promise.resolve(
+        ok({ events, truncated: node.journal.isTruncated() && (all[0]?.atMs ?? 0) > since }),
+      );
     },
     listQuarantine() {
       const entries = node.quarantine.list().map(({ service, fingerprint, expiresAtMs }) => ({
--- a/packages/ownership/src/lib/journal.ts
+++ b/packages/ownership/src/lib/journal.ts
@@ -14,6 +14,8 @@
   add(kind: EventKind, subject: EventSubject, message: string): void;
   /** Events, oldest first. */
   events(): readonly JournalEvent[];
+  /** True once the oldest events were dropped. */
+  isTruncated(): boolean;
 }
 
 const JOURNAL_LENGTH = 1_000;
@@ -21,13 +23,18 @@
 /** Creates a journal. `onEvent` hears of each event, for the log. */
 export function createJournal(router: string, onEvent: (event: JournalEvent) => void): Journal {
   const events: JournalEvent[] = [];
+  let isTruncated = false;
   return {
     add(kind, subject, message) {
       const event = { kind, atMs: Date.now(), router, ...subject, message };
       events.push(event);
-      if (events.length > JOURNAL_LENGTH) events.shift();
+      if (events.length > JOURNAL_LENGTH) {
+        events.shift();
+        isTruncated = true;
+      }
       onEvent(event);
     },
     events: () => events,
+    isTruncated: () => isTruncated,
   };
 }
--- a/packages/ownership/src/lib/keeper-manager.ts
+++ b/packages/ownership/src/lib/keeper-manager.ts
@@ -18,6 +18,11 @@
 /** Time after the start before first seats are claimed, so that peers are heard of. */
 const SETTLE_MS = 1_000;
 
+/** Time between two seats that a router gives to the router that ranks first for them. */
+const GIVE_BACK_EVERY_MS = 1_000;
+/** Time for which a router must have been live before it is given a seat that others hold. */
+const SETTLED_AFTER_MS = 5_000;
+
 /** Runs the sessions of the backend servers that this router keeps or stands by for. */
 export interface KeeperManager extends AsyncDisposable {
   session(server: string): KeeperSession | undefined;
@@ -46,6 +51,7 @@
   /** Keeper epochs that were claimed as a stranger: nothing is renewed under them for a tenure. */
   const strangerEpochs = new Map<string, number>();
   const startedAt = monotonicMs();
+  let giveBackAt = startedAt + SETTLED_AFTER_MS;
   const watch = ctx.map.onChange(wakeAll);
   const done = run();
 
@@ -59,10 +65,30 @@
       for (const service of ctx.map.services()) {
         for (const server of service.backendServers) look(service, server);
       }
+      giveBackOne();
       await bell.wait(CHECK_EVERY_MS, stopping.signal);
     }
   }
 
+  /** Gives one seat at a time to its first router, so that seats spread again after restarts. */
+  function giveBackOne(): void {
+    if (monotonicMs() < giveBackAt || !ctx.isTableUp()) return;
+    giveBackAt = monotonicMs() + GIVE_BACK_EVERY_MS;
+    for (const [serverId, session] of sessions) {
+      const heir = session.isActing() ? settledHeir(serverId) : undefined;
+      if (heir === undefined) continue;
+      void session.handOver(heir);
+      return;
+    }
+  }
+
+  function settledHeir(serverId: string): string | undefined {
+    const server = ctx.map.server(serverId)?.server;
+    const first = server && rankKeepers(ctx, server)[0]?.id;
+    const isSettled = first !== undefined && ctx.membership.liveForMs(first) >= SETTLED_AFTER_MS;
+    return isSettled ? first : undefined;
+  }
+
   function look(service: ServiceConfig, server: BackendServer): void {
     const row = ctx.map.keeper(server.id)?.value;
     const hasSeat = isOwnSeat(ctx, row?.acting) || isOwnSeat(ctx, row?.standby);
--- a/packages/ownership/src/lib/keeper-session.ts
+++ b/packages/ownership/src/lib/keeper-session.ts
@@ -1,5 +1,5 @@
 import type { BackendServer, ServiceConfig } from '@boragepoint/config';
-import type { LeaseAnswer, ShardEpoch } from '@boragepoint/platform';
+import { type LeaseAnswer, type ShardEpoch, abortAfter } from '@boragepoint/platform';
 import { type Result, err } from 'neverthrow';
 
 import type { StandDownAnswer } from './keeper-peers.js';
@@ -23,6 +23,8 @@
 const REPLACE_STANDBY_AFTER_MS = 1_000;
 /** Renewals without an answer after which a backend server may count as lost. */
 const GIVE_UP_AFTER_RENEWALS = 2;
+/** Longest time that handing a seat over may take; the table may be down. */
+const HAND_OVER_MS = 2_000;
 const MIN_RENEW_TIMEOUT_MS = 100;
 /** Time between two checks of the stored successors. */
 const SUCCESSORS_EVERY_MS = 1_000;
@@ -37,8 +39,8 @@
   standDown(): StandDownAnswer;
   /** Releases shards at the backend server and records their new owners. */
   moveAway(orders: readonly MoveOrder[], reason: string): Promise<Result<void, MoveError>>;
-  /** Gives the seat to the standby, for a graceful shutdown. */
-  handOver(): Promise<void>;
+  /** Gives the seat to the standby, for a graceful shutdown, or to the router named. */
+  handOver(to?: string): Promise<void>;
   /** Ends the present pause, since rows have changed. */
   wake(): void;
 }
@@ -252,16 +254,19 @@
       };
       return releaseAndMove(ctx, serverId, releases, orders, reason, onAdded, signal);
     },
-    async handOver() {
+    async handOver(to) {
       const now = present();
       const server = ctx.map.server(serverId)?.server;
       if (now?.held.isActing !== true || server === undefined) return;
       const { row, service } = now;
-      const heir = ctx.membership.live().find((it) => it.id === row.value.standby?.router);
+      const heirId = to ?? row.value.standby?.router;
+      const heir = ctx.membership.live().find((it) => it.id === heirId);
       if (heir === undefined) return;
       isHandingOver = true;
       const value = takeSeats(ctx, service.name, server, heir, row.value);
-      await ctx.writer.write([{ key: row.key, expectedVersion: row.version, value }], signal);
+      using limit = abortAfter(HAND_OVER_MS, signal);
+      await ctx.writer.write([{ key: row.key, expectedVersion: row.version, value }], limit.signal);
+      isHandingOver = false;
       ctx.peers.announce();
     },
     wake() {
--- a/packages/ownership/src/lib/membership.ts
+++ b/packages/ownership/src/lib/membership.ts
@@ -32,6 +32,8 @@
   /** Live routers that are not leaving, with this one unless it is leaving. */
   live(): RouterInstance[];
   isLive(id: string, incarnation?: string): boolean;
+  /** Time for which the router has been live without a gap, in milliseconds. */
+  liveForMs(id: string): number;
   /** Time since the router was last heard from, in milliseconds; `Infinity` when never. */
   silenceOf(id: string, incarnation: string): number;
   /** True when a peer was heard from within the time. */
@@ -47,6 +49,8 @@
 
 interface Heard {
   readonly router: RouterInstance;
+  /** When this start of the router was first heard from without a gap since. */
+  readonly since: number;
   at: number;
 }
 
@@ -102,7 +106,10 @@
       return self();
     },
     heardFrom(router) {
-      heard.set(router.id, { router, at: monotonicMs() });
+      const at = monotonicMs();
+      const known = heard.get(router.id);
+      const isSame = known?.router.incarnation === router.incarnation && isLive(router.id);
+      heard.set(router.id, { router, at, since: isSame ? known.since : at });
     },
     connectionLost(id) {
       const known = heard.get(id);
@@ -112,6 +119,10 @@
       instances = list;
     },
     peerAddresses: () => new Map(routersListed().map((it) => [it.id, it.address])),
+    liveForMs(id) {
+      const known = heard.get(id);
+      return known !== undefined && isLive(id) ? monotonicMs() - known.since : 0;
+    },
     heardWithin: (ms) => [...heard.keys()].filter((id) => silence(id) < ms),
     live() {
       const peers = [...heard.values()].map((it) => it.router);
--- a/packages/ownership/src/lib/table-sync.ts
+++ b/packages/ownership/src/lib/table-sync.ts
@@ -6,7 +6,7 @@
 import { ROW_PREFIXES } from './table-rows.js';
 
 /** Time between two reads of the table and of the instance list. */
-const POLL_EVERY_MS = 500;
+const POLL_EVERY_MS = 1_000;
 
 /** Reads the shared rows and the instance list again and again. */
 export interface TableSync extends AsyncDisposable {
