--- /dev/null
+++ b/packages/standin/src/lib/bench/balancer.ts
@@ -0,0 +1,39 @@
+import { sleep } from '../clock.js';
+import type { Fleet } from '../harness/fleet.js';
+
+const CHECK_EVERY_MS = 100;
+
+/** Stands in for the platform's balancer: names the routers that were ready at its last check. */
+export interface Balancer extends AsyncDisposable {
+  routers(): readonly string[];
+}
+
+/** Starts to check the routers of a fleet. */
+export function startBalancer(fleet: Fleet): Balancer {
+  const stopping = new AbortController();
+  let ready = fleet.routers.map((it) => it.callers);
+
+  async function check(): Promise<void> {
+    const checked = await Promise.all(
+      fleet.routers.map(async (it) => ({ address: it.callers, isReady: await it.isReady() })),
+    );
+    const now = checked.filter((it) => it.isReady).map((it) => it.address);
+    if (now.length > 0) ready = now;
+  }
+
+  async function checkAgainAndAgain(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      await check();
+      await sleep(CHECK_EVERY_MS, stopping.signal);
+    }
+  }
+
+  const running = checkAgainAndAgain();
+  return {
+    routers: () => ready,
+    async [Symbol.asyncDispose]() {
+      stopping.abort();
+      await running;
+    },
+  };
+}
--- /dev/null
+++ b/packages/standin/src/lib/bench/run-under-load.ts
@@ -0,0 +1,106 @@
+import { monotonicMs, sleep } from '../clock.js';
+import { BROWSE, CATALOGUE, KEY_NAMES, PAY, PLACES, mixedLoad } from '../demo/demo-plan.js';
+import type { Figure } from '../faults/fault-case.js';
+import { waitUntilServed } from '../faults/unserved-time.js';
+import { collectTrace, violationsOf } from '../harness/collect-trace.js';
+import type { Fleet, FleetPlan } from '../harness/fleet.js';
+import type { LoadPlan } from '../load/load-plan.js';
+import type { LoadResult } from '../load/load-result.js';
+import { startProbe, type Probe } from '../load/probe.js';
+import { runLoad } from '../load/run-load.js';
+import { createRandom, type Random } from '../random.js';
+import { startBalancer } from './balancer.js';
+import { round, type Emit } from './scenario.js';
+import { startConfigured } from './start-configured.js';
+
+const PROBE_EVERY_MS = 100;
+const REQUESTS_PER_SECOND = 50;
+const VIOLATIONS_SHOWN = 5;
+/** Time with load before anything is done to the fleet. */
+const BEFORE_MS = 2_000;
+
+/** Fleet that the scenarios with load start from: two routers and four servers in each zone. */
+const FLEET: FleetPlan = {
+  places: PLACES,
+  routers: 4,
+  logLevel: 'warn',
+  services: [{ config: CATALOGUE, backendServers: 8, backendArgs: ['--service-ms', '2'] }],
+};
+
+/** What is done to a fleet works with this. */
+export interface LoadedFleet {
+  readonly fleet: Fleet;
+  readonly probe: Probe;
+  readonly random: Random;
+}
+
+/** A measurement under load of both kinds. */
+export interface LoadedRun {
+  readonly seed: number;
+  /** Time for which requests are sent, in seconds. */
+  readonly seconds: number;
+  /** Changes to the usual load. */
+  readonly load?: Partial<LoadPlan>;
+  /** Does something to the fleet while requests run. */
+  bring(context: LoadedFleet): Promise<Figure[]>;
+}
+
+/** What came of it. */
+export interface LoadedResult {
+  readonly load: LoadResult;
+  readonly probe: Probe;
+  readonly figures: readonly Figure[];
+}
+
+/** Runs a load of both kinds and a probe of each key while something is done to the fleet. */
+export async function runUnderLoad(run: LoadedRun, emit: Emit): Promise<LoadedResult> {
+  await using fleet = await startConfigured(FLEET);
+  await using balancer = startBalancer(fleet);
+  const { seed } = run;
+  const routers = () => balancer.routers();
+  const probe = startProbe({
+    seed,
+    kind: BROWSE,
+    keys: KEY_NAMES,
+    everyMs: PROBE_EVERY_MS,
+    routers,
+  });
+  await waitUntilServed(probe, 1);
+  const requests = run.seconds * REQUESTS_PER_SECOND;
+  const plan = mixedLoad({ seed, requests, ratePerSecond: REQUESTS_PER_SECOND, routers });
+  const kinds = [BROWSE, { ...PAY, repeatShare: 0 }];
+  const loading = runLoad({ ...plan, kinds, ...run.load });
+  await sleep(BEFORE_MS);
+  const figures = await run.bring({ fleet, probe, random: createRandom(seed) });
+  const load = await loading;
+  await waitUntilServed(probe, monotonicMs());
+  await probe.stop();
+  printKinds(load, emit);
+  const trace = await collectTrace(fleet, [...load.attempts, ...probe.attempts]);
+  const violations = violationsOf(trace);
+  for (const message of violations.slice(0, VIOLATIONS_SHOWN)) emit('rules broken', { message });
+  const broken = { name: 'rules broken', value: violations.length, atMost: 0 };
+  return { load, probe, figures: [...figures, broken] };
+}
+
+function printKinds({ kinds }: LoadResult, emit: Emit): void {
+  for (const it of kinds) {
+    emit('requests by kind', {
+      kind: it.kind,
+      requests: it.requests,
+      ok: it.ok,
+      'not run': it.notRun,
+      unknown: it.unknown,
+      'no answer': it.lost,
+      attempts: it.attempts,
+      'p50 ms': round(it.p50Ms),
+      'p99 ms': round(it.p99Ms),
+      'max ms': round(it.maxMs),
+    });
+  }
+}
+
+/** Sums a count over all kinds of request. */
+export function total({ kinds }: LoadResult, count: 'requests' | 'attempts' | 'lost' | 'notRun') {
+  return kinds.reduce((sum, it) => sum + it[count], 0);
+}
--- a/packages/standin/src/lib/bench/scenarios.ts
+++ b/packages/standin/src/lib/bench/scenarios.ts
@@ -1,6 +1,17 @@
+import { crash, freeze, zone } from './loss-scenarios.js';
 import { overhead } from './overhead.js';
+import { routerRoll } from './router-roll.js';
 import type { Scenario } from './scenario.js';
 import { slopes } from './slopes.js';
+import { storeOutage } from './store-outage.js';
 
 /** All scenarios of the bench. */
-export const SCENARIOS: readonly Scenario[] = [slopes, overhead];
+export const SCENARIOS: readonly Scenario[] = [
+  slopes,
+  overhead,
+  routerRoll,
+  storeOutage,
+  crash,
+  freeze,
+  zone,
+];
--- /dev/null
+++ b/packages/standin/src/lib/bench/store-outage.ts
@@ -0,0 +1,57 @@
+import { monotonicMs, sleep } from '../clock.js';
+import { endingOf } from '../load/load-result.js';
+import type { AttemptRecord } from '../load/load-plan.js';
+import { runUnderLoad, type LoadedFleet } from './run-under-load.js';
+import { round, type Scenario } from './scenario.js';
+
+const DEFAULT_SECONDS = 40;
+const SECOND_MS = 1_000;
+/** Requests go on for this long before and after the outage together. */
+const AROUND_SECONDS = 5;
+const LEAST_SERVED = 0.999;
+
+function shareOf(attempts: readonly AttemptRecord[], ending: ReturnType<typeof endingOf>): number {
+  const those = attempts.filter((it) => endingOf(it) === ending);
+  return round(those.length / Math.max(1, attempts.length));
+}
+
+/** The table is down while requests of both kinds run; callers don't try again. */
+export const storeOutage: Scenario = {
+  name: 'store-outage',
+  about: 'what is served, refused and unknown while the table is down',
+  async run({ seed, seconds }, emit) {
+    const outage = seconds ?? DEFAULT_SECONDS;
+    const span = { from: 0, to: 0 };
+    const bring = async ({ fleet }: LoadedFleet) => {
+      span.from = monotonicMs();
+      await fleet.controlPlatform({ down: 'refuse' });
+      await sleep(outage * SECOND_MS);
+      await fleet.controlPlatform({ down: 'no' });
+      span.to = monotonicMs();
+      return [];
+    };
+    const run = { seed, seconds: outage + AROUND_SECONDS, load: { attempts: 1 }, bring };
+    const { load, figures } = await runUnderLoad(run, emit);
+    const inSpan = load.attempts.filter((it) => {
+      const dueAt = it.at - it.latencyMs;
+      return dueAt >= span.from && dueAt < span.to;
+    });
+    const browse = inSpan.filter((it) => it.kind === 'browse');
+    const pay = inSpan.filter((it) => it.kind === 'pay');
+    for (const [kind, attempts] of Object.entries({ browse, pay })) {
+      emit('requests during the outage', {
+        kind,
+        requests: attempts.length,
+        served: shareOf(attempts, 'ok'),
+        refused: shareOf(attempts, 'notRun'),
+        unknown: shareOf(attempts, 'unknown'),
+        'no answer': shareOf(attempts, 'lost'),
+      });
+    }
+    return [
+      ...figures,
+      { name: 'idempotent served', value: shareOf(browse, 'ok'), atLeast: LEAST_SERVED },
+      { name: 'without any answer', value: shareOf(inSpan, 'lost'), atMost: 0 },
+    ];
+  },
+};
