--- a/packages/routing/src/lib/dispatch/keeper-run.ts
+++ b/packages/routing/src/lib/dispatch/keeper-run.ts
@@ -68,7 +68,16 @@
   return refusal(nameOf(result.code), result.message, result.retryAfterMs);
 }
 
-/** Sends a request to the owner once and follows it to its end, past the caller's deadline. */
+/**
+ * How long an attempt is followed: a non-idempotent one past the caller's deadline and whether the
+ * caller waits or not, so that a repeat gets its answer.
+ */
+function limitsOf({ rule, signal, deadlineAt }: RoutedRequest) {
+  if (rule.idempotent) return { signal, endAt: deadlineAt };
+  return { signal: new AbortController().signal, endAt: deadlineAt + RUN_PAST_DEADLINE_MS };
+}
+
+/** Sends a request to the owner once. */
 async function dispatchOnce(
   ctx: KeeperRunContext,
   req: RoutedRequest,
@@ -84,8 +93,7 @@
     req,
     fingerprint,
     placement,
-    signal: new AbortController().signal,
-    endAt: req.deadlineAt + RUN_PAST_DEADLINE_MS,
+    ...limitsOf(req),
   });
   if (attempted.isOk()) return toDispatchOutcome(attempted.value);
   const { result, message, retryAfterMs } = attempted.error;
