--- a/packages/standin/src/lib/faults/payment-faults.ts
+++ b/packages/standin/src/lib/faults/payment-faults.ts
@@ -13,7 +13,7 @@
 const TABLE_DELAY_MS = 400;
 const SLOW_FACTOR = 20;
 const LOST_SHARE = 0.3;
-const WRONG_ANSWERS = 3;
+const WRONG_ANSWERS = 40;
 const MAX_SEED = 1_000_000;
 
 /** What the faults work with. */
