--- a/packages/ownership/src/lib/keeper-manager.ts
+++ b/packages/ownership/src/lib/keeper-manager.ts
@@ -18,6 +18,11 @@
 /** Time after the start before first seats are claimed, so that peers are heard of. */
 const SETTLE_MS = 1_000;
 
+/** Time between two seats that a router gives to the router that ranks first for them. */
+const GIVE_BACK_EVERY_MS = 1_000;
+/** Time for which a router must have been live before it is given a seat that others hold. */
+const SETTLED_AFTER_MS = 5_000;
+
 /** Runs the sessions of the backend servers that this router keeps or stands by for. */
 export interface KeeperManager extends AsyncDisposable {
   session(server: string): KeeperSession | undefined;
@@ -43,7 +48,10 @@
   const vacantSince = new Map<string, number>();
   const promises = new Map<string, { readonly epoch: number; readonly until: number }>();
   const claiming = new Set<string>();
+  /** Keeper epochs that were claimed as a stranger: nothing is renewed under them for a tenure. */
+  const strangerEpochs = new Map<string, number>();
   const startedAt = monotonicMs();
+  let giveBackAt = startedAt + SETTLED_AFTER_MS;
   const watch = ctx.map.onChange(wakeAll);
   const done = run();
 
@@ -57,15 +65,36 @@
       for (const service of ctx.map.services()) {
         for (const server of service.backendServers) look(service, server);
       }
+      giveBackOne();
       await bell.wait(CHECK_EVERY_MS, stopping.signal);
     }
   }
 
+  /** Gives one seat at a time to its first router, so that seats spread again after restarts. */
+  function giveBackOne(): void {
+    if (monotonicMs() < giveBackAt || !ctx.isTableUp()) return;
+    giveBackAt = monotonicMs() + GIVE_BACK_EVERY_MS;
+    for (const [serverId, session] of sessions) {
+      const heir = session.isActing() ? settledHeir(serverId) : undefined;
+      if (heir === undefined) continue;
+      void session.handOver(heir);
+      return;
+    }
+  }
+
+  function settledHeir(serverId: string): string | undefined {
+    const server = ctx.map.server(serverId)?.server;
+    const first = server && rankKeepers(ctx, server)[0]?.id;
+    const isSettled = first !== undefined && ctx.membership.liveForMs(first) >= SETTLED_AFTER_MS;
+    return isSettled ? first : undefined;
+  }
+
   function look(service: ServiceConfig, server: BackendServer): void {
     const row = ctx.map.keeper(server.id)?.value;
     const hasSeat = isOwnSeat(ctx, row?.acting) || isOwnSeat(ctx, row?.standby);
     if (hasSeat && !sessions.has(server.id)) {
-      sessions.set(server.id, createKeeperSession(ctx, server.id));
+      const isStrangerEpoch = (epoch: number) => strangerEpochs.get(server.id) === epoch;
+      sessions.set(server.id, createKeeperSession(ctx, server.id, isStrangerEpoch));
     }
     if (isVacant(row)) considerClaim(service, server, row);
     else vacantSince.delete(server.id);
@@ -82,12 +111,14 @@
     return promise?.epoch === row?.acting.epoch && monotonicMs() < (promise?.until ?? 0);
   }
 
-  /** True when the acting keeper may not know this router, so that it could not have asked it. */
+  /**
+   * True when the acting keeper may not know this router, so that it would not ask it for a promise
+   * before it moves shards without a record.
+   */
   function isStranger(row: KeeperRow | undefined, service: ServiceConfig): boolean {
     if (row === undefined) return false;
     const { router, incarnation } = row.acting;
-    if (Number.isFinite(ctx.membership.silenceOf(router, incarnation))) return false;
-    return monotonicMs() < startedAt + tenureEndMs(service.lease);
+    return ctx.membership.silenceOf(router, incarnation) > service.lease.tenureMs;
   }
 
   function considerClaim(
@@ -100,7 +131,7 @@
     vacantSince.set(server.id, since);
     const rank = rankKeepers(ctx, server).findIndex((it) => it.id === ctx.membership.self.id);
     if (rank < 0 || now < since + rank * CLAIM_STEP_MS) return;
-    if (hasPromised(server.id, row) || isStranger(row, service) || !ctx.isTableUp()) return;
+    if (hasPromised(server.id, row) || !ctx.isTableUp()) return;
     if (!claiming.has(server.id)) void claim(service, server);
   }
 
@@ -108,6 +139,7 @@
     claiming.add(server.id);
     const row = ctx.map.keeper(server.id);
     const value = takeSeats(ctx, service.name, server, ctx.membership.self, row?.value);
+    if (isStranger(row?.value, service)) strangerEpochs.set(server.id, value.acting.epoch);
     const change = { key: keeperKey(server.id), expectedVersion: row?.version ?? 0, value };
     const written = await ctx.writer.write([change], stopping.signal);
     if (written.isErr()) await ctx.writer.refresh([change.key]);
--- a/packages/routing/src/lib/admission/waiting-room.ts
+++ b/packages/routing/src/lib/admission/priority-queue.ts
@@ -9,12 +9,12 @@
 /** A request that waits for admission. @internal */
 export interface WaitingRequest extends FairItem {
   readonly priority: Priority;
-  /** Answers the request, once it has left the room. */
+  /** Answers the request, once it has left the queue. */
   settle(result: Result<Permit, AdmissionRefusal>): void;
 }
 
 /** Waiting requests of all priorities. @internal */
-export class WaitingRoom {
+export class PriorityQueue {
   readonly #queues: Readonly<Record<Priority, FairQueue<WaitingRequest>>> = {
     high: new FairQueue(),
     normal: new FairQueue(),
@@ -27,6 +27,12 @@
     return this.#size;
   }
 
+  /** True when no request of this or a higher priority waits. */
+  isFirst(priority: Priority): boolean {
+    const ahead = PRIORITIES.slice(0, PRIORITIES.indexOf(priority) + 1);
+    return ahead.every((it) => this.#queues[it].size === 0);
+  }
+
   push(req: WaitingRequest): void {
     this.#queues[req.priority].push(req);
     this.#size += 1;
--- a/packages/routing/src/test/admission-queue_test.ts
+++ b/packages/routing/src/test/admission-queue_test.ts
@@ -15,10 +15,10 @@
 const SERVICE_MS = 10;
 const LATENCY = { kind: 'ok', latencyMs: SERVICE_MS } as const;
 
-function setUp(options: { maxWaiting?: number } = {}) {
+function setUp({ liveRouters = 200, maxWaiting = 1_024 } = {}) {
   const clock = new FakeClock();
-  const limiter = createServerLimiter({ clock, connections: 130, liveRouters: 200 });
-  const queue = createAdmissionQueue({ clock, limiter, ...options });
+  const limiter = createServerLimiter({ clock, connections: 130, liveRouters });
+  const queue = createAdmissionQueue({ clock, limiter, maxWaiting });
   return { clock, limiter, queue };
 }
 
@@ -81,6 +81,30 @@
   expect(served >= 9).toEqual(true);
 });
 
+test('a stream of new callers does not starve a caller with a queue', async () => {
+  const { clock, queue } = setUp();
+  const recorder = new Recorder();
+  const req = { priority: 'normal', deadlineAt: 100_000 } as const;
+  for (let i = 0; i < 40; i += 1) void recorder.admit('batch', queue, { ...req, caller: 'a' });
+  for (let i = 0; i < 40; i += 1) void recorder.admit('new', queue, { ...req, caller: `${i}` });
+  await recorder.serve(clock, 40);
+  const batch = recorder.admitted.filter((it) => it === 'batch').length;
+  expect(batch >= 15 && batch <= 25).toEqual(true);
+});
+
+test('a payment need not wait for the request that runs, but a second payment does', async () => {
+  const { queue } = setUp({ liveRouters: 20 });
+  const recorder = new Recorder();
+  const req = { caller: 'a', deadlineAt: 10_000 } as const;
+  for (let i = 0; i < 10; i += 1) {
+    void recorder.admit('browsing', queue, { ...req, priority: 'normal' });
+  }
+  for (let i = 0; i < 2; i += 1)
+    void recorder.admit('payment', queue, { ...req, priority: 'high' });
+  await settle();
+  expect(recorder.admitted.filter((it) => it === 'payment').length).toEqual(1);
+});
+
 test('payments go before browsing, and browsing keeps its guaranteed share', async () => {
   const { clock, queue } = setUp();
   const recorder = new Recorder();
--- a/packages/standin/src/lib/faults/cases.ts
+++ b/packages/standin/src/lib/faults/cases.ts
@@ -1,4 +1,5 @@
 import { crashPayment, crashPaymentRepeated, crashRequest } from './crash-cases.js';
+import { drainKeeperPaused, ownerKilledKeeperPaused } from './double-cases.js';
 import type { FaultCase } from './fault-case.js';
 import { keeperFrozen, keeperKilled } from './keeper-cases.js';
 import { drain, operatorsRace } from './operator-cases.js';
@@ -18,6 +19,8 @@
   drain,
   operatorsRace,
   routerPartitioned,
+  ownerKilledKeeperPaused,
+  drainKeeperPaused,
   storeDown,
   payments,
   crashRequest,
