End requests in flight when a router stops

Disposal of the links waited for requests that are followed up to 60 s past their deadline; with a backend server that never answers it does not end in that time. Change: requests in flight get 1 s, then their outcome is recorded as unknown.

--- a/packages/routing/src/lib/dispatch/keeper-run.ts
+++ b/packages/routing/src/lib/dispatch/keeper-run.ts
@@ -72,9 +72,9 @@
  * How long an attempt is followed: a non-idempotent one past the caller's deadline and whether the
  * caller waits or not, so that a repeat gets its answer.
  */
-function limitsOf({ rule, signal, deadlineAt }: RoutedRequest) {
+function limitsOf(ctx: KeeperRunContext, { rule, signal, deadlineAt }: RoutedRequest) {
   if (rule.idempotent) return { signal, endAt: deadlineAt };
-  return { signal: new AbortController().signal, endAt: deadlineAt + RUN_PAST_DEADLINE_MS };
+  return { signal: ctx.links.closing, endAt: deadlineAt + RUN_PAST_DEADLINE_MS };
 }
 
 /** Sends a request to the owner once. */
@@ -93,7 +93,7 @@
     req,
     fingerprint,
     placement,
-    ...limitsOf(req),
+    ...limitsOf(ctx, req),
   });
   if (attempted.isOk()) return toDispatchOutcome(attempted.value);
   const { result, message, retryAfterMs } = attempted.error;
--- a/packages/routing/src/lib/dispatch/server-links.ts
+++ b/packages/routing/src/lib/dispatch/server-links.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 import type { BackendServer } from '@boragepoint/config';
 import { Pool } from 'undici';
 
@@ -12,6 +14,8 @@
 
 const CONNECT_TIMEOUT_MS = 500;
 const KEEP_ALIVE_MS = 30_000;
+/** Time that requests in flight get to end when the links are disposed of. */
+const LAST_ANSWERS_MS = 1_000;
 
 /** This router's connections to one backend server and the queue in front of them. */
 export interface ServerLink {
@@ -27,11 +31,16 @@
   /** Adjusts the shares of the servers' connections. */
   setLiveRouters(count: number): void;
   all(): ReadonlyMap<string, ServerLink>;
+  /** Aborts when requests in flight must end because the links are disposed of. */
+  readonly closing: AbortSignal;
 }
 
 /** Creates an empty set of links. */
 export function createServerLinks(clock: Clock): ServerLinks {
   const links = new Map<string, ServerLink>();
+  const closing = new AbortController();
+  // Every request that is followed past its deadline listens.
+  setMaxListeners(0, closing.signal);
   let liveRouters = 1;
 
   function open(server: BackendServer): ServerLink {
@@ -69,8 +78,13 @@
       }
     },
     all: () => links,
+    closing: closing.signal,
     async [Symbol.asyncDispose]() {
+      const limit = setTimeout(() => {
+        closing.abort();
+      }, LAST_ANSWERS_MS);
       await Promise.all([...links.values()].map(close));
+      clearTimeout(limit);
     },
   };
 }
