--- a/packages/standin/src/lib/bench/store-outage.ts
+++ b/packages/standin/src/lib/bench/store-outage.ts
@@ -1,4 +1,5 @@
 import { monotonicMs, sleep } from '../clock.js';
+import { groupBy } from '../group-by.js';
 import { endingOf } from '../load/load-result.js';
 import type { AttemptRecord } from '../load/load-plan.js';
 import { runUnderLoad, type LoadedFleet } from './run-under-load.js';
@@ -15,6 +16,12 @@
   return round(those.length / Math.max(1, attempts.length));
 }
 
+/** Lists result codes with their counts, `CODE:COUNT`. */
+function countCodes(attempts: readonly AttemptRecord[]): string {
+  const byCode = groupBy(attempts, (it) => it.code);
+  return [...byCode].map(([code, those]) => `${code}:${those.length}`).join(' ');
+}
+
 /** The table is down while requests of both kinds run; callers don't try again. */
 export const storeOutage: Scenario = {
   name: 'store-outage',
@@ -46,6 +53,7 @@
         refused: shareOf(attempts, 'notRun'),
         unknown: shareOf(attempts, 'unknown'),
         'no answer': shareOf(attempts, 'lost'),
+        'attempts by result code': countCodes(attempts),
       });
     }
     return [
