--- a/packages/ownership/src/lib/keeper-manager.ts
+++ b/packages/ownership/src/lib/keeper-manager.ts
@@ -17,6 +17,11 @@
 const CLAIM_STEP_MS = 400;
 /** Time after the start before first seats are claimed, so that peers are heard of. */
 const SETTLE_MS = 1_000;
+/**
+ * Time after the table came back before seats are claimed: a router that was cut off reads the table
+ * again before it hears its peers, and would take them for lost.
+ */
+const TABLE_BACK_MS = 500;
 
 /** Time between two seats that a router gives to the router that ranks first for them. */
 const GIVE_BACK_EVERY_MS = 1_000;
@@ -51,6 +56,7 @@
   /** Keeper epochs that were claimed as a stranger: nothing is renewed under them for a tenure. */
   const strangerEpochs = new Map<string, number>();
   const startedAt = monotonicMs();
+  let tableDownAt = -Infinity;
   let giveBackAt = startedAt + SETTLED_AFTER_MS;
   const watch = ctx.map.onChange(wakeAll);
   const done = run();
@@ -62,6 +68,7 @@
 
   async function run(): Promise<void> {
     while (!stopping.signal.aborted) {
+      if (!ctx.isTableUp()) tableDownAt = monotonicMs();
       for (const service of ctx.map.services()) {
         for (const server of service.backendServers) look(service, server);
       }
@@ -131,7 +138,7 @@
     vacantSince.set(server.id, since);
     const rank = rankKeepers(ctx, server).findIndex((it) => it.id === ctx.membership.self.id);
     if (rank < 0 || now < since + rank * CLAIM_STEP_MS) return;
-    if (hasPromised(server.id, row) || !ctx.isTableUp()) return;
+    if (hasPromised(server.id, row) || now < tableDownAt + TABLE_BACK_MS) return;
     if (!claiming.has(server.id)) void claim(service, server);
   }
 
