Free keepers that wait for one another, record moves that a lost keeper left

Two ways to stay stuck were found by reading: a standby that stepped in and then stood down at the keeper's own request leaves the keeper refused by the server, waiting for a row that the standby may not write; and a move without a record whose keeper died blocks every later move of that shard. Ruled out: the ledger (no request ran, none was answered from it). Change: a refused keeper takes new epochs after 1 s without a change of its row; the acting keeper of the former owner records such moves.

--- a/packages/ownership/src/lib/keeper-session.ts
+++ b/packages/ownership/src/lib/keeper-session.ts
@@ -15,6 +15,7 @@
 import { tenureEndMs } from './silence-proof.js';
 import { releaseAndMove } from './shard-release.js';
 import { keepSuccessors } from './successor-upkeep.js';
+import { recordLeftMoves } from './left-moves.js';
 import { type KeeperRow, keeperKey } from './table-rows.js';
 
 /** Share of the lease after which an unanswered backend server counts as lost. */
@@ -95,7 +96,8 @@
   function reclaimSeat(): void {
     const row = ctx.map.keeper(serverId);
     const found = ctx.map.server(serverId);
-    if (row === undefined || found === undefined || !seats.mustReclaim(row.value)) return;
+    if (row === undefined || found === undefined) return;
+    if (!seats.mustReclaim(row.value)) return;
     const { service, server } = found;
     writeSeats(row, takeSeats(ctx, service.name, server, ctx.membership.self, row.value));
   }
@@ -218,9 +220,11 @@
     const isDue = monotonicMs() >= successorsDueAt;
     if (!isDue || upkeep !== undefined || !ctx.isTableUp()) return;
     successorsDueAt = monotonicMs() + SUCCESSORS_EVERY_MS;
-    upkeep = keepSuccessors(ctx, service, serverId, row, signal).finally(() => {
-      upkeep = undefined;
-    });
+    upkeep = recordLeftMoves(ctx, service, serverId, row, signal)
+      .then(() => keepSuccessors(ctx, service, serverId, row, signal))
+      .finally(() => {
+        upkeep = undefined;
+      });
   }
 
   /** The seat held now, with its service. */
--- a/packages/ownership/src/lib/seat-holder.ts
+++ b/packages/ownership/src/lib/seat-holder.ts
@@ -9,6 +9,9 @@
 /** Silence of the acting keeper after which its standby steps in, in milliseconds. */
 export const STEP_IN_AFTER_MS = 350;
 
+/** Time that a standby which stepped in has to enter the row, in milliseconds. */
+const RECLAIM_AFTER_MS = 1_000;
+
 /** A seat under which this router renews a backend server. */
 export interface HeldSeat {
   readonly seat: KeeperSeat;
@@ -36,7 +39,8 @@
   noteRefused(): void;
   /**
    * True while the row names this router although the backend server refuses it, and the standby that
-   * stepped in is out of reach: it can't enter the row, so this router must take new epochs.
+   * stepped in does not enter the row: it is out of reach, or has stood down since. This router must
+   * take new epochs then.
    */
   mustReclaim(row: KeeperRow): boolean;
   /** Stands down from the standby's seat. */
@@ -50,6 +54,7 @@
   let stoodDownEpoch = 0;
   let steppedInEpoch = 0;
   let refusedEpoch = 0;
+  let refusedAt = 0;
   let mayHaveMoved = false;
 
   function ownSeat(row: KeeperRow): KeeperSeat | undefined {
@@ -107,9 +112,11 @@
     },
     noteRefused() {
       refusedEpoch = held?.seat.epoch ?? 0;
+      refusedAt = monotonicMs();
     },
     mustReclaim({ acting, standby }) {
       if (!isOwnSeat(ctx, acting) || refusedEpoch < acting.epoch) return false;
+      if (monotonicMs() > refusedAt + RECLAIM_AFTER_MS) return true;
       return standby === undefined || !ctx.membership.isLive(standby.router, standby.incarnation);
     },
     standDown() {
