--- a/packages/ownership/src/lib/keeper-session.ts
+++ b/packages/ownership/src/lib/keeper-session.ts
@@ -1,5 +1,5 @@
 import type { BackendServer, ServiceConfig } from '@boragepoint/config';
-import type { LeaseAnswer, ShardEpoch } from '@boragepoint/platform';
+import { type LeaseAnswer, type ShardEpoch, abortAfter } from '@boragepoint/platform';
 import { type Result, err } from 'neverthrow';
 
 import type { StandDownAnswer } from './keeper-peers.js';
@@ -12,6 +12,7 @@
 import { type HeldSeat, STEP_IN_AFTER_MS, createSeatHolder } from './seat-holder.js';
 import { createServerRecovery } from './server-recovery.js';
 import { MoveError } from './shard-mover.js';
+import { tenureEndMs } from './silence-proof.js';
 import { releaseAndMove } from './shard-release.js';
 import { keepSuccessors } from './successor-upkeep.js';
 import { type KeeperRow, keeperKey } from './table-rows.js';
@@ -20,6 +21,10 @@
 const GIVE_UP_SHARE = 0.5;
 /** Time without a standby's heartbeat after which another router takes its seat. */
 const REPLACE_STANDBY_AFTER_MS = 1_000;
+/** Renewals without an answer after which a backend server may count as lost. */
+const GIVE_UP_AFTER_RENEWALS = 2;
+/** Longest time that handing a seat over may take; the table may be down. */
+const HAND_OVER_MS = 2_000;
 const MIN_RENEW_TIMEOUT_MS = 100;
 /** Time between two checks of the stored successors. */
 const SUCCESSORS_EVERY_MS = 1_000;
@@ -34,8 +39,8 @@
   standDown(): StandDownAnswer;
   /** Releases shards at the backend server and records their new owners. */
   moveAway(orders: readonly MoveOrder[], reason: string): Promise<Result<void, MoveError>>;
-  /** Gives the seat to the standby, for a graceful shutdown. */
-  handOver(): Promise<void>;
+  /** Gives the seat to the standby, for a graceful shutdown, or to the router named. */
+  handOver(to?: string): Promise<void>;
   /** Ends the present pause, since rows have changed. */
   wake(): void;
 }
@@ -48,8 +53,16 @@
   readonly server: BackendServer;
 }
 
-/** Creates the task and starts it. It ends when it is disposed of. */
-export function createKeeperSession(ctx: OwnershipContext, serverId: string): KeeperSession {
+/**
+ * Creates the task and starts it. It ends when it is disposed of.
+ * @param isStrangerEpoch True for a seat that this router claimed although the keeper before it may
+ *   not know of it; the tenure is waited out before it is used.
+ */
+export function createKeeperSession(
+  ctx: OwnershipContext,
+  serverId: string,
+  isStrangerEpoch: (keeperEpoch: number) => boolean,
+): KeeperSession {
   const stopping = new AbortController();
   const { signal } = stopping;
   const bell = createBell();
@@ -59,12 +72,14 @@
   let seatWrite: Promise<void> | undefined;
   let upkeep: Promise<void> | undefined;
   let successorsDueAt = 0;
+  let isHandingOver = false;
   const done = run();
 
   async function run(): Promise<void> {
     while (!signal.aborted) {
       const turn = nextTurn();
       if (turn !== undefined) await takeTurn(turn);
+      else reclaimSeat();
       const restMs = turn?.service.lease.renewEveryMs ?? STEP_IN_AFTER_MS / 4;
       await bell.wait(restMs, signal);
     }
@@ -77,10 +92,18 @@
     return row && held && found && { row, held, ...found };
   }
 
+  function reclaimSeat(): void {
+    const row = ctx.map.keeper(serverId);
+    const found = ctx.map.server(serverId);
+    if (row === undefined || found === undefined || !seats.mustReclaim(row.value)) return;
+    const { service, server } = found;
+    writeSeats(row, takeSeats(ctx, service.name, server, ctx.membership.self, row.value));
+  }
+
   /** Renews once, then sees to the seats or the stored successors. */
   async function takeTurn(turn: Turn): Promise<void> {
     const { row, held, service, server } = turn;
-    if (!withinTenure(service)) return;
+    if (!withinTenure(service) || mustWait(held, service)) return;
     await renewOnce(turn);
     if (!held.isActing) claimSeat(turn);
     else if (needsNewSeats(turn)) {
@@ -88,6 +111,10 @@
     } else refreshSuccessors(turn);
   }
 
+  function mustWait({ seat, since }: HeldSeat, service: ServiceConfig): boolean {
+    return isStrangerEpoch(seat.epoch) && monotonicMs() < since + tenureEndMs(service.lease);
+  }
+
   function withinTenure(service: ServiceConfig): boolean {
     return monotonicMs() < ctx.lastTableReadAt() + service.lease.tenureMs;
   }
@@ -145,7 +172,7 @@
 
   async function considerLoss(turn: Turn): Promise<void> {
     const { row, held, service } = turn;
-    if (!held.isActing || !isSilent(turn)) return;
+    if (!held.isActing || isHandingOver || !isSilent(turn)) return;
     await recovery.moveFromLostServer(row, service, questionOf(turn));
   }
 
@@ -154,7 +181,9 @@
     return { server: serverId, row: row.value, lease: service.lease, renewer, seatedAt: since };
   }
 
+  /** One unanswered renewal is not enough: it may have timed out because this router stalled. */
   function isSilent({ held, service }: Pick<Turn, 'held' | 'service'>): boolean {
+    if (held.renewer.unanswered() < GIVE_UP_AFTER_RENEWALS) return false;
     return monotonicMs() - held.renewer.lastAnswerAt() > service.lease.leaseMs * GIVE_UP_SHARE;
   }
 
@@ -225,15 +254,19 @@
       };
       return releaseAndMove(ctx, serverId, releases, orders, reason, onAdded, signal);
     },
-    async handOver() {
+    async handOver(to) {
       const now = present();
       const server = ctx.map.server(serverId)?.server;
       if (now?.held.isActing !== true || server === undefined) return;
       const { row, service } = now;
-      const heir = ctx.membership.live().find((it) => it.id === row.value.standby?.router);
+      const heirId = to ?? row.value.standby?.router;
+      const heir = ctx.membership.live().find((it) => it.id === heirId);
       if (heir === undefined) return;
+      isHandingOver = true;
       const value = takeSeats(ctx, service.name, server, heir, row.value);
-      await ctx.writer.write([{ key: row.key, expectedVersion: row.version, value }], signal);
+      using limit = abortAfter(HAND_OVER_MS, signal);
+      await ctx.writer.write([{ key: row.key, expectedVersion: row.version, value }], limit.signal);
+      isHandingOver = false;
       ctx.peers.announce();
     },
     wake() {
--- a/packages/ownership/src/lib/membership.ts
+++ b/packages/ownership/src/lib/membership.ts
@@ -16,7 +16,7 @@
 }
 
 /** Which routers are live: the instance list joined with the heartbeats. */
-export interface Membership {
+export interface Membership extends Disposable {
   /** This router itself. */
   readonly self: RouterInstance;
   /** Notes that a router was heard from. */
@@ -27,9 +27,13 @@
   listed(instances: readonly InstanceRecord[]): void;
   /** Peers to send heartbeats to: id to address of the peer listener. */
   peerAddresses(): Map<string, string>;
+  /** Routers heard from within the time, live or not. */
+  heardWithin(ms: number): string[];
   /** Live routers that are not leaving, with this one unless it is leaving. */
   live(): RouterInstance[];
   isLive(id: string, incarnation?: string): boolean;
+  /** Time for which the router has been live without a gap, in milliseconds. */
+  liveForMs(id: string): number;
   /** Time since the router was last heard from, in milliseconds; `Infinity` when never. */
   silenceOf(id: string, incarnation: string): number;
   /** True when a peer was heard from within the time. */
@@ -40,14 +44,41 @@
   leavingServers(): ReadonlySet<string>;
 }
 
+/** Time between two checks whether this process was stalled. */
+const STALL_CHECK_MS = 50;
+
 interface Heard {
   readonly router: RouterInstance;
+  /** When this start of the router was first heard from without a gap since. */
+  readonly since: number;
   at: number;
 }
 
+/**
+ * Tells of times in which this process did not run: silence that it did not hear itself does not
+ * count against its peers.
+ */
+function watchStalls(onStall: (ms: number) => void): Disposable {
+  let dueAt = monotonicMs() + STALL_CHECK_MS;
+  const timer = setInterval(() => {
+    const lateMs = monotonicMs() - dueAt;
+    if (lateMs > STALL_CHECK_MS) onStall(lateMs);
+    dueAt = monotonicMs() + STALL_CHECK_MS;
+  }, STALL_CHECK_MS);
+  return {
+    [Symbol.dispose]() {
+      clearInterval(timer);
+    },
+  };
+}
+
 /** Creates the membership view of one router. */
 export function createMembership(me: Omit<RouterInstance, 'leaving'>): Membership {
   const heard = new Map<string, Heard>();
+  const stalls = watchStalls((ms) => {
+    const now = monotonicMs();
+    for (const it of heard.values()) it.at = Math.min(now, it.at + ms);
+  });
   let instances: readonly InstanceRecord[] = [];
   let leaving = false;
 
@@ -75,7 +106,10 @@
       return self();
     },
     heardFrom(router) {
-      heard.set(router.id, { router, at: monotonicMs() });
+      const at = monotonicMs();
+      const known = heard.get(router.id);
+      const isSame = known?.router.incarnation === router.incarnation && isLive(router.id);
+      heard.set(router.id, { router, at, since: isSame ? known.since : at });
     },
     connectionLost(id) {
       const known = heard.get(id);
@@ -85,11 +119,19 @@
       instances = list;
     },
     peerAddresses: () => new Map(routersListed().map((it) => [it.id, it.address])),
+    liveForMs(id) {
+      const known = heard.get(id);
+      return known !== undefined && isLive(id) ? monotonicMs() - known.since : 0;
+    },
+    heardWithin: (ms) => [...heard.keys()].filter((id) => silence(id) < ms),
     live() {
       const peers = [...heard.values()].map((it) => it.router);
       return [self(), ...peers].filter((it) => !it.leaving && isLive(it.id));
     },
     isLive,
+    [Symbol.dispose]() {
+      stalls[Symbol.dispose]();
+    },
     silenceOf(id, incarnation) {
       const known = heard.get(id);
       return known?.router.incarnation === incarnation ? silence(id) : Infinity;
