Reserve ports outside the range of outgoing connections

Cause: a reserved port came from the system's own range, so that an outgoing connection could take it before its server listened: one demo ended with EADDRINUSE at its third router. Change: ports are picked at random from 16000 to 31999 and tried. Conclusion: another fleet on the host may still pick the same port in the same moment; that is one chance in thousands.

--- a/packages/standin/src/lib/harness/free-ports.ts
+++ b/packages/standin/src/lib/harness/free-ports.ts
@@ -1,21 +1,45 @@
-import { createServer, type AddressInfo } from 'node:net';
+import { randomInt } from 'node:crypto';
+import { createServer, type Server } from 'node:net';
 
 const LOOPBACK = '127.0.0.1';
+/**
+ * Reserved ports lie below those that systems give to outgoing connections; else a connection could
+ * take a port before its server listens, or while its server is restarted.
+ */
+const FIRST_PORT = 16_000;
+const END_PORT = 32_000;
+const TRIES = 100;
+
+interface Reservation {
+  readonly port: number;
+  readonly server: Server;
+}
+
+async function tryPort(port: number): Promise<Reservation | undefined> {
+  const server = createServer();
+  return await new Promise((resolve) => {
+    server.once('error', () => {
+      resolve(undefined);
+    });
+    server.listen(port, LOOPBACK, () => {
+      resolve({ port, server });
+    });
+  });
+}
+
+async function reserve(): Promise<Reservation> {
+  for (let i = 0; i < TRIES; i += 1) {
+    const reservation = await tryPort(randomInt(FIRST_PORT, END_PORT));
+    if (reservation !== undefined) return reservation;
+  }
+  throw new Error(`no free port from ${FIRST_PORT} to ${END_PORT} in ${TRIES} tries`);
+}
 
 /** Reserves free TCP ports of the loopback address and returns their addresses. */
 export async function reserveAddresses(count: number): Promise<string[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const listening = servers.map(
-    (server) =>
-      new Promise<void>((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(0, LOOPBACK, resolve);
-      }),
-  );
-  await Promise.all(listening);
-  const addresses = servers.map((it) => `${LOOPBACK}:${(it.address() as AddressInfo).port}`);
-  await Promise.all(servers.map((it) => new Promise((resolve) => it.close(resolve))));
-  return addresses;
+  const reserved = await Promise.all(Array.from({ length: count }, reserve));
+  await Promise.all(reserved.map(({ server }) => new Promise((done) => server.close(done))));
+  return reserved.map(({ port }) => `${LOOPBACK}:${port}`);
 }
 
 /** Returns the port of an address such as `127.0.0.1:8080`. */
