End a failed demo by itself, within 60 s

Cause: runDemo stopped its probe only when all went well. After a failure the fleet was ended and the probe asked the dead routers for ever; the load went on until its attempts were over. Calls to a router's readiness and to the control of the stand-ins had no time limit either. Change: probe and load are disposed of with the demo; those calls end after 2 s and 10 s; a demo that is not over within 60 s ends with code 1 and says so. The last line names the reason. Ruled out: a fault of the clean-up of child processes; they were gone. A demo that is ended by its bound leaves its temporary folder.

--- a/packages/standin/src/bin/demo.ts
+++ b/packages/standin/src/bin/demo.ts
@@ -8,6 +8,17 @@
   readonly seed: number;
 }
 
+const RUN_TIMEOUT_MS = 60_000;
+
+/** Ends a demo that takes too long; its processes end with it. */
+function failWhenLate(): void {
+  const fail = () => {
+    console.log(`demo: failed, not over within ${RUN_TIMEOUT_MS} ms`);
+    process.exit(1);
+  };
+  setTimeout(fail, RUN_TIMEOUT_MS).unref();
+}
+
 async function demo({ seed }: Options): Promise<void> {
   const result = await runDemo(seed, (line) => {
     console.log(line);
@@ -29,11 +40,12 @@
 }
 
 async function main(options: Options): Promise<void> {
+  failWhenLate();
   try {
     await demo(options);
   } catch (cause) {
     console.error(cause);
-    console.log('demo: failed');
+    console.log(`demo: failed, ${String(cause)}`);
     process.exitCode = 1;
   }
 }
--- a/packages/standin/src/lib/demo/run-demo.ts
+++ b/packages/standin/src/lib/demo/run-demo.ts
@@ -7,7 +7,7 @@
 import type { AttemptRecord } from '../load/load-plan.js';
 import type { LoadResult } from '../load/load-result.js';
 import { startProbe, type Probe } from '../load/probe.js';
-import { runLoad } from '../load/run-load.js';
+import { startLoad } from '../load/run-load.js';
 import { BROWSE, CATALOGUE, DEMO_FLEET, KEY_NAMES, mixedLoad } from './demo-plan.js';
 
 const REQUESTS = 200;
@@ -41,7 +41,7 @@
   const routers = () => fleet.routers.map((it) => it.callers);
   say(`${fleet.routers.length} routers and ${fleet.backendServers.length} backend servers are up`);
   await submitConfiguration(fleet);
-  const probe = startProbe({
+  await using probe = startProbe({
     seed,
     kind: BROWSE,
     keys: KEY_NAMES,
@@ -58,9 +58,9 @@
     ratePerSecond: REQUESTS_PER_SECOND,
     routers,
   });
-  const loading = runLoad(plan, (it) => seen.push(it));
+  await using loading = startLoad(plan, (it) => seen.push(it));
   const faults = bringFaults(fleet, probe, seen, say);
-  const [load, times] = await Promise.all([loading, faults]);
+  const [load, times] = await Promise.all([loading.result, faults]);
   await probe.stop();
   const badExits = await stopAll(fleet);
   const trace = await collectTrace(fleet, load.attempts);
--- a/packages/standin/src/lib/harness/control-client.ts
+++ b/packages/standin/src/lib/harness/control-client.ts
@@ -10,9 +10,11 @@
 } from '../platform/control.js';
 
 const HTTP_OK = 200;
+const CALL_TIMEOUT_MS = 10_000;
 
 async function post(url: string, body: unknown): Promise<void> {
-  const res = await request(url, { method: 'POST', body: JSON.stringify(body) });
+  const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+  const res = await request(url, { method: 'POST', body: JSON.stringify(body), signal });
   const text = await res.body.text();
   if (res.statusCode !== HTTP_OK) throw new Error(`${url}: status ${res.statusCode} ${text}`);
 }
@@ -29,6 +31,7 @@
 
 /** Reads what a stand-in platform served since it started. */
 export async function readPlatformCounters(address: string): Promise<PlatformCounters> {
-  const res = await request(`http://${address}${PLATFORM_CONTROL_PATH}`);
+  const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+  const res = await request(`http://${address}${PLATFORM_CONTROL_PATH}`, { signal });
   return v.parse(platformCountersSchema, await res.body.json());
 }
--- a/packages/standin/src/lib/harness/router-node.ts
+++ b/packages/standin/src/lib/harness/router-node.ts
@@ -11,6 +11,7 @@
 import { waitUntil } from './wait-until.js';
 
 const HTTP_OK = 200;
+const READY_CALL_TIMEOUT_MS = 2_000;
 const READY_TIMEOUT_MS = 15_000;
 
 /** Addresses at which a router reaches the platform, and its own listeners. */
@@ -57,7 +58,8 @@
 
 async function isReady(callers: string): Promise<boolean> {
   try {
-    const res = await request(`http://${callers}/readyz`);
+    const signal = AbortSignal.timeout(READY_CALL_TIMEOUT_MS);
+    const res = await request(`http://${callers}/readyz`, { signal });
     await res.body.dump();
     return res.statusCode === HTTP_OK;
   } catch {
--- a/packages/standin/src/lib/load/probe.ts
+++ b/packages/standin/src/lib/load/probe.ts
@@ -23,8 +23,8 @@
   readonly routers: () => readonly string[];
 }
 
-/** Asks for each key again and again. */
-export interface Probe {
+/** Asks for each key again and again; disposal stops it. */
+export interface Probe extends AsyncDisposable {
   readonly attempts: readonly AttemptRecord[];
   /** Returns the server that answered last for each key. */
   servers(): ReadonlyMap<string, string>;
@@ -71,6 +71,17 @@
   }
 
   const running = Promise.all(plan.keys.map(askAgainAndAgain));
+
+  let ending: Promise<void> | undefined;
+
+  async function end(): Promise<void> {
+    stopping.abort();
+    await running;
+    await agent.close();
+  }
+
+  const stop = () => (ending ??= end());
+
   return {
     attempts,
     servers: () => servers,
@@ -81,10 +92,7 @@
       const gaps = times.slice(1).map((at, index) => at - (times[index] ?? at));
       return Math.max(...gaps);
     },
-    async stop() {
-      stopping.abort();
-      await running;
-      await agent.close();
-    },
+    stop,
+    [Symbol.asyncDispose]: stop,
   };
 }
--- a/packages/standin/src/lib/load/run-load.ts
+++ b/packages/standin/src/lib/load/run-load.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 import { Agent } from 'undici';
 import { v7 as timeOrderedUuid } from 'uuid';
 
@@ -18,15 +20,47 @@
   readonly repeats: boolean;
 }
 
-/** Sends a load and waits for the end of its last request. */
+/** A load that is being sent; disposal ends it after the attempts that are still awaited. */
+export interface RunningLoad extends AsyncDisposable {
+  readonly result: Promise<LoadResult>;
+  /** Sends nothing more; the result then covers what was sent. */
+  stop(): void;
+}
+
+/** Starts to send a load. */
+export function startLoad(
+  plan: LoadPlan,
+  onAttempt?: (record: AttemptRecord) => void,
+): RunningLoad {
+  const stopping = new AbortController();
+  const result = runLoad(plan, onAttempt, stopping.signal);
+  return {
+    result,
+    stop: () => {
+      stopping.abort();
+    },
+    async [Symbol.asyncDispose]() {
+      stopping.abort();
+      await Promise.allSettled([result]);
+    },
+  };
+}
+
+/**
+ * Sends a load and waits for the end of its last request.
+ *
+ * @param signal Ends the load early: what is not sent yet is not sent.
+ */
 export async function runLoad(
   plan: LoadPlan,
   onAttempt: (record: AttemptRecord) => void = () => undefined,
+  signal: AbortSignal = new AbortController().signal,
 ): Promise<LoadResult> {
   const agent = new Agent({ connections: plan.connections ?? DEFAULT_CONNECTIONS });
   const routerRandom = createRandom(plan.seed + 1);
   const attempts: AttemptRecord[] = [];
   const start = monotonicMs();
+  setMaxListeners(plan.requests + 1, signal);
 
   async function attempt(req: LoadRequest, number: number, dueAt: number) {
     const routers = plan.routers();
@@ -43,7 +77,8 @@
     for (let number = 1; number <= plan.attempts; number += 1) {
       const record = await attempt(req, number, dueAt);
       if (!mayRepeat(req, record)) break;
-      await sleep(plan.retryAfterMs);
+      await sleep(plan.retryAfterMs, signal);
+      if (signal.aborted) return;
       dueAt = monotonicMs();
     }
     if (repeats) await attempt(req, plan.attempts + 1, monotonicMs());
@@ -51,7 +86,8 @@
 
   const open = new Set<Promise<void>>();
   for (const due of dueRequests(plan)) {
-    await sleep(start + due.dueMs - monotonicMs());
+    await sleep(start + due.dueMs - monotonicMs(), signal);
+    if (signal.aborted) break;
     const following = follow(due).finally(() => open.delete(following));
     open.add(following);
   }
