--- a/packages/standin/src/bin/verify-faults.ts
+++ b/packages/standin/src/bin/verify-faults.ts
@@ -12,6 +12,8 @@
   readonly list: boolean;
   readonly unchecked: boolean;
   readonly keep?: string;
+  readonly requests?: number;
+  readonly probeEvery?: number;
 }
 
 const USAGE_EXIT_CODE = 2;
@@ -38,7 +40,7 @@
     process.exitCode = USAGE_EXIT_CODE;
     return;
   }
-  const { seed, unchecked, keep } = options;
+  const { seed, unchecked, keep, requests, probeEvery: probeEveryMs } = options;
   let failed = 0;
   for (const it of cases) {
     if (options.list) {
@@ -46,7 +48,7 @@
       continue;
     }
     console.log(`${it.name}: ${it.promise}`);
-    const report = await runCase(it, { seed, unchecked, keep });
+    const report = await runCase(it, { seed, unchecked, keep, requests, probeEveryMs });
     print(report);
     if (!report.ok) failed += 1;
   }
@@ -66,6 +68,8 @@
   .option('--list', 'Print the names of all cases', { default: false })
   .option('--unchecked', 'Let backend servers run requests without a check', { default: false })
   .option('--keep <folder>', 'Keep settings, logs and output in this folder')
+  .option('--requests <number>', 'Requests of the load (default: 240)')
+  .option('--probe-every <ms>', 'Time between two probe requests for one key (default: 100)')
   .action(verify);
 cli.help();
 cli.parse();
--- a/packages/standin/src/lib/faults/fault-case.ts
+++ b/packages/standin/src/lib/faults/fault-case.ts
@@ -47,6 +47,18 @@
   readonly figures: readonly Figure[];
   /** Why it failed; empty when it passed. */
   readonly problems: readonly string[];
+  /** What does not depend on the machine's speed; missing when the run could not be judged. */
+  readonly verdict?: SafetyVerdict;
+}
+
+/** What must hold however slow the machine is. */
+export interface SafetyVerdict {
+  /** Rules that the trace breaks: two owners, a repeated run, a refusal that was run. */
+  readonly violations: readonly string[];
+  /** Requests of the load. */
+  readonly requests: number;
+  /** Requests without an answer of their own. */
+  readonly unanswered: number;
 }
 
 /** Returns one of the items. */
--- a/packages/standin/src/lib/faults/run-case.ts
+++ b/packages/standin/src/lib/faults/run-case.ts
@@ -1,19 +1,21 @@
 import { mkdir, rm, writeFile } from 'node:fs/promises';
 import path from 'node:path';
 
+import { outcomeOf, type TraceEvent } from '@boragepoint/spec';
+
 import { BROWSE, CATALOGUE, KEY_NAMES, PAY, PLACES, mixedLoad } from '../demo/demo-plan.js';
 import { collectTrace, formatTrace, violationsOf } from '../harness/collect-trace.js';
 import { startFleet, type Fleet, type FleetPlan } from '../harness/fleet.js';
 import { submitConfiguration } from '../harness/operator.js';
 import type { LoadResult } from '../load/load-result.js';
 import { startProbe } from '../load/probe.js';
-import { runLoad } from '../load/run-load.js';
+import { startLoad } from '../load/run-load.js';
 import { createRandom } from '../random.js';
-import type { CaseContext, CaseReport, FaultCase, Figure } from './fault-case.js';
+import type { CaseContext, CaseReport, FaultCase, Figure, SafetyVerdict } from './fault-case.js';
 import { waitUntilServed } from './unserved-time.js';
 
 const PROBE_EVERY_MS = 100;
-const LOAD_REQUESTS = 240;
+const REQUESTS = 240;
 const LOAD_PER_SECOND = 30;
 const TRACE_FILE = 'trace.jsonl';
 
@@ -24,6 +26,10 @@
   readonly unchecked: boolean;
   /** Keeps settings, logs and output under this folder. */
   readonly keep: string | undefined;
+  /** Requests of the load; 240 unless stated. */
+  readonly requests?: number | undefined;
+  /** Time between two probe requests for one key, in milliseconds; 100 unless stated. */
+  readonly probeEveryMs?: number | undefined;
 }
 
 const USUAL_FLEET: FleetPlan = { places: PLACES, routers: 3, services: [] };
@@ -47,23 +53,24 @@
   const report = { case: it.name, seed: options.seed };
   try {
     await using fleet = await startFleet(plan);
-    const { figures, problems } = await runWith(it, fleet, options.seed);
-    return { ...report, ok: problems.length === 0, figures, problems };
+    const findings = await runWith(it, fleet, options);
+    return { ...report, ok: findings.problems.length === 0, ...findings };
   } catch (cause) {
     return { ...report, ok: false, figures: [], problems: [String(cause)] };
   }
 }
 
-async function runWith(it: FaultCase, fleet: Fleet, seed: number) {
+async function runWith(it: FaultCase, fleet: Fleet, options: CaseOptions) {
+  const { seed, requests = REQUESTS, probeEveryMs = PROBE_EVERY_MS } = options;
   const avoided = new Set<string>();
   const routers = () =>
     fleet.routers.filter((router) => !avoided.has(router.id)).map((router) => router.callers);
   await submitConfiguration(fleet);
-  const probe = startProbe({
+  await using probe = startProbe({
     seed,
     kind: BROWSE,
     keys: KEY_NAMES,
-    everyMs: PROBE_EVERY_MS,
+    everyMs: probeEveryMs,
     routers,
   });
   const context: CaseContext = {
@@ -73,31 +80,43 @@
     avoid: ({ id }) => avoided.add(id),
     ask: ({ id }) => avoided.delete(id),
   };
+  await waitUntilServed(probe, 1);
+  await using loading = startLoad(
+    mixedLoad({ seed, requests, ratePerSecond: LOAD_PER_SECOND, routers }),
+  );
+  const { figures, failures } = await attempt(it, context);
+  if (failures.length > 0) loading.stop();
+  const load = await loading.result;
+  const all = [...figures, ...loadFigures(load, it.mayRefuse === true)];
+  const trace = await keepTrace(fleet, [...load.attempts, ...probe.attempts]);
+  const verdict = judge(load, trace);
+  const problems = [...failures, ...all.flatMap(problemOf), ...verdict.violations];
+  return { figures: all, problems, verdict };
+}
+
+/** A case that fails, say because something came too late, is judged by its trace all the same. */
+async function attempt(it: FaultCase, context: CaseContext) {
   try {
-    await waitUntilServed(probe, 1);
-    const loading = runLoad(
-      mixedLoad({ seed, requests: LOAD_REQUESTS, ratePerSecond: LOAD_PER_SECOND, routers }),
-    );
-    const figures = await it.run(context);
-    const load = await loading;
-    return await judge(
-      fleet,
-      [...figures, ...loadFigures(load, it.mayRefuse === true)],
-      [...load.attempts, ...probe.attempts],
-    );
-  } finally {
-    await probe.stop();
+    return { figures: await it.run(context), failures: [] };
+  } catch (cause) {
+    return { figures: [], failures: [String(cause)] };
   }
 }
 
-async function judge(
-  fleet: Fleet,
-  figures: readonly Figure[],
-  attempts: LoadResult['attempts'],
-): Promise<Pick<CaseReport, 'figures' | 'problems'>> {
+async function keepTrace(fleet: Fleet, attempts: LoadResult['attempts']): Promise<TraceEvent[]> {
   const trace = await collectTrace(fleet, attempts);
-  await writeFile(path.join(fleet.folder, TRACE_FILE), formatTrace(trace));
-  return { figures, problems: [...figures.flatMap(problemOf), ...violationsOf(trace)] };
+  const whole = formatTrace([...trace, outcomeOf(trace)]);
+  await writeFile(path.join(fleet.folder, TRACE_FILE), whole);
+  return trace;
+}
+
+function judge({ kinds }: LoadResult, trace: readonly TraceEvent[]): SafetyVerdict {
+  const sum = (numbers: readonly number[]) => numbers.reduce((total, it) => total + it, 0);
+  return {
+    violations: violationsOf(trace),
+    requests: sum(kinds.map((it) => it.requests)),
+    unanswered: sum(kinds.map((it) => it.lost + it.mismatched)),
+  };
 }
 
 function loadFigures({ kinds }: LoadResult, mayRefuse: boolean): Figure[] {
