--- a/packages/standin/src/lib/load/run-load.ts
+++ b/packages/standin/src/lib/load/run-load.ts
@@ -23,6 +23,8 @@
 /** A load that is being sent; disposal ends it after the attempts that are still awaited. */
 export interface RunningLoad extends AsyncDisposable {
   readonly result: Promise<LoadResult>;
+  /** Sends nothing more; the result then covers what was sent. */
+  stop(): void;
 }
 
 /** Starts to send a load. */
@@ -34,6 +36,9 @@
   const result = runLoad(plan, onAttempt, stopping.signal);
   return {
     result,
+    stop: () => {
+      stopping.abort();
+    },
     async [Symbol.asyncDispose]() {
       stopping.abort();
       await Promise.allSettled([result]);
