--- a/packages/standin/src/lib/faults/run-case.ts
+++ b/packages/standin/src/lib/faults/run-case.ts
@@ -85,6 +85,7 @@
     mixedLoad({ seed, requests, ratePerSecond: LOAD_PER_SECOND, routers }),
   );
   const { figures, failures } = await attempt(it, context);
+  if (failures.length > 0) loading.stop();
   const load = await loading.result;
   const all = [...figures, ...loadFigures(load, it.mayRefuse === true)];
   const trace = await keepTrace(fleet, [...load.attempts, ...probe.attempts]);
