Stop without cutting requests, prove silence without the tenure where it can be asked for

Change: a notice time between not ready and closing, with 'connection: close' on answers; peer sockets are closed below HTTP/2; a keeper asks the standby that it took out itself; a standby is replaced after 2 s of silence instead of 1 s; one abort signal less for each attempt.

--- a/packages/config/src/lib/settings-schema.ts
+++ b/packages/config/src/lib/settings-schema.ts
@@ -55,6 +55,7 @@
 
 const shutdownSchema = v.pipe(
   exactObject({
+    notice_ms: v.optional(wholeNumber(0, 600 * SECOND_MS), SECOND_MS),
     drain_timeout_ms: v.optional(wholeNumber(0, 3_600 * SECOND_MS), 30 * SECOND_MS),
   }),
   v.transform(camelKeys),
--- a/packages/config/src/test/settings_test.ts
+++ b/packages/config/src/test/settings_test.ts
@@ -42,7 +42,7 @@
     maxConnections: 10_000,
     idleTimeoutMs: 60_000,
   });
-  expect(settings.shutdown).toEqual({ drainTimeoutMs: 30_000 });
+  expect(settings.shutdown).toEqual({ noticeMs: 1_000, drainTimeoutMs: 30_000 });
 });
 
 test('wrong, unknown and missing settings are reported in one run with their lines', () => {
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -1,3 +1,5 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import type { Settings } from '@boragepoint/config';
 
 import { createCallerApp } from './callers/caller-app.js';
@@ -16,8 +18,9 @@
   /** Port of the callers' listener. */
   readonly callerPort: number;
   /**
-   * Stops without cutting a request: not ready at once, seats handed over, requests in flight
-   * finished, or cut after the drain timeout of the settings.
+   * Stops without cutting a request: not ready at once, seats handed over, listening on for the
+   * notice time, since the balancer in front learns of it late; then requests in flight finish, or are
+   * cut after the drain timeout of the settings.
    */
   shutDown(): Promise<void>;
 }
@@ -56,7 +59,8 @@
     readiness.leave();
     node.membership.leave();
     node.links.announce();
-    await node.keepers.handOverAll();
+    callers.announceClose();
+    await Promise.all([node.keepers.handOverAll(), sleep(settings.shutdown.noticeMs)]);
     const timeout = new Promise((resolve) => {
       setTimeout(resolve, settings.shutdown.drainTimeoutMs).unref();
     });
--- a/packages/daemon/src/lib/http-listener.ts
+++ b/packages/daemon/src/lib/http-listener.ts
@@ -23,6 +23,8 @@
 /** A listener for HTTP. Disposing of it lets requests in flight finish. */
 export interface HttpListener extends AsyncDisposable {
   readonly port: number;
+  /** Asks callers, with each answer, to use no connection again. */
+  announceClose(): void;
   /** Takes no new connections and closes idle ones; resolves when the last request is answered. */
   drain(): Promise<void>;
 }
@@ -99,6 +101,11 @@
 
   return {
     port: (server.address() as AddressInfo).port,
+    announceClose() {
+      server.prependListener('request', (_req, res) => {
+        res.setHeader('connection', 'close');
+      });
+    },
     drain,
     async [Symbol.asyncDispose]() {
       server.closeAllConnections();
--- a/packages/daemon/src/lib/peers/peer-server.ts
+++ b/packages/daemon/src/lib/peers/peer-server.ts
@@ -1,5 +1,5 @@
 import { type Http2Server, createServer } from 'node:http2';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 import { RESULT_CODES } from '@boragepoint/config';
 import type { AssignmentMap, KeeperManager, RowStore } from '@boragepoint/ownership';
@@ -96,18 +96,22 @@
 ): Promise<PeerServer> {
   const routes = (router: ConnectRouter) => router.service(PeerService, implement(ctx));
   const server = createServer(connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES }));
-  const sessions = new Set<{ destroy(): void }>();
+  const sockets = new Set<Socket>();
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
   server.on('session', (session) => {
-    sessions.add(session);
     session.on('error', () => undefined);
-    session.once('close', () => sessions.delete(session));
   });
   server.on('sessionError', () => undefined);
   const bound = await listen(server, host, port);
   return {
     port: bound,
     async [Symbol.asyncDispose]() {
-      for (const session of sessions) session.destroy();
+      // A GOAWAY frame to an idle client raises an error there that nobody handles, so the sockets
+      // are closed below HTTP/2.
+      for (const socket of sockets) socket.destroy();
       await new Promise((resolve) => server.close(resolve));
     },
   };
--- a/packages/ownership/src/lib/keeper-session.ts
+++ b/packages/ownership/src/lib/keeper-session.ts
@@ -21,7 +21,7 @@
 /** Share of the lease after which an unanswered backend server counts as lost. */
 const GIVE_UP_SHARE = 0.5;
 /** Time without a standby's heartbeat after which another router takes its seat. */
-const REPLACE_STANDBY_AFTER_MS = 1_000;
+const REPLACE_STANDBY_AFTER_MS = 2_000;
 /** Renewals without an answer after which a backend server may count as lost. */
 const GIVE_UP_AFTER_RENEWALS = 2;
 /** Longest time that handing a seat over may take; the table may be down. */
@@ -179,8 +179,9 @@
   }
 
   function questionOf({ row, held, service }: Turn) {
-    const { renewer, since } = held;
-    return { server: serverId, row: row.value, lease: service.lease, renewer, seatedAt: since };
+    const { renewer, since, former } = held;
+    const { lease } = service;
+    return { server: serverId, row: row.value, lease, renewer, seatedAt: since, former };
   }
 
   /** One unanswered renewal is not enough: it may have timed out because this router stalled. */
--- a/packages/ownership/src/lib/seat-holder.ts
+++ b/packages/ownership/src/lib/seat-holder.ts
@@ -20,6 +20,11 @@
   readonly isActing: boolean;
   /** When this router took the seat, on the monotonic clock. */
   readonly since: number;
+  /**
+   * Who else may renew under a lower keeper epoch until the backend server has accepted this one: the
+   * standby that this router itself took out of the row, nobody, or routers that are not known.
+   */
+  readonly former: KeeperSeat | 'nobody' | 'not-known';
 }
 
 /** Decides under which seat, if any, this router may renew one backend server. */
@@ -51,6 +56,7 @@
 export function createSeatHolder(ctx: OwnershipContext, serverId: string): SeatHolder {
   let held: HeldSeat | undefined;
   let actedVersion = 0;
+  let actedStandby: KeeperSeat | undefined;
   let stoodDownEpoch = 0;
   let steppedInEpoch = 0;
   let refusedEpoch = 0;
@@ -88,9 +94,16 @@
     const wasKeeper = actedVersion + 1 === row.version;
     mayHaveMoved = isActing && !wasKeeper && seat.epoch > 1;
     const router = ctx.membership.self.id;
+    const former = wasKeeper ? formerOf(row.value) : 'not-known';
     const renewer = createLeaseRenewer(ctx.lease, router, seat.epoch, held?.renewer);
     ctx.journal.add('takeover', { server: serverId }, `keeper epoch ${seat.epoch}`);
-    return { seat, renewer, isActing, since: monotonicMs() };
+    return { seat, renewer, isActing, since: monotonicMs(), former };
+  }
+
+  /** As the keeper already: only the standby of the row before is left, if the server had accepted us. */
+  function formerOf(row: KeeperRow): HeldSeat['former'] {
+    if (held?.renewer.isFenced(row.serverStart) !== true) return 'not-known';
+    return actedStandby ?? 'nobody';
   }
 
   return {
@@ -98,7 +111,10 @@
       const seat = ownSeat(row.value);
       if (seat === undefined || !mayRenew(row.value, seat)) return undefined;
       held = hold(row, seat);
-      if (held.isActing) actedVersion = row.version;
+      if (held.isActing) {
+        actedVersion = row.version;
+        actedStandby = row.value.standby;
+      }
       return held;
     },
     current(row) {
--- a/packages/ownership/src/lib/silence-proof.ts
+++ b/packages/ownership/src/lib/silence-proof.ts
@@ -3,7 +3,7 @@
 import type { LeaseRenewer } from './lease-renewer.js';
 import type { OwnershipContext } from './ownership-context.js';
 import { monotonicMs } from './pause.js';
-import type { KeeperRow } from './table-rows.js';
+import type { KeeperRow, KeeperSeat } from './table-rows.js';
 
 /** Largest difference between two clocks' rates that leases allow for, as a share. */
 export const CLOCK_RATE_MARGIN = 0.02;
@@ -28,6 +28,8 @@
   readonly renewer: LeaseRenewer;
   /** When the row that put the keeper in place was known to be written. */
   readonly seatedAt: number;
+  /** Who may still renew under a lower keeper epoch, see the seat holder. */
+  readonly former: KeeperSeat | 'nobody' | 'not-known';
 }
 
 /** The standby does not answer, so it must leave the row before its tenure is waited out. */
@@ -48,10 +50,19 @@
   return row.acting.epoch === 1;
 }
 
-function formerKeepersSilent({ row, lease, renewer, seatedAt }: SilenceQuestion): boolean {
-  if (renewer.isFenced(row.serverStart) || isFirstKeeper(row)) return true;
-  if ((row.deposedUpTo ?? 0) >= row.acting.epoch - 1) return true;
-  return monotonicMs() >= seatedAt + tenureEndMs(lease);
+/** Since when keepers with lower epochs are silent; `undefined` when that can't be told yet. */
+async function formerSilentSince(
+  ctx: OwnershipContext,
+  question: SilenceQuestion,
+): Promise<number | undefined> {
+  const { server, row, lease, renewer, seatedAt, former } = question;
+  if (renewer.isFenced(row.serverStart) || isFirstKeeper(row)) return renewer.lastAnswerAt();
+  if ((row.deposedUpTo ?? 0) >= row.acting.epoch - 1) return renewer.lastAnswerAt();
+  if (monotonicMs() >= seatedAt + tenureEndMs(lease)) return renewer.lastAnswerAt();
+  if (former === 'nobody') return renewer.lastAnswerAt();
+  if (former === 'not-known') return undefined;
+  const answer = await ctx.peers.standDown(former, server, row.acting.epoch);
+  return answer?.accepted === true ? monotonicMs() : undefined;
 }
 
 /**
@@ -62,7 +73,9 @@
   ctx: OwnershipContext,
   question: SilenceQuestion,
 ): Promise<SilenceAnswer> {
-  if (!formerKeepersSilent(question)) return 'tenure-not-over';
-  const since = await standbySilentSince(ctx, question);
-  return since === undefined ? 'standby-unreachable' : { since };
+  const formerSince = await formerSilentSince(ctx, question);
+  if (formerSince === undefined) return 'tenure-not-over';
+  const standbySince = await standbySilentSince(ctx, question);
+  if (standbySince === undefined) return 'standby-unreachable';
+  return { since: Math.max(formerSince, standbySince) };
 }
--- a/packages/routing/src/lib/dispatch/admitted-attempt.ts
+++ b/packages/routing/src/lib/dispatch/admitted-attempt.ts
@@ -1,5 +1,4 @@
 import type { AssignmentMap, Placement } from '@boragepoint/ownership';
-import { abortAfter } from '@boragepoint/platform';
 import { type Result, err, ok } from 'neverthrow';
 import { Client } from 'undici';
 
@@ -66,10 +65,10 @@
   readonly req: RoutedRequest;
   readonly fingerprint: string;
   readonly placement: Placement;
-  /** Aborts the attempt. */
+  /** Aborts the attempt: at its end time at the latest. */
   readonly signal: AbortSignal;
-  /** Time on the monotonic clock at which the attempt is given up, in milliseconds. */
-  readonly endAt: number;
+  /** True once the attempt was ended for a reason that tells nothing of the server. */
+  wasCalledOff(): boolean;
 }
 
 /**
@@ -78,13 +77,12 @@
  */
 async function send(
   link: ServerLink,
-  { req, placement, signal, endAt }: Attempt,
+  { req, placement, signal }: Attempt,
   alone: boolean,
 ): Promise<AttemptOutcome> {
-  using timeout = abortAfter(Math.max(1, endAt - performance.now()), signal);
-  if (!alone) return await sendAttempt(link.pool, req, placement.assignment, timeout.signal);
+  if (!alone) return sendAttempt(link.pool, req, placement.assignment, signal);
   const client = new Client(`http://${link.address}`);
-  const outcome = await sendAttempt(client, req, placement.assignment, timeout.signal);
+  const outcome = await sendAttempt(client, req, placement.assignment, signal);
   await client.destroy();
   return outcome;
 }
@@ -116,7 +114,7 @@
   if (entered.kind === 'too-late') return err(refusal('overloaded', 'no turn before the deadline'));
   const sentAt = performance.now();
   const outcome = await send(link, attempt, entered.run.runAlone);
-  const learnt = measured(outcome, rule.name, performance.now() - sentAt, signal.aborted);
+  const learnt = measured(outcome, rule.name, performance.now() - sentAt, attempt.wasCalledOff());
   if (learnt !== undefined) {
     permit.release(learnt);
     recordLoad(ctx, attempt, learnt);
--- a/packages/routing/src/lib/dispatch/keeper-run.ts
+++ b/packages/routing/src/lib/dispatch/keeper-run.ts
@@ -9,6 +9,8 @@
 } from '../ledger/index.js';
 import { type AttemptContext, admittedAttempt } from './admitted-attempt.js';
 import { waitForChange } from './owner-wait.js';
+import { abortAfter } from '@boragepoint/platform';
+
 import { type RoutedAnswer, type RoutedRequest, refusal } from './routed-request.js';
 import type { AttemptOutcome } from './server-attempt.js';
 
@@ -72,9 +74,11 @@
  * How long an attempt is followed: a non-idempotent one past the caller's deadline and whether the
  * caller waits or not, so that a repeat gets its answer.
  */
-function limitsOf(ctx: KeeperRunContext, { rule, signal, deadlineAt }: RoutedRequest) {
-  if (rule.idempotent) return { signal, endAt: deadlineAt };
-  return { signal: ctx.links.closing, endAt: deadlineAt + RUN_PAST_DEADLINE_MS };
+function limitOf(ctx: KeeperRunContext, { rule, signal, deadlineAt }: RoutedRequest) {
+  const leftMs = deadlineAt - performance.now();
+  if (rule.idempotent) return { limit: abortAfter(leftMs, signal), parent: signal };
+  const { closing } = ctx.links;
+  return { limit: abortAfter(leftMs + RUN_PAST_DEADLINE_MS, closing), parent: closing };
 }
 
 /** Sends a request to the owner once. */
@@ -89,11 +93,14 @@
   if (placement === undefined) {
     return notRun('this router is not the keeper of the owner', 'unfinishedElsewhere', false);
   }
+  const { limit, parent } = limitOf(ctx, req);
+  using bounded = limit;
   const attempted = await admittedAttempt(ctx, {
     req,
     fingerprint,
     placement,
-    ...limitsOf(ctx, req),
+    signal: bounded.signal,
+    wasCalledOff: () => parent.aborted,
   });
   if (attempted.isOk()) return toDispatchOutcome(attempted.value);
   const { result, message, retryAfterMs } = attempted.error;
--- a/packages/routing/src/lib/dispatch/run-idempotent.ts
+++ b/packages/routing/src/lib/dispatch/run-idempotent.ts
@@ -162,9 +162,13 @@
       continue;
     }
     using owner = watchOwner(ctx.map, req, placement);
-    const { signal } = owner;
-    const endAt = req.deadlineAt;
-    const attempted = await admittedAttempt(ctx, { req, fingerprint, placement, signal, endAt });
+    const attempted = await admittedAttempt(ctx, {
+      req,
+      fingerprint,
+      placement,
+      signal: owner.signal,
+      wasCalledOff: () => owner.hasMoved() || req.signal.aborted,
+    });
     if (attempted.isErr()) {
       if (owner.hasMoved()) continue;
       return afterAttempts(attempted.error, progress);
