--- /dev/null
+++ b/packages/ownership/src/test/fake-server.ts
@@ -0,0 +1,117 @@
+import type { LeaseAnswer, LeaseRequest, ShardEpoch } from '@boragepoint/platform';
+import { type Result, err, ok } from 'neverthrow';
+
+import { type LeaseClient, LeaseError } from '../lib/lease-client.js';
+import { monotonicMs } from '../lib/pause.js';
+
+/** `answers-lost`: requests arrive and take effect; `mute`: they don't arrive. */
+export type ServerMode = 'up' | 'answers-lost' | 'mute';
+
+/** A renewal as it arrived. */
+export interface SeenRenewal {
+  readonly at: number;
+  readonly start: string;
+  readonly req: LeaseRequest;
+  readonly accepted: boolean;
+}
+
+/** A backend server that keeps the lease rules of the design note, on the monotonic clock. */
+export class FakeServer {
+  readonly seen: SeenRenewal[] = [];
+  mode: ServerMode = 'up';
+  /** The one router whose requests arrive; all do when it is left out. */
+  onlyFrom: string | undefined;
+  /** While true, shards whose release is asked for stay in use. */
+  isBusy = false;
+  start = 'start-1';
+  /** Highest keeper epoch seen since the start. */
+  keeperEpoch = 0;
+  /** End of the latest lease of any start. */
+  leaseEndsAt = -Infinity;
+  #sequence = 0;
+  #presentLeaseEndsAt = -Infinity;
+  readonly #answeredAt = new Map<number, number>();
+  readonly #held = new Map<number, ShardEpoch>();
+  readonly #releasing = new Map<number, ShardEpoch>();
+  readonly #releasedEpochs = new Map<number, number>();
+
+  /** Begins a new start, which knows nothing of the one before. */
+  restart(start: string): void {
+    this.start = start;
+    this.keeperEpoch = 0;
+    this.#presentLeaseEndsAt = -Infinity;
+    const known = [this.#answeredAt, this.#held, this.#releasing, this.#releasedEpochs];
+    for (const it of known) it.clear();
+  }
+
+  held(): ShardEpoch[] {
+    if (monotonicMs() >= this.#presentLeaseEndsAt) this.#held.clear();
+    return [...this.#held.values()];
+  }
+
+  /** Grants in all accepted renewals of one start. */
+  granted(start: string): ShardEpoch[] {
+    return this.seen.filter((it) => it.start === start).flatMap((it) => it.req.grants);
+  }
+
+  /** Renewals that arrived under a keeper epoch. */
+  seenUnder(keeperEpoch: number): SeenRenewal[] {
+    return this.seen.filter((it) => it.req.keeperEpoch === keeperEpoch);
+  }
+
+  answer(req: LeaseRequest): LeaseAnswer {
+    const accepted = req.keeperEpoch >= this.keeperEpoch;
+    this.seen.push({ at: monotonicMs(), start: this.start, req, accepted });
+    this.held();
+    if (accepted) this.#accept(req);
+    this.#sequence += 1;
+    this.#answeredAt.set(this.#sequence, monotonicMs());
+    return {
+      accepted,
+      start: this.start,
+      sequence: this.#sequence,
+      keeperEpoch: this.keeperEpoch,
+      held: this.held(),
+      releasing: [...this.#releasing.values()],
+      leaseLeftMs: Math.max(0, this.#presentLeaseEndsAt - monotonicMs()),
+    };
+  }
+
+  #accept(req: LeaseRequest): void {
+    this.keeperEpoch = req.keeperEpoch;
+    this.#release(req.release);
+    const answeredAt = this.#answeredAt.get(req.echo?.sequence ?? 0);
+    if (req.echo?.start !== this.start || answeredAt === undefined) return;
+    this.#presentLeaseEndsAt = Math.max(this.#presentLeaseEndsAt, answeredAt + req.leaseMs);
+    this.leaseEndsAt = Math.max(this.leaseEndsAt, this.#presentLeaseEndsAt);
+    for (const grant of req.grants) {
+      const isReleased = grant.epoch <= (this.#releasedEpochs.get(grant.shard) ?? 0);
+      if (!isReleased) this.#held.set(grant.shard, grant);
+    }
+  }
+
+  #release(asked: readonly ShardEpoch[]): void {
+    for (const it of asked) {
+      this.#releasedEpochs.set(it.shard, it.epoch);
+      this.#held.delete(it.shard);
+      if (this.isBusy) this.#releasing.set(it.shard, it);
+      else this.#releasing.delete(it.shard);
+    }
+  }
+}
+
+/** Sends renewals to fake servers by their address. */
+export function createFakeLeaseClient(servers: ReadonlyMap<string, FakeServer>): LeaseClient {
+  return {
+    async send(address, req): Promise<Result<LeaseAnswer, LeaseError>> {
+      await Promise.resolve();
+      const server = servers.get(address);
+      const lost = err(new LeaseError(`no answer from ${address}`));
+      if (server === undefined || server.mode === 'mute') return lost;
+      if (req.keeper !== (server.onlyFrom ?? req.keeper)) return lost;
+      const answer = server.answer(req);
+      return server.mode === 'answers-lost' ? lost : ok(answer);
+    },
+    [Symbol.asyncDispose]: () => Promise.resolve(),
+  };
+}
