Close gaps in rules 2 and 9 that a reading found

Cause: a keeper that had not yet ruled out an earlier unrecorded move could give a shard to another server than the stored successor; a release wrote under whatever keeper row it found; depose covered the epochs of live routers. Change: only stored successors get such shards; a release is recorded only while this router holds the acting seat; depose stops below the lowest live seat.

--- a/packages/daemon/src/lib/operations/ownership-operations.ts
+++ b/packages/daemon/src/lib/operations/ownership-operations.ts
@@ -1,5 +1,5 @@
 import type { ServiceConfig } from '@boragepoint/config';
-import { assignKey, keeperKey } from '@boragepoint/ownership';
+import { type KeeperRow, assignKey, keeperKey } from '@boragepoint/ownership';
 import { err, ok } from 'neverthrow';
 
 import { OperatorError, type OperatorOperations } from '../operators/index.js';
@@ -19,6 +19,13 @@
     return { shard, assignment: map.assignment(service.name, shard) };
   }
 
+  /** Highest keeper epoch that the operator's word covers: never that of a live router. */
+  function deposedEpoch({ acting, standby, nextEpoch }: KeeperRow): number {
+    const seats = [acting, ...(standby ? [standby] : [])];
+    const live = seats.filter((it) => membership.isLive(it.router, it.incarnation));
+    return Math.min(nextEpoch, ...live.map((it) => it.epoch)) - 1;
+  }
+
   async function sendMove(server: string, shard: number, epoch: number, to: string) {
     const keeper = map.keeper(server)?.value.acting.router;
     const orders = [{ shard, epoch, to }];
@@ -69,7 +76,7 @@
       if (!(await writer.refresh([keeperKey(server)]))) return err(storeUnavailable());
       const row = rows.keeper(keeperKey(server));
       if (row === undefined) return err(new OperatorError('notFound', `${server} has no keeper`));
-      const value = { ...row.value, deposedUpTo: row.value.nextEpoch - 1 };
+      const value = { ...row.value, deposedUpTo: deposedEpoch(row.value) };
       const change = { key: row.key, expectedVersion: row.version, value };
       const written = await writer.write([change], AbortSignal.timeout(WRITE_TIMEOUT_MS));
       links.announce();
--- a/packages/ownership/src/lib/keeper-session.ts
+++ b/packages/ownership/src/lib/keeper-session.ts
@@ -181,7 +181,16 @@
   function questionOf({ row, held, service }: Turn) {
     const { renewer, since, former } = held;
     const { lease } = service;
-    return { server: serverId, row: row.value, lease, renewer, seatedAt: since, former };
+    const mayHaveMoved = seats.mayHaveMoved();
+    return {
+      server: serverId,
+      row: row.value,
+      lease,
+      renewer,
+      seatedAt: since,
+      former,
+      mayHaveMoved,
+    };
   }
 
   /** One unanswered renewal is not enough: it may have timed out because this router stalled. */
@@ -253,7 +262,7 @@
       return seats.standDown();
     },
     async moveAway(orders, reason) {
-      if (!isActing()) return err(new MoveError('replaced'));
+      if (!isActing() || seats.mayHaveMoved()) return err(new MoveError('replaced'));
       const onAdded = () => {
         bell.ring();
       };
--- a/packages/ownership/src/lib/server-recovery.ts
+++ b/packages/ownership/src/lib/server-recovery.ts
@@ -79,11 +79,22 @@
     return { shard: assignment.shard, from: serverId, to, epoch, successor: '', reason };
   }
 
-  function planMoves(service: ServiceConfig, owned: Assignment[], reason: string): ShardChange[] {
+  /**
+   * Plans the moves of a server's shards. While an earlier keeper may have given shards to their stored
+   * successors, those alone may get them: if such a server is lost too, its own keeper moves them on.
+   */
+  function planMoves(
+    service: ServiceConfig,
+    owned: Assignment[],
+    reason: string,
+    mayHaveMoved: boolean,
+  ): ShardChange[] {
     const usable = new Set(usableServers(ctx, service).map((it) => it.id));
     usable.delete(serverId);
-    const ready = owned.filter((it) => usable.has(it.successor));
-    const others = owned.filter((it) => !usable.has(it.successor));
+    const isReady = ({ successor }: Assignment) =>
+      successor !== '' && (mayHaveMoved || usable.has(successor));
+    const ready = owned.filter(isReady);
+    const others = owned.filter((it) => !isReady(it));
     const targets = chooseTargets(ctx, service, serverId, others.length);
     const chosen = others.flatMap((it, i) => {
       const target = targets[i];
@@ -199,7 +210,7 @@
       const owned = ctx.map.ownedBy(service.name, serverId);
       if (owned.length === 0) return;
       if (!(await waitForLapse(row, service, question))) return;
-      const changes = planMoves(service, owned, 'the owner was lost');
+      const changes = planMoves(service, owned, 'the owner was lost', question.mayHaveMoved);
       await recordMoves(row, service, owned, changes);
     },
     async adoptStart(row, service, start, question) {
@@ -207,9 +218,10 @@
       if (row.value.serverStart !== undefined && owned.length > 0) {
         if (!(await waitForLapse(row, service, question))) return;
         const reason = 'the owner was started anew';
-        const changes = ctx.isTableUp()
+        const mayStay = ctx.isTableUp() && !question.mayHaveMoved;
+        const changes = mayStay
           ? owned.map((it) => toTarget(it, serverId, reason))
-          : planMoves(service, owned, reason);
+          : planMoves(service, owned, reason, question.mayHaveMoved);
         await recordMoves(row, service, owned, changes);
       }
       const value = { ...row.value, serverStart: start };
--- a/packages/ownership/src/lib/shard-release.ts
+++ b/packages/ownership/src/lib/shard-release.ts
@@ -1,5 +1,6 @@
 import { type Result, err } from 'neverthrow';
 
+import { isOwnSeat } from './keeper-seats.js';
 import type { MoveOrder } from './move-order.js';
 import type { OwnershipContext } from './ownership-context.js';
 import type { ReleaseList } from './release-list.js';
@@ -39,7 +40,10 @@
   const assignments = wanted.map((it) => it.assignment);
   await releases.release(assignments, onAdded, signal);
   const keeper = ctx.map.keeper(serverId);
-  if (keeper === undefined) return err(new MoveError('replaced'));
+  if (keeper === undefined || !isOwnSeat(ctx, keeper.value.acting)) {
+    releases.forget(assignments);
+    return err(new MoveError('replaced'));
+  }
   const changes = wanted.map(({ assignment: { shard, epoch }, to }): ShardChange => ({
     shard,
     from: serverId,
--- a/packages/ownership/src/lib/silence-proof.ts
+++ b/packages/ownership/src/lib/silence-proof.ts
@@ -30,6 +30,8 @@
   readonly seatedAt: number;
   /** Who may still renew under a lower keeper epoch, see the seat holder. */
   readonly former: KeeperSeat | 'nobody' | 'not-known';
+  /** True while an earlier keeper may have moved shards without a record (rule 9). */
+  readonly mayHaveMoved: boolean;
 }
 
 /** The standby does not answer, so it must leave the row before its tenure is waited out. */
