--- a/packages/ownership/src/test/fake-server.ts
+++ b/packages/ownership/src/test/fake-server.ts
@@ -28,6 +28,7 @@
   keeperEpoch = 0;
   /** End of the latest lease of any start. */
   leaseEndsAt = -Infinity;
+  readonly #taken: { readonly start: string; readonly grant: ShardEpoch }[] = [];
   #sequence = 0;
   #presentLeaseEndsAt = -Infinity;
   readonly #answeredAt = new Map<number, number>();
@@ -49,9 +50,10 @@
     return [...this.#held.values()];
   }
 
-  /** Grants in all accepted renewals of one start. */
+  /** Grants that one start took; those with another start's echo grant nothing. */
   granted(start: string): ShardEpoch[] {
-    return this.seen.filter((it) => it.start === start).flatMap((it) => it.req.grants);
+    const taken = this.#taken.filter((it) => it.start === start);
+    return taken.map((it) => it.grant);
   }
 
   /** Renewals that arrived under a keeper epoch. */
@@ -86,7 +88,9 @@
     this.leaseEndsAt = Math.max(this.leaseEndsAt, this.#presentLeaseEndsAt);
     for (const grant of req.grants) {
       const isReleased = grant.epoch <= (this.#releasedEpochs.get(grant.shard) ?? 0);
-      if (!isReleased) this.#held.set(grant.shard, grant);
+      if (isReleased) continue;
+      this.#held.set(grant.shard, grant);
+      this.#taken.push({ start: this.start, grant });
     }
   }
 
