--- a/packages/ownership/src/test/fake-context.ts
+++ b/packages/ownership/src/test/fake-context.ts
@@ -180,6 +180,8 @@
     }));
     rows.offer(table.put('config/svc', { config: serviceOf(tenureMs ?? LEASE.tenureMs) }));
     rows.offer(table.put(ASSIGN_KEY, { shards, history: [] }));
+    // Each change of the seats is one version: seats that are not the first have an earlier row.
+    if (keeper.acting.epoch > 1) table.put(KEEPER_KEY, {});
     rows.offer(table.put(KEEPER_KEY, { service: 'svc', serverStart: 'start-1', ...keeper }));
     return scenario;
   }
