Wait for the lapse from the end of the tenure that was waited out

Cause: a keeper that waited out the tenure of a standby it had removed counted the lapse from its own last answer, though that standby may renew until its tenure ends; with a tenure of 10 s and a lease of 700 ms the new owner could be recorded while the old lease ran. Ruled out: the default of 120 s, whose rate margin of 2 % covers a lease. Change: the lapse counts from the end of the tenure, or from when an operator's depose was seen. Before: replaced-keeper_test fails (the lease is live at the move). After: it passes, with the 32 other tests of the package.

--- a/packages/ownership/src/lib/silence-proof.ts
+++ b/packages/ownership/src/lib/silence-proof.ts
@@ -59,9 +59,10 @@
 ): Promise<number | undefined> {
   const { server, row, lease, renewer, seatedAt, former } = question;
   if (renewer.isFenced(row.serverStart) || isFirstKeeper(row)) return renewer.lastAnswerAt();
-  if ((row.deposedUpTo ?? 0) >= row.acting.epoch - 1) return renewer.lastAnswerAt();
-  if (monotonicMs() >= seatedAt + tenureEndMs(lease)) return renewer.lastAnswerAt();
   if (former === 'nobody') return renewer.lastAnswerAt();
+  if ((row.deposedUpTo ?? 0) >= row.acting.epoch - 1) return monotonicMs();
+  const tenureEnd = seatedAt + tenureEndMs(lease);
+  if (monotonicMs() >= tenureEnd) return tenureEnd;
   if (former === 'not-known') return undefined;
   const answer = await ctx.peers.standDown(former, server, row.acting.epoch);
   return answer?.accepted === true ? monotonicMs() : undefined;
