Let a standby that stood down claim the seat when the keeper is lost

Cause: a standby that had promised to stand down and whose keeper was then killed kept the row from being vacant, though it may not renew from its seat: nobody claimed it any more. Change: such a seat is vacant; the standby claims it under new epochs once its promise is over. A router that has not read the table is ready only once it holds all rows of a live peer. Configurations in force and drains are journalled.

--- a/packages/daemon/src/lib/operations/config-operations.ts
+++ b/packages/daemon/src/lib/operations/config-operations.ts
@@ -108,6 +108,8 @@
     },
     putService: (put) => write(put.config, put.expectedVersion, put.writer),
     drain({ service, server, draining }) {
+      const message = draining ? 'an operator drains it' : 'an operator ends its drain';
+      node.journal.add('drain', { service, server }, message);
       return change(service, (config) => {
         const known = config.backendServers.some((it) => it.id === server);
         if (!known) return err(new OperatorError('notFound', `${service} has no server ${server}`));
--- a/packages/daemon/src/lib/readiness.ts
+++ b/packages/daemon/src/lib/readiness.ts
@@ -24,8 +24,14 @@
     return !hasTable && !node.membership.heardAnyWithin(CUT_OFF_AFTER_MS);
   }
 
+  /** One push of rows is not enough: without the table, all rows of some live peer must be held. */
   function hasRows(): boolean {
-    return Number.isFinite(node.sync.lastReadAt()) || node.map.services().length > 0;
+    if (Number.isFinite(node.sync.lastReadAt())) return true;
+    const digest = node.rows.digest();
+    const hasAllOf = (id: string, peerDigest: string) =>
+      node.membership.isLive(id) && peerDigest === digest;
+    const peers = [...node.links.states()];
+    return node.map.services().length > 0 && peers.some(([id, it]) => hasAllOf(id, it.rowsDigest));
   }
 
   function reasons(): string[] {
--- a/packages/daemon/src/lib/router-node.ts
+++ b/packages/daemon/src/lib/router-node.ts
@@ -5,6 +5,7 @@
   type KeeperManager,
   type Membership,
   type OwnershipContext,
+  ROW_PREFIXES,
   type RowStore,
   type RowWriter,
   type ServicePlanner,
@@ -104,6 +105,12 @@
   const journal = createJournal(settings.instance.id, (event) => {
     log.info(event.message, { event: event.kind, server: event.server, service: event.service });
   });
+  rows.onChange((key) => {
+    if (!key.startsWith(ROW_PREFIXES.config)) return;
+    const service = key.slice(ROW_PREFIXES.config.length);
+    const version = map.configVersion(service);
+    journal.add('configuration', { service }, `version ${version} is in force`);
+  });
   const sync = createTableSync(table, createHttpInstanceList(instancePool), rows, membership);
   const quarantine = createQuarantine({ spread: (entries) => links.spreadQuarantine(entries) });
   const ownUnreachable = () => keepers.unreachable();
--- a/packages/ownership/src/lib/keeper-manager.ts
+++ b/packages/ownership/src/lib/keeper-manager.ts
@@ -9,7 +9,7 @@
 import type { OwnershipContext } from './ownership-context.js';
 import { createBell, monotonicMs } from './pause.js';
 import { tenureEndMs } from './silence-proof.js';
-import { type KeeperRow, keeperKey } from './table-rows.js';
+import { type KeeperRow, type KeeperSeat, keeperKey } from './table-rows.js';
 
 /** Time between two looks at the seats of all backend servers. */
 const CHECK_EVERY_MS = 100;
@@ -103,14 +103,19 @@
       const isStrangerEpoch = (epoch: number) => strangerEpochs.get(server.id) === epoch;
       sessions.set(server.id, createKeeperSession(ctx, server.id, isStrangerEpoch));
     }
-    if (isVacant(row)) considerClaim(service, server, row);
+    if (isVacant(server.id, row)) considerClaim(service, server, row);
     else vacantSince.delete(server.id);
   }
 
-  function isVacant(row: KeeperRow | undefined): boolean {
+  /** True when nobody can act from the row's seats; a standby that stood down can't. */
+  function isVacant(server: string, row: KeeperRow | undefined): boolean {
     if (row === undefined) return monotonicMs() > startedAt + SETTLE_MS;
-    const seats = [row.acting, ...(row.standby ? [row.standby] : [])];
-    return !seats.some((it) => ctx.membership.isLive(it.router, it.incarnation));
+    if (isLive(row.acting)) return false;
+    return !isLive(row.standby) || sessions.get(server)?.isBarredStandby() === true;
+  }
+
+  function isLive(seat: KeeperSeat | undefined): boolean {
+    return seat !== undefined && ctx.membership.isLive(seat.router, seat.incarnation);
   }
 
   function hasPromised(server: string, row: KeeperRow | undefined): boolean {
--- a/packages/ownership/src/lib/keeper-session.ts
+++ b/packages/ownership/src/lib/keeper-session.ts
@@ -36,6 +36,8 @@
   isActing(): boolean;
   /** True while renewals go unanswered. */
   isUnreachable(): boolean;
+  /** True while this router holds the standby's seat but may not renew from it any more. */
+  isBarredStandby(): boolean;
   /** Stands down from the seat that this router holds as the standby. */
   standDown(): StandDownAnswer;
   /** Releases shards at the backend server and records their new owners. */
@@ -257,6 +259,10 @@
       const now = present();
       return now !== undefined && isSilent(now);
     },
+    isBarredStandby() {
+      const row = ctx.map.keeper(serverId)?.value;
+      return row !== undefined && seats.isBarredStandby(row);
+    },
     standDown() {
       if (seatWrite !== undefined) return { accepted: false, hasActed: true };
       return seats.standDown();
--- a/packages/ownership/src/lib/seat-holder.ts
+++ b/packages/ownership/src/lib/seat-holder.ts
@@ -50,6 +50,8 @@
   mustReclaim(row: KeeperRow): boolean;
   /** Stands down from the standby's seat. */
   standDown(): StandDownAnswer;
+  /** True while this router holds the standby's seat but may not renew from it any more. */
+  isBarredStandby(row: KeeperRow): boolean;
 }
 
 /** Creates the holder for one backend server. */
@@ -135,6 +137,8 @@
       if (monotonicMs() > refusedAt + RECLAIM_AFTER_MS) return true;
       return standby === undefined || !ctx.membership.isLive(standby.router, standby.incarnation);
     },
+    isBarredStandby: ({ standby }) =>
+      standby !== undefined && isOwnSeat(ctx, standby) && isBarred(standby),
     standDown() {
       const row = ctx.map.keeper(serverId)?.value;
       const seat = row && ownSeat(row);
