--- a/packages/ownership/src/lib/keeper-session.ts
+++ b/packages/ownership/src/lib/keeper-session.ts
@@ -1,15 +1,16 @@
 import type { BackendServer, ServiceConfig } from '@boragepoint/config';
-import { type LeaseAnswer, type ShardEpoch, abortAfter } from '@boragepoint/platform';
+import type { LeaseAnswer, ShardEpoch } from '@boragepoint/platform';
 import { type Result, err } from 'neverthrow';
 
 import type { StandDownAnswer } from './keeper-peers.js';
-import { type KeeperRowValue, promoteStandby, takeSeats } from './keeper-seats.js';
+import { promoteStandby, takeSeats } from './keeper-seats.js';
 import type { MoveOrder } from './move-order.js';
 import type { OwnershipContext } from './ownership-context.js';
 import { createBell, monotonicMs } from './pause.js';
 import { createReleaseList } from './release-list.js';
 import type { HeldRow } from './row-store.js';
 import { type HeldSeat, STEP_IN_AFTER_MS, createSeatHolder } from './seat-holder.js';
+import { createSeatWriter } from './seat-writer.js';
 import { createServerRecovery } from './server-recovery.js';
 import { MoveError } from './shard-mover.js';
 import { tenureEndMs } from './silence-proof.js';
@@ -24,8 +25,6 @@
 const REPLACE_STANDBY_AFTER_MS = 2_000;
 /** Renewals without an answer after which a backend server may count as lost. */
 const GIVE_UP_AFTER_RENEWALS = 2;
-/** Longest time that handing a seat over may take; the table may be down. */
-const HAND_OVER_MS = 2_000;
 const MIN_RENEW_TIMEOUT_MS = 100;
 /** Time between two checks of the stored successors. */
 const SUCCESSORS_EVERY_MS = 1_000;
@@ -72,10 +71,18 @@
   const releases = createReleaseList();
   const seats = createSeatHolder(ctx, serverId);
   const recovery = createServerRecovery(ctx, serverId, () => upkeep !== undefined, signal);
-  let seatWrite: Promise<void> | undefined;
+  const seatWriter = createSeatWriter(
+    ctx,
+    () => {
+      recovery.seatsWritten();
+    },
+    () => {
+      bell.ring();
+    },
+    signal,
+  );
   let upkeep: Promise<void> | undefined;
   let successorsDueAt = 0;
-  let isHandingOver = false;
   const done = run();
 
   async function run(): Promise<void> {
@@ -101,7 +108,7 @@
     if (row === undefined || found === undefined) return;
     if (!seats.mustReclaim(row.value)) return;
     const { service, server } = found;
-    writeSeats(row, takeSeats(ctx, service.name, server, ctx.membership.self, row.value));
+    seatWriter.write(row, takeSeats(ctx, service.name, server, ctx.membership.self, row.value));
   }
 
   /** Renews once, then sees to the seats or the stored successors. */
@@ -111,7 +118,7 @@
     await renewOnce(turn);
     if (!held.isActing) claimSeat(turn);
     else if (needsNewSeats(turn)) {
-      writeSeats(row, takeSeats(ctx, service.name, server, ctx.membership.self, row.value));
+      seatWriter.write(row, takeSeats(ctx, service.name, server, ctx.membership.self, row.value));
     } else refreshSuccessors(turn);
   }
 
@@ -176,7 +183,7 @@
 
   async function considerLoss(turn: Turn): Promise<void> {
     const { row, held, service } = turn;
-    if (!held.isActing || isHandingOver || !isSilent(turn)) return;
+    if (!held.isActing || seatWriter.isHandingOver() || !isSilent(turn)) return;
     await recovery.moveFromLostServer(row, service, questionOf(turn));
   }
 
@@ -204,7 +211,7 @@
   /** As a standby that has stepped in: becomes the acting keeper in the table. */
   function claimSeat({ row, held, server }: Turn): void {
     if (!held.renewer.isFenced(row.value.serverStart)) return;
-    writeSeats(row, promoteStandby(ctx, server, row.value, held.seat));
+    seatWriter.write(row, promoteStandby(ctx, server, row.value, held.seat));
   }
 
   function needsNewSeats(turn: Turn): boolean {
@@ -216,18 +223,6 @@
     return silentMs > REPLACE_STANDBY_AFTER_MS;
   }
 
-  function writeSeats(row: HeldRow<KeeperRow>, value: KeeperRowValue): void {
-    if (seatWrite !== undefined || !ctx.isTableUp()) return;
-    const change = { key: row.key, expectedVersion: row.version, value };
-    seatWrite = ctx.writer.write([change], signal).then(async (written) => {
-      seatWrite = undefined;
-      if (written.isErr()) await ctx.writer.refresh([row.key]);
-      else recovery.seatsWritten();
-      ctx.peers.announce();
-      bell.ring();
-    });
-  }
-
   function refreshSuccessors({ row, service }: Turn): void {
     const isDue = monotonicMs() >= successorsDueAt;
     if (!isDue || upkeep !== undefined || !ctx.isTableUp()) return;
@@ -264,7 +259,7 @@
       return row !== undefined && seats.isBarredStandby(row);
     },
     standDown() {
-      if (seatWrite !== undefined) return { accepted: false, hasActed: true };
+      if (seatWriter.isWriting()) return { accepted: false, hasActed: true };
       return seats.standDown();
     },
     async moveAway(orders, reason) {
@@ -282,12 +277,7 @@
       const heirId = to ?? row.value.standby?.router;
       const heir = ctx.membership.live().find((it) => it.id === heirId);
       if (heir === undefined) return;
-      isHandingOver = true;
-      const value = takeSeats(ctx, service.name, server, heir, row.value);
-      using limit = abortAfter(HAND_OVER_MS, signal);
-      await ctx.writer.write([{ key: row.key, expectedVersion: row.version, value }], limit.signal);
-      isHandingOver = false;
-      ctx.peers.announce();
+      await seatWriter.handOver(row, takeSeats(ctx, service.name, server, heir, row.value));
     },
     wake() {
       bell.ring();
@@ -295,7 +285,7 @@
     async [Symbol.asyncDispose]() {
       stopping.abort();
       await done;
-      await seatWrite;
+      await seatWriter.settled();
       await upkeep;
     },
   };
