--- a/packages/daemon/src/lib/callers/caller-app.ts
+++ b/packages/daemon/src/lib/callers/caller-app.ts
@@ -103,6 +103,10 @@
     const { incoming, outgoing } = c.env;
     const target = targetOf(incoming.url ?? '/');
     const service = ctx.map.service(target.serviceName);
+    if (service === undefined && ctx.notReady().length > 0) {
+      const message = 'this router has no configuration yet: ask another';
+      return refusalResponse(requestId, 'routerNotReady', message);
+    }
     if (service === undefined) {
       const message = 'no such service: the path begins with its name';
       return refusalResponse(requestId, 'unknownService', message);
