Let one piece send moves and judge reachability; drop what nobody calls

The operator's move repeated the planner's way to the acting keeper; status joined unreachable servers on its own, with what routers that are gone had said last; a push to peers copied and filtered all rows once for each peer; pollNow and planNow had no caller. Change: the router node has sendMoves and unreachableServers, and both sides call them; pushed rows are chosen once. The one change in behaviour: status no longer repeats the word of a lost router.

--- a/packages/daemon/src/lib/operations/ownership-operations.ts
+++ b/packages/daemon/src/lib/operations/ownership-operations.ts
@@ -12,7 +12,7 @@
 
 /** Creates the operations on owners and keepers. */
 export function createOwnershipOperations(node: RouterNode): OwnershipOperations {
-  const { map, rows, keepers, links, membership, writer } = node;
+  const { map, rows, links, membership, writer } = node;
 
   function assignmentOf(service: ServiceConfig, key: string) {
     const shard = map.shardOf(service, key);
@@ -26,15 +26,6 @@
     return Math.min(nextEpoch, ...live.map((it) => it.epoch)) - 1;
   }
 
-  async function sendMove(server: string, shard: number, epoch: number, to: string) {
-    const keeper = map.keeper(server)?.value.acting.router;
-    const orders = [{ shard, epoch, to }];
-    const reason = 'an operator moved it';
-    if (keeper === undefined) return false;
-    if (keeper === membership.self.id) return keepers.moveShards(server, orders, reason);
-    return links.moveShards(keeper, server, orders, reason);
-  }
-
   return {
     owner({ service: name, key }) {
       const service = map.service(name);
@@ -65,7 +56,8 @@
       const shard = 'shard' in req ? req.shard : map.shardOf(service, req.key);
       const before = map.assignment(service.name, shard);
       if (before === undefined) return err(new OperatorError('notFound', `no shard ${shard}`));
-      const moved = await sendMove(before.owner, shard, before.epoch, req.to);
+      const order = { shard, epoch: before.epoch, to: req.to };
+      const moved = await node.sendMoves(before.owner, [order], 'an operator moved it');
       const after = map.assignment(service.name, shard);
       if (!moved || after?.owner !== req.to) {
         return err(new OperatorError('moveRefused', 'the keeper of the owner did not move it'));
--- a/packages/daemon/src/lib/operations/status-operation.ts
+++ b/packages/daemon/src/lib/operations/status-operation.ts
@@ -17,7 +17,7 @@
   node: RouterNode,
   readiness: ReadinessCheck,
 ): OperatorOperations['status'] {
-  const { map, membership, links, keepers } = node;
+  const { map, membership, links } = node;
 
   function versions() {
     return map.services().map(({ name }) => ({ name, version: map.configVersion(name) }));
@@ -71,8 +71,7 @@
   return () => {
     const { id, availabilityZone, region, leaving } = membership.self;
     const { ready, reasons } = readiness.readiness();
-    const told = [...links.states().values()].flatMap((it) => it.unreachableServers);
-    const unreachable = new Set([...told, ...keepers.unreachable()]);
+    const unreachable = node.unreachableServers();
     const own: RouterStatus = {
       id,
       availabilityZone,
--- a/packages/daemon/src/lib/peers/peer-links.ts
+++ b/packages/daemon/src/lib/peers/peer-links.ts
@@ -1,4 +1,5 @@
 import { type KeeperPeers, type RowStore, monotonicMs, pause } from '@boragepoint/ownership';
+import type { TableRow } from '@boragepoint/platform';
 import type { PeerState } from '@boragepoint/protocol';
 import type { QuarantineEntry } from '@boragepoint/routing';
 import { Code, ConnectError } from '@connectrpc/connect';
@@ -143,9 +144,7 @@
     link.fetching = false;
   }
 
-  async function pushTo(link: Link, keys: readonly string[]): Promise<void> {
-    const wanted = new Set(keys);
-    const pushed = rows.newerThan(new Map()).filter((it) => wanted.has(it.key));
+  async function pushTo(link: Link, pushed: readonly TableRow[]): Promise<void> {
     const req = {
       state: describeSelf(ctx),
       rows: pushed.map((it) => ({ ...it, version: BigInt(it.version) })),
@@ -156,8 +155,9 @@
 
   function announce(): void {
     const keys = changed.take();
+    const pushed = rows.newerThan(new Map()).filter((it) => keys.has(it.key));
     for (const link of links.values()) {
-      pushTo(link, keys).catch((cause: unknown) => {
+      pushTo(link, pushed).catch((cause: unknown) => {
         ctx.log.debug('rows could not be pushed to a peer', { cause });
       });
     }
@@ -221,13 +221,13 @@
 }
 
 /** Collects the keys of rows that have changed since they were last taken. */
-function watchChanges(rows: RowStore): { take(): string[] } {
-  const keys = new Set<string>();
+function watchChanges(rows: RowStore): { take(): ReadonlySet<string> } {
+  let keys = new Set<string>();
   rows.onChange((key) => keys.add(key));
   return {
     take() {
-      const taken = [...keys];
-      keys.clear();
+      const taken = keys;
+      keys = new Set();
       return taken;
     },
   };
--- a/packages/daemon/src/lib/router-node.ts
+++ b/packages/daemon/src/lib/router-node.ts
@@ -4,6 +4,7 @@
   type Journal,
   type KeeperManager,
   type Membership,
+  type MoveSender,
   type OwnershipContext,
   ROW_PREFIXES,
   type RowStore,
@@ -75,6 +76,10 @@
   readonly router: RequestRouter;
   readonly burn: BurnCounters;
   readonly peerState: PeerStateContext;
+  /** Backend servers that live routers, this one included, keep and can't reach. */
+  unreachableServers(): ReadonlySet<string>;
+  /** Asks the acting keeper of a backend server, here or at a peer, to move shards. */
+  readonly sendMoves: MoveSender;
 }
 
 function platformPool(url: string): Pool {
@@ -183,7 +188,7 @@
     return new Set([...ownUnreachable(), ...told.flatMap(([, it]) => it.unreachableServers)]);
   }
 
-  async function sendMoves(...[server, orders, reason]: Parameters<typeof keepers.moveShards>) {
+  async function sendMoves(...[server, orders, reason]: Parameters<MoveSender>): Promise<boolean> {
     const keeper = map.keeper(server)?.value.acting.router;
     if (keeper === undefined) return false;
     if (keeper === membership.self.id) return keepers.moveShards(server, orders, reason);
@@ -226,6 +231,8 @@
     router,
     burn: createBurnCounters(),
     peerState,
+    unreachableServers,
+    sendMoves,
     [Symbol.asyncDispose]: () => stack[Symbol.asyncDispose](),
   };
 }
--- a/packages/ownership/src/lib/service-planner.ts
+++ b/packages/ownership/src/lib/service-planner.ts
@@ -35,10 +35,7 @@
 };
 
 /** Writes first assignments and asks keepers to move shards, for services that it comes first for. */
-export interface ServicePlanner extends AsyncDisposable {
-  /** Plans at once instead of at the next interval. */
-  planNow(): Promise<void>;
-}
+export type ServicePlanner = AsyncDisposable;
 
 /** A move that a keeper was asked for. */
 interface PendingMove extends Move {
@@ -146,7 +143,6 @@
   }
 
   return {
-    planNow: planAll,
     async [Symbol.asyncDispose]() {
       stopping.abort();
       await done;
--- a/packages/ownership/src/lib/table-sync.ts
+++ b/packages/ownership/src/lib/table-sync.ts
@@ -18,7 +18,6 @@
   lastReadMs(): number;
   /** Notes that a call to the table failed. */
   noteFailure(): void;
-  pollNow(): Promise<void>;
 }
 
 /** Creates the task and starts it. */
@@ -65,7 +64,6 @@
     noteFailure() {
       up = false;
     },
-    pollNow: pollTable,
     async [Symbol.asyncDispose]() {
       stopping.abort();
       await done;
