--- a/packages/config/src/lib/settings.ts
+++ b/packages/config/src/lib/settings.ts
@@ -19,7 +19,8 @@
   }
 }
 
-function parseToml(text: string): Result<object, SettingsError> {
+/** Parses TOML text. @internal */
+export function parseToml(text: string): Result<object, SettingsError> {
   try {
     return ok(parse(text));
   } catch (cause) {
--- /dev/null
+++ b/packages/placement/src/lib/hand-over.ts
@@ -0,0 +1,90 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { HeldRange, Holder } from './held-range.js';
+import {
+  type LeaderContext,
+  hasEnded,
+  mayHoldUntil,
+  sendGrant,
+  sendRelease,
+} from './leader-context.js';
+
+/** Pause between two tries, in milliseconds. */
+const RETRY_MS = 150;
+/** Tries to grant a range to a new owner that doesn't answer, before another one is looked for. */
+const MAX_GRANT_TRIES = 4;
+
+async function pause(ctx: LeaderContext, ms: number): Promise<void> {
+  await sleep(ms, undefined, { signal: ctx.signal }).catch(() => undefined);
+}
+
+/** Waits until a former holder can't hold the range: released, lapsed or proved gone. */
+async function vacate(ctx: LeaderContext, range: HeldRange, holder: Holder): Promise<void> {
+  let released = false;
+  while (!ctx.signal.aborted) {
+    const waitMs = mayHoldUntil(ctx, holder) - ctx.clocks.monotonic();
+    if (waitMs <= 0) return;
+    if (!released && ctx.mayOrder()) {
+      const outcome = await sendRelease(ctx, range, holder);
+      if (outcome.kind === 'done') {
+        released = true;
+        range.handover = outcome.handover ?? range.handover;
+        continue;
+      }
+    }
+    if (hasEnded(ctx, holder.life)) return;
+    await pause(ctx, Math.min(RETRY_MS, Math.max(1, waitMs)));
+  }
+}
+
+async function grantToOwner(ctx: LeaderContext, range: HeldRange): Promise<void> {
+  for (let tries = 0; tries < MAX_GRANT_TRIES && !ctx.signal.aborted; tries += 1) {
+    const { owner } = range;
+    if (!owner || hasEnded(ctx, owner.life)) return;
+    if (!ctx.mayOrder()) {
+      await pause(ctx, RETRY_MS);
+      continue;
+    }
+    const outcome = await sendGrant(ctx, range, owner);
+    if (outcome.kind === 'done') {
+      range.granted = true;
+      range.grantedAt = ctx.clocks.monotonic();
+      return;
+    }
+    if (outcome.kind === 'fenced') {
+      owner.fence = ctx.nextFence();
+      if (!(await ctx.persist())) return;
+    }
+    await pause(ctx, RETRY_MS);
+  }
+}
+
+/**
+ * Brings a range whose new owner is stored into its hands: every former holder must have let go before
+ * the new one is granted the range. Keeps the range busy meanwhile.
+ */
+export async function handOver(ctx: LeaderContext, range: HeldRange): Promise<void> {
+  const startedAt = ctx.clocks.monotonic();
+  const from = range.former.map((it) => it.life.server);
+  range.busy = true;
+  await Promise.all(range.former.map((it) => vacate(ctx, range, it)));
+  if (!ctx.signal.aborted) {
+    const vacatedAt = ctx.clocks.monotonic();
+    range.former = [];
+    await grantToOwner(ctx, range);
+    ctx.log.info('range handed over', {
+      first: range.first,
+      last: range.last,
+      from,
+      to: range.owner?.life.server,
+      fence: range.owner?.fence,
+      granted: range.granted,
+      withState: range.handover !== undefined,
+      vacateMs: Math.round(vacatedAt - startedAt),
+      totalMs: Math.round(ctx.clocks.monotonic() - startedAt),
+    });
+    if (range.granted) range.handover = undefined;
+  }
+  range.busy = false;
+  ctx.changed();
+}
--- /dev/null
+++ b/packages/placement/src/lib/held-range.ts
@@ -0,0 +1,110 @@
+import type { KeySpan } from '@boragepoint/platform';
+
+import type { ServerLife } from './key-range.js';
+import { type LeaseBound, noLease } from './lease-bound.js';
+import type { HolderRecord, RangeRecord } from './placement-record.js';
+
+/** A server that may hold a range, and until when. */
+export interface Holder {
+  readonly life: ServerLife;
+  /** Fencing token of its grant. */
+  fence: number;
+  readonly bound: LeaseBound;
+  /** A grant of the former leader may still reach it. */
+  readonly inherited: boolean;
+}
+
+/** A range as its leader sees it. */
+export interface HeldRange {
+  first: number;
+  last: number;
+  owner: Holder | undefined;
+  /** Servers that may still hold the range under a lower token. */
+  former: Holder[];
+  /** The owner answered a grant. */
+  granted: boolean;
+  /** State that the last owner handed over, for the next one. */
+  handover: string | undefined;
+  /** The range is changing hands. */
+  busy: boolean;
+  /** A renewal is on its way. */
+  renewing: boolean;
+  /** When the owner's grant was last answered, on the monotonic clock. */
+  grantedAt: number;
+}
+
+/** Creates a holder without a lease. */
+export function newHolder(life: ServerLife, fence: number): Holder {
+  return { life, fence, bound: noLease(), inherited: false };
+}
+
+/** Creates a range without an owner. */
+export function unownedRange(span: KeySpan): HeldRange {
+  return {
+    first: span.first,
+    last: span.last,
+    owner: undefined,
+    former: [],
+    granted: false,
+    handover: undefined,
+    busy: false,
+    renewing: false,
+    grantedAt: -Infinity,
+  };
+}
+
+/**
+ * Takes over a range from its record: whoever stands there may hold it, for a lease that began just now
+ * at the latest.
+ */
+export function inheritedRange(record: RangeRecord, answeredUntil: number): HeldRange {
+  const inherit = ({ life, fence }: HolderRecord): Holder => ({
+    life,
+    fence,
+    bound: { answeredUntil, unansweredUntil: -Infinity },
+    inherited: true,
+  });
+  return {
+    ...unownedRange(record),
+    owner: record.owner && inherit(record.owner),
+    former: record.former.map(inherit),
+    granted: record.owner !== undefined && record.former.length === 0,
+  };
+}
+
+function copyHolder(holder: Holder): Holder {
+  return { ...holder, bound: { ...holder.bound } };
+}
+
+function part(range: HeldRange, first: number, last: number): HeldRange {
+  return {
+    ...range,
+    first,
+    last,
+    owner: range.owner && copyHolder(range.owner),
+    former: range.former.map(copyHolder),
+  };
+}
+
+/** Cuts a span out of an idle range; returns the parts in order and the one that is the span. */
+export function cutOut(
+  range: HeldRange,
+  span: KeySpan,
+): { readonly parts: HeldRange[]; readonly cut: HeldRange } {
+  const cut = part(range, span.first, span.last);
+  const parts: HeldRange[] = [];
+  if (range.first < span.first) parts.push(part(range, range.first, span.first - 1));
+  parts.push(cut);
+  if (span.last < range.last) parts.push(part(range, span.last + 1, range.last));
+  return { parts, cut };
+}
+
+/** The record of a range. */
+export function recordOf(range: HeldRange): RangeRecord {
+  return {
+    first: range.first,
+    last: range.last,
+    owner: range.owner && { life: range.owner.life, fence: range.owner.fence },
+    former: range.former.map(({ life, fence }) => ({ life, fence })),
+  };
+}
--- /dev/null
+++ b/packages/placement/src/lib/leader-context.ts
@@ -0,0 +1,121 @@
+import type { OrderOutcome, RangeOrder, ServerOrders } from '@boragepoint/platform';
+
+import { type Holder, type HeldRange } from './held-range.js';
+import type { ServerLife } from './key-range.js';
+import {
+  type LeaseTimes,
+  heldUntil,
+  recordAnswered,
+  recordReleased,
+  recordUnanswered,
+} from './lease-bound.js';
+import type { ServerDirectory } from './server-directory.js';
+import type { ServerHealth } from './server-health.js';
+import type { Clocks } from './suspension-guard.js';
+
+/** Writes what a leader decided and why. */
+export interface PlacementLog {
+  info(message: string, fields?: Readonly<Record<string, unknown>>): void;
+  warn(message: string, fields?: Readonly<Record<string, unknown>>): void;
+}
+
+/** Lease length that this project grants, in milliseconds. */
+export const LEASE_MS = 6_000;
+/** Time after which an order counts as unanswered and its connection is reset, in milliseconds. */
+export const ORDER_TIMEOUT_MS = 1_000;
+/** A release is answered when running work has ended, so it may take longer. */
+export const RELEASE_TIMEOUT_MS = 4_000;
+
+/** What the parts of a leader share. */
+export interface LeaderContext {
+  readonly orders: ServerOrders;
+  readonly directory: ServerDirectory;
+  readonly health: ServerHealth;
+  readonly clocks: Clocks;
+  readonly log: PlacementLog;
+  readonly times: LeaseTimes;
+  readonly signal: AbortSignal;
+  /** The leader may order anything now. */
+  mayOrder(): boolean;
+  /** Until when a grant of the former leader may still be carried out, on the monotonic clock. */
+  inheritedUntil(): number;
+  /** A range changed: routers are told, and the row is written. */
+  changed(): void;
+  /** Resolves when the row with everything decided so far is stored; false when the seat is lost. */
+  persist(): Promise<boolean>;
+  nextFence(): number;
+}
+
+/** The life is over: proved by an order, or by a newer start in the registry. */
+export function hasEnded(ctx: LeaderContext, life: ServerLife): boolean {
+  if (ctx.health.hasEnded(life)) return true;
+  const known = ctx.directory.get(life.server);
+  return known !== undefined && known.entry.startedMs > life.startedMs;
+}
+
+/** Time until which a holder may hold a range, on the monotonic clock. */
+export function mayHoldUntil(ctx: LeaderContext, holder: Holder): number {
+  if (hasEnded(ctx, holder.life)) return -Infinity;
+  const own = heldUntil(holder.bound);
+  return holder.inherited ? Math.max(own, ctx.inheritedUntil()) : own;
+}
+
+function noteOutcome(ctx: LeaderContext, life: ServerLife, outcome: OrderOutcome): void {
+  if (outcome.kind === 'gone' || outcome.kind === 'misdirected') {
+    if (!ctx.health.hasEnded(life)) {
+      ctx.log.info('backend server ended', { server: life.server, proof: outcome.kind });
+    }
+    ctx.health.ended(life);
+  } else if (outcome.kind === 'unanswered' || outcome.kind === 'unreachable') {
+    ctx.health.silent(life, ctx.clocks.monotonic());
+  } else {
+    ctx.health.answered(life);
+  }
+}
+
+const targetOf = (life: ServerLife) => ({ serverId: life.server, address: life.address });
+
+/** Grants a range to its owner, or renews it, and keeps the bound of its lease. */
+export async function sendGrant(
+  ctx: LeaderContext,
+  range: HeldRange,
+  owner: Holder,
+): Promise<OrderOutcome> {
+  const order = {
+    first: range.first,
+    last: range.last,
+    fence: owner.fence,
+    handover: range.handover,
+    leaseMs: ctx.times.leaseMs,
+  };
+  const sentAt = ctx.clocks.monotonic();
+  const outcome = await ctx.orders.grant(
+    targetOf(owner.life),
+    order,
+    ORDER_TIMEOUT_MS,
+    ctx.signal,
+  );
+  noteOutcome(ctx, owner.life, outcome);
+  const now = ctx.clocks.monotonic();
+  if (outcome.kind === 'done') recordAnswered(owner.bound, now, ctx.times);
+  if (outcome.kind === 'unanswered') recordUnanswered(owner.bound, sentAt, ctx.times);
+  return outcome;
+}
+
+/** Takes a range back from a holder. */
+export async function sendRelease(
+  ctx: LeaderContext,
+  range: HeldRange,
+  holder: Holder,
+): Promise<OrderOutcome> {
+  const order: RangeOrder = { first: range.first, last: range.last, fence: holder.fence };
+  const outcome = await ctx.orders.release(
+    targetOf(holder.life),
+    order,
+    RELEASE_TIMEOUT_MS,
+    ctx.signal,
+  );
+  noteOutcome(ctx, holder.life, outcome);
+  if (outcome.kind === 'done') recordReleased(holder.bound);
+  return outcome;
+}
--- /dev/null
+++ b/packages/placement/src/lib/load-map.ts
@@ -0,0 +1,55 @@
+import type { KeySpan } from '@boragepoint/platform';
+
+/** Time in which the weight of a request halves. */
+const HALF_LIFE_MS = 3_000;
+/** Entries below this weight are dropped. */
+const NEGLIGIBLE = 0.05;
+
+/** Requests for one key, weighted by age. */
+export interface KeyLoad {
+  readonly key: number;
+  readonly weight: number;
+}
+
+/** Recent requests by key, newer ones counting more. */
+export interface LoadMap {
+  record(keys: readonly number[]): void;
+  /** Lets all weights decay to the present. */
+  decay(now: number): void;
+  /** Keys with requests within a span, in order. */
+  within(span: KeySpan): KeyLoad[];
+  /** Sum of all weights. */
+  total(): number;
+}
+
+/** Creates an empty load map; `now` is in milliseconds of any steady clock. */
+export function createLoadMap(now: number): LoadMap {
+  const weights = new Map<number, number>();
+  let sorted: KeyLoad[] | undefined;
+  let decayedAt = now;
+
+  function inOrder(): KeyLoad[] {
+    sorted ??= [...weights]
+      .map(([key, weight]) => ({ key, weight }))
+      .sort((a, b) => a.key - b.key);
+    return sorted;
+  }
+
+  return {
+    record(keys) {
+      for (const key of keys) weights.set(key, (weights.get(key) ?? 0) + 1);
+      sorted = undefined;
+    },
+    decay(at) {
+      const factor = 0.5 ** ((at - decayedAt) / HALF_LIFE_MS);
+      decayedAt = at;
+      for (const [key, weight] of weights) {
+        if (weight * factor < NEGLIGIBLE) weights.delete(key);
+        else weights.set(key, weight * factor);
+      }
+      sorted = undefined;
+    },
+    within: ({ first, last }) => inOrder().filter((it) => it.key >= first && it.key <= last),
+    total: () => inOrder().reduce((sum, it) => sum + it.weight, 0),
+  };
+}
--- /dev/null
+++ b/packages/placement/src/lib/placement-member.ts
@@ -0,0 +1,276 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { RowStore, ServerOrders } from '@boragepoint/platform';
+import type { ReportRequest, ReportResponseSchema } from '@boragepoint/protocol';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+
+import { LEASE_MS, ORDER_TIMEOUT_MS, type PlacementLog } from './leader-context.js';
+import {
+  type Candidate,
+  RENEWAL_GRACE_MS,
+  type SeatReading,
+  createLeaderSeat,
+  mayTake,
+  readSeat,
+} from './leader-seat.js';
+import { longestLeaseMs } from './lease-bound.js';
+import {
+  type PlacementLeader,
+  type ServiceLoadReport,
+  createPlacementLeader,
+} from './placement-leader.js';
+import type { PlacementPeers } from './placement-peers.js';
+import type { Placement, Seat } from './placement-record.js';
+import { NO_PLACEMENT, type PlacementView, isNewer } from './placement-view.js';
+import type { ServerDirectory } from './server-directory.js';
+import type { Clocks } from './suspension-guard.js';
+
+/** Longest time that the leader holds the answer to a report without a change, in milliseconds. */
+const REPORT_WAIT_MS = 1_000;
+/** Time beyond it after which the leader counts as unreachable, in milliseconds. */
+const REPORT_TIMEOUT_MS = 800;
+/** Shortest time between two reports, in milliseconds. */
+const REPORT_GAP_MS = 150;
+const YIELD_TIMEOUT_MS = 500;
+const RETRY_MS = 300;
+/** A router that has not reported for this long counts as gone, in milliseconds. */
+const REPORTER_MS = 3_500;
+const FIRST_WRITES = 5;
+
+/** Answer to a report as it goes over the wire. */
+export type ReportReply = MessageInitShape<typeof ReportResponseSchema>;
+
+/** A router's part in placement: it follows the leader, or leads when the seat is free. */
+export interface PlacementMember {
+  /** The newest placement known. */
+  view(): PlacementView;
+  /** Routers that share the load, this one included. */
+  routers(): number;
+  isLeading(): boolean;
+  /** Resolves at the next change of the view, or after `ms`. */
+  waitForChange(ms: number): Promise<void>;
+  /** Answers another router's report. */
+  answerReport(req: ReportRequest): Promise<ReportReply>;
+  /** Answers a successor; the time in milliseconds, `undefined` if this process was not the leader. */
+  answerYield(epoch: number, startedMs: number): number | undefined;
+  /** Runs until the signal aborts, then hands over if this router leads. */
+  run(signal: AbortSignal): Promise<void>;
+}
+
+/** What a member needs. */
+export interface PlacementMemberOptions {
+  readonly self: Candidate;
+  readonly store: RowStore;
+  readonly orders: ServerOrders;
+  readonly directory: ServerDirectory;
+  readonly peers: PlacementPeers;
+  readonly clocks: Clocks;
+  readonly log: PlacementLog;
+  /** Names of the partitioned services; `undefined` before the configuration is known. */
+  partitionedServices(): readonly string[] | undefined;
+  /** Load since the last call. */
+  takeLoad(): readonly ServiceLoadReport[];
+}
+
+/** Time for which a grant of a leader that is gone may still be carried out and last. */
+const UNANSWERED_MS =
+  ORDER_TIMEOUT_MS + longestLeaseMs({ leaseMs: LEASE_MS, transitMs: ORDER_TIMEOUT_MS });
+
+/** Creates a member. */
+export function createPlacementMember(options: PlacementMemberOptions): PlacementMember {
+  const { self, store, directory, peers, clocks, log } = options;
+  const reporters = new Map<string, number>();
+  const waiting = new Set<() => void>();
+  let current: PlacementView = NO_PLACEMENT;
+  let routers = 1;
+  let leader: PlacementLeader | undefined;
+  let leaderRun: Promise<void> = Promise.resolve();
+  let lastEpochLed = 0;
+  let seat: Seat | undefined;
+
+  function adopt(view: PlacementView): void {
+    if (!isNewer(view, current)) return;
+    current = view;
+    for (const wake of [...waiting]) wake();
+  }
+
+  function viewOf(placement: Placement): PlacementView {
+    return {
+      epoch: placement.seat.epoch,
+      change: placement.change,
+      services: new Map(
+        [...placement.services].map(([service, ranges]) => [
+          service,
+          ranges.map((it) => ({
+            first: it.first,
+            last: it.last,
+            owner: it.owner?.life.server,
+            granted: it.former.length === 0,
+          })),
+        ]),
+      ),
+    };
+  }
+
+  function countReporters(): number {
+    const oldest = clocks.monotonic() - REPORTER_MS;
+    for (const [router, at] of reporters) if (at < oldest) reporters.delete(router);
+    return reporters.size + 1;
+  }
+
+  async function inheritedForMs(previous: Seat): Promise<number> {
+    if (previous.handedOver) return previous.unansweredForMs;
+    if (previous.router === self.router) return UNANSWERED_MS;
+    const { address, epoch, startedMs } = previous;
+    const answer = await peers.yieldSeat(address, epoch, startedMs, YIELD_TIMEOUT_MS);
+    log.info('former leader asked to yield', { router: previous.router, answer: answer.kind });
+    if (answer.kind === 'stopped') return answer.unansweredForMs;
+    return answer.kind === 'gone' ? UNANSWERED_MS : RENEWAL_GRACE_MS + UNANSWERED_MS;
+  }
+
+  async function takeSeat(reading: SeatReading, signal: AbortSignal): Promise<void> {
+    const held = createLeaderSeat({ store, clocks, candidate: self, reading });
+    const previous = reading.placement;
+    const content = {
+      version: (previous?.version ?? 0) + 1,
+      change: previous?.change ?? 0,
+      nextFence: previous?.nextFence ?? 1,
+      services: previous?.services ?? new Map<string, never>(),
+    };
+    for (let tries = 0; ; tries += 1) {
+      const written = await held.write(content);
+      if (written === 'committed') break;
+      if (written === 'lost' || tries >= FIRST_WRITES || signal.aborted) return;
+      await sleep(RETRY_MS);
+    }
+    const created = createPlacementLeader({
+      seat: held,
+      previous: { ...content, seat: previous?.seat ?? freeSeat(self) },
+      inheritedForMs: previous ? await inheritedForMs(previous.seat) : 0,
+      orders: options.orders,
+      directory,
+      clocks,
+      log,
+      partitionedServices: () => options.partitionedServices() ?? [],
+    });
+    leader = created;
+    lastEpochLed = created.epoch;
+    seat = undefined;
+    leaderRun = created.run(signal).finally(() => {
+      leader = undefined;
+    });
+  }
+
+  /** Reads the row: learns the placement and the leader, or takes the seat. */
+  async function refresh(signal: AbortSignal): Promise<void> {
+    const reading = await readSeat(store, clocks);
+    if (!reading || signal.aborted) return;
+    if (reading.placement) adopt(viewOf(reading.placement));
+    if (options.partitionedServices() !== undefined && mayTake(reading, self)) {
+      await takeSeat(reading, signal);
+      return;
+    }
+    seat = reading.placement?.seat;
+  }
+
+  function lead(leading: PlacementLeader): void {
+    for (const load of options.takeLoad()) leading.report(load);
+    adopt(leading.view());
+    routers = countReporters();
+  }
+
+  async function follow(leading: Seat): Promise<boolean> {
+    const report = {
+      router: self.router,
+      startedMs: BigInt(self.startedMs),
+      knownEpoch: BigInt(current.epoch),
+      knownChange: BigInt(current.change),
+      waitMs: REPORT_WAIT_MS,
+      services: options.takeLoad().map((it) => ({
+        service: it.service,
+        keys: [...it.keys],
+        servers: [...it.servers],
+      })),
+    };
+    const timeoutMs = REPORT_WAIT_MS + REPORT_TIMEOUT_MS;
+    const answer = await peers.report(leading.address, report, timeoutMs);
+    if (!answer?.leads) return false;
+    if (answer.view) adopt(answer.view);
+    routers = Math.max(1, answer.routers);
+    return true;
+  }
+
+  async function turn(signal: AbortSignal): Promise<void> {
+    if (leader) {
+      lead(leader);
+      await Promise.race([
+        leader.waitForChange(current.change, REPORT_WAIT_MS),
+        sleep(REPORT_WAIT_MS),
+      ]);
+      if (leader) adopt(leader.view());
+      await sleep(REPORT_GAP_MS);
+      return;
+    }
+    if (seat && (await follow(seat))) {
+      await sleep(REPORT_GAP_MS);
+      return;
+    }
+    await refresh(signal);
+    if (!leader) await sleep(RETRY_MS * (0.5 + Math.random()));
+  }
+
+  async function answerReport(req: ReportRequest): Promise<ReportReply> {
+    const leading = leader;
+    if (!leading) return { leads: false };
+    reporters.set(req.router, clocks.monotonic());
+    for (const load of req.services) leading.report(load);
+    const known = Number(req.knownEpoch) === leading.epoch ? Number(req.knownChange) : -1;
+    await leading.waitForChange(known, req.waitMs);
+    if (leading !== leader) return { leads: false };
+    const view = leading.view();
+    const isNews = view.change > known;
+    return {
+      leads: true,
+      epoch: BigInt(view.epoch),
+      change: BigInt(view.change),
+      routers: countReporters(),
+      services: isNews
+        ? [...view.services].map(([service, ranges]) => ({
+            service,
+            ranges: ranges.map((it) => ({ ...it, owner: it.owner ?? '' })),
+          }))
+        : [],
+    };
+  }
+
+  return {
+    view: () => current,
+    routers: () => routers,
+    isLeading: () => leader !== undefined,
+    waitForChange(ms) {
+      return new Promise((resolve) => {
+        const finish = () => {
+          clearTimeout(timer);
+          waiting.delete(finish);
+          resolve();
+        };
+        const timer = setTimeout(finish, ms);
+        waiting.add(finish);
+      });
+    },
+    answerReport,
+    answerYield(epoch, startedMs) {
+      if (startedMs !== self.startedMs) return undefined;
+      if (leader?.epoch === epoch) return leader.yieldSeat();
+      return epoch <= lastEpochLed ? UNANSWERED_MS : 0;
+    },
+    async run(signal) {
+      while (!signal.aborted) await turn(signal);
+      await leaderRun;
+    },
+  };
+}
+
+function freeSeat(self: Candidate): Seat {
+  return { ...self, epoch: 0, untilMs: 0, handedOver: true, unansweredForMs: 0 };
+}
--- /dev/null
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -0,0 +1,120 @@
+import { PlacementService, type ReportRequestSchema } from '@boragepoint/protocol';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import { type Client, ConnectError, createClient } from '@connectrpc/connect';
+import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
+
+import type { PlacementView } from './placement-view.js';
+
+/** A report to the leader. */
+export type Report = MessageInitShape<typeof ReportRequestSchema>;
+
+/** A leader's answer to a report. */
+export interface ReportAnswer {
+  /** False when that router does not lead; nothing else holds then. */
+  readonly leads: boolean;
+  /** Set when the placement is newer than the one known. */
+  readonly view: PlacementView | undefined;
+  readonly routers: number;
+  readonly barred: readonly string[];
+}
+
+/**
+ * Answer of a former leader: `stopped` with the time until its unanswered grants have lapsed; `gone`, its
+ * process is no more; `silent`, nothing is known.
+ */
+export type YieldAnswer =
+  | { readonly kind: 'stopped'; readonly unansweredForMs: number }
+  | { readonly kind: 'gone' | 'silent' };
+
+/** Calls to other routers. */
+export interface PlacementPeers extends Disposable {
+  /** Returns `undefined` without a usable answer in time. */
+  report(address: string, report: Report, timeoutMs: number): Promise<ReportAnswer | undefined>;
+  yieldSeat(
+    address: string,
+    epoch: number,
+    startedMs: number,
+    timeoutMs: number,
+  ): Promise<YieldAnswer>;
+}
+
+interface Peer {
+  readonly rpc: Client<typeof PlacementService>;
+  readonly sessions: Http2SessionManager;
+}
+
+function isRefused(cause: unknown): boolean {
+  const reason = cause instanceof ConnectError ? cause.cause : cause;
+  return reason instanceof Error && 'code' in reason && reason.code === 'ECONNREFUSED';
+}
+
+/** Creates the client for peers; it keeps one connection to each. */
+export function createPlacementPeers(): PlacementPeers {
+  const peers = new Map<string, Peer>();
+
+  function peerAt(address: string): Peer {
+    const known = peers.get(address);
+    if (known) return known;
+    const baseUrl = `http://${address}`;
+    const sessions = new Http2SessionManager(baseUrl);
+    const transport = createConnectTransport({
+      baseUrl,
+      httpVersion: '2',
+      sessionManager: sessions,
+    });
+    const peer = { rpc: createClient(PlacementService, transport), sessions };
+    peers.set(address, peer);
+    return peer;
+  }
+
+  /** A connection that failed once is not used again: it may be silent for good. */
+  function drop(address: string): void {
+    peers.get(address)?.sessions.abort();
+    peers.delete(address);
+  }
+
+  return {
+    async report(address, report, timeoutMs) {
+      try {
+        const res = await peerAt(address).rpc.report(report, { timeoutMs });
+        const hasView = res.leads && res.services.length > 0;
+        const view: PlacementView | undefined = hasView
+          ? {
+              epoch: Number(res.epoch),
+              change: Number(res.change),
+              services: new Map(
+                res.services.map((it) => [
+                  it.service,
+                  it.ranges.map((range) => ({
+                    first: range.first,
+                    last: range.last,
+                    owner: range.owner === '' ? undefined : range.owner,
+                    granted: range.granted,
+                  })),
+                ]),
+              ),
+            }
+          : undefined;
+        return { leads: res.leads, view, routers: res.routers, barred: res.barred };
+      } catch {
+        drop(address);
+        return undefined;
+      }
+    },
+    async yieldSeat(address, epoch, startedMs, timeoutMs) {
+      const req = { epoch: BigInt(epoch), startedMs: BigInt(startedMs) };
+      try {
+        const res = await peerAt(address).rpc.yieldSeat(req, { timeoutMs });
+        if (res.unansweredForMs === undefined) return { kind: 'gone' };
+        return { kind: 'stopped', unansweredForMs: res.unansweredForMs };
+      } catch (cause) {
+        drop(address);
+        return { kind: isRefused(cause) ? 'gone' : 'silent' };
+      }
+    },
+    [Symbol.dispose]() {
+      for (const address of [...peers.keys()]) drop(address);
+    },
+  };
+}
+
--- /dev/null
+++ b/packages/placement/src/lib/placement-view.ts
@@ -0,0 +1,31 @@
+import { findRange } from './key-range.js';
+
+/** A range as routers use it. */
+export interface RangeView {
+  readonly first: number;
+  readonly last: number;
+  /** Server that owns the range; `undefined` while nobody does. */
+  readonly owner: string | undefined;
+  /** The owner may serve; false while the range is changing hands. */
+  readonly granted: boolean;
+}
+
+/** The placement of all partitioned services at one moment. */
+export interface PlacementView {
+  readonly epoch: number;
+  readonly change: number;
+  readonly services: ReadonlyMap<string, readonly RangeView[]>;
+}
+
+/** The view before any placement is known. */
+export const NO_PLACEMENT: PlacementView = { epoch: 0, change: 0, services: new Map() };
+
+/** Returns whether a view is newer than another. */
+export function isNewer(a: PlacementView, b: PlacementView): boolean {
+  return a.epoch > b.epoch || (a.epoch === b.epoch && a.change > b.change);
+}
+
+/** Finds the range of a key. */
+export function rangeOf(view: PlacementView, service: string, key: number): RangeView | undefined {
+  return findRange(view.services.get(service) ?? [], key);
+}
--- /dev/null
+++ b/packages/placement/src/lib/plan-moves.ts
@@ -0,0 +1,150 @@
+import type { KeySpan } from '@boragepoint/platform';
+
+import type { KeyLoad, LoadMap } from './load-map.js';
+
+/** A server that may own keys. */
+export interface PlannedServer {
+  readonly id: string;
+  /** Requests that it runs in a second, in any common unit. */
+  readonly capacity: number;
+}
+
+/** A range with its owner. */
+export interface PlannedRange extends KeySpan {
+  readonly owner: string | undefined;
+  /** False while the range may not be moved, though its load counts. */
+  readonly movable: boolean;
+}
+
+/** A span that should get another owner. It lies within one of the ranges. */
+export interface PlannedMove extends KeySpan {
+  readonly to: string;
+}
+
+/** What the planner sees. */
+export interface PlanInput {
+  readonly servers: readonly PlannedServer[];
+  readonly ranges: readonly PlannedRange[];
+  readonly load: LoadMap;
+  readonly maxMoves: number;
+}
+
+/** Difference in utilization, as a share of the mean, below which nothing is moved. */
+const TOLERANCE = 0.2;
+/** Load, in recent requests, too small to be worth a move. */
+const MIN_MOVED_WEIGHT = 1;
+/** How far a moved load may exceed what is wanted. */
+const OVERSHOOT = 1.25;
+
+interface Bin extends PlannedServer {
+  load: number;
+}
+
+interface Candidate extends KeySpan {
+  readonly weight: number;
+}
+
+const utilization = (bin: Bin) => bin.load / bin.capacity;
+
+function weightOf(loads: readonly KeyLoad[]): number {
+  return loads.reduce((sum, it) => sum + it.weight, 0);
+}
+
+/** Parts of a range that could move: the whole, and what lies on either side of each gap. */
+function candidatesOf(range: KeySpan, loads: readonly KeyLoad[]): Candidate[] {
+  const { first, last } = range;
+  const total = weightOf(loads);
+  const candidates: Candidate[] = [{ first, last, weight: total }];
+  let before = 0;
+  loads.forEach((it, index) => {
+    const next = loads[index + 1];
+    before += it.weight;
+    if (next === undefined) return;
+    const cut = (it.key + next.key) >> 1;
+    candidates.push({ first, last: cut, weight: before });
+    candidates.push({ first: cut + 1, last, weight: total - before });
+  });
+  return candidates;
+}
+
+function bestCandidate(candidates: readonly Candidate[], wanted: number): Candidate | undefined {
+  let best: Candidate | undefined;
+  for (const it of candidates) {
+    if (it.weight < MIN_MOVED_WEIGHT || it.weight > wanted * OVERSHOOT) continue;
+    if (!best || Math.abs(it.weight - wanted) < Math.abs(best.weight - wanted)) best = it;
+  }
+  return best;
+}
+
+function extreme(bins: readonly Bin[], sign: 1 | -1): Bin | undefined {
+  let found: Bin | undefined;
+  for (const bin of bins) {
+    if (!found || (utilization(bin) - utilization(found)) * sign > 0) found = bin;
+  }
+  return found;
+}
+
+/**
+ * Plans which spans should move so that servers are used evenly by recent load: spans without an owner
+ * first, to the least used servers; then, again and again, a part of the most used server's ranges
+ * to the least used one. A single busy key can't be divided: then its neighbours move away from it.
+ */
+export function planMoves(input: PlanInput): PlannedMove[] {
+  const { load, maxMoves } = input;
+  const bins: Bin[] = input.servers.map((it) => ({ ...it, load: 0 }));
+  const binOf = new Map(bins.map((it) => [it.id, it]));
+  if (bins.length === 0) return [];
+  const moves: PlannedMove[] = [];
+  const ranges = input.ranges.map((it) => ({ ...it, loads: load.within(it) }));
+  for (const range of ranges) {
+    const bin = range.owner === undefined ? undefined : binOf.get(range.owner);
+    if (bin) bin.load += weightOf(range.loads);
+  }
+  // A tiny weight for each range spreads ranges without load over all servers.
+  const orphans = ranges.filter((it) => it.movable && !binOf.has(it.owner ?? ''));
+  orphans.sort((a, b) => weightOf(b.loads) - weightOf(a.loads));
+  for (const range of orphans) {
+    const bin = extreme(bins, -1);
+    if (!bin) break;
+    bin.load += Math.max(weightOf(range.loads), NEGLIGIBLE_RANGE_WEIGHT);
+    moves.push({ first: range.first, last: range.last, to: bin.id });
+  }
+  const settled = ranges.filter((it) => it.movable && binOf.has(it.owner ?? ''));
+  const totalCapacity = bins.reduce((sum, it) => sum + it.capacity, 0);
+  const mean = bins.reduce((sum, it) => sum + it.load, 0) / totalCapacity;
+  const exhausted = new Set<Bin>();
+  let balancing = 0;
+  while (balancing < maxMoves) {
+    const busiest = extreme(
+      bins.filter((it) => !exhausted.has(it)),
+      1,
+    );
+    const idlest = extreme(bins, -1);
+    if (!busiest || !idlest || busiest === idlest) break;
+    if (utilization(busiest) - utilization(idlest) < mean * TOLERANCE) break;
+    const surplus = busiest.load - mean * busiest.capacity;
+    const room = mean * idlest.capacity - idlest.load;
+    const wanted = Math.min(surplus, room);
+    const own = settled.filter((it) => it.owner === busiest.id);
+    const found = bestCandidate(
+      own.flatMap((it) => candidatesOf(it, it.loads)),
+      wanted,
+    );
+    if (!found) {
+      exhausted.add(busiest);
+      continue;
+    }
+    const source = own.find((it) => it.first <= found.first && it.last >= found.last);
+    if (!source) break;
+    // Each range is cut at most once a plan, so that a plan is carried out in any order.
+    settled.splice(settled.indexOf(source), 1);
+    busiest.load -= found.weight;
+    idlest.load += found.weight;
+    moves.push({ first: found.first, last: found.last, to: idlest.id });
+    balancing += 1;
+  }
+  return moves;
+}
+
+/** Weight by which a range without recent requests counts when it is placed. */
+const NEGLIGIBLE_RANGE_WEIGHT = 0.01;
--- /dev/null
+++ b/packages/placement/src/lib/server-directory.ts
@@ -0,0 +1,145 @@
+import {
+  type FleetPlatform,
+  type PlatformError,
+  type RowWatcher,
+  type ServerEntry,
+  watchRows,
+} from '@boragepoint/platform';
+
+import type { Clocks } from './suspension-guard.js';
+
+/** Time after the store's return during which a missing entry proves nothing, in milliseconds. */
+const RETURN_GRACE_MS = 2_000;
+
+/** An entry and what became of it. */
+export interface KnownServer {
+  readonly entry: ServerEntry;
+  /** When the entry, or its newest state, was first seen, on the monotonic clock. */
+  readonly seenAt: number;
+  /** When the entry was first seen with this start. */
+  readonly firstSeenAt: number;
+}
+
+/** The backend servers that the service registry names. */
+export interface ServerDirectory {
+  /** False until the registry was read for the first time. */
+  isLoaded(): boolean;
+  get(id: string): KnownServer | undefined;
+  /** Servers of a service, those that drain included. */
+  ofService(service: string): readonly KnownServer[];
+  /** Calls back after each change. */
+  onChange(listener: () => void): void;
+  /** Watches the registry until the signal aborts. */
+  run(signal: AbortSignal): Promise<void>;
+}
+
+/** What a directory needs. */
+export interface ServerDirectoryOptions {
+  readonly platform: Pick<FleetPlatform, 'store' | 'serverTable' | 'decodeServer'>;
+  readonly clocks: Clocks;
+  readonly onLost?: (err: PlatformError) => void;
+  readonly onRegained?: () => void;
+}
+
+/** Creates an empty directory. */
+export function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
+  const { platform, clocks } = options;
+  const servers = new Map<string, KnownServer>();
+  const listeners: (() => void)[] = [];
+  const removals = new Map<string, NodeJS.Timeout>();
+  let byService: Map<string, KnownServer[]> | undefined;
+  let loaded = false;
+  let storeIsLost = false;
+  let regainedAt = -Infinity;
+
+  function changed(): void {
+    byService = undefined;
+    for (const listener of listeners) listener();
+  }
+
+  function put(key: string, entry: ServerEntry | undefined): void {
+    clearTimeout(removals.get(key));
+    removals.delete(key);
+    if (!entry) {
+      servers.delete(key);
+      return;
+    }
+    const known = servers.get(key);
+    const now = clocks.monotonic();
+    const isSameStart = known?.entry.startedMs === entry.startedMs;
+    if (isSameStart && known.entry.draining === entry.draining) {
+      servers.set(key, { ...known, entry });
+      return;
+    }
+    servers.set(key, {
+      entry,
+      seenAt: now,
+      firstSeenAt: isSameStart ? known.firstSeenAt : now,
+    });
+  }
+
+  function remove(key: string): void {
+    if (!servers.has(key) || removals.has(key)) return;
+    const waitMs = storeIsLost ? RETURN_GRACE_MS : regainedAt + RETURN_GRACE_MS - clocks.monotonic();
+    if (waitMs <= 0) {
+      servers.delete(key);
+      return;
+    }
+    const timer = setTimeout(() => {
+      removals.delete(key);
+      servers.delete(key);
+      changed();
+    }, waitMs);
+    removals.set(key, timer);
+  }
+
+  const watcher: RowWatcher = {
+    onSnapshot({ rows }) {
+      const present = new Set(rows.map((it) => it.key));
+      for (const row of rows) put(row.key, platform.decodeServer(row));
+      for (const key of [...servers.keys()]) if (!present.has(key)) remove(key);
+      loaded = true;
+      changed();
+    },
+    onChange(row) {
+      put(row.key, platform.decodeServer(row));
+      changed();
+    },
+    onRemoval(key) {
+      remove(key);
+      changed();
+    },
+    onLost(err) {
+      storeIsLost = true;
+      options.onLost?.(err);
+    },
+    onRegained() {
+      storeIsLost = false;
+      regainedAt = clocks.monotonic();
+      options.onRegained?.();
+    },
+  };
+
+  function group(): Map<string, KnownServer[]> {
+    const groups = new Map<string, KnownServer[]>();
+    for (const server of servers.values()) {
+      const group = groups.get(server.entry.service) ?? [];
+      group.push(server);
+      groups.set(server.entry.service, group);
+    }
+    return groups;
+  }
+
+  return {
+    isLoaded: () => loaded,
+    get: (id) => servers.get(id),
+    ofService: (service) => (byService ??= group()).get(service) ?? [],
+    onChange(listener) {
+      listeners.push(listener);
+    },
+    async run(signal) {
+      await watchRows(platform.store, platform.serverTable, watcher, signal);
+      for (const timer of removals.values()) clearTimeout(timer);
+    },
+  };
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,12 +1,17 @@
 export * from './lib/abort-after.js';
 export * from './lib/backend-server-protocol.js';
+export * from './lib/fleet-config.js';
+export * from './lib/fleet-platform.js';
 export * from './lib/http-instance-list.js';
 export * from './lib/http-object-store.js';
 export * from './lib/http-table-service.js';
 export * from './lib/instance-list.js';
 export * from './lib/object-store.js';
 export * from './lib/platform-error.js';
+export * from './lib/row-store.js';
+export * from './lib/server-orders.js';
 export * from './lib/settled-write.js';
 export * from './lib/table-service.js';
 export * from './lib/table-wire.js';
 export { writerOf } from './lib/write-evidence.js';
+export * from './lib/watch-rows.js';
--- /dev/null
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -0,0 +1,81 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { Result } from 'neverthrow';
+
+import type { PlatformError } from './platform-error.js';
+import type { RowChanges, RowSnapshot, RowStore, StoredRow } from './row-store.js';
+
+/** Longest time that the store holds a watch without a change. */
+const WATCH_WAIT_MS = 4_000;
+const FIRST_RETRY_MS = 100;
+const MAX_RETRY_MS = 800;
+
+/** Receives what a watched table holds. */
+export interface RowWatcher {
+  /** All rows, after the first read and after each gap. */
+  onSnapshot(snapshot: RowSnapshot): void;
+  onChange(row: StoredRow): void;
+  onRemoval(key: string): void;
+  /** The store stopped answering the watch. */
+  onLost(err: PlatformError): void;
+  /** The store answers the watch again. */
+  onRegained(): void;
+}
+
+function apply(changes: Extract<RowChanges, { kind: 'changes' }>, watcher: RowWatcher): void {
+  for (const change of changes.changes) {
+    if ('removed' in change) watcher.onRemoval(change.key);
+    else watcher.onChange(change);
+  }
+}
+
+/**
+ * Watches a table until the signal aborts: one long poll at a time, and the whole table again after a
+ * gap. Versions never go back: an older snapshot is dropped.
+ */
+export async function watchRows(
+  store: RowStore,
+  table: string,
+  watcher: RowWatcher,
+  signal: AbortSignal,
+): Promise<void> {
+  let version: number | undefined;
+  let newest = 0;
+  let retryMs = 0;
+
+  async function poll(): Promise<Result<unknown, PlatformError>> {
+    if (version === undefined) {
+      const snapshot = await store.list(table);
+      return snapshot.map((it) => {
+        if (signal.aborted || it.version < newest) return;
+        newest = it.version;
+        version = it.version;
+        watcher.onSnapshot(it);
+      });
+    }
+    const answer = await store.changesAfter(table, version, WATCH_WAIT_MS);
+    return answer.map((it) => {
+      if (signal.aborted) return;
+      if (it.kind === 'history-lost') {
+        version = undefined;
+        return;
+      }
+      apply(it, watcher);
+      newest = Math.max(newest, it.version);
+      version = newest;
+    });
+  }
+
+  while (!signal.aborted) {
+    const polled = await poll();
+    if (polled.isOk()) {
+      if (retryMs > 0) watcher.onRegained();
+      retryMs = 0;
+      continue;
+    }
+    if (retryMs === 0) watcher.onLost(polled.error);
+    retryMs = Math.min(MAX_RETRY_MS, Math.max(FIRST_RETRY_MS, retryMs * 2));
+    const jitter = 1 + Math.random();
+    await sleep((retryMs * jitter) / 2, undefined, { signal }).catch(() => undefined);
+  }
+}
--- /dev/null
+++ b/packages/router/src/lib/admission.ts
@@ -0,0 +1,43 @@
+/** What decides whether a request is sent or refused. */
+export interface AdmissionInput {
+  /** Time until an answer can be expected, in milliseconds. */
+  readonly expectedMs: number;
+  /** Time until the caller or the route gives up, in milliseconds. */
+  readonly timeLeftMs: number;
+  readonly objectiveMs: number;
+  /** Time of a request without queueing, in milliseconds. */
+  readonly serviceMs: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+}
+
+/** Whether a request is sent; a refused one is told when to come back. */
+export type Admission =
+  | { readonly kind: 'send' }
+  | { readonly kind: 'refuse'; readonly retryAfterMs: number };
+
+/** Share of the time left that an answer may be expected to take. */
+const USABLE_TIME = 0.85;
+/** Queues are let grow up to this many latency objectives. */
+const MAX_OBJECTIVES = 1.6;
+/** Less urgent requests leave this share of the queue to each more urgent rank. */
+const PRIORITY_STEP = 0.1;
+const MAX_PRIORITY_STEPS = 4;
+const MIN_RETRY_AFTER_MS = 100;
+const MAX_RETRY_AFTER_MS = 3_000;
+
+/** Refuses a request at once if its answer would come too late to be of use. */
+export function admit(input: AdmissionInput): Admission {
+  const { expectedMs, timeLeftMs, objectiveMs, serviceMs, priority } = input;
+  const rank = Math.min(priority, MAX_PRIORITY_STEPS);
+  const queueMs = objectiveMs * MAX_OBJECTIVES * (1 - PRIORITY_STEP * rank);
+  const limitMs = Math.min(timeLeftMs * USABLE_TIME, Math.max(queueMs, serviceMs));
+  if (expectedMs <= limitMs) return { kind: 'send' };
+  const excessMs = expectedMs - Math.min(limitMs, objectiveMs);
+  return { kind: 'refuse', retryAfterMs: boundRetryAfter(excessMs) };
+}
+
+/** Brings a time after which a caller may come back within bounds, in milliseconds. */
+export function boundRetryAfter(ms: number): number {
+  return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, ms));
+}
--- /dev/null
+++ b/packages/router/src/lib/caller-listener.ts
@@ -0,0 +1,216 @@
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import type { Socket } from 'node:net';
+
+import { RESULT_CODES } from '@boragepoint/config';
+import type { CallerLimits, HeaderCodec } from '@boragepoint/platform';
+
+import type { CallerRequest } from './caller-request.js';
+import { answerHeaders } from './forwarded-headers.js';
+import { type OwnAnswer, type RouterAnswer, ownAnswer } from './router-answer.js';
+import type { RouteTable } from './route-table.js';
+
+/** Header of the router's own answers that names the result code. */
+const RESULT_HEADER = 'bp-result';
+/** Largest head that the parser takes; the configuration's limit applies within it. */
+const MAX_HEAD_BYTES = 64 * 1_024;
+const DEFAULT_IDLE_MS = 15_000;
+/** Callers without a deadline of their own wait this long, in milliseconds. */
+const DEFAULT_DEADLINE_MS = 30_000;
+/** The caller's deadline is its own clock's: the answer is sent this much earlier, in milliseconds. */
+const DEADLINE_MARGIN_MS = 40;
+/** A router without a configuration will have one soon. */
+const NOT_READY_RETRY_MS = 500;
+
+/** What the listener needs. */
+export interface CallerListenerContext {
+  readonly codec: HeaderCodec;
+  /** The routes in force; `undefined` before the first configuration. */
+  routes(): RouteTable | undefined;
+  handle(req: CallerRequest): Promise<RouterAnswer>;
+  now(): number;
+  /** A request is over, for metrics. */
+  onAnswer(req: CallerRequest, answer: RouterAnswer): void;
+}
+
+/** Listens for callers. */
+export interface CallerListener {
+  applyLimits(limits: CallerLimits): void;
+  /** Answers close their connections from now on. */
+  announceClose(): void;
+  /** Takes no new connections; closes idle ones; resolves when the last request is answered. */
+  drain(): Promise<void>;
+  openRequests(): number;
+}
+
+/** A request's body, or why there is none. */
+type ReadBody =
+  | { readonly kind: 'body'; readonly body: Buffer | undefined }
+  | { readonly kind: 'too-large' }
+  | { readonly kind: 'gone' };
+
+function readBody(req: IncomingMessage, maxBytes: number): Promise<ReadBody> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) {
+        req.removeAllListeners('data');
+        req.pause();
+        resolve({ kind: 'too-large' });
+        return;
+      }
+      chunks.push(chunk);
+    });
+    req.on('end', () => {
+      resolve({ kind: 'body', body: size > 0 ? Buffer.concat(chunks) : undefined });
+    });
+    req.on('close', () => {
+      resolve({ kind: 'gone' });
+    });
+    req.on('error', () => {
+      resolve({ kind: 'gone' });
+    });
+  });
+}
+
+function writeOwn(res: ServerResponse, answer: OwnAnswer, headers: Record<string, string>): void {
+  const { result, reason, retryAfterMs } = answer;
+  const code = RESULT_CODES[result];
+  const body = JSON.stringify({ code, name: result, message: reason });
+  res.writeHead(answer.status, {
+    ...headers,
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    [RESULT_HEADER]: String(code),
+    ...(retryAfterMs !== undefined && { 'retry-after': (retryAfterMs / 1_000).toFixed(3) }),
+  });
+  res.end(body);
+}
+
+function writeServers(
+  res: ServerResponse,
+  { answer }: Extract<RouterAnswer, { kind: 'server' }>,
+): void {
+  const headers = answerHeaders(answer.headers);
+  const isBodiless = answer.status === 204 || answer.status === 304;
+  const length = isBodiless ? {} : { 'content-length': String(answer.body.length) };
+  res.writeHead(answer.status, { ...headers, ...length });
+  res.end(answer.body);
+}
+
+function refuseGarbage(err: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || err.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const isOverflow = err.code === 'HPE_HEADER_OVERFLOW';
+  const isLate = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+  const status = isOverflow ? 431 : isLate ? 408 : 400;
+  socket.end(`HTTP/1.1 ${status} Error\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+}
+
+/** Starts listening for callers. */
+export async function createCallerListener(
+  ctx: CallerListenerContext,
+  host: string,
+  port: number,
+): Promise<CallerListener> {
+  let closing = false;
+  let open = 0;
+  const server: Server = createServer(
+    { maxHeaderSize: MAX_HEAD_BYTES, requestTimeout: 0 },
+    (req, res) => {
+      void answer(req, res);
+    },
+  );
+  server.keepAliveTimeout = DEFAULT_IDLE_MS;
+  server.on('clientError', refuseGarbage);
+
+  /** Continues a request whose head and body are in, and finds its answer. */
+  async function findAnswer(
+    req: IncomingMessage,
+    gone: AbortSignal,
+    arrivedAt: number,
+  ): Promise<{ answer: RouterAnswer; caller?: CallerRequest }> {
+    const table = ctx.routes();
+    const target = req.url ?? '/';
+    const route = table?.find(req.headers.host ?? '', target.split('?')[0] ?? target);
+    const read = await readBody(req, table?.cfg.limits.maxBodyBytes ?? 0);
+    if (read.kind === 'gone') return { answer: { kind: 'none' } };
+    if (!table) {
+      return { answer: ownAnswer('routerNotReady', 'no configuration yet', NOT_READY_RETRY_MS) };
+    }
+    if (!route) return { answer: ownAnswer('noMatchingRule', 'no route for this path') };
+    if (read.kind === 'too-large') {
+      return { answer: ownAnswer('bodyTooLarge', 'the body is over the limit') };
+    }
+    const meta = ctx.codec.readRequest(req.headers);
+    if (meta.attemptId === undefined) {
+      return { answer: ownAnswer('badRequest', 'the request has no id') };
+    }
+    const deadlineMs = meta.deadlineMs ?? DEFAULT_DEADLINE_MS;
+    const timeoutMs = Math.min(route.cfg.timeoutMs, deadlineMs - DEADLINE_MARGIN_MS);
+    const caller: CallerRequest = {
+      method: req.method ?? 'GET',
+      target,
+      rawHeaders: req.rawHeaders,
+      connection: req.headers.connection,
+      body: read.body,
+      attemptId: meta.attemptId,
+      meta,
+      route,
+      service: route.nextService(),
+      arrivedAt,
+      answerBy: arrivedAt + timeoutMs,
+      deadlineAt: arrivedAt + deadlineMs,
+      gone,
+    };
+    return { answer: await ctx.handle(caller), caller };
+  }
+
+  async function answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    open += 1;
+    const arrivedAt = ctx.now();
+    const gone = new AbortController();
+    res.on('error', () => undefined);
+    res.on('close', () => {
+      open -= 1;
+      if (!res.writableFinished) gone.abort();
+    });
+    const found = await findAnswer(req, gone.signal, arrivedAt);
+    if (found.caller) ctx.onAnswer(found.caller, found.answer);
+    if (res.destroyed || found.answer.kind === 'none') {
+      res.destroy();
+      return;
+    }
+    if (closing || !req.complete) res.setHeader('connection', 'close');
+    if (found.answer.kind === 'server') {
+      writeServers(res, found.answer);
+      return;
+    }
+    const id = found.caller?.attemptId ?? ctx.codec.readRequest(req.headers).attemptId;
+    writeOwn(res, found.answer, id === undefined ? {} : ctx.codec.writeAnswer(id));
+  }
+
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, 1_024, resolve);
+  });
+
+  return {
+    applyLimits(limits) {
+      server.keepAliveTimeout = limits.idleTimeoutMs;
+      server.headersTimeout = limits.headerTimeoutMs;
+    },
+    announceClose() {
+      closing = true;
+    },
+    async drain() {
+      const closed = new Promise((resolve) => server.close(resolve));
+      server.closeIdleConnections();
+      await closed;
+    },
+    openRequests: () => open,
+  };
+}
--- /dev/null
+++ b/packages/router/src/lib/choose-server.ts
@@ -0,0 +1,70 @@
+/** A server that may take the next request. */
+export interface ServerCandidate {
+  readonly id: string;
+  /** Requests that it has in hand, estimated. */
+  readonly inHand: number;
+  readonly slots: number;
+  /** Time of a request without queueing, in milliseconds. */
+  readonly serviceMs: number;
+  /** Share of requests that failed lately. */
+  readonly failureShare: number;
+  /** The server stands in another region. */
+  readonly isFar: boolean;
+  /** The server warms up. */
+  readonly isCold: boolean;
+}
+
+/** Time until an answer can be expected, and the server it would come from. */
+export interface Choice {
+  readonly id: string;
+  readonly expectedMs: number;
+}
+
+/** What a request brings to the choice. */
+export interface ChoiceDemand {
+  /** Latency objective in milliseconds. */
+  readonly objectiveMs: number;
+  /** Uniform in [0, 1). */
+  random(): number;
+}
+
+/**
+ * Share of the latency objective that a server in another region must be faster by: bytes between
+ * regions are scarce.
+ */
+const FAR_COST = 0.5;
+const COLD_FACTOR = 1.6;
+/** A request on its way at a server slows another one down a little even while a slot is free. */
+const SHARING_COST = 0.15;
+/** Cost of a failure in latency objectives: the request has to be repeated, if it may be. */
+const FAILURE_COST = 3;
+/** Spreads the choices of routers that see the same loads. */
+const NOISE = 0.12;
+
+/** Expected time to the answer of a request that a server gets now, in milliseconds. */
+export function expectedMs(server: Omit<ServerCandidate, 'id' | 'failureShare' | 'isFar'>): number {
+  const ahead = Math.max(0, server.inHand + 1 - server.slots);
+  const workMs = server.serviceMs * (server.isCold ? COLD_FACTOR : 1);
+  return workMs * (1 + ahead / server.slots + SHARING_COST * Math.min(1, server.inHand));
+}
+
+/** Chooses the server with the least expected cost for a request that any server may take. */
+export function chooseServer(
+  candidates: readonly ServerCandidate[],
+  demand: ChoiceDemand,
+): Choice | undefined {
+  let best: Choice | undefined;
+  let bestCost = Infinity;
+  for (const server of candidates) {
+    const answerMs = expectedMs(server);
+    const failureMs = server.failureShare * FAILURE_COST * demand.objectiveMs;
+    const farMs = server.isFar ? FAR_COST * demand.objectiveMs : 0;
+    const noise = 1 + NOISE * (demand.random() - 0.5);
+    const cost = answerMs * noise + failureMs + farMs;
+    if (cost < bestCost) {
+      best = { id: server.id, expectedMs: answerMs };
+      bestCost = cost;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/router/src/lib/fleet-router.ts
@@ -0,0 +1,244 @@
+import { createServer } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { FleetSettings } from '@boragepoint/config';
+import {
+  createPlacementMember,
+  createPlacementPeers,
+  createServerDirectory,
+  processClocks,
+} from '@boragepoint/placement';
+import { type FleetPlatform, type RowWatcher, watchRows } from '@boragepoint/platform';
+
+import { createCallerListener } from './caller-listener.js';
+import { createPeerListener } from './peer-listener.js';
+import { createRequestHandler } from './request-handler.js';
+import { type RouteTable, createRouteTable } from './route-table.js';
+import type { RouterLog } from './router-log.js';
+import { createRouterMetrics } from './router-metrics.js';
+import { createServerPool } from './server-pool.js';
+import { type SharedRetryBudget, createSharedRetryBudget } from './shared-retry-budget.js';
+
+/** After the stop was announced, connections are taken for as long as callers may still be sent here. */
+const ANNOUNCE_MS = 2_600;
+/** Part of the grace period that is left unused, in milliseconds. */
+const GRACE_MARGIN_MS = 400;
+
+/** A running router. */
+export interface FleetRouter {
+  /** Stops gracefully: not ready at once, requests in progress finish. */
+  shutDown(): Promise<void>;
+}
+
+function split(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+/** Starts a router on a platform. */
+export async function createFleetRouter(
+  settings: FleetSettings,
+  platform: FleetPlatform,
+  log: RouterLog,
+): Promise<FleetRouter> {
+  const clocks = processClocks;
+  const end = new AbortController();
+  const handOver = new AbortController();
+  const { instance, regions } = settings;
+  let table: RouteTable | undefined;
+  let stopping = false;
+  let keys = new Map<string, number[]>();
+  const budgets = new Map<string, SharedRetryBudget>();
+
+  const directory = createServerDirectory({
+    platform,
+    clocks,
+    onLost: (err) => {
+      log.warn('service registry lost', { reason: err.message });
+    },
+    onRegained: () => {
+      log.info('service registry regained');
+    },
+  });
+  const peers = createPlacementPeers();
+  const isPartitioned = (service: string) => table?.service(service)?.partitioned ?? false;
+
+  function takeLoad() {
+    const taken = keys;
+    keys = new Map();
+    const services = (table?.cfg.services ?? []).filter((it) => it.partitioned);
+    return services.map(({ name }) => ({
+      service: name,
+      keys: taken.get(name) ?? [],
+      servers: pool.ofService(name).flatMap(({ entry, load }) => {
+        const measured = load.takeMeasured();
+        const isNews = measured.answered + measured.failed > 0;
+        return isNews ? [{ server: entry.id, ...measured }] : [];
+      }),
+    }));
+  }
+
+  const member = createPlacementMember({
+    self: { router: instance.id, address: settings.listen.peers, startedMs: clocks.timeOfDay() },
+    store: platform.store,
+    orders: platform.orders,
+    directory,
+    peers,
+    clocks,
+    log,
+    partitionedServices: () =>
+      table?.cfg.services.filter((it) => it.partitioned).map((it) => it.name),
+    takeLoad,
+  });
+  const pool = createServerPool({
+    directory,
+    maxConnections: (service) => table?.service(service)?.maxConnections ?? 1,
+    routers: () => member.routers(),
+  });
+  directory.onChange(() => {
+    pool.refresh();
+  });
+
+  const handler = createRequestHandler({
+    pool,
+    codec: platform.headers,
+    log,
+    view: () => member.view(),
+    waitForPlacement: (ms) => member.waitForChange(ms),
+    routers: () => member.routers(),
+    isFar: (zone) => regions[zone] !== instance.region,
+    drainNoticeMs: settings.drain.noticeMs,
+    drainingSince(id) {
+      const known = directory.get(id);
+      return known?.entry.draining === true ? known.seenAt : undefined;
+    },
+    isPartitioned,
+    budgetOf(service) {
+      const budget = budgets.get(service) ?? createSharedRetryBudget(settings.retries);
+      budgets.set(service, budget);
+      return budget;
+    },
+    recordKey(service, key) {
+      const list = keys.get(service) ?? [];
+      list.push(key);
+      keys.set(service, list);
+    },
+    now: clocks.monotonic,
+    random: Math.random,
+  });
+
+  const callers = split(settings.listen.callers);
+  const metrics = createRouterMetrics(() => listener.openRequests());
+  const listener = await createCallerListener(
+    {
+      codec: platform.headers,
+      routes: () => table,
+      handle: (req) => handler.handle(req),
+      now: clocks.monotonic,
+      onAnswer(req, answer) {
+        const latencyMs = clocks.monotonic() - req.arrivedAt;
+        metrics.answered(req, answer, latencyMs);
+        if (answer.kind === 'own') {
+          log.info('answered by the router', {
+            request: req.attemptId,
+            route: req.route.cfg.name,
+            status: answer.status,
+            result: answer.result,
+            reason: answer.reason,
+            retryAfterMs: answer.retryAfterMs && Math.round(answer.retryAfterMs),
+            afterMs: Math.round(latencyMs),
+            configVersion: table?.cfg.version,
+            placementChange: member.view().change,
+          });
+        }
+      },
+    },
+    callers.host,
+    callers.port,
+  );
+
+  function applyConfig(next: RouteTable): void {
+    if (table && next.cfg.version <= table.cfg.version) return;
+    table = next;
+    listener.applyLimits(next.cfg.limits);
+    log.info('configuration in force', {
+      version: next.cfg.version,
+      routes: next.cfg.routes.length,
+      services: next.cfg.services.length,
+    });
+  }
+
+  const configWatcher: RowWatcher = {
+    onSnapshot({ rows }) {
+      for (const row of rows) configWatcher.onChange(row);
+    },
+    onChange(row) {
+      const cfg = platform.decodeConfig(row);
+      if (cfg) applyConfig(createRouteTable(cfg));
+    },
+    onRemoval: () => undefined,
+    onLost(err) {
+      log.warn('configuration watch lost', { reason: err.message });
+    },
+    onRegained() {
+      log.info('configuration watch regained');
+    },
+  };
+
+  const isReady = () => !stopping && table !== undefined && directory.isLoaded();
+  const readiness = createServer((_req, res) => {
+    res.writeHead(isReady() ? 200 : 503, { 'content-length': 0 });
+    res.end();
+  });
+  const ready = split(settings.listen.readiness);
+  readiness.listen(ready.port, ready.host);
+
+  const metricsServer = createServer((_req, res) => {
+    void metrics.text().then((text) => {
+      res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+      res.end(text);
+    });
+  });
+  if (settings.listen.metrics !== undefined) {
+    const { host, port } = split(settings.listen.metrics);
+    metricsServer.on('error', (err) => {
+      log.warn('metrics not served', { reason: err.message });
+    });
+    metricsServer.listen(port, host);
+  }
+
+  const peerAddress = split(settings.listen.peers);
+  const peerListener = await createPeerListener(member, peerAddress.host, peerAddress.port);
+  const watches = [
+    watchRows(platform.store, platform.configTable, configWatcher, end.signal),
+    directory.run(end.signal),
+  ];
+  const placed = member.run(handOver.signal);
+  log.info('started', { zone: instance.availabilityZone, region: instance.region });
+
+  return {
+    async shutDown() {
+      const startedAt = clocks.monotonic();
+      const leaveBy = startedAt + settings.shutdown.graceMs - GRACE_MARGIN_MS;
+      stopping = true;
+      log.info('stopping', { openRequests: listener.openRequests() });
+      listener.announceClose();
+      handOver.abort();
+      await sleep(Math.min(ANNOUNCE_MS, settings.shutdown.graceMs / 2));
+      const drained = listener.drain();
+      await Promise.race([drained, sleep(Math.max(0, leaveBy - clocks.monotonic()))]);
+      end.abort();
+      await Promise.race([placed, sleep(Math.max(0, leaveBy - clocks.monotonic()))]);
+      await peerListener[Symbol.asyncDispose]();
+      peers[Symbol.dispose]();
+      readiness.close();
+      metricsServer.close();
+      log.info('stopped', {
+        openRequests: listener.openRequests(),
+        afterMs: Math.round(clocks.monotonic() - startedAt),
+      });
+      log.flush();
+      void watches;
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/lib/route-table.ts
@@ -0,0 +1,58 @@
+import type { FleetConfig, FleetService, RouteConfig, RouteTarget } from '@boragepoint/platform';
+
+/** A route with the turn of its targets. */
+export interface Route {
+  readonly cfg: RouteConfig;
+  /** Picks the service of the next request, each in proportion to its weight. */
+  nextService(): string;
+}
+
+/** Finds routes by host and path. */
+export interface RouteTable {
+  readonly cfg: FleetConfig;
+  /** The route of the host whose prefix is the longest that begins the path. */
+  find(host: string, path: string): Route | undefined;
+  service(name: string): FleetService | undefined;
+}
+
+/** Takes targets in turn by smooth weighted round robin, so that shares hold over short spans too. */
+function createTurns(targets: readonly RouteTarget[]): () => string {
+  const [only] = targets;
+  if (targets.length === 1 && only) return () => only.service;
+  const total = targets.reduce((sum, it) => sum + it.weight, 0);
+  // Routers that start together would otherwise all begin with the same target.
+  const credit = targets.map((it) => it.weight * Math.random());
+  return () => {
+    let best = 0;
+    targets.forEach((it, index) => {
+      credit[index] = (credit[index] ?? 0) + it.weight;
+      if ((credit[index] ?? 0) > (credit[best] ?? 0)) best = index;
+    });
+    credit[best] = (credit[best] ?? 0) - total;
+    return targets[best]?.service ?? '';
+  };
+}
+
+const withoutPort = (host: string) => host.replace(/:\d+$/, '').toLowerCase();
+
+/** Creates the table of a configuration. */
+export function createRouteTable(cfg: FleetConfig): RouteTable {
+  const byHost = new Map<string, Route[]>();
+  for (const route of cfg.routes) {
+    const routes = byHost.get(route.host.toLowerCase()) ?? [];
+    routes.push({ cfg: route, nextService: createTurns(route.targets) });
+    byHost.set(route.host.toLowerCase(), routes);
+  }
+  for (const routes of byHost.values()) {
+    routes.sort((a, b) => b.cfg.pathPrefix.length - a.cfg.pathPrefix.length);
+  }
+  const services = new Map(cfg.services.map((it) => [it.name, it]));
+  return {
+    cfg,
+    find(host, path) {
+      const routes = byHost.get(withoutPort(host)) ?? [];
+      return routes.find((it) => path.startsWith(it.cfg.pathPrefix));
+    },
+    service: (name) => services.get(name),
+  };
+}
--- /dev/null
+++ b/packages/router/src/lib/router-answer.ts
@@ -0,0 +1,25 @@
+import { RESULT_CODES, type ResultName, httpStatusOf } from '@boragepoint/config';
+
+import type { ServerAnswer } from './send-request.js';
+
+/** What the caller gets: a backend server's answer, unchanged, or one of the router's own. */
+export type RouterAnswer =
+  | { readonly kind: 'server'; readonly answer: ServerAnswer; readonly server: string }
+  | OwnAnswer
+  /** The caller has left. */
+  | { readonly kind: 'none' };
+
+/** An answer of the router's own. */
+export interface OwnAnswer {
+  readonly kind: 'own';
+  readonly status: number;
+  readonly result: ResultName;
+  readonly reason: string;
+  readonly retryAfterMs?: number;
+}
+
+/** Creates an answer of the router's own for a result code. */
+export function ownAnswer(result: ResultName, reason: string, retryAfterMs?: number): OwnAnswer {
+  const status = httpStatusOf(RESULT_CODES[result]);
+  return { kind: 'own', status, result, reason, ...(retryAfterMs !== undefined && { retryAfterMs }) };
+}
--- /dev/null
+++ b/packages/router/src/lib/router-metrics.ts
@@ -0,0 +1,61 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+import type { CallerRequest } from './caller-request.js';
+import type { RouterAnswer } from './router-answer.js';
+
+const LATENCY_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10];
+const MS_PER_S = 1_000;
+
+/** Counters and latencies of one router. */
+export interface RouterMetrics {
+  answered(req: CallerRequest, answer: RouterAnswer, latencyMs: number): void;
+  text(): Promise<string>;
+}
+
+function outcomeOf(answer: RouterAnswer): string {
+  if (answer.kind === 'none') return 'caller-gone';
+  if (answer.kind === 'own') return answer.result;
+  return answer.answer.status < 500 ? 'ok' : 'server-error';
+}
+
+/** Creates the metrics; `openRequests` is read when they are fetched. */
+export function createRouterMetrics(openRequests: () => number): RouterMetrics {
+  const registry = new Registry();
+  const requests = new Counter({
+    name: 'boragepoint_requests_total',
+    help: 'Requests by service, route and outcome.',
+    labelNames: ['service', 'route', 'outcome'],
+    registers: [registry],
+  });
+  const late = new Counter({
+    name: 'boragepoint_requests_late_total',
+    help: 'Answered requests over the latency objective.',
+    labelNames: ['service'],
+    registers: [registry],
+  });
+  const latency = new Histogram({
+    name: 'boragepoint_request_seconds',
+    help: 'Time from the head of a request to its answer.',
+    labelNames: ['service', 'outcome'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [registry],
+  });
+  new Gauge({
+    name: 'boragepoint_requests_open',
+    help: 'Requests without an answer yet.',
+    registers: [registry],
+    collect() {
+      this.set(openRequests());
+    },
+  });
+  return {
+    answered(req, answer, latencyMs) {
+      const { service, route } = req;
+      const outcome = outcomeOf(answer);
+      requests.inc({ service, route: route.cfg.name, outcome });
+      latency.observe({ service, outcome }, latencyMs / MS_PER_S);
+      if (outcome === 'ok' && latencyMs > route.cfg.objectiveMs) late.inc({ service });
+    },
+    text: () => registry.metrics(),
+  };
+}
--- /dev/null
+++ b/packages/router/src/lib/send-request.ts
@@ -0,0 +1,149 @@
+import type { AnswerMeta, HeaderCodec, HeaderValues } from '@boragepoint/platform';
+import { type Dispatcher, errors } from 'undici';
+
+/** A request as it goes to a backend server. */
+export interface OutgoingRequest {
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer | undefined;
+  readonly attemptId: string;
+}
+
+/** A whole answer of a backend server. */
+export interface ServerAnswer {
+  readonly status: number;
+  readonly headers: HeaderValues;
+  readonly body: Buffer;
+  readonly meta: AnswerMeta;
+}
+
+/**
+ * What came of sending a request to one server:
+ * - `answer`: the server's whole answer to this request.
+ * - `not-run`: proved; `refused` if nothing listens there, `unconnected` if no connection came about,
+ *   `shed` or `misdirected` if the server said so.
+ * - `unknown`: the request may have run.
+ */
+export type SendOutcome =
+  | { readonly kind: 'answer'; readonly answer: ServerAnswer }
+  | {
+      readonly kind: 'not-run';
+      readonly why: 'refused' | 'unconnected' | 'shed' | 'misdirected' | 'invalid' | 'cancelled';
+      readonly answer?: ServerAnswer;
+    }
+  | {
+      readonly kind: 'unknown';
+      readonly why: 'broken-off' | 'garbled' | 'cancelled';
+      readonly detail: string;
+    };
+
+const HTTP_MISDIRECTED = 421;
+const HTTP_BAD_REQUEST = 400;
+
+/** Aborts a request whose answer is not its own; the connection is closed with it. */
+class ForeignAnswerError extends Error {
+  override readonly name = 'ForeignAnswerError';
+}
+
+function whyUnsent(err: Error): 'refused' | 'unconnected' {
+  return 'code' in err && err.code === 'ECONNREFUSED' ? 'refused' : 'unconnected';
+}
+
+function judge(answer: ServerAnswer): SendOutcome {
+  const { status, meta } = answer;
+  if (meta.notRun || status === HTTP_MISDIRECTED) {
+    const why =
+      status === HTTP_MISDIRECTED ? 'misdirected' : status === HTTP_BAD_REQUEST ? 'invalid' : 'shed';
+    return { kind: 'not-run', why, answer };
+  }
+  if (!meta.signed) return { kind: 'unknown', why: 'garbled', detail: `unsigned ${status}` };
+  if (answer.headers['content-encoding'] !== undefined) {
+    return { kind: 'unknown', why: 'garbled', detail: 'encoded body' };
+  }
+  return { kind: 'answer', answer };
+}
+
+/**
+ * Sends a request and collects the whole answer, so that an answer which breaks off is never passed on.
+ * A connection whose answer belongs to another request is closed.
+ */
+export function sendRequest(
+  dispatcher: Dispatcher,
+  req: OutgoingRequest,
+  codec: HeaderCodec,
+  signal: AbortSignal,
+): Promise<SendOutcome> {
+  return new Promise((resolve) => {
+    let controller: Dispatcher.DispatchController | undefined;
+    let head: Omit<ServerAnswer, 'body'> | undefined;
+    const chunks: Buffer[] = [];
+
+    const abort = () => {
+      if (!controller) {
+        finish({ kind: 'not-run', why: 'cancelled' });
+        return;
+      }
+      controller.abort(new errors.RequestAbortedError());
+      finish({ kind: 'unknown', why: 'cancelled', detail: 'cancelled' });
+    };
+    function finish(outcome: SendOutcome): void {
+      signal.removeEventListener('abort', abort);
+      resolve(outcome);
+    }
+
+    if (signal.aborted) {
+      finish({ kind: 'not-run', why: 'cancelled' });
+      return;
+    }
+    signal.addEventListener('abort', abort);
+
+    const handler: Dispatcher.DispatchHandler = {
+      onRequestStart(started) {
+        controller = started;
+        if (signal.aborted) started.abort(new errors.RequestAbortedError());
+      },
+      onResponseStart(started, status, headers) {
+        if (status < 200) return;
+        const meta = codec.readAnswer(status, headers);
+        if (meta.attemptId !== undefined && meta.attemptId !== req.attemptId) {
+          started.abort(new ForeignAnswerError('the answer names another request'));
+          return;
+        }
+        head = { status, headers, meta };
+      },
+      onResponseData(_controller, chunk) {
+        chunks.push(chunk);
+      },
+      onResponseEnd() {
+        if (!head) {
+          finish({ kind: 'unknown', why: 'garbled', detail: 'no head' });
+          return;
+        }
+        finish(judge({ ...head, body: Buffer.concat(chunks) }));
+      },
+      onResponseError(_controller, err) {
+        if (!controller) {
+          finish({ kind: 'not-run', why: whyUnsent(err) });
+          return;
+        }
+        const isGarbled = err instanceof ForeignAnswerError || err instanceof errors.HTTPParserError;
+        finish({
+          kind: 'unknown',
+          why: isGarbled ? 'garbled' : 'broken-off',
+          detail: err.message,
+        });
+      },
+    };
+    dispatcher.dispatch(
+      {
+        method: req.method as Dispatcher.HttpMethod,
+        path: req.path,
+        headers: [...req.headers],
+        body: req.body ?? null,
+      },
+      handler,
+    );
+  });
+}
--- /dev/null
+++ b/packages/router/src/lib/server-connections.ts
@@ -0,0 +1,50 @@
+import { type Dispatcher, Pool } from 'undici';
+
+/** Time for a new connection to come about, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Idle connections are closed after this time unless the server says a shorter one. */
+const IDLE_MS = 8_000;
+/** Part of a server's connections that the known routers use together. */
+const USED_SHARE = 0.8;
+const MIN_CONNECTIONS = 4;
+
+/** Connections to one backend server. */
+export interface ServerConnections {
+  readonly dispatcher: Dispatcher;
+  /** Drops idle connections: they may be silent. Requests on their way go on. */
+  renew(): void;
+  close(): void;
+}
+
+/** Connections that one of `routers` routers may open to a server. */
+export function connectionShare(maxConnections: number, routers: number): number {
+  return Math.max(MIN_CONNECTIONS, Math.floor((maxConnections * USED_SHARE) / routers));
+}
+
+/** Creates the connections to the server at an address. */
+export function createServerConnections(address: string, connections: number): ServerConnections {
+  const create = () =>
+    new Pool(`http://${address}`, {
+      connections,
+      pipelining: 1,
+      keepAliveTimeout: IDLE_MS,
+      keepAliveMaxTimeout: IDLE_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+    });
+  let pool = create();
+  return {
+    get dispatcher() {
+      return pool;
+    },
+    renew() {
+      const old = pool;
+      pool = create();
+      void old.close().catch(() => undefined);
+    },
+    close() {
+      void pool.close().catch(() => undefined);
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/lib/server-load.ts
@@ -0,0 +1,95 @@
+import type { ReportedLoad } from '@boragepoint/platform';
+
+/** Weight of one measurement in a moving average. */
+const SAMPLE_WEIGHT = 0.2;
+const INITIAL_SERVICE_MS = 250;
+/** Weight of one outcome in the share of failures. */
+const OUTCOME_WEIGHT = 0.15;
+/** What other routers keep at the server is believed less the older the report is, in service times. */
+const REPORT_LIFE = 2;
+
+/** What one router knows of a backend server's load, from its own requests and from answers. */
+export interface ServerLoad {
+  /** A request is sent. */
+  sent(now: number): void;
+  /**
+   * A request is over. `latencyMs` is missing when it was not answered in full, and `failed` when the
+   * outcome says nothing about the server.
+   */
+  done(latencyMs: number | undefined, failed?: boolean): void;
+  reported(now: number, load: ReportedLoad): void;
+  /** Own requests on their way. */
+  inFlight(): number;
+  /** Requests that the server is thought to have in hand, of all routers. */
+  inHand(now: number): number;
+  /** Time that a request takes without queueing, in milliseconds. */
+  serviceMs(): number;
+  slots(): number;
+  /** Share of requests that failed or were shed, lately. */
+  failureShare(): number;
+  /** Measurements since the last call, for the report to the placement leader. */
+  takeMeasured(): { serviceMs: number; answered: number; failed: number };
+}
+
+/** Creates the load of a server of which nothing is known but its slots. */
+export function createServerLoad(initialSlots: number): ServerLoad {
+  let slots = initialSlots;
+  let own = 0;
+  let serviceMs: number | undefined;
+  let failures = 0;
+  let othersMean = 0;
+  let others = 0;
+  let othersAt = -Infinity;
+  let measured = { sum: 0, count: 0, answered: 0, failed: 0 };
+  /** Own requests that began when the server seemed to have a free slot. */
+  let unqueued = 0;
+
+  const usualMs = () => serviceMs ?? INITIAL_SERVICE_MS;
+
+  function othersNow(now: number): number {
+    const age = now - othersAt;
+    const trust = Math.exp(-age / (REPORT_LIFE * usualMs()));
+    return othersMean + (others - othersMean) * trust;
+  }
+
+  function inHand(now: number): number {
+    return own + Math.max(0, othersNow(now));
+  }
+
+  return {
+    sent(now) {
+      if (inHand(now) < slots) unqueued += 1;
+      own += 1;
+    },
+    done(latencyMs, failed) {
+      own -= 1;
+      if (failed !== undefined) {
+        failures += ((failed ? 1 : 0) - failures) * OUTCOME_WEIGHT;
+        if (failed) measured.failed += 1;
+        else measured.answered += 1;
+      }
+      if (latencyMs === undefined || unqueued === 0) return;
+      unqueued -= 1;
+      const before = serviceMs ?? latencyMs;
+      serviceMs = before + (latencyMs - before) * SAMPLE_WEIGHT;
+      measured.sum += latencyMs;
+      measured.count += 1;
+    },
+    reported(now, load) {
+      if (load.slots > 0) slots = load.slots;
+      others = Math.max(0, load.running + load.waiting - Math.max(0, own - 1));
+      othersMean += (others - othersMean) * SAMPLE_WEIGHT;
+      othersAt = now;
+    },
+    inFlight: () => own,
+    inHand,
+    serviceMs: usualMs,
+    slots: () => slots,
+    failureShare: () => failures,
+    takeMeasured() {
+      const { sum, count, answered, failed } = measured;
+      measured = { sum: 0, count: 0, answered: 0, failed: 0 };
+      return { serviceMs: count > 0 ? sum / count : 0, answered, failed };
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/lib/server-pool.ts
@@ -0,0 +1,105 @@
+import { type ServerDirectory } from '@boragepoint/placement';
+import type { ServerEntry } from '@boragepoint/platform';
+
+import type { ServerCandidate } from './choose-server.js';
+import {
+  type ServerConnections,
+  connectionShare,
+  createServerConnections,
+} from './server-connections.js';
+import { type ServerLoad, createServerLoad } from './server-load.js';
+
+/** A backend server as the router uses it. */
+export interface PooledServer {
+  entry: ServerEntry;
+  readonly load: ServerLoad;
+  readonly connections: ServerConnections;
+  /** Takes no requests before this time, in milliseconds of the monotonic clock. */
+  avoidUntil: number;
+  /** When this start of the server was first seen. */
+  readonly firstSeenAt: number;
+}
+
+/** The backend servers that requests can be sent to. */
+export interface ServerPool {
+  get(id: string): PooledServer | undefined;
+  /** Servers of a service that take requests, those that are avoided for now included. */
+  ofService(service: string): readonly PooledServer[];
+  /** Follows the registry; for after each of its changes. */
+  refresh(): void;
+  all(): Iterable<PooledServer>;
+}
+
+/** What a pool needs. */
+export interface ServerPoolOptions {
+  readonly directory: ServerDirectory;
+  maxConnections(service: string): number;
+  routers(): number;
+}
+
+/** Creates a pool that follows a directory. */
+export function createServerPool(options: ServerPoolOptions): ServerPool {
+  const { directory } = options;
+  const servers = new Map<string, PooledServer>();
+  const groups = new Map<string, readonly PooledServer[]>();
+
+  function pooled(id: string): PooledServer | undefined {
+    const known = directory.get(id);
+    const held = servers.get(id);
+    if (!known) return undefined;
+    const { entry } = known;
+    if (held?.entry === entry) return held;
+    if (held?.entry.startedMs === entry.startedMs && held.entry.address === entry.address) {
+      held.entry = entry;
+      return held;
+    }
+    held?.connections.close();
+    const count = connectionShare(options.maxConnections(entry.service), options.routers());
+    const created: PooledServer = {
+      entry,
+      load: createServerLoad(entry.slots),
+      connections: createServerConnections(entry.address, count),
+      avoidUntil: -Infinity,
+      firstSeenAt: known.firstSeenAt,
+    };
+    servers.set(id, created);
+    return created;
+  }
+
+  return {
+    get: pooled,
+    ofService(service) {
+      const known = groups.get(service);
+      if (known) return known;
+      const group = directory
+        .ofService(service)
+        .filter((it) => !it.entry.draining)
+        .flatMap((it) => pooled(it.entry.id) ?? []);
+      groups.set(service, group);
+      return group;
+    },
+    refresh() {
+      groups.clear();
+      for (const [id, server] of servers) {
+        if (directory.get(id)) continue;
+        server.connections.close();
+        servers.delete(id);
+      }
+    },
+    all: () => servers.values(),
+  };
+}
+
+/** Describes a server for the choice among equals. */
+export function candidateOf(server: PooledServer, isFar: boolean, now: number): ServerCandidate {
+  const { entry, load } = server;
+  return {
+    id: entry.id,
+    inHand: load.inHand(now),
+    slots: load.slots(),
+    serviceMs: load.serviceMs(),
+    failureShare: load.failureShare(),
+    isFar,
+    isCold: now < server.firstSeenAt + entry.warmUpMs,
+  };
+}
--- /dev/null
+++ b/packages/router/src/lib/shared-retry-budget.ts
@@ -0,0 +1,45 @@
+/** Bounds that all routers keep together, for each service. */
+export interface RetryLimits {
+  /** Repeats allowed for each request. */
+  readonly ratio: number;
+  /** Repeats allowed besides, in one window. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
+/** This router's part of the budget for one service. */
+export interface SharedRetryBudget {
+  recordRequest(now: number): void;
+  /** Takes a repeat from the budget if there is one. */
+  tryRetry(now: number, routers: number): boolean;
+}
+
+/** Part of the budget that is used, so that routers which count each other late stay within it. */
+const USED_SHARE = 0.7;
+
+/** Drops times that have left the window. */
+function prune(times: number[], oldest: number): void {
+  let count = 0;
+  while (count < times.length && (times[count] ?? 0) < oldest) count += 1;
+  if (count > 0) times.splice(0, count);
+}
+
+/** Creates a budget over a sliding window. */
+export function createSharedRetryBudget(limits: RetryLimits): SharedRetryBudget {
+  const requests: number[] = [];
+  const retries: number[] = [];
+  return {
+    recordRequest(now) {
+      requests.push(now);
+      prune(requests, now - limits.windowMs);
+    },
+    tryRetry(now, routers) {
+      prune(requests, now - limits.windowMs);
+      prune(retries, now - limits.windowMs);
+      const allowed = requests.length * limits.ratio + limits.slack / Math.max(1, routers);
+      if (retries.length + 1 > allowed * USED_SHARE) return false;
+      retries.push(now);
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,29 @@
+// Bundles the router for the platform into target/, from the sources, so that it starts fast.
+import { readdirSync } from 'node:fs';
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+import { build } from 'esbuild';
+
+const root = path.dirname(path.dirname(fileURLToPath(import.meta.url)));
+const packages = readdirSync(path.join(root, 'packages'));
+
+await build({
+  absWorkingDir: root,
+  entryPoints: ['platform/src/bin/router.ts'],
+  outfile: 'target/router.mjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minify: true,
+  keepNames: true,
+  legalComments: 'none',
+  alias: Object.fromEntries(
+    packages.map((name) => [`@boragepoint/${name}`, `./packages/${name}/src/index.ts`]),
+  ),
+  // Packages in CommonJS call `require` for Node's own modules.
+  banner: {
+    js: "import { createRequire as __createRequire } from 'node:module'; const require = __createRequire(import.meta.url);",
+  },
+});
