Take an answer of no stated length for broken off when its connection is reset

Ruled out: our own forwarding, which only passes on what the library calls complete. Change: the connector notices the socket's error before the library does, and the answer that it ends counts as broken off.

--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -145,7 +145,7 @@
     const timer = setTimeout(stop, Math.max(0, req.answerBy - startedAt));
     req.gone.addEventListener('abort', stop);
     load.sent(startedAt);
-    const outcome = await sendRequest(connections.dispatcher, outgoing, codec, limit.signal);
+    const outcome = await sendRequest(connections, outgoing, codec, limit.signal);
     clearTimeout(timer);
     req.gone.removeEventListener('abort', stop);
     noteOutcome(server, outcome, startedAt);
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -1,6 +1,8 @@
 import type { AnswerMeta, HeaderCodec, HeaderValues } from '@boragepoint/platform';
 import { type Dispatcher, errors } from 'undici';
 
+import type { ServerConnections } from './server-connections.js';
+
 /** A request as it goes to a backend server. */
 export interface OutgoingRequest {
   readonly method: string;
@@ -70,7 +72,7 @@
  * A connection whose answer belongs to another request is closed.
  */
 export function sendRequest(
-  dispatcher: Dispatcher,
+  connections: Pick<ServerConnections, 'dispatcher' | 'isHandlingReset'>,
   req: OutgoingRequest,
   codec: HeaderCodec,
   signal: AbortSignal,
@@ -121,6 +123,10 @@
           finish({ kind: 'unknown', why: 'garbled', detail: 'no head' });
           return;
         }
+        if (connections.isHandlingReset()) {
+          finish({ kind: 'unknown', why: 'broken-off', detail: 'reset before the end' });
+          return;
+        }
         finish(judge({ ...head, body: Buffer.concat(chunks) }));
       },
       onResponseError(_controller, err) {
@@ -136,7 +142,7 @@
         });
       },
     };
-    dispatcher.dispatch(
+    connections.dispatcher.dispatch(
       {
         method: req.method as Dispatcher.HttpMethod,
         path: req.path,
--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -1,4 +1,4 @@
-import { type Dispatcher, Pool } from 'undici';
+import { type Dispatcher, Pool, buildConnector } from 'undici';
 
 /** Time for a new connection to come about, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -11,6 +11,11 @@
 /** Connections to one backend server. */
 export interface ServerConnections {
   readonly dispatcher: Dispatcher;
+  /**
+   * True while a reset of one of the connections is being handled. The HTTP library takes an answer of
+   * no stated length as whole when its connection is reset, so whoever gets one asks here.
+   */
+  isHandlingReset(): boolean;
   /** Drops idle connections: they may be silent. Requests on their way go on. */
   renew(): void;
   close(): void;
@@ -23,6 +28,23 @@
 
 /** Creates the connections to the server at an address. */
 export function createServerConnections(address: string, connections: number): ServerConnections {
+  const connectPlainly = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  let handlingReset = false;
+
+  /** Connects, and notices errors of the connection before the HTTP library does. */
+  const connect: buildConnector.connector = (options, callback) => {
+    connectPlainly(options, (...result) => {
+      const [, socket] = result;
+      socket?.on('error', () => {
+        handlingReset = true;
+        queueMicrotask(() => {
+          handlingReset = false;
+        });
+      });
+      callback(...result);
+    });
+  };
+
   const create = () =>
     new Pool(`http://${address}`, {
       connections,
@@ -31,13 +53,14 @@
       keepAliveMaxTimeout: IDLE_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect,
     });
   let pool = create();
   return {
     get dispatcher() {
       return pool;
     },
+    isHandlingReset: () => handlingReset,
     renew() {
       const old = pool;
       pool = create();
