Spread a hot span with one plan, tell routers only what changed, test placement and adapter

Placement answers of 1.6 kB went to every router at each change. Change: a plan may cut what is left of a range again, 16 moves a plan; half-life of load 2 s; reports name changed ranges only, gathered over 30 ms; watches pause 250 ms after changes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,10 +3,10 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'packages/protocol/src/gen/**'] },
+  { ignores: ['target/**', 'journal/**', '**/dist/**', '**/node_modules/**', 'packages/protocol/src/gen/**'] },
   eslint.configs.recommended,
   {
-    files: ['packages/**/*.ts', 'examples/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts', 'examples/**/*.ts'],
     extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
@@ -16,7 +16,7 @@
     },
   },
   {
-    files: ['packages/*/src/test/**/*.ts'],
+    files: ['packages/*/src/test/**/*.ts', 'platform/src/test/**/*.ts'],
     rules: {
       // node:test returns promises that its runner awaits.
       '@typescript-eslint/no-floating-promises': [
--- a/packages/placement/src/lib/hand-over.ts
+++ b/packages/placement/src/lib/hand-over.ts
@@ -86,5 +86,5 @@
     if (range.granted) range.handover = undefined;
   }
   range.busy = false;
-  ctx.changed();
+  ctx.changed(range);
 }
--- a/packages/placement/src/lib/held-range.ts
+++ b/packages/placement/src/lib/held-range.ts
@@ -31,6 +31,8 @@
   renewing: boolean;
   /** When the owner's grant was last answered, on the monotonic clock. */
   grantedAt: number;
+  /** Number of the last change of its owner, for routers that know the ones before. */
+  change: number;
 }
 
 /** Creates a holder without a lease. */
@@ -50,6 +52,7 @@
     busy: false,
     renewing: false,
     grantedAt: -Infinity,
+    change: 0,
   };
 }
 
--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -40,7 +40,7 @@
   /** Until when a grant of the former leader may still be carried out, on the monotonic clock. */
   inheritedUntil(): number;
   /** A range changed: routers are told, and the row is written. */
-  changed(): void;
+  changed(range: HeldRange): void;
   /** Resolves when the row with everything decided so far is stored; false when the seat is lost. */
   persist(): Promise<boolean>;
   nextFence(): number;
@@ -89,12 +89,7 @@
     leaseMs: ctx.times.leaseMs,
   };
   const sentAt = ctx.clocks.monotonic();
-  const outcome = await ctx.orders.grant(
-    targetOf(owner.life),
-    order,
-    ORDER_TIMEOUT_MS,
-    ctx.signal,
-  );
+  const outcome = await ctx.orders.grant(targetOf(owner.life), order, ORDER_TIMEOUT_MS, ctx.signal);
   noteOutcome(ctx, owner.life, outcome);
   const now = ctx.clocks.monotonic();
   if (outcome.kind === 'done') recordAnswered(owner.bound, now, ctx.times);
--- a/packages/placement/src/lib/leader-seat.ts
+++ b/packages/placement/src/lib/leader-seat.ts
@@ -34,10 +34,7 @@
 }
 
 /** Reads the placement's row; `undefined` if the store gives no usable answer. */
-export async function readSeat(
-  store: RowStore,
-  clocks: Clocks,
-): Promise<SeatReading | undefined> {
+export async function readSeat(store: RowStore, clocks: Clocks): Promise<SeatReading | undefined> {
   const askedAt = clocks.monotonic();
   const listed = await store.list(PLACEMENT_TABLE);
   if (listed.isErr()) return undefined;
--- a/packages/placement/src/lib/load-map.ts
+++ b/packages/placement/src/lib/load-map.ts
@@ -1,7 +1,7 @@
 import type { KeySpan } from '@boragepoint/platform';
 
 /** Time in which the weight of a request halves. */
-const HALF_LIFE_MS = 3_000;
+const HALF_LIFE_MS = 2_000;
 /** Entries below this weight are dropped. */
 const NEGLIGIBLE = 0.05;
 
@@ -29,9 +29,7 @@
   let decayedAt = now;
 
   function inOrder(): KeyLoad[] {
-    sorted ??= [...weights]
-      .map(([key, weight]) => ({ key, weight }))
-      .sort((a, b) => a.key - b.key);
+    sorted ??= [...weights].map(([key, weight]) => ({ key, weight })).sort((a, b) => a.key - b.key);
     return sorted;
   }
 
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -17,7 +17,7 @@
 import { type LeaseTimes, longestLeaseMs } from './lease-bound.js';
 import { type LoadMap, createLoadMap } from './load-map.js';
 import type { Placement } from './placement-record.js';
-import type { PlacementView } from './placement-view.js';
+import type { PlacementView, RangeView } from './placement-view.js';
 import { createPlacementWriter } from './placement-writer.js';
 import { type PlannedRange, type PlannedServer, planMoves } from './plan-moves.js';
 import {
@@ -32,11 +32,13 @@
 import { type SpeedReport, createServerSpeeds } from './server-speed.js';
 import { type Clocks, createSuspensionGuard } from './suspension-guard.js';
 
+/** Time over which changes are gathered before routers are told, in milliseconds. */
+const COALESCE_MS = 30;
 const RENEW_LEASES_MS = 1_500;
 const PLAN_MS = 500;
 /** A range stays with its new owner this long before balance may move it again, in milliseconds. */
 const SETTLE_MS = 1_500;
-const MAX_MOVES_PER_PLAN = 8;
+const MAX_MOVES_PER_PLAN = 16;
 /** First division of a service's keys: ranges for each server. */
 const RANGES_PER_SERVER = 4;
 /** Time to wait for more servers to register before the first division, in milliseconds. */
@@ -55,6 +57,8 @@
 export interface PlacementLeader {
   readonly epoch: number;
   view(): PlacementView;
+  /** Ranges of all services that changed after a change. */
+  changedSince(knownChange: number): ReadonlyMap<string, readonly RangeView[]>;
   /** Waits until the view is newer than a change, for at most `waitMs`. */
   waitForChange(knownChange: number, waitMs: number): Promise<void>;
   report(load: ServiceLoadReport): void;
@@ -96,6 +100,7 @@
   let change = previous?.change ?? 0;
   let currentView: PlacementView | undefined;
   let hasYielded = false;
+  let wakeTimer: NodeJS.Timeout | undefined;
   let distrustedAt = -Infinity;
 
   for (const [service, records] of previous?.services ?? []) {
@@ -112,7 +117,10 @@
       services: new Map([...tables].map(([service, table]) => [service, recordsOf(table)])),
     }),
     onUnconfirmed() {
-      log.warn('seat not confirmed', { epoch: seat.epoch, sinceMs: Math.round(seat.sinceConfirmedMs()) });
+      log.warn('seat not confirmed', {
+        epoch: seat.epoch,
+        sinceMs: Math.round(seat.sinceConfirmedMs()),
+      });
     },
   });
 
@@ -147,27 +155,30 @@
     },
   };
 
-  function changed(): void {
+  function changed(range?: HeldRange): void {
     change += 1;
+    if (range) range.change = change;
     currentView = undefined;
+    wakeTimer ??= setTimeout(wakeAll, COALESCE_MS);
+  }
+
+  /** Tells waiting routers about all changes of a short time at once. */
+  function wakeAll(): void {
+    clearTimeout(wakeTimer);
+    wakeTimer = undefined;
     for (const wake of [...waiting]) wake();
   }
 
+  function viewOf(range: HeldRange): RangeView {
+    const { first, last, owner, granted } = range;
+    return { first, last, owner: owner?.life.server, granted };
+  }
+
   function view(): PlacementView {
     currentView ??= {
       epoch: seat.epoch,
       change,
-      services: new Map(
-        [...tables].map(([service, { ranges }]) => [
-          service,
-          ranges.map((it) => ({
-            first: it.first,
-            last: it.last,
-            owner: it.owner?.life.server,
-            granted: it.granted,
-          })),
-        ]),
-      ),
+      services: new Map([...tables].map(([service, { ranges }]) => [service, ranges.map(viewOf)])),
     };
     return currentView;
   }
@@ -228,7 +239,11 @@
   }
 
   /** Returns whether a range should leave its owner whatever the balance. */
-  function mustMove(range: HeldRange, usable: ReadonlyMap<string, KnownServer>, now: number): boolean {
+  function mustMove(
+    range: HeldRange,
+    usable: ReadonlyMap<string, KnownServer>,
+    now: number,
+  ): boolean {
     const { owner } = range;
     if (!owner) return true;
     const known = usable.get(owner.life.server);
@@ -279,6 +294,7 @@
       const count = directory.ofService(service).filter((it) => !it.entry.draining).length;
       if (count === 0 || clocks.monotonic() < startedAt + FIRST_PLAN_DELAY_MS) continue;
       tables.set(service, createRangeTable(count * RANGES_PER_SERVER));
+      changed();
       log.info('service divided', { service, servers: count, ranges: count * RANGES_PER_SERVER });
     }
   }
@@ -289,8 +305,11 @@
     if (moved.length === 0) return;
     log.info('ranges to move', { count: moved.length, epoch: seat.epoch });
     if (!(await writer.persist())) return;
-    changed();
-    for (const range of moved) void handOver(ctx, range).then(() => planBell.ring());
+    for (const range of moved) changed(range);
+    for (const range of moved)
+      void handOver(ctx, range).then(() => {
+        planBell.ring();
+      });
   }
 
   async function planAll(): Promise<void> {
@@ -359,13 +378,20 @@
     stop.abort();
     planBell.ring();
     await Promise.all(loops);
-    changed();
+    wakeAll();
     log.info('no longer leading placement', { epoch: seat.epoch });
   }
 
   return {
     epoch: seat.epoch,
     view,
+    changedSince(knownChange) {
+      const changes = [...tables].map(([service, { ranges }]) => {
+        const newer = ranges.filter((it) => it.change > knownChange);
+        return [service, newer.map(viewOf)] as const;
+      });
+      return new Map(changes.filter(([, ranges]) => ranges.length > 0));
+    },
     async waitForChange(knownChange, waitMs) {
       if (change > knownChange || stop.signal.aborted) return;
       await new Promise<void>((resolve) => {
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -21,12 +21,12 @@
 } from './placement-leader.js';
 import type { PlacementPeers } from './placement-peers.js';
 import type { Placement, Seat } from './placement-record.js';
-import { NO_PLACEMENT, type PlacementView, isNewer } from './placement-view.js';
+import { NO_PLACEMENT, type PlacementView, isNewer, overlayRanges } from './placement-view.js';
 import type { ServerDirectory } from './server-directory.js';
 import type { Clocks } from './suspension-guard.js';
 
 /** Longest time that the leader holds the answer to a report without a change, in milliseconds. */
-const REPORT_WAIT_MS = 1_000;
+const REPORT_WAIT_MS = 600;
 /** Time beyond it after which the leader counts as unreachable, in milliseconds. */
 const REPORT_TIMEOUT_MS = 800;
 /** Shortest time between two reports, in milliseconds. */
@@ -94,6 +94,16 @@
     for (const wake of [...waiting]) wake();
   }
 
+  /** The current view with the changes that an answer names. */
+  function merged(changes: PlacementView): PlacementView {
+    if (changes.epoch !== current.epoch) return current;
+    const services = new Map(current.services);
+    for (const [service, ranges] of changes.services) {
+      services.set(service, overlayRanges(services.get(service) ?? [], ranges));
+    }
+    return { ...changes, services };
+  }
+
   function viewOf(placement: Placement): PlacementView {
     return {
       epoch: placement.seat.epoch,
@@ -195,19 +205,22 @@
     const timeoutMs = REPORT_WAIT_MS + REPORT_TIMEOUT_MS;
     const answer = await peers.report(leading.address, report, timeoutMs);
     if (!answer?.leads) return false;
-    if (answer.view) adopt(answer.view);
+    if (answer.view) adopt(answer.isComplete ? answer.view : merged(answer.view));
     routers = Math.max(1, answer.routers);
     return true;
   }
 
+  const isLeading = () => leader !== undefined;
+
   async function turn(signal: AbortSignal): Promise<void> {
-    if (leader) {
-      lead(leader);
+    const leading = leader;
+    if (leading) {
+      lead(leading);
       await Promise.race([
-        leader.waitForChange(current.change, REPORT_WAIT_MS),
+        leading.waitForChange(current.change, REPORT_WAIT_MS),
         sleep(REPORT_WAIT_MS),
       ]);
-      if (leader) adopt(leader.view());
+      adopt(leading.view());
       await sleep(REPORT_GAP_MS);
       return;
     }
@@ -216,7 +229,7 @@
       return;
     }
     await refresh(signal);
-    if (!leader) await sleep(RETRY_MS * (0.5 + Math.random()));
+    if (!isLeading()) await sleep(RETRY_MS * (0.5 + Math.random()));
   }
 
   async function answerReport(req: ReportRequest): Promise<ReportReply> {
@@ -228,25 +241,25 @@
     await leading.waitForChange(known, req.waitMs);
     if (leading !== leader) return { leads: false };
     const view = leading.view();
-    const isNews = view.change > known;
+    const isComplete = known < 0;
+    const services = isComplete ? view.services : leading.changedSince(known);
     return {
       leads: true,
       epoch: BigInt(view.epoch),
       change: BigInt(view.change),
       routers: countReporters(),
-      services: isNews
-        ? [...view.services].map(([service, ranges]) => ({
-            service,
-            ranges: ranges.map((it) => ({ ...it, owner: it.owner ?? '' })),
-          }))
-        : [],
+      complete: isComplete,
+      services: [...services].map(([service, ranges]) => ({
+        service,
+        ranges: ranges.map((it) => ({ ...it, owner: it.owner ?? '' })),
+      })),
     };
   }
 
   return {
     view: () => current,
     routers: () => routers,
-    isLeading: () => leader !== undefined,
+    isLeading,
     waitForChange(ms) {
       return new Promise((resolve) => {
         const finish = () => {
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -12,8 +12,10 @@
 export interface ReportAnswer {
   /** False when that router does not lead; nothing else holds then. */
   readonly leads: boolean;
-  /** Set when the placement is newer than the one known. */
+  /** The placement, or what changed in it. */
   readonly view: PlacementView | undefined;
+  /** The view is the whole placement. */
+  readonly isComplete: boolean;
   readonly routers: number;
   readonly barred: readonly string[];
 }
@@ -77,8 +79,7 @@
     async report(address, report, timeoutMs) {
       try {
         const res = await peerAt(address).rpc.report(report, { timeoutMs });
-        const hasView = res.leads && res.services.length > 0;
-        const view: PlacementView | undefined = hasView
+        const view: PlacementView | undefined = res.leads
           ? {
               epoch: Number(res.epoch),
               change: Number(res.change),
@@ -95,7 +96,8 @@
               ),
             }
           : undefined;
-        return { leads: res.leads, view, routers: res.routers, barred: res.barred };
+        const { leads, complete, routers, barred } = res;
+        return { leads, view, isComplete: complete, routers, barred };
       } catch {
         drop(address);
         return undefined;
@@ -117,4 +119,3 @@
     },
   };
 }
-
--- a/packages/placement/src/lib/placement-view.ts
+++ b/packages/placement/src/lib/placement-view.ts
@@ -29,3 +29,21 @@
 export function rangeOf(view: PlacementView, service: string, key: number): RangeView | undefined {
   return findRange(view.services.get(service) ?? [], key);
 }
+
+/** Lays changed ranges over known ones; what they cover only in part keeps its rest. Both are sorted. */
+export function overlayRanges(
+  known: readonly RangeView[],
+  changed: readonly RangeView[],
+): RangeView[] {
+  const kept: RangeView[] = [];
+  for (const range of known) {
+    let { first } = range;
+    for (const it of changed) {
+      if (it.last < first || it.first > range.last) continue;
+      if (it.first > first) kept.push({ ...range, first, last: it.first - 1 });
+      first = it.last + 1;
+    }
+    if (first <= range.last) kept.push({ ...range, first });
+  }
+  return [...kept, ...changed].sort((a, b) => a.first - b.first);
+}
--- a/packages/placement/src/lib/plan-moves.ts
+++ b/packages/placement/src/lib/plan-moves.ts
@@ -44,6 +44,10 @@
   readonly weight: number;
 }
 
+interface LoadedRange extends PlannedRange {
+  readonly loads: readonly KeyLoad[];
+}
+
 const utilization = (bin: Bin) => bin.load / bin.capacity;
 
 function weightOf(loads: readonly KeyLoad[]): number {
@@ -67,6 +71,18 @@
   return candidates;
 }
 
+/** What is left of a range when a candidate, which lies at one of its ends, has moved away. */
+function remaindersOf(range: LoadedRange, moved: Candidate): LoadedRange[] {
+  const left = { ...range, last: moved.first - 1 };
+  const right = { ...range, first: moved.last + 1 };
+  return [left, right]
+    .filter((it) => it.first <= it.last)
+    .map((it) => ({
+      ...it,
+      loads: it.loads.filter(({ key }) => key >= it.first && key <= it.last),
+    }));
+}
+
 function bestCandidate(candidates: readonly Candidate[], wanted: number): Candidate | undefined {
   let best: Candidate | undefined;
   for (const it of candidates) {
@@ -95,7 +111,7 @@
   const binOf = new Map(bins.map((it) => [it.id, it]));
   if (bins.length === 0) return [];
   const moves: PlannedMove[] = [];
-  const ranges = input.ranges.map((it) => ({ ...it, loads: load.within(it) }));
+  const ranges: LoadedRange[] = input.ranges.map((it) => ({ ...it, loads: load.within(it) }));
   for (const range of ranges) {
     const bin = range.owner === undefined ? undefined : binOf.get(range.owner);
     if (bin) bin.load += weightOf(range.loads);
@@ -136,8 +152,7 @@
     }
     const source = own.find((it) => it.first <= found.first && it.last >= found.last);
     if (!source) break;
-    // Each range is cut at most once a plan, so that a plan is carried out in any order.
-    settled.splice(settled.indexOf(source), 1);
+    settled.splice(settled.indexOf(source), 1, ...remaindersOf(source, found));
     busiest.load -= found.weight;
     idlest.load += found.weight;
     moves.push({ first: found.first, last: found.last, to: idlest.id });
--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -80,7 +80,9 @@
 
   function remove(key: string): void {
     if (!servers.has(key) || removals.has(key)) return;
-    const waitMs = storeIsLost ? RETURN_GRACE_MS : regainedAt + RETURN_GRACE_MS - clocks.monotonic();
+    const waitMs = storeIsLost
+      ? RETURN_GRACE_MS
+      : regainedAt + RETURN_GRACE_MS - clocks.monotonic();
     if (waitMs <= 0) {
       servers.delete(key);
       return;
--- a/packages/placement/src/lib/suspension-guard.ts
+++ b/packages/placement/src/lib/suspension-guard.ts
@@ -4,9 +4,9 @@
 /** Clocks in milliseconds. */
 export interface Clocks {
   /** Steady, stands still while the instance is suspended. */
-  monotonic(): number;
+  readonly monotonic: () => number;
   /** Time of day, may jump. */
-  timeOfDay(): number;
+  readonly timeOfDay: () => number;
 }
 
 /** The clocks of this process. */
--- /dev/null
+++ b/packages/placement/src/test/fake-holders.ts
@@ -0,0 +1,78 @@
+import type { GrantOrder, OrderOutcome, RangeOrder, ServerOrders } from '@boragepoint/platform';
+
+/** How a fake server takes orders. */
+export type HolderMode = 'answers' | 'silent' | 'gone';
+
+interface Lease {
+  first: number;
+  last: number;
+  fence: number;
+  until: number;
+}
+
+/** Backend servers in memory that hold leases as they were granted. */
+export interface FakeHolders extends ServerOrders {
+  modes: Map<string, HolderMode>;
+  /** Orders as they were sent, for example `grant a 0-9 #3`. */
+  sent: string[];
+  /** Servers that hold a key now. */
+  holdersOf(key: number): string[];
+  /** Carries out grants that got no answer, with their lease counting from now. */
+  deliverLate(): void;
+}
+
+const DONE: OrderOutcome = { kind: 'done', handover: undefined };
+
+/** Creates servers that know no leases; `now` is their clock. */
+export function createFakeHolders(now: () => number): FakeHolders {
+  const leases = new Map<string, Lease[]>();
+  let late: (() => void)[] = [];
+
+  function hold(server: string, order: GrantOrder): void {
+    const held = leases.get(server) ?? [];
+    held.push({ ...order, until: now() + order.leaseMs });
+    leases.set(server, held);
+  }
+
+  function drop(server: string, order: RangeOrder): void {
+    const held = leases.get(server) ?? [];
+    const rest = held.filter((it) => it.last < order.first || it.first > order.last);
+    leases.set(server, rest);
+  }
+
+  function unavailable(server: string): OrderOutcome | undefined {
+    const mode = holders.modes.get(server) ?? 'answers';
+    if (mode === 'gone') return { kind: 'gone' };
+    return mode === 'silent' ? { kind: 'unanswered' } : undefined;
+  }
+
+  const holders: FakeHolders = {
+    modes: new Map(),
+    sent: [],
+    grant({ serverId }, order) {
+      holders.sent.push(`grant ${serverId} ${order.first}-${order.last} #${order.fence}`);
+      const failure = unavailable(serverId);
+      if (failure?.kind === 'unanswered')
+        late.push(() => {
+          hold(serverId, order);
+        });
+      if (!failure) hold(serverId, order);
+      return Promise.resolve(failure ?? DONE);
+    },
+    release({ serverId }, order) {
+      holders.sent.push(`release ${serverId} ${order.first}-${order.last} #${order.fence}`);
+      const failure = unavailable(serverId);
+      if (!failure) drop(serverId, order);
+      return Promise.resolve(failure ?? { kind: 'done', handover: `state of ${serverId}` });
+    },
+    holdersOf(key) {
+      const isHeld = (it: Lease) => it.first <= key && it.last >= key && it.until > now();
+      return [...leases].filter(([, held]) => held.some(isHeld)).map(([server]) => server);
+    },
+    deliverLate() {
+      for (const deliver of late) deliver();
+      late = [];
+    },
+  };
+  return holders;
+}
--- /dev/null
+++ b/packages/placement/src/test/hand-over_test.ts
@@ -0,0 +1,112 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { handOver } from '../lib/hand-over.js';
+import { type HeldRange, newHolder, unownedRange } from '../lib/held-range.js';
+import type { LeaderContext } from '../lib/leader-context.js';
+import { recordAnswered, recordUnanswered } from '../lib/lease-bound.js';
+import type { ServerDirectory } from '../lib/server-directory.js';
+import { createServerHealth } from '../lib/server-health.js';
+import { type FakeHolders, createFakeHolders } from './fake-holders.js';
+
+const times = { leaseMs: 300, transitMs: 50 };
+const life = (server: string) => ({ server, address: `${server}:1`, startedMs: 1 });
+
+const noServers: ServerDirectory = {
+  isLoaded: () => true,
+  get: () => undefined,
+  ofService: () => [],
+  onChange: () => undefined,
+  run: () => Promise.resolve(),
+};
+
+interface Setting {
+  readonly ctx: LeaderContext;
+  readonly holders: FakeHolders;
+  /** A range that goes from `a`, which holds it under token 1, to `b`. */
+  readonly range: HeldRange;
+}
+
+async function setUp(): Promise<Setting> {
+  const now = () => performance.now();
+  const holders = createFakeHolders(now);
+  const ctx: LeaderContext = {
+    orders: holders,
+    directory: noServers,
+    health: createServerHealth(),
+    clocks: { monotonic: now, timeOfDay: Date.now },
+    log: { info: () => undefined, warn: () => undefined },
+    times,
+    signal: new AbortController().signal,
+    mayOrder: () => true,
+    inheritedUntil: () => -Infinity,
+    changed: () => undefined,
+    persist: () => Promise.resolve(true),
+    nextFence: () => 9,
+  };
+  const former = newHolder(life('a'), 1);
+  const order = { first: 0, last: 9, fence: 1, leaseMs: times.leaseMs, handover: undefined };
+  await holders.grant({ serverId: 'a', address: 'a:1' }, order, 100);
+  recordAnswered(former.bound, now(), times);
+  const range: HeldRange = {
+    ...unownedRange({ first: 0, last: 9 }),
+    owner: newHolder(life('b'), 2),
+    former: [former],
+  };
+  holders.sent = [];
+  return { ctx, holders, range };
+}
+
+test('the former owner is released before the new one is granted the range, with its state', async () => {
+  const { ctx, holders, range } = await setUp();
+  await handOver(ctx, range);
+  expect(holders.sent).toEqual(['release a 0-9 #1', 'grant b 0-9 #2']);
+  expect(range.granted).toEqual(true);
+  expect(holders.holdersOf(5)).toEqual(['b']);
+});
+
+test('a former owner that does not answer keeps the range until its lease has lapsed', async () => {
+  const { ctx, holders, range } = await setUp();
+  holders.modes.set('a', 'silent');
+  const handing = handOver(ctx, range);
+  expect(holders.holdersOf(5)).toEqual(['a']);
+  await handing;
+  expect(holders.holdersOf(5)).toEqual(['b']);
+});
+
+test('a grant that got no answer and is carried out after the release never makes two owners', async () => {
+  const { ctx, holders, range } = await setUp();
+  holders.modes.set('a', 'silent');
+  const order = { first: 0, last: 9, fence: 1, leaseMs: times.leaseMs, handover: undefined };
+  const sentAt = performance.now();
+  await holders.grant({ serverId: 'a', address: 'a:1' }, order, 100);
+  const former = range.former[0];
+  if (former) recordUnanswered(former.bound, sentAt, times);
+  holders.modes.set('a', 'answers');
+  const handing = handOver(ctx, range);
+  holders.deliverLate();
+  while (!range.granted) {
+    expect(holders.holdersOf(5).length <= 1).toEqual(true);
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  await handing;
+  expect(holders.holdersOf(5)).toEqual(['b']);
+});
+
+test('a former owner whose process is proved gone is not waited for', async () => {
+  const { ctx, holders, range } = await setUp();
+  holders.modes.set('a', 'gone');
+  await handOver(ctx, range);
+  expect(holders.sent).toEqual(['release a 0-9 #1', 'grant b 0-9 #2']);
+  expect(range.granted).toEqual(true);
+});
+
+test('a new owner that is gone leaves the range without a grant, for the next plan', async () => {
+  const { ctx, holders, range } = await setUp();
+  holders.modes.set('b', 'gone');
+  await handOver(ctx, range);
+  expect(range.granted).toEqual(false);
+  expect(range.busy).toEqual(false);
+  expect(holders.holdersOf(5)).toEqual([]);
+});
--- /dev/null
+++ b/packages/placement/src/test/leader-seat_test.ts
@@ -0,0 +1,114 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import {
+  type Candidate,
+  TENURE_MS,
+  createLeaderSeat,
+  mayTake,
+  readSeat,
+} from '../lib/leader-seat.js';
+import { type FakeClocks, createFakeClocks } from './fake-clocks.js';
+import { type FakeRowStore, createFakeRowStore } from './fake-row-store.js';
+
+const content = (version: number) => ({
+  version,
+  change: 0,
+  nextFence: 1,
+  services: new Map<string, never>(),
+});
+
+function candidate(router: string, startedMs = 1): Candidate {
+  return { router, address: `${router}:1`, startedMs };
+}
+
+async function open(store: FakeRowStore, clocks: FakeClocks, self: Candidate) {
+  const reading = await readSeat(store, clocks);
+  if (!reading) throw new Error('the store gave no answer');
+  return { reading, seat: createLeaderSeat({ store, clocks, candidate: self, reading }) };
+}
+
+function setUp() {
+  const clocks = createFakeClocks();
+  const store = createFakeRowStore(() => clocks.monotonic());
+  return { clocks, store };
+}
+
+test('of two candidates that read the same row, one gets the seat', async () => {
+  const { clocks, store } = setUp();
+  const a = await open(store, clocks, candidate('a'));
+  const b = await open(store, clocks, candidate('b'));
+  expect(await a.seat.write(content(1))).toEqual('committed');
+  expect(await b.seat.write(content(1))).toEqual('lost');
+  expect(a.seat.isConfirmed()).toEqual(true);
+  expect(b.seat.isConfirmed()).toEqual(false);
+});
+
+test('a seat is free once its tenure is over on the clock of the store, not before', async () => {
+  const { clocks, store } = setUp();
+  const a = await open(store, clocks, candidate('a'));
+  await a.seat.write(content(1));
+  clocks.advance(TENURE_MS - 1);
+  const early = await open(store, clocks, candidate('b'));
+  expect(mayTake(early.reading, candidate('b'))).toEqual(false);
+  clocks.advance(1);
+  const late = await open(store, clocks, candidate('b'));
+  expect(mayTake(late.reading, candidate('b'))).toEqual(true);
+  expect(a.seat.isConfirmed()).toEqual(false);
+});
+
+test('a router that started again takes the seat of its former life at once', async () => {
+  const { clocks, store } = setUp();
+  const a = await open(store, clocks, candidate('a', 1));
+  await a.seat.write(content(1));
+  const { reading } = await open(store, clocks, candidate('a', 2));
+  expect(mayTake(reading, candidate('a', 2))).toEqual(true);
+  expect(mayTake(reading, candidate('a', 1))).toEqual(false);
+});
+
+test('a write whose answer was lost is settled by the next one', async () => {
+  const { clocks, store } = setUp();
+  const a = await open(store, clocks, candidate('a'));
+  store.fault = 'loses-answers';
+  expect(await a.seat.write(content(1))).toEqual('unknown');
+  store.fault = 'none';
+  expect(await a.seat.write(content(2))).toEqual('unknown');
+  expect(await a.seat.write(content(3))).toEqual('committed');
+});
+
+test('a write that lands late does not undo a newer one', async () => {
+  const { clocks, store } = setUp();
+  const a = await open(store, clocks, candidate('a'));
+  store.fault = 'delays-writes';
+  expect(await a.seat.write(content(1))).toEqual('unknown');
+  store.fault = 'none';
+  expect(await a.seat.write(content(2))).toEqual('committed');
+  store.deliverLate();
+  expect((await readSeat(store, clocks))?.placement?.version).toEqual(2);
+});
+
+test('a late write of a former leader does not take the seat back', async () => {
+  const { clocks, store } = setUp();
+  const a = await open(store, clocks, candidate('a'));
+  await a.seat.write(content(1));
+  store.fault = 'delays-writes';
+  await a.seat.write(content(2));
+  store.fault = 'none';
+  clocks.advance(TENURE_MS);
+  const b = await open(store, clocks, candidate('b'));
+  expect(await b.seat.write(content(3))).toEqual('committed');
+  store.deliverLate();
+  expect((await readSeat(store, clocks))?.placement?.seat.router).toEqual('b');
+  expect(await a.seat.write(content(4))).toEqual('lost');
+});
+
+test('a leader that hands over frees its seat at once', async () => {
+  const { clocks, store } = setUp();
+  const a = await open(store, clocks, candidate('a'));
+  await a.seat.write(content(1));
+  await a.seat.write(content(2), { unansweredForMs: 700 });
+  const { reading } = await open(store, clocks, candidate('b'));
+  expect(mayTake(reading, candidate('b'))).toEqual(true);
+  expect(reading.placement?.seat.unansweredForMs).toEqual(700);
+});
--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -7,6 +7,8 @@
 
 /** Longest time that the store holds a watch without a change. */
 const WATCH_WAIT_MS = 4_000;
+/** Pause after changes, so that several are fetched with one call, in milliseconds. */
+const GATHER_MS = 250;
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
 
@@ -66,16 +68,19 @@
     });
   }
 
+  const pause = (ms: number) => sleep(ms, undefined, { signal }).catch(() => undefined);
+
   while (!signal.aborted) {
     const polled = await poll();
     if (polled.isOk()) {
       if (retryMs > 0) watcher.onRegained();
       retryMs = 0;
+      await pause(GATHER_MS);
       continue;
     }
     if (retryMs === 0) watcher.onLost(polled.error);
     retryMs = Math.min(MAX_RETRY_MS, Math.max(FIRST_RETRY_MS, retryMs * 2));
     const jitter = 1 + Math.random();
-    await sleep((retryMs * jitter) / 2, undefined, { signal }).catch(() => undefined);
+    await pause((retryMs * jitter) / 2);
   }
 }
--- a/packages/router/src/lib/admission.ts
+++ b/packages/router/src/lib/admission.ts
@@ -13,8 +13,7 @@
 
 /** Whether a request is sent; a refused one is told when to come back. */
 export type Admission =
-  | { readonly kind: 'send' }
-  | { readonly kind: 'refuse'; readonly retryAfterMs: number };
+  { readonly kind: 'send' } | { readonly kind: 'refuse'; readonly retryAfterMs: number };
 
 /** Share of the time left that an answer may be expected to take. */
 const USABLE_TIME = 0.85;
--- a/packages/router/src/lib/choose-server.ts
+++ b/packages/router/src/lib/choose-server.ts
@@ -25,7 +25,7 @@
   /** Latency objective in milliseconds. */
   readonly objectiveMs: number;
   /** Uniform in [0, 1). */
-  random(): number;
+  readonly random: () => number;
 }
 
 /**
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -209,10 +209,10 @@
 
   const peerAddress = split(settings.listen.peers);
   const peerListener = await createPeerListener(member, peerAddress.host, peerAddress.port);
-  const watches = [
+  void Promise.all([
     watchRows(platform.store, platform.configTable, configWatcher, end.signal),
     directory.run(end.signal),
-  ];
+  ]);
   const placed = member.run(handOver.signal);
   log.info('started', { zone: instance.availabilityZone, region: instance.region });
 
@@ -238,7 +238,6 @@
         afterMs: Math.round(clocks.monotonic() - startedAt),
       });
       log.flush();
-      void watches;
     },
   };
 }
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -40,7 +40,7 @@
   /** A request for a key arrived. */
   recordKey(service: string, key: number): void;
   now(): number;
-  random(): number;
+  readonly random: () => number;
 }
 
 /** The next server for a request, or why there is none. */
@@ -165,7 +165,10 @@
       load.done(undefined, true);
     }
     if (answer?.meta.load) load.reported(now, answer.meta.load);
-    if (outcome.kind === 'not-run' && (outcome.why === 'refused' || outcome.why === 'unconnected')) {
+    if (
+      outcome.kind === 'not-run' &&
+      (outcome.why === 'refused' || outcome.why === 'unconnected')
+    ) {
       server.avoidUntil = now + AVOID_MS;
     }
     if (outcome.kind === 'unknown' && outcome.why === 'broken-off') server.connections.renew();
@@ -184,7 +187,9 @@
       if (why === 'cancelled') return ownAnswer('deadlinePassed', 'no answer in time');
       return ownAnswer('outcomeUnknown', `the server's answer is ${why}: ${detail}`);
     }
-    const invalid = tries.find((it) => it.outcome.kind === 'not-run' && it.outcome.why === 'invalid');
+    const invalid = tries.find(
+      (it) => it.outcome.kind === 'not-run' && it.outcome.why === 'invalid',
+    );
     if (invalid) return ownAnswer('badRequest', 'the backend server takes no such request');
     if (refusal?.kind === 'refuse') {
       return ownAnswer('overloaded', refusal.reason, boundRetryAfter(refusal.retryAfterMs));
--- a/packages/router/src/lib/router-answer.ts
+++ b/packages/router/src/lib/router-answer.ts
@@ -21,5 +21,11 @@
 /** Creates an answer of the router's own for a result code. */
 export function ownAnswer(result: ResultName, reason: string, retryAfterMs?: number): OwnAnswer {
   const status = httpStatusOf(RESULT_CODES[result]);
-  return { kind: 'own', status, result, reason, ...(retryAfterMs !== undefined && { retryAfterMs }) };
+  return {
+    kind: 'own',
+    status,
+    result,
+    reason,
+    ...(retryAfterMs !== undefined && { retryAfterMs }),
+  };
 }
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -57,7 +57,11 @@
   const { status, meta } = answer;
   if (meta.notRun || status === HTTP_MISDIRECTED) {
     const why =
-      status === HTTP_MISDIRECTED ? 'misdirected' : status === HTTP_BAD_REQUEST ? 'invalid' : 'shed';
+      status === HTTP_MISDIRECTED
+        ? 'misdirected'
+        : status === HTTP_BAD_REQUEST
+          ? 'invalid'
+          : 'shed';
     return { kind: 'not-run', why, answer };
   }
   if (!meta.signed) return { kind: 'unknown', why: 'garbled', detail: `unsigned ${status}` };
@@ -134,7 +138,8 @@
           finish({ kind: 'not-run', why: whyUnsent(err) });
           return;
         }
-        const isGarbled = err instanceof ForeignAnswerError || err instanceof errors.HTTPParserError;
+        const isGarbled =
+          err instanceof ForeignAnswerError || err instanceof errors.HTTPParserError;
         finish({
           kind: 'unknown',
           why: isGarbled ? 'garbled' : 'broken-off',
@@ -144,7 +149,7 @@
     };
     connections.dispatcher.dispatch(
       {
-        method: req.method as Dispatcher.HttpMethod,
+        method: req.method,
         path: req.path,
         headers: [...req.headers],
         body: req.body ?? null,
--- /dev/null
+++ b/packages/router/src/test/admission_test.ts
@@ -0,0 +1,37 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { type AdmissionInput, admit } from '../lib/admission.js';
+
+const input = (changes: Partial<AdmissionInput>): AdmissionInput => ({
+  expectedMs: 300,
+  timeLeftMs: 2_500,
+  objectiveMs: 800,
+  serviceMs: 200,
+  priority: 1,
+  ...changes,
+});
+
+test('a request that will be answered in time is sent', () => {
+  expect(admit(input({})).kind).toEqual('send');
+});
+
+test('a request whose answer would come after its deadline is refused at once', () => {
+  expect(admit(input({ expectedMs: 900, timeLeftMs: 800 })).kind).toEqual('refuse');
+});
+
+test('a queue far over the objective is not let grow, and the refusal says when it has shrunk', () => {
+  const refused = admit(input({ expectedMs: 2_000 }));
+  expect(refused).toEqual({ kind: 'refuse', retryAfterMs: 1_200 });
+});
+
+test('a slow server without a queue is used although it misses the objective', () => {
+  expect(admit(input({ expectedMs: 1_500, serviceMs: 1_500 })).kind).toEqual('send');
+});
+
+test('a less urgent request is refused before a more urgent one', () => {
+  const expectedMs = 1_000;
+  expect(admit(input({ expectedMs, priority: 0 })).kind).toEqual('send');
+  expect(admit(input({ expectedMs, priority: 3 })).kind).toEqual('refuse');
+});
--- /dev/null
+++ b/packages/router/src/test/choose-server_test.ts
@@ -0,0 +1,56 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { type ServerCandidate, chooseServer, expectedMs } from '../lib/choose-server.js';
+
+const demand = { objectiveMs: 800, random: () => 0.5 };
+
+function candidate(id: string, changes: Partial<ServerCandidate> = {}): ServerCandidate {
+  return {
+    id,
+    inHand: 0,
+    slots: 2,
+    serviceMs: 200,
+    failureShare: 0,
+    isFar: false,
+    isCold: false,
+    ...changes,
+  };
+}
+
+const chosen = (...candidates: ServerCandidate[]) => chooseServer(candidates, demand)?.id;
+
+test('an idle server is chosen before a busy one', () => {
+  expect(chosen(candidate('busy', { inHand: 3 }), candidate('idle'))).toEqual('idle');
+});
+
+test('a fast server with a short queue is chosen before a slow idle one', () => {
+  const fast = candidate('fast', { serviceMs: 100, inHand: 2 });
+  expect(chosen(candidate('slow', { serviceMs: 500 }), fast)).toEqual('fast');
+});
+
+test('a near server is chosen while it is in time, a far one when the queue is long', () => {
+  const far = candidate('far', { isFar: true });
+  expect(chosen(candidate('near', { inHand: 3 }), far)).toEqual('near');
+  expect(chosen(candidate('near', { inHand: 8 }), far)).toEqual('far');
+});
+
+test('a server that sheds or fails part of its requests is left alone while others have room', () => {
+  expect(
+    chosen(candidate('grey', { failureShare: 0.4 }), candidate('sound', { inHand: 3 })),
+  ).toEqual('sound');
+});
+
+test('a server that warms up is chosen after a warm one', () => {
+  expect(chosen(candidate('cold', { isCold: true }), candidate('warm'))).toEqual('warm');
+});
+
+test('nothing is chosen among no servers', () => {
+  expect(chosen()).toEqual(undefined);
+});
+
+test('the expected time grows by a service time for each round of the slots', () => {
+  const at = (inHand: number) => expectedMs(candidate('a', { inHand }));
+  expect(at(5) - at(3)).toEqual(200);
+});
--- /dev/null
+++ b/packages/router/src/test/server-load_test.ts
@@ -0,0 +1,49 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { createServerLoad } from '../lib/server-load.js';
+
+test('requests in hand are the own ones and those that the server reports of others', () => {
+  const load = createServerLoad(2);
+  load.sent(0);
+  load.sent(0);
+  load.done(100, false);
+  load.reported(100, { running: 2, waiting: 3, slots: 2 });
+  expect(load.inFlight()).toEqual(1);
+  expect(load.inHand(100)).toEqual(6);
+});
+
+test('an old report of a long queue fades to what is usual', () => {
+  const load = createServerLoad(2);
+  load.reported(0, { running: 2, waiting: 8, slots: 2 });
+  const later = load.inHand(10_000);
+  expect(later < 3).toEqual(true);
+});
+
+test('the service time is learned from requests that found a free slot', () => {
+  const load = createServerLoad(2);
+  for (let index = 0; index < 30; index += 1) {
+    load.sent(index);
+    load.done(100, false);
+  }
+  expect(Math.round(load.serviceMs())).toEqual(100);
+});
+
+test('failures raise the share of failures, cancelled requests do not', () => {
+  const load = createServerLoad(2);
+  load.sent(0);
+  load.done(undefined);
+  expect(load.failureShare()).toEqual(0);
+  load.sent(0);
+  load.done(undefined, true);
+  expect(load.failureShare() > 0).toEqual(true);
+});
+
+test('a report is taken once', () => {
+  const load = createServerLoad(2);
+  load.sent(0);
+  load.done(80, false);
+  expect(load.takeMeasured()).toEqual({ serviceMs: 80, answered: 1, failed: 0 });
+  expect(load.takeMeasured()).toEqual({ serviceMs: 0, answered: 0, failed: 0 });
+});
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -10,8 +10,9 @@
 const KNOWN_RED_PREFIX = 'test: ';
 
 function testFiles() {
-  return readdirSync(path.join(root, 'packages'))
-    .map((name) => path.join(root, 'packages', name, 'dist', 'test'))
+  const folders = readdirSync(path.join(root, 'packages')).map((name) => `packages/${name}`);
+  return [...folders, 'platform']
+    .map((folder) => path.join(root, folder, 'dist', 'test'))
     .filter((dir) => existsSync(dir))
     .flatMap((dir) => readdirSync(dir).map((file) => path.join(dir, file)))
     .filter((file) => file.endsWith('_test.js'))
