Pass on an answer that doesn't state its end as such

Ruled out: resets (the trace shows 'end' and no error on the socket). Change: such an answer goes to the caller without a length and closes the connection.

--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -94,7 +94,10 @@
 ): void {
   const headers = answerHeaders(answer.headers);
   const isBodiless = answer.status === 204 || answer.status === 304;
-  const length = isBodiless ? {} : { 'content-length': String(answer.body.length) };
+  // An answer that doesn't state its end is passed on like that: it may have been cut short.
+  if (!answer.framed && !isBodiless) res.useChunkedEncodingByDefault = false;
+  const hasLength = answer.framed && !isBodiless;
+  const length = hasLength ? { 'content-length': String(answer.body.length) } : {};
   res.writeHead(answer.status, { ...headers, ...length });
   res.end(answer.body);
 }
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -18,6 +18,8 @@
   readonly status: number;
   readonly headers: HeaderValues;
   readonly body: Buffer;
+  /** The answer states where it ends; without that, nobody can tell whether it is whole. */
+  readonly framed: boolean;
   readonly meta: AnswerMeta;
 }
 
@@ -117,7 +119,9 @@
           started.abort(new ForeignAnswerError('the answer names another request'));
           return;
         }
-        head = { status, headers, meta };
+        const framed =
+          headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+        head = { status, headers, framed, meta };
       },
       onResponseData(_controller, chunk) {
         chunks.push(chunk);
--- /dev/null
+++ b/packages/router/src/test/caller-listener_test.ts
@@ -0,0 +1,231 @@
+import { request } from 'node:http';
+import { type AddressInfo, connect, createServer } from 'node:net';
+import { test } from 'node:test';
+
+import type { FleetConfig, HeaderCodec } from '@boragepoint/platform';
+import { expect } from 'earl';
+
+import { type CallerListener, createCallerListener } from '../lib/caller-listener.js';
+import type { CallerRequest } from '../lib/caller-request.js';
+import { type RouteTable, createRouteTable } from '../lib/route-table.js';
+import { type RouterAnswer, ownAnswer } from '../lib/router-answer.js';
+
+const codec: HeaderCodec = {
+  readRequest: (headers) => ({
+    attemptId: headers.attempt as string | undefined,
+    deadlineMs: 2_000,
+    key: undefined,
+  }),
+  readAnswer: () => ({ attemptId: undefined, notRun: false, signed: true, load: undefined }),
+  writeRequest: () => ({}),
+  writeAnswer: (attempt) => ({ attempt }),
+};
+
+const cfg: FleetConfig = {
+  version: 1,
+  routes: [
+    {
+      name: 'r',
+      host: 'a.example',
+      pathPrefix: '/p/',
+      idempotent: true,
+      timeoutMs: 1_000,
+      objectiveMs: 500,
+      maxAttempts: 2,
+      priority: 0,
+      targets: [{ service: 's', weight: 1 }],
+    },
+  ],
+  services: [],
+  limits: { maxHeaderBytes: 1_000, maxBodyBytes: 10, headerTimeoutMs: 900, idleTimeoutMs: 900 },
+};
+
+function serverAnswer(body: string, framed: boolean): RouterAnswer {
+  const meta = { attemptId: 'a', notRun: false, signed: true, load: undefined };
+  const answer = {
+    status: 200,
+    headers: { signature: 's' },
+    body: Buffer.from(body),
+    framed,
+    meta,
+  };
+  return { kind: 'server', answer, server: 'i-1' };
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+interface Running {
+  readonly port: number;
+  readonly listener: CallerListener;
+}
+
+async function listen(
+  handle: (req: CallerRequest) => Promise<RouterAnswer>,
+  routes: RouteTable | undefined = createRouteTable(cfg),
+): Promise<Running> {
+  const port = await freePort();
+  const listener = await createCallerListener(
+    {
+      codec,
+      routes: () => routes,
+      handle,
+      now: () => performance.now(),
+      onAnswer: () => undefined,
+    },
+    '127.0.0.1',
+    port,
+  );
+  return { port, listener };
+}
+
+/** A promise with the function that resolves it. */
+function deferred<T>(): { promise: Promise<T>; resolve: (value: T) => void } {
+  let settle: ((value: T) => void) | undefined;
+  const promise = new Promise<T>((resolve) => {
+    settle = resolve;
+  });
+  return { promise, resolve: (value) => settle?.(value) };
+}
+
+/** Sends bytes on one connection and returns all that comes back until it closes. */
+function exchange(port: number, text: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const socket = connect(port, '127.0.0.1');
+    let received = '';
+    socket.on('data', (chunk) => (received += String(chunk)));
+    socket.on('close', () => {
+      resolve(received);
+    });
+    socket.on('error', reject);
+    socket.write(text);
+  });
+}
+
+const get = (path: string, id: string, more = '') =>
+  `GET ${path} HTTP/1.1\r\nhost: a.example\r\nattempt: ${id}\r\n${more}\r\n`;
+const LAST = 'connection: close\r\n';
+
+test('pipelined requests are answered in order', async () => {
+  const gates = new Map<string, () => void>();
+  const { port, listener } = await listen(async (req) => {
+    if (req.attemptId === 'one') await new Promise<void>((resolve) => gates.set('one', resolve));
+    else gates.get('one')?.();
+    return serverAnswer(req.attemptId, true);
+  });
+  const text = await exchange(port, get('/p/1', 'one') + get('/p/2', 'two', LAST));
+  expect(text.indexOf('\r\n\r\none') < text.indexOf('\r\n\r\ntwo')).toEqual(true);
+  await listener.drain();
+});
+
+test('an answer that does not state its end is passed on without one', async () => {
+  const { port, listener } = await listen(() => Promise.resolve(serverAnswer('part', false)));
+  const text = await exchange(port, get('/p/1', 'a'));
+  const head = text.slice(0, text.indexOf('\r\n\r\n')).toLowerCase();
+  expect(head.includes('content-length')).toEqual(false);
+  expect(head.includes('transfer-encoding')).toEqual(false);
+  expect(text.endsWith('\r\n\r\npart')).toEqual(true);
+  await listener.drain();
+});
+
+test('a refusal says when to come back and names the request', async () => {
+  const { port, listener } = await listen(() =>
+    Promise.resolve(ownAnswer('overloaded', 'full', 250)),
+  );
+  const text = await exchange(port, get('/p/1', 'a', LAST));
+  expect(text.startsWith('HTTP/1.1 503')).toEqual(true);
+  expect(text.includes('retry-after: 0.250')).toEqual(true);
+  expect(text.includes('attempt: a')).toEqual(true);
+  await listener.drain();
+});
+
+test('without a configuration callers are told to come back, not that there is no route', async () => {
+  const port = await freePort();
+  const listener = await createCallerListener(
+    {
+      codec,
+      routes: () => undefined,
+      handle: () => Promise.resolve(serverAnswer('', true)),
+      now: () => performance.now(),
+      onAnswer: () => undefined,
+    },
+    '127.0.0.1',
+    port,
+  );
+  const text = await exchange(port, get('/p/1', 'a', LAST));
+  expect(text.startsWith('HTTP/1.1 503')).toEqual(true);
+  await listener.drain();
+});
+
+test('a path without a route and a body over the limit are refused with their own codes', async () => {
+  const { port, listener } = await listen(() => Promise.resolve(serverAnswer('', true)));
+  const unknown = await exchange(port, get('/other/', 'a', LAST));
+  expect(unknown.startsWith('HTTP/1.1 404')).toEqual(true);
+  const large = `POST /p/1 HTTP/1.1\r\nhost: a.example\r\nattempt: a\r\ncontent-length: 11\r\n\r\n`;
+  const refused = await exchange(port, `${large}01234567890`);
+  expect(refused.startsWith('HTTP/1.1 413')).toEqual(true);
+  await listener.drain();
+});
+
+test('a body in chunks reaches the handler whole', async () => {
+  let body = '';
+  const { port, listener } = await listen((req) => {
+    body = String(req.body);
+    return Promise.resolve(serverAnswer('', true));
+  });
+  const head = `POST /p/1 HTTP/1.1\r\nhost: a.example\r\nattempt: a\r\n${LAST}`;
+  const chunks = '3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n';
+  await exchange(port, `${head}transfer-encoding: chunked\r\n\r\n${chunks}`);
+  expect(body).toEqual('abcde');
+  await listener.drain();
+});
+
+test('a caller that leaves cancels its request', async () => {
+  const started = deferred<CallerRequest>();
+  const { port, listener } = await listen(
+    (req) =>
+      new Promise<RouterAnswer>((resolve) => {
+        req.gone.addEventListener('abort', () => {
+          resolve({ kind: 'none' });
+        });
+        started.resolve(req);
+      }),
+  );
+  const outgoing = request({
+    port,
+    host: '127.0.0.1',
+    path: '/p/1',
+    headers: { attempt: 'a', host: 'a.example' },
+  });
+  outgoing.on('error', () => undefined);
+  outgoing.end();
+  const { gone } = await started.promise;
+  outgoing.destroy();
+  if (!gone.aborted) await new Promise((resolve) => { gone.addEventListener('abort', resolve); });
+  expect(gone.aborted).toEqual(true);
+  await listener.drain();
+});
+
+test('draining answers the request in progress and closes its connection', async () => {
+  const started = deferred<undefined>();
+  const release = deferred<undefined>();
+  const { port, listener } = await listen(async () => {
+    started.resolve(undefined);
+    await release.promise;
+    return serverAnswer('late', true);
+  });
+  const answered = exchange(port, get('/p/1', 'a'));
+  await started.promise;
+  listener.announceClose();
+  const drained = listener.drain();
+  release.resolve(undefined);
+  const text = await answered;
+  await drained;
+  expect(text.toLowerCase().includes('connection: close')).toEqual(true);
+  expect(text.endsWith('late')).toEqual(true);
+});
