--- a/packages/spec/src/lib/configurations.ts
+++ b/packages/spec/src/lib/configurations.ts
@@ -1,4 +1,5 @@
 import { createConfigurationModel } from './configuration/configuration-model.js';
+import { createGrantModel } from './grants/grant-model.js';
 import { type Exploration, explore } from './model/explore.js';
 import type { Mutation } from './model/rules.js';
 import { createOwnershipModel } from './ownership/ownership-model.js';
@@ -86,6 +87,19 @@
     ],
     run: (mutation) => explore(createConfigurationModel({ mutation, operators: 2, routers: 3 })),
   },
+  {
+    name: 'grants, 2 leaders',
+    isQuick: true,
+    mutations: [
+      'grant-unanswered',
+      'grant-lease',
+      'grant-row-first',
+      'grant-inherited',
+      'grant-suspension',
+      'grant-grace',
+    ],
+    run: (mutation) => explore(createGrantModel({ mutation, renewalsPerLeader: 1 })),
+  },
   {
     name: 'at most once, 2 attempts',
     isQuick: true,
--- a/packages/spec/src/lib/model/rules.ts
+++ b/packages/spec/src/lib/model/rules.ts
@@ -24,6 +24,12 @@
   'intent-first': 'a non-idempotent request is dispatched before its intent is known to be written',
   'repeat-check': 'a repeat goes on past the unfinished intent of an earlier attempt',
   'proof-of-not-run': 'a lost connection counts as proof that the request was not run',
+  'grant-unanswered': 'a release counts although a grant to the former owner has no answer',
+  'grant-lease': 'a key is granted to another server before the lease of the former one has lapsed',
+  'grant-row-first': 'a key is granted to another server before the row says so',
+  'grant-inherited': 'a new leader moves a key while grants of the former leader may arrive',
+  'grant-suspension': 'a leader goes on after a suspension without confirming its seat',
+  'grant-grace': 'a leader renews leases however long its seat is unconfirmed',
 } as const;
 
 /** Name of a rule that can be removed. */
