Notice the store's return at once

Change: while the store is lost, it is asked for changes without waiting. The test fails without it.

--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -55,7 +55,9 @@
         watcher.onSnapshot(it);
       });
     }
-    const answer = await store.changesAfter(table, version, WATCH_WAIT_MS);
+    // A store that was lost is asked for an answer at once: a long poll would notice its return late.
+    const waitMs = retryMs > 0 ? 0 : WATCH_WAIT_MS;
+    const answer = await store.changesAfter(table, version, waitMs);
     return answer.map((it) => {
       if (signal.aborted) return;
       if (it.kind === 'history-lost') {
--- /dev/null
+++ b/packages/platform/src/test/watch-rows_test.ts
@@ -0,0 +1,75 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+import { type Result, err, ok } from 'neverthrow';
+
+import { PlatformError } from '../lib/platform-error.js';
+import type { RowChanges, RowStore, StoredRow } from '../lib/row-store.js';
+import { watchRows } from '../lib/watch-rows.js';
+
+type Poll = Result<RowChanges, PlatformError>;
+
+const row = (key: string, version: number): StoredRow => ({ key, version, value: Buffer.from('') });
+const away: Poll = err(new PlatformError('away', false));
+const nothing = (version: number): Poll => ok({ kind: 'changes', changes: [], version });
+
+/** Runs a watch over polls that are answered as given, and returns what it asked and was told. */
+async function watch(polls: Poll[], rows: StoredRow[] = [row('a', 1)]) {
+  const end = new AbortController();
+  const asked: string[] = [];
+  const told: string[] = [];
+  const store: RowStore = {
+    list() {
+      asked.push('list');
+      return Promise.resolve(ok({ rows, version: rows.at(-1)?.version ?? 0, nowMs: 0 }));
+    },
+    changesAfter(_table, version, waitMs) {
+      asked.push(`after ${version} ${waitMs > 0 ? 'waiting' : 'at once'}`);
+      const poll = polls.shift();
+      if (polls.length === 0) end.abort();
+      return Promise.resolve(poll ?? nothing(version));
+    },
+    put: () => Promise.resolve(err(new PlatformError('not used', false))),
+  };
+  await watchRows(
+    store,
+    't',
+    {
+      onSnapshot: (it) => told.push(`snapshot ${it.rows.map(({ key }) => key).join()}`),
+      onChange: (it) => told.push(`change ${it.key}`),
+      onRemoval: (key) => told.push(`removal ${key}`),
+      onLost: () => told.push('lost'),
+      onRegained: () => told.push('regained'),
+    },
+    end.signal,
+  );
+  return { asked, told };
+}
+
+test('changes are followed from version to version', async () => {
+  const { asked, told } = await watch([
+    ok({ kind: 'changes', changes: [row('b', 2), { key: 'a', removed: true }], version: 3 }),
+    nothing(3),
+    nothing(3),
+  ]);
+  expect(told).toEqual(['snapshot a', 'change b', 'removal a']);
+  expect(asked).toEqual(['list', 'after 1 waiting', 'after 3 waiting', 'after 3 waiting']);
+});
+
+test('after a gap the whole table is read again', async () => {
+  const { asked, told } = await watch([ok({ kind: 'history-lost' }), nothing(1), nothing(1)]);
+  expect(asked.slice(0, 3)).toEqual(['list', 'after 1 waiting', 'list']);
+  expect(told).toEqual(['snapshot a', 'snapshot a']);
+});
+
+test('a store that was lost is asked for an answer at once, so that its return is noticed', async () => {
+  const { asked, told } = await watch([away, away, nothing(1), nothing(1)]);
+  expect(told).toEqual(['snapshot a', 'lost', 'regained']);
+  expect(asked).toEqual([
+    'list',
+    'after 1 waiting',
+    'after 1 at once',
+    'after 1 at once',
+    'after 1 waiting',
+  ]);
+});
