--- a/packages/placement/src/lib/plan-moves.ts
+++ b/packages/placement/src/lib/plan-moves.ts
@@ -36,6 +36,11 @@
 /** How far a moved load may exceed what is wanted. */
 const OVERSHOOT = 1.25;
 
+/** Share of what its owner should carry in all from which a single key counts as hot. */
+const HOT_KEY_SHARE = 1;
+/** How much faster another server must be for a hot key to go there. */
+const WORTH_MOVING = 1.2;
+
 interface Bin extends PlannedServer {
   load: number;
 }
@@ -92,6 +97,34 @@
   return best;
 }
 
+/**
+ * Gives each key that alone is more than its owner's share to the fastest server, where it can be served
+ * most often. Takes the moved keys out of `settled`.
+ */
+function placeHotKeys(settled: LoadedRange[], bins: readonly Bin[], mean: number): PlannedMove[] {
+  const moves: PlannedMove[] = [];
+  const taken = new Set<string>();
+  const fastestFirst = [...bins].sort((a, b) => b.capacity - a.capacity);
+  const hot = settled
+    .flatMap((range) => range.loads.map((load) => ({ range, load })))
+    .sort((a, b) => b.load.weight - a.load.weight);
+  for (const { range, load } of hot) {
+    const owner = bins.find((it) => it.id === range.owner);
+    if (!owner || load.weight < mean * owner.capacity * HOT_KEY_SHARE) break;
+    const fastest = fastestFirst.find((it) => !taken.has(it.id));
+    if (!fastest) break;
+    const isFaster = fastest.capacity > owner.capacity * WORTH_MOVING;
+    taken.add(isFaster ? fastest.id : owner.id);
+    if (!isFaster || !settled.includes(range)) continue;
+    const alone = { first: load.key, last: load.key, weight: load.weight };
+    settled.splice(settled.indexOf(range), 1, ...remaindersOf(range, alone));
+    owner.load -= load.weight;
+    fastest.load += load.weight;
+    moves.push({ first: load.key, last: load.key, to: fastest.id });
+  }
+  return moves;
+}
+
 function extreme(bins: readonly Bin[], sign: 1 | -1): Bin | undefined {
   let found: Bin | undefined;
   for (const bin of bins) {
@@ -128,6 +161,7 @@
   const settled = ranges.filter((it) => it.movable && binOf.has(it.owner ?? ''));
   const totalCapacity = bins.reduce((sum, it) => sum + it.capacity, 0);
   const mean = bins.reduce((sum, it) => sum + it.load, 0) / totalCapacity;
+  for (const move of placeHotKeys(settled, bins, mean)) moves.push(move);
   const exhausted = new Set<Bin>();
   let balancing = 0;
   while (balancing < maxMoves) {
--- a/packages/placement/src/lib/server-speed.ts
+++ b/packages/placement/src/lib/server-speed.ts
@@ -14,7 +14,7 @@
 const MAX_FAILURE_SHARE = 0.3;
 const FAILING_CAPACITY = 0.25;
 /** A server that warms up runs at about this share of its speed. */
-const COLD_CAPACITY = 0.5;
+const COLD_CAPACITY = 0.35;
 
 /** Measured speed of servers, merged from the reports of all routers. */
 export interface ServerSpeeds {
--- a/packages/placement/src/test/plan-moves_test.ts
+++ b/packages/placement/src/test/plan-moves_test.ts
@@ -71,6 +71,15 @@
   expect(Math.max(...loads.values()) <= 2 * (160 / 8)).toEqual(true);
 });
 
+test('a key that is too hot for its owner goes to the fastest server, alone', () => {
+  const servers = [server('a', 8), server('b', 8), server('fast', 14)];
+  const ranges = [range(0, 999, 'a'), range(1_000, 9_999, 'b'), range(10_000, 65_535, 'fast')];
+  const moves = plan(servers, ranges, { 500: 40, 2_000: 5, 3_000: 5, 20_000: 5, 30_000: 5 });
+  expect(moves[0]).toEqual({ first: 500, last: 500, to: 'fast' });
+  const leaving = moves.filter((it) => it.first >= 10_000);
+  expect(leaving.length > 0).toEqual(true);
+});
+
 test('a faster server gets more', () => {
   const ranges = [range(0, 32_767, 'slow'), range(32_768, 65_535, 'fast')];
   const requests = Object.fromEntries(Array.from({ length: 20 }, (_, it) => [it * 10, 1]));
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -156,6 +156,7 @@
     const now = ctx.now();
     const { load } = server;
     const answer = outcome.kind === 'unknown' ? undefined : outcome.answer;
+    if (answer?.meta.load) load.noteQueue(answer.meta.load);
     if (outcome.kind === 'answer') {
       const isFailure = outcome.answer.status >= HTTP_SERVER_ERROR;
       load.done(isFailure ? undefined : now - startedAt, isFailure);
@@ -207,7 +208,11 @@
     if (outcome.kind === 'answer') {
       return cfg.idempotent && outcome.answer.status >= HTTP_SERVER_ERROR;
     }
-    if (outcome.kind === 'not-run') return outcome.why !== 'invalid' && outcome.why !== 'cancelled';
+    if (outcome.kind === 'not-run') {
+      // The only owner of the key is full: the caller comes back when its queue is shorter.
+      if (outcome.why === 'shed' && ctx.isPartitioned(req.service)) return false;
+      return outcome.why !== 'invalid' && outcome.why !== 'cancelled';
+    }
     return cfg.idempotent && outcome.why !== 'cancelled';
   }
 
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -93,8 +93,9 @@
         finish({ kind: 'not-run', why: 'cancelled' });
         return;
       }
-      controller.abort(new errors.RequestAbortedError());
+      // The library reports the abort as an error of the connection: the outcome must stand before.
       finish({ kind: 'unknown', why: 'cancelled', detail: 'cancelled' });
+      controller.abort(new errors.RequestAbortedError());
     };
     function finish(outcome: SendOutcome): void {
       signal.removeEventListener('abort', abort);
--- a/packages/router/src/lib/server-load.ts
+++ b/packages/router/src/lib/server-load.ts
@@ -7,6 +7,8 @@
 const OUTCOME_WEIGHT = 0.15;
 /** What other routers keep at the server is believed less the older the report is, in service times. */
 const REPORT_LIFE = 2;
+/** What others usually keep there is forgotten over this time without a report, in milliseconds. */
+const USUAL_LIFE_MS = 3_000;
 
 /** What one router knows of a backend server's load, from its own requests and from answers. */
 export interface ServerLoad {
@@ -17,6 +19,9 @@
    * outcome says nothing about the server.
    */
   done(latencyMs: number | undefined, failed?: boolean): void;
+  /** An answer shows a queue: requests on their way may have waited in it. For before `done`. */
+  noteQueue(load: ReportedLoad): void;
+  /** Takes what an answer says of the load. For after `done`. */
   reported(now: number, load: ReportedLoad): void;
   /** Own requests on their way. */
   inFlight(): number;
@@ -41,7 +46,7 @@
   let others = 0;
   let othersAt = -Infinity;
   let measured = { sum: 0, count: 0, answered: 0, failed: 0 };
-  /** Own requests that began when the server seemed to have a free slot. */
+  /** Own requests that began when the server seemed to have a free slot, and since no queue was seen. */
   let unqueued = 0;
 
   const usualMs = () => serviceMs ?? INITIAL_SERVICE_MS;
@@ -49,7 +54,8 @@
   function othersNow(now: number): number {
     const age = now - othersAt;
     const trust = Math.exp(-age / (REPORT_LIFE * usualMs()));
-    return othersMean + (others - othersMean) * trust;
+    const usual = othersMean * Math.exp(-age / USUAL_LIFE_MS);
+    return usual + (others - usual) * trust;
   }
 
   function inHand(now: number): number {
@@ -75,9 +81,12 @@
       measured.sum += latencyMs;
       measured.count += 1;
     },
+    noteQueue(load) {
+      if (load.waiting > 0) unqueued = 0;
+    },
     reported(now, load) {
       if (load.slots > 0) slots = load.slots;
-      others = Math.max(0, load.running + load.waiting - Math.max(0, own - 1));
+      others = Math.max(0, load.running + load.waiting - own);
       othersMean += (others - othersMean) * SAMPLE_WEIGHT;
       othersAt = now;
     },
--- a/packages/router/src/test/send-request_test.ts
+++ b/packages/router/src/test/send-request_test.ts
@@ -116,6 +116,24 @@
   expect(outcome).toLooseEqual({ kind: 'not-run', why: 'refused' });
 });
 
+test('a request that the router gives up is cancelled, and not broken off by the server', async () => {
+  const server: Server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      limit.abort();
+    });
+  });
+  const limit = new AbortController();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const connections = createServerConnections(`127.0.0.1:${port}`, 1);
+  const outgoing = { method: 'GET', path: '/', headers: [], body: undefined, attemptId: 'a1' };
+  const outcome = await sendRequest(connections, outgoing, codec, limit.signal);
+  connections.close();
+  server.close();
+  expect(outcome).toLooseEqual({ kind: 'unknown', why: 'cancelled', detail: 'cancelled' });
+});
+
 test('a request whose connection breaks without an answer may have run', async () => {
   const outcome = await sendTo((socket) => {
     socket.destroy();
