--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,3 +1,4 @@
+export * from './lib/crash-record.js';
 export * from './lib/key-range.js';
 export * from './lib/leader-context.js';
 export * from './lib/lease-bound.js';
--- /dev/null
+++ b/packages/placement/src/lib/crash-record.ts
@@ -0,0 +1,52 @@
+/** A request that was running at a backend server when that server ended. */
+export interface CrashedRun {
+  /** Identifies equal requests of one caller. */
+  readonly fingerprint: string;
+  readonly server: string;
+  /** Start of the life that ended, in milliseconds of the time of day. */
+  readonly startedMs: number;
+}
+
+/** How long a crash is remembered, in milliseconds. */
+const REMEMBERED_MS = 60_000;
+/** Most crashes that are remembered; the oldest go first. */
+const MAX_CRASHES = 500;
+
+/** Crashes that routers reported to the leader, or that it passed on to them. */
+export interface CrashRecord {
+  add(crashes: readonly CrashedRun[], now: number): void;
+  list(now: number): CrashedRun[];
+  /** Servers that ended while they ran equal requests. */
+  countOf(fingerprint: string, now: number): number;
+}
+
+const keyOf = (it: CrashedRun) => `${it.fingerprint} ${it.server} ${it.startedMs}`;
+
+/** Creates an empty record; `now` is in milliseconds of a monotonic clock. */
+export function createCrashRecord(): CrashRecord {
+  const crashes = new Map<string, { crash: CrashedRun; at: number }>();
+
+  function prune(now: number): void {
+    for (const [key, { at }] of crashes) {
+      if (at >= now - REMEMBERED_MS && crashes.size <= MAX_CRASHES) break;
+      crashes.delete(key);
+    }
+  }
+
+  return {
+    add(added, now) {
+      for (const crash of added) {
+        if (!crashes.has(keyOf(crash))) crashes.set(keyOf(crash), { crash, at: now });
+      }
+      prune(now);
+    },
+    list(now) {
+      prune(now);
+      return [...crashes.values()].map((it) => it.crash);
+    },
+    countOf(fingerprint, now) {
+      prune(now);
+      return [...crashes.values()].filter((it) => it.crash.fingerprint === fingerprint).length;
+    },
+  };
+}
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -4,6 +4,7 @@
 import type { ReportRequest, ReportResponseSchema } from '@boragepoint/protocol';
 import type { MessageInitShape } from '@bufbuild/protobuf';
 
+import { type CrashedRun, createCrashRecord } from './crash-record.js';
 import { LEASE_MS, ORDER_TIMEOUT_MS, type PlacementLog } from './leader-context.js';
 import {
   type Candidate,
@@ -47,6 +48,8 @@
   /** Routers that share the load, this one included. */
   routers(): number;
   isLeading(): boolean;
+  /** Servers that ended lately, on any router's account, while they ran equal requests. */
+  crashesOf(fingerprint: string): number;
   /** Resolves at the next change of the view, or after `ms`. */
   waitForChange(ms: number): Promise<void>;
   /** Answers another router's report. */
@@ -70,6 +73,8 @@
   partitionedServices(): readonly string[] | undefined;
   /** Load since the last call. */
   takeLoad(): readonly ServiceLoadReport[];
+  /** Crashes since the last call. */
+  takeCrashes(): readonly CrashedRun[];
 }
 
 /** Time for which a grant of a leader that is gone may still be carried out and last. */
@@ -81,6 +86,7 @@
   const { self, store, directory, peers, clocks, log } = options;
   const reporters = new Map<string, number>();
   const waiting = new Set<() => void>();
+  const crashes = createCrashRecord();
   let current: PlacementView = NO_PLACEMENT;
   let routers = 1;
   let leader: PlacementLeader | undefined;
@@ -185,12 +191,16 @@
 
   function lead(leading: PlacementLeader): void {
     for (const load of options.takeLoad()) leading.report(load);
+    crashes.add(options.takeCrashes(), clocks.monotonic());
     adopt(leading.view());
     routers = countReporters();
   }
 
   async function follow(leading: Seat): Promise<boolean> {
+    const crashed = options.takeCrashes();
+    crashes.add(crashed, clocks.monotonic());
     const report = {
+      crashes: crashed.map(encodeCrash),
       router: self.router,
       startedMs: BigInt(self.startedMs),
       knownEpoch: BigInt(current.epoch),
@@ -207,6 +217,7 @@
     if (!answer?.leads) return false;
     if (answer.view) adopt(answer.isComplete ? answer.view : merged(answer.view));
     routers = Math.max(1, answer.routers);
+    crashes.add(answer.crashes, clocks.monotonic());
     return true;
   }
 
@@ -237,6 +248,8 @@
     if (!leading) return { leads: false };
     reporters.set(req.router, clocks.monotonic());
     for (const load of req.services) leading.report(load);
+    const reported = req.crashes.map((it) => ({ ...it, startedMs: Number(it.startedMs) }));
+    crashes.add(reported, clocks.monotonic());
     const known = Number(req.knownEpoch) === leading.epoch ? Number(req.knownChange) : -1;
     await leading.waitForChange(known, req.waitMs);
     if (leading !== leader) return { leads: false };
@@ -249,6 +262,7 @@
       change: BigInt(view.change),
       routers: countReporters(),
       complete: isComplete,
+      crashes: crashes.list(clocks.monotonic()).map(encodeCrash),
       services: [...services].map(([service, ranges]) => ({
         service,
         ranges: ranges.map((it) => ({ ...it, owner: it.owner ?? '' })),
@@ -260,6 +274,7 @@
     view: () => current,
     routers: () => routers,
     isLeading,
+    crashesOf: (fingerprint) => crashes.countOf(fingerprint, clocks.monotonic()),
     waitForChange(ms) {
       return new Promise((resolve) => {
         const finish = () => {
@@ -284,6 +299,10 @@
   };
 }
 
+function encodeCrash({ fingerprint, server, startedMs }: CrashedRun) {
+  return { fingerprint, server, startedMs: BigInt(startedMs) };
+}
+
 function freeSeat(self: Candidate): Seat {
   return { ...self, epoch: 0, untilMs: 0, handedOver: true, unansweredForMs: 0 };
 }
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -3,6 +3,7 @@
 import { type Client, ConnectError, createClient } from '@connectrpc/connect';
 import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
 
+import type { CrashedRun } from './crash-record.js';
 import type { PlacementView } from './placement-view.js';
 
 /** A report to the leader. */
@@ -17,7 +18,7 @@
   /** The view is the whole placement. */
   readonly isComplete: boolean;
   readonly routers: number;
-  readonly barred: readonly string[];
+  readonly crashes: readonly CrashedRun[];
 }
 
 /**
@@ -96,8 +97,9 @@
               ),
             }
           : undefined;
-        const { leads, complete, routers, barred } = res;
-        return { leads, view, isComplete: complete, routers, barred };
+        const { leads, complete, routers } = res;
+        const crashes = res.crashes.map((it) => ({ ...it, startedMs: Number(it.startedMs) }));
+        return { leads, view, isComplete: complete, routers, crashes };
       } catch {
         drop(address);
         return undefined;
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -161,6 +161,7 @@
       connection: req.headers.connection,
       body: read.body,
       attemptId: meta.attemptId,
+      caller: req.socket.remoteAddress ?? '',
       meta,
       route,
       service: route.nextService(),
--- a/packages/router/src/lib/caller-request.ts
+++ b/packages/router/src/lib/caller-request.ts
@@ -11,6 +11,8 @@
   readonly connection: string | undefined;
   readonly body: Buffer | undefined;
   readonly attemptId: string;
+  /** IP address of the caller. */
+  readonly caller: string;
   readonly meta: RequestMeta;
   readonly route: Route;
   readonly service: string;
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -11,6 +11,7 @@
 import { type FleetPlatform, type RowWatcher, watchRows } from '@boragepoint/platform';
 
 import { createCallerListener } from './caller-listener.js';
+import { createCrashGuard } from './crash-guard.js';
 import { createPeerListener } from './peer-listener.js';
 import { createRequestHandler } from './request-handler.js';
 import { type RouteTable, createRouteTable } from './route-table.js';
@@ -26,6 +27,8 @@
 
 /** A running router. */
 export interface FleetRouter {
+  /** Takes changed settings into use; listeners and the store stay where they are. */
+  reload(next: FleetSettings): void;
   /** Stops gracefully: not ready at once, requests in progress finish. */
   shutDown(): Promise<void>;
 }
@@ -37,14 +40,15 @@
 
 /** Starts a router on a platform. */
 export async function createFleetRouter(
-  settings: FleetSettings,
+  initial: FleetSettings,
   platform: FleetPlatform,
   log: RouterLog,
 ): Promise<FleetRouter> {
   const clocks = processClocks;
   const end = new AbortController();
   const handOver = new AbortController();
-  const { instance, regions } = settings;
+  let settings = initial;
+  const { instance } = settings;
   let table: RouteTable | undefined;
   let stopping = false;
   let keys = new Map<string, number[]>();
@@ -60,6 +64,7 @@
       log.info('service registry regained');
     },
   });
+  const guard = createCrashGuard(directory, clocks.monotonic);
   const peers = createPlacementPeers();
   const isPartitioned = (service: string) => table?.service(service)?.partitioned ?? false;
 
@@ -89,6 +94,7 @@
     partitionedServices: () =>
       table?.cfg.services.filter((it) => it.partitioned).map((it) => it.name),
     takeLoad,
+    takeCrashes: () => guard.takeCrashes(),
   });
   const pool = createServerPool({
     directory,
@@ -106,18 +112,20 @@
     view: () => member.view(),
     waitForPlacement: (ms) => member.waitForChange(ms),
     routers: () => member.routers(),
-    isFar: (zone) => regions[zone] !== instance.region,
-    drainNoticeMs: settings.drain.noticeMs,
+    isFar: (zone) => settings.regions[zone] !== instance.region,
+    drainNoticeMs: () => settings.drain.noticeMs,
     drainingSince(id) {
       const known = directory.get(id);
       return known?.entry.draining === true ? known.seenAt : undefined;
     },
     isPartitioned,
     budgetOf(service) {
-      const budget = budgets.get(service) ?? createSharedRetryBudget(settings.retries);
+      const budget = budgets.get(service) ?? createSharedRetryBudget(() => settings.retries);
       budgets.set(service, budget);
       return budget;
     },
+    guard,
+    crashesOf: (fingerprint) => member.crashesOf(fingerprint),
     recordKey(service, key) {
       const list = keys.get(service) ?? [];
       list.push(key);
@@ -217,6 +225,14 @@
   log.info('started', { zone: instance.availabilityZone, region: instance.region });
 
   return {
+    reload(next) {
+      const changed = Object.keys(next).filter((key) => {
+        const name = key as keyof FleetSettings;
+        return JSON.stringify(next[name]) !== JSON.stringify(settings[name]);
+      });
+      settings = next;
+      log.info('settings reloaded', { changed });
+    },
     async shutDown() {
       const startedAt = clocks.monotonic();
       const leaveBy = startedAt + settings.shutdown.graceMs - GRACE_MARGIN_MS;
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -4,6 +4,7 @@
 import { admit, boundRetryAfter } from './admission.js';
 import type { CallerRequest } from './caller-request.js';
 import { type ServerCandidate, chooseServer, expectedMs } from './choose-server.js';
+import { type CrashGuard, MAX_CRASHES, fingerprintOf } from './crash-guard.js';
 import { requestHeaders } from './forwarded-headers.js';
 import { type RouterAnswer, ownAnswer } from './router-answer.js';
 import type { RouterLog } from './router-log.js';
@@ -21,6 +22,7 @@
 /** A server that leaves gets no new requests after this share of its notice. */
 const NOTICE_SHARE = 0.6;
 const HTTP_SERVER_ERROR = 500;
+const HTTP_UNAVAILABLE = 503;
 
 /** What handling requests needs. */
 export interface RequestHandlerContext {
@@ -32,11 +34,14 @@
   routers(): number;
   isFar(availabilityZone: string): boolean;
   /** How long a draining server takes requests, in milliseconds. */
-  readonly drainNoticeMs: number;
+  readonly drainNoticeMs: () => number;
   /** When a server was first seen draining; `undefined` if it isn't. */
   drainingSince(id: string): number | undefined;
   isPartitioned(service: string): boolean;
   budgetOf(service: string): SharedRetryBudget;
+  readonly guard: CrashGuard;
+  /** Servers that ended lately while they ran equal requests. */
+  crashesOf(fingerprint: string): number;
   /** A request for a key arrived. */
   recordKey(service: string, key: number): void;
   now(): number;
@@ -54,6 +59,14 @@
   readonly outcome: SendOutcome;
 }
 
+/** Callers of a request that crashes servers come back after this time, in milliseconds. */
+const CRASH_RETRY_MS = 3_000;
+
+function crashAnswer(): RouterAnswer {
+  const answer = ownAnswer('quarantined', 'equal requests crashed servers', CRASH_RETRY_MS);
+  return { ...answer, status: HTTP_UNAVAILABLE };
+}
+
 /** Sends requests to backend servers and finds the caller's answer. */
 export interface RequestHandler {
   handle(req: CallerRequest): Promise<RouterAnswer>;
@@ -65,7 +78,7 @@
 
   function isLeaving(server: PooledServer): boolean {
     const since = ctx.drainingSince(server.entry.id);
-    return since !== undefined && ctx.now() > since + ctx.drainNoticeMs * NOTICE_SHARE;
+    return since !== undefined && ctx.now() > since + ctx.drainNoticeMs() * NOTICE_SHARE;
   }
 
   function admitted(cfg: RouteConfig, req: CallerRequest, server: ServerCandidate, ms: number) {
@@ -149,6 +162,10 @@
     clearTimeout(timer);
     req.gone.removeEventListener('abort', stop);
     noteOutcome(server, outcome, startedAt);
+    if (outcome.kind === 'unknown' && outcome.why === 'broken-off') {
+      const { id, startedMs } = entry;
+      ctx.guard.suspect({ fingerprint: fingerprintOf(req), server: id, startedMs });
+    }
     return outcome;
   }
 
@@ -213,6 +230,7 @@
       if (outcome.why === 'shed' && ctx.isPartitioned(req.service)) return false;
       return outcome.why !== 'invalid' && outcome.why !== 'cancelled';
     }
+    if (ctx.crashesOf(fingerprintOf(req)) + attempts >= MAX_CRASHES + 1) return false;
     return cfg.idempotent && outcome.why !== 'cancelled';
   }
 
@@ -225,6 +243,15 @@
       return ownAnswer('missingKey', 'the request has no key');
     }
     budget.recordRequest(ctx.now());
+    const crashes = ctx.crashesOf(fingerprintOf(req));
+    if (crashes >= MAX_CRASHES) {
+      log.warn('request crashes servers', {
+        request: req.attemptId,
+        service: req.service,
+        crashes,
+      });
+      return crashAnswer();
+    }
     if (key !== undefined) ctx.recordKey(req.service, key);
     for (;;) {
       const pick = key === undefined ? pickAny(req, tried) : await pickOwner(req, key);
--- a/packages/router/src/lib/router-log.ts
+++ b/packages/router/src/lib/router-log.ts
@@ -1,5 +1,5 @@
 import { LogLevels, createConsola } from 'consola';
-import { SonicBoom } from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 
 /** Fields of a log line. */
 export type LogFields = Readonly<Record<string, unknown>>;
@@ -27,7 +27,7 @@
 
 /** A sink that writes to a file descriptor in the background and drops lines when nobody reads. */
 export function createOutputSink(fd: number): LineSink {
-  const out = new SonicBoom({ fd, sync: false, maxLength: MAX_BUFFERED_BYTES });
+  const out = new sonicBoom.SonicBoom({ fd, sync: false, maxLength: MAX_BUFFERED_BYTES });
   out.on('error', () => undefined);
   return {
     write: (line) => out.write(line),
--- a/packages/router/src/lib/shared-retry-budget.ts
+++ b/packages/router/src/lib/shared-retry-budget.ts
@@ -24,16 +24,17 @@
   if (count > 0) times.splice(0, count);
 }
 
-/** Creates a budget over a sliding window. */
-export function createSharedRetryBudget(limits: RetryLimits): SharedRetryBudget {
+/** Creates a budget over a sliding window; the limits may change. */
+export function createSharedRetryBudget(limitsNow: () => RetryLimits): SharedRetryBudget {
   const requests: number[] = [];
   const retries: number[] = [];
   return {
     recordRequest(now) {
       requests.push(now);
-      prune(requests, now - limits.windowMs);
+      prune(requests, now - limitsNow().windowMs);
     },
     tryRetry(now, routers) {
+      const limits = limitsNow();
       prune(requests, now - limits.windowMs);
       prune(retries, now - limits.windowMs);
       const allowed = requests.length * limits.ratio + limits.slack / Math.max(1, routers);
--- a/packages/router/src/test/shared-retry-budget_test.ts
+++ b/packages/router/src/test/shared-retry-budget_test.ts
@@ -7,7 +7,7 @@
 const limits = { ratio: 0.2, slack: 60, windowMs: 10_000 };
 
 function countRetries(requests: number, routers: number): number {
-  const budget = createSharedRetryBudget(limits);
+  const budget = createSharedRetryBudget(() => limits);
   for (let index = 0; index < requests; index += 1) budget.recordRequest(0);
   let count = 0;
   while (budget.tryRetry(0, routers)) count += 1;
@@ -24,7 +24,7 @@
 });
 
 test('retries come back as the window moves on', () => {
-  const budget = createSharedRetryBudget(limits);
+  const budget = createSharedRetryBudget(() => limits);
   while (budget.tryRetry(0, 12));
   expect(budget.tryRetry(limits.windowMs - 1, 12)).toEqual(false);
   expect(budget.tryRetry(limits.windowMs + 1, 12)).toEqual(true);
