--- a/packages/cli/src/lib/command-list.ts
+++ b/packages/cli/src/lib/command-list.ts
@@ -7,6 +7,7 @@
 import { reportCommand } from './commands/report.js';
 import { deposeCommand, drainCommand } from './commands/servers.js';
 import { statusCommand } from './commands/status.js';
+import { traceCommand } from './commands/trace.js';
 import { validateCommand } from './commands/validate.js';
 
 /** All commands of `boragectl`, in the order of its help. @internal */
@@ -25,4 +26,5 @@
   eventsCommand,
   quarantineCommand,
   reportCommand,
+  traceCommand,
 ];
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -50,8 +50,19 @@
 
 /** The next server for a request, or why there is none. */
 type Pick =
-  | { readonly kind: 'server'; readonly server: PooledServer; readonly expectedMs: number }
-  | { readonly kind: 'refuse'; readonly reason: string; readonly retryAfterMs: number };
+  { readonly kind: 'server'; readonly server: PooledServer; readonly expectedMs: number } | Refusal;
+
+/** Why a request is not sent anywhere now, and what that was decided by. */
+interface Refusal {
+  readonly kind: 'refuse';
+  readonly reason: string;
+  readonly retryAfterMs: number;
+  readonly decidedBy?: {
+    readonly server: string;
+    readonly expectedMs: number;
+    readonly inHand: number;
+  };
+}
 
 /** One try of a request at a server. */
 interface Try {
@@ -62,6 +73,20 @@
 /** Callers of a request that crashes servers come back after this time, in milliseconds. */
 const CRASH_RETRY_MS = 3_000;
 
+function fullRefusal(
+  reason: string,
+  server: ServerCandidate,
+  expected: number,
+  retryAfterMs: number,
+): Refusal {
+  const decidedBy = {
+    server: server.id,
+    expectedMs: Math.round(expected),
+    inHand: Math.round(server.inHand * 10) / 10,
+  };
+  return { kind: 'refuse', reason, retryAfterMs, decidedBy };
+}
+
 function crashAnswer(): RouterAnswer {
   const answer = ownAnswer('quarantined', 'equal requests crashed servers', CRASH_RETRY_MS);
   return { ...answer, status: HTTP_UNAVAILABLE };
@@ -109,7 +134,7 @@
     }
     const admission = admitted(cfg, req, candidate, choice.expectedMs);
     if (admission.kind === 'send') return { kind: 'server', server, expectedMs: choice.expectedMs };
-    return { kind: 'refuse', reason: 'servers are full', retryAfterMs: admission.retryAfterMs };
+    return fullRefusal('servers are full', candidate, choice.expectedMs, admission.retryAfterMs);
   }
 
   /** Waits for an owner of the key that may serve. */
@@ -136,7 +161,7 @@
     const answerMs = expectedMs(candidate);
     const admission = admitted(req.route.cfg, req, candidate, answerMs);
     if (admission.kind === 'send') return { kind: 'server', server, expectedMs: answerMs };
-    return { kind: 'refuse', reason: 'the owner is full', retryAfterMs: admission.retryAfterMs };
+    return fullRefusal('the owner is full', candidate, answerMs, admission.retryAfterMs);
   }
 
   async function send(req: CallerRequest, server: PooledServer): Promise<SendOutcome> {
@@ -257,7 +282,7 @@
       const pick = key === undefined ? pickAny(req, tried) : await pickOwner(req, key);
       if (req.gone.aborted) return { kind: 'none' };
       if (pick.kind === 'refuse') {
-        logTries(req, tries, pick.reason);
+        logTries(req, tries, pick.reason, pick);
         return finalAnswer(req, tries, pick);
       }
       const { server } = pick;
@@ -280,13 +305,14 @@
     }
   }
 
-  function logTries(req: CallerRequest, tries: readonly Try[], end: string): void {
+  function logTries(req: CallerRequest, tries: readonly Try[], end: string, by?: Refusal): void {
     log.info('request', {
       request: req.attemptId,
       route: req.route.cfg.name,
       service: req.service,
       key: req.meta.key,
       end,
+      ...by?.decidedBy,
       afterMs: Math.round(ctx.now() - req.arrivedAt),
       leftMs: Math.round(req.answerBy - ctx.now()),
       tries: tries.map(({ server, outcome }) => ({
