Join key ranges again, so that their number stays bounded

Change: with more than five ranges a server, quiet ranges go to a neighbour's owner, and neighbours of one owner become one range under a new token. Renewals every 2 s for leases of 7 s.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,15 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['target/**', 'journal/**', '**/dist/**', '**/node_modules/**', 'packages/protocol/src/gen/**'] },
+  {
+    ignores: [
+      'target/**',
+      'journal/**',
+      '**/dist/**',
+      '**/node_modules/**',
+      'packages/protocol/src/gen/**',
+    ],
+  },
   eslint.configs.recommended,
   {
     files: ['packages/**/*.ts', 'platform/**/*.ts', 'examples/**/*.ts'],
--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -20,7 +20,7 @@
 }
 
 /** Lease length that this project grants, in milliseconds. */
-export const LEASE_MS = 6_000;
+export const LEASE_MS = 7_000;
 /** Time after which an order counts as unanswered and its connection is reset, in milliseconds. */
 export const ORDER_TIMEOUT_MS = 1_000;
 /** A release is answered when running work has ended, so it may take longer. */
@@ -43,7 +43,7 @@
   changed(range: HeldRange): void;
   /** Resolves when the row with everything decided so far is stored; false when the seat is lost. */
   persist(): Promise<boolean>;
-  nextFence(): number;
+  readonly nextFence: () => number;
 }
 
 /** The life is over: proved by an order, or by a newer start in the registry. */
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -19,12 +19,14 @@
 import type { Placement } from './placement-record.js';
 import type { PlacementView, RangeView } from './placement-view.js';
 import { createPlacementWriter } from './placement-writer.js';
+import { planJoins } from './plan-joins.js';
 import { type PlannedRange, type PlannedServer, planMoves } from './plan-moves.js';
 import {
   type RangeTable,
   applyMove,
   createRangeTable,
   joinNeighbours,
+  joinUnderNewFence,
   recordsOf,
 } from './range-table.js';
 import type { KnownServer, ServerDirectory } from './server-directory.js';
@@ -34,13 +36,16 @@
 
 /** Time over which changes are gathered before routers are told, in milliseconds. */
 const COALESCE_MS = 30;
-const RENEW_LEASES_MS = 1_500;
+const RENEW_LEASES_MS = 2_000;
 const PLAN_MS = 500;
 /** A range stays with its new owner this long before balance may move it again, in milliseconds. */
 const SETTLE_MS = 1_500;
 const MAX_MOVES_PER_PLAN = 16;
 /** First division of a service's keys: ranges for each server. */
-const RANGES_PER_SERVER = 4;
+const RANGES_PER_SERVER = 2;
+/** Ranges for each server beyond which quiet ones are joined. */
+const MAX_RANGES_PER_SERVER = 5;
+const MAX_JOINS_PER_PLAN = 6;
 /** Time to wait for more servers to register before the first division, in milliseconds. */
 const FIRST_PLAN_DELAY_MS = 1_500;
 /** Time for which a leaving owner keeps ranges that can't be handed over at once, in milliseconds. */
@@ -206,6 +211,12 @@
     if (outcome.kind === 'gone' || outcome.kind === 'misdirected') planBell.ring();
   }
 
+  /** Grants a joined range under its new token; if that fails, the next renewal does. */
+  async function regrant(range: HeldRange): Promise<void> {
+    if (range.owner && ctx.mayOrder()) await sendGrant(ctx, range, range.owner);
+    range.busy = false;
+  }
+
   async function renewAll(): Promise<void> {
     while (!stop.signal.aborted) {
       if (mayRenew()) {
@@ -273,8 +284,13 @@
       };
     });
     const planned = servers.map((it) => plannedServer(it, now));
-    const moves = planMoves({ servers: planned, ranges, load, maxMoves: MAX_MOVES_PER_PLAN });
-    return moves.flatMap((move) => {
+    const balancing = planMoves({ servers: planned, ranges, load, maxMoves: MAX_MOVES_PER_PLAN });
+    const maxRanges = servers.length * MAX_RANGES_PER_SERVER;
+    const joins =
+      balancing.length === 0
+        ? planJoins({ ranges, load, maxRanges, maxMoves: MAX_JOINS_PER_PLAN })
+        : [];
+    return [...balancing, ...joins].flatMap((move) => {
       const to = usable.get(move.to);
       const moved = to && applyMove(table, move, lifeOf(to), ctx.nextFence());
       return moved ?? [];
@@ -301,10 +317,18 @@
 
   async function plan(): Promise<void> {
     divideNewServices();
+    const joined = [...tables.values()].flatMap((it) =>
+      joinUnderNewFence(it, MAX_JOINS_PER_PLAN, ctx.nextFence),
+    );
     const moved = [...tables].flatMap(([service, table]) => planService(service, table));
-    if (moved.length === 0) return;
-    log.info('ranges to move', { count: moved.length, epoch: seat.epoch });
+    if (moved.length + joined.length === 0) return;
+    log.info('ranges to move', {
+      count: moved.length,
+      joined: joined.length,
+      epoch: seat.epoch,
+    });
     if (!(await writer.persist())) return;
+    for (const range of joined) void regrant(range);
     for (const range of moved) changed(range);
     for (const range of moved)
       void handOver(ctx, range).then(() => {
--- a/packages/placement/src/lib/range-table.ts
+++ b/packages/placement/src/lib/range-table.ts
@@ -1,5 +1,5 @@
 import { type HeldRange, cutOut, newHolder, recordOf, unownedRange } from './held-range.js';
-import { type ServerLife, divideKeys } from './key-range.js';
+import { type ServerLife, divideKeys, isSameLife } from './key-range.js';
 import type { PlannedMove } from './plan-moves.js';
 import type { RangeRecord } from './placement-record.js';
 
@@ -45,14 +45,8 @@
   const joined: HeldRange[] = [];
   for (const range of table.ranges) {
     const before = joined.at(-1);
-    if (before && canJoin(before, range)) {
-      before.last = range.last;
-      const a = before.owner?.bound;
-      const b = range.owner?.bound;
-      if (a && b) {
-        a.answeredUntil = Math.max(a.answeredUntil, b.answeredUntil);
-        a.unansweredUntil = Math.max(a.unansweredUntil, b.unansweredUntil);
-      }
+    if (before && hasSameOwner(before, range) && before.owner?.fence === range.owner?.fence) {
+      joinInto(before, range);
       continue;
     }
     joined.push(range);
@@ -60,14 +54,49 @@
   table.ranges = joined;
 }
 
-function canJoin(a: HeldRange, b: HeldRange): boolean {
+/**
+ * Joins neighbours of one owner that were granted under different tokens. The joined range gets a new
+ * token and has to be granted again under it; until then the owner serves it under the old ones. Returns
+ * the joined ranges, which stay busy.
+ */
+export function joinUnderNewFence(
+  table: RangeTable,
+  maxJoins: number,
+  nextFence: () => number,
+): HeldRange[] {
+  const joined: HeldRange[] = [];
+  const regrant = new Set<HeldRange>();
+  for (const range of table.ranges) {
+    const before = joined.at(-1);
+    const isOpen = before && (regrant.has(before) || regrant.size < maxJoins);
+    if (before?.owner && range.owner && isOpen && hasSameOwner(before, range)) {
+      joinInto(before, range);
+      regrant.add(before);
+      continue;
+    }
+    joined.push(range);
+  }
+  table.ranges = joined;
+  for (const range of regrant) {
+    if (range.owner) range.owner.fence = nextFence();
+    range.busy = true;
+  }
+  return [...regrant];
+}
+
+function joinInto(range: HeldRange, next: HeldRange): void {
+  range.last = next.last;
+  range.grantedAt = Math.max(range.grantedAt, next.grantedAt);
+  const bound = range.owner?.bound;
+  const other = next.owner?.bound;
+  if (!bound || !other) return;
+  bound.answeredUntil = Math.max(bound.answeredUntil, other.answeredUntil);
+  bound.unansweredUntil = Math.max(bound.unansweredUntil, other.unansweredUntil);
+}
+
+function hasSameOwner(a: HeldRange, b: HeldRange): boolean {
   const isIdle = [a, b].every((it) => !it.busy && !it.renewing && it.granted);
   return (
-    isIdle &&
-    a.owner !== undefined &&
-    a.owner.life.server === b.owner?.life.server &&
-    a.owner.life.startedMs === b.owner.life.startedMs &&
-    a.owner.fence === b.owner.fence &&
-    a.owner.inherited === b.owner.inherited
+    isIdle && isSameLife(a.owner?.life, b.owner?.life) && a.owner?.inherited === b.owner?.inherited
   );
 }
--- /dev/null
+++ b/packages/placement/src/test/range-table_test.ts
@@ -0,0 +1,74 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { type HeldRange, newHolder, unownedRange } from '../lib/held-range.js';
+import { createLoadMap } from '../lib/load-map.js';
+import { planJoins } from '../lib/plan-joins.js';
+import { applyMove, joinNeighbours, joinUnderNewFence } from '../lib/range-table.js';
+
+const life = (server: string) => ({ server, address: `${server}:1`, startedMs: 1 });
+
+function held(first: number, last: number, server: string, fence: number): HeldRange {
+  return {
+    ...unownedRange({ first, last }),
+    owner: newHolder(life(server), fence),
+    granted: true,
+  };
+}
+
+const spans = (ranges: readonly HeldRange[]) =>
+  ranges.map(
+    (it) => `${it.first}-${it.last} ${it.owner?.life.server ?? ''} #${it.owner?.fence ?? 0}`,
+  );
+
+test('a move cuts its span out and keeps the former owner among the holders', () => {
+  const table = { ranges: [held(0, 99, 'a', 1)] };
+  const moved = applyMove(table, { first: 40, last: 59, to: 'b' }, life('b'), 2);
+  expect(spans(table.ranges)).toEqual(['0-39 a #1', '40-59 b #2', '60-99 a #1']);
+  expect(moved?.former.map((it) => `${it.life.server} #${it.fence}`)).toEqual(['a #1']);
+  expect(moved?.granted).toEqual(false);
+});
+
+test('a range whose renewal is on its way is not moved', () => {
+  const table = { ranges: [{ ...held(0, 99, 'a', 1), renewing: true }] };
+  expect(applyMove(table, { first: 0, last: 9, to: 'b' }, life('b'), 2)).toEqual(undefined);
+});
+
+test('neighbours under one token are renewed as one', () => {
+  const table = { ranges: [held(0, 9, 'a', 1), held(10, 19, 'a', 1), held(20, 29, 'a', 2)] };
+  joinNeighbours(table);
+  expect(spans(table.ranges)).toEqual(['0-19 a #1', '20-29 a #2']);
+});
+
+test('neighbours under different tokens become one range under a new one', () => {
+  const table = {
+    ranges: [held(0, 9, 'a', 1), held(10, 19, 'a', 4), held(20, 29, 'a', 2), held(30, 39, 'b', 3)],
+  };
+  const joined = joinUnderNewFence(table, 8, () => 9);
+  expect(spans(table.ranges)).toEqual(['0-29 a #9', '30-39 b #3']);
+  expect(joined.map((it) => it.busy)).toEqual([true]);
+});
+
+test('a joined range keeps the longest bound of its parts', () => {
+  const [first, second] = [held(0, 9, 'a', 1), held(10, 19, 'a', 2)];
+  if (second.owner) second.owner.bound.unansweredUntil = 700;
+  const table = { ranges: [first, second] };
+  joinUnderNewFence(table, 8, () => 9);
+  expect(table.ranges[0]?.owner?.bound.unansweredUntil).toEqual(700);
+});
+
+test('quiet ranges go to the owner of a neighbour when there are too many ranges', () => {
+  const load = createLoadMap(0);
+  load.record([5, 5, 5, 5, 25, 25, 25, 25]);
+  const range = (first: number, last: number, owner: string) => ({
+    first,
+    last,
+    owner,
+    movable: true,
+  });
+  const ranges = [range(0, 9, 'a'), range(10, 19, 'b'), range(20, 29, 'c'), range(30, 39, 'd')];
+  const plan = (maxRanges: number) => planJoins({ ranges, load, maxRanges, maxMoves: 4 });
+  expect(plan(4)).toEqual([]);
+  expect(plan(3)).toEqual([{ first: 10, last: 19, to: 'a' }]);
+});
