--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -12,3 +12,4 @@
 export * from './lib/server-directory.js';
 export * from './lib/server-speed.js';
 export * from './lib/suspension-guard.js';
+export * from './lib/service-planner.js';
--- a/packages/placement/src/lib/bell.ts
+++ b/packages/placement/src/lib/bell.ts
@@ -1,6 +1,6 @@
 /** Wakes one waiting task. */
 export interface Bell {
-  ring(): void;
+  readonly ring: () => void;
   /** Waits for a ring, for at most `ms` milliseconds; a ring while nobody waits ends the next wait. */
   wait(ms: number): Promise<void>;
 }
--- /dev/null
+++ b/packages/placement/src/lib/change-feed.ts
@@ -0,0 +1,83 @@
+import type { HeldRange } from './held-range.js';
+import type { PlacementView, RangeView } from './placement-view.js';
+import type { RangeTable } from './range-table.js';
+
+/** Time over which changes are gathered before routers are told, in milliseconds. */
+const COALESCE_MS = 30;
+
+/** Numbers the changes of a placement and tells waiting routers about them. */
+export interface ChangeFeed {
+  /** Number of the last change. */
+  last(): number;
+  /** Numbers a change of a range, or of a whole table. */
+  note(range?: HeldRange): void;
+  view(): PlacementView;
+  /** Ranges of all services that changed after a change. */
+  since(change: number): ReadonlyMap<string, readonly RangeView[]>;
+  /** Waits for a change after the one that is known, for at most `waitMs`. */
+  wait(known: number, waitMs: number): Promise<void>;
+  /** Wakes everyone who waits, for good. */
+  close(): void;
+}
+
+function viewOf({ first, last, owner, granted }: HeldRange): RangeView {
+  return { first, last, owner: owner?.life.server, granted };
+}
+
+/** Creates the feed of one epoch over its tables. */
+export function createChangeFeed(
+  epoch: number,
+  tables: ReadonlyMap<string, RangeTable>,
+  firstChange: number,
+): ChangeFeed {
+  const waiting = new Set<() => void>();
+  let change = firstChange;
+  let current: PlacementView | undefined;
+  let wakeTimer: NodeJS.Timeout | undefined;
+  let isClosed = false;
+
+  function wakeAll(): void {
+    clearTimeout(wakeTimer);
+    wakeTimer = undefined;
+    for (const wake of [...waiting]) wake();
+  }
+
+  return {
+    last: () => change,
+    note(range) {
+      change += 1;
+      if (range) range.change = change;
+      current = undefined;
+      wakeTimer ??= setTimeout(wakeAll, COALESCE_MS);
+    },
+    view() {
+      const services = () =>
+        new Map([...tables].map(([name, { ranges }]) => [name, ranges.map(viewOf)] as const));
+      current ??= { epoch, change, services: services() };
+      return current;
+    },
+    since(known) {
+      const newer = [...tables].map(([name, { ranges }]) => {
+        const changed = ranges.filter((it) => it.change > known);
+        return [name, changed.map(viewOf)] as const;
+      });
+      return new Map(newer.filter(([, ranges]) => ranges.length > 0));
+    },
+    async wait(known, waitMs) {
+      if (change > known || isClosed) return;
+      await new Promise<void>((resolve) => {
+        const finish = () => {
+          clearTimeout(timer);
+          waiting.delete(finish);
+          resolve();
+        };
+        const timer = setTimeout(finish, waitMs);
+        waiting.add(finish);
+      });
+    },
+    close() {
+      isClosed = true;
+      wakeAll();
+    },
+  };
+}
--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -35,8 +35,10 @@
   readonly log: PlacementLog;
   readonly times: LeaseTimes;
   readonly signal: AbortSignal;
-  /** The leader may order anything now. */
+  /** The leader may order anything now: nobody else can be leading. */
   mayOrder(): boolean;
+  /** The leader may renew leases: it may order, or the store is away and leases must not lapse. */
+  mayRenew(): boolean;
   /** Until when a grant of the former leader may still be carried out, on the monotonic clock. */
   inheritedUntil(): number;
   /** A range changed: routers are told, and the row is written. */
--- /dev/null
+++ b/packages/placement/src/lib/lease-renewals.ts
@@ -0,0 +1,67 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { handOver } from './hand-over.js';
+import type { HeldRange } from './held-range.js';
+import { type LeaderContext, hasEnded, sendGrant } from './leader-context.js';
+import { type RangeTable, joinNeighbours } from './range-table.js';
+
+const RENEW_LEASES_MS = 2_000;
+
+/** Renews one lease; reports an owner whose process has ended. */
+async function renew(
+  ctx: LeaderContext,
+  range: HeldRange,
+  onOwnerEnded: () => void,
+): Promise<void> {
+  const { owner } = range;
+  if (!owner || hasEnded(ctx, owner.life)) return;
+  range.renewing = true;
+  const outcome = await sendGrant(ctx, range, owner);
+  range.renewing = false;
+  if (outcome.kind === 'done') return;
+  ctx.log.info('lease not renewed', {
+    first: range.first,
+    last: range.last,
+    server: owner.life.server,
+    fence: owner.fence,
+    outcome: outcome.kind,
+  });
+  if (outcome.kind === 'fenced') await grantAgain(ctx, range);
+  if (outcome.kind === 'gone' || outcome.kind === 'misdirected') onOwnerEnded();
+}
+
+/** The owner has seen a higher token: the range is granted under a new one. */
+async function grantAgain(ctx: LeaderContext, range: HeldRange): Promise<void> {
+  if (!range.owner) return;
+  range.busy = true;
+  range.owner.fence = ctx.nextFence();
+  if (await ctx.persist()) await handOver(ctx, range);
+  range.busy = false;
+}
+
+/** Grants a joined range under its new token; if that fails, the next renewal does. */
+export async function grantJoined(ctx: LeaderContext, range: HeldRange): Promise<void> {
+  if (range.owner && ctx.mayOrder()) await sendGrant(ctx, range, range.owner);
+  range.busy = false;
+}
+
+/** Renews the leases of all ranges until the context's signal aborts. */
+export async function renewLeases(
+  ctx: LeaderContext,
+  tables: ReadonlyMap<string, RangeTable>,
+  onOwnerEnded: () => void,
+): Promise<void> {
+  while (!ctx.signal.aborted) {
+    if (ctx.mayRenew()) {
+      for (const table of tables.values()) {
+        joinNeighbours(table);
+        for (const range of table.ranges) {
+          if (!range.busy && !range.renewing && range.granted) {
+            void renew(ctx, range, onOwnerEnded);
+          }
+        }
+      }
+    }
+    await sleep(RENEW_LEASES_MS, undefined, { signal: ctx.signal }).catch(() => undefined);
+  }
+}
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -15,15 +15,12 @@
   readSeat,
 } from './leader-seat.js';
 import { longestLeaseMs } from './lease-bound.js';
-import {
-  type PlacementLeader,
-  type ServiceLoadReport,
-  createPlacementLeader,
-} from './placement-leader.js';
+import { type PlacementLeader, createPlacementLeader } from './placement-leader.js';
 import type { PlacementPeers } from './placement-peers.js';
 import type { Placement, Seat } from './placement-record.js';
 import { NO_PLACEMENT, type PlacementView, isNewer, overlayRanges } from './placement-view.js';
 import type { ServerDirectory } from './server-directory.js';
+import type { ServiceLoadReport } from './service-planner.js';
 import type { Clocks } from './suspension-guard.js';
 
 /** Longest time that the leader holds the answer to a report without a change, in milliseconds. */
--- /dev/null
+++ b/packages/placement/src/lib/service-planner.ts
@@ -0,0 +1,122 @@
+import type { HeldRange } from './held-range.js';
+import { type LeaderContext, hasEnded } from './leader-context.js';
+import { type LoadMap, createLoadMap } from './load-map.js';
+import { planJoins } from './plan-joins.js';
+import { type PlannedRange, type PlannedServer, planMoves } from './plan-moves.js';
+import { type RangeTable, applyMove } from './range-table.js';
+import type { KnownServer } from './server-directory.js';
+import { type SpeedReport, createServerSpeeds } from './server-speed.js';
+
+/** A range stays with its new owner this long before balance may move it again, in milliseconds. */
+const SETTLE_MS = 1_500;
+const MAX_MOVES_PER_PLAN = 16;
+/** Ranges for each server beyond which quiet ones are joined. */
+const MAX_RANGES_PER_SERVER = 5;
+const MAX_JOINS_PER_PLAN = 6;
+/** Time for which a leaving owner keeps ranges that can't be handed over at once, in milliseconds. */
+const LEAVING_OWNER_MS = 1_500;
+
+/** Load of one partitioned service as one router reports it. */
+export interface ServiceLoadReport {
+  readonly service: string;
+  /** Keys of the requests, one entry for each request. */
+  readonly keys: readonly number[];
+  readonly servers: readonly SpeedReport[];
+}
+
+/** Decides which ranges get another owner, by load and by what became of their owners. */
+export interface ServicePlanner {
+  record(report: ServiceLoadReport): void;
+  /** Applies what is planned to the table and returns the ranges that have to be handed over. */
+  plan(service: string, table: RangeTable): HeldRange[];
+}
+
+function lifeOf({ entry }: KnownServer) {
+  return { server: entry.id, address: entry.address, startedMs: entry.startedMs };
+}
+
+/** Creates a planner without measurements. */
+export function createServicePlanner(ctx: LeaderContext): ServicePlanner {
+  const { directory, health, clocks } = ctx;
+  const speeds = createServerSpeeds();
+  const loads = new Map<string, LoadMap>();
+
+  function loadOf(service: string): LoadMap {
+    const load = loads.get(service) ?? createLoadMap(clocks.monotonic());
+    loads.set(service, load);
+    return load;
+  }
+
+  function isUsable(server: KnownServer, now: number): boolean {
+    const life = lifeOf(server);
+    return !server.entry.draining && !health.hasEnded(life) && !health.isSuspect(life, now);
+  }
+
+  function plannedServer({ entry, firstSeenAt }: KnownServer, now: number): PlannedServer {
+    const isCold = now < firstSeenAt + entry.warmUpMs;
+    return { id: entry.id, capacity: speeds.capacityOf(entry.id, entry.slots, isCold) };
+  }
+
+  /** Returns whether a range has to leave its owner whatever the balance. */
+  function mustMove(
+    { owner }: HeldRange,
+    usable: ReadonlyMap<string, KnownServer>,
+    now: number,
+  ): boolean {
+    if (!owner) return true;
+    const known = usable.get(owner.life.server);
+    if (known?.entry.startedMs === owner.life.startedMs) return false;
+    if (now >= ctx.inheritedUntil() || hasEnded(ctx, owner.life)) return true;
+    // The lease can't be shown to end before, so the owner serves on while it may.
+    const leaving = directory.get(owner.life.server);
+    return leaving !== undefined && now > leaving.seenAt + LEAVING_OWNER_MS;
+  }
+
+  function plannedRange(
+    range: HeldRange,
+    usable: ReadonlyMap<string, KnownServer>,
+    now: number,
+  ): PlannedRange {
+    const isOrphan = mustMove(range, usable, now);
+    const isIdle = !range.busy && !range.renewing;
+    const isSettled = range.granted && now > range.grantedAt + SETTLE_MS;
+    return {
+      first: range.first,
+      last: range.last,
+      owner: isOrphan ? undefined : range.owner?.life.server,
+      movable: isIdle && (isOrphan || (isSettled && now >= ctx.inheritedUntil())),
+    };
+  }
+
+  return {
+    record(report) {
+      loadOf(report.service).record(report.keys);
+      for (const server of report.servers) speeds.record(server);
+    },
+    plan(service, table) {
+      const now = clocks.monotonic();
+      const load = loadOf(service);
+      load.decay(now);
+      const servers = directory.ofService(service).filter((it) => isUsable(it, now));
+      if (servers.length === 0) return [];
+      const usable = new Map(servers.map((it) => [it.entry.id, it]));
+      const ranges = table.ranges.map((it) => plannedRange(it, usable, now));
+      const planned = servers.map((it) => plannedServer(it, now));
+      const balancing = planMoves({
+        servers: planned,
+        ranges,
+        load,
+        maxMoves: MAX_MOVES_PER_PLAN,
+      });
+      const maxRanges = servers.length * MAX_RANGES_PER_SERVER;
+      const joins =
+        balancing.length === 0
+          ? planJoins({ ranges, load, maxRanges, maxMoves: MAX_JOINS_PER_PLAN })
+          : [];
+      return [...balancing, ...joins].flatMap((move) => {
+        const to = usable.get(move.to);
+        return (to && applyMove(table, move, lifeOf(to), ctx.nextFence())) ?? [];
+      });
+    },
+  };
+}
--- a/packages/placement/src/test/hand-over_test.ts
+++ b/packages/placement/src/test/hand-over_test.ts
@@ -40,6 +40,7 @@
     times,
     signal: new AbortController().signal,
     mayOrder: () => true,
+    mayRenew: () => true,
     inheritedUntil: () => -Infinity,
     changed: () => undefined,
     persist: () => Promise.resolve(true),
