--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,3 +1,4 @@
+export * from './lib/crash-record.js';
 export * from './lib/key-range.js';
 export * from './lib/leader-context.js';
 export * from './lib/lease-bound.js';
@@ -11,3 +12,4 @@
 export * from './lib/server-directory.js';
 export * from './lib/server-speed.js';
 export * from './lib/suspension-guard.js';
+export * from './lib/service-planner.js';
--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -20,7 +20,7 @@
 }
 
 /** Lease length that this project grants, in milliseconds. */
-export const LEASE_MS = 6_000;
+export const LEASE_MS = 7_000;
 /** Time after which an order counts as unanswered and its connection is reset, in milliseconds. */
 export const ORDER_TIMEOUT_MS = 1_000;
 /** A release is answered when running work has ended, so it may take longer. */
@@ -35,15 +35,17 @@
   readonly log: PlacementLog;
   readonly times: LeaseTimes;
   readonly signal: AbortSignal;
-  /** The leader may order anything now. */
+  /** The leader may order anything now: nobody else can be leading. */
   mayOrder(): boolean;
+  /** The leader may renew leases: it may order, or the store is away and leases must not lapse. */
+  mayRenew(): boolean;
   /** Until when a grant of the former leader may still be carried out, on the monotonic clock. */
   inheritedUntil(): number;
   /** A range changed: routers are told, and the row is written. */
   changed(range: HeldRange): void;
   /** Resolves when the row with everything decided so far is stored; false when the seat is lost. */
   persist(): Promise<boolean>;
-  nextFence(): number;
+  readonly nextFence: () => number;
 }
 
 /** The life is over: proved by an order, or by a newer start in the registry. */
