Name each server once in the placement's row, use fewer connections

Change: the row lists lives once; 600 ranges of 120 servers fit, as a test shows; routers together use half of a server's connections; watches pause 500 ms after changes.

--- a/packages/placement/src/lib/placement-record.ts
+++ b/packages/placement/src/lib/placement-record.ts
@@ -3,6 +3,7 @@
   type PlacementRecord,
   PlacementRecordSchema,
   type StoredHolder,
+  type StoredService,
 } from '@boragepoint/protocol';
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { Result } from 'neverthrow';
@@ -53,27 +54,45 @@
   readonly services: ReadonlyMap<string, readonly RangeRecord[]>;
 }
 
-function encodeHolder({ life, fence }: HolderRecord) {
-  return {
-    server: life.server,
-    address: life.address,
-    startedMs: BigInt(life.startedMs),
-    fence: BigInt(fence),
-  };
-}
+/** Encodes a service; each life is written once and named by its place in the list. */
+function encodeService(service: string, ranges: readonly RangeRecord[]) {
+  const lives: ServerLife[] = [];
+  const places = new Map<string, number>();
 
-function decodeHolder(it: StoredHolder): HolderRecord {
-  const life = { server: it.server, address: it.address, startedMs: Number(it.startedMs) };
-  return { life, fence: Number(it.fence) };
-}
+  function placeOf(life: ServerLife): number {
+    const key = `${life.server} ${life.startedMs}`;
+    const place = places.get(key) ?? lives.push(life) - 1;
+    places.set(key, place);
+    return place;
+  }
 
-function encodeRange(range: RangeRecord) {
-  return {
+  const encodeHolder = ({ life, fence }: HolderRecord) => ({
+    life: placeOf(life),
+    fence: BigInt(fence),
+  });
+  const encoded = ranges.map((range) => ({
     first: range.first,
     last: range.last,
     ...(range.owner && { owner: encodeHolder(range.owner) }),
     former: range.former.map(encodeHolder),
-  };
+  }));
+  const stored = lives.map((it) => ({ ...it, startedMs: BigInt(it.startedMs) }));
+  return { service, ranges: encoded, lives: stored };
+}
+
+function decodeService({ ranges, lives }: StoredService): RangeRecord[] {
+  function decodeHolder({ life, fence }: StoredHolder): HolderRecord {
+    const stored = lives[life];
+    if (!stored) throw new RangeError(`a range names life ${life} of ${lives.length}`);
+    const { server, address, startedMs } = stored;
+    return { life: { server, address, startedMs: Number(startedMs) }, fence: Number(fence) };
+  }
+  return ranges.map((range) => ({
+    first: range.first,
+    last: range.last,
+    owner: range.owner && decodeHolder(range.owner),
+    former: range.former.map(decodeHolder),
+  }));
 }
 
 /** Encodes a placement for its row. */
@@ -89,10 +108,7 @@
     version: BigInt(placement.version),
     change: BigInt(placement.change),
     nextFence: BigInt(placement.nextFence),
-    services: [...placement.services].map(([service, ranges]) => ({
-      service,
-      ranges: ranges.map(encodeRange),
-    })),
+    services: [...placement.services].map(([service, ranges]) => encodeService(service, ranges)),
   });
   return toBinary(PlacementRecordSchema, message);
 }
@@ -112,17 +128,7 @@
     version: Number(message.version),
     change: Number(message.change),
     nextFence: Number(message.nextFence),
-    services: new Map(
-      message.services.map((it) => [
-        it.service,
-        it.ranges.map((range) => ({
-          first: range.first,
-          last: range.last,
-          owner: range.owner && decodeHolder(range.owner),
-          former: range.former.map(decodeHolder),
-        })),
-      ]),
-    ),
+    services: new Map(message.services.map((it) => [it.service, decodeService(it)])),
   };
 }
 
--- /dev/null
+++ b/packages/placement/src/test/placement-record_test.ts
@@ -0,0 +1,51 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { divideKeys } from '../lib/key-range.js';
+import { type Placement, decodePlacement, encodePlacement } from '../lib/placement-record.js';
+
+const life = (number: number) => ({
+  server: `i-${number.toString(16).padStart(10, '0')}`,
+  address: `10.128.${number >> 8}.${number & 255}:8080`,
+  startedMs: 1_790_000_000_000 + number,
+});
+
+function placementOf(servers: number, ranges: number): Placement {
+  const records = divideKeys(ranges).map((span, index) => ({
+    ...span,
+    owner: { life: life(index % servers), fence: index + 1 },
+    former: index % 2 === 0 ? [{ life: life((index + 1) % servers), fence: index }] : [],
+  }));
+  return {
+    seat: {
+      router: 'r',
+      address: '10.0.0.1:7',
+      startedMs: 5,
+      epoch: 3,
+      untilMs: 9,
+      handedOver: false,
+      unansweredForMs: 0,
+    },
+    version: 7,
+    change: 8,
+    nextFence: 900,
+    services: new Map([['s', records]]),
+  };
+}
+
+test('a placement is read back as it was written', () => {
+  const placement = placementOf(3, 9);
+  const row = { key: 'placement', version: 1, value: encodePlacement(placement) };
+  expect(decodePlacement(row)._unsafeUnwrap()).toEqual(placement);
+});
+
+test('the placement of 120 servers with 600 ranges fits into a row of the store', () => {
+  const bytes = encodePlacement(placementOf(120, 600)).length;
+  expect((bytes * 4) / 3 < 65_536).toEqual(true);
+});
+
+test('a row that is no placement is an error', () => {
+  const row = { key: 'placement', version: 1, value: Buffer.from('no placement') };
+  expect(decodePlacement(row).isErr()).toEqual(true);
+});
--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -8,7 +8,7 @@
 /** Longest time that the store holds a watch without a change. */
 const WATCH_WAIT_MS = 4_000;
 /** Pause after changes, so that several are fetched with one call, in milliseconds. */
-const GATHER_MS = 250;
+const GATHER_MS = 500;
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
 
--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -5,8 +5,8 @@
 /** Idle connections are closed after this time unless the server says a shorter one. */
 const IDLE_MS = 8_000;
 /** Part of a server's connections that the known routers use together. */
-const USED_SHARE = 0.8;
-const MIN_CONNECTIONS = 4;
+const USED_SHARE = 0.5;
+const MIN_CONNECTIONS = 2;
 
 /** Connections to one backend server. */
 export interface ServerConnections {
