--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -1,5 +1,5 @@
 import { type PlacementView, rangeOf } from '@boragepoint/placement';
-import type { HeaderCodec, RouteConfig } from '@boragepoint/platform';
+import type { HeaderCodec, ReportedLoad, RouteConfig } from '@boragepoint/platform';
 
 import { admit, boundRetryAfter } from './admission.js';
 import type { CallerRequest } from './caller-request.js';
@@ -73,6 +73,11 @@
 /** Callers of a request that crashes servers come back after this time, in milliseconds. */
 const CRASH_RETRY_MS = 3_000;
 
+/** Returns whether a server that shed a request had room for it: it sheds some whatever its load. */
+export function hasRoom(load: ReportedLoad | undefined): boolean {
+  return load !== undefined && load.waiting < load.slots;
+}
+
 function fullRefusal(
   reason: string,
   server: ServerCandidate,
@@ -252,7 +257,8 @@
     }
     if (outcome.kind === 'not-run') {
       // The only owner of the key is full: the caller comes back when its queue is shorter.
-      if (outcome.why === 'shed' && ctx.isPartitioned(req.service)) return false;
+      const isOwnerFull = outcome.why === 'shed' && !hasRoom(outcome.answer?.meta.load);
+      if (isOwnerFull && ctx.isPartitioned(req.service)) return false;
       return outcome.why !== 'invalid' && outcome.why !== 'cancelled';
     }
     if (ctx.crashesOf(fingerprintOf(req)) + attempts >= MAX_CRASHES + 1) return false;
