--- /dev/null
+++ b/packages/router/src/lib/pick-server.ts
@@ -0,0 +1,128 @@
+import { type PlacementView, rangeOf } from '@boragepoint/placement';
+
+import { admit } from './admission.js';
+import type { CallerRequest } from './caller-request.js';
+import { type ServerCandidate, chooseServer, expectedMs } from './choose-server.js';
+import { type PooledServer, type ServerPool, candidateOf } from './server-pool.js';
+
+/** Longest wait for a range that is changing hands, as a share of the latency objective. */
+const RANGE_WAIT_SHARE = 0.6;
+const RANGE_WAIT_STEP_MS = 250;
+/** Callers of a range without an owner come back after this time, in milliseconds. */
+const NO_OWNER_RETRY_MS = 400;
+/** A server that leaves gets no new requests after this share of its notice. */
+const NOTICE_SHARE = 0.6;
+
+/** What picking a server needs. */
+export interface ServerPickerContext {
+  readonly pool: ServerPool;
+  view(): PlacementView;
+  waitForPlacement(ms: number): Promise<void>;
+  isFar(availabilityZone: string): boolean;
+  /** How long a draining server takes requests, in milliseconds. */
+  readonly drainNoticeMs: () => number;
+  /** When a server was first seen draining; `undefined` if it isn't. */
+  drainingSince(id: string): number | undefined;
+  now(): number;
+  readonly random: () => number;
+}
+
+/** The next server for a request, or why there is none. */
+export type Pick = { readonly kind: 'server'; readonly server: PooledServer } | Refusal;
+
+/** Why a request is not sent anywhere now, and what that was decided by. */
+export interface Refusal {
+  readonly kind: 'refuse';
+  readonly reason: string;
+  readonly retryAfterMs: number;
+  readonly decidedBy?: {
+    readonly server: string;
+    readonly expectedMs: number;
+    readonly inHand: number;
+  };
+}
+
+/** Picks the server for a request. */
+export interface ServerPicker {
+  /** Picks among the equal servers of the service, but for those that were tried. */
+  pickAny(req: CallerRequest, tried: readonly string[]): Pick;
+  /** Picks the owner of the key; waits for one while the range changes hands. */
+  pickOwner(req: CallerRequest, key: number): Promise<Pick>;
+}
+
+function refuse(reason: string): Refusal {
+  return { kind: 'refuse', reason, retryAfterMs: NO_OWNER_RETRY_MS };
+}
+
+/** Creates a picker. */
+export function createServerPicker(ctx: ServerPickerContext): ServerPicker {
+  const { pool } = ctx;
+
+  function isLeaving(server: PooledServer): boolean {
+    const since = ctx.drainingSince(server.entry.id);
+    return since !== undefined && ctx.now() > since + ctx.drainNoticeMs() * NOTICE_SHARE;
+  }
+
+  /** Sends a request to a server if its answer can be expected in time. */
+  function admitTo(
+    req: CallerRequest,
+    server: PooledServer,
+    candidate: ServerCandidate,
+    fullReason: string,
+  ): Pick {
+    const { cfg } = req.route;
+    const answerMs = expectedMs(candidate);
+    const admission = admit({
+      expectedMs: answerMs,
+      timeLeftMs: req.answerBy - ctx.now(),
+      objectiveMs: cfg.objectiveMs,
+      serviceMs: candidate.serviceMs,
+      priority: cfg.priority,
+    });
+    if (admission.kind === 'send') return { kind: 'server', server };
+    const decidedBy = {
+      server: candidate.id,
+      expectedMs: Math.round(answerMs),
+      inHand: Math.round(candidate.inHand * 10) / 10,
+    };
+    const { retryAfterMs } = admission;
+    return { kind: 'refuse', reason: fullReason, retryAfterMs, decidedBy };
+  }
+
+  /** Waits for an owner of the key that may serve. */
+  async function findOwner(req: CallerRequest, key: number): Promise<PooledServer | undefined> {
+    const waitUntil = ctx.now() + req.route.cfg.objectiveMs * RANGE_WAIT_SHARE;
+    for (;;) {
+      const range = rangeOf(ctx.view(), req.service, key);
+      const server = range?.granted === true ? pool.get(range.owner ?? '') : undefined;
+      const isUsable = server && ctx.now() >= server.avoidUntil && !isLeaving(server);
+      if (isUsable) return server;
+      const waitMs = Math.min(waitUntil, req.answerBy) - ctx.now();
+      if (waitMs <= 0 || req.gone.aborted) return undefined;
+      await ctx.waitForPlacement(Math.min(waitMs, RANGE_WAIT_STEP_MS));
+    }
+  }
+
+  return {
+    pickAny(req, tried) {
+      const now = ctx.now();
+      const servers = pool.ofService(req.service).filter((it) => !tried.includes(it.entry.id));
+      const calm = servers.filter((it) => now >= it.avoidUntil);
+      const usable = calm.length > 0 ? calm : servers;
+      const candidates = usable.map((it) =>
+        candidateOf(it, ctx.isFar(it.entry.availabilityZone), now),
+      );
+      const { objectiveMs } = req.route.cfg;
+      const choice = chooseServer(candidates, { objectiveMs, random: ctx.random });
+      const candidate = candidates.find((it) => it.id === choice?.id);
+      const server = candidate && pool.get(candidate.id);
+      if (!server) return refuse('no backend server');
+      return admitTo(req, server, candidate, 'servers are full');
+    },
+    async pickOwner(req, key) {
+      const server = await findOwner(req, key);
+      if (!server) return refuse('no owner of the key');
+      return admitTo(req, server, candidateOf(server, false, ctx.now()), 'the owner is full');
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/lib/request-outcome.ts
@@ -0,0 +1,89 @@
+import type { ReportedLoad } from '@boragepoint/platform';
+
+import { boundRetryAfter } from './admission.js';
+import type { CallerRequest } from './caller-request.js';
+import { MAX_CRASHES } from './crash-guard.js';
+import type { Refusal } from './pick-server.js';
+import { type RouterAnswer, ownAnswer } from './router-answer.js';
+import type { SendOutcome } from './send-request.js';
+import type { PooledServer } from './server-pool.js';
+
+export const HTTP_SERVER_ERROR = 500;
+
+/** One try of a request at a server. */
+export interface Try {
+  readonly server: PooledServer;
+  readonly outcome: SendOutcome;
+}
+
+/** Returns whether a server that shed a request had room for it: it sheds some whatever its load. */
+export function hasRoom(load: ReportedLoad | undefined): boolean {
+  return load !== undefined && load.waiting < load.slots;
+}
+
+/** What decides whether a request is tried again. */
+export interface RetryInput {
+  readonly outcome: SendOutcome;
+  readonly attempts: number;
+  /** The key has one owner, so that another try goes to the same server. */
+  readonly hasOneOwner: boolean;
+  /** Servers that equal requests crashed lately. */
+  readonly crashes: number;
+}
+
+/** Returns whether a request may be sent once more after an outcome. */
+export function mayTryAgain(req: CallerRequest, input: RetryInput): boolean {
+  const { outcome, attempts, hasOneOwner, crashes } = input;
+  const { cfg } = req.route;
+  if (attempts >= cfg.maxAttempts || req.gone.aborted) return false;
+  if (outcome.kind === 'answer') {
+    return cfg.idempotent && outcome.answer.status >= HTTP_SERVER_ERROR;
+  }
+  if (outcome.kind === 'not-run') {
+    // The only owner of the key is full: the caller comes back when its queue is shorter.
+    const isOwnerFull = outcome.why === 'shed' && !hasRoom(outcome.answer?.meta.load);
+    if (isOwnerFull && hasOneOwner) return false;
+    return outcome.why !== 'invalid' && outcome.why !== 'cancelled';
+  }
+  if (crashes + attempts > MAX_CRASHES) return false;
+  return cfg.idempotent && outcome.why !== 'cancelled';
+}
+
+/** Time after which the queue of the last tried server has halved, in milliseconds. */
+function queueMs(tries: readonly Try[], now: number): number {
+  const load = tries.at(-1)?.server.load;
+  return load ? (load.inHand(now) * load.serviceMs()) / load.slots() / 2 : 0;
+}
+
+/**
+ * The caller's answer once nothing more is tried: a server's answer if there is one; "not run" only if
+ * every try was proved not to have run.
+ */
+export function finalAnswer(
+  req: CallerRequest,
+  tries: readonly Try[],
+  refusal: Refusal | undefined,
+  now: number,
+): RouterAnswer {
+  const answered = tries.findLast((it) => it.outcome.kind === 'answer');
+  if (answered?.outcome.kind === 'answer') {
+    return { kind: 'server', answer: answered.outcome.answer, server: answered.server.entry.id };
+  }
+  if (req.gone.aborted) return { kind: 'none' };
+  const unknown = tries.findLast((it) => it.outcome.kind === 'unknown');
+  if (unknown?.outcome.kind === 'unknown') {
+    const { why, detail } = unknown.outcome;
+    if (why === 'cancelled') return ownAnswer('deadlinePassed', 'no answer in time');
+    return ownAnswer('outcomeUnknown', `the server's answer is ${why}: ${detail}`);
+  }
+  const invalid = tries.find((it) => it.outcome.kind === 'not-run' && it.outcome.why === 'invalid');
+  if (invalid) return ownAnswer('badRequest', 'the backend server takes no such request');
+  if (refusal) {
+    return ownAnswer('overloaded', refusal.reason, boundRetryAfter(refusal.retryAfterMs));
+  }
+  return ownAnswer(
+    'refusedByServer',
+    'not run by any server',
+    boundRetryAfter(queueMs(tries, now)),
+  );
+}
