--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -18,4 +18,4 @@
 export { nameSchema } from './lib/scalars.js';
 export * from './lib/service-config.js';
 export * from './lib/settings.js';
-export * from './lib/settings-schema.js';
+export { type LogLevel, type Settings, settingsSchema } from './lib/settings-schema.js';
--- a/packages/config/src/lib/fleet-settings.ts
+++ b/packages/config/src/lib/fleet-settings.ts
@@ -5,17 +5,13 @@
 import { exactObject } from './exact-object.js';
 import { listenAddressSchema } from './ip-address.js';
 import { formatPath, keysOf, messageOf } from './problem.js';
-import { nameSchema, wholeNumber } from './scalars.js';
+import { wholeNumber } from './scalars.js';
+import { instanceSchema } from './settings-schema.js';
 import { SettingsError, parseToml } from './settings.js';
 
 const HOUR_MS = 3_600_000;
 const MAX_COUNT = 1_000_000;
 
-const instanceSchema = v.pipe(
-  exactObject({ id: nameSchema, availability_zone: nameSchema, region: nameSchema }),
-  v.transform(camelKeys),
-);
-
 const listenSchema = v.pipe(
   exactObject({
     callers: listenAddressSchema,
--- a/packages/config/src/lib/settings-schema.ts
+++ b/packages/config/src/lib/settings-schema.ts
@@ -9,7 +9,8 @@
 const MIB = 1_024 * KIB;
 const SECOND_MS = 1_000;
 
-const instanceSchema = v.pipe(
+/** Who a router is and where it runs. @internal */
+export const instanceSchema = v.pipe(
   exactObject({ id: nameSchema, availability_zone: nameSchema, region: nameSchema }),
   v.transform(camelKeys),
 );
--- a/packages/routing/src/lib/admission/server-limiter.ts
+++ b/packages/routing/src/lib/admission/server-limiter.ts
@@ -58,12 +58,8 @@
   tryAcquire(isUrgent?: boolean): LimiterToken | undefined;
   /** Adjusts this router's share as routers come and go. */
   setLiveRouters(liveRouters: number): void;
-  /** Adjusts to a changed configuration. */
-  setConnections(connections: number): void;
   /** Takes the server's health report; it weighs less than measured outcomes. */
   reportHealth(healthy: boolean): void;
-  /** Gives work gradually again, for example after the server has been restarted. */
-  markCold(): void;
   /** Current state. */
   state(): ServerLimiterState;
 }
@@ -85,7 +81,8 @@
  */
 export function createServerLimiter(options: ServerLimiterOptions): ServerLimiter {
   const { clock, slots = DEFAULT_SLOTS, random = Math.random } = options;
-  let { connections, liveRouters } = options;
+  const { connections } = options;
+  let { liveRouters } = options;
   let inFlight = 0;
   let urgent = 0;
   const adaptive = new LatencyLimit(INITIAL_LIMIT, slots, clock.now());
@@ -165,14 +162,9 @@
       liveRouters = count;
       adaptive.bound(share());
     },
-    setConnections(count) {
-      connections = count;
-      adaptive.bound(share());
-    },
     reportHealth(healthy) {
       breaker.report(healthy);
     },
-    markCold: startSlowly,
     state: () => ({
       limit: limit(),
       inFlight,
