--- /dev/null
+++ b/packages/config/src/test/fleet-settings_test.ts
@@ -0,0 +1,53 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { loadFleetSettings } from '../lib/fleet-settings.js';
+
+const SETTINGS = `
+[instance]
+id = "router-1"
+availability_zone = "z1"
+region = "r1"
+[regions]
+"z1" = "r1"
+[listen]
+callers = "10.0.0.1:8000"
+readiness = "10.0.0.1:8001"
+peers = "10.0.0.1:8002"
+[store]
+address = "10.0.0.9:8003"
+[shutdown]
+grace_ms = 6000
+[drain]
+notice_ms = 2500
+[retries]
+ratio = 0.2
+slack = 64
+window_ms = 10000
+[limits]
+memory_mb = 350
+`;
+
+test('settings are read with names in camelCase', () => {
+  const settings = loadFleetSettings(SETTINGS)._unsafeUnwrap();
+  expect(settings.instance.availabilityZone).toEqual('z1');
+  expect(settings.shutdown.graceMs).toEqual(6_000);
+  expect(settings.retries.windowMs).toEqual(10_000);
+});
+
+test('all mistakes are named together', () => {
+  const wrong = SETTINGS.replace('10.0.0.1:8000', 'nowhere')
+    .replace('grace_ms = 6000', 'grace_ms = -1')
+    .replace('[drain]', '[drain]\ncolour = "red"');
+  const problems = loadFleetSettings(wrong)._unsafeUnwrapErr().problems;
+  expect(problems.map((it) => it.path)).toEqual([
+    'listen.callers',
+    'shutdown.grace_ms',
+    'drain.colour',
+  ]);
+});
+
+test('text that is no TOML is one problem', () => {
+  expect(loadFleetSettings('[[').isErr()).toEqual(true);
+});
