Settings of a fleet router in the units that the platform gives, with defaults

Cause, found by reading: the template made milliseconds by writing three zeros behind a number of seconds, so that a bound of 6.5 s would have become 6.5 ms, and a bound that an installation lacks would have left no valid TOML.

--- a/packages/config/src/lib/fleet-settings.ts
+++ b/packages/config/src/lib/fleet-settings.ts
@@ -5,12 +5,12 @@
 import { exactObject } from './exact-object.js';
 import { listenAddressSchema } from './ip-address.js';
 import { formatPath, keysOf, messageOf } from './problem.js';
-import { wholeNumber } from './scalars.js';
 import { instanceSchema } from './settings-schema.js';
 import { SettingsError, parseToml } from './settings.js';
 
-const HOUR_MS = 3_600_000;
-const MAX_COUNT = 1_000_000;
+const SECOND_MS = 1_000;
+
+const notNegative = v.pipe(v.number('must be a number'), v.minValue(0, 'must not be negative'));
 
 const listenSchema = v.pipe(
   exactObject({
@@ -24,16 +24,30 @@
 
 const retriesSchema = v.pipe(
   exactObject({
-    ratio: v.pipe(v.number(), v.minValue(0, 'must not be negative')),
-    slack: v.pipe(v.number(), v.minValue(0, 'must not be negative')),
-    window_ms: wholeNumber(1, HOUR_MS),
+    ratio: v.optional(notNegative, 0.1),
+    slack: v.optional(notNegative, 0),
+    window_s: v.optional(notNegative, 10),
   }),
+  v.transform(({ ratio, slack, window_s: windowS }) => ({
+    ratio,
+    slack,
+    windowMs: windowS * SECOND_MS,
+  })),
+);
+
+const shutdownSchema = v.pipe(
+  exactObject({ grace_s: v.optional(notNegative, 5) }),
+  v.transform(({ grace_s: graceS }) => ({ graceMs: graceS * SECOND_MS })),
+);
+
+const drainSchema = v.pipe(
+  exactObject({ notice_ms: v.optional(notNegative, 2_000) }),
   v.transform(camelKeys),
 );
 
 /**
- * Settings of a router on a platform with a row store, as they stand in its TOML file. Times are in
- * milliseconds. `retries` bounds what all routers send again together: `ratio` of the requests and
+ * Settings of a router on a platform with a row store, as they stand in its TOML file. Names
+ * end with the unit of their times. `[shutdown]`, `[drain]` and `[retries]` may be left out. `retries` bounds what all routers send again together: `ratio` of the requests and
  * `slack` besides, in each window.
  */
 export const fleetSettingsSchema = exactObject({
@@ -42,11 +56,10 @@
   regions: v.record(v.string(), v.string()),
   listen: listenSchema,
   store: exactObject({ address: listenAddressSchema }),
-  shutdown: v.pipe(exactObject({ grace_ms: wholeNumber(0, HOUR_MS) }), v.transform(camelKeys)),
+  shutdown: v.optional(shutdownSchema, {}),
   /** `notice_ms`: how long a backend server that drains still takes requests. */
-  drain: v.pipe(exactObject({ notice_ms: wholeNumber(0, HOUR_MS) }), v.transform(camelKeys)),
-  retries: retriesSchema,
-  limits: v.pipe(exactObject({ memory_mb: wholeNumber(1, MAX_COUNT) }), v.transform(camelKeys)),
+  drain: v.optional(drainSchema, {}),
+  retries: v.optional(retriesSchema, {}),
 });
 
 /** Checked settings of a router on a platform with a row store, names in `camelCase`. */
