Leave silent servers alone

Change: the age of the oldest request beyond 2.5 service times adds to the expected time, and a server that answered nothing through a whole timeout gets nothing for a second.

--- a/packages/router/src/lib/choose-server.ts
+++ b/packages/router/src/lib/choose-server.ts
@@ -12,6 +12,8 @@
   readonly isFar: boolean;
   /** The server warms up. */
   readonly isCold: boolean;
+  /** How long the oldest request has been waiting for its answer, in milliseconds. */
+  readonly oldestMs: number;
 }
 
 /** Time until an answer can be expected, and the server it would come from. */
@@ -41,11 +43,15 @@
 /** Spreads the choices of routers that see the same loads. */
 const NOISE = 0.12;
 
+/** A request that waits longer than this many service times makes the server suspect of silence. */
+const PATIENCE = 2.5;
+
 /** Expected time to the answer of a request that a server gets now, in milliseconds. */
 export function expectedMs(server: Omit<ServerCandidate, 'id' | 'failureShare' | 'isFar'>): number {
   const ahead = Math.max(0, server.inHand + 1 - server.slots);
   const workMs = server.serviceMs * (server.isCold ? COLD_FACTOR : 1);
-  return workMs * (1 + ahead / server.slots + SHARING_COST * Math.min(1, server.inHand));
+  const silentMs = Math.max(0, server.oldestMs - PATIENCE * workMs);
+  return workMs * (1 + ahead / server.slots + SHARING_COST * Math.min(1, server.inHand)) + silentMs;
 }
 
 /** Chooses the server with the least expected cost for a request that any server may take. */
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -84,6 +84,9 @@
     clearTimeout(timer);
     req.gone.removeEventListener('abort', stop);
     noteOutcome(server, outcome, startedAt);
+    const isTimeout =
+      outcome.kind === 'unknown' && outcome.why === 'cancelled' && !req.gone.aborted;
+    if (isTimeout && server.answeredAt < startedAt) server.avoidUntil = ctx.now() + AVOID_MS;
     if (outcome.kind === 'unknown' && outcome.why === 'broken-off') {
       const { id, startedMs } = entry;
       ctx.guard.suspect({ fingerprint: fingerprintOf(req), server: id, startedMs });
@@ -96,14 +99,15 @@
     const now = ctx.now();
     const { load } = server;
     const answer = outcome.kind === 'unknown' ? undefined : outcome.answer;
+    if (answer) server.answeredAt = now;
     if (answer?.meta.load) load.noteQueue(answer.meta.load);
     if (outcome.kind === 'answer') {
       const isFailure = outcome.answer.status >= HTTP_SERVER_ERROR;
-      load.done(isFailure ? undefined : now - startedAt, isFailure);
+      load.done(startedAt, isFailure ? undefined : now - startedAt, isFailure);
     } else if (outcome.why === 'cancelled' || outcome.why === 'misdirected') {
-      load.done(undefined);
+      load.done(startedAt, undefined);
     } else {
-      load.done(undefined, true);
+      load.done(startedAt, undefined, true);
     }
     if (answer?.meta.load) load.reported(now, answer.meta.load);
     const isUnreached =
--- a/packages/router/src/lib/server-load.ts
+++ b/packages/router/src/lib/server-load.ts
@@ -15,14 +15,16 @@
   /** A request is sent. */
   sent(now: number): void;
   /**
-   * A request is over. `latencyMs` is missing when it was not answered in full, and `failed` when the
+   * A request that was sent at `sentAt` is over. `latencyMs` is missing when it was not answered in full, and `failed` when the
    * outcome says nothing about the server.
    */
-  done(latencyMs: number | undefined, failed?: boolean): void;
+  done(sentAt: number, latencyMs: number | undefined, failed?: boolean): void;
   /** An answer shows a queue: requests on their way may have waited in it. For before `done`. */
   noteQueue(load: ReportedLoad): void;
   /** Takes what an answer says of the load. For after `done`. */
   reported(now: number, load: ReportedLoad): void;
+  /** How long the oldest own request has been on its way, in milliseconds; 0 without any. */
+  oldestMs(now: number): number;
   /** Own requests on their way. */
   inFlight(): number;
   /** Requests that the server is thought to have in hand, of all routers. */
@@ -39,7 +41,8 @@
 /** Creates the load of a server of which nothing is known but its slots. */
 export function createServerLoad(initialSlots: number): ServerLoad {
   let slots = initialSlots;
-  let own = 0;
+  /** When the own requests on their way were sent, in order. */
+  const sentTimes: number[] = [];
   let serviceMs: number | undefined;
   let failures = 0;
   let othersMean = 0;
@@ -59,16 +62,16 @@
   }
 
   function inHand(now: number): number {
-    return own + Math.max(0, othersNow(now));
+    return sentTimes.length + Math.max(0, othersNow(now));
   }
 
   return {
     sent(now) {
       if (inHand(now) < slots) unqueued += 1;
-      own += 1;
+      sentTimes.push(now);
     },
-    done(latencyMs, failed) {
-      own -= 1;
+    done(sentAt, latencyMs, failed) {
+      sentTimes.splice(sentTimes.indexOf(sentAt), 1);
       if (failed !== undefined) {
         failures += ((failed ? 1 : 0) - failures) * OUTCOME_WEIGHT;
         if (failed) measured.failed += 1;
@@ -86,11 +89,12 @@
     },
     reported(now, load) {
       if (load.slots > 0) slots = load.slots;
-      others = Math.max(0, load.running + load.waiting - own);
+      others = Math.max(0, load.running + load.waiting - sentTimes.length);
       othersMean += (others - othersMean) * SAMPLE_WEIGHT;
       othersAt = now;
     },
-    inFlight: () => own,
+    oldestMs: (now) => now - (sentTimes[0] ?? now),
+    inFlight: () => sentTimes.length,
     inHand,
     serviceMs: usualMs,
     slots: () => slots,
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -16,6 +16,8 @@
   readonly connections: ServerConnections;
   /** Takes no requests before this time, in milliseconds of the monotonic clock. */
   avoidUntil: number;
+  /** When the server last answered anything, in milliseconds of the monotonic clock. */
+  answeredAt: number;
   /** When this start of the server was first seen. */
   readonly firstSeenAt: number;
 }
@@ -60,6 +62,7 @@
       load: createServerLoad(entry.slots),
       connections: createServerConnections(entry.address, count),
       avoidUntil: -Infinity,
+      answeredAt: -Infinity,
       firstSeenAt: known.firstSeenAt,
     };
     servers.set(id, created);
@@ -101,5 +104,6 @@
     failureShare: load.failureShare(),
     isFar,
     isCold: now < server.firstSeenAt + entry.warmUpMs,
+    oldestMs: load.oldestMs(now),
   };
 }
--- a/packages/router/src/test/choose-server_test.ts
+++ b/packages/router/src/test/choose-server_test.ts
@@ -15,6 +15,7 @@
     failureShare: 0,
     isFar: false,
     isCold: false,
+    oldestMs: 0,
     ...changes,
   };
 }
@@ -46,6 +47,11 @@
   expect(chosen(candidate('cold', { isCold: true }), candidate('warm'))).toEqual('warm');
 });
 
+test('a server that has been silent for long is left alone', () => {
+  const silent = candidate('silent', { inHand: 1, oldestMs: 1_500 });
+  expect(chosen(silent, candidate('answering', { inHand: 4 }))).toEqual('answering');
+});
+
 test('nothing is chosen among no servers', () => {
   expect(chosen()).toEqual(undefined);
 });
--- a/packages/router/src/test/server-load_test.ts
+++ b/packages/router/src/test/server-load_test.ts
@@ -8,7 +8,7 @@
   const load = createServerLoad(2);
   load.sent(0);
   load.sent(0);
-  load.done(100, false);
+  load.done(0, 100, false);
   load.reported(100, { running: 2, waiting: 3, slots: 2 });
   expect(load.inFlight()).toEqual(1);
   // One of the five is the own request that is still on its way.
@@ -35,25 +35,35 @@
   const load = createServerLoad(2);
   for (let index = 0; index < 30; index += 1) {
     load.sent(index);
-    load.done(100, false);
+    load.done(index, 100, false);
   }
   expect(Math.round(load.serviceMs())).toEqual(100);
 });
 
+test('the age of the oldest request on its way is known', () => {
+  const load = createServerLoad(2);
+  expect(load.oldestMs(50)).toEqual(0);
+  load.sent(100);
+  load.sent(300);
+  expect(load.oldestMs(500)).toEqual(400);
+  load.done(100, 400, false);
+  expect(load.oldestMs(500)).toEqual(200);
+});
+
 test('failures raise the share of failures, cancelled requests do not', () => {
   const load = createServerLoad(2);
   load.sent(0);
-  load.done(undefined);
+  load.done(0, undefined);
   expect(load.failureShare()).toEqual(0);
   load.sent(0);
-  load.done(undefined, true);
+  load.done(0, undefined, true);
   expect(load.failureShare() > 0).toEqual(true);
 });
 
 test('a report is taken once', () => {
   const load = createServerLoad(2);
   load.sent(0);
-  load.done(80, false);
+  load.done(0, 80, false);
   expect(load.takeMeasured()).toEqual({ serviceMs: 80, answered: 1, failed: 0 });
   expect(load.takeMeasured()).toEqual({ serviceMs: 0, answered: 0, failed: 0 });
 });
