--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -122,7 +122,7 @@
       request: req.attemptId,
       route: req.route.cfg.name,
       service: req.service,
-      key: req.meta.key,
+      key: ctx.isPartitioned(req.service) ? req.meta.key : undefined,
       end,
       ...by?.decidedBy,
       afterMs: Math.round(now - req.arrivedAt),
