Take only silence that the queue does not explain for silence

Change: patience is measured against the time that the queue explains. Ruled out by reading: the share of connections (six a router, never reached).

--- a/packages/router/src/lib/choose-server.ts
+++ b/packages/router/src/lib/choose-server.ts
@@ -43,15 +43,16 @@
 /** Spreads the choices of routers that see the same loads. */
 const NOISE = 0.12;
 
-/** A request that waits longer than this many service times makes the server suspect of silence. */
+/** A request that waits longer than this many times what its queue explains makes a server suspect. */
 const PATIENCE = 2.5;
 
 /** Expected time to the answer of a request that a server gets now, in milliseconds. */
 export function expectedMs(server: Omit<ServerCandidate, 'id' | 'failureShare' | 'isFar'>): number {
   const ahead = Math.max(0, server.inHand + 1 - server.slots);
   const workMs = server.serviceMs * (server.isCold ? COLD_FACTOR : 1);
-  const silentMs = Math.max(0, server.oldestMs - PATIENCE * workMs);
-  return workMs * (1 + ahead / server.slots + SHARING_COST * Math.min(1, server.inHand)) + silentMs;
+  const queueMs = workMs * (1 + ahead / server.slots);
+  const silentMs = Math.max(0, server.oldestMs - PATIENCE * queueMs);
+  return queueMs + workMs * SHARING_COST * Math.min(1, server.inHand) + silentMs;
 }
 
 /** Chooses the server with the least expected cost for a request that any server may take. */
--- a/packages/router/src/test/choose-server_test.ts
+++ b/packages/router/src/test/choose-server_test.ts
@@ -52,6 +52,13 @@
   expect(chosen(silent, candidate('answering', { inHand: 4 }))).toEqual('answering');
 });
 
+test('a wait that the queue explains makes no server suspect', () => {
+  const busy = { inHand: 8, oldestMs: 700 };
+  expect(expectedMs(candidate('busy', busy))).toEqual(
+    expectedMs(candidate('busy', { ...busy, oldestMs: 0 })),
+  );
+});
+
 test('nothing is chosen among no servers', () => {
   expect(chosen()).toEqual(undefined);
 });
