Balance on a timer, and only beyond what chance makes

A finished hand-over woke the planner, which planned again at once, up to 20 times in 300 ms; its tolerance of a fifth of the mean lies below what chance makes of a dozen requests a server; a server's speed was an average over four reports of one or two requests. Ruled out: slow hand-overs (p50 52 ms, p90 117 ms). Change: only ranges without an owner are placed between two plans; a difference must exceed 2.5 standard deviations of chance; load halves in 4 s in place of 2 s; a speed report weighs by its requests.

--- a/packages/placement/src/lib/load-map.ts
+++ b/packages/placement/src/lib/load-map.ts
@@ -1,7 +1,7 @@
 import type { KeySpan } from '@boragepoint/platform';
 
 /** Time in which the weight of a request halves. */
-const HALF_LIFE_MS = 2_000;
+const HALF_LIFE_MS = 4_000;
 /** Entries below this weight are dropped. */
 const NEGLIGIBLE = 0.05;
 
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -21,13 +21,17 @@
 import { type RangeTable, createRangeTable, joinUnderNewFence, recordsOf } from './range-table.js';
 import type { ServerDirectory } from './server-directory.js';
 import { createServerHealth } from './server-health.js';
-import { type ServiceLoadReport, createServicePlanner } from './service-planner.js';
+import {
+  MAX_JOINS_PER_PLAN,
+  type ServiceLoadReport,
+  createServicePlanner,
+} from './service-planner.js';
 import { type Clocks, createSuspensionGuard } from './suspension-guard.js';
 
+/** Time between two plans that balance, in milliseconds; ranges without an owner wait for none. */
 const PLAN_MS = 500;
 /** First division of a service's keys: ranges for each server. */
 const RANGES_PER_SERVER = 2;
-const MAX_JOINS_PER_PLAN = 6;
 /** Time to wait for more servers to register before the first division, in milliseconds. */
 const FIRST_PLAN_DELAY_MS = 1_500;
 
@@ -136,12 +140,17 @@
     }
   }
 
-  async function plan(): Promise<void> {
+  /** Gives ranges without an owner a new one; with `balance`, evens the load out as well. */
+  async function plan(balance: boolean): Promise<void> {
     divideNewServices();
-    const joined = [...tables.values()].flatMap((it) =>
-      joinUnderNewFence(it, MAX_JOINS_PER_PLAN, ctx.nextFence),
+    const joined = balance
+      ? [...tables.values()].flatMap((it) =>
+          joinUnderNewFence(it, MAX_JOINS_PER_PLAN, ctx.nextFence),
+        )
+      : [];
+    const moved = [...tables].flatMap(([service, table]) =>
+      planner.plan(service, table, balance),
     );
-    const moved = [...tables].flatMap(([service, table]) => planner.plan(service, table));
     if (moved.length + joined.length === 0) return;
     log.info('ranges to move', { count: moved.length, joined: joined.length, epoch: seat.epoch });
     if (!(await writer.persist())) return;
@@ -151,9 +160,13 @@
   }
 
   async function planAll(): Promise<void> {
+    let balanceAt = -Infinity;
     while (!stop.signal.aborted) {
-      if (ctx.mayOrder() && directory.isLoaded()) await plan();
-      await planBell.wait(PLAN_MS);
+      const now = clocks.monotonic();
+      const balance = now >= balanceAt;
+      if (balance) balanceAt = now + PLAN_MS;
+      if (ctx.mayOrder() && directory.isLoaded()) await plan(balance);
+      await planBell.wait(Math.max(1, balanceAt - clocks.monotonic()));
     }
   }
 
--- a/packages/placement/src/lib/plan-moves.ts
+++ b/packages/placement/src/lib/plan-moves.ts
@@ -26,11 +26,17 @@
   readonly servers: readonly PlannedServer[];
   readonly ranges: readonly PlannedRange[];
   readonly load: LoadMap;
+  /** Moves for the sake of balance; with 0, only ranges without an owner are placed. */
   readonly maxMoves: number;
 }
 
 /** Difference in utilization, as a share of the mean, below which nothing is moved. */
 const TOLERANCE = 0.2;
+/**
+ * Difference in utilization, in standard deviations of what chance makes of equal loads, below which
+ * nothing is moved.
+ */
+const SIGNIFICANT_DEVIATIONS = 2.5;
 /** Load, in recent requests, too small to be worth a move. */
 const MIN_MOVED_WEIGHT = 1;
 /** How far a moved load may exceed what is wanted. */
@@ -55,6 +61,19 @@
 
 const utilization = (bin: Bin) => bin.load / bin.capacity;
 
+/**
+ * Variance of a server's utilization if its requests arrive at random. A count whose entries halve
+ * with age has half the variance of a plain one.
+ */
+const varianceOf = (bin: Bin) => bin.load / 2 / bin.capacity ** 2;
+
+/** Returns whether one server is used more than another, beyond tolerance and chance. */
+function isUneven(busiest: Bin, idlest: Bin, mean: number): boolean {
+  const difference = utilization(busiest) - utilization(idlest);
+  const deviation = Math.sqrt(varianceOf(busiest) + varianceOf(idlest));
+  return difference >= Math.max(mean * TOLERANCE, deviation * SIGNIFICANT_DEVIATIONS);
+}
+
 function weightOf(loads: readonly KeyLoad[]): number {
   return loads.reduce((sum, it) => sum + it.weight, 0);
 }
@@ -161,7 +180,7 @@
   const settled = ranges.filter((it) => it.movable && binOf.has(it.owner ?? ''));
   const totalCapacity = bins.reduce((sum, it) => sum + it.capacity, 0);
   const mean = bins.reduce((sum, it) => sum + it.load, 0) / totalCapacity;
-  for (const move of placeHotKeys(settled, bins, mean)) moves.push(move);
+  if (maxMoves > 0) moves.push(...placeHotKeys(settled, bins, mean));
   const exhausted = new Set<Bin>();
   let balancing = 0;
   while (balancing < maxMoves) {
@@ -171,7 +190,7 @@
     );
     const idlest = extreme(bins, -1);
     if (!busiest || !idlest || busiest === idlest) break;
-    if (utilization(busiest) - utilization(idlest) < mean * TOLERANCE) break;
+    if (!isUneven(busiest, idlest, mean)) break;
     const surplus = busiest.load - mean * busiest.capacity;
     const room = mean * idlest.capacity - idlest.load;
     const wanted = Math.min(surplus, room);
--- a/packages/placement/src/lib/server-speed.ts
+++ b/packages/placement/src/lib/server-speed.ts
@@ -7,8 +7,8 @@
   readonly failed: number;
 }
 
-/** Weight of one report in the moving averages. */
-const REPORT_WEIGHT = 0.25;
+/** Weight of one request in the moving averages. */
+const REQUEST_WEIGHT = 0.06;
 const INITIAL_SERVICE_MS = 250;
 /** Share of failed requests above which a server's capacity is not believed. */
 const MAX_FAILURE_SHARE = 0.3;
@@ -28,6 +28,11 @@
   failureShare: number;
 }
 
+/** Weight of the mean of some requests, as if each had been averaged in by itself. */
+function weightOf(requests: number): number {
+  return 1 - (1 - REQUEST_WEIGHT) ** Math.max(1, requests);
+}
+
 /** Creates speeds without measurements: all servers count alike until the first reports. */
 export function createServerSpeeds(): ServerSpeeds {
   const speeds = new Map<string, Speed>();
@@ -43,10 +48,11 @@
       speeds.set(server, speed);
       if (serviceMs > 0) {
         const before = speed.serviceMs ?? serviceMs;
-        speed.serviceMs = before + (serviceMs - before) * REPORT_WEIGHT;
+        speed.serviceMs = before + (serviceMs - before) * weightOf(answered);
       }
       const total = answered + failed;
-      if (total > 0) speed.failureShare += (failed / total - speed.failureShare) * REPORT_WEIGHT;
+      if (total === 0) return;
+      speed.failureShare += (failed / total - speed.failureShare) * weightOf(total);
     },
     capacityOf(server, slots, isCold) {
       const speed = speeds.get(server);
--- a/packages/placement/src/lib/service-planner.ts
+++ b/packages/placement/src/lib/service-planner.ts
@@ -12,7 +12,7 @@
 const MAX_MOVES_PER_PLAN = 16;
 /** Ranges for each server beyond which quiet ones are joined. */
 const MAX_RANGES_PER_SERVER = 5;
-const MAX_JOINS_PER_PLAN = 6;
+export const MAX_JOINS_PER_PLAN = 6;
 /** Time for which a leaving owner keeps ranges that can't be handed over at once, in milliseconds. */
 const LEAVING_OWNER_MS = 1_500;
 
@@ -27,8 +27,11 @@
 /** Decides which ranges get another owner, by load and by what became of their owners. */
 export interface ServicePlanner {
   record(report: ServiceLoadReport): void;
-  /** Applies what is planned to the table and returns the ranges that have to be handed over. */
-  plan(service: string, table: RangeTable): HeldRange[];
+  /**
+   * Applies what is planned to the table and returns the ranges that have to be handed over. Without
+   * `balance`, only ranges that need a new owner get one.
+   */
+  plan(service: string, table: RangeTable, balance: boolean): HeldRange[];
 }
 
 function lifeOf({ entry }: KnownServer) {
@@ -93,7 +96,7 @@
       loadOf(report.service).record(report.keys);
       for (const server of report.servers) speeds.record(server);
     },
-    plan(service, table) {
+    plan(service, table, balance) {
       const now = clocks.monotonic();
       const load = loadOf(service);
       load.decay(now);
@@ -102,18 +105,18 @@
       const usable = new Map(servers.map((it) => [it.entry.id, it]));
       const ranges = table.ranges.map((it) => plannedRange(it, usable, now));
       const planned = servers.map((it) => plannedServer(it, now));
-      const balancing = planMoves({
+      const moves = planMoves({
         servers: planned,
         ranges,
         load,
-        maxMoves: MAX_MOVES_PER_PLAN,
+        maxMoves: balance ? MAX_MOVES_PER_PLAN : 0,
       });
       const maxRanges = servers.length * MAX_RANGES_PER_SERVER;
       const joins =
-        balancing.length === 0
+        balance && moves.length === 0
           ? planJoins({ ranges, load, maxRanges, maxMoves: MAX_JOINS_PER_PLAN })
           : [];
-      return [...balancing, ...joins].flatMap((move) => {
+      return [...moves, ...joins].flatMap((move) => {
         const to = usable.get(move.to);
         return (to && applyMove(table, move, lifeOf(to), ctx.nextFence())) ?? [];
       });
--- a/packages/placement/src/test/plan-moves_test.ts
+++ b/packages/placement/src/test/plan-moves_test.ts
@@ -39,6 +39,26 @@
   expect(plan([server('a'), server('b')], ranges, { 5: 10, 200: 10 })).toEqual([]);
 });
 
+test('differences that chance makes move nothing', () => {
+  const counts = [12, 21, 17, 14, 19, 16];
+  const ranges = divideKeys(counts.length).map((it, index) => range(it.first, it.last, `s${index}`));
+  const requests = Object.fromEntries(
+    ranges.flatMap(({ first }, index) =>
+      Array.from({ length: counts[index] ?? 0 }, (_, it) => [first + it * 100, 1]),
+    ),
+  );
+  const servers = counts.map((_, index) => server(`s${index}`));
+  expect(plan(servers, ranges, requests)).toEqual([]);
+});
+
+test('without balance, only ranges that have no owner are placed', () => {
+  const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, undefined)];
+  const load = loadOf({ 10: 40, 500: 40, 900: 40 });
+  const servers = [server('a'), server('b')];
+  const moves = planMoves({ servers, ranges, load, maxMoves: 0 });
+  expect(moves).toEqual([{ first: 32_768, last: 65_535, to: 'b' }]);
+});
+
 test('hot neighbours in one range are divided between servers', () => {
   const ranges = [range(0, 32_767, 'a'), range(32_768, 65_535, 'b')];
   const moves = plan([server('a'), server('b')], ranges, { 10: 10, 11: 10, 12: 10, 13: 10 });
