A successor finishes moves at once, and a leaving server's refused connection proves nothing

Then a server that was leaving refused a connection 87 ms before its last request ended: taken as proof that it had ended, its range was granted on while it was at work. Change: at a take-over each owner gets a new token with the first write; an owner that has answered a grant under it refuses what the former leader granted, so its ranges may move at once. The row says of each former owner whether a grant to it is without an answer; if none is, an answered release is enough for the successor too. A refused connection proves an end only of a server that the registry names as ready under the same start. Ruled out: a shorter grace for renewals, which would let leases lapse while the store is away. The test of a former owner proved gone now runs with a registry that names it as ready, which the proof needs; the cases without it are the two new tests.

--- a/packages/placement/src/lib/held-range.ts
+++ b/packages/placement/src/lib/held-range.ts
@@ -10,8 +10,8 @@
   /** Fencing token of its grant. */
   fence: number;
   readonly bound: LeaseBound;
-  /** A grant of the former leader may still reach it. */
-  readonly inherited: boolean;
+  /** A grant of the former leader may still reach it: it has not seen a token of this one. */
+  inherited: boolean;
 }
 
 /** A range as its leader sees it. */
@@ -61,16 +61,16 @@
  * at the latest.
  */
 export function inheritedRange(record: RangeRecord, answeredUntil: number): HeldRange {
-  const inherit = ({ life, fence }: HolderRecord): Holder => ({
+  const inherit = ({ life, fence }: HolderRecord, inherited: boolean): Holder => ({
     life,
     fence,
     bound: { answeredUntil, unansweredUntil: -Infinity },
-    inherited: true,
+    inherited,
   });
   return {
     ...unownedRange(record),
-    owner: record.owner && inherit(record.owner),
-    former: record.former.map(inherit),
+    owner: record.owner && inherit(record.owner, true),
+    former: record.former.map((it) => inherit(it, !it.settled)),
     granted: record.owner !== undefined && record.former.length === 0,
   };
 }
@@ -102,12 +102,17 @@
   return { parts, cut };
 }
 
-/** The record of a range. */
-export function recordOf(range: HeldRange): RangeRecord {
+/** The record of a range at `now`, on the monotonic clock. */
+export function recordOf(range: HeldRange, now: number): RangeRecord {
+  const record = ({ life, fence, bound, inherited }: Holder): HolderRecord => ({
+    life,
+    fence,
+    settled: !inherited && bound.unansweredUntil <= now,
+  });
   return {
     first: range.first,
     last: range.last,
-    owner: range.owner && { life: range.owner.life, fence: range.owner.fence },
-    former: range.former.map(({ life, fence }) => ({ life, fence })),
+    owner: range.owner && record(range.owner),
+    former: range.former.map(record),
   };
 }
--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -62,8 +62,16 @@
   return holder.inherited ? Math.max(own, ctx.inheritedUntil()) : own;
 }
 
+/** A server that leaves stops listening before its last work has ended: a refused connection proves nothing. */
+function mayBeLeaving(ctx: LeaderContext, life: ServerLife): boolean {
+  const known = ctx.directory.get(life.server);
+  return known?.entry.startedMs !== life.startedMs || known.entry.draining;
+}
+
 function noteOutcome(ctx: LeaderContext, life: ServerLife, outcome: OrderOutcome): void {
-  if (outcome.kind === 'gone' || outcome.kind === 'misdirected') {
+  if (outcome.kind === 'gone' && mayBeLeaving(ctx, life)) {
+    ctx.health.silent(life, ctx.clocks.monotonic());
+  } else if (outcome.kind === 'gone' || outcome.kind === 'misdirected') {
     if (!ctx.health.hasEnded(life)) {
       ctx.log.info('backend server ended', { server: life.server, proof: outcome.kind });
     }
@@ -94,7 +102,11 @@
   const outcome = await ctx.orders.grant(targetOf(owner.life), order, ORDER_TIMEOUT_MS, ctx.signal);
   noteOutcome(ctx, owner.life, outcome);
   const now = ctx.clocks.monotonic();
-  if (outcome.kind === 'done') recordAnswered(owner.bound, now, ctx.times);
+  if (outcome.kind === 'done') {
+    recordAnswered(owner.bound, now, ctx.times);
+    // It refuses from now on what the former leader granted under lower tokens.
+    owner.inherited = false;
+  }
   if (outcome.kind === 'unanswered') recordUnanswered(owner.bound, sentAt, ctx.times);
   return outcome;
 }
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -88,7 +88,9 @@
     content: () => ({
       change: feed.last(),
       nextFence,
-      services: new Map([...tables].map(([service, table]) => [service, recordsOf(table)])),
+      services: new Map(
+        [...tables].map(([service, table]) => [service, recordsOf(table, clocks.monotonic())]),
+      ),
     }),
     onUnconfirmed() {
       const sinceMs = Math.round(seat.sinceConfirmedMs());
@@ -148,9 +150,7 @@
           joinUnderNewFence(it, MAX_JOINS_PER_PLAN, ctx.nextFence),
         )
       : [];
-    const moved = [...tables].flatMap(([service, table]) =>
-      planner.plan(service, table, balance),
-    );
+    const moved = [...tables].flatMap(([service, table]) => planner.plan(service, table, balance));
     if (moved.length + joined.length === 0) return;
     log.info('ranges to move', { count: moved.length, joined: joined.length, epoch: seat.epoch });
     if (!(await writer.persist())) return;
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -19,6 +19,7 @@
 import type { PlacementPeers } from './placement-peers.js';
 import type { Placement, Seat } from './placement-record.js';
 import { NO_PLACEMENT, type PlacementView, isNewer, overlayRanges } from './placement-view.js';
+import { renewFences } from './renew-fences.js';
 import type { ServerDirectory } from './server-directory.js';
 import type { ServiceLoadReport } from './service-planner.js';
 import type { Clocks } from './suspension-guard.js';
@@ -147,8 +148,7 @@
     const content = {
       version: (previous?.version ?? 0) + 1,
       change: previous?.change ?? 0,
-      nextFence: previous?.nextFence ?? 1,
-      services: previous?.services ?? new Map<string, never>(),
+      ...renewFences(previous ?? { nextFence: 1, services: new Map() }),
     };
     for (let tries = 0; ; tries += 1) {
       const written = await held.write(content);
--- a/packages/placement/src/lib/placement-record.ts
+++ b/packages/placement/src/lib/placement-record.ts
@@ -32,6 +32,8 @@
 export interface HolderRecord {
   readonly life: ServerLife;
   readonly fence: number;
+  /** No grant to it is without an answer; once it has let go of the range, it stays so. */
+  readonly settled: boolean;
 }
 
 /** A range as it is stored. */
@@ -66,9 +68,10 @@
     return place;
   }
 
-  const encodeHolder = ({ life, fence }: HolderRecord) => ({
+  const encodeHolder = ({ life, fence, settled }: HolderRecord) => ({
     life: placeOf(life),
     fence: BigInt(fence),
+    settled,
   });
   const encoded = ranges.map((range) => ({
     first: range.first,
@@ -81,11 +84,12 @@
 }
 
 function decodeService({ ranges, lives }: StoredService): RangeRecord[] {
-  function decodeHolder({ life, fence }: StoredHolder): HolderRecord {
+  function decodeHolder({ life, fence, settled }: StoredHolder): HolderRecord {
     const stored = lives[life];
     if (!stored) throw new RangeError(`a range names life ${life} of ${lives.length}`);
     const { server, address, startedMs } = stored;
-    return { life: { server, address, startedMs: Number(startedMs) }, fence: Number(fence) };
+    const decoded = { server, address, startedMs: Number(startedMs) };
+    return { life: decoded, fence: Number(fence), settled };
   }
   return ranges.map((range) => ({
     first: range.first,
--- a/packages/placement/src/lib/range-table.ts
+++ b/packages/placement/src/lib/range-table.ts
@@ -13,9 +13,9 @@
   return { ranges: divideKeys(count).map(unownedRange) };
 }
 
-/** Records of all ranges. */
-export function recordsOf(table: RangeTable): RangeRecord[] {
-  return table.ranges.map(recordOf);
+/** Records of all ranges at `now`, on the monotonic clock. */
+export function recordsOf(table: RangeTable, now: number): RangeRecord[] {
+  return table.ranges.map((it) => recordOf(it, now));
 }
 
 /**
--- a/packages/placement/src/lib/service-planner.ts
+++ b/packages/placement/src/lib/service-planner.ts
@@ -1,4 +1,4 @@
-import type { HeldRange } from './held-range.js';
+import type { HeldRange, Holder } from './held-range.js';
 import { type LeaderContext, hasEnded } from './leader-context.js';
 import { type LoadMap, createLoadMap } from './load-map.js';
 import { planJoins } from './plan-joins.js';
@@ -60,6 +60,9 @@
     return { id: entry.id, capacity: speeds.capacityOf(entry.id, entry.slots, isCold) };
   }
 
+  /** No grant of a former leader may reach the holder any more. */
+  const isOwn = (holder: Holder, now: number) => !holder.inherited || now >= ctx.inheritedUntil();
+
   /** Returns whether a range has to leave its owner whatever the balance. */
   function mustMove(
     { owner }: HeldRange,
@@ -69,7 +72,7 @@
     if (!owner) return true;
     const known = usable.get(owner.life.server);
     if (known?.entry.startedMs === owner.life.startedMs) return false;
-    if (now >= ctx.inheritedUntil() || hasEnded(ctx, owner.life)) return true;
+    if (isOwn(owner, now) || hasEnded(ctx, owner.life)) return true;
     // The lease can't be shown to end before, so the owner serves on while it may.
     const leaving = directory.get(owner.life.server);
     return leaving !== undefined && now > leaving.seenAt + LEAVING_OWNER_MS;
@@ -87,7 +90,8 @@
       first: range.first,
       last: range.last,
       owner: isOrphan ? undefined : range.owner?.life.server,
-      movable: isIdle && (isOrphan || (isSettled && now >= ctx.inheritedUntil())),
+      movable:
+        isIdle && (isOrphan || (isSettled && range.owner !== undefined && isOwn(range.owner, now))),
     };
   }
 
--- /dev/null
+++ b/packages/placement/src/test/fake-directory.ts
@@ -0,0 +1,47 @@
+import type { ServerEntry } from '@boragepoint/platform';
+
+import type { ServerLife } from '../lib/key-range.js';
+import type { KnownServer, ServerDirectory } from '../lib/server-directory.js';
+
+/** A registry in memory. */
+export interface FakeDirectory extends ServerDirectory {
+  set(server: string, changes: Partial<ServerEntry>): void;
+  drop(server: string): void;
+}
+
+/** The first life of a server. */
+export function lifeOf(server: string): ServerLife {
+  return { server, address: `${server}:1`, startedMs: 1 };
+}
+
+/** Creates a registry that names servers as ready. */
+export function createFakeDirectory(servers: readonly string[]): FakeDirectory {
+  const known = new Map<string, KnownServer>();
+  const directory: FakeDirectory = {
+    isLoaded: () => true,
+    get: (id) => known.get(id),
+    ofService: () => [...known.values()],
+    onChange: () => undefined,
+    run: () => Promise.resolve(),
+    set(server, changes) {
+      const { address, startedMs } = lifeOf(server);
+      const entry = {
+        id: server,
+        service: 's',
+        address,
+        availabilityZone: 'z',
+        slots: 2,
+        draining: false,
+        warmUpMs: 0,
+        startedMs,
+        ...changes,
+      };
+      known.set(server, { entry, seenAt: -Infinity, firstSeenAt: -Infinity });
+    },
+    drop(server) {
+      known.delete(server);
+    },
+  };
+  for (const server of servers) directory.set(server, {});
+  return directory;
+}
--- a/packages/placement/src/test/fake-holders.ts
+++ b/packages/placement/src/test/fake-holders.ts
@@ -26,17 +26,27 @@
 /** Creates servers that know no leases; `now` is their clock. */
 export function createFakeHolders(now: () => number): FakeHolders {
   const leases = new Map<string, Lease[]>();
+  const seen = new Map<string, Lease[]>();
   let late: (() => void)[] = [];
 
-  function hold(server: string, order: GrantOrder): void {
-    const held = leases.get(server) ?? [];
-    held.push({ ...order, until: now() + order.leaseMs });
-    leases.set(server, held);
+  function overlaps(a: RangeOrder, b: RangeOrder): boolean {
+    return a.first <= b.last && a.last >= b.first;
+  }
+
+  /** Carries out a grant unless a higher token was seen on one of its keys. */
+  function hold(server: string, order: GrantOrder): OrderOutcome {
+    const known = seen.get(server) ?? [];
+    const isFenced = known.some((it) => overlaps(it, order) && it.fence > order.fence);
+    if (isFenced) return { kind: 'fenced' };
+    const lease = { ...order, until: now() + order.leaseMs };
+    leases.set(server, [...(leases.get(server) ?? []), lease]);
+    seen.set(server, [...known, lease]);
+    return DONE;
   }
 
   function drop(server: string, order: RangeOrder): void {
     const held = leases.get(server) ?? [];
-    const rest = held.filter((it) => it.last < order.first || it.first > order.last);
+    const rest = held.filter((it) => !overlaps(it, order));
     leases.set(server, rest);
   }
 
@@ -56,8 +66,7 @@
         late.push(() => {
           hold(serverId, order);
         });
-      if (!failure) hold(serverId, order);
-      return Promise.resolve(failure ?? DONE);
+      return Promise.resolve(failure ?? hold(serverId, order));
     },
     release({ serverId }, order) {
       holders.sent.push(`release ${serverId} ${order.first}-${order.last} #${order.fence}`);
--- a/packages/placement/src/test/hand-over_test.ts
+++ b/packages/placement/src/test/hand-over_test.ts
@@ -1,4 +1,5 @@
 import { test } from 'node:test';
+import { setTimeout } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
@@ -6,24 +7,16 @@
 import { type HeldRange, newHolder, unownedRange } from '../lib/held-range.js';
 import type { LeaderContext } from '../lib/leader-context.js';
 import { recordAnswered, recordUnanswered } from '../lib/lease-bound.js';
-import type { ServerDirectory } from '../lib/server-directory.js';
 import { createServerHealth } from '../lib/server-health.js';
+import { type FakeDirectory, createFakeDirectory, lifeOf as life } from './fake-directory.js';
 import { type FakeHolders, createFakeHolders } from './fake-holders.js';
 
 const times = { leaseMs: 300, transitMs: 50 };
-const life = (server: string) => ({ server, address: `${server}:1`, startedMs: 1 });
-
-const noServers: ServerDirectory = {
-  isLoaded: () => true,
-  get: () => undefined,
-  ofService: () => [],
-  onChange: () => undefined,
-  run: () => Promise.resolve(),
-};
 
 interface Setting {
   readonly ctx: LeaderContext;
   readonly holders: FakeHolders;
+  readonly directory: FakeDirectory;
   /** A range that goes from `a`, which holds it under token 1, to `b`. */
   readonly range: HeldRange;
 }
@@ -31,9 +24,10 @@
 async function setUp(): Promise<Setting> {
   const now = () => performance.now();
   const holders = createFakeHolders(now);
+  const directory = createFakeDirectory(['a', 'b']);
   const ctx: LeaderContext = {
     orders: holders,
-    directory: noServers,
+    directory,
     health: createServerHealth(),
     clocks: { monotonic: now, timeOfDay: Date.now },
     log: { info: () => undefined, warn: () => undefined },
@@ -56,7 +50,7 @@
     former: [former],
   };
   holders.sent = [];
-  return { ctx, holders, range };
+  return { ctx, holders, directory, range };
 }
 
 test('the former owner is released before the new one is granted the range, with its state', async () => {
@@ -89,7 +83,7 @@
   holders.deliverLate();
   while (!range.granted) {
     expect(holders.holdersOf(5).length <= 1).toEqual(true);
-    await new Promise((resolve) => setTimeout(resolve, 5));
+    await setTimeout(5);
   }
   await handing;
   expect(holders.holdersOf(5)).toEqual(['b']);
@@ -103,6 +97,28 @@
   expect(range.granted).toEqual(true);
 });
 
+test('a former owner that leaves and takes no connections any more may still be at work', async () => {
+  const { ctx, holders, directory, range } = await setUp();
+  holders.modes.set('a', 'gone');
+  directory.set('a', { draining: true });
+  const handing = handOver(ctx, range);
+  await setTimeout(20);
+  expect(holders.sent.includes('grant b 0-9 #2')).toEqual(false);
+  await handing;
+  expect(holders.holdersOf(5)).toEqual(['b']);
+});
+
+test('a former owner that has left the registry and takes no connections may still be at work', async () => {
+  const { ctx, holders, directory, range } = await setUp();
+  holders.modes.set('a', 'gone');
+  directory.drop('a');
+  const handing = handOver(ctx, range);
+  await setTimeout(20);
+  expect(holders.sent.includes('grant b 0-9 #2')).toEqual(false);
+  await handing;
+  expect(holders.holdersOf(5)).toEqual(['b']);
+});
+
 test('a new owner that is gone leaves the range without a grant, for the next plan', async () => {
   const { ctx, holders, range } = await setUp();
   holders.modes.set('b', 'gone');
--- a/packages/placement/src/test/placement-record_test.ts
+++ b/packages/placement/src/test/placement-record_test.ts
@@ -14,8 +14,11 @@
 function placementOf(servers: number, ranges: number): Placement {
   const records = divideKeys(ranges).map((span, index) => ({
     ...span,
-    owner: { life: life(index % servers), fence: index + 1 },
-    former: index % 2 === 0 ? [{ life: life((index + 1) % servers), fence: index }] : [],
+    owner: { life: life(index % servers), fence: index + 1, settled: false },
+    former:
+      index % 2 === 0
+        ? [{ life: life((index + 1) % servers), fence: index, settled: index % 4 === 0 }]
+        : [],
   }));
   return {
     seat: {
--- a/packages/placement/src/test/plan-moves_test.ts
+++ b/packages/placement/src/test/plan-moves_test.ts
@@ -41,7 +41,9 @@
 
 test('differences that chance makes move nothing', () => {
   const counts = [12, 21, 17, 14, 19, 16];
-  const ranges = divideKeys(counts.length).map((it, index) => range(it.first, it.last, `s${index}`));
+  const ranges = divideKeys(counts.length).map((it, index) =>
+    range(it.first, it.last, `s${index}`),
+  );
   const requests = Object.fromEntries(
     ranges.flatMap(({ first }, index) =>
       Array.from({ length: counts[index] ?? 0 }, (_, it) => [first + it * 100, 1]),
--- a/packages/spec/src/lib/configurations.ts
+++ b/packages/spec/src/lib/configurations.ts
@@ -95,6 +95,8 @@
       'grant-lease',
       'grant-row-first',
       'grant-inherited',
+      'grant-fence',
+      'grant-settled',
       'grant-suspension',
       'grant-grace',
     ],
--- a/packages/spec/src/lib/grants/grant-model.ts
+++ b/packages/spec/src/lib/grants/grant-model.ts
@@ -36,6 +36,8 @@
     goals: {
       'the key moves': (state) => state.leaders.some((it) => it.phase === 'moved'),
       'the second leader moves it': (state) => state.leaders[1]?.phase === 'moved',
+      'A refuses a grant of the former leader': (state) =>
+        state.grants.some((it) => it.server === A && it.fence < state.seenByA),
       'a grant is late': (state) => state.grants.some((it) => it.hasArrived && it.left < LEASE),
       'a leader is suspended': (state) => state.leaders.some((it) => it.suspended),
     },
@@ -62,9 +64,10 @@
     suspensionsLeft: 1,
   } as const;
   return {
-    row: { leader: 0, tenureLeft: TENURE, owner: A },
+    row: { leader: 0, tenureLeft: TENURE, owner: A, settled: false },
     leaders: [leading, follower],
     held: [LEASE, 0],
+    seenByA: 0,
     grants: [],
   };
 }
@@ -84,6 +87,7 @@
 
 function tick(state: GrantState): Steps {
   const next: GrantState = {
+    ...state,
     row: { ...state.row, tenureLeft: down(state.row.tenureLeft) },
     leaders: state.leaders.map(tickLeader),
     held: state.held.map(down),
@@ -102,9 +106,14 @@
     const grants = state.grants.with(index, { ...grant, hasArrived: true, left: LEASE });
     return [{ name: `${name} arrives`, next: { ...state, grants } }];
   }
+  const grants = state.grants.toSpliced(index, 1);
+  if (grant.server === A && grant.fence < state.seenByA) {
+    return [{ name: `${name} is refused: A has seen a higher token`, next: { ...state, grants } }];
+  }
   const left = Math.max(state.held[grant.server] ?? 0, grant.left);
   const held = state.held.with(grant.server, left);
-  const done = { ...state, held, grants: state.grants.toSpliced(index, 1) };
+  const seenByA = grant.server === A ? grant.fence : state.seenByA;
+  const done = { ...state, held, seenByA, grants };
   return [
     { name: `${name} is carried out without an answer`, next: done },
     ...answered(done, grant, name),
@@ -119,6 +128,8 @@
     ...leader,
     answeredLeft: LEASE,
     unansweredLeft: isLast ? 0 : leader.unansweredLeft,
+    // A refuses from now on what the former leader granted.
+    inheritedLeft: 0,
   };
   const leaders = state.leaders.with(grant.leader, next);
   return [{ name: `${name} is carried out and answered`, next: { ...state, leaders } }];
@@ -161,7 +172,8 @@
   const { state, number, leader, options } = view;
   const { row } = state;
   if (leader.phase !== 'following' || row.leader === number || row.tenureLeft > 0) return [];
-  const isWaited = options.mutation !== 'grant-inherited';
+  const isSettled = row.owner === B && row.settled;
+  const isWaited = options.mutation !== 'grant-inherited' && !isSettled;
   return step(
     view,
     'takes the seat',
@@ -178,10 +190,17 @@
 function confirm(view: View): Steps {
   const { state, number, leader } = view;
   if (leader.phase === 'following' || state.row.leader !== number) return [];
-  const row = { ...state.row, tenureLeft: TENURE };
+  const settled = leader.phase !== 'leading' && (state.row.settled || isSettled(view));
+  const row = { ...state.row, tenureLeft: TENURE, settled };
   return step(view, 'confirms its seat', { unconfirmed: 0, distrusts: false }, { row });
 }
 
+/** No grant to A that is without an answer can still count. */
+function isSettled({ leader, options }: View): boolean {
+  if (options.mutation === 'grant-settled') return true;
+  return leader.unansweredLeft === 0 && leader.inheritedLeft === 0;
+}
+
 function mayOrder({ leader }: View): boolean {
   return !leader.distrusts && leader.unconfirmed < TENURE;
 }
@@ -192,8 +211,9 @@
 }
 
 function sendGrant(view: View, server: number, change: Partial<Leader>): Steps {
-  const { state, number } = view;
-  const grant: Grant = { server, leader: number, hasArrived: false, left: TRANSIT };
+  const { state, number, options } = view;
+  const fence = options.mutation === 'grant-fence' ? 0 : number;
+  const grant: Grant = { server, leader: number, fence, hasArrived: false, left: TRANSIT };
   const grants = [...state.grants, grant];
   return step(view, `grants the key to ${nameOf(server)}`, change, { grants });
 }
@@ -214,7 +234,7 @@
     return step(view, 'moves the key', { phase: 'stored' });
   }
   if (state.row.leader !== number) return [];
-  const row = { ...state.row, owner: B };
+  const row = { ...state.row, owner: B, settled: isSettled(view) };
   return step(view, 'stores that B owns the key', { phase: 'stored' }, { row });
 }
 
--- a/packages/spec/src/lib/grants/grant-state.ts
+++ b/packages/spec/src/lib/grants/grant-state.ts
@@ -16,6 +16,8 @@
 export interface Grant {
   readonly server: number;
   readonly leader: number;
+  /** Fencing token; each leader has its own for the key's owner. */
+  readonly fence: number;
   readonly hasArrived: boolean;
   /** Time left to arrive; once it has arrived, what is left of its lease. */
   readonly left: number;
@@ -43,6 +45,8 @@
   readonly leader: number;
   readonly tenureLeft: number;
   readonly owner: number;
+  /** Since A lost the key, no grant to A can be without an answer. */
+  readonly settled: boolean;
 }
 
 /** One key, two servers, two leaders, one row. */
@@ -51,6 +55,8 @@
   readonly leaders: readonly Leader[];
   /** How long each server holds the key. */
   readonly held: readonly number[];
+  /** Highest token that A has seen; it refuses grants under a lower one. */
+  readonly seenByA: number;
   readonly grants: readonly Grant[];
 }
 
--- a/packages/spec/src/lib/model/rules.ts
+++ b/packages/spec/src/lib/model/rules.ts
@@ -28,6 +28,9 @@
   'grant-lease': 'a key is granted to another server before the lease of the former one has lapsed',
   'grant-row-first': 'a key is granted to another server before the row says so',
   'grant-inherited': 'a new leader moves a key while grants of the former leader may arrive',
+  'grant-fence':
+    'a new leader renews under the tokens of the former one, and counts that as settled',
+  'grant-settled': 'a stored move says that no grant is without an answer whether or not one is',
   'grant-suspension': 'a leader goes on after a suspension without confirming its seat',
   'grant-grace': 'a leader renews leases however long its seat is unconfirmed',
 } as const;
