A slow owner still owns its keys; a stopping router follows placement; pipelines end whole

Change: servers that are slow are avoided only by requests which others can take; after a 421 a newer placement is waited for; a router follows until it has drained; the last request of a pipeline closes it and none is taken behind; the end of a connection reaches all its requests; a refused connection proves an end only when the registry was followed for longer than a server's notice. Tests that fail first: caller-listener (two), hand-over (soon after a gap in the registry).

--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -39,6 +39,8 @@
   mayOrder(): boolean;
   /** The leader may renew leases: it may order, or the store is away and leases must not lapse. */
   mayRenew(): boolean;
+  /** How long before its end a server says that it leaves, in milliseconds. */
+  drainNoticeMs(): number;
   /** Until when a grant of the former leader may still be carried out, on the monotonic clock. */
   inheritedUntil(): number;
   /** A range changed: routers are told, and the row is written. */
@@ -62,10 +64,18 @@
   return holder.inherited ? Math.max(own, ctx.inheritedUntil()) : own;
 }
 
-/** A server that leaves stops listening before its last work has ended: a refused connection proves nothing. */
+/** What a server says of itself in the registry is known this long after it said so, in milliseconds. */
+const REGISTRY_DELAY_MS = 2_000;
+
+/**
+ * Returns whether a server may be leaving, which it says in the registry a notice before. One that leaves stops
+ * listening before its last work has ended, so that a refused connection proves nothing.
+ */
 function mayBeLeaving(ctx: LeaderContext, life: ServerLife): boolean {
   const known = ctx.directory.get(life.server);
-  return known?.entry.startedMs !== life.startedMs || known.entry.draining;
+  if (known?.entry.startedMs !== life.startedMs || known.entry.draining) return true;
+  const followedMs = ctx.clocks.monotonic() - ctx.directory.currentSince();
+  return followedMs < ctx.drainNoticeMs() + REGISTRY_DELAY_MS;
 }
 
 function noteOutcome(ctx: LeaderContext, life: ServerLife, outcome: OrderOutcome): void {
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -62,6 +62,8 @@
   readonly log: PlacementLog;
   /** Names of the partitioned services in the configuration. */
   partitionedServices(): readonly string[];
+  /** How long before its end a server says that it leaves, in milliseconds. */
+  drainNoticeMs(): number;
 }
 
 /** Creates the leader of one epoch. */
@@ -120,6 +122,7 @@
     signal: stop.signal,
     mayOrder: () => mayRenew() && seat.isConfirmed(),
     mayRenew,
+    drainNoticeMs: options.drainNoticeMs,
     inheritedUntil: () => inheritedUntil,
     changed: (range) => {
       feed.note(range);
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -54,8 +54,8 @@
   answerReport(req: ReportRequest): Promise<ReportReply>;
   /** Answers a successor; the time in milliseconds, `undefined` if this process was not the leader. */
   answerYield(epoch: number, startedMs: number): number | undefined;
-  /** Runs until the signal aborts, then hands over if this router leads. */
-  run(signal: AbortSignal): Promise<void>;
+  /** Leads or follows until `lead` aborts, then hands over if this router leads; follows until `follow` aborts. */
+  run(lead: AbortSignal, follow: AbortSignal): Promise<void>;
 }
 
 /** What a member needs. */
@@ -69,6 +69,8 @@
   readonly log: PlacementLog;
   /** Names of the partitioned services; `undefined` before the configuration is known. */
   partitionedServices(): readonly string[] | undefined;
+  /** How long before its end a server says that it leaves, in milliseconds. */
+  drainNoticeMs(): number;
   /** Load since the last call. */
   takeLoad(): readonly ServiceLoadReport[];
   /** Crashes since the last call. */
@@ -165,6 +167,7 @@
       clocks,
       log,
       partitionedServices: () => options.partitionedServices() ?? [],
+      drainNoticeMs: options.drainNoticeMs,
     });
     leader = created;
     lastEpochLed = created.epoch;
@@ -177,9 +180,10 @@
   /** Reads the row: learns the placement and the leader, or takes the seat. */
   async function refresh(signal: AbortSignal): Promise<void> {
     const reading = await readSeat(store, clocks);
-    if (!reading || signal.aborted) return;
+    if (!reading) return;
     if (reading.placement) adopt(viewOf(reading.placement));
-    if (options.partitionedServices() !== undefined && mayTake(reading, self)) {
+    const mayLead = !signal.aborted && options.partitionedServices() !== undefined;
+    if (mayLead && mayTake(reading, self)) {
       await takeSeat(reading, signal);
       return;
     }
@@ -220,6 +224,7 @@
 
   const isLeading = () => leader !== undefined;
 
+  /** Leads, follows, or looks for whom to follow; takes the seat only until the signal aborts. */
   async function turn(signal: AbortSignal): Promise<void> {
     const leading = leader;
     if (leading) {
@@ -289,8 +294,11 @@
       if (leader?.epoch === epoch) return leader.yieldSeat();
       return epoch <= lastEpochLed ? UNANSWERED_MS : 0;
     },
-    async run(signal) {
-      while (!signal.aborted) await turn(signal);
+    async run(lead, follow) {
+      const ended = new Promise((resolve) => {
+        follow.addEventListener('abort', resolve);
+      });
+      while (!follow.aborted) await Promise.race([turn(lead), ended]);
       await leaderRun;
     },
   };
--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -22,6 +22,8 @@
 
 /** The backend servers that the service registry names. */
 export interface ServerDirectory {
+  /** Since when the registry has been followed without a gap, on the monotonic clock; `Infinity` while it is not. */
+  currentSince(): number;
   /** False until the registry was read for the first time. */
   isLoaded(): boolean;
   get(id: string): KnownServer | undefined;
@@ -51,6 +53,7 @@
   let loaded = false;
   let storeIsLost = false;
   let regainedAt = -Infinity;
+  let currentSince = Infinity;
 
   function changed(): void {
     byService = undefined;
@@ -101,6 +104,7 @@
       for (const row of rows) put(row.key, platform.decodeServer(row));
       for (const key of [...servers.keys()]) if (!present.has(key)) remove(key);
       loaded = true;
+      currentSince = Math.min(currentSince, clocks.monotonic());
       changed();
     },
     onChange(row) {
@@ -113,11 +117,13 @@
     },
     onLost(err) {
       storeIsLost = true;
+      currentSince = Infinity;
       options.onLost?.(err);
     },
     onRegained() {
       storeIsLost = false;
       regainedAt = clocks.monotonic();
+      currentSince = regainedAt;
       options.onRegained?.();
     },
   };
@@ -133,6 +139,7 @@
   }
 
   return {
+    currentSince: () => currentSince,
     isLoaded: () => loaded,
     get: (id) => servers.get(id),
     ofService: (service) => (byService ??= group()).get(service) ?? [],
--- a/packages/placement/src/test/fake-directory.ts
+++ b/packages/placement/src/test/fake-directory.ts
@@ -7,6 +7,8 @@
 export interface FakeDirectory extends ServerDirectory {
   set(server: string, changes: Partial<ServerEntry>): void;
   drop(server: string): void;
+  /** The registry is followed again, from `now` on. */
+  regain(now: number): void;
 }
 
 /** The first life of a server. */
@@ -17,7 +19,9 @@
 /** Creates a registry that names servers as ready. */
 export function createFakeDirectory(servers: readonly string[]): FakeDirectory {
   const known = new Map<string, KnownServer>();
+  let currentSince = -Infinity;
   const directory: FakeDirectory = {
+    currentSince: () => currentSince,
     isLoaded: () => true,
     get: (id) => known.get(id),
     ofService: () => [...known.values()],
@@ -38,6 +42,9 @@
       };
       known.set(server, { entry, seenAt: -Infinity, firstSeenAt: -Infinity });
     },
+    regain(now) {
+      currentSince = now;
+    },
     drop(server) {
       known.delete(server);
     },
--- a/packages/placement/src/test/hand-over_test.ts
+++ b/packages/placement/src/test/hand-over_test.ts
@@ -35,6 +35,7 @@
     signal: new AbortController().signal,
     mayOrder: () => true,
     mayRenew: () => true,
+    drainNoticeMs: () => 100,
     inheritedUntil: () => -Infinity,
     changed: () => undefined,
     persist: () => Promise.resolve(true),
@@ -119,6 +120,17 @@
   expect(holders.holdersOf(5)).toEqual(['b']);
 });
 
+test('soon after a gap in the registry a refused connection proves nothing', async () => {
+  const { ctx, holders, directory, range } = await setUp();
+  holders.modes.set('a', 'gone');
+  directory.regain(performance.now());
+  const handing = handOver(ctx, range);
+  await setTimeout(20);
+  expect(holders.sent.includes('grant b 0-9 #2')).toEqual(false);
+  await handing;
+  expect(holders.holdersOf(5)).toEqual(['b']);
+});
+
 test('a new owner that is gone leaves the range without a grant, for the next plan', async () => {
   const { ctx, holders, range } = await setUp();
   holders.modes.set('b', 'gone');
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -70,6 +70,7 @@
     clocks: processClocks,
     log: { info: () => undefined, warn: () => undefined },
     partitionedServices: () => ['s'],
+    drainNoticeMs: () => 100,
   });
   const end = new AbortController();
   const running = leader.run(end.signal);
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -35,13 +35,24 @@
 /** Listens for callers. */
 export interface CallerListener {
   applyLimits(limits: CallerLimits): void;
-  /** Answers close their connections from now on. */
+  /** From now on the last answer on each connection closes it, and no request behind it is taken. */
   announceClose(): void;
   /** Takes no new connections; closes idle ones; resolves when the last request is answered. */
   drain(): Promise<void>;
   openRequests(): number;
 }
 
+/** Requests of one connection that were taken, in the order of their answers. */
+interface Pipeline {
+  unanswered: number;
+  /** An answer that closes the connection was written: what comes behind it counts as not read. */
+  closes: boolean;
+  /** The answer to the last of them. */
+  last: ServerResponse | undefined;
+  /** Called for each request that is not over when the connection ends. */
+  readonly unfinished: Set<() => void>;
+}
+
 /** A request's body, or why there is none. */
 type ReadBody =
   | { readonly kind: 'body'; readonly body: Buffer | undefined }
@@ -121,6 +132,7 @@
 ): Promise<CallerListener> {
   let closing = false;
   let open = 0;
+  const pipelines = new WeakMap<Socket, Pipeline>();
   const server: Server = createServer(
     { maxHeaderSize: MAX_HEAD_BYTES, requestTimeout: 0 },
     (req, res) => {
@@ -173,22 +185,49 @@
     return { answer: await ctx.handle(caller), caller };
   }
 
+  function pipelineOf(socket: Socket): Pipeline {
+    const known = pipelines.get(socket);
+    if (known) return known;
+    const unfinished = new Set<() => void>();
+    const pipeline = { unanswered: 0, closes: false, last: undefined, unfinished };
+    pipelines.set(socket, pipeline);
+    // Only the answer whose turn it is hears of the end by itself.
+    socket.once('close', () => {
+      for (const finish of unfinished) finish();
+    });
+    return pipeline;
+  }
+
   async function answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const pipeline = pipelineOf(req.socket);
+    // The answer before this one closes the connection, which tells the caller that this request was not read.
+    if (pipeline.closes || (closing && pipeline.unanswered > 0)) return;
+    pipeline.last = res;
+    pipeline.unanswered += 1;
     open += 1;
     const arrivedAt = ctx.now();
     const gone = new AbortController();
     res.on('error', () => undefined);
-    res.on('close', () => {
+    const finish = () => {
+      if (!pipeline.unfinished.delete(finish)) return;
       open -= 1;
       if (!res.writableFinished) gone.abort();
-    });
+    };
+    pipeline.unfinished.add(finish);
+    res.on('close', finish);
     const found = await findAnswer(req, gone.signal, arrivedAt);
+    pipeline.unanswered -= 1;
     if (found.caller) ctx.onAnswer(found.caller, found.answer);
     if (res.destroyed || found.answer.kind === 'none') {
       res.destroy();
       return;
     }
-    if (closing || !req.complete) res.setHeader('connection', 'close');
+    // Requests behind this one that were sent on need the connection for their answers.
+    const isLast = pipeline.last === res;
+    if ((closing && isLast) || !req.complete) {
+      pipeline.closes = true;
+      res.setHeader('connection', 'close');
+    }
     if (found.answer.kind === 'server') {
       writeServers(res, found.answer);
       return;
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -93,6 +93,7 @@
     log,
     partitionedServices: () =>
       table?.cfg.services.filter((it) => it.partitioned).map((it) => it.name),
+    drainNoticeMs: () => settings.drain.noticeMs,
     takeLoad,
     takeCrashes: () => guard.takeCrashes(),
   });
@@ -221,7 +222,7 @@
     watchRows(platform.store, platform.configTable, configWatcher, end.signal),
     directory.run(end.signal),
   ]);
-  const placed = member.run(handOver.signal);
+  const placed = member.run(handOver.signal, end.signal);
   log.info('started', {
     zone: instance.availabilityZone,
     region: instance.region,
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -46,8 +46,11 @@
 export interface ServerPicker {
   /** Picks among the equal servers of the service, but for those that were tried. */
   pickAny(req: CallerRequest, tried: readonly string[]): Pick;
-  /** Picks the owner of the key; waits for one while the range changes hands. */
-  pickOwner(req: CallerRequest, key: number): Promise<Pick>;
+  /**
+   * Picks the owner of the key; waits for one while the range changes hands. `notHeldBy` has just answered
+   * that it doesn't hold the key: the placement that names it is out of date.
+   */
+  pickOwner(req: CallerRequest, key: number, notHeldBy?: string): Promise<Pick>;
 }
 
 function refuse(reason: string): Refusal {
@@ -90,13 +93,19 @@
   }
 
   /** Waits for an owner of the key that may serve. */
-  async function findOwner(req: CallerRequest, key: number): Promise<PooledServer | undefined> {
+  async function findOwner(
+    req: CallerRequest,
+    key: number,
+    notHeldBy: string | undefined,
+  ): Promise<PooledServer | undefined> {
+    let isOutdated = notHeldBy !== undefined;
     const waitUntil = ctx.now() + req.route.cfg.objectiveMs * RANGE_WAIT_SHARE;
     for (;;) {
       const range = rangeOf(ctx.view(), req.service, key);
+      if (range?.owner !== notHeldBy || range?.granted === false) isOutdated = false;
       const server = range?.granted === true ? pool.get(range.owner ?? '') : undefined;
-      const isUsable = server && ctx.now() >= server.avoidUntil && !isLeaving(server);
-      if (isUsable) return server;
+      const isUsable = server && ctx.now() >= server.unreachableUntil && !isLeaving(server);
+      if (isUsable && !isOutdated) return server;
       const waitMs = Math.min(waitUntil, req.answerBy) - ctx.now();
       if (waitMs <= 0 || req.gone.aborted) return undefined;
       await ctx.waitForPlacement(Math.min(waitMs, RANGE_WAIT_STEP_MS));
@@ -119,8 +128,8 @@
       if (!server) return refuse('no backend server');
       return admitTo(req, server, candidate, 'servers are full');
     },
-    async pickOwner(req, key) {
-      const server = await findOwner(req, key);
+    async pickOwner(req, key, notHeldBy) {
+      const server = await findOwner(req, key, notHeldBy);
       if (!server) return refuse('no owner of the key');
       return admitTo(req, server, candidateOf(server, false, ctx.now()), 'the owner is full');
     },
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -11,10 +11,10 @@
 import type { PooledServer } from './server-pool.js';
 import type { SharedRetryBudget } from './shared-retry-budget.js';
 
-/** Longest wait for a newer placement after a server did not hold a key, in milliseconds. */
-const PLACEMENT_WAIT_MS = 250;
-/** Time for which a server is left alone after a connection to it failed, in milliseconds. */
+/** Time for which a server is left alone while others can take its requests, in milliseconds. */
 const AVOID_MS = 1_000;
+/** Time for which an owner of keys is left alone after a connection to it failed, in milliseconds. */
+const UNREACHABLE_MS = 250;
 /** Callers of a request that crashes servers come back after this time, in milliseconds. */
 const CRASH_RETRY_MS = 3_000;
 const HTTP_UNAVAILABLE = 503;
@@ -43,6 +43,13 @@
   return { ...answer, status: HTTP_UNAVAILABLE };
 }
 
+/** The server that the last try found not to hold the key. */
+function notHeldBy(tries: readonly Try[]): string | undefined {
+  const last = tries.at(-1);
+  const isMisdirected = last?.outcome.kind === 'not-run' && last.outcome.why === 'misdirected';
+  return isMisdirected ? last.server.entry.id : undefined;
+}
+
 function logOf({ server, outcome }: Try, now: number) {
   const details =
     outcome.kind === 'answer'
@@ -112,7 +119,10 @@
     if (answer?.meta.load) load.reported(now, answer.meta.load);
     const isUnreached =
       outcome.kind === 'not-run' && (outcome.why === 'refused' || outcome.why === 'unconnected');
-    if (isUnreached) server.avoidUntil = now + AVOID_MS;
+    if (isUnreached) {
+      server.avoidUntil = now + AVOID_MS;
+      server.unreachableUntil = now + UNREACHABLE_MS;
+    }
     if (outcome.kind === 'unknown' && outcome.why === 'broken-off') server.connections.renew();
   }
 
@@ -138,7 +148,9 @@
     for (;;) {
       const tried = tries.map((it) => it.server.entry.id);
       const pick =
-        key === undefined ? picker.pickAny(req, tried) : await picker.pickOwner(req, key);
+        key === undefined
+          ? picker.pickAny(req, tried)
+          : await picker.pickOwner(req, key, notHeldBy(tries));
       if (req.gone.aborted) return { kind: 'none' };
       if (pick.kind === 'refuse') {
         logTries(req, tries, pick.reason, pick);
@@ -161,8 +173,6 @@
         logTries(req, tries, again ? 'retry budget spent' : 'no further try');
         return finalAnswer(req, tries, undefined, ctx.now());
       }
-      const isMoved = outcome.kind === 'not-run' && outcome.why === 'misdirected';
-      if (isMoved && key !== undefined) await ctx.waitForPlacement(PLACEMENT_WAIT_MS);
     }
   }
 
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -14,8 +14,10 @@
   entry: ServerEntry;
   readonly load: ServerLoad;
   readonly connections: ServerConnections;
-  /** Takes no requests before this time, in milliseconds of the monotonic clock. */
+  /** Takes no requests that others can take before this time, in milliseconds of the monotonic clock. */
   avoidUntil: number;
+  /** No connection to it comes about before this time, in milliseconds of the monotonic clock. */
+  unreachableUntil: number;
   /** When the server last answered anything, in milliseconds of the monotonic clock. */
   answeredAt: number;
   /** When this start of the server was first seen. */
@@ -62,6 +64,7 @@
       load: createServerLoad(entry.slots),
       connections: createServerConnections(entry.address, count),
       avoidUntil: -Infinity,
+      unreachableUntil: -Infinity,
       answeredAt: -Infinity,
       firstSeenAt: known.firstSeenAt,
     };
--- a/packages/router/src/test/caller-listener_test.ts
+++ b/packages/router/src/test/caller-listener_test.ts
@@ -232,3 +232,57 @@
   expect(text.toLowerCase().includes('connection: close')).toEqual(true);
   expect(text.endsWith('late')).toEqual(true);
 });
+
+test('requests that were taken before the close was announced are all answered', async () => {
+  const bothStarted = deferred<undefined>();
+  const release = deferred<undefined>();
+  let started = 0;
+  const { port, listener } = await listen(async (req) => {
+    started += 1;
+    if (started === 2) bothStarted.resolve(undefined);
+    await release.promise;
+    return serverAnswer(req.attemptId, true);
+  });
+  const answered = exchange(port, get('/p/1', 'one') + get('/p/2', 'two'));
+  await bothStarted.promise;
+  listener.announceClose();
+  release.resolve(undefined);
+  const text = await answered;
+  expect(text.includes('\r\n\r\none') && text.endsWith('\r\n\r\ntwo')).toEqual(true);
+  await listener.drain();
+});
+
+test('a request behind another one is not taken once the close is announced', async () => {
+  const started = deferred<undefined>();
+  const release = deferred<undefined>();
+  const taken: string[] = [];
+  const { port, listener } = await listen(async (req) => {
+    taken.push(req.attemptId);
+    started.resolve(undefined);
+    await release.promise;
+    return serverAnswer(req.attemptId, true);
+  });
+  const socket = connect(port, '127.0.0.1');
+  let text = '';
+  socket.on('data', (chunk) => {
+    text += chunk.toString();
+  });
+  const closed = new Promise((resolve) => socket.on('close', resolve));
+  socket.write(get('/p/1', 'one'));
+  await started.promise;
+  listener.announceClose();
+  await new Promise<void>((resolve) => {
+    socket.write(get('/p/2', 'two'), () => {
+      resolve();
+    });
+  });
+  // A request on another connection is read after what was written before it.
+  const other = exchange(port, get('/p/3', 'three', LAST));
+  release.resolve(undefined);
+  await other;
+  await closed;
+  expect(taken).toEqual(['one', 'three']);
+  expect(text.toLowerCase().includes('connection: close')).toEqual(true);
+  expect(text.endsWith('\r\n\r\none')).toEqual(true);
+  await listener.drain();
+});
--- a/packages/router/src/test/crash-guard_test.ts
+++ b/packages/router/src/test/crash-guard_test.ts
@@ -8,6 +8,7 @@
 function directoryOf(startedMs: Map<string, number>): ServerDirectory {
   return {
     isLoaded: () => true,
+    currentSince: () => 0,
     get(id) {
       const started = startedMs.get(id);
       if (started === undefined) return undefined;
