Speeds of servers are learned from a prior, and delays correct what a queue explains

Change: how much longer answers take than their queues explain is learned and corrects expected times; servers are reported with that factor; a speed starts from the usual one, which counts as some requests, and stays within a factor of three of it.

--- a/packages/placement/src/lib/server-speed.ts
+++ b/packages/placement/src/lib/server-speed.ts
@@ -1,14 +1,18 @@
-/** What one router measured of a server since its last report. */
+/** What one router knows of a server, and how its requests ended since the last report. */
 export interface SpeedReport {
   readonly server: string;
-  /** Mean time of requests that did not queue, in milliseconds; 0 when there were none. */
+  /** Time of a request without queueing, in milliseconds; 0 if it is not known. */
   readonly serviceMs: number;
   readonly answered: number;
   readonly failed: number;
 }
 
-/** Weight of one request in the moving averages. */
+/** Least weight of one request in the moving averages. */
 const REQUEST_WEIGHT = 0.06;
+/** What is assumed of a server counts as much as this many requests. */
+const ASSUMED_REQUESTS = 6;
+/** How far a server's time may lie from the usual one, as a factor. */
+const MAX_DEVIATION = 3;
 const INITIAL_SERVICE_MS = 250;
 /** Share of failed requests above which a server's capacity is not believed. */
 const MAX_FAILURE_SHARE = 0.3;
@@ -24,13 +28,15 @@
 }
 
 interface Speed {
-  serviceMs: number | undefined;
+  serviceMs: number;
   failureShare: number;
+  requests: number;
 }
 
-/** Weight of the mean of some requests, as if each had been averaged in by itself. */
-function weightOf(requests: number): number {
-  return 1 - (1 - REQUEST_WEIGHT) ** Math.max(1, requests);
+/** Weight of the mean of some requests after `known` others, as if each had been averaged in by itself. */
+function weightOf(requests: number, known: number): number {
+  const total = known + ASSUMED_REQUESTS;
+  return Math.max(requests / (total + requests), 1 - (1 - REQUEST_WEIGHT) ** requests);
 }
 
 /** Creates speeds without measurements: all servers count alike until the first reports. */
@@ -38,25 +44,32 @@
   const speeds = new Map<string, Speed>();
 
   function usualServiceMs(): number {
-    const known = [...speeds.values()].flatMap((it) => it.serviceMs ?? []).sort((a, b) => a - b);
+    const known = [...speeds.values()].map((it) => it.serviceMs).sort((a, b) => a - b);
     return known[known.length >> 1] ?? INITIAL_SERVICE_MS;
   }
 
   return {
     record({ server, serviceMs, answered, failed }) {
-      const speed = speeds.get(server) ?? { serviceMs: undefined, failureShare: 0 };
+      const total = answered + failed;
+      if (total === 0) return;
+      const speed = speeds.get(server) ?? {
+        serviceMs: usualServiceMs(),
+        failureShare: 0,
+        requests: 0,
+      };
       speeds.set(server, speed);
       if (serviceMs > 0) {
-        const before = speed.serviceMs ?? serviceMs;
-        speed.serviceMs = before + (serviceMs - before) * weightOf(answered);
+        speed.serviceMs += (serviceMs - speed.serviceMs) * weightOf(answered, speed.requests);
       }
-      const total = answered + failed;
-      if (total === 0) return;
-      speed.failureShare += (failed / total - speed.failureShare) * weightOf(total);
+      speed.failureShare += (failed / total - speed.failureShare) * weightOf(total, speed.requests);
+      speed.requests += total;
     },
     capacityOf(server, slots, isCold) {
       const speed = speeds.get(server);
-      const perSecond = (slots * 1_000) / (speed?.serviceMs ?? usualServiceMs());
+      const usualMs = usualServiceMs();
+      const deviation = (speed?.serviceMs ?? usualMs) / usualMs;
+      const bounded = Math.min(MAX_DEVIATION, Math.max(1 / MAX_DEVIATION, deviation));
+      const perSecond = (slots * 1_000) / (usualMs * bounded);
       const isFailing = (speed?.failureShare ?? 0) > MAX_FAILURE_SHARE;
       return perSecond * (isFailing ? FAILING_CAPACITY : 1) * (isCold ? COLD_CAPACITY : 1);
     },
--- a/packages/placement/src/test/server-speed_test.ts
+++ b/packages/placement/src/test/server-speed_test.ts
@@ -40,3 +40,12 @@
   speeds.record({ server: 'a', serviceMs: 200, answered: 1, failed: 30 });
   expect(speeds.capacityOf('a', 2, false) < 3).toEqual(true);
 });
+
+test('a server with one lucky first request is not thought to run many times more than others', () => {
+  const speeds = createServerSpeeds();
+  for (const server of ['b', 'c', 'd']) speeds.record({ ...report(200, 20), server });
+  speeds.record(report(20, 1));
+  expect(speeds.capacityOf('a', 2, false) < speeds.capacityOf('b', 2, false) * 1.5).toEqual(true);
+  for (let index = 0; index < 40; index += 1) speeds.record(report(20, 3));
+  expect(speeds.capacityOf('a', 2, false) <= speeds.capacityOf('b', 2, false) * 3.3).toEqual(true);
+});
--- a/packages/router/src/lib/choose-server.ts
+++ b/packages/router/src/lib/choose-server.ts
@@ -14,6 +14,8 @@
   readonly isCold: boolean;
   /** How long the oldest request has been waiting for its answer, in milliseconds. */
   readonly oldestMs: number;
+  /** How much longer answers took lately than their queues explained. */
+  readonly delayFactor: number;
 }
 
 /** Time until an answer can be expected, and the server it would come from. */
@@ -22,6 +24,8 @@
   readonly expectedMs: number;
 }
 
+type ServerState = Omit<ServerCandidate, 'id' | 'failureShare' | 'isFar'>;
+
 /** What a request brings to the choice. */
 export interface ChoiceDemand {
   /** Latency objective in milliseconds. */
@@ -46,13 +50,18 @@
 /** A request that waits longer than this many times what its queue explains makes a server suspect. */
 const PATIENCE = 2.5;
 
-/** Expected time to the answer of a request that a server gets now, in milliseconds. */
-export function expectedMs(server: Omit<ServerCandidate, 'id' | 'failureShare' | 'isFar'>): number {
+/** Time to the answer of a request that a server gets now, as its queue explains it, in milliseconds. */
+export function queuedMs(server: ServerState): number {
   const ahead = Math.max(0, server.inHand + 1 - server.slots);
   const workMs = server.serviceMs * (server.isCold ? COLD_FACTOR : 1);
-  const queueMs = workMs * (1 + ahead / server.slots);
-  const silentMs = Math.max(0, server.oldestMs - PATIENCE * queueMs);
-  return queueMs + workMs * SHARING_COST * Math.min(1, server.inHand) + silentMs;
+  const sharingMs = workMs * SHARING_COST * Math.min(1, server.inHand);
+  return workMs * (1 + ahead / server.slots) + sharingMs;
+}
+
+/** Expected time to the answer of a request that a server gets now, in milliseconds. */
+export function expectedMs(server: ServerState): number {
+  const queueMs = queuedMs(server) * server.delayFactor;
+  return queueMs + Math.max(0, server.oldestMs - PATIENCE * queueMs);
 }
 
 /** Chooses the server with the least expected cost for a request that any server may take. */
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -2,7 +2,7 @@
 
 import { admit } from './admission.js';
 import type { CallerRequest } from './caller-request.js';
-import { type ServerCandidate, chooseServer, expectedMs } from './choose-server.js';
+import { type ServerCandidate, chooseServer, expectedMs, queuedMs } from './choose-server.js';
 import { type PooledServer, type ServerPool, candidateOf } from './server-pool.js';
 
 /** Longest wait for a range that is changing hands, as a share of the latency objective. */
@@ -28,7 +28,14 @@
 }
 
 /** The next server for a request, or why there is none. */
-export type Pick = { readonly kind: 'server'; readonly server: PooledServer } | Refusal;
+export type Pick =
+  | {
+      readonly kind: 'server';
+      readonly server: PooledServer;
+      /** Time to the answer as the server's queue explains it, in milliseconds. */
+      readonly queuedMs: number;
+    }
+  | Refusal;
 
 /** Why a request is not sent anywhere now, and what that was decided by. */
 export interface Refusal {
@@ -82,7 +89,7 @@
       serviceMs: candidate.serviceMs,
       priority: cfg.priority,
     });
-    if (admission.kind === 'send') return { kind: 'server', server };
+    if (admission.kind === 'send') return { kind: 'server', server, queuedMs: queuedMs(candidate) };
     const decidedBy = {
       server: candidate.id,
       expectedMs: Math.round(answerMs),
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -68,7 +68,11 @@
   const { codec, log } = ctx;
   const picker = createServerPicker(ctx);
 
-  async function send(req: CallerRequest, server: PooledServer): Promise<SendOutcome> {
+  async function send(
+    req: CallerRequest,
+    server: PooledServer,
+    queuedMs: number,
+  ): Promise<SendOutcome> {
     const { load, connections, entry } = server;
     const startedAt = ctx.now();
     const leftMs = Math.max(1, Math.floor(req.deadlineAt - startedAt));
@@ -91,6 +95,7 @@
     clearTimeout(timer);
     req.gone.removeEventListener('abort', stop);
     noteOutcome(server, outcome, startedAt);
+    noteDelay(server, outcome, queuedMs, ctx.now() - startedAt);
     const isTimeout =
       outcome.kind === 'unknown' && outcome.why === 'cancelled' && !req.gone.aborted;
     if (isTimeout && server.answeredAt < startedAt) server.avoidUntil = ctx.now() + AVOID_MS;
@@ -126,6 +131,18 @@
     if (outcome.kind === 'unknown' && outcome.why === 'broken-off') server.connections.renew();
   }
 
+  /** Learns how well the queue explained the time; a request that was given up tells only that it took longer. */
+  function noteDelay(
+    { load }: PooledServer,
+    outcome: SendOutcome,
+    queuedMs: number,
+    latencyMs: number,
+  ): void {
+    const isLonger =
+      outcome.kind === 'unknown' && outcome.why === 'cancelled' && latencyMs > queuedMs;
+    if (outcome.kind === 'answer' || isLonger) load.noteDelay(queuedMs, latencyMs);
+  }
+
   function logTries(req: CallerRequest, tries: readonly Try[], end: string, by?: Refusal): void {
     const now = ctx.now();
     log.info('request', {
@@ -157,7 +174,7 @@
         return finalAnswer(req, tries, pick, ctx.now());
       }
       const { server } = pick;
-      const outcome = await send(req, server);
+      const outcome = await send(req, server, pick.queuedMs);
       tries.push({ server, outcome });
       if (outcome.kind === 'answer' && outcome.answer.status < HTTP_SERVER_ERROR) {
         if (tries.length > 1) logTries(req, tries, 'answered');
--- a/packages/router/src/lib/server-load.ts
+++ b/packages/router/src/lib/server-load.ts
@@ -1,8 +1,16 @@
 import type { ReportedLoad } from '@boragepoint/platform';
 
-/** Weight of one measurement in a moving average. */
+/** Weight of one report of others' requests in a moving average. */
 const SAMPLE_WEIGHT = 0.2;
+/** Least weight of one measured time; the first ones weigh more. */
+const SERVICE_WEIGHT = 0.1;
 const INITIAL_SERVICE_MS = 250;
+/** The initial time counts as much as this many measured ones. */
+const ASSUMED_REQUESTS = 2;
+/** Weight of one answer in the delay factor, and the factor's bounds. */
+const DELAY_WEIGHT = 0.12;
+const MIN_DELAY_FACTOR = 0.8;
+const MAX_DELAY_FACTOR = 3;
 /** Weight of one outcome in the share of failures. */
 const OUTCOME_WEIGHT = 0.15;
 /** What other routers keep at the server is believed less the older the report is, in service times. */
@@ -29,12 +37,19 @@
   inFlight(): number;
   /** Requests that the server is thought to have in hand, of all routers. */
   inHand(now: number): number;
+  /** An answer took `latencyMs`, or longer if it was not waited for, where the queue explained `queuedMs`. */
+  noteDelay(queuedMs: number, latencyMs: number): void;
+  /** How much longer answers took lately than their queues explained. */
+  delayFactor(): number;
   /** Time that a request takes without queueing, in milliseconds. */
   serviceMs(): number;
   slots(): number;
   /** Share of requests that failed or were shed, lately. */
   failureShare(): number;
-  /** Measurements since the last call, for the report to the placement leader. */
+  /**
+   * For the report to the placement leader: outcomes since the last call, and the time of a request without
+   * queueing as it is known now, 0 if it is not. A server that is never idle shows it by its delays.
+   */
   takeMeasured(): { serviceMs: number; answered: number; failed: number };
 }
 
@@ -43,20 +58,22 @@
   let slots = initialSlots;
   /** When the own requests on their way were sent, in order. */
   const sentTimes: number[] = [];
-  let serviceMs: number | undefined;
+  let serviceMs = INITIAL_SERVICE_MS;
+  let measuredTimes = 0;
   let failures = 0;
   let othersMean = 0;
   let others = 0;
   let othersAt = -Infinity;
-  let measured = { sum: 0, count: 0, answered: 0, failed: 0 };
+  let measured = { answered: 0, failed: 0 };
   /** Own requests that began when the server seemed to have a free slot, and since no queue was seen. */
   let unqueued = 0;
 
-  const usualMs = () => serviceMs ?? INITIAL_SERVICE_MS;
+  /** Moving averages of what was explained and of what was measured; their quotient weighs long waits most. */
+  let delay: { queuedMs: number; latencyMs: number } | undefined;
 
   function othersNow(now: number): number {
     const age = now - othersAt;
-    const trust = Math.exp(-age / (REPORT_LIFE * usualMs()));
+    const trust = Math.exp(-age / (REPORT_LIFE * serviceMs));
     const usual = othersMean * Math.exp(-age / USUAL_LIFE_MS);
     return usual + (others - usual) * trust;
   }
@@ -65,6 +82,12 @@
     return sentTimes.length + Math.max(0, othersNow(now));
   }
 
+  function delayFactor(): number {
+    if (!delay) return 1;
+    const factor = delay.latencyMs / delay.queuedMs;
+    return Math.min(MAX_DELAY_FACTOR, Math.max(MIN_DELAY_FACTOR, factor));
+  }
+
   return {
     sent(now) {
       if (inHand(now) < slots) unqueued += 1;
@@ -79,10 +102,9 @@
       }
       if (latencyMs === undefined || unqueued === 0) return;
       unqueued -= 1;
-      const before = serviceMs ?? latencyMs;
-      serviceMs = before + (latencyMs - before) * SAMPLE_WEIGHT;
-      measured.sum += latencyMs;
-      measured.count += 1;
+      measuredTimes += 1;
+      const weight = Math.max(SERVICE_WEIGHT, 1 / (measuredTimes + ASSUMED_REQUESTS));
+      serviceMs += (latencyMs - serviceMs) * weight;
     },
     noteQueue(load) {
       if (load.waiting > 0) unqueued = 0;
@@ -93,16 +115,23 @@
       othersMean += (others - othersMean) * SAMPLE_WEIGHT;
       othersAt = now;
     },
+    noteDelay(queuedMs, latencyMs) {
+      delay ??= { queuedMs, latencyMs: queuedMs };
+      delay.queuedMs += (queuedMs - delay.queuedMs) * DELAY_WEIGHT;
+      delay.latencyMs += (latencyMs - delay.latencyMs) * DELAY_WEIGHT;
+    },
+    delayFactor,
     oldestMs: (now) => now - (sentTimes[0] ?? now),
     inFlight: () => sentTimes.length,
     inHand,
-    serviceMs: usualMs,
+    serviceMs: () => serviceMs,
     slots: () => slots,
     failureShare: () => failures,
     takeMeasured() {
-      const { sum, count, answered, failed } = measured;
-      measured = { sum: 0, count: 0, answered: 0, failed: 0 };
-      return { serviceMs: count > 0 ? sum / count : 0, answered, failed };
+      const known = measuredTimes > 0 ? serviceMs * delayFactor() : 0;
+      const taken = { serviceMs: known, ...measured };
+      measured = { answered: 0, failed: 0 };
+      return taken;
     },
   };
 }
