--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -73,8 +73,11 @@
   const pause = (ms: number) => sleep(ms, undefined, { signal }).catch(() => undefined);
 
   while (!signal.aborted) {
+    const wasFollowing = version !== undefined;
     const polled = await poll();
     if (polled.isOk()) {
+      // After a gap nothing is known until the whole table has been read.
+      if (wasFollowing && version === undefined) continue;
       if (retryMs > 0) watcher.onRegained();
       retryMs = 0;
       await pause(GATHER_MS);
--- a/packages/platform/src/test/watch-rows_test.ts
+++ b/packages/platform/src/test/watch-rows_test.ts
@@ -73,3 +73,9 @@
     'after 1 waiting',
   ]);
 });
+
+test('a store that has forgotten what was missed is back only once the table was read', async () => {
+  const { asked, told } = await watch([away, ok({ kind: 'history-lost' }), nothing(1), nothing(1)]);
+  expect(told).toEqual(['snapshot a', 'lost', 'snapshot a', 'regained']);
+  expect(asked.slice(0, 4)).toEqual(['list', 'after 1 waiting', 'after 1 at once', 'list']);
+});
