One wait, one split of addresses, and a member that only follows

Change: createWaiters; becomeLeader in a file of its own; views made and changed in placement-view; the fingerprint is asked for only while a crash is known.

--- a/packages/placement/src/lib/change-feed.ts
+++ b/packages/placement/src/lib/change-feed.ts
@@ -1,6 +1,7 @@
 import type { HeldRange } from './held-range.js';
 import type { PlacementView, RangeView } from './placement-view.js';
 import type { RangeTable } from './range-table.js';
+import { createWaiters } from './waiters.js';
 
 /** Time over which changes are gathered before routers are told, in milliseconds. */
 const COALESCE_MS = 30;
@@ -30,7 +31,7 @@
   tables: ReadonlyMap<string, RangeTable>,
   firstChange: number,
 ): ChangeFeed {
-  const waiting = new Set<() => void>();
+  const waiters = createWaiters();
   let change = firstChange;
   let current: PlacementView | undefined;
   let wakeTimer: NodeJS.Timeout | undefined;
@@ -39,7 +40,7 @@
   function wakeAll(): void {
     clearTimeout(wakeTimer);
     wakeTimer = undefined;
-    for (const wake of [...waiting]) wake();
+    waiters.wakeAll();
   }
 
   return {
@@ -65,15 +66,7 @@
     },
     async wait(known, waitMs) {
       if (change > known || isClosed) return;
-      await new Promise<void>((resolve) => {
-        const finish = () => {
-          clearTimeout(timer);
-          waiting.delete(finish);
-          resolve();
-        };
-        const timer = setTimeout(finish, waitMs);
-        waiting.add(finish);
-      });
+      await waiters.wait(waitMs);
     },
     close() {
       isClosed = true;
--- a/packages/placement/src/lib/crash-record.ts
+++ b/packages/placement/src/lib/crash-record.ts
@@ -12,12 +12,17 @@
 /** Most crashes that are remembered; the oldest go first. */
 const MAX_CRASHES = 500;
 
+/** A crash as it goes over the wire. */
+export function encodeCrash({ fingerprint, server, startedMs }: CrashedRun) {
+  return { fingerprint, server, startedMs: BigInt(startedMs) };
+}
+
 /** Crashes that routers reported to the leader, or that it passed on to them. */
 export interface CrashRecord {
   add(crashes: readonly CrashedRun[], now: number): void;
   list(now: number): CrashedRun[];
-  /** Servers that ended while they ran equal requests. */
-  countOf(fingerprint: string, now: number): number;
+  /** Servers that ended while they ran equal requests; the fingerprint is asked for only if any crash is known. */
+  countOf(fingerprintOf: () => string, now: number): number;
 }
 
 const keyOf = (it: CrashedRun) => `${it.fingerprint} ${it.server} ${it.startedMs}`;
@@ -44,8 +49,10 @@
       prune(now);
       return [...crashes.values()].map((it) => it.crash);
     },
-    countOf(fingerprint, now) {
+    countOf(fingerprintOf, now) {
       prune(now);
+      if (crashes.size === 0) return 0;
+      const fingerprint = fingerprintOf();
       return [...crashes.values()].filter((it) => it.crash.fingerprint === fingerprint).length;
     },
   };
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -122,7 +122,7 @@
     signal: stop.signal,
     mayOrder: () => mayRenew() && seat.isConfirmed(),
     mayRenew,
-    drainNoticeMs: options.drainNoticeMs,
+    drainNoticeMs: () => options.drainNoticeMs(),
     inheritedUntil: () => inheritedUntil,
     changed: (range) => {
       feed.note(range);
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -4,25 +4,24 @@
 import type { ReportRequest, ReportResponseSchema } from '@boragepoint/protocol';
 import type { MessageInitShape } from '@bufbuild/protobuf';
 
-import { type CrashedRun, createCrashRecord } from './crash-record.js';
-import { LEASE_MS, ORDER_TIMEOUT_MS, type PlacementLog } from './leader-context.js';
-import {
-  type Candidate,
-  RENEWAL_GRACE_MS,
-  type SeatReading,
-  createLeaderSeat,
-  mayTake,
-  readSeat,
-} from './leader-seat.js';
-import { longestLeaseMs } from './lease-bound.js';
-import { type PlacementLeader, createPlacementLeader } from './placement-leader.js';
+import { type CrashedRun, createCrashRecord, encodeCrash } from './crash-record.js';
+import { UNANSWERED_MS, becomeLeader } from './become-leader.js';
+import type { PlacementLog } from './leader-context.js';
+import { type Candidate, type SeatReading, mayTake, readSeat } from './leader-seat.js';
+import type { PlacementLeader } from './placement-leader.js';
 import type { PlacementPeers } from './placement-peers.js';
-import type { Placement, Seat } from './placement-record.js';
-import { NO_PLACEMENT, type PlacementView, isNewer, overlayRanges } from './placement-view.js';
-import { renewFences } from './renew-fences.js';
+import type { Seat } from './placement-record.js';
+import {
+  NO_PLACEMENT,
+  type PlacementView,
+  isNewer,
+  viewOf,
+  withChanges,
+} from './placement-view.js';
 import type { ServerDirectory } from './server-directory.js';
 import type { ServiceLoadReport } from './service-planner.js';
 import type { Clocks } from './suspension-guard.js';
+import { createWaiters } from './waiters.js';
 
 /** Longest time that the leader holds the answer to a report without a change, in milliseconds. */
 const REPORT_WAIT_MS = 600;
@@ -30,11 +29,9 @@
 const REPORT_TIMEOUT_MS = 800;
 /** Shortest time between two reports, in milliseconds. */
 const REPORT_GAP_MS = 150;
-const YIELD_TIMEOUT_MS = 500;
 const RETRY_MS = 300;
 /** A router that has not reported for this long counts as gone, in milliseconds. */
 const REPORTER_MS = 3_500;
-const FIRST_WRITES = 5;
 
 /** Answer to a report as it goes over the wire. */
 export type ReportReply = MessageInitShape<typeof ReportResponseSchema>;
@@ -47,7 +44,7 @@
   routers(): number;
   isLeading(): boolean;
   /** Servers that ended lately, on any router's account, while they ran equal requests. */
-  crashesOf(fingerprint: string): number;
+  crashesOf(fingerprintOf: () => string): number;
   /** Resolves at the next change of the view, or after `ms`. */
   waitForChange(ms: number): Promise<void>;
   /** Answers another router's report. */
@@ -77,15 +74,11 @@
   takeCrashes(): readonly CrashedRun[];
 }
 
-/** Time for which a grant of a leader that is gone may still be carried out and last. */
-const UNANSWERED_MS =
-  ORDER_TIMEOUT_MS + longestLeaseMs({ leaseMs: LEASE_MS, transitMs: ORDER_TIMEOUT_MS });
-
 /** Creates a member. */
 export function createPlacementMember(options: PlacementMemberOptions): PlacementMember {
-  const { self, store, directory, peers, clocks, log } = options;
+  const { self, store, peers, clocks } = options;
   const reporters = new Map<string, number>();
-  const waiting = new Set<() => void>();
+  const waiters = createWaiters();
   const crashes = createCrashRecord();
   let current: PlacementView = NO_PLACEMENT;
   let routers = 1;
@@ -97,35 +90,7 @@
   function adopt(view: PlacementView): void {
     if (!isNewer(view, current)) return;
     current = view;
-    for (const wake of [...waiting]) wake();
-  }
-
-  /** The current view with the changes that an answer names. */
-  function merged(changes: PlacementView): PlacementView {
-    if (changes.epoch !== current.epoch) return current;
-    const services = new Map(current.services);
-    for (const [service, ranges] of changes.services) {
-      services.set(service, overlayRanges(services.get(service) ?? [], ranges));
-    }
-    return { ...changes, services };
-  }
-
-  function viewOf(placement: Placement): PlacementView {
-    return {
-      epoch: placement.seat.epoch,
-      change: placement.change,
-      services: new Map(
-        [...placement.services].map(([service, ranges]) => [
-          service,
-          ranges.map((it) => ({
-            first: it.first,
-            last: it.last,
-            owner: it.owner?.life.server,
-            granted: it.former.length === 0,
-          })),
-        ]),
-      ),
-    };
+    waiters.wakeAll();
   }
 
   function countReporters(): number {
@@ -134,41 +99,10 @@
     return reporters.size + 1;
   }
 
-  async function inheritedForMs(previous: Seat): Promise<number> {
-    if (previous.handedOver) return previous.unansweredForMs;
-    if (previous.router === self.router) return UNANSWERED_MS;
-    const { address, epoch, startedMs } = previous;
-    const answer = await peers.yieldSeat(address, epoch, startedMs, YIELD_TIMEOUT_MS);
-    log.info('former leader asked to yield', { router: previous.router, answer: answer.kind });
-    if (answer.kind === 'stopped') return answer.unansweredForMs;
-    return answer.kind === 'gone' ? UNANSWERED_MS : RENEWAL_GRACE_MS + UNANSWERED_MS;
-  }
-
   async function takeSeat(reading: SeatReading, signal: AbortSignal): Promise<void> {
-    const held = createLeaderSeat({ store, clocks, candidate: self, reading });
-    const previous = reading.placement;
-    const content = {
-      version: (previous?.version ?? 0) + 1,
-      change: previous?.change ?? 0,
-      ...renewFences(previous ?? { nextFence: 1, services: new Map() }),
-    };
-    for (let tries = 0; ; tries += 1) {
-      const written = await held.write(content);
-      if (written === 'committed') break;
-      if (written === 'lost' || tries >= FIRST_WRITES || signal.aborted) return;
-      await sleep(RETRY_MS);
-    }
-    const created = createPlacementLeader({
-      seat: held,
-      previous: { ...content, seat: previous?.seat ?? freeSeat(self) },
-      inheritedForMs: previous ? await inheritedForMs(previous.seat) : 0,
-      orders: options.orders,
-      directory,
-      clocks,
-      log,
-      partitionedServices: () => options.partitionedServices() ?? [],
-      drainNoticeMs: options.drainNoticeMs,
-    });
+    const partitionedServices = () => options.partitionedServices() ?? [];
+    const created = await becomeLeader({ ...options, partitionedServices, reading, signal });
+    if (!created) return;
     leader = created;
     lastEpochLed = created.epoch;
     seat = undefined;
@@ -216,7 +150,7 @@
     const timeoutMs = REPORT_WAIT_MS + REPORT_TIMEOUT_MS;
     const answer = await peers.report(leading.address, report, timeoutMs);
     if (!answer?.leads) return false;
-    if (answer.view) adopt(answer.isComplete ? answer.view : merged(answer.view));
+    if (answer.view) adopt(answer.isComplete ? answer.view : withChanges(current, answer.view));
     routers = Math.max(1, answer.routers);
     crashes.add(answer.crashes, clocks.monotonic());
     return true;
@@ -276,17 +210,9 @@
     view: () => current,
     routers: () => routers,
     isLeading,
-    crashesOf: (fingerprint) => crashes.countOf(fingerprint, clocks.monotonic()),
+    crashesOf: (fingerprintOf) => crashes.countOf(fingerprintOf, clocks.monotonic()),
     waitForChange(ms) {
-      return new Promise((resolve) => {
-        const finish = () => {
-          clearTimeout(timer);
-          waiting.delete(finish);
-          resolve();
-        };
-        const timer = setTimeout(finish, ms);
-        waiting.add(finish);
-      });
+      return waiters.wait(ms);
     },
     answerReport,
     answerYield(epoch, startedMs) {
@@ -303,11 +229,3 @@
     },
   };
 }
-
-function encodeCrash({ fingerprint, server, startedMs }: CrashedRun) {
-  return { fingerprint, server, startedMs: BigInt(startedMs) };
-}
-
-function freeSeat(self: Candidate): Seat {
-  return { ...self, epoch: 0, untilMs: 0, handedOver: true, unansweredForMs: 0 };
-}
--- a/packages/placement/src/lib/placement-view.ts
+++ b/packages/placement/src/lib/placement-view.ts
@@ -1,4 +1,5 @@
 import { findRange } from './key-range.js';
+import type { Placement } from './placement-record.js';
 
 /** A range as routers use it. */
 export interface RangeView {
@@ -25,6 +26,30 @@
   return a.epoch > b.epoch || (a.epoch === b.epoch && a.change > b.change);
 }
 
+/** The view that a stored placement gives. */
+export function viewOf(placement: Placement): PlacementView {
+  const services = [...placement.services].map(([service, ranges]) => {
+    const views = ranges.map(({ first, last, owner, former }) => ({
+      first,
+      last,
+      owner: owner?.life.server,
+      granted: former.length === 0,
+    }));
+    return [service, views] as const;
+  });
+  return { epoch: placement.seat.epoch, change: placement.change, services: new Map(services) };
+}
+
+/** A view with changes laid over it; changes of another epoch don't fit and are left out. */
+export function withChanges(view: PlacementView, changes: PlacementView): PlacementView {
+  if (changes.epoch !== view.epoch) return view;
+  const services = new Map(view.services);
+  for (const [service, ranges] of changes.services) {
+    services.set(service, overlayRanges(services.get(service) ?? [], ranges));
+  }
+  return { ...changes, services };
+}
+
 /** Finds the range of a key. */
 export function rangeOf(view: PlacementView, service: string, key: number): RangeView | undefined {
   return findRange(view.services.get(service) ?? [], key);
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { FleetSettings } from '@boragepoint/config';
+import { type FleetSettings, type IpEndpoint, parseIpEndpoint } from '@boragepoint/config';
 import {
   createPlacementMember,
   createPlacementPeers,
@@ -33,9 +33,11 @@
   shutDown(): Promise<void>;
 }
 
-function split(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(':');
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+/** Where to listen; the settings' schema has checked the address. */
+function endpointOf(address: string): IpEndpoint {
+  const endpoint = parseIpEndpoint(address);
+  if (!endpoint) throw new RangeError(`'${address}' is no address with a port`);
+  return endpoint;
 }
 
 /** Starts a router on a platform. */
@@ -126,7 +128,7 @@
       return budget;
     },
     guard,
-    crashesOf: (fingerprint) => member.crashesOf(fingerprint),
+    crashesOf: (fingerprintOf) => member.crashesOf(fingerprintOf),
     recordKey(service, key) {
       const list = keys.get(service) ?? [];
       list.push(key);
@@ -136,7 +138,7 @@
     random: Math.random,
   });
 
-  const callers = split(settings.listen.callers);
+  const callers = endpointOf(settings.listen.callers);
   const metrics = createRouterMetrics(() => listener.openRequests());
   const listener = await createCallerListener(
     {
@@ -199,7 +201,7 @@
     res.writeHead(isReady() ? 200 : 503, { 'content-length': 0 });
     res.end();
   });
-  const ready = split(settings.listen.readiness);
+  const ready = endpointOf(settings.listen.readiness);
   readiness.listen(ready.port, ready.host);
 
   const metricsServer = createServer((_req, res) => {
@@ -209,14 +211,14 @@
     });
   });
   if (settings.listen.metrics !== undefined) {
-    const { host, port } = split(settings.listen.metrics);
+    const { host, port } = endpointOf(settings.listen.metrics);
     metricsServer.on('error', (err) => {
       log.warn('metrics not served', { reason: err.message });
     });
     metricsServer.listen(port, host);
   }
 
-  const peerAddress = split(settings.listen.peers);
+  const peerAddress = endpointOf(settings.listen.peers);
   const peerListener = await createPeerListener(member, peerAddress.host, peerAddress.port);
   void Promise.all([
     watchRows(platform.store, platform.configTable, configWatcher, end.signal),
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -28,7 +28,7 @@
   budgetOf(service: string): SharedRetryBudget;
   readonly guard: CrashGuard;
   /** Servers that ended lately while they ran equal requests. */
-  crashesOf(fingerprint: string): number;
+  crashesOf(fingerprintOf: () => string): number;
   /** A request for a key arrived. */
   recordKey(service: string, key: number): void;
 }
@@ -184,7 +184,7 @@
         outcome,
         attempts: tries.length,
         hasOneOwner: key !== undefined,
-        crashes: ctx.crashesOf(fingerprintOf(req)),
+        crashes: ctx.crashesOf(() => fingerprintOf(req)),
       });
       if (!again || !budget.tryRetry(ctx.now(), ctx.routers())) {
         logTries(req, tries, again ? 'retry budget spent' : 'no further try');
@@ -201,7 +201,7 @@
         return ownAnswer('missingKey', 'the request has no key');
       }
       ctx.budgetOf(req.service).recordRequest(ctx.now());
-      const crashes = ctx.crashesOf(fingerprintOf(req));
+      const crashes = ctx.crashesOf(() => fingerprintOf(req));
       if (crashes >= MAX_CRASHES) {
         const { attemptId, service } = req;
         log.warn('request crashes servers', { request: attemptId, service, crashes });
--- a/packages/router/src/test/crash-guard_test.ts
+++ b/packages/router/src/test/crash-guard_test.ts
@@ -46,7 +46,7 @@
   const record = createCrashRecord();
   record.add([run('a'), run('b')], 0);
   record.add([run('a'), { ...run('a'), startedMs: 2 }], 10);
-  expect(record.countOf('f', 20)).toEqual(3);
-  expect(record.countOf('other', 20)).toEqual(0);
-  expect(record.countOf('f', 100_000)).toEqual(0);
+  expect(record.countOf(() => 'f', 20)).toEqual(3);
+  expect(record.countOf(() => 'other', 20)).toEqual(0);
+  expect(record.countOf(() => 'f', 100_000)).toEqual(0);
 });
