Connections to servers are shared by the routers that there are now

Cause: a router's share of a server's connections was worked out when the server was first seen, at its own start, when it knew of no other router: half of all connections (215 of 430 in the grown deployment, 55 of 110 in the small one). The load of a range was also found by a scan of all keys, for each range and plan. Change: the share follows the number of routers, and idle connections are kept shorter when there are many; the load of a range is found by bisection. Tests that fail first: server-connections_test (both); load-map_test holds the bisection to the definition.

--- a/packages/placement/src/lib/load-map.ts
+++ b/packages/placement/src/lib/load-map.ts
@@ -22,6 +22,17 @@
   total(): number;
 }
 
+/** Place of the first entry whose key is not below another key. */
+function firstFrom(sorted: readonly KeyLoad[], key: number): number {
+  let [low, high] = [0, sorted.length];
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((sorted[middle]?.key ?? Infinity) < key) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
 /** Creates an empty load map; `now` is in milliseconds of any steady clock. */
 export function createLoadMap(now: number): LoadMap {
   const weights = new Map<number, number>();
@@ -47,7 +58,10 @@
       }
       sorted = undefined;
     },
-    within: ({ first, last }) => inOrder().filter((it) => it.key >= first && it.key <= last),
+    within({ first, last }) {
+      const all = inOrder();
+      return all.slice(firstFrom(all, first), firstFrom(all, last + 1));
+    },
     total: () => inOrder().reduce((sum, it) => sum + it.weight, 0),
   };
 }
--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -4,6 +4,9 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Idle connections are closed after this time unless the server says a shorter one. */
 const IDLE_MS = 8_000;
+const MIN_IDLE_MS = 1_500;
+/** Number of routers from which idle connections are kept for a shorter time, as they share a server's limit. */
+const FEW_ROUTERS = 12;
 /** Part of a server's connections that the known routers use together. */
 const USED_SHARE = 0.5;
 const MIN_CONNECTIONS = 2;
@@ -16,18 +19,45 @@
    * no stated length as whole when its connection is reset, so whoever gets one asks here.
    */
   isHandlingReset(): boolean;
+  /** Takes another share into use if it differs much; requests on their way go on. */
+  resize(share: ConnectionShare): void;
   /** Drops idle connections: they may be silent. Requests on their way go on. */
   renew(): void;
   close(): void;
 }
 
+/** What one router may use of a server's connections. */
+export interface ConnectionShare {
+  readonly connections: number;
+  /** Time in milliseconds for which an idle one is kept. */
+  readonly keepAliveMs: number;
+}
+
+/** Factor by which a share must change to be worth new connections. */
+const WORTH_RESIZING = 1.5;
+
 /** Connections that one of `routers` routers may open to a server. */
-export function connectionShare(maxConnections: number, routers: number): number {
-  return Math.max(MIN_CONNECTIONS, Math.floor((maxConnections * USED_SHARE) / routers));
+export function connectionShare(maxConnections: number, routers: number): ConnectionShare {
+  const connections = Math.floor((maxConnections * USED_SHARE) / routers);
+  const keepAliveMs = Math.min(IDLE_MS, (IDLE_MS * FEW_ROUTERS) / routers);
+  return {
+    connections: Math.max(MIN_CONNECTIONS, connections),
+    keepAliveMs: Math.max(MIN_IDLE_MS, keepAliveMs),
+  };
+}
+
+function isWorthResizing(from: ConnectionShare, to: ConnectionShare): boolean {
+  const [less, more] = [from.connections, to.connections].sort((a, b) => a - b);
+  const isOtherTime = from.keepAliveMs > to.keepAliveMs * WORTH_RESIZING;
+  return (more ?? 0) > (less ?? 0) * WORTH_RESIZING || isOtherTime;
 }
 
 /** Creates the connections to the server at an address. */
-export function createServerConnections(address: string, connections: number): ServerConnections {
+export function createServerConnections(
+  address: string,
+  initialShare: ConnectionShare,
+): ServerConnections {
+  let share = initialShare;
   const connectPlainly = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
   let handlingReset = false;
 
@@ -47,24 +77,32 @@
 
   const create = () =>
     new Pool(`http://${address}`, {
-      connections,
+      connections: share.connections,
       pipelining: 1,
-      keepAliveTimeout: IDLE_MS,
-      keepAliveMaxTimeout: IDLE_MS,
+      keepAliveTimeout: share.keepAliveMs,
+      keepAliveMaxTimeout: share.keepAliveMs,
       headersTimeout: 0,
       bodyTimeout: 0,
       connect,
     });
   let pool = create();
+
+  function renew(): void {
+    const old = pool;
+    pool = create();
+    void old.close().catch(() => undefined);
+  }
+
   return {
     get dispatcher() {
       return pool;
     },
     isHandlingReset: () => handlingReset,
-    renew() {
-      const old = pool;
-      pool = create();
-      void old.close().catch(() => undefined);
+    renew,
+    resize(next) {
+      if (!isWorthResizing(share, next)) return;
+      share = next;
+      renew();
     },
     close() {
       void pool.close().catch(() => undefined);
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -46,8 +46,22 @@
   const { directory } = options;
   const servers = new Map<string, PooledServer>();
   const groups = new Map<string, readonly PooledServer[]>();
+  let knownRouters = options.routers();
+
+  const shareOf = (service: string) =>
+    connectionShare(options.maxConnections(service), options.routers());
+
+  /** Shares the servers' connections anew when routers have come or gone. */
+  function shareAnew(): void {
+    if (options.routers() === knownRouters) return;
+    knownRouters = options.routers();
+    for (const { entry, connections } of servers.values()) {
+      connections.resize(shareOf(entry.service));
+    }
+  }
 
   function pooled(id: string): PooledServer | undefined {
+    shareAnew();
     const known = directory.get(id);
     const held = servers.get(id);
     if (!known) return undefined;
@@ -58,11 +72,10 @@
       return held;
     }
     held?.connections.close();
-    const count = connectionShare(options.maxConnections(entry.service), options.routers());
     const created: PooledServer = {
       entry,
       load: createServerLoad(entry.slots),
-      connections: createServerConnections(entry.address, count),
+      connections: createServerConnections(entry.address, shareOf(entry.service)),
       avoidUntil: -Infinity,
       unreachableUntil: -Infinity,
       answeredAt: -Infinity,
--- a/packages/router/src/test/send-request_test.ts
+++ b/packages/router/src/test/send-request_test.ts
@@ -30,7 +30,10 @@
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const { port } = server.address() as AddressInfo;
-  const connections = createServerConnections(`127.0.0.1:${port}`, 1);
+  const connections = createServerConnections(`127.0.0.1:${port}`, {
+    connections: 1,
+    keepAliveMs: 4_000,
+  });
   try {
     return await sendRequest(
       connections,
@@ -105,7 +108,10 @@
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const { port } = server.address() as AddressInfo;
   await new Promise((resolve) => server.close(resolve));
-  const connections = createServerConnections(`127.0.0.1:${port}`, 1);
+  const connections = createServerConnections(`127.0.0.1:${port}`, {
+    connections: 1,
+    keepAliveMs: 4_000,
+  });
   const outcome = await sendRequest(
     connections,
     { method: 'POST', path: '/', headers: [], body: Buffer.from('x'), attemptId: 'a1' },
@@ -126,7 +132,10 @@
   const limit = new AbortController();
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const { port } = server.address() as AddressInfo;
-  const connections = createServerConnections(`127.0.0.1:${port}`, 1);
+  const connections = createServerConnections(`127.0.0.1:${port}`, {
+    connections: 1,
+    keepAliveMs: 4_000,
+  });
   const outgoing = { method: 'GET', path: '/', headers: [], body: undefined, attemptId: 'a1' };
   const outcome = await sendRequest(connections, outgoing, codec, limit.signal);
   connections.close();
--- /dev/null
+++ b/packages/router/src/test/server-connections_test.ts
@@ -0,0 +1,52 @@
+import { type AddressInfo, type Socket, createServer } from 'node:net';
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { connectionShare, createServerConnections } from '../lib/server-connections.js';
+
+test('routers share half of what a server takes, and keep idle connections shorter the more they are', () => {
+  expect(connectionShare(110, 1).connections).toEqual(55);
+  expect(connectionShare(110, 9).connections).toEqual(6);
+  expect(connectionShare(430, 61).connections).toEqual(3);
+  expect(connectionShare(430, 61).keepAliveMs < connectionShare(110, 9).keepAliveMs).toEqual(true);
+});
+
+test('a router that learns of others uses its share from then on', async () => {
+  const open = new Set<Socket>();
+  const server = createServer((socket) => {
+    open.add(socket);
+    socket.on('error', () => undefined);
+    socket.once('data', () => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const connections = createServerConnections(`127.0.0.1:${port}`, connectionShare(110, 1));
+  const get = () =>
+    new Promise<void>((resolve, reject) => {
+      connections.dispatcher.dispatch(
+        { method: 'GET', path: '/' },
+        {
+          onRequestStart: () => undefined,
+          onResponseStart: () => undefined,
+          onResponseData: () => undefined,
+          onResponseEnd: () => {
+            resolve();
+          },
+          onResponseError: (_controller, err) => {
+            reject(err);
+          },
+        },
+      );
+    });
+  await get();
+  connections.resize(connectionShare(110, 12));
+  // Connections of the former share end once they are idle.
+  const [first] = open;
+  await new Promise((resolve) => first?.once('close', resolve));
+  await get();
+  expect(open.size).toEqual(2);
+  connections.close();
+  for (const it of open) it.destroy();
+  await new Promise((resolve) => server.close(resolve));
+});
