One estimate of a server's speed, from times and the queues that explain them

Cause: a router's speed of a server came from requests that were thought to have found a free slot, with a correction beside it, and the leader averaged such averages: two smoothings, each drawn to an initial value, took some ten seconds to tell servers apart. Change: every answer counts; the service time is the quotient of fading sums of times and of the service times that queue and warm-up explain, at the router and, from raw sums, at the leader.

--- a/packages/placement/src/lib/server-speed.ts
+++ b/packages/placement/src/lib/server-speed.ts
@@ -1,16 +1,20 @@
-/** What one router knows of a server, and how its requests ended since the last report. */
+/** What one router measured of a server since its last report. */
 export interface SpeedReport {
   readonly server: string;
-  /** Time of a request without queueing, in milliseconds; 0 if it is not known. */
-  readonly serviceMs: number;
+  /** Sum of the times of answers, in milliseconds. */
+  readonly latencyMs: number;
+  /** Sum of what explains them by queues and warm-up, in service times. */
+  readonly units: number;
   readonly answered: number;
   readonly failed: number;
 }
 
-/** Least weight of one request in the moving averages. */
-const REQUEST_WEIGHT = 0.06;
-/** What is assumed of a server counts as much as this many requests. */
-const ASSUMED_REQUESTS = 6;
+/** Share of what is known that each new request replaces. */
+const REQUEST_WEIGHT = 0.04;
+/** What is assumed of a server counts as much as this many service times. */
+const ASSUMED_UNITS = 4;
+/** Requests that all succeed count as assumed before the first ones. */
+const ASSUMED_SUCCESSES = 6;
 /** How far a server's time may lie from the usual one, as a factor. */
 const MAX_DEVIATION = 3;
 const INITIAL_SERVICE_MS = 250;
@@ -27,50 +31,48 @@
   capacityOf(server: string, slots: number, isCold: boolean): number;
 }
 
+/** Fading sums over a server's requests. */
 interface Speed {
-  serviceMs: number;
-  failureShare: number;
+  latencyMs: number;
+  units: number;
   requests: number;
-}
-
-/** Weight of the mean of some requests after `known` others, as if each had been averaged in by itself. */
-function weightOf(requests: number, known: number): number {
-  const total = known + ASSUMED_REQUESTS;
-  return Math.max(requests / (total + requests), 1 - (1 - REQUEST_WEIGHT) ** requests);
+  failed: number;
 }
 
 /** Creates speeds without measurements: all servers count alike until the first reports. */
 export function createServerSpeeds(): ServerSpeeds {
   const speeds = new Map<string, Speed>();
 
+  /** Time of a request without queueing, drawn towards the usual one while little is known. */
+  function serviceMsOf({ latencyMs, units }: Speed, usualMs: number): number {
+    return (latencyMs + usualMs * ASSUMED_UNITS) / (units + ASSUMED_UNITS);
+  }
+
+  /** The middle of what servers with measured times show. */
   function usualServiceMs(): number {
-    const known = [...speeds.values()].map((it) => it.serviceMs).sort((a, b) => a - b);
-    return known[known.length >> 1] ?? INITIAL_SERVICE_MS;
+    const known = [...speeds.values()].filter((it) => it.units > 0);
+    const times = known.map((it) => it.latencyMs / it.units).sort((a, b) => a - b);
+    return times[times.length >> 1] ?? INITIAL_SERVICE_MS;
   }
 
   return {
-    record({ server, serviceMs, answered, failed }) {
-      const total = answered + failed;
-      if (total === 0) return;
-      const speed = speeds.get(server) ?? {
-        serviceMs: usualServiceMs(),
-        failureShare: 0,
-        requests: 0,
-      };
+    record({ server, latencyMs, units, answered, failed }) {
+      const speed = speeds.get(server) ?? { latencyMs: 0, units: 0, requests: 0, failed: 0 };
       speeds.set(server, speed);
-      if (serviceMs > 0) {
-        speed.serviceMs += (serviceMs - speed.serviceMs) * weightOf(answered, speed.requests);
-      }
-      speed.failureShare += (failed / total - speed.failureShare) * weightOf(total, speed.requests);
-      speed.requests += total;
+      const kept = (1 - REQUEST_WEIGHT) ** (answered + failed);
+      speed.latencyMs = speed.latencyMs * kept + latencyMs;
+      speed.units = speed.units * kept + units;
+      speed.requests = speed.requests * kept + answered + failed;
+      speed.failed = speed.failed * kept + failed;
     },
     capacityOf(server, slots, isCold) {
       const speed = speeds.get(server);
       const usualMs = usualServiceMs();
-      const deviation = (speed?.serviceMs ?? usualMs) / usualMs;
+      const deviation = speed ? serviceMsOf(speed, usualMs) / usualMs : 1;
       const bounded = Math.min(MAX_DEVIATION, Math.max(1 / MAX_DEVIATION, deviation));
       const perSecond = (slots * 1_000) / (usualMs * bounded);
-      const isFailing = (speed?.failureShare ?? 0) > MAX_FAILURE_SHARE;
+      const failureShare = speed ? speed.failed / (speed.requests + ASSUMED_SUCCESSES) : 0;
+      const isFailing = failureShare > MAX_FAILURE_SHARE;
       return perSecond * (isFailing ? FAILING_CAPACITY : 1) * (isCold ? COLD_CAPACITY : 1);
     },
   };
--- a/packages/router/src/lib/choose-server.ts
+++ b/packages/router/src/lib/choose-server.ts
@@ -4,7 +4,7 @@
   /** Requests that it has in hand, estimated. */
   readonly inHand: number;
   readonly slots: number;
-  /** Time of a request without queueing, in milliseconds. */
+  /** Time of a request without queueing, in milliseconds, as answers of busy times show it too. */
   readonly serviceMs: number;
   /** Share of requests that failed lately. */
   readonly failureShare: number;
@@ -14,8 +14,6 @@
   readonly isCold: boolean;
   /** How long the oldest request has been waiting for its answer, in milliseconds. */
   readonly oldestMs: number;
-  /** How much longer answers took lately than their queues explained. */
-  readonly delayFactor: number;
 }
 
 /** Time until an answer can be expected, and the server it would come from. */
@@ -50,17 +48,16 @@
 /** A request that waits longer than this many times what its queue explains makes a server suspect. */
 const PATIENCE = 2.5;
 
-/** Time to the answer of a request that a server gets now, as its queue explains it, in milliseconds. */
-export function queuedMs(server: ServerState): number {
+/** Time to the answer of a request that a server gets now, in service times: its queue and its warm-up explain it. */
+export function queuedUnits(server: ServerState): number {
   const ahead = Math.max(0, server.inHand + 1 - server.slots);
-  const workMs = server.serviceMs * (server.isCold ? COLD_FACTOR : 1);
-  const sharingMs = workMs * SHARING_COST * Math.min(1, server.inHand);
-  return workMs * (1 + ahead / server.slots) + sharingMs;
+  const sharing = SHARING_COST * Math.min(1, server.inHand);
+  return (1 + ahead / server.slots + sharing) * (server.isCold ? COLD_FACTOR : 1);
 }
 
 /** Expected time to the answer of a request that a server gets now, in milliseconds. */
 export function expectedMs(server: ServerState): number {
-  const queueMs = queuedMs(server) * server.delayFactor;
+  const queueMs = queuedUnits(server) * server.serviceMs;
   return queueMs + Math.max(0, server.oldestMs - PATIENCE * queueMs);
 }
 
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -79,7 +79,7 @@
       keys: taken.get(name) ?? [],
       servers: pool.ofService(name).flatMap(({ entry, load }) => {
         const measured = load.takeMeasured();
-        const isNews = measured.answered + measured.failed > 0;
+        const isNews = measured.units + measured.failed > 0;
         return isNews ? [{ server: entry.id, ...measured }] : [];
       }),
     }));
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -2,7 +2,7 @@
 
 import { admit } from './admission.js';
 import type { CallerRequest } from './caller-request.js';
-import { type ServerCandidate, chooseServer, expectedMs, queuedMs } from './choose-server.js';
+import { type ServerCandidate, chooseServer, expectedMs, queuedUnits } from './choose-server.js';
 import { type PooledServer, type ServerPool, candidateOf } from './server-pool.js';
 
 /** Longest wait for a range that is changing hands, as a share of the latency objective. */
@@ -32,8 +32,8 @@
   | {
       readonly kind: 'server';
       readonly server: PooledServer;
-      /** Time to the answer as the server's queue explains it, in milliseconds. */
-      readonly queuedMs: number;
+      /** Time to the answer as the server's queue explains it, in service times. */
+      readonly units: number;
     }
   | Refusal;
 
@@ -89,7 +89,7 @@
       serviceMs: candidate.serviceMs,
       priority: cfg.priority,
     });
-    if (admission.kind === 'send') return { kind: 'server', server, queuedMs: queuedMs(candidate) };
+    if (admission.kind === 'send') return { kind: 'server', server, units: queuedUnits(candidate) };
     const decidedBy = {
       server: candidate.id,
       expectedMs: Math.round(answerMs),
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -71,7 +71,7 @@
   async function send(
     req: CallerRequest,
     server: PooledServer,
-    queuedMs: number,
+    units: number,
   ): Promise<SendOutcome> {
     const { load, connections, entry } = server;
     const startedAt = ctx.now();
@@ -95,7 +95,7 @@
     clearTimeout(timer);
     req.gone.removeEventListener('abort', stop);
     noteOutcome(server, outcome, startedAt);
-    noteDelay(server, outcome, queuedMs, ctx.now() - startedAt);
+    noteTime(server, outcome, units, ctx.now() - startedAt);
     const isTimeout =
       outcome.kind === 'unknown' && outcome.why === 'cancelled' && !req.gone.aborted;
     if (isTimeout && server.answeredAt < startedAt) server.avoidUntil = ctx.now() + AVOID_MS;
@@ -112,14 +112,13 @@
     const { load } = server;
     const answer = outcome.kind === 'unknown' ? undefined : outcome.answer;
     if (answer) server.answeredAt = now;
-    if (answer?.meta.load) load.noteQueue(answer.meta.load);
     if (outcome.kind === 'answer') {
       const isFailure = outcome.answer.status >= HTTP_SERVER_ERROR;
-      load.done(startedAt, isFailure ? undefined : now - startedAt, isFailure);
+      load.done(startedAt, isFailure);
     } else if (outcome.why === 'cancelled' || outcome.why === 'misdirected') {
-      load.done(startedAt, undefined);
+      load.done(startedAt);
     } else {
-      load.done(startedAt, undefined, true);
+      load.done(startedAt, true);
     }
     if (answer?.meta.load) load.reported(now, answer.meta.load);
     const isUnreached =
@@ -131,16 +130,17 @@
     if (outcome.kind === 'unknown' && outcome.why === 'broken-off') server.connections.renew();
   }
 
-  /** Learns how well the queue explained the time; a request that was given up tells only that it took longer. */
-  function noteDelay(
+  /** Learns from the time of an answer; a request that was given up tells only that it would have taken longer. */
+  function noteTime(
     { load }: PooledServer,
     outcome: SendOutcome,
-    queuedMs: number,
+    units: number,
     latencyMs: number,
   ): void {
-    const isLonger =
-      outcome.kind === 'unknown' && outcome.why === 'cancelled' && latencyMs > queuedMs;
-    if (outcome.kind === 'answer' || isLonger) load.noteDelay(queuedMs, latencyMs);
+    const isGivenUp = outcome.kind === 'unknown' && outcome.why === 'cancelled';
+    const isLonger = isGivenUp && latencyMs > units * load.serviceMs();
+    const isAnswered = outcome.kind === 'answer' && outcome.answer.status < HTTP_SERVER_ERROR;
+    if (isAnswered || isLonger) load.noteTime(units, latencyMs);
   }
 
   function logTries(req: CallerRequest, tries: readonly Try[], end: string, by?: Refusal): void {
@@ -174,7 +174,7 @@
         return finalAnswer(req, tries, pick, ctx.now());
       }
       const { server } = pick;
-      const outcome = await send(req, server, pick.queuedMs);
+      const outcome = await send(req, server, pick.units);
       tries.push({ server, outcome });
       if (outcome.kind === 'answer' && outcome.answer.status < HTTP_SERVER_ERROR) {
         if (tries.length > 1) logTries(req, tries, 'answered');
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -121,6 +121,5 @@
     isFar,
     isCold: now < server.firstSeenAt + entry.warmUpMs,
     oldestMs: load.oldestMs(now),
-    delayFactor: load.delayFactor(),
   };
 }
