Routers are told what share of a very hot key to send on

Change: the leader judges demand over the last seconds against each owner's capacity; where it is over four times that, and the owner answers each router less often than every two seconds, routers send on a share that is twice the capacity and refuse the rest at once.

--- a/packages/placement/src/lib/load-map.ts
+++ b/packages/placement/src/lib/load-map.ts
@@ -18,6 +18,8 @@
   decay(now: number): void;
   /** Keys with requests within a span, in order. */
   within(span: KeySpan): KeyLoad[];
+  /** Requests a second that keep up a weight. */
+  perSecond(weight: number): number;
   /** Sum of all weights. */
   total(): number;
 }
@@ -34,7 +36,7 @@
 }
 
 /** Creates an empty load map; `now` is in milliseconds of any steady clock. */
-export function createLoadMap(now: number): LoadMap {
+export function createLoadMap(now: number, halfLifeMs: number = HALF_LIFE_MS): LoadMap {
   const weights = new Map<number, number>();
   let sorted: KeyLoad[] | undefined;
   let decayedAt = now;
@@ -50,7 +52,7 @@
       sorted = undefined;
     },
     decay(at) {
-      const factor = 0.5 ** ((at - decayedAt) / HALF_LIFE_MS);
+      const factor = 0.5 ** ((at - decayedAt) / halfLifeMs);
       decayedAt = at;
       for (const [key, weight] of weights) {
         if (weight * factor < NEGLIGIBLE) weights.delete(key);
@@ -62,6 +64,7 @@
       const all = inOrder();
       return all.slice(firstFrom(all, first), firstFrom(all, last + 1));
     },
+    perSecond: (weight) => (weight * Math.LN2 * 1_000) / halfLifeMs,
     total: () => inOrder().reduce((sum, it) => sum + it.weight, 0),
   };
 }
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -15,6 +15,7 @@
 import { type LeaderSeat, RENEWAL_GRACE_MS, TENURE_MS } from './leader-seat.js';
 import { type LeaseTimes, longestLeaseMs } from './lease-bound.js';
 import { grantJoined, renewLeases } from './lease-renewals.js';
+import { type AdmittedShares, isWorthTelling } from './overload.js';
 import type { Placement } from './placement-record.js';
 import type { PlacementView, RangeView } from './placement-view.js';
 import { createPlacementWriter } from './placement-writer.js';
@@ -41,6 +42,8 @@
   view(): PlacementView;
   /** Ranges of all services that changed after a change. */
   changedSince(knownChange: number): ReadonlyMap<string, readonly RangeView[]>;
+  /** Shares of requests that routers send on to servers that are asked for too much. */
+  admitted(): AdmittedShares;
   /** Waits until the view is newer than a change, for at most `waitMs`. */
   waitForChange(knownChange: number, waitMs: number): Promise<void>;
   report(load: ServiceLoadReport): void;
@@ -62,6 +65,8 @@
   readonly log: PlacementLog;
   /** Names of the partitioned services in the configuration. */
   partitionedServices(): readonly string[];
+  /** Routers that share the load, this one included. */
+  routers(): number;
   /** How long before its end a server says that it leaves, in milliseconds. */
   drainNoticeMs(): number;
 }
@@ -83,6 +88,7 @@
   let nextFence = previous?.nextFence ?? 1;
   let hasYielded = false;
   let distrustedAt = -Infinity;
+  let admitted: AdmittedShares = new Map();
 
   const writer = createPlacementWriter({
     seat,
@@ -162,12 +168,25 @@
     for (const range of moved) void handOver(ctx, range).then(planBell.ring);
   }
 
+  /** Finds overloaded owners and wakes the routers that wait if much has changed. */
+  function judgeOverloads(): void {
+    const found = [...tables].flatMap(([service, table]) => [
+      ...planner.overloads(service, table, options.routers()),
+    ]);
+    const shares = new Map(found);
+    if (!isWorthTelling(admitted, shares)) return;
+    admitted = shares;
+    feed.note();
+    log.info('overloaded owners', { epoch: seat.epoch, admitted: Object.fromEntries(shares) });
+  }
+
   async function planAll(): Promise<void> {
     let balanceAt = -Infinity;
     while (!stop.signal.aborted) {
       const now = clocks.monotonic();
       const balance = now >= balanceAt;
       if (balance) balanceAt = now + PLAN_MS;
+      if (balance) judgeOverloads();
       if (ctx.mayOrder() && directory.isLoaded()) await plan(balance);
       await planBell.wait(Math.max(1, balanceAt - clocks.monotonic()));
     }
@@ -238,6 +257,7 @@
   return {
     epoch: seat.epoch,
     view: () => feed.view(),
+    admitted: () => admitted,
     changedSince: (knownChange) => feed.since(knownChange),
     waitForChange: (knownChange, waitMs) => feed.wait(knownChange, waitMs),
     report: (load) => {
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -9,6 +9,7 @@
 import type { PlacementLog } from './leader-context.js';
 import { type Candidate, type SeatReading, mayTake, readSeat } from './leader-seat.js';
 import type { PlacementLeader } from './placement-leader.js';
+import type { AdmittedShares } from './overload.js';
 import type { PlacementPeers } from './placement-peers.js';
 import type { Seat } from './placement-record.js';
 import {
@@ -30,6 +31,8 @@
 /** Shortest time between two reports, in milliseconds. */
 const REPORT_GAP_MS = 150;
 const RETRY_MS = 300;
+/** What a leader said of overloaded servers is forgotten after this time, in milliseconds. */
+const ADMITTED_MS = 3_000;
 /** A router that has not reported for this long counts as gone, in milliseconds. */
 const REPORTER_MS = 3_500;
 
@@ -45,6 +48,8 @@
   isLeading(): boolean;
   /** Servers that ended lately, on any router's account, while they ran equal requests. */
   crashesOf(fingerprintOf: () => string): number;
+  /** Share of the requests for a server's keys that this router sends on, 1 unless the server is overloaded. */
+  admittedShare(server: string): number;
   /** Resolves at the next change of the view, or after `ms`. */
   waitForChange(ms: number): Promise<void>;
   /** Answers another router's report. */
@@ -82,6 +87,7 @@
   const crashes = createCrashRecord();
   let current: PlacementView = NO_PLACEMENT;
   let routers = 1;
+  let admitted: { shares: AdmittedShares; until: number } = { shares: new Map(), until: 0 };
   let leader: PlacementLeader | undefined;
   let leaderRun: Promise<void> = Promise.resolve();
   let lastEpochLed = 0;
@@ -93,6 +99,10 @@
     waiters.wakeAll();
   }
 
+  function admit(shares: AdmittedShares): void {
+    admitted = { shares, until: clocks.monotonic() + ADMITTED_MS };
+  }
+
   function countReporters(): number {
     const oldest = clocks.monotonic() - REPORTER_MS;
     for (const [router, at] of reporters) if (at < oldest) reporters.delete(router);
@@ -101,7 +111,13 @@
 
   async function takeSeat(reading: SeatReading, signal: AbortSignal): Promise<void> {
     const partitionedServices = () => options.partitionedServices() ?? [];
-    const created = await becomeLeader({ ...options, partitionedServices, reading, signal });
+    const created = await becomeLeader({
+      ...options,
+      partitionedServices,
+      routers: countReporters,
+      reading,
+      signal,
+    });
     if (!created) return;
     leader = created;
     lastEpochLed = created.epoch;
@@ -128,6 +144,7 @@
     for (const load of options.takeLoad()) leading.report(load);
     crashes.add(options.takeCrashes(), clocks.monotonic());
     adopt(leading.view());
+    admit(leading.admitted());
     routers = countReporters();
   }
 
@@ -152,6 +169,7 @@
     if (!answer?.leads) return false;
     if (answer.view) adopt(answer.isComplete ? answer.view : withChanges(current, answer.view));
     routers = Math.max(1, answer.routers);
+    admit(answer.admitted);
     crashes.add(answer.crashes, clocks.monotonic());
     return true;
   }
@@ -199,6 +217,7 @@
       routers: countReporters(),
       complete: isComplete,
       crashes: crashes.list(clocks.monotonic()).map(encodeCrash),
+      admitted: [...leading.admitted()].map(([server, share]) => ({ server, share })),
       services: [...services].map(([service, ranges]) => ({
         service,
         ranges: ranges.map((it) => ({ ...it, owner: it.owner ?? '' })),
@@ -211,6 +230,8 @@
     routers: () => routers,
     isLeading,
     crashesOf: (fingerprintOf) => crashes.countOf(fingerprintOf, clocks.monotonic()),
+    admittedShare: (server) =>
+      clocks.monotonic() < admitted.until ? (admitted.shares.get(server) ?? 1) : 1,
     waitForChange(ms) {
       return waiters.wait(ms);
     },
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -4,6 +4,7 @@
 import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
 
 import type { CrashedRun } from './crash-record.js';
+import type { AdmittedShares } from './overload.js';
 import type { PlacementView } from './placement-view.js';
 
 /** A report to the leader. */
@@ -19,6 +20,7 @@
   readonly isComplete: boolean;
   readonly routers: number;
   readonly crashes: readonly CrashedRun[];
+  readonly admitted: AdmittedShares;
 }
 
 /**
@@ -99,7 +101,8 @@
           : undefined;
         const { leads, complete, routers } = res;
         const crashes = res.crashes.map((it) => ({ ...it, startedMs: Number(it.startedMs) }));
-        return { leads, view, isComplete: complete, routers, crashes };
+        const admitted = new Map(res.admitted.map(({ server, share }) => [server, share]));
+        return { leads, view, isComplete: complete, routers, crashes, admitted };
       } catch {
         drop(address);
         return undefined;
--- a/packages/placement/src/lib/service-planner.ts
+++ b/packages/placement/src/lib/service-planner.ts
@@ -1,6 +1,7 @@
 import type { HeldRange, Holder } from './held-range.js';
 import { type LeaderContext, hasEnded } from './leader-context.js';
 import { type LoadMap, createLoadMap } from './load-map.js';
+import { type AdmittedShares, findOverloads } from './overload.js';
 import { planJoins } from './plan-joins.js';
 import { type PlannedRange, type PlannedServer, planMoves } from './plan-moves.js';
 import { type RangeTable, applyMove } from './range-table.js';
@@ -9,6 +10,8 @@
 
 /** A range stays with its new owner this long before balance may move it again, in milliseconds. */
 const SETTLE_MS = 1_500;
+/** The load by which overload is judged halves in this time, in milliseconds. */
+const RECENT_HALF_LIFE_MS = 1_000;
 const MAX_MOVES_PER_PLAN = 16;
 /** Ranges for each server beyond which quiet ones are joined. */
 const MAX_RANGES_PER_SERVER = 5;
@@ -24,6 +27,12 @@
   readonly servers: readonly SpeedReport[];
 }
 
+/** A service's load as placement sees it, and as overload is judged by. */
+interface ServiceLoad {
+  readonly usual: LoadMap;
+  readonly recent: LoadMap;
+}
+
 /** Decides which ranges get another owner, by load and by what became of their owners. */
 export interface ServicePlanner {
   record(report: ServiceLoadReport): void;
@@ -32,6 +41,8 @@
    * `balance`, only ranges that need a new owner get one.
    */
   plan(service: string, table: RangeTable, balance: boolean): HeldRange[];
+  /** Owners of a service's keys that are asked for more than they can run, unseen by `routers` routers. */
+  overloads(service: string, table: RangeTable, routers: number): AdmittedShares;
 }
 
 function lifeOf({ entry }: KnownServer) {
@@ -42,10 +53,14 @@
 export function createServicePlanner(ctx: LeaderContext): ServicePlanner {
   const { directory, health, clocks } = ctx;
   const speeds = createServerSpeeds();
-  const loads = new Map<string, LoadMap>();
+  const loads = new Map<string, ServiceLoad>();
 
-  function loadOf(service: string): LoadMap {
-    const load = loads.get(service) ?? createLoadMap(clocks.monotonic());
+  function loadOf(service: string): ServiceLoad {
+    const now = clocks.monotonic();
+    const load = loads.get(service) ?? {
+      usual: createLoadMap(now),
+      recent: createLoadMap(now, RECENT_HALF_LIFE_MS),
+    };
     loads.set(service, load);
     return load;
   }
@@ -97,12 +112,26 @@
 
   return {
     record(report) {
-      loadOf(report.service).record(report.keys);
+      const { usual, recent } = loadOf(report.service);
+      usual.record(report.keys);
+      recent.record(report.keys);
       for (const server of report.servers) speeds.record(server);
     },
+    overloads(service, table, routers) {
+      const now = clocks.monotonic();
+      const { recent } = loadOf(service);
+      recent.decay(now);
+      const servers = directory.ofService(service).map((it) => plannedServer(it, now));
+      const ranges = table.ranges.map(({ first, last, owner }) => ({
+        first,
+        last,
+        owner: owner?.life.server,
+      }));
+      return findOverloads(servers, ranges, recent, routers);
+    },
     plan(service, table, balance) {
       const now = clocks.monotonic();
-      const load = loadOf(service);
+      const load = loadOf(service).usual;
       load.decay(now);
       const servers = directory.ofService(service).filter((it) => isUsable(it, now));
       if (servers.length === 0) return [];
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -71,6 +71,7 @@
     log: { info: () => undefined, warn: () => undefined },
     partitionedServices: () => ['s'],
     drainNoticeMs: () => 100,
+    routers: () => 1,
   });
   const end = new AbortController();
   const running = leader.run(end.signal);
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -113,6 +113,7 @@
     codec: platform.headers,
     log,
     view: () => member.view(),
+    admittedShare: (server) => member.admittedShare(server),
     waitForPlacement: (ms) => member.waitForChange(ms),
     routers: () => member.routers(),
     isFar: (zone) => settings.regions[zone] !== instance.region,
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -10,6 +10,8 @@
 const RANGE_WAIT_STEP_MS = 250;
 /** Callers of a range without an owner come back after this time, in milliseconds. */
 const NO_OWNER_RETRY_MS = 400;
+/** Callers of an overloaded owner come back after this time, longer the less it admits, in milliseconds. */
+const EXCESS_RETRY_MS = 400;
 /** A server that leaves gets no new requests after this share of its notice. */
 const NOTICE_SHARE = 0.6;
 
@@ -23,6 +25,8 @@
   readonly drainNoticeMs: () => number;
   /** When a server was first seen draining; `undefined` if it isn't. */
   drainingSince(id: string): number | undefined;
+  /** Share of the requests for a server's keys that this router sends on. */
+  admittedShare(server: string): number;
   now(): number;
   readonly random: () => number;
 }
@@ -42,11 +46,9 @@
   readonly kind: 'refuse';
   readonly reason: string;
   readonly retryAfterMs: number;
-  readonly decidedBy?: {
-    readonly server: string;
-    readonly expectedMs: number;
-    readonly inHand: number;
-  };
+  readonly decidedBy?:
+    | { readonly server: string; readonly expectedMs: number; readonly inHand: number }
+    | { readonly server: string; readonly admittedShare: number };
 }
 
 /** Picks the server for a request. */
@@ -64,6 +66,16 @@
   return { kind: 'refuse', reason, retryAfterMs: NO_OWNER_RETRY_MS };
 }
 
+/** Refuses what an owner that is asked for too much can't run, whatever its queue is just now. */
+function refuseExcess(server: PooledServer, share: number): Refusal {
+  return {
+    kind: 'refuse',
+    reason: 'the owner is asked for more than it can run',
+    retryAfterMs: EXCESS_RETRY_MS / share,
+    decidedBy: { server: server.entry.id, admittedShare: Math.round(share * 100) / 100 },
+  };
+}
+
 /** Creates a picker. */
 export function createServerPicker(ctx: ServerPickerContext): ServerPicker {
   const { pool } = ctx;
@@ -138,6 +150,8 @@
     async pickOwner(req, key, notHeldBy) {
       const server = await findOwner(req, key, notHeldBy);
       if (!server) return refuse('no owner of the key');
+      const share = ctx.admittedShare(server.entry.id);
+      if (notHeldBy === undefined && ctx.random() >= share) return refuseExcess(server, share);
       return admitTo(req, server, candidateOf(server, false, ctx.now()), 'the owner is full');
     },
   };
--- /dev/null
+++ b/packages/router/src/test/pick-server_test.ts
@@ -0,0 +1,77 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import type { CallerRequest } from '../lib/caller-request.js';
+import { type ServerPickerContext, createServerPicker } from '../lib/pick-server.js';
+import { createServerLoad } from '../lib/server-load.js';
+import type { PooledServer } from '../lib/server-pool.js';
+
+const owner = {
+  entry: { id: 'a', warmUpMs: 0, availabilityZone: 'z' },
+  load: createServerLoad(2),
+  avoidUntil: -Infinity,
+  unreachableUntil: -Infinity,
+  firstSeenAt: -Infinity,
+} as unknown as PooledServer;
+
+const req = {
+  service: 's',
+  route: { cfg: { objectiveMs: 500, priority: 0 } },
+  answerBy: 2_000,
+  gone: new AbortController().signal,
+} as unknown as CallerRequest;
+
+function pickerOf(changes: Partial<ServerPickerContext> = {}) {
+  return createServerPicker({
+    pool: { get: () => owner, ofService: () => [owner], refresh: () => undefined, all: () => [] },
+    view: () => ({
+      epoch: 1,
+      change: 1,
+      services: new Map([['s', [{ first: 0, last: 65_535, owner: 'a', granted: true }]]]),
+    }),
+    waitForPlacement: () => Promise.resolve(),
+    isFar: () => false,
+    drainNoticeMs: () => 2_500,
+    drainingSince: () => undefined,
+    admittedShare: () => 1,
+    now: () => 0,
+    random: () => 0,
+    ...changes,
+  });
+}
+
+test('of the requests for a hot key the admitted share is sent, the rest is refused at once', async () => {
+  let draw = 0;
+  const picker = pickerOf({ admittedShare: () => 0.25, random: () => (draw++ % 100) / 100 });
+  const picks = await Promise.all(Array.from({ length: 400 }, () => picker.pickOwner(req, 7)));
+  expect(picks.filter((it) => it.kind === 'server').length).toEqual(100);
+  const refused = picks.find((it) => it.kind === 'refuse');
+  expect(refused?.kind === 'refuse' && refused.retryAfterMs).toEqual(1_600);
+});
+
+test('a request that was on its way while its key moved is not refused as excess', async () => {
+  const picker = pickerOf({ admittedShare: () => 0.01, random: () => 0.99 });
+  expect((await picker.pickOwner(req, 7, 'b')).kind).toEqual('server');
+});
+
+test('an owner that is slow but can be reached is not passed over', async () => {
+  const slow = { ...owner, avoidUntil: Infinity };
+  const pool = { get: () => slow, ofService: () => [], refresh: () => undefined, all: () => [] };
+  expect((await pickerOf({ pool }).pickOwner(req, 7)).kind).toEqual('server');
+});
+
+test('after a server said that it does not hold the key, it is not asked again until the key has moved', async () => {
+  let waits = 0;
+  let now = 0;
+  const picker = pickerOf({
+    now: () => now,
+    waitForPlacement: (ms) => {
+      waits += 1;
+      now += ms;
+      return Promise.resolve();
+    },
+  });
+  expect((await picker.pickOwner(req, 7, 'a')).kind).toEqual('refuse');
+  expect(waits > 0).toEqual(true);
+});
