A simulation of the decisions about keyed requests, by load pattern

The choice of owners, admission, estimates of speed and balance run on simulated time, without a network, against fixed ranges and queues without a bound: calm load on servers of different speed, a hot key, a burst, slow servers, the loss of half of the servers.

--- /dev/null
+++ b/packages/router/src/test/load-patterns_test.ts
@@ -0,0 +1,81 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { type Outcome, type Pattern, type Policy, simulate } from './load-simulation.js';
+
+const SEEDS = [1, 2, 3];
+const KEYS = 65_536;
+
+/** Servers differ in speed; most requests are for keys that lie close together. */
+const calm: Pattern = {
+  name: 'calm',
+  seconds: 40,
+  routers: 9,
+  servers: 12,
+  workMs: (server) => 110 + 20 * (server % 6),
+  isAlive: () => true,
+  perSecond: () => 70,
+  key: (draw) =>
+    draw < 0.6 ? 20_000 + Math.floor((draw / 0.6) ** 2 * 4_000) : Math.floor(draw * KEYS),
+};
+
+const between = (now: number, from: number, to: number) => now > from * 1_000 && now < to * 1_000;
+
+const hotKey: Pattern = {
+  ...calm,
+  name: 'hot key',
+  key: (draw, now) => (between(now, 10, 20) && draw < 0.3 ? 41_111 : calm.key((draw * 7) % 1, now)),
+};
+
+const burst: Pattern = {
+  ...calm,
+  name: 'burst',
+  perSecond: (now) => (between(now, 15, 25) ? 160 : 70),
+};
+
+const slowServers: Pattern = {
+  ...calm,
+  name: 'slow servers',
+  workMs: (server, now) => calm.workMs(server, now) * (server < 3 && between(now, 10, 30) ? 4 : 1),
+};
+
+const lossOfHalf: Pattern = {
+  ...calm,
+  name: 'loss of half of the servers',
+  isAlive: (server, now) => server % 2 === 0 || now < 15_000,
+};
+
+const sum = (outcomes: readonly Outcome[], part: keyof Outcome) =>
+  outcomes.reduce((total, it) => total + it[part], 0);
+
+/** Share of the requests that were answered within the objective, over a few seeds. */
+function inTime(pattern: Pattern, policy: Policy): number {
+  const outcomes = SEEDS.map((seed) => simulate(pattern, policy, seed));
+  return sum(outcomes, 'inTime') / sum(outcomes, 'sent');
+}
+
+/** Patterns with the least share of requests in time; equal seeds give equal shares on every machine. */
+const FLOORS: readonly [Pattern, number][] = [
+  [calm, 0.97],
+  [hotKey, 0.94],
+  [burst, 0.87],
+  [slowServers, 0.91],
+  [lossOfHalf, 0.91],
+];
+
+for (const [pattern, floor] of FLOORS) {
+  test(`under ${pattern.name} more requests are in time than with fixed ranges`, () => {
+    const [product, fixed] = [inTime(pattern, 'product'), inTime(pattern, 'fixed')];
+    expect(product > Math.max(floor, fixed)).toEqual(true);
+  });
+}
+
+test('calm load that has been spread moves few ranges', () => {
+  const moves = SEEDS.map((seed) => simulate(calm, 'product', seed).lateMoves);
+  expect(Math.max(...moves) <= 20).toEqual(true);
+});
+
+test('equal seeds give equal outcomes', () => {
+  expect(simulate(hotKey, 'product', 5)).toEqual(simulate(hotKey, 'product', 5));
+});
--- /dev/null
+++ b/packages/router/src/test/load-simulation.ts
@@ -0,0 +1,269 @@
+import {
+  type PlannedRange,
+  type SpeedReport,
+  createLoadMap,
+  createServerSpeeds,
+  planMoves,
+} from '@boragepoint/placement';
+import { xoroshiro128plus } from 'pure-rand';
+
+import { admit } from '../lib/admission.js';
+import { expectedMs, queuedUnits } from '../lib/choose-server.js';
+import { type ServerLoad, createServerLoad } from '../lib/server-load.js';
+
+/**
+ * A simulation of the decisions about keyed requests, without a network: who waits, who is refused, where keys
+ * go. Routers see their own requests and what answers say of the load; one of them plans moves by reports.
+ */
+export interface Pattern {
+  readonly name: string;
+  readonly seconds: number;
+  readonly routers: number;
+  readonly servers: number;
+  /** Time of a request at a server without queueing, in milliseconds. */
+  workMs(server: number, nowMs: number): number;
+  /** Whether a server is there. */
+  isAlive(server: number, nowMs: number): boolean;
+  /** Requests a second of all callers. */
+  perSecond(nowMs: number): number;
+  /** Key of a request; `draw` is uniform in [0, 1). */
+  key(draw: number, nowMs: number): number;
+}
+
+/** How decisions are made: by the product, or by a baseline with fixed ranges and queues without a bound. */
+export type Policy = 'product' | 'fixed';
+
+/** What callers got. */
+export interface Outcome {
+  readonly sent: number;
+  /** Answered within the objective. */
+  readonly inTime: number;
+  readonly late: number;
+  readonly refused: number;
+  /** Ranges that changed hands in the second half of the time. */
+  readonly lateMoves: number;
+}
+
+const OBJECTIVE_MS = 600;
+const TIMEOUT_MS = 1_200;
+const SLOTS = 2;
+/** Requests that a server queues before it sheds. */
+const QUEUE = 6;
+const NETWORK_MS = 10;
+const REPORT_MS = 600;
+const PLAN_MS = 500;
+/** Time until routers know of a move. */
+const VIEW_MS = 200;
+const SETTLE_MS = 1_500;
+const MAX_MOVES = 16;
+const KEYS = 65_536;
+
+interface SimulatedServer {
+  running: number;
+  readonly queue: (() => void)[];
+}
+
+interface SimulatedRouter {
+  readonly loads: ServerLoad[];
+  keys: number[];
+}
+
+interface Event {
+  readonly at: number;
+  run(): void;
+}
+
+/** Runs a pattern; equal seeds give equal outcomes. */
+export function simulate(pattern: Pattern, policy: Policy, seed: number): Outcome {
+  const generator = xoroshiro128plus(seed);
+  const draw = () => (generator.unsafeNext() >>> 0) / 2 ** 32;
+  const events: Event[] = [];
+  const servers: SimulatedServer[] = Array.from({ length: pattern.servers }, () => ({
+    running: 0,
+    queue: [],
+  }));
+  const routers: SimulatedRouter[] = Array.from({ length: pattern.routers }, () => ({
+    loads: servers.map(() => createServerLoad(SLOTS)),
+    keys: [],
+  }));
+  const width = KEYS / pattern.servers / 2;
+  let ranges = Array.from({ length: pattern.servers * 2 }, (_, it) => ({
+    first: Math.ceil(it * width),
+    last: Math.ceil((it + 1) * width) - 1,
+    owner: it % pattern.servers,
+    movedAt: -Infinity,
+  }));
+  let viewed = ranges;
+  const speeds = createServerSpeeds();
+  const load = createLoadMap(0);
+  const outcome = { sent: 0, inTime: 0, late: 0, refused: 0, lateMoves: 0 };
+  let now = 0;
+
+  function after(ms: number, run: () => void): void {
+    const at = now + ms;
+    let place = events.length;
+    while (place > 0 && (events[place - 1]?.at ?? 0) < at) place -= 1;
+    events.splice(place, 0, { at, run });
+  }
+
+  const ownerIn = (table: typeof ranges, key: number) =>
+    table.find((it) => it.first <= key && it.last >= key)?.owner ?? 0;
+
+  function finish(arrivedAt: number): void {
+    if (now - arrivedAt <= OBJECTIVE_MS) outcome.inTime += 1;
+    else outcome.late += 1;
+  }
+
+  function serve(id: number, done: () => void): void {
+    const server = servers[id];
+    if (!server) return;
+    server.running += 1;
+    // Work differs from request to request.
+    after(pattern.workMs(id, now) * (0.4 + 1.2 * draw()), () => {
+      server.running -= 1;
+      done();
+      server.queue.shift()?.();
+    });
+  }
+
+  function send(router: SimulatedRouter, id: number, key: number, arrivedAt: number): void {
+    const server = servers[id];
+    const known = router.loads[id];
+    if (!server || !known) return;
+    const units = queuedUnits(stateOf(known));
+    const sentAt = now;
+    known.sent(sentAt);
+    const answered = (failed?: boolean) => {
+      known.done(sentAt, failed);
+      known.reported(now, { running: server.running, waiting: server.queue.length, slots: SLOTS });
+    };
+    after(NETWORK_MS, () => {
+      if (ownerIn(ranges, key) !== id || !pattern.isAlive(id, now)) {
+        after(NETWORK_MS, () => {
+          known.done(sentAt);
+          after(VIEW_MS, () => {
+            arrive(router, key, arrivedAt);
+          });
+        });
+        return;
+      }
+      if (server.queue.length >= QUEUE) {
+        after(NETWORK_MS, () => {
+          answered(true);
+          outcome.refused += 1;
+        });
+        return;
+      }
+      const begin = () => {
+        serve(id, () => {
+          after(NETWORK_MS, () => {
+            answered(false);
+            known.noteTime(units, now - sentAt);
+            finish(arrivedAt);
+          });
+        });
+      };
+      if (server.running < SLOTS) begin();
+      else server.queue.push(begin);
+    });
+  }
+
+  function stateOf(known: ServerLoad) {
+    return {
+      inHand: known.inHand(now),
+      slots: SLOTS,
+      serviceMs: known.serviceMs(),
+      isCold: false,
+      oldestMs: known.oldestMs(now),
+    };
+  }
+
+  function arrive(router: SimulatedRouter, key: number, arrivedAt: number): void {
+    const id = ownerIn(viewed, key);
+    const known = router.loads[id];
+    if (!known) return;
+    const state = stateOf(known);
+    const admission = admit({
+      expectedMs: expectedMs(state),
+      timeLeftMs: arrivedAt + TIMEOUT_MS - now,
+      objectiveMs: OBJECTIVE_MS,
+      serviceMs: state.serviceMs,
+      priority: 0,
+    });
+    if (policy === 'product' && admission.kind === 'refuse') {
+      outcome.refused += 1;
+      return;
+    }
+    send(router, id, key, arrivedAt);
+  }
+
+  function report(router: SimulatedRouter): void {
+    load.record(router.keys);
+    router.keys = [];
+    router.loads.forEach((known, id) => {
+      const measured: SpeedReport = { server: String(id), ...known.takeMeasured() };
+      if (measured.units + measured.failed > 0) speeds.record(measured);
+    });
+    after(REPORT_MS, () => {
+      report(router);
+    });
+  }
+
+  function plan(): void {
+    load.decay(now);
+    const alive = servers.map((_, id) => id).filter((id) => pattern.isAlive(id, now));
+    const planned = ranges.map((it): PlannedRange => {
+      const isOrphan = !alive.includes(it.owner);
+      const movable = isOrphan || now > it.movedAt + SETTLE_MS;
+      const { first, last } = it;
+      return { first, last, owner: isOrphan ? undefined : String(it.owner), movable };
+    });
+    const moves = planMoves({
+      servers: alive.map((id) => ({
+        id: String(id),
+        capacity: speeds.capacityOf(String(id), SLOTS, false),
+      })),
+      ranges: planned,
+      load,
+      maxMoves: MAX_MOVES,
+    });
+    if (now > pattern.seconds * 500) outcome.lateMoves += moves.length;
+    for (const move of moves) {
+      ranges = ranges.flatMap((it) => {
+        if (it.first > move.first || it.last < move.last) return [it];
+        const left = { ...it, last: move.first - 1 };
+        const right = { ...it, first: move.last + 1 };
+        const moved = { first: move.first, last: move.last, owner: Number(move.to), movedAt: now };
+        return [left, moved, right].filter((part) => part.first <= part.last);
+      });
+    }
+    const next = ranges;
+    after(VIEW_MS, () => {
+      viewed = next;
+    });
+    after(PLAN_MS, plan);
+  }
+
+  function nextArrival(): void {
+    after((-Math.log(1 - draw()) * 1_000) / pattern.perSecond(now), () => {
+      const router = routers[Math.floor(draw() * routers.length)];
+      const key = pattern.key(draw(), now);
+      if (router) {
+        outcome.sent += 1;
+        router.keys.push(key);
+        arrive(router, key, now);
+      }
+      nextArrival();
+    });
+  }
+
+  nextArrival();
+  for (const router of routers) report(router);
+  if (policy === 'product') plan();
+  for (let event = events.pop(); event; event = events.pop()) {
+    now = event.at;
+    if (now > pattern.seconds * 1_000) break;
+    event.run();
+  }
+  return outcome;
+}
