No warning on standard error when many ranges change hands at once

Node warned of a leak of listeners in the logs of a leader with more than ten hand-overs in progress; they are bounded by the ranges, and end with the hand-overs.

--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import type { ServerOrders } from '@boragepoint/platform';
@@ -85,6 +86,8 @@
   const end = new AbortController();
   /** Ends everything that orders. */
   const stop = new AbortController();
+  // Each range that changes hands waits on it.
+  setMaxListeners(0, stop.signal);
   let nextFence = previous?.nextFence ?? 1;
   let hasYielded = false;
   let distrustedAt = -Infinity;
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -4,12 +4,12 @@
 import type { ReportRequest, ReportResponseSchema } from '@boragepoint/protocol';
 import type { MessageInitShape } from '@bufbuild/protobuf';
 
-import { type CrashedRun, createCrashRecord, encodeCrash } from './crash-record.js';
 import { UNANSWERED_MS, becomeLeader } from './become-leader.js';
+import { type CrashedRun, createCrashRecord, encodeCrash } from './crash-record.js';
 import type { PlacementLog } from './leader-context.js';
 import { type Candidate, type SeatReading, mayTake, readSeat } from './leader-seat.js';
-import type { PlacementLeader } from './placement-leader.js';
 import type { AdmittedShares } from './overload.js';
+import type { PlacementLeader } from './placement-leader.js';
 import type { PlacementPeers } from './placement-peers.js';
 import type { Seat } from './placement-record.js';
 import {
