--- a/packages/router/src/test/load-patterns_test.ts
+++ b/packages/router/src/test/load-patterns_test.ts
@@ -28,6 +28,18 @@
   key: (draw, now) => (between(now, 10, 20) && draw < 0.3 ? 41_111 : calm.key((draw * 7) % 1, now)),
 };
 
+/** Two spells in which much of the traffic is for two hundred neighbouring keys. */
+const hotSpan: Pattern = {
+  ...calm,
+  name: 'hot neighbouring keys',
+  key(draw, now) {
+    const first = between(now, 8, 13) ? 41_000 : between(now, 16, 20) ? 7_000 : undefined;
+    return first !== undefined && draw < 0.4
+      ? first + Math.floor(draw * 500)
+      : calm.key((draw * 7) % 1, now);
+  },
+};
+
 const burst: Pattern = {
   ...calm,
   name: 'burst',
@@ -59,6 +71,7 @@
 const FLOORS: readonly [Pattern, number][] = [
   [calm, 0.97],
   [hotKey, 0.94],
+  [hotSpan, 0.93],
   [burst, 0.87],
   [slowServers, 0.91],
   [lossOfHalf, 0.91],
