boragectl burn: service-level burn from the metrics of routers

The metrics of the platform's routers had no reader. The command adds them up by service and says what was in time, late, refused before it ran or failed, against a target; outcomes are told apart by the families of result codes.

--- a/packages/cli/src/lib/command-list.ts
+++ b/packages/cli/src/lib/command-list.ts
@@ -1,5 +1,6 @@
 import type { Command } from './command.js';
 import { applyCommand } from './commands/apply.js';
+import { burnCommand } from './commands/burn.js';
 import { diffCommand } from './commands/diff.js';
 import { getCommand } from './commands/get.js';
 import { eventsCommand, quarantineCommand } from './commands/journal.js';
@@ -27,4 +28,5 @@
   quarantineCommand,
   reportCommand,
   traceCommand,
+  burnCommand,
 ];
--- /dev/null
+++ b/packages/cli/src/lib/commands/burn.ts
@@ -0,0 +1,60 @@
+import { err, fromPromise, ok } from 'neverthrow';
+
+import { usageError } from '../cli-error.js';
+import { type LocalCommand, textOption, textOptions } from '../command.js';
+import { type ServiceBurn, serviceBurns } from '../service-burn.js';
+import { formatTable } from '../table.js';
+
+const DEFAULT_TARGET = '0.99';
+const FETCH_TIMEOUT_MS = 5_000;
+const HEADER = ['service', 'requests', 'in time', 'late', 'refused', 'failed', 'burn'];
+
+function format(burns: readonly ServiceBurn[]): string {
+  const rows = burns.map((it) => [
+    it.service,
+    it.requests,
+    it.inTime,
+    it.late,
+    it.refused,
+    it.failed,
+    it.burn.toFixed(2),
+  ]);
+  return formatTable(HEADER, rows);
+}
+
+async function fetchText(url: string): Promise<string> {
+  const res = await fetch(url, { signal: AbortSignal.timeout(FETCH_TIMEOUT_MS) });
+  if (!res.ok) throw new Error(`status ${res.status}`);
+  return res.text();
+}
+
+/** `boragectl burn`. @internal */
+export const burnCommand: LocalCommand = {
+  usage: 'burn',
+  description: 'Service-level burn by service, from the metrics of routers since their start',
+  options: [
+    ['--metrics <url>', 'Metrics of a router; may be given more than once'],
+    ['--target <share>', `Share of requests that should be in time, ${DEFAULT_TARGET} by default`],
+  ],
+  examples: ['burn --metrics http://10.1.0.34:9464/metrics --target 0.95'],
+  needsRouter: false,
+  async run({ output }, _args, options) {
+    const urls = textOptions(options, 'metrics');
+    if (urls.length === 0) return err(usageError('--metrics URL is missing'));
+    const target = Number(textOption(options, 'target') ?? DEFAULT_TARGET);
+    if (!(target > 0 && target < 1)) {
+      return err(usageError('--target must lie between 0 and 1'));
+    }
+    const texts: string[] = [];
+    for (const url of urls) {
+      const text = await fromPromise(fetchText(url), (cause) =>
+        usageError(`${url} can't be read: ${String(cause)}`),
+      );
+      if (text.isErr()) return err(text.error);
+      texts.push(text.value);
+    }
+    const burns = serviceBurns(texts, target);
+    output.result(burns, () => format(burns));
+    return ok(undefined);
+  },
+};
--- /dev/null
+++ b/packages/cli/src/lib/service-burn.ts
@@ -0,0 +1,73 @@
+import { RESULT_CODES, type ResultFamily, familyOf } from '@boragepoint/config';
+import parsePrometheus from 'parse-prometheus-text-format';
+
+/** What became of a service's requests since its routers started. */
+export interface ServiceBurn {
+  readonly service: string;
+  /** Requests that callers waited for. */
+  readonly requests: number;
+  readonly inTime: number;
+  readonly late: number;
+  /** Refused before they ran. */
+  readonly refused: number;
+  /** Without an answer of use: an error of a server, no answer in time, an unknown outcome. */
+  readonly failed: number;
+  /** Bad requests over those that the target allows; above 1 the budget is overspent. */
+  readonly burn: number;
+}
+
+const REQUESTS = 'boragepoint_requests_total';
+const LATE = 'boragepoint_requests_late_total';
+/** A caller that left, or that sent a request nobody can serve, is no loss of the service. */
+const IGNORED_OUTCOME = 'caller-gone';
+const IGNORED_FAMILY = 'bad-request';
+
+interface Counts {
+  ok: number;
+  late: number;
+  refused: number;
+  failed: number;
+}
+
+function familyNamed(outcome: string): ResultFamily | undefined {
+  const code = Object.entries(RESULT_CODES).find(([name]) => name === outcome)?.[1];
+  return code === undefined ? undefined : familyOf(code);
+}
+
+function place(counts: Counts, outcome: string, value: number): void {
+  const family = familyNamed(outcome);
+  if (outcome === IGNORED_OUTCOME || family === IGNORED_FAMILY) return;
+  if (outcome === 'ok') counts.ok += value;
+  else if (family === 'not-run') counts.refused += value;
+  else counts.failed += value;
+}
+
+/**
+ * Adds up the metrics of all routers by service. `target` is the share of requests that should be answered
+ * within their latency objective, below 1.
+ */
+export function serviceBurns(texts: readonly string[], target: number): ServiceBurn[] {
+  const services = new Map<string, Counts>();
+
+  function countsOf(service: string): Counts {
+    const counts = services.get(service) ?? { ok: 0, late: 0, refused: 0, failed: 0 };
+    services.set(service, counts);
+    return counts;
+  }
+
+  for (const family of texts.flatMap((it) => parsePrometheus(it))) {
+    for (const { labels, value } of family.metrics) {
+      if (labels?.service === undefined || value === undefined) continue;
+      const counts = countsOf(labels.service);
+      if (family.name === REQUESTS) place(counts, labels.outcome ?? '', Number(value));
+      if (family.name === LATE) counts.late += Number(value);
+    }
+  }
+  return [...services].map(([service, { ok, late, refused, failed }]) => {
+    const requests = ok + refused + failed;
+    const allowed = requests * (1 - target);
+    const bad = late + refused + failed;
+    const burn = bad === 0 ? 0 : bad / allowed;
+    return { service, requests, inTime: ok - late, late, refused, failed, burn };
+  });
+}
