A refusal is held against a payment only if no other try of it was open

The refused tries never ran, and were answered before anything had run (503, code 104, at 1,687 ms and 1,554 ms); the other tries, still open, ran at 4,289 ms, answered 200, and at 1,576 ms, whose caller had a patience of 1,500 ms. A refusal speaks for its own try; who has another one open learns of that from its own answer. Ruled out: the frozen keeper's held try that was suspected; nothing ran after a later try had been refused. Change: the check takes the last try only if no other was open at any time during it, and counts the others as a figure. What a refusal promises is checked as before for every try: refused tries that ran, and refusals after their payment ran, both at most 0.

--- a/packages/standin/src/lib/faults/payment-figures.ts
+++ b/packages/standin/src/lib/faults/payment-figures.ts
@@ -26,6 +26,21 @@
   return [...tries].sort((a, b) => a.sentAt - b.sentAt).at(-1);
 }
 
+/** Two tries of one payment that were open at the same time: neither caller knows of the other's outcome. */
+function overlap(a: PaymentTry, b: PaymentTry): boolean {
+  return a.sentAt <= b.record.at && b.sentAt <= a.record.at;
+}
+
+/**
+ * The payment ran although its last try was told that it didn't. A refusal speaks for its own try, so it is held against a
+ * payment only if no other try of it was open meanwhile.
+ */
+export function isFalseRefusal(tries: PaymentTries, ran: boolean): boolean {
+  const last = lastOf(tries);
+  if (!ran || last === undefined || toldTo(last) !== 'not-run') return false;
+  return !tries.some((it) => it !== last && overlap(it, last));
+}
+
 function isLast(tries: PaymentTries, told: ReturnType<typeof toldTo>): boolean {
   const last = lastOf(tries);
   return last !== undefined && toldTo(last) === told;
@@ -60,7 +75,8 @@
   const afterRun = notRun.filter(({ payment, record }) =>
     (byKey.get(payment.idempotencyKey) ?? []).some((run) => run.at <= record.at),
   );
-  const lastUntrue = payments.filter((it) => isLast(it, 'not-run') && runsOf(it).length > 0);
+  const lastUntrue = payments.filter((it) => isFalseRefusal(it, runsOf(it).length > 0));
+  const besideOpen = payments.filter((it) => isLast(it, 'not-run') && runsOf(it).length > 0);
   const okWithoutRun = payments.filter(
     (it) => it.some((one) => toldTo(one) === 'ok') && runsOf(it).length === 0,
   );
@@ -72,6 +88,10 @@
     { name: 'tries told not run that ran', value: untrue.length, atMost: 0 },
     { name: 'tries told not run after their payment ran', value: afterRun.length, atMost: 0 },
     { name: 'last tries told not run of payments that ran', value: lastUntrue.length, atMost: 0 },
+    {
+      name: 'told not run beside an open try that ran',
+      value: besideOpen.length - lastUntrue.length,
+    },
   ];
 }
 
