--- a/packages/placement/src/lib/overload.ts
+++ b/packages/placement/src/lib/overload.ts
@@ -3,7 +3,7 @@
 import type { LoadMap } from './load-map.js';
 import type { PlannedServer } from './plan-moves.js';
 
-/** Demand over capacity from which routers are told; up to it the queues that answers show serve better. */
+/** Demand over capacity from which routers are told; below it they decide by the queues that answers show. */
 const OVERLOAD = 4;
 /** Requests sent on, over capacity: queues decide among them. */
 const FILL = 2;
--- a/packages/router/src/test/load-simulation.ts
+++ b/packages/router/src/test/load-simulation.ts
@@ -5,7 +5,7 @@
   createServerSpeeds,
   planMoves,
 } from '@boragepoint/placement';
-import { xoroshiro128plus } from 'pure-rand';
+import { createRandom } from '@boragepoint/standin';
 
 import { admit } from '../lib/admission.js';
 import { expectedMs, queuedUnits } from '../lib/choose-server.js';
@@ -75,8 +75,8 @@
 
 /** Runs a pattern; equal seeds give equal outcomes. */
 export function simulate(pattern: Pattern, policy: Policy, seed: number): Outcome {
-  const generator = xoroshiro128plus(seed);
-  const draw = () => (generator.unsafeNext() >>> 0) / 2 ** 32;
+  const random = createRandom(seed);
+  const draw = () => random.next();
   const events: Event[] = [];
   const servers: SimulatedServer[] = Array.from({ length: pattern.servers }, () => ({
     running: 0,
