--- a/packages/placement/src/lib/hand-over.ts
+++ b/packages/placement/src/lib/hand-over.ts
@@ -11,6 +11,8 @@
 
 /** Pause between two tries, in milliseconds. */
 const RETRY_MS = 150;
+/** A wait for a former holder that is worth a line in the log, in milliseconds. */
+const LONG_WAIT_MS = 1_000;
 /** Tries to grant a range to a new owner that doesn't answer, before another one is looked for. */
 const MAX_GRANT_TRIES = 4;
 
@@ -21,6 +23,7 @@
 /** Waits until a former holder can't hold the range: released, lapsed or proved gone. */
 async function vacate(ctx: LeaderContext, range: HeldRange, holder: Holder): Promise<void> {
   let released = false;
+  let isWaiting = false;
   while (!ctx.signal.aborted) {
     const waitMs = mayHoldUntil(ctx, holder) - ctx.clocks.monotonic();
     if (waitMs <= 0) return;
@@ -33,6 +36,16 @@
       }
     }
     if (hasEnded(ctx, holder.life)) return;
+    if (!isWaiting && waitMs > LONG_WAIT_MS) {
+      isWaiting = true;
+      ctx.log.info('range waits for its former owner', {
+        first: range.first,
+        last: range.last,
+        server: holder.life.server,
+        inherited: holder.inherited,
+        forMs: Math.round(waitMs),
+      });
+    }
     await pause(ctx, Math.min(RETRY_MS, Math.max(1, waitMs)));
   }
 }
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -165,8 +165,17 @@
       })),
     };
     const timeoutMs = REPORT_WAIT_MS + REPORT_TIMEOUT_MS;
+    const askedAt = clocks.monotonic();
     const answer = await peers.report(leading.address, report, timeoutMs);
-    if (!answer?.leads) return false;
+    if (!answer?.leads) {
+      options.log.info('leader does not answer reports', {
+        leader: leading.router,
+        epoch: leading.epoch,
+        answer: answer ? 'does not lead' : 'none',
+        afterMs: Math.round(clocks.monotonic() - askedAt),
+      });
+      return false;
+    }
     if (answer.view) adopt(answer.isComplete ? answer.view : withChanges(current, answer.view));
     routers = Math.max(1, answer.routers);
     admit(answer.admitted);
--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -3,6 +3,7 @@
   type PlatformError,
   type RowWatcher,
   type ServerEntry,
+  type WatchLoss,
   watchRows,
 } from '@boragepoint/platform';
 
@@ -40,7 +41,7 @@
   readonly platform: Pick<FleetPlatform, 'store' | 'serverTable' | 'decodeServer'>;
   readonly clocks: Clocks;
   readonly onLost?: (err: PlatformError) => void;
-  readonly onRegained?: () => void;
+  readonly onRegained?: (loss: WatchLoss) => void;
 }
 
 /** Creates an empty directory. */
@@ -120,11 +121,11 @@
       currentSince = Infinity;
       options.onLost?.(err);
     },
-    onRegained() {
+    onRegained(loss) {
       storeIsLost = false;
       regainedAt = clocks.monotonic();
       currentSince = regainedAt;
-      options.onRegained?.();
+      options.onRegained?.(loss);
     },
   };
 
--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -21,7 +21,17 @@
   /** The store stopped answering the watch. */
   onLost(err: PlatformError): void;
   /** The store answers the watch again. */
-  onRegained(): void;
+  onRegained(loss: WatchLoss): void;
+}
+
+/** A time during which a watch got no answer. */
+export interface WatchLoss {
+  /** Tries that failed. */
+  readonly tries: number;
+  /** From the last answer before it to the first one after it, in milliseconds. */
+  readonly forMs: number;
+  /** The error of the last try. */
+  readonly lastError: PlatformError;
 }
 
 function apply(changes: Extract<RowChanges, { kind: 'changes' }>, watcher: RowWatcher): void {
@@ -44,6 +54,9 @@
   let version: number | undefined;
   let newest = 0;
   let retryMs = 0;
+  let tries = 0;
+  let lastError: PlatformError | undefined;
+  let answeredAt = performance.now();
 
   async function poll(): Promise<Result<unknown, PlatformError>> {
     if (version === undefined) {
@@ -78,12 +91,18 @@
     if (polled.isOk()) {
       // After a gap nothing is known until the whole table has been read.
       if (wasFollowing && version === undefined) continue;
-      if (retryMs > 0) watcher.onRegained();
+      const now = performance.now();
+      if (lastError) watcher.onRegained({ tries, forMs: now - answeredAt, lastError });
+      answeredAt = now;
+      lastError = undefined;
       retryMs = 0;
+      tries = 0;
       await pause(GATHER_MS);
       continue;
     }
-    if (retryMs === 0) watcher.onLost(polled.error);
+    if (!lastError) watcher.onLost(polled.error);
+    lastError = polled.error;
+    tries += 1;
     retryMs = Math.min(MAX_RETRY_MS, Math.max(FIRST_RETRY_MS, retryMs * 2));
     const jitter = 1 + Math.random();
     await pause((retryMs * jitter) / 2);
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -8,7 +8,12 @@
   createServerDirectory,
   processClocks,
 } from '@boragepoint/placement';
-import { type FleetPlatform, type RowWatcher, watchRows } from '@boragepoint/platform';
+import {
+  type FleetPlatform,
+  type RowWatcher,
+  type WatchLoss,
+  watchRows,
+} from '@boragepoint/platform';
 
 import { createCallerListener } from './caller-listener.js';
 import { createCrashGuard } from './crash-guard.js';
@@ -19,6 +24,7 @@
 import { createRouterMetrics } from './router-metrics.js';
 import { createServerPool } from './server-pool.js';
 import { type SharedRetryBudget, createSharedRetryBudget } from './shared-retry-budget.js';
+import { watchStalls } from './stall-watch.js';
 
 /** After the stop was announced, connections are taken for as long as callers may still be sent here. */
 const ANNOUNCE_MS = 2_600;
@@ -40,6 +46,11 @@
   return endpoint;
 }
 
+/** What the log says of a time without the store. */
+function fieldsOf({ tries, forMs, lastError }: WatchLoss) {
+  return { tries, forMs: Math.round(forMs), lastReason: lastError.message };
+}
+
 /** Starts a router on a platform. */
 export async function createFleetRouter(
   initial: FleetSettings,
@@ -62,8 +73,8 @@
     onLost: (err) => {
       log.warn('service registry lost', { reason: err.message });
     },
-    onRegained: () => {
-      log.info('service registry regained');
+    onRegained: (loss) => {
+      log.info('service registry regained', fieldsOf(loss));
     },
   });
   const guard = createCrashGuard(directory, clocks.monotonic);
@@ -169,6 +180,11 @@
     callers.port,
   );
 
+  const stalls = watchStalls(({ lateMs, cpuMs }) => {
+    metrics.stalled(lateMs);
+    log.warn('process stalled', { lateMs: Math.round(lateMs), cpuMs: Math.round(cpuMs) });
+  });
+
   function applyConfig(next: RouteTable): void {
     if (table && next.cfg.version <= table.cfg.version) return;
     table = next;
@@ -192,8 +208,8 @@
     onLost(err) {
       log.warn('configuration watch lost', { reason: err.message });
     },
-    onRegained() {
-      log.info('configuration watch regained');
+    onRegained(loss) {
+      log.info('configuration watch regained', fieldsOf(loss));
     },
   };
 
@@ -257,6 +273,7 @@
       await Promise.race([placed, sleep(Math.max(0, leaveBy - clocks.monotonic()))]);
       await peerListener[Symbol.asyncDispose]();
       peers[Symbol.dispose]();
+      stalls[Symbol.dispose]();
       readiness.close();
       metricsServer.close();
       log.info('stopped', {
--- a/packages/router/src/lib/router-metrics.ts
+++ b/packages/router/src/lib/router-metrics.ts
@@ -9,6 +9,8 @@
 /** Counters and latencies of one router. */
 export interface RouterMetrics {
   answered(req: CallerRequest, answer: RouterAnswer, latencyMs: number): void;
+  /** The event loop ran late. */
+  stalled(lateMs: number): void;
   text(): Promise<string>;
 }
 
@@ -40,6 +42,11 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [registry],
   });
+  const stalls = new Counter({
+    name: 'boragepoint_stall_seconds_total',
+    help: 'Time by which the event loop ran late, where it was late by a quarter of a second or more.',
+    registers: [registry],
+  });
   new Gauge({
     name: 'boragepoint_requests_open',
     help: 'Requests without an answer yet.',
@@ -56,6 +63,9 @@
       latency.observe({ service, outcome }, latencyMs / MS_PER_S);
       if (outcome === 'ok' && latencyMs > route.cfg.objectiveMs) late.inc({ service });
     },
+    stalled(lateMs) {
+      stalls.inc(lateMs / MS_PER_S);
+    },
     text: () => registry.metrics(),
   };
 }
