--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -92,6 +92,7 @@
   let leaderRun: Promise<void> = Promise.resolve();
   let lastEpochLed = 0;
   let seat: Seat | undefined;
+  let followed: number | undefined;
 
   function adopt(view: PlacementView): void {
     if (!isNewer(view, current)) return;
@@ -176,6 +177,10 @@
       });
       return false;
     }
+    if (followed !== leading.epoch) {
+      followed = leading.epoch;
+      options.log.info('following the leader', { leader: leading.router, epoch: leading.epoch });
+    }
     if (answer.view) adopt(answer.isComplete ? answer.view : withChanges(current, answer.view));
     routers = Math.max(1, answer.routers);
     admit(answer.admitted);
