A transfer from the store is given up only if it makes no progress

Callers saw: routers behind links of 7 Mbit/s went on with an old configuration for good, once one of 2,800 routes had changed while the store turned them away: old services, 404 for routes that had been added (CONFIG, DENIED).

The configuration takes 0.9 s over such a link. Each try was given up midway and begun again, with no end. The same bound stood in the client of our own platform's object store.

Evidence: large-configuration-turned-away on the tree of landing 3: 22 of 24 routers never regain their watch, the two on large instances do at once; at 1,400 routes (0.45 s) all regain it. An outage of the whole store does not show it, since the configuration can't change then and the first poll after it is empty. Ruled out: connections that stay dead (the pool is renewed at each failure), a busy event loop.

Why this works: the time counts until an answer begins and from each part to the next, so a dead connection is still noticed as early, and what keeps arriving ends. The test failed before.

--- a/packages/platform/src/lib/http-call.ts
+++ b/packages/platform/src/lib/http-call.ts
@@ -2,11 +2,11 @@
 import type { Pool } from 'undici';
 import * as v from 'valibot';
 
-import { abortAfter } from './abort-after.js';
 import { PlatformError } from './platform-error.js';
+import { createProgressTimeout, readWithProgress } from './progress-timeout.js';
 
-/** Longest time that one call to the platform may take. */
-const CALL_TIMEOUT_MS = 2_000;
+/** Time in which the answer to a call has to begin, and longest pause within it. Objects may be large. */
+const CALL_LIMITS = { beginMs: 2_000, gapMs: 2_000 };
 const HTTP_SERVICE_UNAVAILABLE = 503;
 
 /** A plain answer of the platform. */
@@ -35,7 +35,7 @@
   pool: Pool,
   call: PlatformCall,
 ): Promise<Result<PlatformAnswer, PlatformError>> {
-  using timeout = abortAfter(CALL_TIMEOUT_MS);
+  using timeout = createProgressTimeout(CALL_LIMITS);
   try {
     const res = await pool.request({
       method: call.method,
@@ -44,7 +44,7 @@
       headers: { 'content-type': 'application/json' },
       signal: timeout.signal,
     });
-    const body = new Uint8Array(await res.body.arrayBuffer());
+    const body = new Uint8Array(await readWithProgress(res.body, timeout));
     if (res.statusCode === HTTP_SERVICE_UNAVAILABLE) {
       return err(new PlatformError(`${call.path}: the platform is unavailable`, false));
     }
