What a router can't learn from the store it learns from other routers

Callers saw: a router that the store turns away, while it serves the others and the operator, went on with the configuration and the backend servers that it knew, for as long as that lasted.

Cause: each router has both tables from its own watch of the store only. A rule that holds everywhere within seconds had one way to each router.

Why this works: a watch without an answer asks a router that it knows, whose own watch must be answered, for the rows written after the store's version that it has, and goes on from there. Versions of the store order what comes from either side, so nothing goes back. Routers know each other by reports. A row goes in pieces with a time limit for each, since it may be large. Nothing is asked while the store answers.

--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -50,6 +50,8 @@
   report(load: ServiceLoadReport): void;
   /** Leads until the seat is lost or the signal aborts; then hands over if it still holds the seat. */
   run(signal: AbortSignal): Promise<void>;
+  /** The store has not confirmed the tenure, and it is over. */
+  isTenureOver(): boolean;
   /** Stops ordering; returns the time until grants without an answer have lapsed, in milliseconds. */
   yieldSeat(): number;
 }
@@ -267,6 +269,7 @@
       planner.record(load);
     },
     run,
+    isTenureOver: () => !seat.isConfirmed(),
     yieldSeat() {
       hasYielded = true;
       end.abort();
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -10,8 +10,8 @@
 import { type Candidate, type SeatReading, mayTake, readSeat } from './leader-seat.js';
 import type { AdmittedShares } from './overload.js';
 import type { PlacementLeader } from './placement-leader.js';
-import type { PlacementPeers } from './placement-peers.js';
-import type { Seat } from './placement-record.js';
+import { createKnownPeers } from './known-peers.js';
+import type { LeaderAddress, PlacementPeers, ReportAnswer } from './placement-peers.js';
 import {
   NO_PLACEMENT,
   type PlacementView,
@@ -19,6 +19,7 @@
   viewOf,
   withChanges,
 } from './placement-view.js';
+import { createReporters } from './reporters.js';
 import type { ServerDirectory } from './server-directory.js';
 import type { ServiceLoadReport } from './service-planner.js';
 import type { Clocks } from './suspension-guard.js';
@@ -33,8 +34,6 @@
 const RETRY_MS = 300;
 /** What a leader said of overloaded servers is forgotten after this time, in milliseconds. */
 const ADMITTED_MS = 3_000;
-/** A router that has not reported for this long counts as gone, in milliseconds. */
-const REPORTER_MS = 3_500;
 
 /** Answer to a report as it goes over the wire. */
 export type ReportReply = MessageInitShape<typeof ReportResponseSchema>;
@@ -46,6 +45,8 @@
   /** Routers that share the load, this one included. */
   routers(): number;
   isLeading(): boolean;
+  /** Where some router answers that reported, or was reported to, lately. */
+  anyPeer(): string | undefined;
   /** Servers that ended lately, on any router's account, while they ran equal requests. */
   crashesOf(fingerprintOf: () => string): number;
   /** Share of the requests for a server's keys that this router sends on, 1 unless the server is overloaded. */
@@ -79,10 +80,17 @@
   takeCrashes(): readonly CrashedRun[];
 }
 
+const seatMessage = ({ router, address, epoch }: LeaderAddress) => ({
+  router,
+  address,
+  epoch: BigInt(epoch),
+});
+
 /** Creates a member. */
 export function createPlacementMember(options: PlacementMemberOptions): PlacementMember {
   const { self, store, peers, clocks } = options;
-  const reporters = new Map<string, number>();
+  const reporters = createReporters(clocks);
+  const known = createKnownPeers(self.address);
   const waiters = createWaiters();
   const crashes = createCrashRecord();
   let current: PlacementView = NO_PLACEMENT;
@@ -91,7 +99,8 @@
   let leader: PlacementLeader | undefined;
   let leaderRun: Promise<void> = Promise.resolve();
   let lastEpochLed = 0;
-  let seat: Seat | undefined;
+  /** Whom to report to. */
+  let target: LeaderAddress | undefined;
   let followed: number | undefined;
 
   function adopt(view: PlacementView): void {
@@ -104,41 +113,50 @@
     admitted = { shares, until: clocks.monotonic() + ADMITTED_MS };
   }
 
-  function countReporters(): number {
-    const oldest = clocks.monotonic() - REPORTER_MS;
-    for (const [router, at] of reporters) if (at < oldest) reporters.delete(router);
-    return reporters.size + 1;
-  }
+  const countRouters = () => reporters.count() + 1;
 
   async function takeSeat(reading: SeatReading, signal: AbortSignal): Promise<void> {
     const partitionedServices = () => options.partitionedServices() ?? [];
     const created = await becomeLeader({
       ...options,
       partitionedServices,
-      routers: countReporters,
+      routers: countRouters,
       reading,
       signal,
     });
     if (!created) return;
     leader = created;
     lastEpochLed = created.epoch;
-    seat = undefined;
+    target = undefined;
     leaderRun = created.run(signal).finally(() => {
       leader = undefined;
     });
   }
 
+  /** Asks any router that is known whom it follows, for when the store does not say. */
+  async function askPeer(): Promise<void> {
+    const address = known.any();
+    if (address === undefined) return;
+    const answer = await peers.report(address, reportOf([], 0), REPORT_TIMEOUT_MS);
+    if (!answer) known.forget(address);
+    else if (answer.leads) target = { router: address, address, epoch: answer.view?.epoch ?? 0 };
+    else target = answer.leader;
+  }
+
   /** Reads the row: learns the placement and the leader, or takes the seat. */
   async function refresh(signal: AbortSignal): Promise<void> {
     const reading = await readSeat(store, clocks);
-    if (!reading) return;
+    if (!reading) {
+      await askPeer();
+      return;
+    }
     if (reading.placement) adopt(viewOf(reading.placement));
     const mayLead = !signal.aborted && options.partitionedServices() !== undefined;
     if (mayLead && mayTake(reading, self)) {
       await takeSeat(reading, signal);
       return;
     }
-    seat = reading.placement?.seat;
+    target = reading.placement?.seat;
   }
 
   function lead(leading: PlacementLeader): void {
@@ -146,41 +164,55 @@
     crashes.add(options.takeCrashes(), clocks.monotonic());
     adopt(leading.view());
     admit(leading.admitted());
-    routers = countReporters();
+    routers = countRouters();
   }
 
-  async function follow(leading: Seat): Promise<boolean> {
-    const crashed = options.takeCrashes();
-    crashes.add(crashed, clocks.monotonic());
-    const report = {
+  function reportOf(crashed: readonly CrashedRun[], waitMs: number) {
+    return {
       crashes: crashed.map(encodeCrash),
       router: self.router,
+      address: self.address,
       startedMs: BigInt(self.startedMs),
       knownEpoch: BigInt(current.epoch),
       knownChange: BigInt(current.change),
-      waitMs: REPORT_WAIT_MS,
-      services: options.takeLoad().map((it) => ({
-        service: it.service,
-        keys: [...it.keys],
-        servers: [...it.servers],
-      })),
+      waitMs,
     };
+  }
+
+  function noteNoLeader(leading: LeaderAddress, answer: ReportAnswer | undefined, askedAt: number) {
+    options.log.info('leader does not answer reports', {
+      leader: leading.router,
+      epoch: leading.epoch,
+      answer: answer ? 'does not lead' : 'none',
+      afterMs: Math.round(clocks.monotonic() - askedAt),
+    });
+    const named = answer?.leader;
+    // A leader of a later term is followed at its word; the row says whether it really leads.
+    target = named && named.epoch > leading.epoch ? named : undefined;
+  }
+
+  /** Reports to a leader and takes over what it answers; false if it does not lead. */
+  async function follow(leading: LeaderAddress): Promise<boolean> {
+    const crashed = options.takeCrashes();
+    crashes.add(crashed, clocks.monotonic());
+    const services = options.takeLoad().map((it) => ({
+      service: it.service,
+      keys: [...it.keys],
+      servers: [...it.servers],
+    }));
+    const report = { ...reportOf(crashed, REPORT_WAIT_MS), services };
     const timeoutMs = REPORT_WAIT_MS + REPORT_TIMEOUT_MS;
     const askedAt = clocks.monotonic();
     const answer = await peers.report(leading.address, report, timeoutMs);
     if (!answer?.leads) {
-      options.log.info('leader does not answer reports', {
-        leader: leading.router,
-        epoch: leading.epoch,
-        answer: answer ? 'does not lead' : 'none',
-        afterMs: Math.round(clocks.monotonic() - askedAt),
-      });
+      noteNoLeader(leading, answer, askedAt);
       return false;
     }
     if (followed !== leading.epoch) {
       followed = leading.epoch;
       options.log.info('following the leader', { leader: leading.router, epoch: leading.epoch });
     }
+    known.note([...answer.peers, leading.address]);
     if (answer.view) adopt(answer.isComplete ? answer.view : withChanges(current, answer.view));
     routers = Math.max(1, answer.routers);
     admit(answer.admitted);
@@ -203,33 +235,37 @@
       await sleep(REPORT_GAP_MS);
       return;
     }
-    if (seat && (await follow(seat))) {
+    if (target && (await follow(target))) {
       await sleep(REPORT_GAP_MS);
       return;
     }
+    if (target) return;
     await refresh(signal);
     if (!isLeading()) await sleep(RETRY_MS * (0.5 + Math.random()));
   }
 
   async function answerReport(req: ReportRequest): Promise<ReportReply> {
     const leading = leader;
-    if (!leading) return { leads: false };
-    reporters.set(req.router, clocks.monotonic());
+    known.note([req.address]);
+    if (!leading) return { leads: false, ...(target && { leader: seatMessage(target) }) };
+    reporters.note(req.router, req.address);
     for (const load of req.services) leading.report(load);
     const reported = req.crashes.map((it) => ({ ...it, startedMs: Number(it.startedMs) }));
     crashes.add(reported, clocks.monotonic());
-    const known = Number(req.knownEpoch) === leading.epoch ? Number(req.knownChange) : -1;
-    await leading.waitForChange(known, req.waitMs);
-    if (leading !== leader) return { leads: false };
+    const knownChange = Number(req.knownEpoch) === leading.epoch ? Number(req.knownChange) : -1;
+    await leading.waitForChange(knownChange, req.waitMs);
+    if (leading !== leader) return { leads: false, ...(target && { leader: seatMessage(target) }) };
     const view = leading.view();
-    const isComplete = known < 0;
-    const services = isComplete ? view.services : leading.changedSince(known);
+    const isComplete = knownChange < 0;
+    const services = isComplete ? view.services : leading.changedSince(knownChange);
     return {
       leads: true,
       epoch: BigInt(view.epoch),
       change: BigInt(view.change),
-      routers: countReporters(),
+      routers: countRouters(),
       complete: isComplete,
+      tenureOver: leading.isTenureOver(),
+      peers: reporters.someAddresses(req.address),
       crashes: crashes.list(clocks.monotonic()).map(encodeCrash),
       admitted: [...leading.admitted()].map(([server, share]) => ({ server, share })),
       services: [...services].map(([service, ranges]) => ({
@@ -243,6 +279,7 @@
     view: () => current,
     routers: () => routers,
     isLeading,
+    anyPeer: () => known.any(),
     crashesOf: (fingerprintOf) => crashes.countOf(fingerprintOf, clocks.monotonic()),
     admittedShare: (server) =>
       clocks.monotonic() < admitted.until ? (admitted.shares.get(server) ?? 1) : 1,
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -1,12 +1,26 @@
-import { PlacementService, type ReportRequestSchema } from '@boragepoint/protocol';
+import {
+  type ProgressTimeout,
+  type RowDelta,
+  type StoredRow,
+  createProgressTimeout,
+} from '@boragepoint/platform';
+import {
+  type FetchTablePart,
+  PlacementService,
+  type ReportRequestSchema,
+} from '@boragepoint/protocol';
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import { type Client, ConnectError, createClient } from '@connectrpc/connect';
 import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
 
 import type { CrashedRun } from './crash-record.js';
 import type { AdmittedShares } from './overload.js';
+import type { Seat } from './placement-record.js';
 import type { PlacementView } from './placement-view.js';
 
+/** Limits of a table's transfer between routers. */
+const FETCH_LIMITS = { beginMs: 1_000, gapMs: 1_000 };
+
 /** A report to the leader. */
 export type Report = MessageInitShape<typeof ReportRequestSchema>;
 
@@ -21,8 +35,17 @@
   readonly routers: number;
   readonly crashes: readonly CrashedRun[];
   readonly admitted: AdmittedShares;
+  /** The leader's tenure is over without the store's word: who reaches the store may take the seat. */
+  readonly tenureOver: boolean;
+  /** Where some other routers answer. */
+  readonly peers: readonly string[];
+  /** The leader that a router follows which does not lead itself. */
+  readonly leader: LeaderAddress | undefined;
 }
 
+/** A leader as other routers name it. */
+export type LeaderAddress = Pick<Seat, 'router' | 'address' | 'epoch'>;
+
 /**
  * Answer of a former leader: `stopped` with the time until its unanswered grants have lapsed; `gone`, its
  * process is no more; `silent`, nothing is known.
@@ -41,6 +64,8 @@
     startedMs: number,
     timeoutMs: number,
   ): Promise<YieldAnswer>;
+  /** What the router at an address knows of a table after a version; `undefined` without news. */
+  rowsSince(address: string, table: string, version: number): Promise<RowDelta | undefined>;
 }
 
 interface Peer {
@@ -53,6 +78,28 @@
   return reason instanceof Error && 'code' in reason && reason.code === 'ECONNREFUSED';
 }
 
+/** Puts the parts of a table together. */
+async function readDelta(
+  parts: AsyncIterable<FetchTablePart>,
+  timeout: ProgressTimeout,
+): Promise<RowDelta | undefined> {
+  let head: FetchTablePart | undefined;
+  let pieces: Uint8Array[] = [];
+  const changed: StoredRow[] = [];
+  for await (const part of parts) {
+    timeout.progressed();
+    if (!head) {
+      head = part;
+      continue;
+    }
+    pieces.push(part.piece);
+    if (!part.endsRow) continue;
+    changed.push({ key: part.key, version: Number(part.rowVersion), value: Buffer.concat(pieces) });
+    pieces = [];
+  }
+  return head && { version: Number(head.version), keys: head.keys, changed };
+}
+
 /** Creates the client for peers; it keeps one connection to each. */
 export function createPlacementPeers(): PlacementPeers {
   const peers = new Map<string, Peer>();
@@ -102,7 +149,22 @@
         const { leads, complete, routers } = res;
         const crashes = res.crashes.map((it) => ({ ...it, startedMs: Number(it.startedMs) }));
         const admitted = new Map(res.admitted.map(({ server, share }) => [server, share]));
-        return { leads, view, isComplete: complete, routers, crashes, admitted };
+        const leader = res.leader && {
+          router: res.leader.router,
+          address: res.leader.address,
+          epoch: Number(res.leader.epoch),
+        };
+        return {
+          leads,
+          view,
+          isComplete: complete,
+          routers,
+          crashes,
+          admitted,
+          tenureOver: res.tenureOver,
+          peers: res.peers,
+          leader,
+        };
       } catch {
         drop(address);
         return undefined;
@@ -119,6 +181,19 @@
         return { kind: isRefused(cause) ? 'gone' : 'silent' };
       }
     },
+    async rowsSince(address, table, knownVersion) {
+      using timeout = createProgressTimeout(FETCH_LIMITS);
+      const req = { table, knownVersion: BigInt(knownVersion) };
+      try {
+        return await readDelta(
+          peerAt(address).rpc.fetchTable(req, { signal: timeout.signal }),
+          timeout,
+        );
+      } catch {
+        drop(address);
+        return undefined;
+      }
+    },
     [Symbol.dispose]() {
       for (const address of [...peers.keys()]) drop(address);
     },
--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -1,10 +1,12 @@
 import {
   type FleetPlatform,
   type PlatformError,
+  type RowDelta,
+  type RowSource,
   type RowWatcher,
   type ServerEntry,
   type WatchLoss,
-  watchRows,
+  createRowWatch,
 } from '@boragepoint/platform';
 
 import type { Clocks } from './suspension-guard.js';
@@ -34,12 +36,16 @@
   onChange(listener: () => void): void;
   /** Watches the registry until the signal aborts. */
   run(signal: AbortSignal): Promise<void>;
+  /** The registry's rows, for routers that the store does not serve; see {@link RowWatch.since}. */
+  rowsSince(version: number): RowDelta | undefined;
 }
 
 /** What a directory needs. */
 export interface ServerDirectoryOptions {
   readonly platform: Pick<FleetPlatform, 'store' | 'serverTable' | 'decodeServer'>;
   readonly clocks: Clocks;
+  /** Asked while the store gives no answer. */
+  readonly fallback?: RowSource;
   readonly onLost?: (err: PlatformError) => void;
   readonly onRegained?: (loss: WatchLoss) => void;
 }
@@ -129,6 +135,13 @@
     },
   };
 
+  const watch = createRowWatch({
+    store: platform.store,
+    table: platform.serverTable,
+    watcher,
+    ...(options.fallback && { fallback: options.fallback }),
+  });
+
   function group(): Map<string, KnownServer[]> {
     const groups = new Map<string, KnownServer[]>();
     for (const server of servers.values()) {
@@ -148,8 +161,9 @@
       listeners.push(listener);
     },
     async run(signal) {
-      await watchRows(platform.store, platform.serverTable, watcher, signal);
+      await watch.run(signal);
       for (const timer of removals.values()) clearTimeout(timer);
     },
+    rowsSince: (version) => watch.since(version),
   };
 }
--- a/packages/placement/src/test/fake-directory.ts
+++ b/packages/placement/src/test/fake-directory.ts
@@ -27,6 +27,7 @@
     ofService: () => [...known.values()],
     onChange: () => undefined,
     run: () => Promise.resolve(),
+    rowsSince: () => undefined,
     set(server, changes) {
       const { address, startedMs } = lifeOf(server);
       const entry = {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -9,6 +9,7 @@
 export * from './lib/object-store.js';
 export * from './lib/platform-error.js';
 export * from './lib/progress-timeout.js';
+export * from './lib/row-mirror.js';
 export * from './lib/row-store.js';
 export * from './lib/server-orders.js';
 export * from './lib/settled-write.js';
--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -3,7 +3,8 @@
 import type { Result } from 'neverthrow';
 
 import type { PlatformError } from './platform-error.js';
-import type { RowChanges, RowSnapshot, RowStore, StoredRow } from './row-store.js';
+import { type RowDelta, type RowSource, createRowMirror } from './row-mirror.js';
+import type { RowSnapshot, RowStore, StoredRow } from './row-store.js';
 
 /** Longest time that the store holds a watch without a change. */
 const WATCH_WAIT_MS = 4_000;
@@ -34,23 +35,30 @@
   readonly lastError: PlatformError;
 }
 
-function apply(changes: Extract<RowChanges, { kind: 'changes' }>, watcher: RowWatcher): void {
-  for (const change of changes.changes) {
-    if ('removed' in change) watcher.onRemoval(change.key);
-    else watcher.onChange(change);
-  }
+/** What a watch needs. */
+export interface RowWatchOptions {
+  readonly store: RowStore;
+  readonly table: string;
+  readonly watcher: RowWatcher;
+  /** Asked while the store gives no answer. */
+  readonly fallback?: RowSource;
+}
+
+/** A watch of one table. */
+export interface RowWatch {
+  /**
+   * Watches until the signal aborts: one long poll at a time, and the whole table again after a gap.
+   * Versions never go back: what is older than what is known is dropped.
+   */
+  run(signal: AbortSignal): Promise<void>;
+  /** What became of the table; `undefined` while the store does not answer, and if nothing is newer. */
+  since(version: number): RowDelta | undefined;
 }
 
-/**
- * Watches a table until the signal aborts: one long poll at a time, and the whole table again after a
- * gap. Versions never go back: an older snapshot is dropped.
- */
-export async function watchRows(
-  store: RowStore,
-  table: string,
-  watcher: RowWatcher,
-  signal: AbortSignal,
-): Promise<void> {
+/** Creates a watch of a table. */
+export function createRowWatch({ store, table, watcher, fallback }: RowWatchOptions): RowWatch {
+  const mirror = createRowMirror();
+  /** Version from which the store is asked for changes; `undefined` if the whole table has to be read. */
   let version: number | undefined;
   let newest = 0;
   let retryMs = 0;
@@ -58,14 +66,31 @@
   let lastError: PlatformError | undefined;
   let answeredAt = performance.now();
 
-  async function poll(): Promise<Result<unknown, PlatformError>> {
+  function change(row: StoredRow): void {
+    mirror.put(row);
+    watcher.onChange(row);
+  }
+
+  function remove(key: string): void {
+    mirror.remove(key);
+    watcher.onRemoval(key);
+  }
+
+  function replaceAll(snapshot: RowSnapshot): void {
+    const present = new Set(snapshot.rows.map((it) => it.key));
+    for (const key of mirror.keys()) if (!present.has(key)) mirror.remove(key);
+    for (const row of snapshot.rows) mirror.put(row);
+    watcher.onSnapshot(snapshot);
+  }
+
+  async function poll(signal: AbortSignal): Promise<Result<unknown, PlatformError>> {
     if (version === undefined) {
       const snapshot = await store.list(table);
       return snapshot.map((it) => {
         if (signal.aborted || it.version < newest) return;
         newest = it.version;
         version = it.version;
-        watcher.onSnapshot(it);
+        replaceAll(it);
       });
     }
     // A store that was lost is asked for an answer at once: a long poll would notice its return late.
@@ -77,34 +102,69 @@
         version = undefined;
         return;
       }
-      apply(it, watcher);
+      for (const changed of it.changes) {
+        if ('removed' in changed) remove(changed.key);
+        else change(changed);
+      }
       newest = Math.max(newest, it.version);
       version = newest;
     });
   }
 
-  const pause = (ms: number) => sleep(ms, undefined, { signal }).catch(() => undefined);
-
-  while (!signal.aborted) {
-    const wasFollowing = version !== undefined;
-    const polled = await poll();
-    if (polled.isOk()) {
-      // After a gap nothing is known until the whole table has been read.
-      if (wasFollowing && version === undefined) continue;
-      const now = performance.now();
-      if (lastError) watcher.onRegained({ tries, forMs: now - answeredAt, lastError });
-      answeredAt = now;
-      lastError = undefined;
-      retryMs = 0;
-      tries = 0;
-      await pause(GATHER_MS);
-      continue;
+  /** Takes over what another source knows beyond this watch. */
+  async function askFallback(signal: AbortSignal): Promise<void> {
+    const delta = await fallback?.rowsSince(table, newest);
+    if (!delta || signal.aborted || delta.version <= newest) return;
+    const isFirst = newest === 0;
+    newest = delta.version;
+    version = delta.version;
+    if (isFirst) {
+      replaceAll({ rows: delta.changed, version: delta.version, nowMs: 0 });
+      return;
     }
-    if (!lastError) watcher.onLost(polled.error);
-    lastError = polled.error;
+    const present = new Set(delta.keys);
+    for (const key of mirror.keys()) if (!present.has(key)) remove(key);
+    for (const row of delta.changed) change(row);
+  }
+
+  function noteAnswer(): void {
+    const now = performance.now();
+    if (lastError) watcher.onRegained({ tries, forMs: now - answeredAt, lastError });
+    answeredAt = now;
+    lastError = undefined;
+    retryMs = 0;
+    tries = 0;
+  }
+
+  function noteFailure(err: PlatformError): void {
+    if (!lastError) watcher.onLost(err);
+    lastError = err;
     tries += 1;
     retryMs = Math.min(MAX_RETRY_MS, Math.max(FIRST_RETRY_MS, retryMs * 2));
-    const jitter = 1 + Math.random();
-    await pause((retryMs * jitter) / 2);
   }
+
+  return {
+    async run(signal) {
+      const pause = (ms: number) => sleep(ms, undefined, { signal }).catch(() => undefined);
+      while (!signal.aborted) {
+        const wasFollowing = version !== undefined;
+        const polled = await poll(signal);
+        if (polled.isErr()) {
+          noteFailure(polled.error);
+          await askFallback(signal);
+          const jitter = 1 + Math.random();
+          await pause((retryMs * jitter) / 2);
+          continue;
+        }
+        // After a gap nothing is known until the whole table has been read.
+        if (wasFollowing && version === undefined) continue;
+        noteAnswer();
+        await pause(GATHER_MS);
+      }
+    },
+    since(known) {
+      if (lastError || newest <= known) return undefined;
+      return { version: newest, ...mirror.since(known) };
+    },
+  };
 }
--- a/packages/platform/src/test/watch-rows_test.ts
+++ b/packages/platform/src/test/watch-rows_test.ts
@@ -5,7 +5,7 @@
 
 import { PlatformError } from '../lib/platform-error.js';
 import type { RowChanges, RowStore, StoredRow } from '../lib/row-store.js';
-import { watchRows } from '../lib/watch-rows.js';
+import { type RowWatchOptions, createRowWatch } from '../lib/watch-rows.js';
 
 type Poll = Result<RowChanges, PlatformError>;
 
@@ -14,7 +14,11 @@
 const nothing = (version: number): Poll => ok({ kind: 'changes', changes: [], version });
 
 /** Runs a watch over polls that are answered as given, and returns what it asked and was told. */
-async function watch(polls: Poll[], rows: StoredRow[] = [row('a', 1)]) {
+async function watch(
+  polls: Poll[],
+  rows: StoredRow[] = [row('a', 1)],
+  more: Partial<RowWatchOptions> = {},
+) {
   const end = new AbortController();
   const asked: string[] = [];
   const told: string[] = [];
@@ -31,18 +35,19 @@
     },
     put: () => Promise.resolve(err(new PlatformError('not used', false))),
   };
-  await watchRows(
+  const rowWatch = createRowWatch({
     store,
-    't',
-    {
+    table: 't',
+    watcher: {
       onSnapshot: (it) => told.push(`snapshot ${it.rows.map(({ key }) => key).join()}`),
       onChange: (it) => told.push(`change ${it.key}`),
       onRemoval: (key) => told.push(`removal ${key}`),
       onLost: () => told.push('lost'),
       onRegained: () => told.push('regained'),
     },
-    end.signal,
-  );
+    ...more,
+  });
+  await rowWatch.run(end.signal);
   return { asked, told };
 }
 
@@ -79,3 +84,22 @@
   expect(told).toEqual(['snapshot a', 'lost', 'snapshot a', 'regained']);
   expect(asked.slice(0, 4)).toEqual(['list', 'after 1 waiting', 'after 1 at once', 'list']);
 });
+
+test('while the store is away, changes come from another source, and the watch goes on from there', async () => {
+  const delta = { version: 5, changed: [row('b', 5)], keys: ['b'] };
+  const fallback = {
+    rowsSince: (_table: string, known: number) => Promise.resolve(known < 5 ? delta : undefined),
+  };
+  const { asked, told } = await watch([away, away, nothing(5), nothing(5)], undefined, {
+    fallback,
+  });
+  expect(told).toEqual(['snapshot a', 'lost', 'removal a', 'change b', 'regained']);
+  expect(asked.slice(1, 4)).toEqual(['after 1 waiting', 'after 5 at once', 'after 5 at once']);
+});
+
+test('what another source knows less of than this watch is not taken', async () => {
+  const delta = { version: 1, changed: [row('b', 1)], keys: ['b'] };
+  const fallback = { rowsSince: () => Promise.resolve(delta) };
+  const { told } = await watch([away, nothing(1), nothing(1)], undefined, { fallback });
+  expect(told).toEqual(['snapshot a', 'lost', 'regained']);
+});
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -10,9 +10,10 @@
 } from '@boragepoint/placement';
 import {
   type FleetPlatform,
+  type RowSource,
   type RowWatcher,
   type WatchLoss,
-  watchRows,
+  createRowWatch,
 } from '@boragepoint/platform';
 
 import { createCallerListener } from './caller-listener.js';
@@ -67,9 +68,27 @@
   let keys = new Map<string, number[]>();
   const budgets = new Map<string, SharedRetryBudget>();
 
+  const peers = createPlacementPeers();
+  /** Other routers, for what the store does not tell this one. */
+  const fallback: RowSource = {
+    async rowsSince(table, version) {
+      const peer = member.anyPeer();
+      const delta = peer === undefined ? undefined : await peers.rowsSince(peer, table, version);
+      if (delta) {
+        log.info('rows learned from a peer', {
+          peer,
+          table,
+          version: delta.version,
+          from: version,
+        });
+      }
+      return delta;
+    },
+  };
   const directory = createServerDirectory({
     platform,
     clocks,
+    fallback,
     onLost: (err) => {
       log.warn('service registry lost', { reason: err.message });
     },
@@ -78,7 +97,6 @@
     },
   });
   const guard = createCrashGuard(directory, clocks.monotonic);
-  const peers = createPlacementPeers();
   const isPartitioned = (service: string) => table?.service(service)?.partitioned ?? false;
 
   function takeLoad() {
@@ -236,11 +254,21 @@
   }
 
   const peerAddress = endpointOf(settings.listen.peers);
-  const peerListener = await createPeerListener(member, peerAddress.host, peerAddress.port);
-  void Promise.all([
-    watchRows(platform.store, platform.configTable, configWatcher, end.signal),
-    directory.run(end.signal),
-  ]);
+  const configWatch = createRowWatch({
+    store: platform.store,
+    table: platform.configTable,
+    watcher: configWatcher,
+    fallback,
+  });
+  const answers = {
+    member,
+    rowsSince(table: string, version: number) {
+      if (table === platform.configTable) return configWatch.since(version);
+      return table === platform.serverTable ? directory.rowsSince(version) : undefined;
+    },
+  };
+  const peerListener = await createPeerListener(answers, peerAddress.host, peerAddress.port);
+  void Promise.all([configWatch.run(end.signal), directory.run(end.signal)]);
   const placed = member.run(handOver.signal, end.signal);
   log.info('started', {
     zone: instance.availabilityZone,
--- a/packages/router/src/lib/peer-listener.ts
+++ b/packages/router/src/lib/peer-listener.ts
@@ -1,17 +1,28 @@
 import { type Http2Server, createServer } from 'node:http2';
 import type { Socket } from 'node:net';
+import { Readable } from 'node:stream';
 
 import type { PlacementMember } from '@boragepoint/placement';
+import type { RowDelta } from '@boragepoint/platform';
 import { PlacementService } from '@boragepoint/protocol';
 import type { ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
+import { partsOf } from './row-parts.js';
+
 /** Largest message that a peer may send. */
 const MAX_MESSAGE_BYTES = 1 << 20;
 
+/** What other routers may ask for. */
+export interface PeerAnswers {
+  readonly member: PlacementMember;
+  /** What this router knows of a table beyond a version; `undefined` if the store does not answer it either. */
+  readonly rowsSince: (table: string, version: number) => RowDelta | undefined;
+}
+
 /** Starts answering other routers. */
 export async function createPeerListener(
-  member: PlacementMember,
+  { member, rowsSince }: PeerAnswers,
   host: string,
   port: number,
 ): Promise<AsyncDisposable> {
@@ -22,6 +33,10 @@
         const unansweredForMs = member.answerYield(Number(req.epoch), Number(req.startedMs));
         return unansweredForMs === undefined ? {} : { unansweredForMs: Math.ceil(unansweredForMs) };
       },
+      fetchTable(req) {
+        const delta = rowsSince(req.table, Number(req.knownVersion));
+        return Readable.from(delta ? partsOf(delta) : []);
+      },
     });
   const server: Http2Server = createServer(
     connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES }),
--- a/packages/router/src/test/crash-guard_test.ts
+++ b/packages/router/src/test/crash-guard_test.ts
@@ -17,6 +17,7 @@
     ofService: () => [],
     onChange: () => undefined,
     run: () => Promise.resolve(),
+    rowsSince: () => undefined,
   };
 }
 
