A leader whose tenure is over says so, and whoever reaches the store succeeds it

Callers saw: while the store turns the placement leader away and serves the others, no key moves; after 13 s its leases lapse as well, and keys have no owner until the store lets the leader in again.

Cause: a leader that answers reports was followed without end, also after its tenure had ended; nobody looked at the row.

Ruled out: the seat itself, which is free on the store's clock after 3 s.

Why this works: the answer to a report says that the tenure is over; a router that hears it looks at the row once a second and takes the seat if the store's clock allows it. The former leader stops when asked to yield, as before. While the store is away for all, nobody can take it, and the leader goes on renewing leases.

--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -34,6 +34,8 @@
 const RETRY_MS = 300;
 /** What a leader said of overloaded servers is forgotten after this time, in milliseconds. */
 const ADMITTED_MS = 3_000;
+/** Time between two looks whether the seat of a leader without the store's word is free, in milliseconds. */
+const SEAT_LOOK_MS = 1_000;
 
 /** Answer to a report as it goes over the wire. */
 export type ReportReply = MessageInitShape<typeof ReportResponseSchema>;
@@ -102,6 +104,8 @@
   /** Whom to report to. */
   let target: LeaderAddress | undefined;
   let followed: number | undefined;
+  let lookedAt = -Infinity;
+  let isTenureOver = false;
 
   function adopt(view: PlacementView): void {
     if (!isNewer(view, current)) return;
@@ -145,6 +149,7 @@
 
   /** Reads the row: learns the placement and the leader, or takes the seat. */
   async function refresh(signal: AbortSignal): Promise<void> {
+    lookedAt = clocks.monotonic();
     const reading = await readSeat(store, clocks);
     if (!reading) {
       await askPeer();
@@ -217,6 +222,7 @@
     routers = Math.max(1, answer.routers);
     admit(answer.admitted);
     crashes.add(answer.crashes, clocks.monotonic());
+    isTenureOver = answer.tenureOver;
     return true;
   }
 
@@ -236,7 +242,9 @@
       return;
     }
     if (target && (await follow(target))) {
-      await sleep(REPORT_GAP_MS);
+      const mayLook = clocks.monotonic() >= lookedAt + SEAT_LOOK_MS;
+      if (isTenureOver && mayLook) await refresh(signal);
+      else await sleep(REPORT_GAP_MS);
       return;
     }
     if (target) return;
