--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -226,6 +226,12 @@
     return true;
   }
 
+  /** The store answers this router, and it has not looked at the row just now. */
+  function mayLook(): boolean {
+    const isServed = options.directory.currentSince() < Infinity;
+    return isServed && clocks.monotonic() >= lookedAt + SEAT_LOOK_MS;
+  }
+
   const isLeading = () => leader !== undefined;
 
   /** Leads, follows, or looks for whom to follow; takes the seat only until the signal aborts. */
@@ -242,8 +248,7 @@
       return;
     }
     if (target && (await follow(target))) {
-      const mayLook = clocks.monotonic() >= lookedAt + SEAT_LOOK_MS;
-      if (isTenureOver && mayLook) await refresh(signal);
+      if (isTenureOver && mayLook()) await refresh(signal);
       else await sleep(REPORT_GAP_MS);
       return;
     }
