The row says until when a former owner can hold its range

Cause: a new leader knew of a former owner only whether a grant to it may be without an answer, and waited 8.2 s from its own start (18.2 s if the former leader can't be asked). With each leader lost on the way the wait began anew: ranges of servers that had left in second 19 to 26 were without an owner from second 27 to 42.

Ruled out: servers that answer a release late (they are gone), the planner (47 ranges were planned in second 27.3).

Why this works: nothing is granted to a former owner any more, so the end of its lease is final once it is stored; the row gives it on the store's clock, with every grant without an answer counted, and a second more for one that was on its way while the leader was suspended. A successor reads it as late as its own reading of that clock allows. Rows without it are read as before.

--- a/packages/placement/src/lib/become-leader.ts
+++ b/packages/placement/src/lib/become-leader.ts
@@ -30,7 +30,7 @@
 /** What a candidate for the seat needs. */
 export interface CandidacyOptions extends Omit<
   PlacementLeaderOptions,
-  'seat' | 'previous' | 'inheritedForMs'
+  'seat' | 'previous' | 'inheritedForMs' | 'fromStore'
 > {
   readonly self: Candidate;
   readonly store: RowStore;
@@ -80,6 +80,7 @@
     ...options,
     seat,
     previous: { ...content, seat: previous?.seat ?? freeSeat(self) },
+    fromStore: (storeMs) => reading.receivedAt + (storeMs - reading.storeNowMs),
     inheritedForMs: previous ? await inheritedForMs(previous.seat, options) : 0,
   });
 }
--- a/packages/placement/src/lib/held-range.ts
+++ b/packages/placement/src/lib/held-range.ts
@@ -56,21 +56,37 @@
   };
 }
 
-/**
- * Takes over a range from its record: whoever stands there may hold it, for a lease that began just now
- * at the latest.
- */
-export function inheritedRange(record: RangeRecord, answeredUntil: number): HeldRange {
-  const inherit = ({ life, fence }: HolderRecord, inherited: boolean): Holder => ({
-    life,
-    fence,
-    bound: { answeredUntil, unansweredUntil: -Infinity },
-    inherited,
-  });
+/** How a new leader reads the times of a record; both on its monotonic clock. */
+export interface InheritedTimes {
+  /** Latest end of a lease that began before it took the seat. */
+  readonly answeredUntil: number;
+  /** Latest local time that a time of the store's clock can be. */
+  readonly fromStore: (storeMs: number) => number;
+}
+
+/** A former holder gets nothing any more, so what the row says of its lease is final. */
+function inheritedFormer(record: HolderRecord, times: InheritedTimes): Holder {
+  const { life, fence, settled, heldUntilMs } = record;
+  if (heldUntilMs === undefined) return inheritedHolder(record, times, !settled);
+  const until = times.fromStore(heldUntilMs);
+  const unansweredUntil = settled ? -Infinity : until;
+  return { life, fence, bound: { answeredUntil: until, unansweredUntil }, inherited: false };
+}
+
+function inheritedHolder(
+  { life, fence }: HolderRecord,
+  { answeredUntil }: InheritedTimes,
+  inherited: boolean,
+): Holder {
+  return { life, fence, bound: { answeredUntil, unansweredUntil: -Infinity }, inherited };
+}
+
+/** Takes over a range from its record: its owner may hold it, for a lease that began just now at the latest. */
+export function inheritedRange(record: RangeRecord, times: InheritedTimes): HeldRange {
   return {
     ...unownedRange(record),
-    owner: record.owner && inherit(record.owner, true),
-    former: record.former.map((it) => inherit(it, !it.settled)),
+    owner: record.owner && inheritedHolder(record.owner, times, true),
+    former: record.former.map((it) => inheritedFormer(it, times)),
     granted: record.owner !== undefined && record.former.length === 0,
   };
 }
@@ -102,8 +118,16 @@
   return { parts, cut };
 }
 
-/** The record of a range at `now`, on the monotonic clock. */
-export function recordOf(range: HeldRange, now: number): RangeRecord {
+/** What the record of a range says of times. */
+export interface RecordTimes {
+  /** Now, on the monotonic clock. */
+  readonly now: number;
+  /** When a holder can't hold its range any more, on the store's clock. */
+  readonly heldUntilMs: (holder: Holder) => number;
+}
+
+/** The record of a range. */
+export function recordOf(range: HeldRange, { now, heldUntilMs }: RecordTimes): RangeRecord {
   const record = ({ life, fence, bound, inherited }: Holder): HolderRecord => ({
     life,
     fence,
@@ -113,6 +137,6 @@
     first: range.first,
     last: range.last,
     owner: range.owner && record(range.owner),
-    former: range.former.map(record),
+    former: range.former.map((it) => ({ ...record(it), heldUntilMs: heldUntilMs(it) })),
   };
 }
--- a/packages/placement/src/lib/leader-seat.ts
+++ b/packages/placement/src/lib/leader-seat.ts
@@ -31,6 +31,8 @@
   readonly storeNowMs: number;
   /** When the read was sent, on the monotonic clock. */
   readonly askedAt: number;
+  /** When the answer was in, on the monotonic clock. */
+  readonly receivedAt: number;
 }
 
 /** Reads the placement's row; `undefined` if the store gives no usable answer. */
@@ -38,6 +40,7 @@
   const askedAt = clocks.monotonic();
   const listed = await store.list(PLACEMENT_TABLE);
   if (listed.isErr()) return undefined;
+  const receivedAt = clocks.monotonic();
   const row = listed.value.rows.find((it) => it.key === PLACEMENT_KEY);
   const placement = row && decodePlacement(row);
   if (placement?.isErr() === true) return undefined;
@@ -46,6 +49,7 @@
     rowVersion: row?.version ?? 0,
     storeNowMs: listed.value.nowMs,
     askedAt,
+    receivedAt,
   };
 }
 
@@ -78,6 +82,8 @@
   isConfirmed(): boolean;
   /** Time since the last write that the store confirmed was sent, in milliseconds. */
   sinceConfirmedMs(): number;
+  /** Latest time that the store's clock can show at a time of the monotonic clock. */
+  storeTime(at: number): number;
   /** Counts the seat as unconfirmed until the next write succeeds. */
   distrust(): void;
 }
@@ -99,8 +105,7 @@
   let confirmedAt = -Infinity;
   let confirmedUntil = -Infinity;
 
-  /** Latest time that the store's clock can show now. */
-  const latestStoreNow = () => storeClock.nowMs + (clocks.monotonic() - storeClock.at);
+  const storeTime = (at: number) => storeClock.nowMs + (at - storeClock.at);
 
   function adopt(row: StoredRow | undefined, version: number): SeatWrite {
     const current = row && decodePlacement(row);
@@ -120,7 +125,7 @@
     handOver?: HandOverNote,
   ): Promise<SeatWrite> {
     const sentAt = clocks.monotonic();
-    const untilMs = latestStoreNow() + TENURE_MS;
+    const untilMs = storeTime(sentAt) + TENURE_MS;
     const seat: Seat = {
       ...candidate,
       epoch,
@@ -153,6 +158,7 @@
     write,
     isConfirmed: () => clocks.monotonic() < confirmedUntil,
     sinceConfirmedMs: () => clocks.monotonic() - confirmedAt,
+    storeTime,
     distrust() {
       confirmedUntil = -Infinity;
     },
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -6,12 +6,13 @@
 import { createBell } from './bell.js';
 import { createChangeFeed } from './change-feed.js';
 import { handOver } from './hand-over.js';
-import { inheritedRange } from './held-range.js';
+import { type Holder, type InheritedTimes, inheritedRange } from './held-range.js';
 import {
   LEASE_MS,
   type LeaderContext,
   ORDER_TIMEOUT_MS,
   type PlacementLog,
+  mayHoldUntil,
 } from './leader-context.js';
 import { type LeaderSeat, RENEWAL_GRACE_MS, TENURE_MS } from './leader-seat.js';
 import { type LeaseTimes, longestLeaseMs } from './lease-bound.js';
@@ -62,6 +63,8 @@
   readonly previous: Placement | undefined;
   /** How long a grant of the former leader may still be carried out, in milliseconds. */
   readonly inheritedForMs: number;
+  /** Latest time on the monotonic clock that a time of the store's clock can be. */
+  readonly fromStore: (storeMs: number) => number;
   readonly orders: ServerOrders;
   readonly directory: ServerDirectory;
   readonly clocks: Clocks;
@@ -81,7 +84,10 @@
   const startedAt = clocks.monotonic();
   const inheritedUntil = startedAt + options.inheritedForMs;
   const guard = createSuspensionGuard(clocks);
-  const tables = inheritTables(previous, startedAt + longestLeaseMs(times));
+  const tables = inheritTables(previous, {
+    answeredUntil: startedAt + longestLeaseMs(times),
+    fromStore: options.fromStore,
+  });
   const feed = createChangeFeed(seat.epoch, tables, previous?.change ?? 0);
   const planBell = createBell();
   /** Ends the writer, and with it the run. */
@@ -95,15 +101,27 @@
   let distrustedAt = -Infinity;
   let admitted: AdmittedShares = new Map();
 
+  /** When a holder can't hold its range any more, on the store's clock; 0 for one that has let go of it. */
+  function heldUntilMs(holder: Holder): number {
+    // A grant that was on its way while this process was suspended is counted from too early a time.
+    const until = mayHoldUntil(ctx, holder) + ORDER_TIMEOUT_MS;
+    return Math.max(0, seat.storeTime(until));
+  }
+
+  function recordAll() {
+    const recordTimes = { now: clocks.monotonic(), heldUntilMs };
+    return new Map(
+      [...tables].map(([service, table]) => [service, recordsOf(table, recordTimes)] as const),
+    );
+  }
+
   const writer = createPlacementWriter({
     seat,
     firstVersion: previous?.version ?? 0,
     content: () => ({
       change: feed.last(),
       nextFence,
-      services: new Map(
-        [...tables].map(([service, table]) => [service, recordsOf(table, clocks.monotonic())]),
-      ),
+      services: recordAll(),
     }),
     onUnconfirmed() {
       const sinceMs = Math.round(seat.sinceConfirmedMs());
@@ -278,16 +296,16 @@
   };
 }
 
-/** Takes over what the row says: whoever stands there may hold its range until `answeredUntil`. */
+/** Takes over what the row says. */
 function inheritTables(
   previous: Placement | undefined,
-  answeredUntil: number,
+  times: InheritedTimes,
 ): Map<string, RangeTable> {
   const services = [...(previous?.services ?? [])];
   return new Map(
     services.map(([service, records]) => [
       service,
-      { ranges: records.map((it) => inheritedRange(it, answeredUntil)) },
+      { ranges: records.map((it) => inheritedRange(it, times)) },
     ]),
   );
 }
--- a/packages/placement/src/lib/placement-record.ts
+++ b/packages/placement/src/lib/placement-record.ts
@@ -34,6 +34,8 @@
   readonly fence: number;
   /** No grant to it is without an answer; once it has let go of the range, it stays so. */
   readonly settled: boolean;
+  /** When it can't hold the range any more, on the store's clock, in milliseconds; for former holders. */
+  readonly heldUntilMs?: number;
 }
 
 /** A range as it is stored. */
@@ -68,10 +70,11 @@
     return place;
   }
 
-  const encodeHolder = ({ life, fence, settled }: HolderRecord) => ({
+  const encodeHolder = ({ life, fence, settled, heldUntilMs }: HolderRecord) => ({
     life: placeOf(life),
     fence: BigInt(fence),
     settled,
+    ...(heldUntilMs !== undefined && { heldUntilMs: BigInt(Math.ceil(heldUntilMs)) }),
   });
   const encoded = ranges.map((range) => ({
     first: range.first,
@@ -84,12 +87,17 @@
 }
 
 function decodeService({ ranges, lives }: StoredService): RangeRecord[] {
-  function decodeHolder({ life, fence, settled }: StoredHolder): HolderRecord {
+  function decodeHolder({ life, fence, settled, heldUntilMs }: StoredHolder): HolderRecord {
     const stored = lives[life];
     if (!stored) throw new RangeError(`a range names life ${life} of ${lives.length}`);
     const { server, address, startedMs } = stored;
     const decoded = { server, address, startedMs: Number(startedMs) };
-    return { life: decoded, fence: Number(fence), settled };
+    return {
+      life: decoded,
+      fence: Number(fence),
+      settled,
+      ...(heldUntilMs !== undefined && { heldUntilMs: Number(heldUntilMs) }),
+    };
   }
   return ranges.map((range) => ({
     first: range.first,
--- a/packages/placement/src/lib/range-table.ts
+++ b/packages/placement/src/lib/range-table.ts
@@ -1,4 +1,11 @@
-import { type HeldRange, cutOut, newHolder, recordOf, unownedRange } from './held-range.js';
+import {
+  type HeldRange,
+  type RecordTimes,
+  cutOut,
+  newHolder,
+  recordOf,
+  unownedRange,
+} from './held-range.js';
 import { type ServerLife, divideKeys, isSameLife } from './key-range.js';
 import type { PlannedMove } from './plan-moves.js';
 import type { RangeRecord } from './placement-record.js';
@@ -13,9 +20,9 @@
   return { ranges: divideKeys(count).map(unownedRange) };
 }
 
-/** Records of all ranges at `now`, on the monotonic clock. */
-export function recordsOf(table: RangeTable, now: number): RangeRecord[] {
-  return table.ranges.map((it) => recordOf(it, now));
+/** Records of all ranges. */
+export function recordsOf(table: RangeTable, times: RecordTimes): RangeRecord[] {
+  return table.ranges.map((it) => recordOf(it, times));
 }
 
 /**
--- a/packages/placement/src/test/leader-seat_test.ts
+++ b/packages/placement/src/test/leader-seat_test.ts
@@ -112,3 +112,12 @@
   expect(mayTake(reading, candidate('b'))).toEqual(true);
   expect(reading.placement?.seat.unansweredForMs).toEqual(700);
 });
+
+test('what a leader writes of the store clock is never earlier than the store shows it', async () => {
+  const { clocks, store } = setUp();
+  const a = await open(store, clocks, candidate('a'));
+  await a.seat.write(content(1));
+  clocks.advance(500);
+  const { reading } = await open(store, clocks, candidate('b'));
+  expect(a.seat.storeTime(clocks.monotonic()) >= reading.storeNowMs).toEqual(true);
+});
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -29,6 +29,7 @@
   write: () => Promise.resolve('committed'),
   isConfirmed: () => true,
   sinceConfirmedMs: () => 0,
+  storeTime: (at) => at,
   distrust: () => undefined,
 };
 
@@ -65,6 +66,7 @@
     seat: heldSeat,
     previous,
     inheritedForMs: INHERITED_MS,
+    fromStore: (storeMs) => storeMs,
     orders: holders,
     directory: createFakeDirectory(['a', 'b']),
     clocks: processClocks,
@@ -142,3 +144,25 @@
     return holders.sent.some((it) => it.startsWith('grant b'));
   });
 });
+
+// Guards against ranges that have no owner for a whole lease more with each leader that is lost while they change hands.
+test('a successor waits for a former owner no longer than the row says that it can hold the range', async () => {
+  const heldUntilMs = processClocks.monotonic() + 300;
+  const moving = half(0, 99, holder('b', 5), [{ ...holder('a', 4, false), heldUntilMs }]);
+  const rest = half(100, 65_535, holder('b', 3));
+  await using succession = succeed([moving, rest], [rest]);
+  const { holders } = succession;
+  holders.modes.set('a', 'silent');
+  await until(() => holders.sent.some((it) => it.startsWith('grant b 0-99')));
+  expect(processClocks.monotonic() >= heldUntilMs).toEqual(true);
+});
+
+test('an answered release does not shorten the wait for a grant of the former leader that may still arrive', async () => {
+  const heldUntilMs = processClocks.monotonic() + 300;
+  const moving = half(0, 99, holder('b', 5), [{ ...holder('a', 4, false), heldUntilMs }]);
+  const rest = half(100, 65_535, holder('b', 3));
+  await using succession = succeed([moving, rest], [rest]);
+  const { holders } = succession;
+  await until(() => holders.sent.some((it) => it.startsWith('grant b 0-99')));
+  expect(processClocks.monotonic() >= heldUntilMs).toEqual(true);
+});
--- a/packages/spec/src/lib/configurations.ts
+++ b/packages/spec/src/lib/configurations.ts
@@ -97,6 +97,7 @@
       'grant-inherited',
       'grant-fence',
       'grant-settled',
+      'grant-held',
       'grant-suspension',
       'grant-grace',
     ],
--- a/packages/spec/src/lib/grants/grant-model.ts
+++ b/packages/spec/src/lib/grants/grant-model.ts
@@ -64,7 +64,7 @@
     suspensionsLeft: 1,
   } as const;
   return {
-    row: { leader: 0, tenureLeft: TENURE, owner: A, settled: false },
+    row: { leader: 0, tenureLeft: TENURE, owner: A, settled: false, heldLeft: 0 },
     leaders: [leading, follower],
     held: [LEASE, 0],
     seenByA: 0,
@@ -88,7 +88,11 @@
 function tick(state: GrantState): Steps {
   const next: GrantState = {
     ...state,
-    row: { ...state.row, tenureLeft: down(state.row.tenureLeft) },
+    row: {
+      ...state.row,
+      tenureLeft: down(state.row.tenureLeft),
+      heldLeft: down(state.row.heldLeft),
+    },
     leaders: state.leaders.map(tickLeader),
     held: state.held.map(down),
     // A grant that did not arrive in time never will; one whose lease has passed changes nothing.
@@ -172,16 +176,18 @@
   const { state, number, leader, options } = view;
   const { row } = state;
   if (leader.phase !== 'following' || row.leader === number || row.tenureLeft > 0) return [];
-  const isSettled = row.owner === B && row.settled;
-  const isWaited = options.mutation !== 'grant-inherited' && !isSettled;
+  const isMoved = row.owner === B;
+  const isWaited = options.mutation !== 'grant-inherited' && !(isMoved && row.settled);
+  // Nothing is granted any more to a former owner, so what the row says of its lease is final.
+  const inheritedLeft = isMoved ? row.heldLeft : GRACE + TRANSIT + LEASE;
   return step(
     view,
     'takes the seat',
     {
       phase: row.owner === A ? 'leading' : 'stored',
       unconfirmed: 0,
-      answeredLeft: LEASE,
-      inheritedLeft: isWaited ? GRACE + TRANSIT + LEASE : 0,
+      answeredLeft: isMoved ? row.heldLeft : LEASE,
+      inheritedLeft: isWaited ? inheritedLeft : 0,
     },
     { row: { ...row, leader: number, tenureLeft: TENURE } },
   );
@@ -191,7 +197,8 @@
   const { state, number, leader } = view;
   if (leader.phase === 'following' || state.row.leader !== number) return [];
   const settled = leader.phase !== 'leading' && (state.row.settled || isSettled(view));
-  const row = { ...state.row, tenureLeft: TENURE, settled };
+  const heldLeft = leader.phase === 'leading' ? 0 : storedHeldFor(view);
+  const row = { ...state.row, tenureLeft: TENURE, settled, heldLeft };
   return step(view, 'confirms its seat', { unconfirmed: 0, distrusts: false }, { row });
 }
 
@@ -234,7 +241,12 @@
     return step(view, 'moves the key', { phase: 'stored' });
   }
   if (state.row.leader !== number) return [];
-  const row = { ...state.row, owner: B, settled: isSettled(view) };
+  const row = {
+    ...state.row,
+    owner: B,
+    settled: isSettled(view),
+    heldLeft: storedHeldFor(view),
+  };
   return step(view, 'stores that B owns the key', { phase: 'stored' }, { row });
 }
 
@@ -254,6 +266,11 @@
   );
 }
 
+/** What the row says of it. */
+function storedHeldFor(view: View): number {
+  return view.options.mutation === 'grant-held' ? view.leader.answeredLeft : heldFor(view);
+}
+
 function grantToB(view: View): Steps {
   const { leader } = view;
   const isMoving = leader.phase === 'stored' || leader.phase === 'released';
--- a/packages/spec/src/lib/grants/grant-state.ts
+++ b/packages/spec/src/lib/grants/grant-state.ts
@@ -47,6 +47,8 @@
   readonly owner: number;
   /** Since A lost the key, no grant to A can be without an answer. */
   readonly settled: boolean;
+  /** Since A lost the key: how long it may hold it, on the store's clock. */
+  readonly heldLeft: number;
 }
 
 /** One key, two servers, two leaders, one row. */
--- a/packages/spec/src/lib/model/rules.ts
+++ b/packages/spec/src/lib/model/rules.ts
@@ -31,6 +31,7 @@
   'grant-fence':
     'a new leader renews under the tokens of the former one, and counts that as settled',
   'grant-settled': 'a stored move says that no grant is without an answer whether or not one is',
+  'grant-held': 'a stored move leaves grants without an answer out of the time that it gives',
   'grant-suspension': 'a leader goes on after a suspension without confirming its seat',
   'grant-grace': 'a leader renews leases however long its seat is unconfirmed',
 } as const;
