A leader makes way for a router with much more processor time

Cause, as far as measured: a leader orders for all ranges and answers all routers. Whoever saw the free seat first took it, and kept it for its life; after a closing kill the former leader's instance takes it again at once.

Why this works: routers report the processor time that their instance gives them; a leader hands its seat to one that has half as much again or more, that the store answers, and that has not left such an offer lie just before. The row names the successor, for whom the seat is free at once; others wait for the end of the tenure. On equal instances nothing changes.

--- a/packages/config/src/lib/fleet-settings.ts
+++ b/packages/config/src/lib/fleet-settings.ts
@@ -40,6 +40,14 @@
   v.transform(({ grace_s: graceS }) => ({ graceMs: graceS * SECOND_MS })),
 );
 
+const processorSchema = v.pipe(
+  exactObject({
+    share: v.optional(notNegative, 1),
+    speed: v.optional(notNegative, 1),
+  }),
+  v.transform(({ share, speed }) => ({ capacity: share * speed })),
+);
+
 const drainSchema = v.pipe(
   exactObject({ notice_ms: v.optional(notNegative, 2_000) }),
   v.transform(camelKeys),
@@ -47,7 +55,8 @@
 
 /**
  * Settings of a router on a platform with a row store, as they stand in its TOML file. Names
- * end with the unit of their times. `[shutdown]`, `[drain]` and `[retries]` may be left out. `retries` bounds what all routers send again together: `ratio` of the requests and
+ * end with the unit of their times. `[processor]`, `[shutdown]`, `[drain]` and `[retries]` may be left out. `processor` says how much of a
+ * core the instance gives a process, and how fast its cores are. `retries` bounds what all routers send again together: `ratio` of the requests and
  * `slack` besides, in each window.
  */
 export const fleetSettingsSchema = exactObject({
@@ -55,6 +64,7 @@
   /** Region of each availability zone. */
   regions: v.record(v.string(), v.string()),
   listen: listenSchema,
+  processor: v.optional(processorSchema, {}),
   store: exactObject({ address: listenAddressSchema }),
   shutdown: v.optional(shutdownSchema, {}),
   /** `notice_ms`: how long a backend server that drains still takes requests. */
--- a/packages/placement/src/lib/become-leader.ts
+++ b/packages/placement/src/lib/become-leader.ts
@@ -41,7 +41,7 @@
 }
 
 function freeSeat(self: Candidate): Seat {
-  return { ...self, epoch: 0, untilMs: 0, handedOver: true, unansweredForMs: 0 };
+  return { ...self, epoch: 0, untilMs: 0, handedOver: true, unansweredForMs: 0, successor: '' };
 }
 
 /** How long a grant of the former leader may still be carried out, in milliseconds. */
--- a/packages/placement/src/lib/leader-seat.ts
+++ b/packages/placement/src/lib/leader-seat.ts
@@ -56,7 +56,8 @@
 /** Returns whether a candidate may take the seat now. */
 export function mayTake(reading: SeatReading, candidate: Candidate): boolean {
   const seat = reading.placement?.seat;
-  if (!seat || seat.handedOver || reading.storeNowMs >= seat.untilMs) return true;
+  if (!seat || reading.storeNowMs >= seat.untilMs) return true;
+  if (seat.handedOver) return seat.successor === '' || seat.successor === candidate.router;
   // An earlier life of this very router is gone.
   return seat.router === candidate.router && seat.startedMs !== candidate.startedMs;
 }
@@ -68,6 +69,8 @@
 export interface HandOverNote {
   /** Time until its grants without an answer have lapsed, in milliseconds. */
   readonly unansweredForMs: number;
+  /** The router that may take the seat at once; anyone if it is missing. */
+  readonly successor?: string | undefined;
 }
 
 /** A seat that this router holds. Writes are made one at a time by its owner. */
@@ -132,6 +135,7 @@
       untilMs,
       handedOver: handOver !== undefined,
       unansweredForMs: handOver?.unansweredForMs ?? 0,
+      successor: handOver?.successor ?? '',
     };
     const value = encodePlacement({ seat, ...content });
     const answer = await store.put(PLACEMENT_TABLE, PLACEMENT_KEY, value, rowVersion);
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -53,6 +53,8 @@
   run(signal: AbortSignal): Promise<void>;
   /** The store has not confirmed the tenure, and it is over. */
   isTenureOver(): boolean;
+  /** Hands the seat over to a router, once no order is on its way. */
+  resign(successor: string): void;
   /** Stops ordering; returns the time until grants without an answer have lapsed, in milliseconds. */
   yieldSeat(): number;
 }
@@ -98,6 +100,7 @@
   setMaxListeners(0, stop.signal);
   let nextFence = previous?.nextFence ?? 1;
   let hasYielded = false;
+  let successor: string | undefined;
   let distrustedAt = -Infinity;
   let admitted: AdmittedShares = new Map();
 
@@ -266,9 +269,10 @@
     await writer.run(end.signal);
     signal.removeEventListener('abort', onAbort);
     hasYielded = true;
-    if (signal.aborted && seat.isConfirmed()) {
+    const isLeaving = signal.aborted || successor !== undefined;
+    if (isLeaving && seat.isConfirmed()) {
       await finishOrders();
-      await writer.handOver({ unansweredForMs: unansweredForMs() });
+      await writer.handOver({ unansweredForMs: unansweredForMs(), successor });
     }
     stop.abort();
     planBell.ring();
@@ -287,6 +291,12 @@
       planner.record(load);
     },
     run,
+    resign(router) {
+      log.info('seat handed to a stronger router', { epoch: seat.epoch, successor: router });
+      successor = router;
+      hasYielded = true;
+      end.abort();
+    },
     isTenureOver: () => !seat.isConfirmed(),
     yieldSeat() {
       hasYielded = true;
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -32,6 +32,11 @@
 /** Shortest time between two reports, in milliseconds. */
 const REPORT_GAP_MS = 150;
 const RETRY_MS = 300;
+/** Time for which a leader leads at least, so that the routers have reported, in milliseconds. */
+const LEAD_AT_LEAST_MS = 1_000;
+/** Factor of processor time from which a change of leaders is worth it. */
+const MUCH_STRONGER = 1.5;
+const OFFER_AGAIN_MS = 30_000;
 /** What a leader said of overloaded servers is forgotten after this time, in milliseconds. */
 const ADMITTED_MS = 3_000;
 /** Time between two looks whether the seat of a leader without the store's word is free, in milliseconds. */
@@ -66,6 +71,8 @@
 /** What a member needs. */
 export interface PlacementMemberOptions {
   readonly self: Candidate;
+  /** Processor time that the instance gives this process, in cores. */
+  readonly capacity: number;
   readonly store: RowStore;
   readonly orders: ServerOrders;
   readonly directory: ServerDirectory;
@@ -100,6 +107,8 @@
   let admitted: { shares: AdmittedShares; until: number } = { shares: new Map(), until: 0 };
   let leader: PlacementLeader | undefined;
   let leaderRun: Promise<void> = Promise.resolve();
+  let leadingSince = -Infinity;
+  const offeredAt = new Map<string, number>();
   let lastEpochLed = 0;
   /** Whom to report to. */
   let target: LeaderAddress | undefined;
@@ -117,6 +126,8 @@
     admitted = { shares, until: clocks.monotonic() + ADMITTED_MS };
   }
 
+  /** The store answers this router. */
+  const isServed = () => options.directory.currentSince() < Infinity;
   const countRouters = () => reporters.count() + 1;
 
   async function takeSeat(reading: SeatReading, signal: AbortSignal): Promise<void> {
@@ -130,6 +141,7 @@
     });
     if (!created) return;
     leader = created;
+    leadingSince = clocks.monotonic();
     lastEpochLed = created.epoch;
     target = undefined;
     leaderRun = created.run(signal).finally(() => {
@@ -170,6 +182,19 @@
     adopt(leading.view());
     admit(leading.admitted());
     routers = countRouters();
+    makeWay(leading);
+  }
+
+  /** Hands the seat to a router with much more processor time: a leader's work grows with the fleet. */
+  function makeWay(leading: PlacementLeader): void {
+    const now = clocks.monotonic();
+    const heir = reporters.strongest();
+    const isCalm = now >= leadingSince + LEAD_AT_LEAST_MS && !leading.isTenureOver();
+    if (!heir || !isCalm || heir.capacity < options.capacity * MUCH_STRONGER) return;
+    // One that did not take the seat is not asked again soon.
+    if (now < (offeredAt.get(heir.router) ?? -Infinity) + OFFER_AGAIN_MS) return;
+    offeredAt.set(heir.router, now);
+    leading.resign(heir.router);
   }
 
   function reportOf(crashed: readonly CrashedRun[], waitMs: number) {
@@ -177,6 +202,8 @@
       crashes: crashed.map(encodeCrash),
       router: self.router,
       address: self.address,
+      capacity: options.capacity,
+      servedByStore: isServed(),
       startedMs: BigInt(self.startedMs),
       knownEpoch: BigInt(current.epoch),
       knownChange: BigInt(current.change),
@@ -228,8 +255,7 @@
 
   /** The store answers this router, and it has not looked at the row just now. */
   function mayLook(): boolean {
-    const isServed = options.directory.currentSince() < Infinity;
-    return isServed && clocks.monotonic() >= lookedAt + SEAT_LOOK_MS;
+    return isServed() && clocks.monotonic() >= lookedAt + SEAT_LOOK_MS;
   }
 
   const isLeading = () => leader !== undefined;
@@ -261,7 +287,7 @@
     const leading = leader;
     known.note([req.address]);
     if (!leading) return { leads: false, ...(target && { leader: seatMessage(target) }) };
-    reporters.note(req.router, req.address);
+    reporters.note(req);
     for (const load of req.services) leading.report(load);
     const reported = req.crashes.map((it) => ({ ...it, startedMs: Number(it.startedMs) }));
     crashes.add(reported, clocks.monotonic());
--- a/packages/placement/src/lib/placement-record.ts
+++ b/packages/placement/src/lib/placement-record.ts
@@ -26,6 +26,8 @@
   readonly handedOver: boolean;
   /** After a hand-over: time until its grants without an answer have lapsed, in milliseconds. */
   readonly unansweredForMs: number;
+  /** After a hand-over: the router that may take the seat at once; empty if anyone may. */
+  readonly successor: string;
 }
 
 /** A server that may hold a range under a fencing token. */
@@ -136,6 +138,7 @@
       untilMs: Number(seat?.untilMs ?? 0),
       handedOver: seat?.handedOver ?? false,
       unansweredForMs: seat?.unansweredForMs ?? 0,
+      successor: seat?.successor ?? '',
     },
     version: Number(message.version),
     change: Number(message.change),
--- a/packages/placement/src/lib/reporters.ts
+++ b/packages/placement/src/lib/reporters.ts
@@ -5,9 +5,20 @@
 /** Routers that an answer to a report names. */
 const NAMED_PEERS = 3;
 
+/** A router as it describes itself. */
+export interface Reporter {
+  readonly router: string;
+  readonly address: string;
+  /** Processor time that its instance gives it, in cores. */
+  readonly capacity: number;
+  readonly servedByStore: boolean;
+}
+
 /** Routers that report to this one. */
 export interface Reporters {
-  note(router: string, address: string): void;
+  note(reporter: Reporter): void;
+  /** The one with the most processor time of those that the store answers. */
+  strongest(): Reporter | undefined;
   /** Routers that reported lately. */
   count(): number;
   /** Where some of them answer, but for one of them. */
@@ -16,7 +27,7 @@
 
 /** Creates an empty record of routers. */
 export function createReporters(clocks: Clocks, random: () => number = Math.random): Reporters {
-  const reporters = new Map<string, { address: string; at: number }>();
+  const reporters = new Map<string, Reporter & { at: number }>();
 
   function forgetSilent(): void {
     const oldest = clocks.monotonic() - REPORTER_MS;
@@ -24,8 +35,13 @@
   }
 
   return {
-    note(router, address) {
-      reporters.set(router, { address, at: clocks.monotonic() });
+    note(reporter) {
+      reporters.set(reporter.router, { ...reporter, at: clocks.monotonic() });
+    },
+    strongest() {
+      forgetSilent();
+      const served = [...reporters.values()].filter((it) => it.servedByStore);
+      return served.sort((a, b) => b.capacity - a.capacity)[0];
     },
     count() {
       forgetSilent();
--- a/packages/placement/src/test/leader-seat_test.ts
+++ b/packages/placement/src/test/leader-seat_test.ts
@@ -121,3 +121,16 @@
   const { reading } = await open(store, clocks, candidate('b'));
   expect(a.seat.storeTime(clocks.monotonic()) >= reading.storeNowMs).toEqual(true);
 });
+
+test('a seat that is handed to a router is free for that one at once, for others after the tenure', async () => {
+  const { clocks, store } = setUp();
+  const a = await open(store, clocks, candidate('a'));
+  await a.seat.write(content(1));
+  await a.seat.write(content(2), { unansweredForMs: 0, successor: 'b' });
+  const { reading } = await open(store, clocks, candidate('b'));
+  expect(mayTake(reading, candidate('b'))).toEqual(true);
+  expect(mayTake(reading, candidate('c'))).toEqual(false);
+  clocks.advance(TENURE_MS);
+  const later = await open(store, clocks, candidate('c'));
+  expect(mayTake(later.reading, candidate('c'))).toEqual(true);
+});
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -22,6 +22,7 @@
   untilMs: 0,
   handedOver: false,
   unansweredForMs: 0,
+  successor: '',
 };
 
 const heldSeat: LeaderSeat = {
--- a/packages/placement/src/test/placement-record_test.ts
+++ b/packages/placement/src/test/placement-record_test.ts
@@ -28,6 +28,7 @@
       epoch: 3,
       untilMs: 9,
       handedOver: false,
+      successor: '',
       unansweredForMs: 0,
     },
     version: 7,
--- /dev/null
+++ b/packages/placement/src/test/reporters_test.ts
@@ -0,0 +1,34 @@
+import { test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { createReporters } from '../lib/reporters.js';
+import { createFakeClocks } from './fake-clocks.js';
+
+const reporter = (router: string, capacity: number, servedByStore = true) => ({
+  router,
+  address: `${router}:1`,
+  capacity,
+  servedByStore,
+});
+
+test('the strongest router is one that the store answers and that reported lately', () => {
+  const clocks = createFakeClocks();
+  const reporters = createReporters(clocks);
+  reporters.note(reporter('gone', 8));
+  clocks.advance(3_600);
+  reporters.note(reporter('weak', 0.27));
+  reporters.note(reporter('strong', 1.35));
+  reporters.note(reporter('cut off', 4, false));
+  expect(reporters.strongest()?.router).toEqual('strong');
+  expect(reporters.count()).toEqual(3);
+});
+
+test('an answer names a few other routers, and never the one that asked', () => {
+  const reporters = createReporters(createFakeClocks(), () => 0.9);
+  for (const name of ['a', 'b', 'c', 'd', 'e']) reporters.note(reporter(name, 1));
+  const named = reporters.someAddresses('c:1');
+  expect(named.length).toEqual(3);
+  expect(named.includes('c:1')).toEqual(false);
+  expect(new Set(named).size).toEqual(3);
+});
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -116,6 +116,7 @@
 
   const member = createPlacementMember({
     self: { router: instance.id, address: settings.listen.peers, startedMs: clocks.timeOfDay() },
+    capacity: settings.processor.capacity,
     store: platform.store,
     orders: platform.orders,
     directory,
