After a long time without an answer a table is read whole

Callers saw: routers that the store had turned away had the newest configuration in force 3.1 s after it let them in again.

Cause: they asked for the changes that they had missed, and the store sends each of them: four versions of a configuration of 2,820 routes, 0.8 s each over a link of 7 Mbit/s. The time grows with the changes that were missed, without a bound.

Why this works: the table holds each row once, so a return costs one transfer however long the absence was. After less than 2.5 s without an answer changes are asked for, as before.

--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -8,6 +8,8 @@
 
 /** Longest time that the store holds a watch without a change. */
 const WATCH_WAIT_MS = 4_000;
+/** Time without an answer after which the table is read whole: it has each row once, its changes may be many. */
+const REREAD_AFTER_MS = 2_500;
 /** Pause after changes, so that several are fetched with one call, in milliseconds. */
 const GATHER_MS = 500;
 const FIRST_RETRY_MS = 100;
@@ -93,6 +95,10 @@
         replaceAll(it);
       });
     }
+    if (retryMs > 0 && performance.now() > answeredAt + REREAD_AFTER_MS) {
+      version = undefined;
+      return poll(signal);
+    }
     // A store that was lost is asked for an answer at once: a long poll would notice its return late.
     const waitMs = retryMs > 0 ? 0 : WATCH_WAIT_MS;
     const answer = await store.changesAfter(table, version, waitMs);
--- a/packages/platform/src/test/watch-rows_test.ts
+++ b/packages/platform/src/test/watch-rows_test.ts
@@ -97,6 +97,14 @@
   expect(asked.slice(1, 4)).toEqual(['after 1 waiting', 'after 5 at once', 'after 5 at once']);
 });
 
+// Guards against a router that reads a long history of a large configuration and is late with the newest.
+test('after a long time without an answer the table is read whole, not each change that was missed', async (t) => {
+  let now = 0;
+  t.mock.method(performance, 'now', () => (now += 1_500));
+  const { asked } = await watch([away, away, nothing(1), nothing(1)]);
+  expect(asked.filter((it) => it === 'list').length).toEqual(2);
+});
+
 test('what another source knows less of than this watch is not taken', async () => {
   const delta = { version: 1, changed: [row('b', 1)], keys: ['b'] };
   const fallback = { rowsSince: () => Promise.resolve(delta) };
