A watch that has gone silent is noticed before changes must be in force

Callers could see: after connections have gone silent without a reset, a router's watch was noticed after up to 4.7 s, while an instance counts as calm after 3 s, and a change must be in force by then at the latest.

Cause: the store holds a poll for 4 s, and a connection's silence shows only when the answer doesn't come.

A watch of 2 s is noticed after 2.7 s. It costs up to twice the polls of a fleet at rest.

--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -6,8 +6,11 @@
 import { type RowDelta, type RowSource, createRowMirror } from './row-mirror.js';
 import type { RowSnapshot, RowStore, StoredRow } from './row-store.js';
 
-/** Longest time that the store holds a watch without a change. */
-const WATCH_WAIT_MS = 4_000;
+/**
+ * Longest time that the store holds a watch without a change, in milliseconds. A connection that has gone silent
+ * is noticed after it, and has to be before a change must be in force.
+ */
+export const WATCH_WAIT_MS = 2_000;
 /** Time without an answer after which the table is read whole: it has each row once, its changes may be many. */
 const REREAD_AFTER_MS = 2_500;
 /** Pause after changes, so that several are fetched with one call, in milliseconds. */
