After an outage for all, the leader has time to confirm its seat

A router looks only once the store has answered it for 2.5 s; while the store turns only the leader away, the others have been answered all the while.

--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -31,6 +31,8 @@
 const REPORT_TIMEOUT_MS = 800;
 /** Shortest time between two reports, in milliseconds. */
 const REPORT_GAP_MS = 150;
+/** Time for which the store must have answered a router that looks, in milliseconds. */
+const SERVED_FOR_MS = 2_500;
 const RETRY_MS = 300;
 /** Time for which a leader leads at least, so that the routers have reported, in milliseconds. */
 const LEAD_AT_LEAST_MS = 1_000;
@@ -253,9 +255,14 @@
     return true;
   }
 
-  /** The store answers this router, and it has not looked at the row just now. */
+  /**
+   * The store has answered this router for some time, and it has not looked at the row just now. After an outage for
+   * all, the leader has that time to confirm its seat.
+   */
   function mayLook(): boolean {
-    return isServed() && clocks.monotonic() >= lookedAt + SEAT_LOOK_MS;
+    const now = clocks.monotonic();
+    const servedForMs = now - options.directory.currentSince();
+    return servedForMs >= SERVED_FOR_MS && now >= lookedAt + SEAT_LOOK_MS;
   }
 
   const isLeading = () => leader !== undefined;
