--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -6,11 +6,11 @@
 
 import { UNANSWERED_MS, becomeLeader } from './become-leader.js';
 import { type CrashedRun, createCrashRecord, encodeCrash } from './crash-record.js';
+import { createKnownPeers } from './known-peers.js';
 import type { PlacementLog } from './leader-context.js';
 import { type Candidate, type SeatReading, mayTake, readSeat } from './leader-seat.js';
 import type { AdmittedShares } from './overload.js';
 import type { PlacementLeader } from './placement-leader.js';
-import { createKnownPeers } from './known-peers.js';
 import type { LeaderAddress, PlacementPeers, ReportAnswer } from './placement-peers.js';
 import {
   NO_PLACEMENT,
@@ -38,6 +38,7 @@
 const LEAD_AT_LEAST_MS = 1_000;
 /** Factor of processor time from which a change of leaders is worth it. */
 const MUCH_STRONGER = 1.5;
+/** Time after which the seat is offered to the same router again, in milliseconds. */
 const OFFER_AGAIN_MS = 30_000;
 /** What a leader said of overloaded servers is forgotten after this time, in milliseconds. */
 const ADMITTED_MS = 3_000;
@@ -110,11 +111,14 @@
   let leader: PlacementLeader | undefined;
   let leaderRun: Promise<void> = Promise.resolve();
   let leadingSince = -Infinity;
+  /** When the seat was offered to a router last. */
   const offeredAt = new Map<string, number>();
   let lastEpochLed = 0;
   /** Whom to report to. */
   let target: LeaderAddress | undefined;
+  /** Epoch of the leader that answered last. */
   let followed: number | undefined;
+  /** When the row was read last. */
   let lookedAt = -Infinity;
   let isTenureOver = false;
 
--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -68,6 +68,7 @@
   let newest = 0;
   let retryMs = 0;
   let tries = 0;
+  /** Error of the last try; `undefined` while the store answers. */
   let lastError: PlatformError | undefined;
   let answeredAt = performance.now();
 
