Log and count the limits that servers name

Now each router logs the limit as it is named, changed or ended in an answer, and counts the requests that it sends while one is in force (boragepoint_limited_sends_total). Nothing is decided by it yet.

--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -9,6 +9,7 @@
 export * from './lib/placement-record.js';
 export * from './lib/placement-view.js';
 export * from './lib/server-directory.js';
+export * from './lib/server-limits.js';
 export * from './lib/server-speed.js';
 export * from './lib/suspension-guard.js';
 export * from './lib/service-planner.js';
--- a/packages/platform/src/lib/fleet-platform.ts
+++ b/packages/platform/src/lib/fleet-platform.ts
@@ -37,6 +37,11 @@
    * none.
    */
   readonly backoffMs: number | undefined;
+  /**
+   * Requests per second that the server takes from all routers together; `undefined` if it names no
+   * limit, `unreadable` if it names one that can't be decoded.
+   */
+  readonly limitPerS: number | 'unreadable' | undefined;
 }
 
 /** Reads and writes the headers that callers, routers and backend servers exchange. */
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -5,6 +5,7 @@
   createPlacementMember,
   createPlacementPeers,
   createServerDirectory,
+  createServerLimits,
   createSuspectRecord,
   processClocks,
 } from '@boragepoint/placement';
@@ -102,6 +103,7 @@
     },
   });
   const suspects = createSuspectRecord(clocks.monotonic);
+  const limits = createServerLimits(clocks.monotonic);
   const config = createActiveConfig({
     platform,
     fallback,
@@ -160,6 +162,7 @@
   directory.onChange(() => {
     pool.refresh();
     guard.applyRegistryChanges();
+    limits.prune(directory);
     member.noteStoreChange();
   });
 
@@ -188,6 +191,12 @@
       return budget;
     },
     guard,
+    limits,
+    metrics: {
+      recordLimitedSend(service) {
+        metrics.recordLimitedSend(service);
+      },
+    },
     noteLeaving: (incarnation) => directory.noteLeaving(incarnation),
     recordKey: (service, key) => {
       keyLoad.record(service, key);
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -1,6 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { type IncarnationId, type CrashCounts, requestKey } from '@boragepoint/placement';
+import {
+  type IncarnationId,
+  type CrashCounts,
+  type ServerLimits,
+  requestKey,
+} from '@boragepoint/placement';
 import type { HeaderCodec } from '@boragepoint/platform';
 
 import { createAnswerMemory } from './answer-memory.js';
@@ -18,6 +23,7 @@
 } from './request-outcome.js';
 import { type CallerAnswer, ownAnswer } from './caller-answer.js';
 import type { RouterLog } from './router-log.js';
+import type { RouterMetrics } from './router-metrics.js';
 import { type SendOutcome, type ServerAnswer, sendRequest } from './send-request.js';
 import { noteSent, noteAccepted, startBackoff } from './server-backoff.js';
 import { type PooledServer, isWarmingUp } from './server-pool.js';
@@ -32,6 +38,7 @@
 const UNREACHABLE_MS = 250;
 /** `Retry-After` of the refusal of a crashing request, in milliseconds. */
 const CRASH_RETRY_AFTER_MS = 3_000;
+const HTTP_MISDIRECTED = 421;
 const HTTP_UNAVAILABLE = 503;
 /** Outcomes that say nothing about a server's health. */
 const HEALTH_NEUTRAL_REASONS: readonly string[] = ['cancelled', 'misdirected', 'paused'];
@@ -50,6 +57,8 @@
   isPartitioned(service: string): boolean;
   budgetOf(service: string): SharedRetryBudget;
   readonly guard: CrashGuard;
+  readonly limits: ServerLimits;
+  readonly metrics: Pick<RouterMetrics, 'recordLimitedSend'>;
   /** Notes that an incarnation of a server is leaving; returns false if that was known before. */
   noteLeaving(incarnation: IncarnationId): boolean;
   /** Records a request for a key. */
@@ -69,6 +78,11 @@
   return { ...answer, status: HTTP_UNAVAILABLE };
 }
 
+const incarnationOf = ({ entry }: PooledServer): IncarnationId => ({
+  server: entry.id,
+  startedMs: entry.startedMs,
+});
+
 /** The server whose answer to the last attempt says that it does not hold the key. */
 function lastMisdirectedServer(attempts: readonly Attempt[]): string | undefined {
   const last = attempts.at(-1);
@@ -116,6 +130,8 @@
     req.disconnectSignal.addEventListener('abort', cancel);
     load.recordSent(startedAt);
     noteSent(server, startedAt);
+    if (ctx.limits.limitOf(incarnationOf(server)) !== undefined)
+      ctx.metrics.recordLimitedSend(req.service);
     const outcome = await sendRequest(connections, outgoing, {
       codec,
       memory: answerMemory,
@@ -144,9 +160,28 @@
     return outcome;
   }
 
-  /** Applies the signals in a server's answer: that it is leaving, or asks for a back-off. */
-  function applyServerSignals(server: PooledServer, { meta }: ServerAnswer, now: number): void {
+  /** Notes the limit that an answer names, or that it names none. */
+  function noteLimit(server: PooledServer, { status, meta }: ServerAnswer): void {
+    // Another process at the address of a server that has ended answers so, and without a limit.
+    const mayBeAnotherServer = status === HTTP_MISDIRECTED;
+    if (meta.limitPerS === 'unreadable') return;
+    if (mayBeAnotherServer && meta.limitPerS === undefined) return;
+    const incarnation = incarnationOf(server);
+    const before = ctx.limits.limitOf(incarnation);
+    const change = ctx.limits.observe(incarnation, meta.limitPerS);
+    if (change === 'none') return;
+    const { server: id } = incarnation;
+    log.info('server limit changed', { server: id, change, perS: meta.limitPerS, before });
+  }
+
+  /**
+   * Applies the signals in a server's answer: that it is leaving, asks for a back-off, or names a
+   * limit.
+   */
+  function applyServerSignals(server: PooledServer, answer: ServerAnswer, now: number): void {
+    const { meta } = answer;
     const { id, startedMs } = server.entry;
+    noteLimit(server, answer);
     if (meta.leaving && ctx.noteLeaving({ server: id, startedMs })) {
       log.info('server announced that it is leaving', { server: id });
     }
--- a/packages/router/src/lib/router-metrics.ts
+++ b/packages/router/src/lib/router-metrics.ts
@@ -11,6 +11,8 @@
   recordAnswer(req: CallerRequest, answer: CallerAnswer, latencyMs: number): void;
   /** Records by how much the event loop ran late. */
   recordStall(lateMs: number): void;
+  /** Counts a request that is sent to a server while a limit of the server is in force. */
+  recordLimitedSend(service: string): void;
   /** Counts a request whose handling threw. */
   recordUnexpectedError(): void;
   /** Sets the version of the active configuration. */
@@ -83,6 +85,12 @@
     help: 'Time by which the event loop ran late, where it was late by a quarter of a second or more.',
     registers: [registry],
   });
+  const limitedSends = new Counter({
+    name: 'boragepoint_limited_sends_total',
+    help: 'Requests sent to servers while a limit that they named was in force.',
+    labelNames: ['service'],
+    registers: [registry],
+  });
   const unexpected = new Counter({
     name: 'boragepoint_unexpected_errors_total',
     help: 'Errors that nobody foresaw; each has a line in the log.',
@@ -122,6 +130,9 @@
     recordStall(lateMs) {
       stalls.inc(lateMs / MS_PER_S);
     },
+    recordLimitedSend(service) {
+      limitedSends.inc({ service });
+    },
     recordUnexpectedError() {
       unexpected.inc();
     },
--- a/packages/router/src/test/caller-listener_test.ts
+++ b/packages/router/src/test/caller-listener_test.ts
@@ -23,6 +23,7 @@
     load: undefined,
     leaving: false,
     backoffMs: undefined,
+    limitPerS: undefined,
   }),
   writeRequest: () => ({}),
   writeAnswer: (attempt) => ({ attempt }),
@@ -55,6 +56,7 @@
     load: undefined,
     leaving: false,
     backoffMs: undefined,
+    limitPerS: undefined,
   };
   const answer = {
     status: 200,
--- a/packages/router/src/test/crash-guard_test.ts
+++ b/packages/router/src/test/crash-guard_test.ts
@@ -21,6 +21,7 @@
     load: undefined,
     leaving: false,
     backoffMs: undefined,
+    limitPerS: undefined,
   };
   const answer = { status, framed, headers: {}, body: Buffer.alloc(0), meta };
   return { kind: 'answer', answer };
--- a/packages/router/src/test/request-outcome_test.ts
+++ b/packages/router/src/test/request-outcome_test.ts
@@ -24,7 +24,7 @@
   } as unknown as CallerRequest;
 }
 
-const NO_SIGNALS = { leaving: false, backoffMs: undefined };
+const NO_SIGNALS = { leaving: false, backoffMs: undefined, limitPerS: undefined };
 
 function shed(load: typeof full): SendOutcome {
   const meta = { attemptId: 'a', notRun: true, signed: false, load, ...NO_SIGNALS };
--- a/packages/router/src/test/send-request_test.ts
+++ b/packages/router/src/test/send-request_test.ts
@@ -19,6 +19,7 @@
     load: undefined,
     leaving: false,
     backoffMs: undefined,
+    limitPerS: undefined,
   }),
   writeRequest: () => ({}),
   writeAnswer: () => ({}),
