--- a/packages/placement/src/lib/suspect-exchange.ts
+++ b/packages/placement/src/lib/suspect-exchange.ts
@@ -7,6 +7,7 @@
 import type { PlacementPeers, ReportAnswer, SuspectUpdate } from './placement-peers.js';
 import type { SuspectRecord } from './suspect-record.js';
 import { type AgedRun, decodeRun, encodeRun } from './suspect-run.js';
+import { createSyncPoints } from './sync-points.js';
 import type { Clocks } from './suspension-guard.js';
 
 /** Timeout of one call to another router, in milliseconds. */
@@ -77,31 +78,11 @@
 /** Creates the exchange of one router. */
 export function createSuspectExchange(options: SuspectExchangeOptions): SuspectExchange {
   const { record, peers, clocks } = options;
-  /** Last change of this record that each router knows, by address. */
-  const sentUpTo = new Map<string, number>();
-  /** Last change of each other router's record that this router knows, by address. */
-  const receivedUpTo = new Map<string, number>();
-  /** Start of each router's process in milliseconds, by address. */
-  const incarnations = new Map<string, number>();
+  const points = createSyncPoints();
   const deliverySignal = createChangeSignal();
   /** Calls in flight, at most one per router, by address. */
   const pendingShares = new Map<string, Promise<boolean>>();
 
-  const lastSentTo = (address: string) => sentUpTo.get(address) ?? 0;
-
-  /**
-   * Records which process answers at an address; returns false if it has replaced the one that was
-   * known.
-   */
-  function noteIncarnation(address: string, startedMs: number): boolean {
-    const before = incarnations.get(address);
-    incarnations.set(address, startedMs);
-    if (before === undefined || before === startedMs) return true;
-    sentUpTo.delete(address);
-    receivedUpTo.delete(address);
-    return false;
-  }
-
   function mergeRuns(runs: readonly AgedRun[], from: string): number {
     const changedRuns = record.merge(runs);
     if (changedRuns > 0) {
@@ -111,18 +92,17 @@
     return changedRuns;
   }
 
-  /** Merges runs of the router at an address, which are not sent back to it. */
-  function mergeFrom(address: string, runs: readonly AgedRun[]): number {
-    const before = record.change();
-    const changedRuns = mergeRuns(runs, address);
-    if (lastSentTo(address) >= before) sentUpTo.set(address, record.change());
-    return changedRuns;
-  }
+  const mergeFrom = (address: string, runs: readonly AgedRun[]): number =>
+    points.mergeFrom(
+      address,
+      () => record.change(),
+      () => mergeRuns(runs, address),
+    );
 
   /** Returns whether the router at an address lacks a run that ended its server, or may have. */
   function isMissingLosses(address: string): boolean {
     return record
-      .since(lastSentTo(address))
+      .since(points.sentTo(address))
       .some((it) => it.state === 'lost' || it.state === 'ended');
   }
 
@@ -131,7 +111,7 @@
    */
   async function shareWithAll(reporters: readonly string[], change: number): Promise<void> {
     const until = clocks.monotonic() + SHARE_ALL_TIMEOUT_MS;
-    const haveAllReceived = () => reporters.every((it) => lastSentTo(it) >= change);
+    const haveAllReceived = () => reporters.every((it) => points.sentTo(it) >= change);
     // Waiting reports are answered before the next turn of the event loop; the remaining routers
     // are between two reports.
     await nextEventLoopTurn();
@@ -143,14 +123,14 @@
 
   async function sendMissing(address: string): Promise<boolean> {
     const change = record.change();
-    const runs = record.since(lastSentTo(address));
+    const runs = record.since(points.sentTo(address));
     if (runs.length === 0) return true;
     const update = { runs, from: options.address };
     const startedMs = await peers.shareSuspects(address, update, SHARE_TIMEOUT_MS);
     if (startedMs === undefined) return false;
     // A new process must be sent everything.
-    if (!noteIncarnation(address, startedMs)) return sendMissing(address);
-    sentUpTo.set(address, Math.max(lastSentTo(address), change));
+    if (!points.noteProcess(address, startedMs)) return sendMissing(address);
+    points.noteSent(address, Math.max(points.sentTo(address), change));
     deliverySignal.wakeAll();
     return true;
   }
@@ -169,30 +149,30 @@
 
   return {
     reportFields: (address) => ({
-      suspects: record.since(lastSentTo(address)),
-      knownSuspects: receivedUpTo.get(address) ?? 0,
+      suspects: record.since(points.sentTo(address)),
+      knownSuspects: points.receivedFrom(address),
     }),
     noteAnswer(address, sharedUpTo, answer) {
-      if (noteIncarnation(address, answer.startedMs)) {
-        sentUpTo.set(address, sharedUpTo);
-        receivedUpTo.set(address, answer.knownSuspects);
+      if (points.noteProcess(address, answer.startedMs)) {
+        points.noteSent(address, sharedUpTo);
+        points.noteReceived(address, answer.knownSuspects);
       }
       mergeFrom(address, answer.suspects);
     },
     receiveReport(req) {
-      noteIncarnation(req.address, Number(req.startedMs));
+      points.noteProcess(req.address, Number(req.startedMs));
       const known = Number(req.knownSuspects);
       // A number beyond the last change comes from a former process at this router's own address.
-      sentUpTo.set(req.address, known <= record.change() ? known : 0);
+      points.noteSent(req.address, known <= record.change() ? known : 0);
       mergeFrom(
         req.address,
         req.suspects.flatMap((it) => decodeRun(it) ?? []),
       );
-      return lastSentTo(req.address);
+      return points.sentTo(req.address);
     },
     replyFields(address, knownUpTo) {
       const change = record.change();
-      sentUpTo.set(address, change);
+      points.noteSent(address, change);
       deliverySignal.wakeAll();
       return { suspects: record.since(knownUpTo).map(encodeRun), knownSuspects: BigInt(change) };
     },
