Routers keep to a server's limit together: the leader gives out permits

What callers saw: servers in need, which said how many requests a second they take, went on getting several times as many. Cause: no router decided anything by the header. The class of fault: a bound on a sum that each router would have to keep alone. A share by the number of routers would not do either: at 12 routers and 2 requests a second, one whole request of each is above the limit already.

Now a router that sees a limit tells the leader at once, all others learn of it with the answer to their waiting report, and each request to such a server needs a permit that the leader gives out at the rate of the limit. Nobody asks for each request: a router without a permit is told when to ask again, later if many ask, so that calls grow with the limit and not with the demand. What gets no permit goes to other servers, or is refused at once with a Retry-After spread over the time in which room is expected. Without a leader each router has turns of its own, which lapse unused. More urgent requests come first. A limit ends with the first answer without it, belongs to one incarnation, and a server that takes nothing is asked each 10 s.

Counted are callers' requests, retries included; orders about keys are not: withheld, they would cost a server its keys.

--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -2,6 +2,7 @@
 export * from './lib/leader-context.js';
 export * from './lib/lease-bound.js';
 export * from './lib/load-map.js';
+export * from './lib/permit-allocator.js';
 export * from './lib/plan-moves.js';
 export * from './lib/placement-leader.js';
 export * from './lib/placement-member.js';
--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -9,7 +9,7 @@
   recordReleased,
   recordUnanswered,
 } from './lease-bound.js';
-import type { ServerDirectory } from './server-directory.js';
+import type { IncarnationId, ServerDirectory } from './server-directory.js';
 import type { ServerHealth } from './server-health.js';
 import type { Clocks } from './suspension-guard.js';
 
@@ -59,6 +59,11 @@
    * lease is lost.
    */
   persist(): Promise<boolean>;
+  /**
+   * Requests per second that an incarnation takes from all routers; `undefined` if it names no
+   * limit.
+   */
+  limitOf(incarnation: IncarnationId): number | undefined;
   /** Takes an unused fencing token, which is above all tokens taken before. */
   readonly nextFence: () => number;
 }
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -23,6 +23,7 @@
 import { type RangeTable, createRangeTable, joinUnderNewFence, recordsOf } from './range-table.js';
 import type { ServerDirectory } from './server-directory.js';
 import { createServerHealth } from './server-health.js';
+import type { ServerLimits } from './server-limits.js';
 import {
   MAX_JOINS_PER_PLAN,
   type ServiceLoadReport,
@@ -94,6 +95,8 @@
   routers(): number;
   /** How long before its end a server announces that it leaves, in milliseconds. */
   drainNoticeMs(): number;
+  /** Limits that backend servers name. */
+  readonly limits: Pick<ServerLimits, 'limitOf'>;
   /** Suspect runs to store in the row. */
   suspects(): readonly AgedRun[];
   /** Addresses of other routers to store in the row. */
@@ -194,6 +197,7 @@
       feed.note(range);
     },
     persist: () => writer.persist(),
+    limitOf: (incarnation) => options.limits.limitOf(incarnation),
     nextFence: () => nextFence++,
   };
   const planner = createServicePlanner(ctx);
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -1,12 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import type { RowStore, ServerOrders } from '@boragepoint/platform';
-import type { ReportRequest } from '@boragepoint/protocol';
+import type { ReportRequest, RequestPermitsRequest } from '@boragepoint/protocol';
 
 import { MAX_UNANSWERED_GRANT_MS, becomeLeader } from './become-leader.js';
 import { createChangeSignal } from './change-signal.js';
 import { createKnownPeers } from './known-peers.js';
 import type { PlacementLogger } from './leader-context.js';
+import { createLimitExchange } from './limit-exchange.js';
 import {
   type Candidate,
   type LeaderLeaseReading,
@@ -15,6 +16,13 @@
 } from './leader-lease.js';
 import { createLeadershipTransfer } from './leadership-transfer.js';
 import type { AdmittedShares } from './overload.js';
+import {
+  type PermitAllocator,
+  type PermitsReply,
+  type WantedPermits,
+  createPermitAllocator,
+} from './permit-allocator.js';
+import { type PermitsAnswer, createPermitRequests } from './permit-requests.js';
 import type { PlacementLeader } from './placement-leader.js';
 import type {
   LeaderAddress,
@@ -36,6 +44,7 @@
 import { type ReportReply, createReportResponder } from './report-responder.js';
 import { createReporters } from './reporters.js';
 import type { ServerDirectory } from './server-directory.js';
+import type { LimitNotice, ServerLimits } from './server-limits.js';
 import type { ServiceLoadReport } from './service-planner.js';
 import { createSuspectExchange } from './suspect-exchange.js';
 import type { SuspectRecord } from './suspect-record.js';
@@ -103,6 +112,15 @@
    * overloaded.
    */
   admittedShare(server: string): number;
+  /**
+   * Asks the leader for permits to send requests to servers that name a limit; `undefined` if it
+   * does not answer in time.
+   */
+  requestPermits(wanted: readonly WantedPermits[]): Promise<readonly PermitsReply[] | undefined>;
+  /** Tells the leader of limits that this router has seen. */
+  shareLimits(): void;
+  /** Answers another router's request for permits. */
+  answerPermits(req: RequestPermitsRequest): PermitsAnswer;
   /** Resolves at the next change of the view, or after `ms` milliseconds. */
   waitForChange(ms: number): Promise<void>;
   /** Answers another router's report. */
@@ -138,6 +156,10 @@
   takeLoad(): readonly ServiceLoadReport[];
   /** Runs that may have ended their server, shared by all routers. */
   readonly suspects: SuspectRecord;
+  /** Limits that backend servers name, shared by all routers. */
+  readonly limits: ServerLimits;
+  /** Called with the limits that changed because of other routers. */
+  onLimitsLearned(changed: readonly LimitNotice[]): void;
   /** State of the store's tables, as known to this router. */
   tables(): readonly NamedTableReport[];
   /** Called with the state of the store's tables, as known to the leader. */
@@ -163,9 +185,27 @@
     others: () => knownPeers.all(),
     onChange: () => leader?.persist(),
   });
+  const limitExchange = createLimitExchange({
+    limits: options.limits,
+    clocks,
+    log: options.log,
+    onLearned(changed) {
+      options.onLimitsLearned(changed);
+      storeChanges.wakeAll();
+    },
+  });
+  const permits = createPermitRequests({
+    self,
+    limits: options.limits,
+    exchange: limitExchange,
+    peers,
+    allocator: () => (leader ? allocator : undefined),
+    leader: () => followedLeader?.address,
+  });
   const reportClient = createReportClient({
     ...options,
     exchange,
+    limitExchange,
     view: () => currentView,
     isServedByStore: () => isServedByStore(),
   });
@@ -174,6 +214,8 @@
   let routers = 1;
   let admitted: { shares: AdmittedShares; until: number } = { shares: new Map(), until: 0 };
   let leader: PlacementLeader | undefined;
+  /** Gives permits out while this router leads. */
+  let allocator: PermitAllocator | undefined;
   let leaderRun: Promise<void> = Promise.resolve();
   let lastEpochLed = 0;
   /** The leader to report to. */
@@ -213,6 +255,11 @@
     });
     if (!created) return;
     leader = created;
+    allocator = createPermitAllocator({
+      limits: options.limits,
+      now: clocks.monotonic,
+      random: Math.random,
+    });
     isCaughtUp = true;
     lastEpochLed = created.epoch;
     followedLeader = undefined;
@@ -364,6 +411,7 @@
     startedMs: self.startedMs,
     exchange,
     suspects,
+    limitExchange,
     reporters,
     directory: options.directory,
     leader: () => leader,
@@ -391,6 +439,12 @@
     },
     admittedShare: (server) =>
       clocks.monotonic() < admitted.until ? (admitted.shares.get(server) ?? 1) : 1,
+    requestPermits: (wanted) => permits.request(wanted),
+    shareLimits() {
+      if (leader) storeChanges.wakeAll();
+      else void permits.share();
+    },
+    answerPermits: (req) => permits.answer(req),
     waitForChange(ms) {
       pacer.expedite();
       return viewSignal.wait(ms);
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -18,6 +18,8 @@
 import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
 
 import type { AdmittedShares } from './overload.js';
+import { type AgedLimit, decodeLimit, encodeLimit } from './limit-exchange.js';
+import type { PermitsReply, WantedPermits } from './permit-allocator.js';
 import type { LeaderLeaseRecord } from './placement-record.js';
 import type { PlacementView } from './placement-view.js';
 import { type AgedRun, decodeRun, encodeRun } from './suspect-run.js';
@@ -62,6 +64,10 @@
   readonly tables: readonly NamedTableReport[];
   /** Changes of the service registry since the reported version. */
   readonly servers: RowUpdate | undefined;
+  /** Limits of backend servers that changed since the reported change. */
+  readonly limits: readonly AgedLimit[];
+  /** Number of the answering router's last change of limits that the answer includes. */
+  readonly knownLimits: number;
   /** Start of the answering process, in milliseconds since the Unix epoch. */
   readonly startedMs: number;
 }
@@ -90,6 +96,25 @@
   readonly from: string;
 }
 
+/** A request for permits, with limits that the leader has not confirmed. */
+export interface PermitsAsk {
+  readonly router: string;
+  readonly address: string;
+  /** Start of the asking process, in milliseconds since the Unix epoch. */
+  readonly startedMs: number;
+  readonly limits: readonly AgedLimit[];
+  readonly wanted: readonly WantedPermits[];
+}
+
+/** Answer to a request for permits. */
+export interface PermitsAnswer {
+  /** False if the answering router does not lead; then there are no replies. */
+  readonly leads: boolean;
+  /** Start of the answering process, in milliseconds since the Unix epoch. */
+  readonly startedMs: number;
+  readonly replies: readonly PermitsReply[];
+}
+
 /** Client for calls to other routers. */
 export interface PlacementPeers extends Disposable {
   /** Sends a report; resolves to `undefined` without a usable answer in time. */
@@ -110,6 +135,12 @@
     update: SuspectUpdate,
     timeoutMs: number,
   ): Promise<number | undefined>;
+  /** Asks a leader for permits; resolves to `undefined` without an answer in time. */
+  requestPermits(
+    address: string,
+    ask: PermitsAsk,
+    timeoutMs: number,
+  ): Promise<PermitsAnswer | undefined>;
   /**
    * Fetches the rows that another router has of a table after a version; resolves to `undefined`
    * without an answer.
@@ -224,6 +255,8 @@
           routers,
           suspects,
           knownSuspects: Number(res.knownSuspects),
+          limits: res.limits.flatMap((it) => decodeLimit(it) ?? []),
+          knownLimits: Number(res.knownLimits),
           admitted,
           isLeaseExpired: res.tenureOver,
           peers: res.peers,
@@ -257,6 +290,21 @@
         return undefined;
       }
     },
+    async requestPermits(address, ask, timeoutMs) {
+      try {
+        const req = {
+          router: ask.router,
+          address: ask.address,
+          startedMs: BigInt(ask.startedMs),
+          limits: ask.limits.map(encodeLimit),
+          wanted: ask.wanted.map((it) => ({ ...it, servers: [...it.servers] })),
+        };
+        const res = await peerAt(address).rpc.requestPermits(req, { timeoutMs });
+        return { leads: res.leads, startedMs: Number(res.startedMs), replies: res.replies };
+      } catch {
+        return undefined;
+      }
+    },
     async rowsSince(address, table, knownVersion) {
       using timeout = createProgressTimeout(FETCH_TIMEOUTS);
       const req = { table, knownVersion: BigInt(knownVersion) };
--- a/packages/placement/src/lib/report-client.ts
+++ b/packages/placement/src/lib/report-client.ts
@@ -1,8 +1,10 @@
 import type { Candidate } from './leader-lease.js';
+import { type LimitExchange, encodeLimit } from './limit-exchange.js';
 import type { PlacementPeers, ReportAnswer } from './placement-peers.js';
 import type { PlacementView } from './placement-view.js';
 import type { ServerDirectory } from './server-directory.js';
 import type { ServiceLoadReport } from './service-planner.js';
+import type { ServerLimits } from './server-limits.js';
 import type { SuspectExchange } from './suspect-exchange.js';
 import type { SuspectRecord } from './suspect-record.js';
 import { encodeRun } from './suspect-run.js';
@@ -16,6 +18,8 @@
   readonly directory: ServerDirectory;
   readonly suspects: SuspectRecord;
   readonly exchange: SuspectExchange;
+  readonly limits: ServerLimits;
+  readonly limitExchange: LimitExchange;
   /** Returns the newest placement known. */
   view(): PlacementView;
   /** Returns whether the store answers this router. */
@@ -30,7 +34,7 @@
   readonly timeoutMs: number;
 }
 
-/** Sends reports to other routers, and merges the suspect runs in their answers. */
+/** Sends reports to other routers, and merges the suspect runs and limits in their answers. */
 export interface ReportClient {
   /** Resolves to `undefined` without a usable answer in time. */
   report(
@@ -42,14 +46,17 @@
 
 /** Creates the client of one router. */
 export function createReportClient(options: ReportClientOptions): ReportClient {
-  const { self, directory, exchange, suspects, peers } = options;
+  const { self, directory, exchange, suspects, limits, limitExchange, peers } = options;
 
   function buildReport(address: string, waitMs: number, loads: readonly ServiceLoadReport[]) {
     const suspectFields = exchange.reportFields(address);
+    const limitFields = limitExchange.reportFields(address);
     const known = options.view();
     return {
       suspects: suspectFields.suspects.map(encodeRun),
       knownSuspects: BigInt(suspectFields.knownSuspects),
+      limits: limitFields.limits.map(encodeLimit),
+      knownLimits: BigInt(limitFields.knownLimits),
       leaving: directory.leaving().map((it) => ({ ...it, startedMs: BigInt(it.startedMs) })),
       router: self.router,
       address: self.address,
@@ -71,8 +78,12 @@
   return {
     async report(address, { waitMs, timeoutMs }, loads = []) {
       const sharedUpTo = suspects.change();
+      const limitsSharedUpTo = limits.change();
       const answer = await peers.report(address, buildReport(address, waitMs, loads), timeoutMs);
-      if (answer) exchange.noteAnswer(address, sharedUpTo, answer);
+      if (answer) {
+        exchange.noteAnswer(address, sharedUpTo, answer);
+        limitExchange.noteAnswer(address, limitsSharedUpTo, answer);
+      }
       return answer;
     },
   };
--- a/packages/placement/src/lib/report-responder.ts
+++ b/packages/placement/src/lib/report-responder.ts
@@ -2,6 +2,7 @@
 import type { MessageInitShape } from '@bufbuild/protobuf';
 
 import type { ChangeSignal } from './change-signal.js';
+import { type LimitExchange, decodeLimit, encodeLimit } from './limit-exchange.js';
 import type { PlacementLeader } from './placement-leader.js';
 import type { LeaderAddress, NamedTableReport } from './placement-peers.js';
 import type { Reporters } from './reporters.js';
@@ -24,6 +25,7 @@
   readonly startedMs: number;
   readonly exchange: SuspectExchange;
   readonly suspects: SuspectRecord;
+  readonly limitExchange: LimitExchange;
   readonly reporters: Reporters;
   readonly directory: ServerDirectory;
   /** Returns the leader that runs in this router; `undefined` while the router does not lead. */
@@ -35,8 +37,8 @@
   /** State of the store's tables, as known to this router. */
   tables(): readonly NamedTableReport[];
   /**
-   * Wakes waiting reports when the store is lost or back, or when the service registry changed, so
-   * that reporting routers learn of it immediately.
+   * Wakes waiting reports when the store is lost or back, or when the service registry or limits
+   * changed, so that reporting routers learn of it immediately.
    */
   readonly storeChanges: ChangeSignal;
 }
@@ -60,7 +62,7 @@
 
 /** Creates the responder of one router. */
 export function createReportResponder(options: ReportResponderOptions): ReportResponder {
-  const { exchange, suspects, reporters, directory } = options;
+  const { exchange, suspects, limitExchange, reporters, directory } = options;
 
   /**
    * Returns the answer of a router that does not lead, with the leader that it follows and its
@@ -72,6 +74,7 @@
       leads: false,
       startedMs: BigInt(options.startedMs),
       ...exchange.replyFields(req.address, knownSuspects),
+      ...limitFieldsFor(req),
       ...(followedLeader && { leader: leaderMessage(followedLeader) }),
     };
   }
@@ -91,6 +94,12 @@
     };
   }
 
+  /** Returns the limits that the reporting router does not know. */
+  function limitFieldsFor({ address, knownLimits: known }: ReportRequest) {
+    const { limits, knownLimits } = limitExchange.replyFields(address, Number(known));
+    return { limits: limits.map(encodeLimit), knownLimits: BigInt(knownLimits) };
+  }
+
   function applyReport(req: ReportRequest, leading: PlacementLeader): void {
     reporters.note(req);
     for (const load of req.services) leading.report(load);
@@ -102,6 +111,10 @@
   return async (req) => {
     const leading = options.leader();
     const knownSuspects = exchange.receiveReport(req);
+    limitExchange.receive(req.address, {
+      limits: req.limits.flatMap((it) => decodeLimit(it) ?? []),
+      startedMs: Number(req.startedMs),
+    });
     if (!leading) return replyNotLeading(req, knownSuspects);
     applyReport(req, leading);
     const knownChange = knownChangeOf(req, leading);
@@ -129,6 +142,7 @@
       tenureOver: leading.isLeaseExpired(),
       peers: reporters.someAddresses(req.address),
       ...exchange.replyFields(req.address, knownSuspects),
+      ...limitFieldsFor(req),
       ...(servers && { servers }),
       tables: options.tables().map((it) => ({ ...it, version: BigInt(it.version) })),
       admitted: [...leading.admitted()].map(([server, share]) => ({ server, share })),
--- a/packages/placement/src/lib/server-limits.ts
+++ b/packages/placement/src/lib/server-limits.ts
@@ -5,8 +5,11 @@
  * limit, in milliseconds, may have been written before it.
  */
 const OVERTAKING_MS = 100;
-/** Time for which the end of a limit is remembered, in milliseconds. */
-const ENDED_TTL_MS = 30_000;
+/**
+ * Time for which the end of a limit is remembered, and the limit of a server that the registry does
+ * not list, in milliseconds.
+ */
+const UNUSED_TTL_MS = 30_000;
 /** Maximum number of servers in the record; the oldest notices are dropped first. */
 const MAX_SERVERS = 2_000;
 
@@ -28,6 +31,8 @@
 export interface ServerLimits {
   /** Returns the limit of an incarnation, in requests per second; `undefined` without one. */
   limitOf(incarnation: IncarnationId): number | undefined;
+  /** Returns the last notice about a server, of whichever incarnation. */
+  noticeOf(server: string): LimitNotice | undefined;
   /** Age of the notice about a server, in milliseconds. */
   ageMs(incarnation: IncarnationId): number;
   /** Records what an answer says: a limit in requests per second, or none. */
@@ -52,7 +57,7 @@
   const entries = new Map<string, Entry>();
   let lastChange = 0;
 
-  function noticeOf({ server, startedMs }: IncarnationId): LimitNotice | undefined {
+  function known({ server, startedMs }: IncarnationId): LimitNotice | undefined {
     const notice = entries.get(server)?.notice;
     return notice?.startedMs === startedMs ? notice : undefined;
   }
@@ -69,36 +74,37 @@
 
   /** Notes that a limit still holds, which is no news for other routers. */
   function confirm(notice: LimitNotice): void {
-    const known = entries.get(notice.server);
-    if (known) entries.set(notice.server, { ...known, notice });
+    const entry = entries.get(notice.server);
+    if (entry) entries.set(notice.server, { ...entry, notice });
   }
 
   function isNewer(notice: LimitNotice): boolean {
-    const known = entries.get(notice.server)?.notice;
-    if (!known) return true;
-    if (known.startedMs !== notice.startedMs) return notice.startedMs > known.startedMs;
-    return notice.seenAt > known.seenAt;
+    const last = entries.get(notice.server)?.notice;
+    if (!last) return true;
+    if (last.startedMs !== notice.startedMs) return notice.startedMs > last.startedMs;
+    return notice.seenAt >= last.seenAt;
   }
 
   return {
-    limitOf: (incarnation) => noticeOf(incarnation)?.perS,
-    ageMs: (incarnation) => now() - (noticeOf(incarnation)?.seenAt ?? now()),
+    noticeOf: (server) => entries.get(server)?.notice,
+    limitOf: (incarnation) => known(incarnation)?.perS,
+    ageMs: (incarnation) => now() - (known(incarnation)?.seenAt ?? now()),
     observe({ server, startedMs }, perS) {
       const notice = { server, startedMs, perS, seenAt: now() };
-      const known = noticeOf(notice);
-      if (known?.perS === perS) {
-        if (known && perS !== undefined) confirm(notice);
+      const before = known(notice);
+      if (before?.perS === perS) {
+        if (before && perS !== undefined) confirm(notice);
         return 'none';
       }
-      const mayBeOvertaken = perS === undefined && now() < (known?.seenAt ?? 0) + OVERTAKING_MS;
+      const mayBeOvertaken = perS === undefined && now() < (before?.seenAt ?? 0) + OVERTAKING_MS;
       if (mayBeOvertaken || !isNewer(notice)) return 'none';
       put(notice);
       if (perS === undefined) return 'ended';
-      return known?.perS === undefined ? 'named' : 'changed';
+      return before?.perS === undefined ? 'named' : 'changed';
     },
     merge(notices) {
       const merged = notices.filter(isNewer);
-      const changed = merged.filter((it) => noticeOf(it)?.perS !== it.perS);
+      const changed = merged.filter((it) => known(it)?.perS !== it.perS);
       for (const notice of merged) {
         if (changed.includes(notice)) put(notice);
         else confirm(notice);
@@ -111,8 +117,9 @@
     prune(directory) {
       for (const [server, { notice }] of entries) {
         const started = directory.get(server)?.entry.startedMs;
-        const isForgotten = notice.perS === undefined && now() > notice.seenAt + ENDED_TTL_MS;
-        if (isForgotten || started === undefined || started > notice.startedMs)
+        const isReplaced = started !== undefined && started > notice.startedMs;
+        const isUnused = notice.perS === undefined || started === undefined;
+        if (isReplaced || (isUnused && now() > notice.seenAt + UNUSED_TTL_MS))
           entries.delete(server);
       }
     },
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -88,6 +88,7 @@
     routers: () => 1,
     suspects: () => [],
     knownPeers: () => [],
+    limits: { limitOf: () => undefined },
   });
   const end = new AbortController();
   const running = leader.run(end.signal);
--- a/packages/placement/src/test/report-responder_test.ts
+++ b/packages/placement/src/test/report-responder_test.ts
@@ -5,9 +5,11 @@
 import { expect } from 'earl';
 
 import { createChangeSignal } from '../lib/change-signal.js';
+import { createLimitExchange } from '../lib/limit-exchange.js';
 import type { PlacementLeader } from '../lib/placement-leader.js';
 import { type ReportResponderOptions, createReportResponder } from '../lib/report-responder.js';
 import { createReporters } from '../lib/reporters.js';
+import { createServerLimits } from '../lib/server-limits.js';
 import { createSuspectExchange } from '../lib/suspect-exchange.js';
 import { createSuspectRecord } from '../lib/suspect-record.js';
 import { processClocks } from '../lib/suspension-guard.js';
@@ -43,6 +45,12 @@
       onChange: () => undefined,
     }),
     suspects,
+    limitExchange: createLimitExchange({
+      limits: createServerLimits(() => 0),
+      clocks: processClocks,
+      log: { info: () => undefined, warn: () => undefined },
+      onLearned: () => undefined,
+    }),
     reporters: createReporters(processClocks),
     directory: createFakeDirectory([]),
     leader: () => idleLeader,
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -22,6 +22,8 @@
 import type { RouterLog } from './router-log.js';
 import { createRouterMetrics } from './router-metrics.js';
 import { createServerPool } from './server-pool.js';
+import { cancelUnsent } from './server-backoff.js';
+import { createServerPermits } from './server-permits.js';
 import { createServerProbe } from './server-probe.js';
 import { type SharedRetryBudget, createSharedRetryBudget } from './shared-retry-budget.js';
 import { createServiceDemand } from './service-demand.js';
@@ -135,6 +137,13 @@
     drainNoticeMs: () => settings.drain.noticeMs,
     takeLoad: () => keyLoad.take(partitionedServices() ?? []),
     suspects,
+    limits,
+    onLimitsLearned(changed) {
+      for (const { server, startedMs, perS } of changed) {
+        const pooled = perS === undefined ? undefined : pool.get(server);
+        if (pooled?.entry.startedMs === startedMs) cancelUnsent(pooled);
+      }
+    },
     tables: () => [
       { table: platform.configTable, ...config.watch.tableReport() },
       { table: platform.serverTable, ...directory.tableReport() },
@@ -192,10 +201,23 @@
     },
     guard,
     limits,
+    shareLimits() {
+      member.shareLimits();
+    },
+    permits: createServerPermits({
+      limitOf: (incarnation) => limits.limitOf(incarnation),
+      request: (wanted) => member.requestPermits(wanted),
+      routers: () => member.routers(),
+      now: clocks.monotonic,
+      random: Math.random,
+    }),
     metrics: {
       recordLimitedSend(service) {
         metrics.recordLimitedSend(service);
       },
+      recordLimitedRefusal(service) {
+        metrics.recordLimitedRefusal(service);
+      },
     },
     noteLeaving: (incarnation) => directory.noteLeaving(incarnation),
     recordKey: (service, key) => {
--- a/packages/router/src/lib/peer-listener.ts
+++ b/packages/router/src/lib/peer-listener.ts
@@ -41,6 +41,7 @@
         await member.receiveSuspects({ runs, from: req.address });
         return { startedMs: BigInt(member.startedMs) };
       },
+      requestPermits: (req) => member.answerPermits(req),
       fetchTable(req) {
         const delta = rowsSince(req.table, Number(req.knownVersion));
         return Readable.from(delta ? partsOf(delta) : []);
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -10,6 +10,7 @@
 } from './choose-server.js';
 import type { RouteTimes } from './route-times.js';
 import { retryAfterBackoffMs, isBackingOff } from './server-backoff.js';
+import type { ServerPermits } from './server-permits.js';
 import { type PooledServer, type ServerPool, candidateOf } from './server-pool.js';
 import type { ServiceDemand } from './service-demand.js';
 
@@ -51,6 +52,8 @@
   admittedShare(server: string): number;
   readonly routeTimes: RouteTimes;
   readonly demand: ServiceDemand;
+  /** Permits for servers that name a limit. */
+  readonly permits: ServerPermits;
   /** Monotonic time in milliseconds. */
   now(): number;
   /** Uniform in [0, 1). */
@@ -58,14 +61,17 @@
 }
 
 /** The server for the next attempt of a request, or the refusal if there is none. */
-export type ServerPick =
-  | {
-      readonly kind: 'server';
-      readonly server: PooledServer;
-      /** Expected time to the answer, in service times. */
-      readonly serviceTimes: number;
-    }
-  | Refusal;
+export type ServerPick = PickedServer | Refusal;
+
+/** The server for the next attempt of a request. */
+export interface PickedServer {
+  readonly kind: 'server';
+  readonly server: PooledServer;
+  /** Expected time to the answer, in service times. */
+  readonly serviceTimes: number;
+  /** True if the server names a limit, so that the request has taken a permit. */
+  readonly hasPermit: boolean;
+}
 
 /** Why a request is refused, and the figures behind the decision. */
 export interface Refusal {
@@ -75,13 +81,14 @@
   readonly decidedBy?:
     | { readonly server: string; readonly expectedMs: number; readonly inHand: number }
     | { readonly server: string; readonly admittedShare: number }
-    | { readonly server: string; readonly pausedForMs: number };
+    | { readonly server: string; readonly pausedForMs: number }
+    | { readonly server: string; readonly limitPerS: number };
 }
 
 /** Picks the server for a request. */
 export interface ServerPicker {
   /** Picks among the equal servers of the service, except those already tried. */
-  pickAny(req: CallerRequest, tried: readonly string[]): ServerPick;
+  pickAny(req: CallerRequest, tried: readonly string[]): Promise<ServerPick>;
   /**
    * Picks the owner of the key, and waits while the range changes owners. The server
    * `misdirectedTo` has just answered that it doesn't hold the key, so a placement that names it is
@@ -109,7 +116,8 @@
 
 /** Creates a picker. */
 export function createServerPicker(ctx: ServerPickerContext): ServerPicker {
-  const { pool } = ctx;
+  const { pool, permits } = ctx;
+  const isLimited = (server: PooledServer) => permits.limitOf(server) !== undefined;
 
   function isPastNotice(server: PooledServer): boolean {
     const since = ctx.drainingSince(server.entry.id);
@@ -159,7 +167,12 @@
       urgentObjectiveMs: ctx.demand.urgentObjectiveMs(req.service, cfg.priority),
     });
     if (admission.kind === 'send')
-      return { kind: 'server', server, serviceTimes: expectedServiceTimes(candidate) };
+      return {
+        kind: 'server',
+        server,
+        serviceTimes: expectedServiceTimes(candidate),
+        hasPermit: false,
+      };
     const decidedBy = {
       server: candidate.id,
       expectedMs: Math.round(answerMs),
@@ -189,23 +202,62 @@
     }
   }
 
+  /** Creates the refusal of a request beyond the limits of all servers that could take it. */
+  function refuseLimited(req: CallerRequest, servers: readonly PooledServer[]): Refusal {
+    const [first] = servers;
+    return {
+      kind: 'refuse',
+      reason: 'servers take no more requests for now',
+      retryAfterMs: permits.retryAfterMs(servers, req.route.cfg.priority),
+      decidedBy: {
+        server: first?.entry.id ?? '',
+        limitPerS: (first && permits.limitOf(first)) ?? 0,
+      },
+    };
+  }
+
+  const describe = (server: PooledServer) =>
+    candidateOf(server, ctx.distanceTo(server.entry.availabilityZone), ctx.now());
+
+  /** Picks the server with the lowest expected cost, if its answer can be expected in time. */
+  function pickBest(req: CallerRequest, servers: readonly PooledServer[]): ServerPick {
+    const candidates = servers.map(describe);
+    const { objectiveMs } = req.route.cfg;
+    const choice = chooseServer(candidates, { objectiveMs, random: ctx.random });
+    const candidate = candidates.find((it) => it.id === choice?.id);
+    const server = candidate && pool.get(candidate.id);
+    if (!server) return refuse('no backend server');
+    return pickIfAdmitted(req, server, candidate, 'servers are full');
+  }
+
+  /** Picks a server, and another one if the best one names a limit and there is no permit for it. */
+  async function pickAmong(
+    req: CallerRequest,
+    servers: readonly PooledServer[],
+  ): Promise<ServerPick> {
+    const best = pickBest(req, servers);
+    if (best.kind === 'refuse' || !isLimited(best.server)) return best;
+    const unlimited = servers.filter((it) => !isLimited(it));
+    const others = servers.filter((it) => isLimited(it) && it !== best.server);
+    // Only without servers that need no permit is it worth asking for those that are less good.
+    const wanted = unlimited.length > 0 ? [best.server] : [best.server, ...others];
+    const server = await permits.acquire(wanted, req.route.cfg.priority);
+    if (server) {
+      const serviceTimes = expectedServiceTimes(describe(server));
+      return { kind: 'server', server, serviceTimes, hasPermit: true };
+    }
+    return unlimited.length > 0 ? pickBest(req, unlimited) : refuseLimited(req, wanted);
+  }
+
   return {
-    pickAny(req, tried) {
+    async pickAny(req, tried) {
       const now = ctx.now();
       const servers = serversOf(req.service).filter((it) => !tried.includes(it.entry.id));
       const available = servers.filter((it) => !isBackingOff(it, now));
       if (servers.length > 0 && available.length === 0) return refuseBackingOff(servers);
       const preferred = available.filter((it) => now >= it.avoidUntil);
       const usable = preferred.length > 0 ? preferred : available;
-      const candidates = usable.map((it) =>
-        candidateOf(it, ctx.distanceTo(it.entry.availabilityZone), now),
-      );
-      const { objectiveMs } = req.route.cfg;
-      const choice = chooseServer(candidates, { objectiveMs, random: ctx.random });
-      const candidate = candidates.find((it) => it.id === choice?.id);
-      const server = candidate && pool.get(candidate.id);
-      if (!server) return refuse('no backend server');
-      return pickIfAdmitted(req, server, candidate, 'servers are full');
+      return pickAmong(req, usable);
     },
     async pickOwner(req, key, misdirectedTo) {
       const server = await findOwner(req, key, misdirectedTo);
@@ -214,7 +266,11 @@
       const share = ctx.admittedShare(server.entry.id);
       if (misdirectedTo === undefined && ctx.random() >= share)
         return refuseOverload(server, share);
-      return pickIfAdmitted(req, server, candidateOf(server, 0, ctx.now()), 'the owner is full');
+      const candidate = candidateOf(server, 0, ctx.now());
+      const pick = pickIfAdmitted(req, server, candidate, 'the owner is full');
+      if (pick.kind === 'refuse' || !isLimited(server)) return pick;
+      const permitted = await permits.acquire([server], req.route.cfg.priority);
+      return permitted ? { ...pick, hasPermit: true } : refuseLimited(req, [server]);
     },
   };
 }
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -13,7 +13,13 @@
 import type { CrashGuard, GuardedRun } from './crash-guard.js';
 import { requestHeaders } from './forwarded-headers.js';
 import { identityOf } from './request-identity.js';
-import { type Refusal, type ServerPickerContext, createServerPicker } from './pick-server.js';
+import {
+  type PickedServer,
+  type Refusal,
+  type ServerPick,
+  type ServerPickerContext,
+  createServerPicker,
+} from './pick-server.js';
 import {
   HTTP_SERVER_ERROR,
   MAX_CRASHES,
@@ -25,7 +31,7 @@
 import type { RouterLog } from './router-log.js';
 import type { RouterMetrics } from './router-metrics.js';
 import { type SendOutcome, type ServerAnswer, sendRequest } from './send-request.js';
-import { noteSent, noteAccepted, startBackoff } from './server-backoff.js';
+import { cancelUnsent, noteSent, noteAccepted, startBackoff } from './server-backoff.js';
 import { type PooledServer, isWarmingUp } from './server-pool.js';
 import type { SharedRetryBudget } from './shared-retry-budget.js';
 
@@ -36,6 +42,8 @@
  * milliseconds.
  */
 const UNREACHABLE_MS = 250;
+/** Time in which a request with a permit has to be sent, in milliseconds. */
+const PERMIT_TTL_MS = 500;
 /** `Retry-After` of the refusal of a crashing request, in milliseconds. */
 const CRASH_RETRY_AFTER_MS = 3_000;
 const HTTP_MISDIRECTED = 421;
@@ -58,7 +66,9 @@
   budgetOf(service: string): SharedRetryBudget;
   readonly guard: CrashGuard;
   readonly limits: ServerLimits;
-  readonly metrics: Pick<RouterMetrics, 'recordLimitedSend'>;
+  /** Tells the other routers of a limit that has changed. */
+  shareLimits(): void;
+  readonly metrics: Pick<RouterMetrics, 'recordLimitedSend' | 'recordLimitedRefusal'>;
   /** Notes that an incarnation of a server is leaving; returns false if that was known before. */
   noteLeaving(incarnation: IncarnationId): boolean;
   /** Records a request for a key. */
@@ -103,14 +113,24 @@
   };
 }
 
+/**
+ * Cancels a request that waits for a connection; one with a permit is cancelled when the permit has
+ * lapsed, as requests that wait would reach the server all at once.
+ */
+function unsentSignalOf({ server, hasPermit }: PickedServer): AbortSignal {
+  const { signal } = server.unsentAbort;
+  return hasPermit ? AbortSignal.any([signal, AbortSignal.timeout(PERMIT_TTL_MS)]) : signal;
+}
+
 /** Creates a handler. */
 export function createRequestHandler(ctx: RequestHandlerContext): RequestHandler {
   const { codec, log } = ctx;
   const picker = createServerPicker(ctx);
   const answerMemory = createAnswerMemory();
 
-  async function send(run: GuardedRun, serviceTimes: number): Promise<SendOutcome> {
+  async function send(run: GuardedRun, pick: PickedServer): Promise<SendOutcome> {
     const { req, server } = run;
+    const { serviceTimes } = pick;
     const { load, connections, entry } = server;
     const startedAt = ctx.now();
     const leftMs = Math.max(1, Math.floor(req.deadlineAt - startedAt));
@@ -136,7 +156,7 @@
       codec,
       memory: answerMemory,
       signal: cancellation.signal,
-      unsentSignal: server.unsentAbort.signal,
+      unsentSignal: unsentSignalOf(pick),
     });
     clearTimeout(timer);
     req.disconnectSignal.removeEventListener('abort', cancel);
@@ -172,6 +192,8 @@
     if (change === 'none') return;
     const { server: id } = incarnation;
     log.info('server limit changed', { server: id, change, perS: meta.limitPerS, before });
+    if (meta.limitPerS !== undefined) cancelUnsent(server);
+    ctx.shareLimits();
   }
 
   /**
@@ -240,6 +262,10 @@
     if (isAnswered || isLongerThanExpected) load.recordLatency(serviceTimes, latencyMs);
   }
 
+  function returnPermit(pick: ServerPick): void {
+    if (pick.kind === 'server' && pick.hasPermit) ctx.permits.giveBack(pick.server);
+  }
+
   function logAttempts(
     req: CallerRequest,
     attempts: readonly Attempt[],
@@ -285,6 +311,8 @@
 
     async function end(reason: string, refusal?: Refusal): Promise<CallerAnswer> {
       logAttempts(req, attempts, reason, refusal);
+      if (refusal?.decidedBy && 'limitPerS' in refusal.decidedBy)
+        ctx.metrics.recordLimitedRefusal(req.service);
       if (shared) await Promise.race([shared, sleep(Math.max(0, req.answerBy - ctx.now()))]);
       return finalAnswer(req, attempts, refusal, ctx.now());
     }
@@ -293,11 +321,15 @@
       const tried = attempts.map((it) => it.server.entry.id);
       const pick =
         key === undefined
-          ? picker.pickAny(req, tried)
+          ? await picker.pickAny(req, tried)
           : await picker.pickOwner(req, key, lastMisdirectedServer(attempts));
-      if (req.disconnectSignal.aborted) return { kind: 'none' };
+      if (req.disconnectSignal.aborted) {
+        returnPermit(pick);
+        return { kind: 'none' };
+      }
       if (pick.kind === 'refuse') return end(pick.reason, pick);
       const admission = await ctx.guard.admit(req, pick.server);
+      if (admission.kind !== 'run') returnPermit(pick);
       if (admission.kind === 'refuse') {
         if (attempts.length === 0) return refuseCrashingRequest(req, admission.crashCounts);
         return end('equal requests ended servers');
@@ -306,7 +338,7 @@
         if (ctx.now() < suspectWaitUntil) continue;
         return end(SUSPECT_WAIT_REFUSAL.reason, SUSPECT_WAIT_REFUSAL);
       }
-      const outcome = await send(admission.run, pick.serviceTimes);
+      const outcome = await send(admission.run, pick);
       ({ shared } = await ctx.guard.finish(admission.run, outcome));
       attempts.push({ server: pick.server, outcome });
       if (outcome.kind === 'answer' && outcome.answer.status < HTTP_SERVER_ERROR) {
--- a/packages/router/src/lib/router-metrics.ts
+++ b/packages/router/src/lib/router-metrics.ts
@@ -13,6 +13,8 @@
   recordStall(lateMs: number): void;
   /** Counts a request that is sent to a server while a limit of the server is in force. */
   recordLimitedSend(service: string): void;
+  /** Counts a request that is refused because of the limits of servers. */
+  recordLimitedRefusal(service: string): void;
   /** Counts a request whose handling threw. */
   recordUnexpectedError(): void;
   /** Sets the version of the active configuration. */
@@ -91,6 +93,12 @@
     labelNames: ['service'],
     registers: [registry],
   });
+  const limitedRefusals = new Counter({
+    name: 'boragepoint_limited_refusals_total',
+    help: 'Requests refused because of limits that servers named.',
+    labelNames: ['service'],
+    registers: [registry],
+  });
   const unexpected = new Counter({
     name: 'boragepoint_unexpected_errors_total',
     help: 'Errors that nobody foresaw; each has a line in the log.',
@@ -133,6 +141,9 @@
     recordLimitedSend(service) {
       limitedSends.inc({ service });
     },
+    recordLimitedRefusal(service) {
+      limitedRefusals.inc({ service });
+    },
     recordUnexpectedError() {
       unexpected.inc();
     },
--- a/packages/router/src/lib/server-backoff.ts
+++ b/packages/router/src/lib/server-backoff.ts
@@ -24,6 +24,15 @@
   return controller;
 }
 
+/**
+ * Cancels the requests that wait for a connection to a server, so that they can be sent to other
+ * servers.
+ */
+export function cancelUnsent(server: Pick<PooledServer, 'unsentAbort'>): void {
+  server.unsentAbort.abort();
+  server.unsentAbort = createUnsentAbort();
+}
+
 /**
  * Starts the back-off that a server asks for. Requests that wait for a connection to it are
  * cancelled, so that they can be sent to other servers.
@@ -32,8 +41,7 @@
   const until = now + Math.min(backoffMs, MAX_BACKOFF_MS);
   server.backoffUntil = Math.max(server.backoffUntil, until);
   server.needsTrial = backoffMs > MAX_BACKOFF_MS;
-  server.unsentAbort.abort();
-  server.unsentAbort = createUnsentAbort();
+  cancelUnsent(server);
 }
 
 /** Notes that a request is sent; a trial request starts another back-off for the others. */
--- a/packages/router/src/test/pick-server_test.ts
+++ b/packages/router/src/test/pick-server_test.ts
@@ -45,6 +45,12 @@
     admittedShare: () => 1,
     routeTimes: createRouteTimes(),
     demand: createServiceDemand(() => 0),
+    permits: {
+      limitOf: () => undefined,
+      acquire: () => Promise.resolve(undefined),
+      giveBack: () => undefined,
+      retryAfterMs: () => 0,
+    },
     now: () => 0,
     random: () => 0,
     ...changes,
--- /dev/null
+++ b/packages/router/src/test/server-permits_test.ts
@@ -0,0 +1,146 @@
+import { type TestContext, test } from 'node:test';
+
+import { expect } from 'earl';
+
+import { createLoneShare } from '../lib/lone-share.js';
+import { type PermitPattern, simulatePermits } from './permit-simulation.js';
+
+const SEED = 31;
+const SECONDS = 40;
+const WINDOW_MS = 4_000;
+const MS_PER_S = 1_000;
+/** Whole requests by which the first and the last one of a window may exceed the limit. */
+const ROUNDING = 2;
+/** Share of a limit that is used at least while there is demand. */
+const LEAST_USED = 0.8;
+/** Share of the time in which the first permits become available. */
+const START_SHARE = 0.05;
+const RULE_FACTOR = 1.5;
+const RULE_EXTRA = 5;
+
+const EVERYWHERE = { isLed: () => true, seconds: SECONDS } as const;
+
+function timeOf(t: TestContext) {
+  let now = 0;
+  t.mock.timers.enable({ apis: ['setTimeout'] });
+  return {
+    now: () => now,
+    step() {
+      now += 1;
+      t.mock.timers.tick(1);
+    },
+  };
+}
+
+function mostInWindow(arrivals: readonly number[]): number {
+  const counts = arrivals.map((from) => {
+    return arrivals.filter((at) => at >= from && at < from + WINDOW_MS).length;
+  });
+  return Math.max(0, ...counts);
+}
+
+const PATTERNS: Readonly<Record<string, PermitPattern>> = {
+  '12 routers': {
+    ...EVERYWHERE,
+    routers: 12,
+    limits: [2.3],
+    perS: 40,
+    router: (draw) => Math.floor(draw * 12),
+  },
+  '61 routers': {
+    ...EVERYWHERE,
+    routers: 61,
+    limits: [1.9],
+    perS: 60,
+    router: (draw) => Math.floor(draw * 61),
+  },
+  '195 routers': {
+    ...EVERYWHERE,
+    routers: 195,
+    limits: [2],
+    perS: 60,
+    router: (draw) => Math.floor(draw * 195),
+  },
+  '195 routers of which few have most callers': {
+    ...EVERYWHERE,
+    routers: 195,
+    limits: [2],
+    perS: 60,
+    router: (draw) => Math.floor(draw ** 6 * 195),
+  },
+  'callers that move from one router to all': {
+    ...EVERYWHERE,
+    routers: 61,
+    limits: [4],
+    perS: 60,
+    router: (draw, atMs) => (atMs < 20_000 ? 0 : Math.floor(draw * 61)),
+  },
+  'six servers with a limit each': {
+    ...EVERYWHERE,
+    routers: 24,
+    limits: [2, 2, 3, 3, 5, 9],
+    perS: 120,
+    router: (draw) => Math.floor(draw * 24),
+  },
+  'a limit far above what a call per request allows': {
+    ...EVERYWHERE,
+    routers: 12,
+    limits: [200],
+    perS: 1_000,
+    seconds: 10,
+    router: (draw) => Math.floor(draw * 12),
+  },
+};
+
+for (const [name, pattern] of Object.entries(PATTERNS)) {
+  // Guards against a limit that routers exceed together, or leave unused because each one keeps to
+  // an even share of it.
+  test(`${name}: the limit is never exceeded, and used while there is demand`, async (t) => {
+    const { arrivals, longestMs, callsPerS } = await simulatePermits(pattern, timeOf(t), SEED);
+    arrivals.forEach((it, index) => {
+      const limit = pattern.limits[index] ?? 0;
+      const inWindow = mostInWindow(it);
+      expect(inWindow).toBeLessThanOrEqual((limit * WINDOW_MS) / MS_PER_S + ROUNDING);
+      const given = limit * pattern.seconds * (1 - START_SHARE);
+      expect(it.length / given).toBeGreaterThanOrEqual(LEAST_USED);
+    });
+    // A request is decided by one call to the leader, or by the next one.
+    expect(longestMs).toBeLessThanOrEqual(120);
+    expect(callsPerS).toBeLessThanOrEqual(Math.min(pattern.perS, pattern.routers * 50));
+  });
+}
+
+// Guards against many routers that send a request each because each has an even share of the limit.
+for (const routers of [4, 12, 61, 195]) {
+  test(`${routers} routers without a leader stay within what a server allows`, async (t) => {
+    const pattern = {
+      routers,
+      limits: [2],
+      perS: 200,
+      seconds: SECONDS,
+      router: (draw: number) => Math.floor(draw * routers),
+      isLed: () => false,
+    };
+    const { arrivals } = await simulatePermits(pattern, timeOf(t), SEED);
+    const [server = []] = arrivals;
+    const allowed = (RULE_FACTOR * 2 * WINDOW_MS) / MS_PER_S + RULE_EXTRA;
+    expect(mostInWindow(server)).toBeLessThanOrEqual(allowed);
+    expect(server.length).toBeGreaterThan(0);
+  });
+}
+
+test('a turn that is not used lapses', () => {
+  let now = 0;
+  const share = createLoneShare(
+    () => now,
+    () => 0.5,
+  );
+  const take = () => share.take({ server: 'a', startedMs: 1 }, 2, 10);
+  expect(take()).toEqual(false);
+  // Ten routers with a limit of 2, of which half is used: each has a turn of 1 s each 10 s.
+  now = 7_000;
+  expect(take()).toEqual(false);
+  now = 15_500;
+  expect(take()).toEqual(true);
+  expect(take()).toEqual(false);
+});
