Keys leave a server that takes fewer requests than they bring

What callers saw in the incident: 0.8 s after a server had named its limit, the leader gave it one more range; callers for its keys are refused while other servers have room. Cause: the planner's capacity of a server came from its speed alone. Now it is at most the limit. Evidence: service-planner_test failed before (8 of 24 keys stay at a limit of 2 a second; 3 at most asked for), passes.

--- a/packages/placement/src/lib/service-planner.ts
+++ b/packages/placement/src/lib/service-planner.ts
@@ -13,6 +13,8 @@
 /** Half-life of the load by which overload is judged, in milliseconds. */
 const RECENT_HALF_LIFE_MS = 1_000;
 const MAX_MOVES_PER_PLAN = 16;
+/** Capacity of a server that takes no requests, so that shares of it can be computed. */
+const MIN_CAPACITY_PER_S = 0.1;
 /** Average number of ranges per server above which quiet ranges are joined. */
 const MAX_RANGES_PER_SERVER = 5;
 export const MAX_JOINS_PER_PLAN = 6;
@@ -82,7 +84,10 @@
 
   function plannedServer({ entry, firstSeenAt }: KnownServer, now: number): PlannedServer {
     const isCold = now < firstSeenAt + entry.warmUpMs;
-    return { id: entry.id, capacity: speeds.capacityOf(entry.id, entry.slots, isCold) };
+    const runsPerS = speeds.capacityOf(entry.id, entry.slots, isCold);
+    const limitPerS = ctx.limitOf({ server: entry.id, startedMs: entry.startedMs });
+    const takesPerS = Math.max(MIN_CAPACITY_PER_S, limitPerS ?? Infinity);
+    return { id: entry.id, capacity: Math.min(runsPerS, takesPerS) };
   }
 
   /** Returns whether no grant of a former leader can reach the holder any more. */
