Equal servers get equal shares, and estimates without requests lose weight

What callers saw: nothing directly; each router sent nearly all requests to one server that it liked best (on the code before, of 80 requests a second over six servers 0 to 25.8 each; a server could get nothing for 20 s). A limit was then met by the whole demand of a router, or by nothing, and a server whose limit had ended got nothing. Cause: the smallest estimate of the service time won nearly always while all were idle; the first guess of 250 ms counted as two measurements, and neither a slow answer nor a failure was ever forgotten without a further request. Now a measured time counts by the number of its measurements, loses weight while the server gets no requests, and differences of less than 15 % count as chance; failures are forgotten the same way.

--- a/packages/router/src/lib/choose-server.ts
+++ b/packages/router/src/lib/choose-server.ts
@@ -10,6 +10,8 @@
    * requests that queued, so it is higher for a server that slows down when it is busy.
    */
   readonly serviceMs: number;
+  /** Weight of that estimate, as a number of latencies; 0 if none was measured. */
+  readonly measuredWeight: number;
   /** Share of recent requests that failed. */
   readonly failureRate: number;
   /**
@@ -23,13 +25,7 @@
   readonly oldestInFlightMs: number;
 }
 
-/** The chosen server and the expected time to its answer, in milliseconds. */
-export interface ServerChoice {
-  readonly id: string;
-  readonly expectedMs: number;
-}
-
-type QueueState = Omit<ServerCandidate, 'id' | 'failureRate' | 'distance'>;
+type QueueState = Omit<ServerCandidate, 'id' | 'measuredWeight' | 'failureRate' | 'distance'>;
 
 /** Inputs to the choice besides the candidates. */
 export interface ChoiceOptions {
@@ -53,7 +49,12 @@
 /**
  * Relative jitter of the expected time: it spreads the choices of routers that see the same loads.
  */
-const COST_JITTER = 0.12;
+const COST_JITTER = 0.2;
+
+/** Weight of the typical service time in the estimate of a server's, as a number of latencies. */
+const TYPICAL_WEIGHT = 2;
+/** Servers whose service times differ by less than this factor count as equally fast. */
+const EQUAL_SPEED_FACTOR = 1.15;
 
 /** An in-flight request older than this multiple of the expected time counts as overdue. */
 const OVERDUE_FACTOR = 2.5;
@@ -79,21 +80,46 @@
   return queueMs + Math.max(0, server.oldestInFlightMs - OVERDUE_FACTOR * queueMs);
 }
 
-/** Chooses the server with the lowest expected cost, for a request that any server may run. */
+/** Median of the measured service times, in milliseconds; of all estimates if none is measured. */
+function typicalServiceMs(servers: readonly ServerCandidate[]): number {
+  const measured = servers.filter((it) => it.measuredWeight >= 1);
+  const times = (measured.length > 0 ? measured : servers)
+    .map((it) => it.serviceMs)
+    .sort((a, b) => a - b);
+  return times[times.length >> 1] ?? 0;
+}
+
+/**
+ * Estimates a server's service time from its measurements and the typical one of its equals. A few
+ * measurements, or old ones, say little, and small differences are chance: without this, all
+ * requests of a router would go to the server that happened to answer fastest.
+ */
+function believedServiceMs(server: ServerCandidate, typicalMs: number): number {
+  const trust = server.measuredWeight / (server.measuredWeight + TYPICAL_WEIGHT);
+  const factor = (server.serviceMs / typicalMs) ** trust;
+  const isEqual = factor < EQUAL_SPEED_FACTOR && factor > 1 / EQUAL_SPEED_FACTOR;
+  return isEqual ? typicalMs : typicalMs * factor;
+}
+
+/**
+ * Chooses the server with the lowest expected cost, for a request that any server may run. The
+ * result has the service time that is believed of it in view of the others.
+ */
 export function chooseServer(
   candidates: readonly ServerCandidate[],
   options: ChoiceOptions,
-): ServerChoice | undefined {
-  let best: ServerChoice | undefined;
+): ServerCandidate | undefined {
+  let best: ServerCandidate | undefined;
   let bestCost = Infinity;
-  for (const server of candidates) {
-    const answerMs = expectedMs(server);
+  const typicalMs = typicalServiceMs(candidates);
+  for (const candidate of candidates) {
+    const server = { ...candidate, serviceMs: believedServiceMs(candidate, typicalMs) };
     const failureMs = server.failureRate * FAILURE_COST_OBJECTIVES * options.objectiveMs;
     const distanceMs = server.distance * options.objectiveMs;
     const jitter = 1 + COST_JITTER * (options.random() - 0.5);
-    const cost = answerMs * jitter + failureMs + distanceMs;
+    const cost = expectedMs(server) * jitter + failureMs + distanceMs;
     if (cost < bestCost) {
-      best = { id: server.id, expectedMs: answerMs };
+      best = server;
       bestCost = cost;
     }
   }
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -223,8 +223,7 @@
   function pickBest(req: CallerRequest, servers: readonly PooledServer[]): ServerPick {
     const candidates = servers.map(describe);
     const { objectiveMs } = req.route.cfg;
-    const choice = chooseServer(candidates, { objectiveMs, random: ctx.random });
-    const candidate = candidates.find((it) => it.id === choice?.id);
+    const candidate = chooseServer(candidates, { objectiveMs, random: ctx.random });
     const server = candidate && pool.get(candidate.id);
     if (!server) return refuse('no backend server');
     return pickIfAdmitted(req, server, candidate, 'servers are full');
--- a/packages/router/src/lib/server-load.ts
+++ b/packages/router/src/lib/server-load.ts
@@ -3,11 +3,16 @@
 
 /** Weight of one report in the moving average of other routers' requests. */
 const REPORT_WEIGHT = 0.2;
-/** Least weight of one latency in the moving averages; the first ones weigh more. */
+/** Least weight of one latency in the moving averages; the first one replaces the initial guess. */
 const MIN_LATENCY_WEIGHT = 0.1;
 const INITIAL_SERVICE_MS = 250;
-/** The initial service time weighs as much as this many latencies. */
-const INITIAL_SAMPLES = 2;
+/** Largest weight of the measured service time, as a number of latencies. */
+const MAX_MEASURED_WEIGHT = 10;
+/**
+ * Time in which what was measured at a server without requests loses half of its weight, in
+ * milliseconds: an estimate that keeps requests away would never be corrected.
+ */
+const IDLE_HALF_LIFE_MS = 5_000;
 /** Weight of one outcome in the failure rate. */
 const OUTCOME_WEIGHT = 0.15;
 /** Decay time constant of the last report of other routers' requests, in service times. */
@@ -47,8 +52,10 @@
   /** Whether the service time was measured at this server. */
   isMeasured(): boolean;
   slots(): number;
-  /** Share of recent requests that failed or were shed. */
-  failureRate(): number;
+  /** Weight of the measured service time, as a number of latencies; less for an idle server. */
+  measuredWeight(now: number): number;
+  /** Share of recent requests that failed or were shed; less for an idle server. */
+  failureRate(now: number): number;
   /** Returns and clears latencies and outcomes, for the report to the placement leader. */
   takeMeasured(): Omit<SpeedReport, 'server'>;
 }
@@ -71,8 +78,10 @@
    * time.
    */
   const average = { latencyMs: initialServiceMs, serviceTimes: 1 };
+  /** Number of latencies in the averages, less for those before idle times. */
   let latencyCount = 0;
   let failureRate = 0;
+  let lastSentAt = -Infinity;
   let averageOthers = 0;
   let reportedOthers = 0;
   let reportedAt = -Infinity;
@@ -80,6 +89,11 @@
 
   const serviceMs = () => average.latencyMs / average.serviceTimes;
 
+  /** Factor by which what was measured has lost weight since the last request. */
+  function idleDecay(now: number): number {
+    return 0.5 ** (Math.max(0, now - lastSentAt) / IDLE_HALF_LIFE_MS);
+  }
+
   function othersInFlight(now: number): number {
     const age = now - reportedAt;
     const trust = Math.exp(-age / (REPORT_DECAY_SERVICE_TIMES * serviceMs()));
@@ -93,6 +107,9 @@
 
   return {
     recordSent(now) {
+      latencyCount = Math.min(latencyCount, MAX_MEASURED_WEIGHT) * idleDecay(now);
+      failureRate *= idleDecay(now);
+      lastSentAt = now;
       sentTimes.push(now);
     },
     recordDone(sentAt, failed) {
@@ -106,7 +123,7 @@
     },
     recordLatency(serviceTimes, latencyMs) {
       latencyCount += 1;
-      const weight = Math.max(MIN_LATENCY_WEIGHT, 1 / (latencyCount + INITIAL_SAMPLES));
+      const weight = Math.max(MIN_LATENCY_WEIGHT, Math.min(1, 1 / latencyCount));
       average.latencyMs += (latencyMs - average.latencyMs) * weight;
       average.serviceTimes += (serviceTimes - average.serviceTimes) * weight;
       measured = {
@@ -127,7 +144,8 @@
     serviceMs,
     isMeasured: () => latencyCount > 0,
     slots: () => slots,
-    failureRate: () => failureRate,
+    measuredWeight: (now) => Math.min(latencyCount, MAX_MEASURED_WEIGHT) * idleDecay(now),
+    failureRate: (now) => failureRate * idleDecay(now),
     takeMeasured() {
       const taken = measured;
       measured = NOTHING_MEASURED;
--- a/packages/router/src/test/server-load_test.ts
+++ b/packages/router/src/test/server-load_test.ts
@@ -66,10 +66,10 @@
   const load = createServerLoad(2);
   load.recordSent(0);
   load.recordDone(0);
-  expect(load.failureRate()).toEqual(0);
+  expect(load.failureRate(0)).toEqual(0);
   load.recordSent(0);
   load.recordDone(0, true);
-  expect(load.failureRate() > 0).toEqual(true);
+  expect(load.failureRate(0) > 0).toEqual(true);
 });
 
 test('measurements are reported once', () => {
--- a/packages/router/src/test/zone-simulation.ts
+++ b/packages/router/src/test/zone-simulation.ts
@@ -120,7 +120,8 @@
       inFlight: load.totalInFlight(now),
       slots: SLOTS,
       serviceMs: load.serviceMs(),
-      failureRate: load.failureRate(),
+      measuredWeight: load.measuredWeight(now),
+      failureRate: load.failureRate(now),
       distance: DISTANCES[steps],
       warmUpRemaining: server?.startsAt !== 0 && warmUpLeftMs > 0 ? warmUpLeftMs / WARM_UP_MS : 0,
       oldestInFlightMs: load.oldestInFlightMs(now),
@@ -137,8 +138,7 @@
     const near = known.filter((it) => it.distance === 0);
     if (policy === 'anywhere') return known[Math.floor(draw() * known.length)];
     const candidates = policy === 'own zone' && near.length > 0 ? near : known;
-    const choice = chooseServer(candidates, { objectiveMs: OBJECTIVE_MS, random: draw });
-    return candidates.find((it) => it.id === choice?.id);
+    return chooseServer(candidates, { objectiveMs: OBJECTIVE_MS, random: draw });
   }
 
   function serve(server: SimulatedServer, done: () => void): void {
