--- a/packages/placement/src/lib/permit-allocator.ts
+++ b/packages/placement/src/lib/permit-allocator.ts
@@ -99,10 +99,7 @@
   /** Returns a server that names a limit; `undefined` for one that names none. */
   function limitedServer(server: string): LimitedServer | undefined {
     const notice = options.limits.noticeOf(server);
-    if (notice?.perS === undefined) {
-      buckets.delete(server);
-      return undefined;
-    }
+    if (notice?.perS === undefined) return undefined;
     const now = options.now();
     const ratePerS = Math.max(notice.perS * USED_SHARE, MIN_RATE_PER_S);
     const known = buckets.get(server);
@@ -204,6 +201,9 @@
 
   return {
     acquire(router, wanted) {
+      for (const server of buckets.keys()) {
+        if (options.limits.noticeOf(server)?.perS === undefined) buckets.delete(server);
+      }
       const byUrgency = [...wanted.entries()].sort(([, a], [, b]) => a.priority - b.priority);
       const replies = byUrgency.map(([index, it]) => [index, reply(router, it)] as const);
       return replies.sort(([a], [b]) => a - b).map(([, it]) => it);
--- a/packages/router/src/lib/lone-share.ts
+++ b/packages/router/src/lib/lone-share.ts
@@ -6,6 +6,8 @@
 const MIN_RATE_PER_S = 0.1;
 /** Time for which a router may use its turn, in milliseconds. */
 const TURN_MS = 1_000;
+/** Maximum number of incarnations whose turns are kept; the oldest are dropped first. */
+const MAX_INCARNATIONS = 1_000;
 const MS_PER_S = 1_000;
 
 /**
@@ -33,6 +35,10 @@
       if (missed > 0) turn += missed * periodMs;
       const isTurn = now() >= turn;
       nextTurns.set(key, isTurn ? turn + periodMs : turn);
+      for (const oldest of nextTurns.keys()) {
+        if (nextTurns.size <= MAX_INCARNATIONS) break;
+        nextTurns.delete(oldest);
+      }
       return isTurn;
     },
   };
--- a/packages/router/src/lib/server-permits.ts
+++ b/packages/router/src/lib/server-permits.ts
@@ -149,6 +149,7 @@
       refused,
     }));
     lastCallAt = now();
+    for (const [key, { until }] of holds) if (until <= now()) holds.delete(key);
     const replies = await options.request(wanted);
     if (!replies) leaderSilentUntil = now() + SILENT_LEADER_MS;
     asked.forEach((group, index) => {
