The owner of a key is judged by its own measured service time again

An owner has no equals to choose from, and the noisier estimate refuses what it could run. Now the former estimate decides about owners, and a second one of recent answers, without the first guess, is compared among equals.

--- a/packages/router/src/lib/choose-server.ts
+++ b/packages/router/src/lib/choose-server.ts
@@ -10,7 +10,9 @@
    * requests that queued, so it is higher for a server that slows down when it is busy.
    */
   readonly serviceMs: number;
-  /** Weight of that estimate, as a number of latencies; 0 if none was measured. */
+  /** The same from its own answers alone, in milliseconds. */
+  readonly measuredServiceMs: number;
+  /** Weight of that time, as a number of latencies; 0 if none was measured. */
   readonly measuredWeight: number;
   /** Share of recent requests that failed. */
   readonly failureRate: number;
@@ -25,7 +27,10 @@
   readonly oldestInFlightMs: number;
 }
 
-type QueueState = Omit<ServerCandidate, 'id' | 'measuredWeight' | 'failureRate' | 'distance'>;
+type QueueState = Omit<
+  ServerCandidate,
+  'id' | 'measuredServiceMs' | 'measuredWeight' | 'failureRate' | 'distance'
+>;
 
 /** Inputs to the choice besides the candidates. */
 export interface ChoiceOptions {
@@ -49,12 +54,12 @@
 /**
  * Relative jitter of the expected time: it spreads the choices of routers that see the same loads.
  */
-const COST_JITTER = 0.2;
+const COST_JITTER = 0.12;
 
 /** Weight of the typical service time in the estimate of a server's, as a number of latencies. */
 const TYPICAL_WEIGHT = 2;
 /** Servers whose service times differ by less than this factor count as equally fast. */
-const EQUAL_SPEED_FACTOR = 1.15;
+const EQUAL_SPEED_FACTOR = 1.25;
 
 /** An in-flight request older than this multiple of the expected time counts as overdue. */
 const OVERDUE_FACTOR = 2.5;
@@ -83,10 +88,11 @@
 /** Median of the measured service times, in milliseconds; of all estimates if none is measured. */
 function typicalServiceMs(servers: readonly ServerCandidate[]): number {
   const measured = servers.filter((it) => it.measuredWeight >= 1);
-  const times = (measured.length > 0 ? measured : servers)
-    .map((it) => it.serviceMs)
-    .sort((a, b) => a - b);
-  return times[times.length >> 1] ?? 0;
+  const times =
+    measured.length > 0
+      ? measured.map((it) => it.measuredServiceMs)
+      : servers.map((it) => it.serviceMs);
+  return times.sort((a, b) => a - b)[times.length >> 1] ?? 0;
 }
 
 /**
@@ -95,8 +101,9 @@
  * requests of a router would go to the server that happened to answer fastest.
  */
 function believedServiceMs(server: ServerCandidate, typicalMs: number): number {
+  if (server.measuredWeight === 0) return typicalMs;
   const trust = server.measuredWeight / (server.measuredWeight + TYPICAL_WEIGHT);
-  const factor = (server.serviceMs / typicalMs) ** trust;
+  const factor = (server.measuredServiceMs / typicalMs) ** trust;
   const isEqual = factor < EQUAL_SPEED_FACTOR && factor > 1 / EQUAL_SPEED_FACTOR;
   return isEqual ? typicalMs : typicalMs * factor;
 }
--- a/packages/router/src/lib/server-load.ts
+++ b/packages/router/src/lib/server-load.ts
@@ -3,9 +3,11 @@
 
 /** Weight of one report in the moving average of other routers' requests. */
 const REPORT_WEIGHT = 0.2;
-/** Least weight of one latency in the moving averages; the first one replaces the initial guess. */
+/** Least weight of one latency in the moving averages; the first ones weigh more. */
 const MIN_LATENCY_WEIGHT = 0.1;
 const INITIAL_SERVICE_MS = 250;
+/** The initial service time weighs as much as this many latencies. */
+const INITIAL_SAMPLES = 2;
 /** Largest weight of the measured service time, as a number of latencies. */
 const MAX_MEASURED_WEIGHT = 10;
 /**
@@ -52,7 +54,12 @@
   /** Whether the service time was measured at this server. */
   isMeasured(): boolean;
   slots(): number;
-  /** Weight of the measured service time, as a number of latencies; less for an idle server. */
+  /**
+   * Service time by its own answers, the recent ones above all, in milliseconds; 0 before the first
+   * one.
+   */
+  measuredServiceMs(): number;
+  /** Weight of that time, as a number of latencies; less for an idle server. */
   measuredWeight(now: number): number;
   /** Share of recent requests that failed or were shed; less for an idle server. */
   failureRate(now: number): number;
@@ -78,8 +85,11 @@
    * time.
    */
   const average = { latencyMs: initialServiceMs, serviceTimes: 1 };
-  /** Number of latencies in the averages, less for those before idle times. */
   let latencyCount = 0;
+  /** The same without the initial guess, and with less of what was before idle times. */
+  const recent = { latencyMs: 0, serviceTimes: 1 };
+  /** Number of latencies, less for those before idle times. */
+  let measuredWeight = 0;
   let failureRate = 0;
   let lastSentAt = -Infinity;
   let averageOthers = 0;
@@ -107,7 +117,7 @@
 
   return {
     recordSent(now) {
-      latencyCount = Math.min(latencyCount, MAX_MEASURED_WEIGHT) * idleDecay(now);
+      measuredWeight *= idleDecay(now);
       failureRate *= idleDecay(now);
       lastSentAt = now;
       sentTimes.push(now);
@@ -123,9 +133,13 @@
     },
     recordLatency(serviceTimes, latencyMs) {
       latencyCount += 1;
-      const weight = Math.max(MIN_LATENCY_WEIGHT, Math.min(1, 1 / latencyCount));
+      measuredWeight = Math.min(MAX_MEASURED_WEIGHT, measuredWeight + 1);
+      const weight = Math.max(MIN_LATENCY_WEIGHT, 1 / (latencyCount + INITIAL_SAMPLES));
       average.latencyMs += (latencyMs - average.latencyMs) * weight;
       average.serviceTimes += (serviceTimes - average.serviceTimes) * weight;
+      const recentWeight = Math.min(1, 1 / measuredWeight);
+      recent.latencyMs += (latencyMs - recent.latencyMs) * recentWeight;
+      recent.serviceTimes += (serviceTimes - recent.serviceTimes) * recentWeight;
       measured = {
         ...measured,
         latencyMs: measured.latencyMs + latencyMs,
@@ -144,7 +158,8 @@
     serviceMs,
     isMeasured: () => latencyCount > 0,
     slots: () => slots,
-    measuredWeight: (now) => Math.min(latencyCount, MAX_MEASURED_WEIGHT) * idleDecay(now),
+    measuredServiceMs: () => recent.latencyMs / recent.serviceTimes,
+    measuredWeight: (now) => measuredWeight * idleDecay(now),
     failureRate: (now) => failureRate * idleDecay(now),
     takeMeasured() {
       const taken = measured;
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -165,6 +165,7 @@
     inFlight: load.totalInFlight(now),
     slots: load.slots(),
     serviceMs: load.serviceMs(),
+    measuredServiceMs: load.measuredServiceMs(),
     measuredWeight: load.measuredWeight(now),
     failureRate: load.failureRate(now),
     distance,
--- a/packages/router/src/test/choose-server_test.ts
+++ b/packages/router/src/test/choose-server_test.ts
@@ -12,6 +12,7 @@
     inFlight: 0,
     slots: 2,
     serviceMs: 200,
+    measuredServiceMs: changes.serviceMs ?? 200,
     measuredWeight: 10,
     failureRate: 0,
     distance: 0,
--- a/packages/router/src/test/spread_test.ts
+++ b/packages/router/src/test/spread_test.ts
@@ -43,6 +43,7 @@
       inFlight: load.totalInFlight(now),
       slots: SLOTS,
       serviceMs: load.serviceMs(),
+      measuredServiceMs: load.measuredServiceMs(),
       measuredWeight: load.measuredWeight(now),
       failureRate: load.failureRate(now),
       distance: 0,
--- a/packages/router/src/test/zone-simulation.ts
+++ b/packages/router/src/test/zone-simulation.ts
@@ -120,6 +120,7 @@
       inFlight: load.totalInFlight(now),
       slots: SLOTS,
       serviceMs: load.serviceMs(),
+      measuredServiceMs: load.measuredServiceMs(),
       measuredWeight: load.measuredWeight(now),
       failureRate: load.failureRate(now),
       distance: DISTANCES[steps],
