Choice among equals: measured times lose their weight in 10 s without requests, failures in 5 s

Cause: nine routers and 24 servers give each pair a request in four seconds, so that half of what a router had measured was forgotten between two requests and slow servers counted as typical. Ruled out: 15 s (servers that were slow or failing once don't get their share again within a minute, spread_test). spread_test and zone-patterns_test pass.

--- a/packages/router/src/lib/choose-server.ts
+++ b/packages/router/src/lib/choose-server.ts
@@ -57,9 +57,9 @@
 const COST_JITTER = 0.12;
 
 /** Weight of the typical service time in the estimate of a server's, as a number of latencies. */
-const TYPICAL_WEIGHT = 2;
+const TYPICAL_WEIGHT = 1;
 /** Servers whose service times differ by less than this factor count as equally fast. */
-const EQUAL_SPEED_FACTOR = 1.25;
+const EQUAL_SPEED_FACTOR = 1.2;
 
 /** An in-flight request older than this multiple of the expected time counts as overdue. */
 const OVERDUE_FACTOR = 2.5;
--- a/packages/router/src/lib/server-load.ts
+++ b/packages/router/src/lib/server-load.ts
@@ -11,10 +11,12 @@
 /** Largest weight of the measured service time, as a number of latencies. */
 const MAX_MEASURED_WEIGHT = 10;
 /**
- * Time in which what was measured at a server without requests loses half of its weight, in
+ * Time in which the measured service time of a server without requests loses half of its weight, in
  * milliseconds: an estimate that keeps requests away would never be corrected.
  */
-const IDLE_HALF_LIFE_MS = 5_000;
+const MEASURED_HALF_LIFE_MS = 10_000;
+/** The same for its failure rate. */
+const FAILURE_HALF_LIFE_MS = 5_000;
 /** Weight of one outcome in the failure rate. */
 const OUTCOME_WEIGHT = 0.15;
 /** Decay time constant of the last report of other routers' requests, in service times. */
@@ -100,8 +102,8 @@
   const serviceMs = () => average.latencyMs / average.serviceTimes;
 
   /** Factor by which what was measured has lost weight since the last request. */
-  function idleDecay(now: number): number {
-    return 0.5 ** (Math.max(0, now - lastSentAt) / IDLE_HALF_LIFE_MS);
+  function idleDecay(now: number, halfLifeMs: number): number {
+    return 0.5 ** (Math.max(0, now - lastSentAt) / halfLifeMs);
   }
 
   function othersInFlight(now: number): number {
@@ -117,8 +119,8 @@
 
   return {
     recordSent(now) {
-      measuredWeight *= idleDecay(now);
-      failureRate *= idleDecay(now);
+      measuredWeight *= idleDecay(now, MEASURED_HALF_LIFE_MS);
+      failureRate *= idleDecay(now, FAILURE_HALF_LIFE_MS);
       lastSentAt = now;
       sentTimes.push(now);
     },
@@ -159,8 +161,8 @@
     isMeasured: () => latencyCount > 0,
     slots: () => slots,
     measuredServiceMs: () => recent.latencyMs / recent.serviceTimes,
-    measuredWeight: (now) => measuredWeight * idleDecay(now),
-    failureRate: (now) => failureRate * idleDecay(now),
+    measuredWeight: (now) => measuredWeight * idleDecay(now, MEASURED_HALF_LIFE_MS),
+    failureRate: (now) => failureRate * idleDecay(now, FAILURE_HALF_LIFE_MS),
     takeMeasured() {
       const taken = measured;
       measured = NOTHING_MEASURED;
