Permits: refused requests count as demand also where several servers are limited, and a leader's nonsense is bounded

Seen in a reading, not by callers: refusals without a call were dropped from the demand where the servers of the request were not those that others waited for, so that callers were told to come back too soon and urgent ones lost their precedence; without a leader callers were told 0 to 0.4 s; a hold of the leader was not bounded.

--- a/packages/placement/src/lib/permit-allocator.ts
+++ b/packages/placement/src/lib/permit-allocator.ts
@@ -22,6 +22,8 @@
 /** Calls about one server that routers may make, per second, besides those per permit. */
 const CALLS_PER_S = 20;
 const CALLS_PER_PERMIT = 4;
+/** Maximum number of permits for one entry of a call. */
+const MAX_PERMITS = 1_000;
 const MAX_HOLD_MS = 10_000;
 const MAX_SPREAD_MS = 10_000;
 const MS_PER_S = 1_000;
@@ -187,7 +189,7 @@
     const known = [...limited.values()].filter((it) => it !== undefined);
     for (const { bucket } of known) noteDemand(bucket, router, wanted);
     const granted: string[] = [];
-    while (granted.length < count) {
+    while (granted.length < Math.min(count, MAX_PERMITS)) {
       const id = servers.find((it) => {
         const server = limited.get(it);
         return !server || take(server, priority);
--- a/packages/router/src/lib/server-permits.ts
+++ b/packages/router/src/lib/server-permits.ts
@@ -9,7 +9,10 @@
 const SILENT_LEADER_MS = 500;
 /** Shortest time between two calls to the leader, in milliseconds. */
 const MIN_CALL_GAP_MS = 20;
-/** Longest time until the first caller may come back, in milliseconds. */
+/** Longest time for which the leader is not asked for permits, whatever it says, in milliseconds. */
+const MAX_HOLD_MS = 10_000;
+/** Shortest and longest time until the first caller may come back, in milliseconds. */
+const MIN_WAIT_MS = 100;
 const MAX_WAIT_MS = 3_000;
 /** Longest time over which callers that come back are spread, in milliseconds. */
 const MAX_SPREAD_MS = 3_000;
@@ -51,16 +54,16 @@
   readonly random: () => number;
 }
 
-/** A request that waits for the leader's reply. */
-interface Waiter {
+/** Lets a waiting request go on, with the server that it may be sent to. */
+type Waiter = (server: LimitedServer | undefined) => void;
+
+/** Requests of one priority that may go to the same servers, since the last call to the leader. */
+interface RequestGroup {
   readonly servers: readonly LimitedServer[];
   readonly priority: number;
-  readonly resolve: (server: LimitedServer | undefined) => void;
-}
-
-/** Waiting requests that may go to the same servers, and those refused since the last call. */
-interface WaitingGroup {
+  /** Requests that wait for the leader's reply. */
   readonly waiters: Waiter[];
+  /** Number of requests that were refused without asking. */
   refused: number;
 }
 
@@ -86,7 +89,7 @@
   const holds = new Map<string, Hold>();
   /** When permits that were given back lapse, by the id of their server. */
   const returned = new Map<string, number[]>();
-  let groups = new Map<string, WaitingGroup>();
+  let groups = new Map<string, RequestGroup>();
   let isCalling = false;
   let lastCallAt = -Infinity;
   let leaderSilentUntil = -Infinity;
@@ -112,9 +115,9 @@
     return isTaken;
   }
 
-  function groupOf(servers: readonly LimitedServer[], priority: number): WaitingGroup {
+  function groupOf(servers: readonly LimitedServer[], priority: number): RequestGroup {
     const key = groupKey(servers, priority);
-    const group = groups.get(key) ?? { waiters: [], refused: 0 };
+    const group = groups.get(key) ?? { servers, priority, waiters: [], refused: 0 };
     groups.set(key, group);
     return group;
   }
@@ -126,25 +129,25 @@
     );
   }
 
-  function applyReply({ waiters }: WaitingGroup, reply: PermitsReply): void {
-    const [first] = waiters;
-    if (!first) return;
+  function applyReply(group: RequestGroup, reply: PermitsReply): void {
+    const { servers, priority, waiters } = group;
     if (reply.granted.length < waiters.length) {
-      const hold = { until: now() + reply.holdMs, spreadMs: reply.spreadMs };
-      for (const server of first.servers) holds.set(holdKey(server, first.priority), hold);
+      const holdMs = Math.min(MAX_HOLD_MS, reply.holdMs);
+      const hold = { until: now() + holdMs, spreadMs: reply.spreadMs };
+      for (const server of servers) holds.set(holdKey(server, priority), hold);
     }
-    waiters.forEach((waiter, index) => {
+    waiters.forEach((resume, index) => {
       const id = reply.granted[index];
-      waiter.resolve(waiter.servers.find((it) => it.entry.id === id));
+      resume(servers.find((it) => it.entry.id === id));
     });
   }
 
   async function callLeader(): Promise<void> {
-    const asked = [...groups.values()].filter((it) => it.waiters.length > 0);
+    const asked = [...groups.values()];
     groups = new Map();
-    const wanted = asked.map(({ waiters, refused }) => ({
-      servers: waiters[0]?.servers.map((it) => it.entry.id) ?? [],
-      priority: waiters[0]?.priority ?? 0,
+    const wanted = asked.map(({ servers, priority, waiters, refused }) => ({
+      servers: servers.map((it) => it.entry.id),
+      priority,
       count: waiters.length,
       refused,
     }));
@@ -155,7 +158,7 @@
     asked.forEach((group, index) => {
       const reply = replies?.[index];
       if (reply) applyReply(group, reply);
-      else for (const waiter of group.waiters) waiter.resolve(takeTurn(waiter.servers));
+      else for (const resume of group.waiters) resume(takeTurn(group.servers));
     });
   }
 
@@ -185,7 +188,7 @@
         return undefined;
       }
       const granted = new Promise<LimitedServer | undefined>((resolve) => {
-        groupOf(open, priority).waiters.push({ servers: open, priority, resolve });
+        groupOf(open, priority).waiters.push(resolve);
       });
       void callForWaiters();
       const server = await granted;
@@ -197,10 +200,12 @@
     },
     retryAfterMs(servers, priority) {
       const known = servers.flatMap((it) => holdOf(it, priority) ?? []);
-      const waitMs = Math.max(0, Math.min(...known.map((it) => it.until)) - now());
+      // Without a leader nobody knows when there is room.
+      if (known.length === 0) return MIN_WAIT_MS + random() * MAX_SPREAD_MS;
+      const waitMs = Math.min(...known.map((it) => it.until)) - now();
       const spreadMs = Math.max(MIN_SPREAD_MS, ...known.map((it) => it.spreadMs));
       return (
-        Math.min(MAX_WAIT_MS, Number.isFinite(waitMs) ? waitMs : 0) +
+        Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, waitMs)) +
         random() * Math.min(MAX_SPREAD_MS, spreadMs)
       );
     },
--- a/packages/router/src/test/server-permits_test.ts
+++ b/packages/router/src/test/server-permits_test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'earl';
 
 import { createLoneShare } from '../lib/lone-share.js';
+import { type ServerPermitsOptions, createServerPermits } from '../lib/server-permits.js';
 import { type PermitPattern, simulatePermits } from './permit-simulation.js';
 
 const SEED = 31;
@@ -144,3 +145,59 @@
   expect(take()).toEqual(true);
   expect(take()).toEqual(false);
 });
+
+const SERVER = { entry: { id: 's0', startedMs: 1 } };
+
+/** Permits of one router whose leader gives the replies. */
+function permitsWith(request: ServerPermitsOptions['request']) {
+  return createServerPermits({
+    limitOf: () => 2,
+    request,
+    routers: () => 1,
+    now: () => 1_000,
+    random: () => 0.5,
+  });
+}
+
+test('a permit that was given back serves the next request without a call', async () => {
+  let calls = 0;
+  const permits = permitsWith(() => {
+    calls += 1;
+    return Promise.resolve([{ granted: ['s0'], holdMs: 0, spreadMs: 0 }]);
+  });
+  const server = await permits.acquire([SERVER], 0);
+  if (server) permits.giveBack(server);
+  expect(await permits.acquire([SERVER], 0)).toEqual(SERVER);
+  expect(calls).toEqual(1);
+});
+
+// Guards against requests that wait for ever, and against a router that never asks again, because a
+// leader answers nonsense.
+test('replies that are missing, name other servers or hold for ever leave nobody waiting', async () => {
+  const missing = permitsWith(() => Promise.resolve([]));
+  expect(await missing.acquire([SERVER], 0)).toEqual(undefined);
+  const others = permitsWith(() =>
+    Promise.resolve([{ granted: ['x', 'y'], holdMs: 1e12, spreadMs: 1e12 }]),
+  );
+  expect(await others.acquire([SERVER], 0)).toEqual(undefined);
+  const denied = permitsWith(() =>
+    Promise.resolve([{ granted: [], holdMs: 1e12, spreadMs: 1e12 }]),
+  );
+  expect(await denied.acquire([SERVER], 0)).toEqual(undefined);
+  expect(denied.retryAfterMs([SERVER], 0)).toBeLessThanOrEqual(6_000);
+});
+
+test('a refusal is decided without a call until the leader may be asked again', async () => {
+  let calls = 0;
+  const permits = permitsWith(() => {
+    calls += 1;
+    return Promise.resolve([{ granted: [], holdMs: 800, spreadMs: 2_000 }]);
+  });
+  await permits.acquire([SERVER], 1);
+  await permits.acquire([SERVER], 1);
+  expect(calls).toEqual(1);
+  expect(permits.retryAfterMs([SERVER], 1)).toEqual(800 + 1_000);
+  // More urgent requests are not held back by the refusal of less urgent ones.
+  await permits.acquire([SERVER], 0);
+  expect(calls).toEqual(2);
+});
