--- a/packages/placement/src/lib/permit-allocator.ts
+++ b/packages/placement/src/lib/permit-allocator.ts
@@ -5,7 +5,7 @@
 /**
  * Least rate of permits, per second: a server that gets no request can't say that it takes more.
  */
-const MIN_RATE_PER_S = 0.1;
+const MIN_RATE_PER_S = 0.2;
 /** Time for which unused permits add up, in seconds; at least `MIN_DEPTH` permits. */
 const DEPTH_S = 0.25;
 const MIN_DEPTH = 1.25;
--- a/packages/placement/src/test/permit-allocator_test.ts
+++ b/packages/placement/src/test/permit-allocator_test.ts
@@ -78,7 +78,7 @@
 // Guards against a server that can't say that it is better, because it gets no request.
 test('a server that takes nothing gets a request now and then', () => {
   const [count] = askFor(61, setUp({ a: 0 }), [{}]);
-  expect(count).toEqual(6);
+  expect(count).toEqual(12);
 });
 
 test('more urgent requests get permits first, and less urgent ones what is left', () => {
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -215,6 +215,9 @@
       recordLimitedSend(service) {
         metrics.recordLimitedSend(service);
       },
+      recordAnnouncement(service, announcement) {
+        metrics.recordAnnouncement(service, announcement);
+      },
       recordLimitedRefusal(service) {
         metrics.recordLimitedRefusal(service);
       },
--- a/packages/router/src/lib/lone-share.ts
+++ b/packages/router/src/lib/lone-share.ts
@@ -3,7 +3,7 @@
 /** Share of a limit that all routers use together while nobody gives permits out. */
 const USED_SHARE = 0.5;
 /** Least rate of all routers together, in requests per second. */
-const MIN_RATE_PER_S = 0.1;
+const MIN_RATE_PER_S = 0.2;
 /** Time for which a router may use its turn, in milliseconds. */
 const TURN_MS = 1_000;
 /** Maximum number of incarnations whose turns are kept; the oldest are dropped first. */
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -68,7 +68,10 @@
   readonly limits: ServerLimits;
   /** Tells the other routers of a limit that has changed. */
   shareLimits(): void;
-  readonly metrics: Pick<RouterMetrics, 'recordLimitedSend' | 'recordLimitedRefusal'>;
+  readonly metrics: Pick<
+    RouterMetrics,
+    'recordLimitedSend' | 'recordLimitedRefusal' | 'recordAnnouncement'
+  >;
   /** Notes that an incarnation of a server is leaving; returns false if that was known before. */
   noteLeaving(incarnation: IncarnationId): boolean;
   /** Records a request for a key. */
@@ -206,9 +209,11 @@
     noteLimit(server, answer);
     if (meta.leaving && ctx.noteLeaving({ server: id, startedMs })) {
       log.info('server announced that it is leaving', { server: id });
+      ctx.metrics.recordAnnouncement(server.entry.service, 'leaving');
     }
     if (meta.backoffMs !== undefined) {
       startBackoff(server, meta.backoffMs, now);
+      ctx.metrics.recordAnnouncement(server.entry.service, 'back-off');
       const forMs = Math.round(server.backoffUntil - now);
       log.info('server asked for back-off', {
         server: id,
--- a/packages/router/src/lib/router-metrics.ts
+++ b/packages/router/src/lib/router-metrics.ts
@@ -13,6 +13,8 @@
   recordStall(lateMs: number): void;
   /** Counts a request that is sent to a server while a limit of the server is in force. */
   recordLimitedSend(service: string): void;
+  /** Counts an announcement of a server: that it is leaving, or asks for a back-off. */
+  recordAnnouncement(service: string, announcement: 'leaving' | 'back-off'): void;
   /** Counts a request that is refused because of the limits of servers. */
   recordLimitedRefusal(service: string): void;
   /** Counts a request whose handling threw. */
@@ -93,6 +95,12 @@
     labelNames: ['service'],
     registers: [registry],
   });
+  const announcements = new Counter({
+    name: 'boragepoint_server_announcements_total',
+    help: 'Announcements in answers of servers: that they are leaving, or ask for a back-off.',
+    labelNames: ['service', 'announcement'],
+    registers: [registry],
+  });
   const limitedRefusals = new Counter({
     name: 'boragepoint_limited_refusals_total',
     help: 'Requests refused because of limits that servers named.',
@@ -141,6 +149,9 @@
     recordLimitedSend(service) {
       limitedSends.inc({ service });
     },
+    recordAnnouncement(service, announcement) {
+      announcements.inc({ service, announcement });
+    },
     recordLimitedRefusal(service) {
       limitedRefusals.inc({ service });
     },
