A crash at a draining server counts against a request that is suspect already

Traced in its logs: the third server drained when the request ended it; a run that breaks off at a draining server was taken for a planned end, so that a fourth server got the request. Now that benefit is for requests that are not suspect. A request that has ended no other server is judged as before; one that others are served with is cleared as before. The end is still proved by the server's address.

--- a/packages/router/src/lib/crash-guard.ts
+++ b/packages/router/src/lib/crash-guard.ts
@@ -252,7 +252,10 @@
       const isCancelled = outcome.kind === 'unknown' && outcome.why === 'cancelled';
       const isUnframed = outcome.kind === 'answer' && !outcome.answer.framed;
       const mayHaveEnded = outcome.kind === 'unknown' || isUnframed;
-      const isPlanned = isLeaving(server) && (!isCancelled || req.disconnectSignal.aborted);
+      // A suspect request gets no such benefit of the doubt: it ended other servers that stayed.
+      const mayBePlanned = announced === undefined || isCancelled;
+      const isPlanned =
+        isLeaving(server) && mayBePlanned && (!isCancelled || req.disconnectSignal.aborted);
       const isAlive = isCancelled && server.lastAnsweredAt >= sentAt;
       if (!mayHaveEnded || isPlanned || isAlive) {
         clearSuspicion(announced);
--- a/packages/router/src/test/crash-guard_test.ts
+++ b/packages/router/src/test/crash-guard_test.ts
@@ -148,6 +148,18 @@
   expect(guard.crashCountsOf(requestOf('/y')).lives).toEqual(2);
 });
 
+// Guards against a fourth server that is ended because the third one was draining when the request
+// ended it.
+test('a request that is suspect already counts at a draining server too', async () => {
+  const { guard, entries } = setUp();
+  entries.set('c', { startedMs: 1, draining: true });
+  const req = () => requestOf('/crashing');
+  for (const id of ['a', 'b', 'c']) {
+    expect(await send(guard, req(), serverOf(id), BROKEN)).toEqual('sent');
+  }
+  expect(await send(guard, req(), serverOf('d'), BROKEN)).toEqual('refuse');
+});
+
 test('the planned end of a server does not count against a request', async () => {
   const { guard, entries } = setUp();
   entries.set('a', { startedMs: 1, draining: true });
