Routers take turns only when the leader has been silent for two seconds

Cause: on a busy machine some calls to the leader took over 200 ms; each such router used its turn at once, while the leader went on giving the whole limit to the others.

--- a/packages/router/src/lib/server-permits.ts
+++ b/packages/router/src/lib/server-permits.ts
@@ -7,6 +7,11 @@
 const RETURNED_TTL_MS = 250;
 /** Time for which a leader that did not answer is not asked again, in milliseconds. */
 const SILENT_LEADER_MS = 500;
+/**
+ * Time without an answer of a leader after which routers take turns, in milliseconds. Until then it
+ * may still be giving permits to the others.
+ */
+const LEADER_LOST_MS = 2_000;
 /** Shortest time between two calls to the leader, in milliseconds. */
 const MIN_CALL_GAP_MS = 20;
 /** Longest time for which the leader is not asked for permits, whatever it says, in milliseconds. */
@@ -93,6 +98,7 @@
   let isCalling = false;
   let lastCallAt = -Infinity;
   let leaderSilentUntil = -Infinity;
+  let leaderAnsweredAt = -Infinity;
 
   const limitOf = (server: LimitedServer) => options.limitOf(incarnationOf(server));
   const holdKey = (server: LimitedServer, priority: number) => `${server.entry.id} ${priority}`;
@@ -122,8 +128,9 @@
     return group;
   }
 
-  /** Takes this router's own turn at one of the servers, without a leader. */
+  /** Takes this router's own turn at one of the servers, if there is no leader. */
   function takeTurn<T extends LimitedServer>(servers: readonly T[]): T | undefined {
+    if (now() < leaderAnsweredAt + LEADER_LOST_MS) return undefined;
     return servers.find((it) =>
       loneShare.take(incarnationOf(it), limitOf(it) ?? Infinity, options.routers()),
     );
@@ -154,7 +161,8 @@
     lastCallAt = now();
     for (const [key, { until }] of holds) if (until <= now()) holds.delete(key);
     const replies = await options.request(wanted);
-    if (!replies) leaderSilentUntil = now() + SILENT_LEADER_MS;
+    if (replies) leaderAnsweredAt = now();
+    else leaderSilentUntil = now() + SILENT_LEADER_MS;
     asked.forEach((group, index) => {
       const reply = replies?.[index];
       if (reply) applyReply(group, reply);
--- a/packages/router/src/test/server-permits_test.ts
+++ b/packages/router/src/test/server-permits_test.ts
@@ -1,5 +1,6 @@
 import { type TestContext, test } from 'node:test';
 
+import { createRandom } from '@boragepoint/standin';
 import { expect } from 'earl';
 
 import { createLoneShare } from '../lib/lone-share.js';
@@ -130,6 +131,24 @@
   });
 }
 
+// Guards against routers that use their turns beside the permits of a leader that answers some calls
+// too late.
+test('a leader that misses calls now and then does not make routers exceed the limit', async (t) => {
+  const draws = createRandom(SEED);
+  const pattern = {
+    routers: 12,
+    limits: [3],
+    perS: 100,
+    seconds: SECONDS,
+    router: (draw: number) => Math.floor(draw * 12),
+    isLed: () => draws.next() > 0.3,
+  };
+  const { arrivals } = await simulatePermits(pattern, timeOf(t), SEED);
+  const [server = []] = arrivals;
+  expect(mostInWindow(server)).toBeLessThanOrEqual((3 * WINDOW_MS) / MS_PER_S + ROUNDING);
+  expect(server.length).toBeGreaterThan(0);
+});
+
 test('a turn that is not used lapses', () => {
   let now = 0;
   const share = createLoneShare(
