Ports of test fleets are claimed for as long as their process runs

Cause: a port was free again between the moment at which it was found and the listener's start, for every other test process, and for other fleets of the same one.

--- a/packages/standin/src/lib/harness/free-ports.ts
+++ b/packages/standin/src/lib/harness/free-ports.ts
@@ -1,5 +1,6 @@
 import { randomInt } from 'node:crypto';
-import { createServer, type Server } from 'node:net';
+import { createSocket } from 'node:dgram';
+import { createServer } from 'node:net';
 
 const LOOPBACK = '127.0.0.1';
 /**
@@ -10,36 +11,54 @@
 const END_PORT = 32_000;
 const MAX_TRIES = 100;
 
-interface Reservation {
-  readonly port: number;
-  readonly server: Server;
+/**
+ * Claims a port for as long as this process runs, by the UDP port of the same number: the TCP port
+ * stays free for the server that is to listen, and no other claim can be made meanwhile. Resolves
+ * to false if another claim exists.
+ */
+async function claim(port: number): Promise<boolean> {
+  const socket = createSocket('udp4');
+  return await new Promise((resolve) => {
+    socket.once('error', () => {
+      resolve(false);
+    });
+    socket.bind({ port, address: LOOPBACK, exclusive: true }, () => {
+      socket.unref();
+      resolve(true);
+    });
+  });
 }
 
-async function tryPort(port: number): Promise<Reservation | undefined> {
+/** Whether a server can listen at a port now. */
+async function isFree(port: number): Promise<boolean> {
   const server = createServer();
   return await new Promise((resolve) => {
     server.once('error', () => {
-      resolve(undefined);
+      resolve(false);
     });
     server.listen(port, LOOPBACK, () => {
-      resolve({ port, server });
+      server.close(() => {
+        resolve(true);
+      });
     });
   });
 }
 
-async function reserve(): Promise<Reservation> {
+async function reserve(): Promise<number> {
   for (let i = 0; i < MAX_TRIES; i += 1) {
-    const reservation = await tryPort(randomInt(FIRST_PORT, END_PORT));
-    if (reservation !== undefined) return reservation;
+    const port = randomInt(FIRST_PORT, END_PORT);
+    if ((await claim(port)) && (await isFree(port))) return port;
   }
   throw new Error(`no free port from ${FIRST_PORT} to ${END_PORT} in ${MAX_TRIES} attempts`);
 }
 
-/** Finds free TCP ports on the loopback address and returns their addresses. */
+/**
+ * Finds free TCP ports on the loopback address and returns their addresses. No call of any process
+ * returns one of them while this process runs.
+ */
 export async function reserveAddresses(count: number): Promise<string[]> {
-  const reserved = await Promise.all(Array.from({ length: count }, reserve));
-  await Promise.all(reserved.map(({ server }) => new Promise((done) => server.close(done))));
-  return reserved.map(({ port }) => `${LOOPBACK}:${port}`);
+  const ports = await Promise.all(Array.from({ length: count }, reserve));
+  return ports.map((port) => `${LOOPBACK}:${port}`);
 }
 
 /** Returns the port of an address such as `127.0.0.1:8080`. */
