--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -32,7 +32,7 @@
 import type { RouterMetrics } from './router-metrics.js';
 import { type SendOutcome, type ServerAnswer, sendRequest } from './send-request.js';
 import { cancelUnsent, noteSent, noteAccepted, startBackoff } from './server-backoff.js';
-import { type PooledServer, isWarmingUp } from './server-pool.js';
+import { type PooledServer, incarnationOf, isWarmingUp } from './server-pool.js';
 import type { SharedRetryBudget } from './shared-retry-budget.js';
 
 /** Time for which a server is avoided while others can take its requests, in milliseconds. */
@@ -91,11 +91,6 @@
   return { ...answer, status: HTTP_UNAVAILABLE };
 }
 
-const incarnationOf = ({ entry }: PooledServer): IncarnationId => ({
-  server: entry.id,
-  startedMs: entry.startedMs,
-});
-
 /** The server whose answer to the last attempt says that it does not hold the key. */
 function lastMisdirectedServer(attempts: readonly Attempt[]): string | undefined {
   const last = attempts.at(-1);
--- a/packages/router/src/lib/server-permits.ts
+++ b/packages/router/src/lib/server-permits.ts
@@ -1,7 +1,7 @@
 import type { IncarnationId, PermitsReply, WantedPermits } from '@boragepoint/placement';
 
 import { createLoneShare } from './lone-share.js';
-import type { PooledServer } from './server-pool.js';
+import { type PooledServer, incarnationOf } from './server-pool.js';
 
 /** Time for which a permit that was given back can be used, in milliseconds. */
 const RETURNED_TTL_MS = 250;
@@ -78,11 +78,6 @@
   readonly spreadMs: number;
 }
 
-const incarnationOf = ({ entry }: LimitedServer): IncarnationId => ({
-  server: entry.id,
-  startedMs: entry.startedMs,
-});
-
 const groupKey = (servers: readonly LimitedServer[], priority: number) =>
   [priority, ...servers.map((it) => it.entry.id)].join(' ');
 
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -1,4 +1,4 @@
-import { type ServerDirectory } from '@boragepoint/placement';
+import type { IncarnationId, ServerDirectory } from '@boragepoint/placement';
 import type { ServerEntry } from '@boragepoint/platform';
 
 import type { ServerCandidate } from './choose-server.js';
@@ -39,6 +39,14 @@
   readonly firstSeenAt: number;
 }
 
+/** Returns the incarnation of a server that requests are sent to. */
+export function incarnationOf(server: {
+  readonly entry: Pick<ServerEntry, 'id' | 'startedMs'>;
+}): IncarnationId {
+  const { id, startedMs } = server.entry;
+  return { server: id, startedMs };
+}
+
 /** The backend servers that requests can be sent to. */
 export interface ServerPool {
   get(id: string): PooledServer | undefined;
