--- a/packages/router/src/test/pick-server_test.ts
+++ b/packages/router/src/test/pick-server_test.ts
@@ -97,3 +97,57 @@
   expect((await picker.pickOwner(req, 7, 'a')).kind).toEqual('refuse');
   expect(waits > 0).toEqual(true);
 });
+
+/** A picker of idle servers without keys, of which some name a limit and some have a permit. */
+function pickerOfLimited(limited: readonly string[], permitted: readonly string[]) {
+  const servers = ['a', 'b', 'c'].map((id) => ({
+    ...owner,
+    entry: { ...owner.entry, id },
+    load: createServerLoad(2),
+    backoffUntil: -Infinity,
+  }));
+  const asked: string[][] = [];
+  const picker = pickerOf({
+    pool: {
+      get: (id) => servers.find((it) => it.entry.id === id),
+      ofService: () => servers,
+      refresh: () => undefined,
+      leaving: () => [],
+      all: () => [],
+    },
+    permits: {
+      limitOf: ({ entry }) => (limited.includes(entry.id) ? 2 : undefined),
+      acquire(wanted) {
+        asked.push(wanted.map((it) => it.entry.id));
+        return Promise.resolve(wanted.find((it) => permitted.includes(it.entry.id)));
+      },
+      giveBack: () => undefined,
+      retryAfterMs: () => 700,
+    },
+  });
+  return { picker, asked };
+}
+
+test('a request whose best server has no permit left goes to a server without a limit', async () => {
+  const { picker, asked } = pickerOfLimited(['a'], []);
+  const pick = await picker.pickAny(req, []);
+  expect(pick.kind === 'server' && pick.server.entry.id).toEqual('b');
+  expect(pick.kind === 'server' && pick.hasPermit).toEqual(false);
+  expect(asked).toEqual([['a']]);
+});
+
+test('if all servers name a limit, one call asks for a permit of any of them', async () => {
+  const { picker, asked } = pickerOfLimited(['a', 'b', 'c'], ['c']);
+  const pick = await picker.pickAny(req, []);
+  expect(pick.kind === 'server' && pick.server.entry.id).toEqual('c');
+  expect(pick.kind === 'server' && pick.hasPermit).toEqual(true);
+  expect(asked).toEqual([['a', 'b', 'c']]);
+});
+
+// Guards against requests that wait for room which does not come.
+test('beyond the limits of all servers a request is refused at once, with a time to come back', async () => {
+  const { picker, asked } = pickerOfLimited(['a', 'b', 'c'], []);
+  const pick = await picker.pickAny(req, []);
+  expect(pick.kind === 'refuse' && pick.retryAfterMs).toEqual(700);
+  expect(asked.length).toEqual(1);
+});
