--- a/packages/placement/src/lib/permit-allocator.ts
+++ b/packages/placement/src/lib/permit-allocator.ts
@@ -24,7 +24,7 @@
 const CALLS_PER_PERMIT = 4;
 /** Maximum number of permits for one entry of a call. */
 const MAX_PERMITS = 1_000;
-const MAX_HOLD_MS = 10_000;
+const MAX_HOLD_TIME_MS = 10_000;
 const MAX_SPREAD_MS = 10_000;
 const MS_PER_S = 1_000;
 
@@ -45,7 +45,7 @@
   /** Ids of the servers to which one request each may be sent now. */
   readonly granted: readonly string[];
   /** Time for which the router should not ask again, in milliseconds. */
-  readonly holdMs: number;
+  readonly holdTimeMs: number;
   /** Time over which room for the refused requests is expected, in milliseconds. */
   readonly spreadMs: number;
 }
@@ -165,7 +165,7 @@
   }
 
   /** Time for which a router should not ask, so that all of them don't ask for each permit. */
-  function holdMs(servers: readonly LimitedServer[], priority: number): number {
+  function holdTimeMs(servers: readonly LimitedServer[], priority: number): number {
     const callsPerS = servers.reduce(
       (sum, it) => sum + it.ratePerS * CALLS_PER_PERMIT + CALLS_PER_S,
       0,
@@ -173,7 +173,7 @@
     const askers = Math.max(...servers.map((it) => it.bucket.askers.size));
     const turnMs = ((askers - 1) / callsPerS) * MS_PER_S * (0.5 + options.random());
     const firstMs = Math.min(...servers.map((it) => waitMs(it, priority)));
-    return Math.min(MAX_HOLD_MS, Math.max(firstMs, turnMs));
+    return Math.min(MAX_HOLD_TIME_MS, Math.max(firstMs, turnMs));
   }
 
   /** Time in which the servers take as many requests as now come in a second, in milliseconds. */
@@ -197,8 +197,8 @@
       if (id === undefined) break;
       granted.push(id);
     }
-    if (granted.length === count) return { granted, holdMs: 0, spreadMs: 0 };
-    return { granted, holdMs: holdMs(known, priority), spreadMs: spreadMs(known) };
+    if (granted.length === count) return { granted, holdTimeMs: 0, spreadMs: 0 };
+    return { granted, holdTimeMs: holdTimeMs(known, priority), spreadMs: spreadMs(known) };
   }
 
   return {
--- a/packages/placement/src/lib/permit-requests.ts
+++ b/packages/placement/src/lib/permit-requests.ts
@@ -90,9 +90,9 @@
       return {
         leads: true,
         startedMs,
-        replies: replies.map(({ granted, holdMs, spreadMs }) => ({
+        replies: replies.map(({ granted, holdTimeMs, spreadMs }) => ({
           granted: [...granted],
-          holdMs: Math.ceil(holdMs),
+          holdTimeMs: Math.ceil(holdTimeMs),
           spreadMs: Math.ceil(spreadMs),
         })),
       };
--- a/packages/placement/src/test/permit-allocator_test.ts
+++ b/packages/placement/src/test/permit-allocator_test.ts
@@ -100,11 +100,11 @@
 test('a router that got no permit is told when to ask again, later if many ask', () => {
   const set = setUp({ a: 2 });
   set.ask(['a']);
-  const alone = set.ask(['a'])?.holdMs ?? 0;
+  const alone = set.ask(['a'])?.holdTimeMs ?? 0;
   expect(alone).toBeGreaterThan(0);
   expect(alone).toBeLessThanOrEqual(700);
   for (let router = 0; router < 195; router += 1) set.ask(['a'], {}, `r${router}`);
-  expect(set.ask(['a'])?.holdMs ?? 0).toBeGreaterThan(3_000);
+  expect(set.ask(['a'])?.holdTimeMs ?? 0).toBeGreaterThan(3_000);
 });
 
 test('callers are spread over the time in which their requests have room', () => {
--- a/packages/router/src/lib/server-permits.ts
+++ b/packages/router/src/lib/server-permits.ts
@@ -15,7 +15,7 @@
 /** Shortest time between two calls to the leader, in milliseconds. */
 const MIN_CALL_GAP_MS = 20;
 /** Longest time for which the leader is not asked for permits, whatever it says, in milliseconds. */
-const MAX_HOLD_MS = 10_000;
+const MAX_HOLD_TIME_MS = 10_000;
 /** Shortest and longest time until the first caller may come back, in milliseconds. */
 const MIN_WAIT_MS = 100;
 const MAX_WAIT_MS = 3_000;
@@ -134,8 +134,8 @@
   function applyReply(group: RequestGroup, reply: PermitsReply): void {
     const { servers, priority, waiters } = group;
     if (reply.granted.length < waiters.length) {
-      const holdMs = Math.min(MAX_HOLD_MS, reply.holdMs);
-      const hold = { until: now() + holdMs, spreadMs: reply.spreadMs };
+      const holdTimeMs = Math.min(MAX_HOLD_TIME_MS, reply.holdTimeMs);
+      const hold = { until: now() + holdTimeMs, spreadMs: reply.spreadMs };
       for (const server of servers) holds.set(holdKey(server, priority), hold);
     }
     waiters.forEach((resume, index) => {
--- a/packages/router/src/test/server-permits_test.ts
+++ b/packages/router/src/test/server-permits_test.ts
@@ -182,7 +182,7 @@
   let calls = 0;
   const permits = permitsWith(() => {
     calls += 1;
-    return Promise.resolve([{ granted: ['s0'], holdMs: 0, spreadMs: 0 }]);
+    return Promise.resolve([{ granted: ['s0'], holdTimeMs: 0, spreadMs: 0 }]);
   });
   const server = await permits.acquire([SERVER], 0);
   if (server) permits.giveBack(server);
@@ -196,11 +196,11 @@
   const missing = permitsWith(() => Promise.resolve([]));
   expect(await missing.acquire([SERVER], 0)).toEqual(undefined);
   const others = permitsWith(() =>
-    Promise.resolve([{ granted: ['x', 'y'], holdMs: 1e12, spreadMs: 1e12 }]),
+    Promise.resolve([{ granted: ['x', 'y'], holdTimeMs: 1e12, spreadMs: 1e12 }]),
   );
   expect(await others.acquire([SERVER], 0)).toEqual(undefined);
   const denied = permitsWith(() =>
-    Promise.resolve([{ granted: [], holdMs: 1e12, spreadMs: 1e12 }]),
+    Promise.resolve([{ granted: [], holdTimeMs: 1e12, spreadMs: 1e12 }]),
   );
   expect(await denied.acquire([SERVER], 0)).toEqual(undefined);
   expect(denied.retryAfterMs([SERVER], 0)).toBeLessThanOrEqual(6_000);
@@ -210,7 +210,7 @@
   let calls = 0;
   const permits = permitsWith(() => {
     calls += 1;
-    return Promise.resolve([{ granted: [], holdMs: 800, spreadMs: 2_000 }]);
+    return Promise.resolve([{ granted: [], holdTimeMs: 800, spreadMs: 2_000 }]);
   });
   await permits.acquire([SERVER], 1);
   await permits.acquire([SERVER], 1);
