--- a/packages/placement/src/lib/limit-exchange.ts
+++ b/packages/placement/src/lib/limit-exchange.ts
@@ -102,10 +102,8 @@
     }),
     isAheadOf: (address) => limits.since(points.sentTo(address)).length > 0,
     noteAnswer(address, sharedUpTo, answer) {
-      if (points.noteProcess(address, answer.startedMs)) {
-        points.noteSent(address, sharedUpTo);
-        points.noteReceived(address, answer.knownLimits);
-      }
+      const { startedMs, knownLimits } = answer;
+      points.noteAnswer(address, { startedMs, sentUpTo: sharedUpTo, receivedUpTo: knownLimits });
       merge(address, answer.limits);
     },
     noteReceived(address, sharedUpTo, startedMs) {
--- a/packages/placement/src/lib/permit-allocator.ts
+++ b/packages/placement/src/lib/permit-allocator.ts
@@ -3,9 +3,10 @@
 /** Share of a limit that is given out: clocks differ, and requests take different times to arrive. */
 const USED_SHARE = 0.95;
 /**
- * Least rate of permits, per second: a server that gets no request can't say that it takes more.
+ * Least rate of requests to a server with a limit, per second, of all routers together: a server
+ * that gets no request can't say that it takes more.
  */
-const MIN_RATE_PER_S = 0.2;
+export const MIN_LIMITED_RATE_PER_S = 0.2;
 /** Time for which unused permits add up, in seconds; at least `MIN_DEPTH` permits. */
 const DEPTH_S = 0.25;
 const MIN_DEPTH = 1.25;
@@ -103,7 +104,7 @@
     const notice = options.limits.noticeOf(server);
     if (notice?.perS === undefined) return undefined;
     const now = options.now();
-    const ratePerS = Math.max(notice.perS * USED_SHARE, MIN_RATE_PER_S);
+    const ratePerS = Math.max(notice.perS * USED_SHARE, MIN_LIMITED_RATE_PER_S);
     const known = buckets.get(server);
     const bucket =
       known?.startedMs === notice.startedMs
--- a/packages/placement/src/lib/server-limits.ts
+++ b/packages/placement/src/lib/server-limits.ts
@@ -33,8 +33,6 @@
   limitOf(incarnation: IncarnationId): number | undefined;
   /** Returns the last notice about a server, of whichever incarnation. */
   noticeOf(server: string): LimitNotice | undefined;
-  /** Age of the notice about a server, in milliseconds. */
-  ageMs(incarnation: IncarnationId): number;
   /** Records what an answer says: a limit in requests per second, or none. */
   observe(incarnation: IncarnationId, perS: number | undefined): LimitChange;
   /** Merges notices of another router; the newest notice about a server counts. */
@@ -88,7 +86,6 @@
   return {
     noticeOf: (server) => entries.get(server)?.notice,
     limitOf: (incarnation) => known(incarnation)?.perS,
-    ageMs: (incarnation) => now() - (known(incarnation)?.seenAt ?? now()),
     observe({ server, startedMs }, perS) {
       const notice = { server, startedMs, perS, seenAt: now() };
       const before = known(notice);
--- a/packages/placement/src/lib/suspect-exchange.ts
+++ b/packages/placement/src/lib/suspect-exchange.ts
@@ -153,10 +153,8 @@
       knownSuspects: points.receivedFrom(address),
     }),
     noteAnswer(address, sharedUpTo, answer) {
-      if (points.noteProcess(address, answer.startedMs)) {
-        points.noteSent(address, sharedUpTo);
-        points.noteReceived(address, answer.knownSuspects);
-      }
+      const { startedMs, knownSuspects } = answer;
+      points.noteAnswer(address, { startedMs, sentUpTo: sharedUpTo, receivedUpTo: knownSuspects });
       mergeFrom(address, answer.suspects);
     },
     receiveReport(req) {
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -106,6 +106,11 @@
   });
   const suspects = createSuspectRecord(clocks.monotonic);
   const limits = createServerLimits(clocks.monotonic);
+  const metrics = createRouterMetrics({
+    openRequests: () => listener.openRequests(),
+    lostIncarnations: () => suspects.countSuspectIncarnations(),
+  });
+  metrics.setSettingsDigest(settingsDigest(settings));
   const config = createActiveConfig({
     platform,
     fallback,
@@ -211,17 +216,7 @@
       now: clocks.monotonic,
       random: Math.random,
     }),
-    metrics: {
-      recordLimitedSend(service) {
-        metrics.recordLimitedSend(service);
-      },
-      recordAnnouncement(service, announcement) {
-        metrics.recordAnnouncement(service, announcement);
-      },
-      recordLimitedRefusal(service) {
-        metrics.recordLimitedRefusal(service);
-      },
-    },
+    metrics,
     noteLeaving: (incarnation) => directory.noteLeaving(incarnation),
     recordKey: (service, key) => {
       keyLoad.record(service, key);
@@ -233,11 +228,6 @@
   });
 
   const callerEndpoint = endpointOf(settings.listen.callers);
-  const metrics = createRouterMetrics({
-    openRequests: () => listener.openRequests(),
-    lostIncarnations: () => suspects.countSuspectIncarnations(),
-  });
-  metrics.setSettingsDigest(settingsDigest(settings));
   const stalls = watchStalls(({ lateMs, cpuMs }) => {
     metrics.recordStall(lateMs);
     log.warn('process stalled', { lateMs: Math.round(lateMs), cpuMs: Math.round(cpuMs) });
--- a/packages/router/src/lib/lone-share.ts
+++ b/packages/router/src/lib/lone-share.ts
@@ -1,9 +1,7 @@
-import type { IncarnationId } from '@boragepoint/placement';
+import { type IncarnationId, MIN_LIMITED_RATE_PER_S } from '@boragepoint/placement';
 
 /** Share of a limit that all routers use together while nobody gives permits out. */
 const USED_SHARE = 0.5;
-/** Least rate of all routers together, in requests per second. */
-const MIN_RATE_PER_S = 0.2;
 /** Time for which a router may use its turn, in milliseconds. */
 const TURN_MS = 1_000;
 /** Maximum number of incarnations whose turns are kept; the oldest are dropped first. */
@@ -28,7 +26,7 @@
   return {
     take({ server, startedMs }, limitPerS, routers) {
       const key = `${server}@${startedMs}`;
-      const ratePerS = Math.max(limitPerS * USED_SHARE, MIN_RATE_PER_S);
+      const ratePerS = Math.max(limitPerS * USED_SHARE, MIN_LIMITED_RATE_PER_S);
       const periodMs = (routers * MS_PER_S) / ratePerS;
       let turn = nextTurns.get(key) ?? now() + random() * periodMs;
       const missed = Math.ceil((now() - TURN_MS - turn) / periodMs);
--- a/packages/router/src/lib/server-load.ts
+++ b/packages/router/src/lib/server-load.ts
@@ -170,3 +170,16 @@
     },
   };
 }
+
+/** Returns what a load estimate says at a time, in the fields of a server candidate. */
+export function loadStateOf(load: ServerLoad, now: number) {
+  return {
+    inFlight: load.totalInFlight(now),
+    slots: load.slots(),
+    serviceMs: load.serviceMs(),
+    measuredServiceMs: load.measuredServiceMs(),
+    measuredWeight: load.measuredWeight(now),
+    failureRate: load.failureRate(now),
+    oldestInFlightMs: load.oldestInFlightMs(now),
+  };
+}
--- a/packages/router/src/lib/server-permits.ts
+++ b/packages/router/src/lib/server-permits.ts
@@ -99,13 +99,8 @@
   const holdKey = (server: LimitedServer, priority: number) => `${server.entry.id} ${priority}`;
 
   function holdOf(server: LimitedServer, priority: number): Hold | undefined {
-    const key = holdKey(server, priority);
-    const hold = holds.get(key);
-    if (hold && hold.until <= now()) {
-      holds.delete(key);
-      return undefined;
-    }
-    return hold;
+    const hold = holds.get(holdKey(server, priority));
+    return hold && now() < hold.until ? hold : undefined;
   }
 
   function takeReturned(server: LimitedServer): boolean {
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -7,7 +7,7 @@
   connectionShare,
   createServerConnections,
 } from './server-connections.js';
-import { type ServerLoad, createServerLoad } from './server-load.js';
+import { type ServerLoad, createServerLoad, loadStateOf } from './server-load.js';
 import { createUnsentAbort } from './server-backoff.js';
 
 /**
@@ -170,14 +170,8 @@
   const { entry, load } = server;
   return {
     id: entry.id,
-    inFlight: load.totalInFlight(now),
-    slots: load.slots(),
-    serviceMs: load.serviceMs(),
-    measuredServiceMs: load.measuredServiceMs(),
-    measuredWeight: load.measuredWeight(now),
-    failureRate: load.failureRate(now),
+    ...loadStateOf(load, now),
     distance,
     warmUpRemaining: warmUpRemainingOf(server, now),
-    oldestInFlightMs: load.oldestInFlightMs(now),
   };
 }
--- a/packages/router/src/test/spread_test.ts
+++ b/packages/router/src/test/spread_test.ts
@@ -4,7 +4,7 @@
 import { expect } from 'earl';
 
 import { chooseServer, expectedServiceTimes } from '../lib/choose-server.js';
-import { createServerLoad } from '../lib/server-load.js';
+import { createServerLoad, loadStateOf } from '../lib/server-load.js';
 import { createEventQueue } from './event-queue.js';
 
 const MS_PER_S = 1_000;
@@ -40,15 +40,9 @@
     const loads = routers[random.below(routers.length)] ?? [];
     const candidates = loads.map((load, index) => ({
       id: String(index),
-      inFlight: load.totalInFlight(now),
-      slots: SLOTS,
-      serviceMs: load.serviceMs(),
-      measuredServiceMs: load.measuredServiceMs(),
-      measuredWeight: load.measuredWeight(now),
-      failureRate: load.failureRate(now),
+      ...loadStateOf(load, now),
       distance: 0,
       warmUpRemaining: 0,
-      oldestInFlightMs: load.oldestInFlightMs(now),
     }));
     const chosen = chooseServer(candidates, {
       objectiveMs: OBJECTIVE_MS,
--- a/packages/router/src/test/zone-simulation.ts
+++ b/packages/router/src/test/zone-simulation.ts
@@ -1,7 +1,7 @@
 import { createRandom } from '@boragepoint/standin';
 
 import { type ServerCandidate, chooseServer, expectedServiceTimes } from '../lib/choose-server.js';
-import { type ServerLoad, createServerLoad } from '../lib/server-load.js';
+import { type ServerLoad, createServerLoad, loadStateOf } from '../lib/server-load.js';
 import { createEventQueue } from './event-queue.js';
 
 /**
@@ -117,15 +117,9 @@
     const warmUpLeftMs = (server?.startsAt ?? 0) + WARM_UP_MS - now;
     return {
       id: String(id),
-      inFlight: load.totalInFlight(now),
-      slots: SLOTS,
-      serviceMs: load.serviceMs(),
-      measuredServiceMs: load.measuredServiceMs(),
-      measuredWeight: load.measuredWeight(now),
-      failureRate: load.failureRate(now),
+      ...loadStateOf(load, now),
       distance: DISTANCES[steps],
       warmUpRemaining: server?.startsAt !== 0 && warmUpLeftMs > 0 ? warmUpLeftMs / WARM_UP_MS : 0,
-      oldestInFlightMs: load.oldestInFlightMs(now),
     };
   }
 
