--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -311,6 +311,7 @@
     log.info('leading placement', {
       epoch: leaderLease.epoch,
       ranges: allRanges().length,
+      firstFence: nextFence,
       inheritedForMs: Math.round(options.inheritedForMs),
     });
     resumeHandOvers();
--- a/packages/placement/src/test/fake-row-store.ts
+++ b/packages/placement/src/test/fake-row-store.ts
@@ -41,6 +41,7 @@
   const store: FakeRowStore = {
     fault: 'none',
     rows,
+    onEra: () => undefined,
     list() {
       if (store.fault === 'unavailable')
         return Promise.resolve(err(new PlatformError('store unavailable', false)));
--- a/packages/platform/src/lib/row-store.ts
+++ b/packages/platform/src/lib/row-store.ts
@@ -40,8 +40,19 @@
    */
   | { readonly kind: 'conflict'; readonly current: StoredRow | undefined };
 
+/** The first answer of the store in a new era. */
+export interface EraChange {
+  readonly era: number;
+  /** The newest era that was known before; `undefined` if this is the first answer. */
+  readonly previous: number | undefined;
+  /** The call that was answered. */
+  readonly call: string;
+}
+
 /** A linearizable store of rows in tables, with conditional writes and watches. */
 export interface RowStore {
+  /** Adds a listener that is called with the first answer of each era. */
+  onEra(listener: (change: EraChange) => void): void;
   /** Reads all rows of a table. */
   list(table: string): Promise<Result<RowSnapshot, PlatformError>>;
   /** Waits up to `waitMs` milliseconds for changes after a version, or until the signal aborts. */
--- a/packages/platform/src/test/delivered-rows_test.ts
+++ b/packages/platform/src/test/delivered-rows_test.ts
@@ -48,6 +48,7 @@
     /** The store as one router accesses it; `count` is called for each call. */
     access(count: () => void): RowStore {
       return {
+        onEra: () => undefined,
         list() {
           count();
           return Promise.resolve(ok({ rows: [...rows.values()], version, nowMs: 0 }));
@@ -203,6 +204,7 @@
   const end = new AbortController();
   const seenVersions: number[] = [];
   const store: RowStore = {
+    onEra: () => undefined,
     list: () => Promise.resolve(ok({ rows: [row('a', 1)], version: 1, nowMs: 0 })),
     changesAfter(_table, known) {
       if (known === 8) end.abort();
--- a/packages/platform/src/test/watch-rows_test.ts
+++ b/packages/platform/src/test/watch-rows_test.ts
@@ -41,6 +41,7 @@
   const events: string[] = [];
   let number = 0;
   const store: RowStore = {
+    onEra: () => undefined,
     list() {
       calls.push('list');
       return list();
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -120,6 +120,14 @@
       listener.applyLimits(cfg.limits);
     },
   });
+  platform.store.onEra(({ era, previous, call }) => {
+    if (previous === undefined) {
+      log.info('era of the store', { era, call });
+      return;
+    }
+    metrics.recordStoreReturn();
+    log.warn('store came back from an older copy', { era, previous, call });
+  });
   const serviceOf = (service: string) => config.table()?.service(service);
   const isPartitioned = (service: string) => serviceOf(service)?.partitioned ?? false;
   const partitionedServices = () =>
--- a/packages/router/src/lib/router-metrics.ts
+++ b/packages/router/src/lib/router-metrics.ts
@@ -23,6 +23,8 @@
   setConfigurationVersion(version: number): void;
   /** Sets the digest of the active settings. */
   setSettingsDigest(digest: string): void;
+  /** Counts a return of the store from an older copy. */
+  recordStoreReturn(): void;
   /** Counts changed settings that are invalid. */
   recordRefusedSettings(): void;
   /** The metrics in the Prometheus text format. */
@@ -112,6 +114,11 @@
     help: 'Errors that nobody foresaw; each has a line in the log.',
     registers: [registry],
   });
+  const storeReturns = new Counter({
+    name: 'boragepoint_store_returns_total',
+    help: 'Returns of the store from an older copy, without its latest writes.',
+    registers: [registry],
+  });
   const configuration = inForceGauge('configuration', 'version', registry);
   const settings = inForceGauge('settings', 'digest', registry);
   const refused = new Counter({
@@ -164,6 +171,9 @@
     setSettingsDigest(digest) {
       settings(digest);
     },
+    recordStoreReturn() {
+      storeReturns.inc();
+    },
     recordRefusedSettings() {
       refused.inc();
     },
