Watches: versions of a store that came back are above those of before

What callers saw: after the store had come back from an older copy, a server that joined got no request and a changed configuration was not in force for as long as the store's counter took to catch up; where the counter had caught up before the next read, changes were missed.

Ruled out: a watch that no longer polls; the logs say "watch regained" 0.04 to 0.6 s after the return.

Fix: the adapter makes one number of the answer's era and the version in it, so that whatever is given out in a later era is above all of earlier ones; a watch from a version of an earlier era has lost history without asking; a late answer of an earlier era counts for nothing. Rows, removals and table reports between routers are compared by the same numbers. All watches read again with the first answer of a new era that any call gets. Entries of servers that are missing are gone after two seconds and not earlier; entries older than what is known (heartbeat count, incarnation, removal) are not believed for these two seconds.

--- a/packages/placement/src/lib/leader-lease.ts
+++ b/packages/placement/src/lib/leader-lease.ts
@@ -1,4 +1,4 @@
-import type { RowStore, StoredRow } from '@boragepoint/platform';
+import { type RowStore, type StoredRow, eraOf, inEra } from '@boragepoint/platform';
 
 import {
   type LeaderLeaseRecord,
@@ -53,7 +53,7 @@
   if (placement?.isErr() === true) return undefined;
   return {
     placement: placement?.unwrapOr(undefined),
-    rowVersion: row?.version ?? 0,
+    rowVersion: row?.version ?? inEra(eraOf(listed.value.version), 0),
     storeNowMs: listed.value.nowMs,
     askedAt,
     receivedAt,
@@ -155,6 +155,7 @@
     const answer = await store.put(PLACEMENT_TABLE, PLACEMENT_KEY, value, rowVersion);
     if (answer.isErr()) return 'unknown';
     const outcome = answer.value;
+    if (outcome.kind === 'other-era') return 'lost';
     if (outcome.kind === 'conflict') {
       const adopted = resolveConflict(outcome.current, content.version);
       if (adopted === 'committed') confirm(sentAt);
--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -12,11 +12,12 @@
 } from '@boragepoint/platform';
 
 import type { ServerIncarnation } from './key-range.js';
+import { createRestoredEntries } from './restored-entries.js';
 import type { Clocks } from './suspension-guard.js';
 
 /**
- * Time after the store's return during which a missing entry is not taken as removed, in
- * milliseconds.
+ * Time after the store's return during which a missing entry is not taken as removed, and an entry
+ * that is older than what is known is not believed, in milliseconds.
  */
 const STORE_RETURN_GRACE_MS = 2_000;
 /** Share of a leaving server's notice that may pass between two polls of the registry. */
@@ -90,6 +91,16 @@
   drainNoticeMs?(): number;
   readonly onLost?: (err: PlatformError) => void;
   readonly onRecovered?: (outage: WatchOutage) => void;
+  readonly onReturn?: (difference: RegistryDifference) => void;
+}
+
+/** How the registry of a store that came back from an older copy differs from what was known. */
+export interface RegistryDifference {
+  readonly era: number;
+  /** Number of known servers that are missing in it. */
+  readonly missing: number;
+  /** Number of its entries that are older than what is known. */
+  readonly outdated: number;
 }
 
 const incarnationKey = ({ server, startedMs }: IncarnationId) => `${server}@${startedMs}`;
@@ -107,6 +118,14 @@
   let loaded = false;
   let isStoreLost = false;
   let recoveredAt = -Infinity;
+  /** When the store came back from an older copy, on the monotonic clock. */
+  let returnedAt = -Infinity;
+  const restoredEntries = createRestoredEntries();
+  /** Entries of the copy that are not believed yet. */
+  const outdated = new Map<string, ServerEntry>();
+  /** The era of a return, until the registry has been read in it. */
+  let returnedEra: number | undefined;
+  let returnTimer: NodeJS.Timeout | undefined;
   let currentSince = Infinity;
 
   function notifyListeners(): void {
@@ -125,8 +144,13 @@
   function put(key: string, row: ServerEntry | undefined): void {
     clearTimeout(removalTimers.get(key));
     removalTimers.delete(key);
+    outdated.delete(key);
     if (!row) {
-      servers.delete(key);
+      forget(key);
+      return;
+    }
+    if (isReturnRecent() && restoredEntries.isOutdated(row, servers.get(key)?.entry)) {
+      outdated.set(key, row);
       return;
     }
     const entry = withAnnouncedDrain(row);
@@ -145,32 +169,62 @@
     });
   }
 
+  const isReturnRecent = () => clocks.monotonic() < returnedAt + STORE_RETURN_GRACE_MS;
+
+  function forget(key: string): void {
+    const known = servers.get(key);
+    if (known) restoredEntries.noteRemoved(known.entry);
+    servers.delete(key);
+  }
+
+  /** Believes the entries of the copy that were not written again. */
+  function believeOutdated(): void {
+    const entries = [...outdated];
+    outdated.clear();
+    for (const [key, entry] of entries) put(key, entry);
+    if (entries.length > 0) notifyListeners();
+  }
+
   /**
-   * Removes an entry; while the store is lost or was recovered recently, the removal is delayed and
-   * a new entry cancels it.
+   * Removes an entry; while the store is lost or came back recently, the removal is delayed and a
+   * new entry cancels it.
    */
   function remove(key: string): void {
+    outdated.delete(key);
     if (!servers.has(key) || removalTimers.has(key)) return;
     const waitMs = isStoreLost
       ? STORE_RETURN_GRACE_MS
-      : recoveredAt + STORE_RETURN_GRACE_MS - clocks.monotonic();
+      : Math.max(recoveredAt, returnedAt) + STORE_RETURN_GRACE_MS - clocks.monotonic();
     if (waitMs <= 0) {
-      servers.delete(key);
+      forget(key);
       return;
     }
     const timer = setTimeout(() => {
       removalTimers.delete(key);
-      servers.delete(key);
+      forget(key);
       notifyListeners();
     }, waitMs);
     removalTimers.set(key, timer);
   }
 
   const watcher: RowWatcher = {
+    onReturn(era) {
+      returnedAt = clocks.monotonic();
+      currentSince = Math.max(currentSince, returnedAt);
+      returnedEra = era;
+      clearTimeout(returnTimer);
+      returnTimer = setTimeout(believeOutdated, STORE_RETURN_GRACE_MS);
+    },
     onSnapshot({ rows }) {
       const present = new Set(rows.map((it) => it.key));
       for (const row of rows) put(row.key, platform.decodeServer(row));
-      for (const key of [...servers.keys()]) if (!present.has(key)) remove(key);
+      const missing = [...servers.keys()].filter((it) => !present.has(it));
+      for (const key of missing) remove(key);
+      if (returnedEra !== undefined) {
+        const difference = { missing: missing.length, outdated: outdated.size };
+        options.onReturn?.({ era: returnedEra, ...difference });
+        returnedEra = undefined;
+      }
       loaded = true;
       currentSince = Math.min(currentSince, clocks.monotonic());
       notifyListeners();
@@ -242,6 +296,7 @@
     },
     async run(signal) {
       await watch.run(signal);
+      clearTimeout(returnTimer);
       for (const timer of removalTimers.values()) clearTimeout(timer);
     },
     rowsSince: (version) => watch.deltaSince(version),
--- a/packages/placement/src/test/fake-directory.ts
+++ b/packages/placement/src/test/fake-directory.ts
@@ -46,6 +46,7 @@
         draining: false,
         warmUpMs: 0,
         startedMs,
+        heartbeat: 0,
         ...changes,
       };
       known.set(server, {
--- a/packages/platform/src/lib/fleet-config.ts
+++ b/packages/platform/src/lib/fleet-config.ts
@@ -66,4 +66,6 @@
   readonly warmUpMs: number;
   /** Wall-clock time of its start, in milliseconds; tells incarnations of one id apart. */
   readonly startedMs: number;
+  /** Number of the heartbeat within the incarnation; 0 if the entry has none. */
+  readonly heartbeat: number;
 }
--- a/packages/platform/src/lib/poll-scheduler.ts
+++ b/packages/platform/src/lib/poll-scheduler.ts
@@ -1,3 +1,4 @@
+import { eraOf } from './store-era.js';
 import { createWakeSignal } from './wake-signal.js';
 
 /** Another router's report about its own watch of a table of the store. */
@@ -48,6 +49,8 @@
   isPeerWatching(): boolean;
   /** Begins a poll; the signal aborts it when the store has to be polled anew. */
   beginPoll(): AbortSignal;
+  /** Aborts the present poll or pause, so that the store is polled anew without waiting. */
+  pollNow(): void;
   /** True if the scheduler aborted the latest poll. */
   wasAborted(): boolean;
   /** Time for which the store may hold a poll, in milliseconds. */
@@ -72,6 +75,7 @@
   let expiryTimer: NodeJS.Timeout | undefined;
   let arrivalTimer: NodeJS.Timeout | undefined;
   let reliesOnPeer = false;
+  let newestReportedEra = 0;
   let isDisposed = false;
   let wake: (() => void) | undefined;
 
@@ -118,10 +122,20 @@
       }
       latestReport = report;
       if (isStoreBack) wake?.();
+      const reportedEra = eraOf(report.version);
+      if (reportedEra > newestReportedEra) {
+        newestReportedEra = reportedEra;
+        // The rows of a new era arrive only by reading the whole table.
+        if (reportedEra > eraOf(knownVersion())) pollAbort.abort();
+      }
       if (isBehind()) arrivalTimer ??= setTimeout(checkArrival, MAX_ARRIVAL_DELAY_MS);
     },
     isPeerWatching,
     beginPoll,
+    pollNow() {
+      pollAbort.abort();
+      wake?.();
+    },
     wasAborted: () => pollAbort.signal.aborted,
     waitMs: () => (isPeerWatching() ? PEER_WATCH_WAIT_MS : WATCH_WAIT_MS),
     maxRetryMs: () => (latestReport?.answers === false ? MAX_PEER_WATCH_RETRY_MS : MAX_RETRY_MS),
--- a/packages/platform/src/lib/row-store.ts
+++ b/packages/platform/src/lib/row-store.ts
@@ -5,7 +5,10 @@
 /** A row of a {@link RowStore}. */
 export interface StoredRow {
   readonly key: string;
-  /** Version of the store at which the row was written; increases with every change of any row. */
+  /**
+   * Version of the store at which the row was written; increases with every change of any row. The
+   * versions of a later era are above those of all earlier ones; see {@link inEra}.
+   */
   readonly version: number;
   readonly value: Uint8Array;
 }
@@ -27,8 +30,8 @@
 export type RowChanges =
   | { readonly kind: 'changes'; readonly changes: readonly RowChange[]; readonly version: number }
   /**
-   * The store no longer has all changes after the requested version: the table has to be read
-   * again.
+   * The store no longer has all changes after the requested version, or the version is of an
+   * earlier era: the table has to be read again.
    */
   | { readonly kind: 'history-lost' };
 
@@ -38,7 +41,12 @@
   /**
    * The row has another version; nothing was written. `current` is undefined if there is no row.
    */
-  | { readonly kind: 'conflict'; readonly current: StoredRow | undefined };
+  | { readonly kind: 'conflict'; readonly current: StoredRow | undefined }
+  /**
+   * The store has come back from an older copy since the expected version was read. Whatever was
+   * written has no meaning in the era of the answer.
+   */
+  | { readonly kind: 'other-era'; readonly era: number; readonly nowMs: number };
 
 /** The first answer of the store in a new era. */
 export interface EraChange {
@@ -49,7 +57,10 @@
   readonly call: string;
 }
 
-/** A linearizable store of rows in tables, with conditional writes and watches. */
+/**
+ * A linearizable store of rows in tables, with conditional writes and watches. It may come back
+ * from an older copy; an answer of an earlier era that arrives after one of a later era is an error.
+ */
 export interface RowStore {
   /** Adds a listener that is called with the first answer of each era. */
   onEra(listener: (change: EraChange) => void): void;
@@ -63,9 +74,10 @@
     signal?: AbortSignal,
   ): Promise<Result<RowChanges, PlatformError>>;
   /**
-   * Writes a row if it has the expected version; 0 means that it must not exist. After an error
-   * with `mayHaveTakenEffect` the write may still take effect later, as long as its condition
-   * holds.
+   * Writes a row if it has the expected version; the number 0 of an era means that it must not
+   * exist. After an error with `mayHaveTakenEffect` the write may still take effect later, as long
+   * as its condition holds: also in a later era, in which the row's version may be the expected one
+   * by chance. A key that names the era prevents that.
    */
   put(
     table: string,
--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -4,6 +4,7 @@
 import { type TableReport, WATCH_WAIT_MS, createPollScheduler } from './poll-scheduler.js';
 import { type RowDelta, type RowSource, type RowUpdate, createRowMirror } from './row-mirror.js';
 import type { RowSnapshot, RowStore, StoredRow } from './row-store.js';
+import { eraOf, inEra } from './store-era.js';
 
 /**
  * Time without an answer after which the whole table is read again, in milliseconds. The changes
@@ -16,6 +17,11 @@
 
 /** Receives the contents of a watched table. */
 export interface RowWatcher {
+  /**
+   * Called before the first rows of a new era: the store came back from an older copy, so that rows
+   * may be missing or older than before until they are written again.
+   */
+  onReturn?(era: number): void;
   /** Called with all rows after the first read and after each gap in the change history. */
   onSnapshot(snapshot: RowSnapshot): void;
   onChange(row: StoredRow): void;
@@ -100,6 +106,26 @@
   let answeredAt = performance.now();
   /** Time of the first retry after the store stopped answering. */
   let firstRetryAt: number | undefined;
+  /** True if a new era became known since the last poll began. */
+  let isEraNew = false;
+
+  // Another call of this router may learn of a new era long before this watch's next poll.
+  store.onEra(({ era }) => {
+    if (newestVersion === 0 || era <= eraOf(newestVersion)) return;
+    isEraNew = true;
+    scheduler.pollNow();
+  });
+
+  /** Sets the newest known version; reports the first one of a new era. */
+  function advanceTo(next: number): void {
+    const era = eraOf(next);
+    const isReturn = newestVersion > 0 && era > eraOf(newestVersion);
+    newestVersion = next;
+    if (!isReturn) return;
+    isEraNew = false;
+    lastChangeVersion = Math.max(lastChangeVersion, inEra(era, 0));
+    watcher.onReturn?.(era);
+  }
 
   function change(row: StoredRow): void {
     lastChangeVersion = Math.max(lastChangeVersion, row.version);
@@ -136,11 +162,12 @@
   async function poll(signal: AbortSignal): Promise<Result<unknown, PlatformError>> {
     const wasAborted = scheduler.wasAborted();
     const pollSignal = scheduler.beginPoll();
+    isEraNew = false;
     if (version === undefined) {
       const snapshot = await store.list(table);
       return snapshot.map((it) => {
         if (signal.aborted || it.version < newestVersion) return;
-        newestVersion = it.version;
+        advanceTo(it.version);
         version = it.version;
         replaceAll(it);
       });
@@ -176,7 +203,7 @@
     const delta = await fallback?.rowsSince(table, newestVersion);
     if (!delta || signal.aborted || delta.version <= newestVersion) return;
     const isFirst = newestVersion === 0;
-    newestVersion = delta.version;
+    advanceTo(delta.version);
     version = delta.version;
     if (isFirst) {
       replaceAll({ rows: delta.changed, version: delta.version, nowMs: 0 });
@@ -227,7 +254,7 @@
         if (polled.isErr()) {
           // The scheduler aborted the poll, which is no failure of the store; the next poll does
           // not wait.
-          if (scheduler.wasAborted() && !lastError) continue;
+          if (scheduler.wasAborted() && (isEraNew || !lastError)) continue;
           noteFailure(polled.error);
           await readFallback(signal);
           const jitter = 1 + Math.random();
@@ -238,6 +265,7 @@
         // been read again.
         if (wasFollowing && version === undefined) continue;
         noteAnswer();
+        if (isEraNew) continue;
         await scheduler.pause(pauseMs(), signal);
         if (isPeerDelivering()) await scheduler.waitWhileDelivered(signal);
       }
@@ -257,7 +285,7 @@
       if (version === undefined || update.version <= newestVersion) return;
       for (const key of update.removed) if (mirror.has(key)) remove(key, update.version);
       for (const row of update.changed) change(row);
-      newestVersion = update.version;
+      advanceTo(update.version);
       version = update.version;
     },
     applyReport(report) {
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -103,6 +103,10 @@
       log.info('service registry watch regained', watchOutageFields(outage));
       member.noteStoreChange();
     },
+    onReturn: (difference) => {
+      log.info('service registry of the returned store read', { ...difference });
+      member.noteStoreChange();
+    },
   });
   const suspects = createSuspectRecord(clocks.monotonic);
   const limits = createServerLimits(clocks.monotonic);
--- a/packages/router/src/test/server-pool_test.ts
+++ b/packages/router/src/test/server-pool_test.ts
@@ -19,6 +19,7 @@
     draining: false,
     warmUpMs: WARM_UP_MS,
     startedMs: 1,
+    heartbeat: 0,
   };
   return { entry, stateSeenAt: firstSeenAt, firstSeenAt, receivedAt: firstSeenAt };
 }
