--- a/packages/placement/src/lib/become-leader.ts
+++ b/packages/placement/src/lib/become-leader.ts
@@ -1,48 +1,46 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { RowStore } from '@boragepoint/platform';
+import { type RowStore, inEra } from '@boragepoint/platform';
 
-import { LEASE_MS, ORDER_TIMEOUT_MS } from './leader-context.js';
 import {
   type Candidate,
   type LeaderLeaseReading,
   RENEWAL_GRACE_MS,
   createLeaderLease,
 } from './leader-lease.js';
-import { maxLeaseMs } from './lease-bound.js';
 import {
   type PlacementLeader,
   type PlacementLeaderOptions,
   createPlacementLeader,
 } from './placement-leader.js';
 import type { PlacementPeers } from './placement-peers.js';
-import type { LeaderLeaseRecord, Placement } from './placement-record.js';
+import type { LeaderLeaseRecord } from './placement-record.js';
+import {
+  MAX_UNANSWERED_GRANT_MS,
+  type RecoveredPlacement,
+  STEP_DOWN_TIMEOUT_MS,
+} from './recover-placement.js';
 import { renewFences } from './renew-fences.js';
 
-/** Timeout of the request to a former leader to step down, in milliseconds. */
-const STEP_DOWN_TIMEOUT_MS = 500;
 /** Pause between two attempts to write the row, in milliseconds. */
 const RETRY_MS = 300;
 /** Number of retries of the first write while its outcome is unknown. */
 const MAX_FIRST_WRITE_RETRIES = 5;
 
-/**
- * Longest time for which an unanswered grant of an ended leader may still be in effect, in
- * milliseconds.
- */
-export const MAX_UNANSWERED_GRANT_MS =
-  ORDER_TIMEOUT_MS + maxLeaseMs({ leaseMs: LEASE_MS, transitMs: ORDER_TIMEOUT_MS });
-
 /** Options of {@link becomeLeader}. */
 export interface BecomeLeaderOptions extends Omit<
   PlacementLeaderOptions,
-  'leaderLease' | 'previous' | 'inheritedForMs' | 'toMonotonic'
+  'leaderLease' | 'previous' | 'inheritedForMs' | 'toMonotonic' | 'leasesEnded'
 > {
   readonly self: Candidate;
   readonly store: RowStore;
   readonly peers: PlacementPeers;
   /** The reading of the row that showed that the leadership lease is free. */
   readonly reading: LeaderLeaseReading;
+  /** The placement to start from, in an era that no leader has claimed. */
+  readonly recovered?: RecoveredPlacement;
+  /** Highest epoch known besides the row's. */
+  readonly knownEpoch: number;
   readonly signal: AbortSignal;
 }
 
@@ -68,6 +66,34 @@
     : RENEWAL_GRACE_MS + MAX_UNANSWERED_GRANT_MS;
 }
 
+/** Returns what a leader takes over from the former one, once its lease is acquired. */
+async function takeOver(options: BecomeLeaderOptions): Promise<Omit<RecoveredPlacement, 'source'>> {
+  const { reading, recovered } = options;
+  if (recovered) return recovered;
+  const { placement, receivedAt, storeNowMs } = reading;
+  return {
+    placement,
+    inheritedForMs: placement ? await inheritedForMs(placement.leaderLease, options) : 0,
+    toMonotonic: (storeMs) => receivedAt + (storeMs - storeNowMs),
+    leasesEnded: false,
+  };
+}
+
+/** Returns the placement to start from, with new fencing tokens. */
+function firstContent({ reading, recovered, suspects, knownPeers }: BecomeLeaderOptions) {
+  const previous = recovered ? recovered.placement : reading.placement;
+  // Tokens of this era are above all that were given out in earlier ones and may be lost.
+  const nextFence = Math.max(previous?.nextFence ?? 1, inEra(reading.era, 1));
+  return {
+    version: (previous?.version ?? 0) + 1,
+    change: previous?.change ?? 0,
+    suspects: suspects(),
+    peers: knownPeers(),
+    ...renewFences({ services: previous?.services ?? new Map<string, never>(), nextFence }),
+    isUnverified: previous?.isUnverified ?? recovered?.source === 'none',
+  };
+}
+
 /**
  * Acquires a free leadership lease; returns `undefined` if another router was faster or the store
  * does not confirm it.
@@ -75,27 +101,35 @@
 export async function becomeLeader(
   options: BecomeLeaderOptions,
 ): Promise<PlacementLeader | undefined> {
-  const { self, reading, signal } = options;
-  const leaderLease = createLeaderLease({ ...options, candidate: self });
-  const previous: Placement | undefined = reading.placement;
-  const content = {
-    version: (previous?.version ?? 0) + 1,
-    change: previous?.change ?? 0,
-    suspects: options.suspects(),
-    peers: options.knownPeers(),
-    ...renewFences(previous ?? { nextFence: 1, services: new Map() }),
-  };
+  const { self, reading, signal, log } = options;
+  const leaderLease = createLeaderLease({
+    ...options,
+    candidate: self,
+    onReturn(change) {
+      log.warn('leadership lease in a new era of the store', { ...change });
+    },
+  });
+  const content = firstContent(options);
   for (let tries = 0; ; tries += 1) {
     const written = await leaderLease.write(content);
     if (written === 'committed') break;
     if (written === 'lost' || tries >= MAX_FIRST_WRITE_RETRIES || signal.aborted) return undefined;
     await sleep(RETRY_MS);
   }
+  const { placement, ...inherited } = await takeOver(options);
+  if (options.recovered) {
+    log.warn('placement recovered after the return of the store', {
+      era: reading.era,
+      source: options.recovered.source,
+      epoch: leaderLease.epoch,
+      formerEpoch: placement?.leaderLease.epoch,
+      copyEpoch: reading.copy?.leaderLease.epoch,
+    });
+  }
   return createPlacementLeader({
     ...options,
+    ...inherited,
     leaderLease,
-    previous: { ...content, leaderLease: previous?.leaderLease ?? unheldLease(self) },
-    toMonotonic: (storeMs) => reading.receivedAt + (storeMs - reading.storeNowMs),
-    inheritedForMs: previous ? await inheritedForMs(previous.leaderLease, options) : 0,
+    previous: { ...content, leaderLease: placement?.leaderLease ?? unheldLease(self) },
   });
 }
--- a/packages/placement/src/lib/hand-over.ts
+++ b/packages/placement/src/lib/hand-over.ts
@@ -34,7 +34,9 @@
   while (!ctx.signal.aborted) {
     const waitMs = mayHoldUntil(ctx, holder) - ctx.clocks.monotonic();
     if (waitMs <= 0) return;
-    if (!released && ctx.mayOrder()) {
+    // An owner that only other routers named may have no known address.
+    const isCallable = holder.incarnation.address !== '';
+    if (!released && isCallable && ctx.mayOrder()) {
       const outcome = await sendRelease(ctx, range, holder);
       if (outcome.kind === 'done') {
         released = true;
--- a/packages/placement/src/lib/held-range.ts
+++ b/packages/placement/src/lib/held-range.ts
@@ -66,6 +66,8 @@
 
 /** How a new leader interprets the times in a record, on its monotonic clock. */
 export interface InheritedTimes {
+  /** True if no owner holds its range any more, so that each has to be granted anew. */
+  readonly leasesEnded: boolean;
   /**
    * Latest end of a lease whose grant was answered before the new leader acquired its leadership
    * lease. Unanswered grants of the former leader may last longer.
@@ -104,7 +106,7 @@
     ...unownedRange(record),
     owner: record.owner && inheritedHolder(record.owner, times, true),
     former: record.former.map((it) => inheritedFormer(it, times)),
-    granted: record.owner !== undefined && record.former.length === 0,
+    granted: record.owner !== undefined && record.former.length === 0 && !times.leasesEnded,
   };
 }
 
--- a/packages/placement/src/lib/leader-lease.ts
+++ b/packages/placement/src/lib/leader-lease.ts
@@ -2,13 +2,13 @@
 
 import {
   type LeaderLeaseRecord,
-  PLACEMENT_KEY,
   PLACEMENT_TABLE,
   type Placement,
   decodePlacement,
   encodePlacement,
 } from './placement-record.js';
-import type { Clocks } from './suspension-guard.js';
+import { findPlacementRows, placementKey } from './placement-rows.js';
+import { type Clocks, createSuspensionGuard } from './suspension-guard.js';
 
 /** Length of a leadership lease, in milliseconds; it is renewed about three times in that time. */
 export const LEADER_LEASE_MS = 3_000;
@@ -28,8 +28,16 @@
 
 /** Content of the placement's row, and when it was read. */
 export interface LeaderLeaseReading {
+  /** The era of the store in its answer. */
+  readonly era: number;
+  /** The placement of this era; `undefined` if no leader has written one. */
   readonly placement: Placement | undefined;
-  /** Version of the row; 0 if there is none. */
+  /**
+   * The latest placement of an earlier era. It is part of the copy from which the store came back,
+   * and lacks what was written later.
+   */
+  readonly copy: Placement | undefined;
+  /** Version of the row of this era; the number 0 of the era if there is none. */
   readonly rowVersion: number;
   /** Time of the store's clock in its answer, in milliseconds. */
   readonly storeNowMs: number;
@@ -48,19 +56,25 @@
   const listed = await store.list(PLACEMENT_TABLE);
   if (listed.isErr()) return undefined;
   const receivedAt = clocks.monotonic();
-  const row = listed.value.rows.find((it) => it.key === PLACEMENT_KEY);
-  const placement = row && decodePlacement(row);
+  const era = eraOf(listed.value.version);
+  const { present, earlier } = findPlacementRows(listed.value, era);
+  const placement = present && decodePlacement(present);
   if (placement?.isErr() === true) return undefined;
   return {
+    era,
     placement: placement?.unwrapOr(undefined),
-    rowVersion: row?.version ?? inEra(eraOf(listed.value.version), 0),
+    copy: earlier && decodePlacement(earlier).unwrapOr(undefined),
+    rowVersion: present?.version ?? inEra(era, 0),
     storeNowMs: listed.value.nowMs,
     askedAt,
     receivedAt,
   };
 }
 
-/** Returns whether a candidate may acquire the leadership lease now. */
+/**
+ * Returns whether a candidate may acquire the leadership lease now, as far as the row of this era
+ * tells.
+ */
 export function mayAcquire(reading: LeaderLeaseReading, candidate: Candidate): boolean {
   const leaderLease = reading.placement?.leaderLease;
   if (!leaderLease || reading.storeNowMs >= leaderLease.untilMs) return true;
@@ -101,6 +115,8 @@
    * milliseconds.
    */
   storeTime(at: number): number;
+  /** Returns whether the lease is lost only because the store came back from an older copy. */
+  isLostToReturn(): boolean;
   /** Treats the lease as unconfirmed until the next write succeeds. */
   invalidate(): void;
 }
@@ -111,16 +127,35 @@
   readonly clocks: Clocks;
   readonly candidate: Candidate;
   readonly reading: LeaderLeaseReading;
+  /** Highest epoch known besides the row's. */
+  readonly knownEpoch?: number;
+  /** Called when the store has come back from an older copy since the last write. */
+  onReturn?(change: LeaseReturn): void;
+}
+
+/** What becomes of a leadership lease when the store has come back from an older copy. */
+export interface LeaseReturn {
+  readonly epoch: number;
+  readonly era: number;
+  /** False if another router may have led since the last confirmed write. */
+  readonly isContinued: boolean;
 }
 
 /** Creates the leadership lease of the next epoch; it is held once a first write is committed. */
 export function createLeaderLease(options: LeaderLeaseOptions): LeaderLease {
   const { store, clocks, candidate, reading } = options;
-  const epoch = (reading.placement?.leaderLease.epoch ?? 0) + 1;
-  let { rowVersion } = reading;
+  const usedEpoch = Math.max(
+    reading.placement?.leaderLease.epoch ?? 0,
+    options.knownEpoch ?? 0,
+    inEra(reading.era, 0),
+  );
+  const epoch = usedEpoch + 1;
+  const guard = createSuspensionGuard(clocks);
+  let { era, rowVersion } = reading;
   let storeClock = { nowMs: reading.storeNowMs, at: reading.askedAt };
   let confirmedAt = -Infinity;
   let confirmedUntil = -Infinity;
+  let isLostToReturn = false;
 
   const storeTime = (at: number) => storeClock.nowMs + (at - storeClock.at);
 
@@ -137,6 +172,22 @@
     return current.value.version === version ? 'committed' : 'unknown';
   }
 
+  /**
+   * Continues the lease in a new era, whose row does not exist yet. Until the lease expires, no
+   * other router can have acquired it in the earlier era, and none has yet in this one: the next
+   * write tells. Returns false if the lease has expired, or may have unnoticed.
+   */
+  function enterEra(next: number, nowMs: number, sentAt: number): boolean {
+    const isContinued = clocks.monotonic() < confirmedUntil && !guard.mayHaveBeenSuspended();
+    options.onReturn?.({ epoch, era: next, isContinued });
+    isLostToReturn = !isContinued;
+    if (!isContinued) return false;
+    era = next;
+    rowVersion = inEra(next, 0);
+    storeClock = { nowMs, at: sentAt };
+    return true;
+  }
+
   async function write(
     content: Omit<Placement, 'leaderLease'>,
     handOver?: HandOverNote,
@@ -152,10 +203,12 @@
       successor: handOver?.successor ?? '',
     };
     const value = encodePlacement({ leaderLease, ...content });
-    const answer = await store.put(PLACEMENT_TABLE, PLACEMENT_KEY, value, rowVersion);
+    const answer = await store.put(PLACEMENT_TABLE, placementKey(era), value, rowVersion);
     if (answer.isErr()) return 'unknown';
     const outcome = answer.value;
-    if (outcome.kind === 'other-era') return 'lost';
+    if (outcome.kind === 'other-era') {
+      return enterEra(outcome.era, outcome.nowMs, sentAt) ? write(content, handOver) : 'lost';
+    }
     if (outcome.kind === 'conflict') {
       const adopted = resolveConflict(outcome.current, content.version);
       if (adopted === 'committed') confirm(sentAt);
@@ -168,6 +221,7 @@
   }
 
   function confirm(sentAt: number): void {
+    guard.mayHaveBeenSuspended();
     confirmedAt = sentAt;
     confirmedUntil = sentAt + LEADER_LEASE_MS;
   }
@@ -178,6 +232,7 @@
     isConfirmed: () => clocks.monotonic() < confirmedUntil,
     sinceConfirmedMs: () => clocks.monotonic() - confirmedAt,
     storeTime,
+    isLostToReturn: () => isLostToReturn,
     invalidate() {
       confirmedUntil = -Infinity;
     },
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -21,6 +21,7 @@
 import type { PlacementView, RangeView } from './placement-view.js';
 import { createPlacementWriter } from './placement-writer.js';
 import { type RangeTable, createRangeTable, joinUnderNewFence, recordsOf } from './range-table.js';
+import { releaseOthers } from './release-others.js';
 import type { ServerDirectory } from './server-directory.js';
 import { createServerHealth } from './server-health.js';
 import type { ServerLimits } from './server-limits.js';
@@ -31,6 +32,7 @@
 } from './service-planner.js';
 import type { AgedRun } from './suspect-run.js';
 import { type Clocks, createSuspensionGuard } from './suspension-guard.js';
+import { type PlacementNote, createWitnesses } from './witnesses.js';
 
 /**
  * Time between two plans that balance load, in milliseconds; ranges without an owner are placed
@@ -44,6 +46,8 @@
  * milliseconds.
  */
 const FIRST_PLAN_DELAY_MS = 1_500;
+/** Time between two checks whether the registry has been read, in milliseconds. */
+const VERIFY_RETRY_MS = 50;
 
 /** Assigns the keys of partitioned services to backend servers while this router leads. */
 export interface PlacementLeader {
@@ -65,6 +69,8 @@
    * still held.
    */
   run(signal: AbortSignal): Promise<void>;
+  /** Addresses of the routers that know of each move before its first order. */
+  witnesses(): readonly string[];
   /** Returns whether the leadership lease has expired without confirmation by the store. */
   isLeaseExpired(): boolean;
   /** Requests a write of the row. */
@@ -75,6 +81,19 @@
    * Stops sending orders; returns the time until unanswered grants have expired, in milliseconds.
    */
   stepDown(): number;
+  /** What the leader knows; final once it has stepped down. */
+  stopped(): StoppedPlacement;
+}
+
+/** What a leader knew when it stopped, without the record of its lease. */
+export interface StoppedPlacement {
+  readonly content: Omit<Placement, 'leaderLease' | 'version'>;
+  /** Time until unanswered grants have expired, in milliseconds. */
+  readonly unansweredForMs: number;
+  /** Estimate of the store's clock, in milliseconds. */
+  readonly storeNowMs: number;
+  /** True if the leader lost its lease only because the store came back from an older copy. */
+  readonly isLostToReturn: boolean;
 }
 
 /** Options of {@link createPlacementLeader}. */
@@ -83,6 +102,8 @@
   readonly previous: Placement | undefined;
   /** Time for which a grant of the former leader may still be in effect, in milliseconds. */
   readonly inheritedForMs: number;
+  /** True if all leases of the former placement have ended. */
+  readonly leasesEnded?: boolean;
   /** Converts a time of the store's clock to the latest monotonic time at which it can occur. */
   readonly toMonotonic: (storeMs: number) => number;
   readonly orders: ServerOrders;
@@ -95,6 +116,10 @@
   routers(): number;
   /** How long before its end a server announces that it leaves, in milliseconds. */
   drainNoticeMs(): number;
+  /** Addresses of other routers that may witness moves, the most recently heard first. */
+  witnessCandidates(): readonly string[];
+  /** Tells a router of the placement; resolves to false if it does not note it. */
+  tellWitness(address: string, note: PlacementNote): Promise<boolean>;
   /** Limits that backend servers name. */
   readonly limits: Pick<ServerLimits, 'limitOf'>;
   /** Suspect runs to store in the row. */
@@ -111,10 +136,18 @@
   const inheritedUntil = startedAt + options.inheritedForMs;
   const guard = createSuspensionGuard(clocks);
   const tables = inheritTables(previous, {
-    answeredUntil: startedAt + maxLeaseMs(times),
+    leasesEnded: options.leasesEnded === true,
+    answeredUntil: options.leasesEnded === true ? -Infinity : startedAt + maxLeaseMs(times),
     toMonotonic: options.toMonotonic,
   });
   const feed = createChangeFeed(leaderLease.epoch, tables, previous?.change ?? 0);
+  const witnesses = createWitnesses({
+    candidates: () => options.witnessCandidates(),
+    tell: (address, note) => options.tellWitness(address, note),
+    view: () => feed.view(),
+    now: clocks.monotonic,
+    changedSince: (change) => feed.since(change),
+  });
   const planWakeSignal = createWakeSignal();
   /** Ends the writer and thereby the run. */
   const writerAbort = new AbortController();
@@ -123,6 +156,8 @@
   // Each hand-over adds a listener, and there may be many at a time.
   setMaxListeners(0, orderAbort.signal);
   let nextFence = previous?.nextFence ?? 1;
+  /** False while servers other than the owners may hold ranges. */
+  let isVerified = previous?.isUnverified !== true;
   let hasSteppedDown = false;
   let successor: string | undefined;
   let invalidatedAt = -Infinity;
@@ -146,16 +181,19 @@
     );
   }
 
+  const content = () => ({
+    change: feed.last(),
+    nextFence,
+    services: recordAll(),
+    suspects: options.suspects(),
+    peers: options.knownPeers(),
+    isUnverified: !isVerified,
+  });
+
   const writer = createPlacementWriter({
     leaderLease,
     firstVersion: previous?.version ?? 0,
-    content: () => ({
-      change: feed.last(),
-      nextFence,
-      services: recordAll(),
-      suspects: options.suspects(),
-      peers: options.knownPeers(),
-    }),
+    content,
     onUnconfirmed() {
       const sinceMs = Math.round(leaderLease.sinceConfirmedMs());
       log.warn('leadership lease not confirmed', { epoch: leaderLease.epoch, sinceMs });
@@ -230,9 +268,10 @@
       joined: joined.length,
       epoch: leaderLease.epoch,
     });
-    if (!(await writer.persist())) return;
-    for (const range of joined) void grantJoined(ctx, range);
     for (const range of moved) feed.note(range);
+    const [isStored] = await Promise.all([writer.persist(), witnesses.tell()]);
+    if (!isStored) return;
+    for (const range of joined) void grantJoined(ctx, range);
     for (const range of moved) void handOver(ctx, range).then(planWakeSignal.wake);
   }
 
@@ -265,11 +304,41 @@
 
   /** Resumes the hand-overs that the former leader had begun. */
   function resumeHandOvers(): void {
-    for (const { ranges } of tables.values()) {
-      for (const range of ranges) {
-        if (range.owner && !range.granted) void handOver(ctx, range);
-      }
-    }
+    const unfinished = allRanges().filter((it) => it.owner && !it.granted);
+    if (unfinished.length === 0) return;
+    for (const range of unfinished) range.busy = true;
+    void witnesses.tell().then(() => {
+      for (const range of unfinished) void handOver(ctx, range);
+    });
+  }
+
+  /** Releases ranges at servers that may hold them although they don't own them. */
+  async function verify(): Promise<void> {
+    const from = clocks.monotonic();
+    // A placement without ranges is divided only after servers have had time to register.
+    if (tables.size === 0) await pause(FIRST_PLAN_DELAY_MS);
+    while (!orderAbort.signal.aborted && !directory.isLoaded()) await pause(VERIFY_RETRY_MS);
+    const services = new Set([...tables.keys(), ...options.partitionedServices()]);
+    const silent = await Promise.all(
+      [...services].map((it) => releaseOthers(ctx, it, tables.get(it)?.ranges ?? [])),
+    );
+    isVerified = true;
+    log.info('ranges released at servers that do not own them', {
+      epoch: leaderLease.epoch,
+      silent: silent.flat(),
+      afterMs: Math.round(clocks.monotonic() - from),
+    });
+  }
+
+  async function pause(ms: number): Promise<void> {
+    await sleep(ms, undefined, { signal: orderAbort.signal }).catch(() => undefined);
+  }
+
+  /** Sends orders to backend servers until `orderAbort` aborts. */
+  async function sendOrders(): Promise<void> {
+    if (!isVerified) await verify();
+    resumeHandOvers();
+    await Promise.all([renewLeases(ctx, tables, planWakeSignal.wake), planAll()]);
   }
 
   function allRanges() {
@@ -314,8 +383,7 @@
       firstFence: nextFence,
       inheritedForMs: Math.round(options.inheritedForMs),
     });
-    resumeHandOvers();
-    const loops = [renewLeases(ctx, tables, planWakeSignal.wake), planAll()];
+    const work = sendOrders();
     await writer.run(writerAbort.signal);
     signal.removeEventListener('abort', onAbort);
     hasSteppedDown = true;
@@ -326,7 +394,7 @@
     }
     orderAbort.abort();
     planWakeSignal.wake();
-    await Promise.all(loops);
+    await work;
     feed.close();
     log.info('no longer leading placement', { epoch: leaderLease.epoch });
   }
@@ -354,12 +422,20 @@
     persist() {
       void writer.persist();
     },
+    witnesses: () => witnesses.addresses(),
     isLeaseExpired: () => !leaderLease.isConfirmed(),
     stepDown() {
       hasSteppedDown = true;
       writerAbort.abort();
       return unansweredForMs();
     },
+    stopped: () => ({
+      // Without a confirmed lease, another router may have led since and sent orders.
+      content: { ...content(), isUnverified: !isVerified || !leaderLease.isConfirmed() },
+      isLostToReturn: leaderLease.isLostToReturn(),
+      unansweredForMs: unansweredForMs(),
+      storeNowMs: leaderLease.storeTime(clocks.monotonic()),
+    }),
   };
 }
 
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -3,9 +3,10 @@
 import type { RowStore, ServerOrders } from '@boragepoint/platform';
 import type { ReportRequest, RequestPermitsRequest } from '@boragepoint/protocol';
 
-import { MAX_UNANSWERED_GRANT_MS, becomeLeader } from './become-leader.js';
+import { becomeLeader } from './become-leader.js';
 import { createChangeSignal } from './change-signal.js';
 import { createKnownPeers } from './known-peers.js';
+import { createKnownPlacement } from './known-placement.js';
 import type { PlacementLogger } from './leader-context.js';
 import { createLimitExchange } from './limit-exchange.js';
 import {
@@ -25,6 +26,7 @@
 import { type PermitsAnswer, createPermitRequests } from './permit-requests.js';
 import type { PlacementLeader } from './placement-leader.js';
 import type {
+  FetchedPlacement,
   LeaderAddress,
   NamedTableReport,
   PlacementPeers,
@@ -32,13 +34,12 @@
   SuspectUpdate,
 } from './placement-peers.js';
 import type { Placement } from './placement-record.js';
+import { type PlacementView, viewOf, withChanges } from './placement-view.js';
 import {
-  NO_PLACEMENT,
-  type PlacementView,
-  isNewer,
-  viewOf,
-  withChanges,
-} from './placement-view.js';
+  MAX_UNANSWERED_GRANT_MS,
+  type RecoveredPlacement,
+  recoverPlacement,
+} from './recover-placement.js';
 import { createReportClient } from './report-client.js';
 import { MIN_REPORT_GAP_MS, createReportPacer } from './report-pacer.js';
 import { type ReportReply, createReportResponder } from './report-responder.js';
@@ -46,9 +47,11 @@
 import type { ServerDirectory } from './server-directory.js';
 import type { LimitNotice, ServerLimits } from './server-limits.js';
 import type { ServiceLoadReport } from './service-planner.js';
+import type { StoppedLeader } from './stopped-leader.js';
 import { createSuspectExchange } from './suspect-exchange.js';
 import type { SuspectRecord } from './suspect-record.js';
 import type { Clocks } from './suspension-guard.js';
+import type { PlacementNote } from './witnesses.js';
 
 /**
  * Longest time for which the leader delays the answer to a report until a change, in milliseconds.
@@ -63,6 +66,10 @@
 const MIN_SERVED_MS = 2_500;
 /** Average pause between two searches for a leader, in milliseconds. */
 const RETRY_MS = 300;
+/** Time in which a witness has to answer, in milliseconds. */
+const WITNESS_TIMEOUT_MS = 200;
+/** Average pause between two attempts to claim an era, in milliseconds. */
+const UNCLAIMED_RETRY_MS = 600;
 /** Time for which the leader's admitted shares are valid, in milliseconds. */
 const ADMITTED_TTL_MS = 3_000;
 /**
@@ -123,13 +130,22 @@
   answerPermits(req: RequestPermitsRequest): PermitsAnswer;
   /** Resolves at the next change of the view, or after `ms` milliseconds. */
   waitForChange(ms: number): Promise<void>;
+  /**
+   * Time for which no range may be granted, because the store lacks what nobody else knows, in
+   * milliseconds; 0 if that is not so.
+   */
+  unknownForMs(): number;
   /** Answers another router's report. */
   answerReport(req: ReportRequest): Promise<ReportReply>;
+  /** Answers a router that looks for the newest placement beyond the store's copy. */
+  knownPlacement(): FetchedPlacement | undefined;
+  /** Notes what a leader tells a witness; returns false if this router lacks earlier changes. */
+  notePlacement(note: PlacementNote): boolean;
   /**
-   * Answers a successor's request to step down: returns the time until unanswered grants have
-   * expired, in milliseconds, or `undefined` if `startedMs` names another process.
+   * Answers a successor's request to step down; returns `undefined` if the request names another
+   * process. A `startedMs` of 0 names the process that led the epoch.
    */
-  answerStepDown(epoch: number, startedMs: number): number | undefined;
+  answerStepDown(epoch: number, startedMs: number): StepDownReply | undefined;
   /**
    * Leads or follows until `leadSignal` aborts, then hands over if it leads; follows until
    * `followSignal` aborts.
@@ -137,6 +153,14 @@
   run(leadSignal: AbortSignal, followSignal: AbortSignal): Promise<void>;
 }
 
+/** Answer to a request to step down. */
+export interface StepDownReply {
+  /** Time until unanswered grants have expired, in milliseconds. */
+  readonly unansweredForMs: number;
+  /** What the router knew as the leader of that epoch, if it still knows. */
+  readonly stopped: StoppedLeader | undefined;
+}
+
 /** Options of {@link createPlacementMember}. */
 export interface PlacementMemberOptions {
   readonly self: Candidate;
@@ -171,6 +195,7 @@
   const { self, store, peers, clocks, suspects } = options;
   const reporters = createReporters(clocks);
   const knownPeers = createKnownPeers(self.address);
+  const known = createKnownPlacement();
   const viewSignal = createChangeSignal();
   const pacer = createReportPacer();
   const storeChanges = createChangeSignal();
@@ -206,11 +231,10 @@
     ...options,
     exchange,
     limitExchange,
-    view: () => currentView,
+    view: () => known.view(),
     isServedByStore: () => isServedByStore(),
   });
   const transferLeadership = createLeadershipTransfer(options.capacity, clocks);
-  let currentView: PlacementView = NO_PLACEMENT;
   let routers = 1;
   let admitted: { shares: AdmittedShares; until: number } = { shares: new Map(), until: 0 };
   let leader: PlacementLeader | undefined;
@@ -218,20 +242,28 @@
   let allocator: PermitAllocator | undefined;
   let leaderRun: Promise<void> = Promise.resolve();
   let lastEpochLed = 0;
+  /** What this router knew when it last stopped leading. */
+  let lastStopped: StoppedLeader | undefined;
+  /** An era of the store that no leader has claimed, and when that was first seen. */
+  let unclaimedEra: { era: number; since: number } | undefined;
   /** The leader to report to. */
   let followedLeader: LeaderAddress | undefined;
-  /** Epoch of the leader that answered last. */
-  let followedEpoch: number | undefined;
+  /** The leader that answered last, and when, on the monotonic clock. */
+  let lastLeader: LeaderAddress | undefined;
+  let heardAt = -Infinity;
+  /** Epoch of the leader that told this router of each move before its first order. */
+  let witnessedEpoch: number | undefined;
   /** When the last read of the row was sent, on the monotonic clock. */
   let leaseReadAt = -Infinity;
   let isLeaderLeaseExpired = false;
   let isCaughtUp = false;
   const createdAt = clocks.monotonic();
 
+  // The leader confirms its lease in a new era as soon as any call tells of it.
+  store.onEra(() => leader?.persist());
+
   function updateView(view: PlacementView): void {
-    if (!isNewer(view, currentView)) return;
-    currentView = view;
-    viewSignal.wakeAll();
+    if (known.update(view)) viewSignal.wakeAll();
   }
 
   function updateAdmitted(shares: AdmittedShares): void {
@@ -242,7 +274,22 @@
   const isServedByStore = () => options.directory.currentSince() < Infinity;
   const countRouters = () => reporters.count() + 1;
 
-  async function acquireLease(reading: LeaderLeaseReading, signal: AbortSignal): Promise<void> {
+  /** Keeps what the leader knows, for the case that the store forgets it. */
+  function keepStopped(stopping: PlacementLeader, isAskedToStop = false): StoppedLeader {
+    const { content, isLostToReturn, ...rest } = stopping.stopped();
+    const { epoch } = stopping;
+    const lease = { untilMs: 0, handedOver: true, unansweredForMs: 0, successor: '' };
+    const placement = { ...content, version: 0, leaderLease: { ...self, epoch, ...lease } };
+    const wasLast = lastStopped?.placement.leaderLease.epoch === epoch && lastStopped.isLast;
+    lastStopped = { placement, ...rest, isLast: wasLast || isLostToReturn || isAskedToStop };
+    return lastStopped;
+  }
+
+  async function acquireLease(
+    reading: LeaderLeaseReading,
+    signal: AbortSignal,
+    recovered?: RecoveredPlacement,
+  ): Promise<void> {
     const partitionedServices = () => options.partitionedServices() ?? [];
     const created = await becomeLeader({
       ...options,
@@ -250,7 +297,11 @@
       routers: countRouters,
       suspects: () => exchange.runsToStore(),
       knownPeers: () => knownPeers.all(),
+      witnessCandidates: () => [...reporters.addresses(), ...knownPeers.all()],
+      tellWitness: (address, note) => peers.notePlacement(address, note, WITNESS_TIMEOUT_MS),
       reading,
+      knownEpoch: Math.max(known.view().epoch, lastEpochLed),
+      ...(recovered && { recovered }),
       signal,
     });
     if (!created) return;
@@ -262,8 +313,11 @@
     });
     isCaughtUp = true;
     lastEpochLed = created.epoch;
+    witnessedEpoch = created.epoch;
+    updateView(created.view());
     followedLeader = undefined;
     leaderRun = created.run(signal).finally(() => {
+      keepStopped(created);
       leader = undefined;
     });
   }
@@ -291,6 +345,42 @@
     await Promise.all([...others].map((address) => reportClient.report(address, times)));
   }
 
+  /** What this router knows about the leader of a view. */
+  const knownOf = (view: PlacementView | undefined) => ({
+    isWitness: witnessedEpoch === view?.epoch,
+    heardAgoMs: clocks.monotonic() - heardAt,
+    leader: lastLeader?.epoch === view?.epoch ? lastLeader : undefined,
+  });
+
+  /**
+   * Acquires the leadership lease of an era that no leader has claimed, once the placement to start
+   * from is known. Until then, the leader of the earlier era may claim it.
+   */
+  async function claimEra(reading: LeaderLeaseReading, signal: AbortSignal): Promise<void> {
+    const { era, copy } = reading;
+    if (unclaimedEra?.era !== era) unclaimedEra = { era, since: clocks.monotonic() };
+    followedLeader = undefined;
+    if (copy) {
+      if (known.updateFromCopy(viewOf(copy))) viewSignal.wakeAll();
+      exchange.mergeStored(copy.suspects);
+      if (!isCaughtUp) await catchUp(copy);
+      isCaughtUp = true;
+    }
+    if (signal.aborted || options.partitionedServices() === undefined) return;
+    const view = known.beyondCopy();
+    const recovered = await recoverPlacement({
+      ...options,
+      reading,
+      unclaimedForMs: clocks.monotonic() - unclaimedEra.since,
+      view,
+      ...knownOf(view),
+      stopped: lastStopped,
+      addresses: knownPeers.all(),
+    });
+    if (recovered) await acquireLease(reading, signal, recovered);
+    else await askPeer();
+  }
+
   /**
    * Reads the row to get the placement and the leader, or acquires the leadership lease if it is
    * free.
@@ -302,6 +392,11 @@
       await askPeer();
       return;
     }
+    if (reading.era > 0 && !reading.placement) {
+      await claimEra(reading, signal);
+      return;
+    }
+    unclaimedEra = undefined;
     if (reading.placement) {
       updateView(viewOf(reading.placement));
       exchange.mergeStored(reading.placement.suspects);
@@ -353,15 +448,16 @@
       handleLostLeader(followed, answer, askedAt);
       return false;
     }
-    if (followedEpoch !== followed.epoch) {
-      followedEpoch = followed.epoch;
+    if (lastLeader?.epoch !== followed.epoch) {
       options.log.info('following the leader', { leader: followed.router, epoch: followed.epoch });
     }
-    knownPeers.note([...answer.peers, followed.address]);
+    lastLeader = { ...followed, epoch: answer.view?.epoch ?? followed.epoch };
+    heardAt = clocks.monotonic();
+    knownPeers.note([...answer.peers, ...answer.witnesses, followed.address]);
     // Applied before the placement, which may name servers that are new in the registry.
     if (answer.servers) options.directory.applyUpdate(answer.servers);
     if (answer.view)
-      updateView(answer.isComplete ? answer.view : withChanges(currentView, answer.view));
+      updateView(answer.isComplete ? answer.view : withChanges(known.view(), answer.view));
     routers = Math.max(1, answer.routers);
     updateAdmitted(answer.admitted);
     options.onTableReports(answer.tables);
@@ -390,7 +486,7 @@
     if (leading) {
       leadOnce(leading);
       await Promise.race([
-        leading.waitForChange(currentView.change, REPORT_WAIT_MS),
+        leading.waitForChange(known.view().change, REPORT_WAIT_MS),
         sleep(REPORT_WAIT_MS),
       ]);
       updateView(leading.view());
@@ -404,7 +500,8 @@
     }
     if (followedLeader) return;
     await refresh(signal);
-    if (!isLeading()) await sleep(RETRY_MS * (0.5 + Math.random()));
+    const pauseMs = unclaimedEra ? UNCLAIMED_RETRY_MS : RETRY_MS;
+    if (!isLeading()) await sleep(pauseMs * (0.5 + Math.random()));
   }
 
   const answerReport = createReportResponder({
@@ -423,7 +520,7 @@
 
   return {
     startedMs: self.startedMs,
-    view: () => currentView,
+    view: () => known.view(),
     routers: () => routers,
     isLeading,
     isCaughtUp: () => isCaughtUp || clocks.monotonic() > createdAt + CAUGHT_UP_AFTER_MS,
@@ -445,6 +542,10 @@
       else void permits.share();
     },
     answerPermits: (req) => permits.answer(req),
+    unknownForMs() {
+      if (!unclaimedEra || known.beyondCopy()) return 0;
+      return Math.max(0, unclaimedEra.since + MAX_UNANSWERED_GRANT_MS - clocks.monotonic());
+    },
     waitForChange(ms) {
       pacer.expedite();
       return viewSignal.wait(ms);
@@ -454,10 +555,41 @@
       isCaughtUp = true;
       return answerReport(req);
     },
+    knownPlacement() {
+      if (leader) {
+        const { epoch } = leader;
+        return {
+          view: leader.view(),
+          leader: { ...self, epoch },
+          isWitness: true,
+          heardAgoMs: 0,
+        };
+      }
+      const view = known.beyondCopy();
+      return view && { view, ...knownOf(view) };
+    },
+    notePlacement({ view, isComplete, after }) {
+      const current = known.view();
+      if (view.epoch < current.epoch) return false;
+      const hasEarlier = view.epoch === current.epoch && current.change >= after;
+      if (!isComplete && !hasEarlier) return false;
+      updateView(isComplete ? view : withChanges(current, view));
+      witnessedEpoch = view.epoch;
+      heardAt = clocks.monotonic();
+      return true;
+    },
     answerStepDown(epoch, startedMs) {
-      if (startedMs !== self.startedMs) return undefined;
-      if (leader?.epoch === epoch) return leader.stepDown();
-      return epoch <= lastEpochLed ? MAX_UNANSWERED_GRANT_MS : 0;
+      if (startedMs !== 0 && startedMs !== self.startedMs) return undefined;
+      if (leader?.epoch === epoch) {
+        const unansweredForMs = leader.stepDown();
+        // A router of a new era asks before it acquires the lease, others ask after that.
+        return { unansweredForMs, stopped: keepStopped(leader, startedMs === 0) };
+      }
+      // A process that has not led the epoch is a later one.
+      if (startedMs === 0 && epoch > lastEpochLed) return undefined;
+      const unansweredForMs = epoch <= lastEpochLed ? MAX_UNANSWERED_GRANT_MS : 0;
+      const isLast = lastStopped?.placement.leaderLease.epoch === epoch;
+      return { unansweredForMs, stopped: isLast ? lastStopped : undefined };
     },
     async run(leadSignal, followSignal) {
       const ended = new Promise((resolve) => {
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -8,7 +8,9 @@
   createProgressTimeout,
 } from '@boragepoint/platform';
 import {
+  type FetchPlacementResponse,
   type FetchTablePart,
+  type NotePlacementRequest,
   PlacementService,
   type ReportRequestSchema,
   type TableUpdate,
@@ -22,12 +24,16 @@
 import type { PermitsReply, WantedPermits } from './permit-allocator.js';
 import type { LeaderLeaseRecord } from './placement-record.js';
 import type { PlacementView } from './placement-view.js';
+import { type StoppedLeader, decodeStoppedLeader } from './stopped-leader.js';
 import { type AgedRun, decodeRun, encodeRun } from './suspect-run.js';
+import type { PlacementNote } from './witnesses.js';
 
 /** Timeouts of the transfer of a table between routers, in milliseconds. */
 const FETCH_TIMEOUTS = { firstByteTimeoutMs: 1_000, progressTimeoutMs: 1_000 };
 /** Largest message of another router, in bytes. */
 const MAX_ANSWER_BYTES = 16 << 20;
+/** Longest time since a leader was heard that is told, in milliseconds. */
+const MAX_HEARD_AGO_MS = 60_000;
 /** Largest table that another router sends in parts, in bytes. */
 const MAX_TABLE_BYTES = 64 << 20;
 
@@ -58,6 +64,8 @@
   readonly isLeaseExpired: boolean;
   /** Addresses of some other routers. */
   readonly peers: readonly string[];
+  /** Addresses of the routers that the leader tells of each move. */
+  readonly witnesses: readonly string[];
   /** The leader that the answering router follows, if it does not lead itself. */
   readonly leader: LeaderAddress | undefined;
   /** State of the store's tables, as known to the leader. */
@@ -78,15 +86,30 @@
 /** Identity and address of a leader. */
 export type LeaderAddress = Pick<LeaderLeaseRecord, 'router' | 'address' | 'epoch'>;
 
+/** The newest placement that another router knows beyond the store's copy. */
+export interface FetchedPlacement {
+  readonly view: PlacementView;
+  /** The leader of the view's epoch, if that router knows its address. */
+  readonly leader: Pick<LeaderLeaseRecord, 'address' | 'epoch'> | undefined;
+  /** True if the leader of the view's epoch told that router of each move before its first order. */
+  readonly isWitness: boolean;
+  /** Time since a leader last answered or told that router, in milliseconds. */
+  readonly heardAgoMs: number;
+}
+
 /**
  * Answer of a former leader that was asked to step down:
  * - `stopped`: it sends no more orders; `unansweredForMs` is the time until its unanswered grants
- *   have expired.
+ *   have expired, `stopped` is what it knew, if it still has that.
  * - `gone`: its process has ended.
  * - `silent`: it did not answer.
  */
 export type StepDownAnswer =
-  | { readonly kind: 'stopped'; readonly unansweredForMs: number }
+  | {
+      readonly kind: 'stopped';
+      readonly unansweredForMs: number;
+      readonly stopped: StoppedLeader | undefined;
+    }
   | { readonly kind: 'gone' | 'silent' };
 
 /** Suspect runs that one router shares with another. */
@@ -119,7 +142,14 @@
 export interface PlacementPeers extends Disposable {
   /** Sends a report; resolves to `undefined` without a usable answer in time. */
   report(address: string, report: Report, timeoutMs: number): Promise<ReportAnswer | undefined>;
-  /** Asks a former leader to step down; `startedMs` names its process. */
+  /**
+   * Fetches the newest placement that another router knows beyond the store's copy; resolves to
+   * `undefined` if it knows none, or without an answer in time.
+   */
+  fetchPlacement(address: string, timeoutMs: number): Promise<FetchedPlacement | undefined>;
+  /** Tells a router of the placement; resolves to false if it does not note it in time. */
+  notePlacement(address: string, note: PlacementNote, timeoutMs: number): Promise<boolean>;
+  /** Asks a former leader to step down; `startedMs` names its process, 0 if it is not known. */
   requestStepDown(
     address: string,
     epoch: number,
@@ -148,6 +178,8 @@
   rowsSince(address: string, table: string, version: number): Promise<RowDelta | undefined>;
 }
 
+type ViewMessage = Pick<FetchPlacementResponse, 'epoch' | 'change' | 'services'>;
+
 interface Peer {
   readonly rpc: Client<typeof PlacementService>;
   readonly sessions: Http2SessionManager;
@@ -167,6 +199,45 @@
   return { version: Number(version), changed: rows, removed };
 }
 
+/** Decodes a note of a leader. */
+export function decodeNote(req: NotePlacementRequest): PlacementNote {
+  return { view: decodeView(req), isComplete: req.complete, after: Number(req.after) };
+}
+
+function decodeView({ epoch, change, services }: ViewMessage): PlacementView {
+  const decoded = services.map(({ service, ranges }) => {
+    const views = ranges.map(({ first, last, owner, granted }) => ({
+      first,
+      last,
+      owner: owner === '' ? undefined : owner,
+      granted,
+    }));
+    return [service, views] as const;
+  });
+  return { epoch: Number(epoch), change: Number(change), services: new Map(decoded) };
+}
+
+/** Encodes the services of a view. */
+export function encodeServices(services: PlacementView['services']) {
+  return [...services].map(([service, ranges]) => ({
+    service,
+    ranges: ranges.map((it) => ({ ...it, owner: it.owner ?? '' })),
+  }));
+}
+
+/** Encodes the newest placement that this router knows, for another router. */
+export function encodeKnownPlacement(placement: FetchedPlacement) {
+  const { view, leader, isWitness, heardAgoMs } = placement;
+  return {
+    epoch: BigInt(view.epoch),
+    change: BigInt(view.change),
+    services: encodeServices(view.services),
+    witness: isWitness,
+    heardAgoMs: Math.min(MAX_HEARD_AGO_MS, Math.floor(heardAgoMs)),
+    ...(leader && { leader: { address: leader.address, epoch: BigInt(leader.epoch) } }),
+  };
+}
+
 /** Assembles the parts of a table. */
 async function readDelta(
   parts: AsyncIterable<FetchTablePart>,
@@ -223,23 +294,7 @@
     async report(address, report, timeoutMs) {
       try {
         const res = await peerAt(address).rpc.report(report, { timeoutMs });
-        const view: PlacementView | undefined = res.leads
-          ? {
-              epoch: Number(res.epoch),
-              change: Number(res.change),
-              services: new Map(
-                res.services.map((it) => [
-                  it.service,
-                  it.ranges.map((range) => ({
-                    first: range.first,
-                    last: range.last,
-                    owner: range.owner === '' ? undefined : range.owner,
-                    granted: range.granted,
-                  })),
-                ]),
-              ),
-            }
-          : undefined;
+        const view = res.leads ? decodeView(res) : undefined;
         const { leads, complete, routers } = res;
         const suspects = res.suspects.flatMap((it) => decodeRun(it) ?? []);
         const admitted = new Map(res.admitted.map(({ server, share }) => [server, share]));
@@ -260,6 +315,7 @@
           admitted,
           isLeaseExpired: res.tenureOver,
           peers: res.peers,
+          witnesses: res.witnesses,
           leader,
           startedMs: Number(res.startedMs),
           servers: res.servers && decodeRowUpdate(res.servers),
@@ -270,12 +326,45 @@
         return undefined;
       }
     },
+    async fetchPlacement(address, timeoutMs) {
+      try {
+        const res = await peerAt(address).rpc.fetchPlacement({}, { timeoutMs });
+        if (res.epoch === 0n) return undefined;
+        const { leader } = res;
+        return {
+          view: decodeView(res),
+          leader: leader && { address: leader.address, epoch: Number(leader.epoch) },
+          isWitness: res.witness,
+          heardAgoMs: res.heardAgoMs,
+        };
+      } catch {
+        disconnect(address);
+        return undefined;
+      }
+    },
+    async notePlacement(address, { view, isComplete, after }, timeoutMs) {
+      const req = {
+        epoch: BigInt(view.epoch),
+        change: BigInt(view.change),
+        services: encodeServices(view.services),
+        complete: isComplete,
+        after: BigInt(after),
+      };
+      try {
+        const res = await peerAt(address).rpc.notePlacement(req, { timeoutMs });
+        return res.noted;
+      } catch {
+        return false;
+      }
+    },
     async requestStepDown(address, epoch, startedMs, timeoutMs) {
       const req = { epoch: BigInt(epoch), startedMs: BigInt(startedMs) };
       try {
         const res = await peerAt(address).rpc.yieldSeat(req, { timeoutMs });
-        if (res.unansweredForMs === undefined) return { kind: 'gone' };
-        return { kind: 'stopped', unansweredForMs: res.unansweredForMs };
+        const { unansweredForMs } = res;
+        if (unansweredForMs === undefined) return { kind: 'gone' };
+        const stopped = res.stopped && decodeStoppedLeader(res.stopped, unansweredForMs);
+        return { kind: 'stopped', unansweredForMs, stopped };
       } catch (cause) {
         disconnect(address);
         return { kind: isConnectionRefused(cause) ? 'gone' : 'silent' };
--- a/packages/placement/src/lib/placement-record.ts
+++ b/packages/placement/src/lib/placement-record.ts
@@ -72,6 +72,11 @@
   readonly suspects: readonly AgedRun[];
   /** Addresses of some other routers that answered recently. */
   readonly peers: readonly string[];
+  /**
+   * True if servers other than the owners may hold ranges, because the leader has not released them
+   * there yet.
+   */
+  readonly isUnverified?: boolean;
 }
 
 /** Encodes a service; each incarnation is written once and referenced by its index. */
@@ -139,6 +144,7 @@
     services: [...placement.services].map(([service, ranges]) => encodeService(service, ranges)),
     suspects: placement.suspects.map(encodeRun),
     peers: [...placement.peers],
+    unverified: placement.isUnverified ?? false,
   });
   return toBinary(PlacementRecordSchema, message);
 }
@@ -162,11 +168,12 @@
     services: new Map(message.services.map((it) => [it.service, decodeService(it)])),
     suspects: message.suspects.flatMap((it) => decodeRun(it) ?? []),
     peers: message.peers,
+    ...(message.unverified && { isUnverified: true }),
   };
 }
 
 /** Decodes the placement's row. */
-export function decodePlacement(row: StoredRow): Result<Placement, PlatformError> {
+export function decodePlacement(row: Pick<StoredRow, 'value'>): Result<Placement, PlatformError> {
   return Result.fromThrowable(
     () => decodeMessage(fromBinary(PlacementRecordSchema, row.value)),
     (cause) => new PlatformError('the placement row cannot be decoded', false, { cause }),
--- a/packages/placement/src/lib/report-responder.ts
+++ b/packages/placement/src/lib/report-responder.ts
@@ -4,7 +4,7 @@
 import type { ChangeSignal } from './change-signal.js';
 import { type LimitExchange, decodeLimit, encodeLimit } from './limit-exchange.js';
 import type { PlacementLeader } from './placement-leader.js';
-import type { LeaderAddress, NamedTableReport } from './placement-peers.js';
+import { type LeaderAddress, type NamedTableReport, encodeServices } from './placement-peers.js';
 import type { Reporters } from './reporters.js';
 import type { ServerDirectory } from './server-directory.js';
 import type { SuspectExchange } from './suspect-exchange.js';
@@ -141,15 +141,13 @@
       complete: isComplete,
       tenureOver: leading.isLeaseExpired(),
       peers: reporters.someAddresses(req.address),
+      witnesses: [...leading.witnesses()],
       ...exchange.replyFields(req.address, knownSuspects),
       ...limitFieldsFor(req),
       ...(servers && { servers }),
       tables: options.tables().map((it) => ({ ...it, version: BigInt(it.version) })),
       admitted: [...leading.admitted()].map(([server, share]) => ({ server, share })),
-      services: [...services].map(([service, ranges]) => ({
-        service,
-        ranges: ranges.map((it) => ({ ...it, owner: it.owner ?? '' })),
-      })),
+      services: encodeServices(services),
     };
   };
 }
--- /dev/null
+++ b/packages/placement/src/lib/witnesses.ts
@@ -0,0 +1,88 @@
+import type { PlacementView } from './placement-view.js';
+
+/** Number of routers that have to know of a move before its first order is sent. */
+const WITNESSES = 2;
+/** Maximum number of other routers that are told, until enough know. */
+const MAX_CANDIDATES = 4;
+/** Time for which a router that did not answer is passed over, in milliseconds. */
+const AVOID_MS = 3_000;
+
+/** A part of a leader's placement for a witness. */
+export interface PlacementNote {
+  readonly view: PlacementView;
+  /** True if the view is the whole placement, false if it has only the changes after `after`. */
+  readonly isComplete: boolean;
+  /** Number of the change after which the changes are complete. */
+  readonly after: number;
+}
+
+/** Options of {@link createWitnesses}. */
+export interface WitnessesOptions {
+  /** Addresses of other routers, the most recently heard first. */
+  candidates(): readonly string[];
+  /** Tells a router; resolves to false if it does not answer, or lacks earlier changes. */
+  tell(address: string, note: PlacementNote): Promise<boolean>;
+  view(): PlacementView;
+  /** Monotonic time in milliseconds. */
+  now(): number;
+  /** Ranges that changed after the change with a number. */
+  changedSince(change: number): PlacementView['services'];
+}
+
+/**
+ * Routers that know each move before its first order is sent. If the store forgets a move, and the
+ * leader has ended, a witness tells the next leader of it: no server can hold keys that neither the
+ * store nor a witness knows of.
+ */
+export interface Witnesses {
+  /** Resolves once the witnesses know the present placement, or no other router answers. */
+  tell(): Promise<void>;
+  addresses(): readonly string[];
+}
+
+/** Creates the witnesses of one leader. */
+export function createWitnesses(options: WitnessesOptions): Witnesses {
+  /** The last change that each witness knows. */
+  const known = new Map<string, number>();
+  /** When the routers that did not answer may be told again. */
+  const avoided = new Map<string, number>();
+
+  async function tellOne(address: string): Promise<boolean> {
+    const view = options.view();
+    const after = known.get(address);
+    if (after === view.change) return true;
+    if (after !== undefined) {
+      const services = options.changedSince(after);
+      const changes = { view: { ...view, services }, isComplete: false, after };
+      if (await options.tell(address, changes)) return true;
+    }
+    return options.tell(address, { view, isComplete: true, after: 0 });
+  }
+
+  async function tellAndNote(address: string): Promise<void> {
+    const { change } = options.view();
+    if (await tellOne(address)) {
+      known.set(address, change);
+      return;
+    }
+    known.delete(address);
+    avoided.set(address, options.now() + AVOID_MS);
+  }
+
+  return {
+    async tell() {
+      const told = new Set(known.keys());
+      await Promise.all([...told].map(tellAndNote));
+      const candidates = [...new Set(options.candidates())].filter(
+        (it) => !told.has(it) && options.now() >= (avoided.get(it) ?? -Infinity),
+      );
+      let rest = candidates.slice(0, MAX_CANDIDATES);
+      while (known.size < WITNESSES && rest.length > 0) {
+        const missing = WITNESSES - known.size;
+        await Promise.all(rest.slice(0, missing).map(tellAndNote));
+        rest = rest.slice(missing);
+      }
+    },
+    addresses: () => [...known.keys()],
+  };
+}
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -34,6 +34,7 @@
   isConfirmed: () => true,
   sinceConfirmedMs: () => 0,
   storeTime: (at) => at,
+  isLostToReturn: () => false,
   invalidate: () => undefined,
 };
 
@@ -88,6 +89,8 @@
     routers: () => 1,
     suspects: () => [],
     knownPeers: () => [],
+    witnessCandidates: () => [],
+    tellWitness: () => Promise.resolve(false),
     limits: { limitOf: () => undefined },
   });
   const end = new AbortController();
--- a/packages/placement/src/test/report-responder_test.ts
+++ b/packages/placement/src/test/report-responder_test.ts
@@ -25,6 +25,7 @@
   changedSince: () => new Map(),
   admitted: () => new Map(),
   waitForChange: () => new Promise<void>(() => undefined),
+  witnesses: () => [],
   isLeaseExpired: () => false,
 } as unknown as PlacementLeader;
 
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -199,6 +199,7 @@
     view: () => member.view(),
     admittedShare: (server) => member.admittedShare(server),
     waitForPlacement: (ms) => member.waitForChange(ms),
+    ownersUnknownForMs: () => member.unknownForMs(),
     routers: () => member.routers(),
     distanceTo(zone) {
       if (zone === instance.availabilityZone) return 0;
--- a/packages/router/src/lib/peer-listener.ts
+++ b/packages/router/src/lib/peer-listener.ts
@@ -2,7 +2,13 @@
 import type { Socket } from 'node:net';
 import { Readable } from 'node:stream';
 
-import { type PlacementMember, decodeRun } from '@boragepoint/placement';
+import {
+  type PlacementMember,
+  decodeNote,
+  decodeRun,
+  encodeKnownPlacement,
+  encodeStoppedLeader,
+} from '@boragepoint/placement';
 import type { RowDelta } from '@boragepoint/platform';
 import { PlacementService } from '@boragepoint/protocol';
 import type { ConnectRouter } from '@connectrpc/connect';
@@ -33,8 +39,18 @@
     router.service(PlacementService, {
       report: (req) => member.answerReport(req),
       yieldSeat(req) {
-        const unansweredForMs = member.answerStepDown(Number(req.epoch), Number(req.startedMs));
-        return unansweredForMs === undefined ? {} : { unansweredForMs: Math.ceil(unansweredForMs) };
+        const reply = member.answerStepDown(Number(req.epoch), Number(req.startedMs));
+        if (!reply) return {};
+        const { unansweredForMs, stopped } = reply;
+        return {
+          unansweredForMs: Math.ceil(unansweredForMs),
+          ...(stopped && { stopped: encodeStoppedLeader(stopped) }),
+        };
+      },
+      notePlacement: (req) => ({ noted: member.notePlacement(decodeNote(req)) }),
+      fetchPlacement() {
+        const known = member.knownPlacement();
+        return known ? encodeKnownPlacement(known) : {};
       },
       async shareSuspects(req) {
         const runs = req.suspects.flatMap((it) => decodeRun(it) ?? []);
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -36,6 +36,11 @@
   view(): PlacementView;
   /** Waits for a change of the placement, at most for `ms` milliseconds. */
   waitForPlacement(ms: number): Promise<void>;
+  /**
+   * Time for which owners can't be known, because the store lost them and no router knows them, in
+   * milliseconds; 0 if that is not so.
+   */
+  ownersUnknownForMs(): number;
   /**
    * By how much sooner a server in that zone has to be expected to answer than one in the own zone,
    * as a share of the latency objective.
@@ -190,12 +195,17 @@
   ): Promise<PooledServer | undefined> {
     let isOutdated = misdirectedTo !== undefined;
     const waitUntil = ctx.now() + req.route.cfg.objectiveMs * RANGE_WAIT_SHARE;
+    const { epoch } = ctx.view();
     for (;;) {
-      const range = rangeOf(ctx.view(), req.service, key);
-      if (range?.owner !== misdirectedTo || range?.granted === false) isOutdated = false;
+      const view = ctx.view();
+      const range = rangeOf(view, req.service, key);
+      // A new leader may have granted the range to the same server again.
+      const isChanged = range?.owner !== misdirectedTo || view.epoch !== epoch;
+      if (isChanged || range?.granted === false) isOutdated = false;
       const server = range?.granted === true ? pool.get(range.owner ?? '') : undefined;
       const isUsable = server && ctx.now() >= server.unreachableUntil && !isPastNotice(server);
       if (isUsable && !isOutdated) return server;
+      if (ctx.ownersUnknownForMs() > 0) return undefined;
       const waitMs = Math.min(waitUntil, req.answerBy) - ctx.now();
       if (waitMs <= 0 || req.disconnectSignal.aborted) return undefined;
       await ctx.waitForPlacement(Math.min(waitMs, RANGE_POLL_INTERVAL_MS));
@@ -216,6 +226,12 @@
     };
   }
 
+  function refuseUnowned(): Refusal {
+    const unknownForMs = ctx.ownersUnknownForMs();
+    if (unknownForMs === 0) return refuse('no owner of the key');
+    return { kind: 'refuse', reason: 'owners of keys are not known', retryAfterMs: unknownForMs };
+  }
+
   const describe = (server: PooledServer) =>
     candidateOf(server, ctx.distanceTo(server.entry.availabilityZone), ctx.now());
 
@@ -260,7 +276,7 @@
     },
     async pickOwner(req, key, misdirectedTo) {
       const server = await findOwner(req, key, misdirectedTo);
-      if (!server) return refuse('no owner of the key');
+      if (!server) return refuseUnowned();
       if (isBackingOff(server, ctx.now())) return refuseBackingOff([server]);
       const share = ctx.admittedShare(server.entry.id);
       if (misdirectedTo === undefined && ctx.random() >= share)
--- a/packages/router/src/test/pick-server_test.ts
+++ b/packages/router/src/test/pick-server_test.ts
@@ -39,6 +39,7 @@
       services: new Map([['s', [{ first: 0, last: 65_535, owner: 'a', granted: true }]]]),
     }),
     waitForPlacement: () => Promise.resolve(),
+    ownersUnknownForMs: () => 0,
     distanceTo: () => 0,
     drainNoticeMs: () => 2_500,
     drainingSince: () => undefined,
