Placement: routers that wait to claim an era serve by what others know

Cause: what was fetched from other routers was used for the claim only, and the last grants of a leader that stops are told to nobody. Fix: the newest placement found is followed at once; a leader that stops tells its witnesses once more.

--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -388,9 +388,13 @@
     signal.removeEventListener('abort', onAbort);
     hasSteppedDown = true;
     const mustHandOver = signal.aborted || successor !== undefined;
-    if (mustHandOver && leaderLease.isConfirmed()) {
+    if (mustHandOver) {
       await finishOrders();
-      await writer.handOver({ unansweredForMs: unansweredForMs(), successor });
+      // The witnesses learn of what was granted last, since the store may forget it.
+      const told = witnesses.tell();
+      if (leaderLease.isConfirmed())
+        await writer.handOver({ unansweredForMs: unansweredForMs(), successor });
+      await told;
     }
     orderAbort.abort();
     planWakeSignal.wake();
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -375,6 +375,10 @@
       view,
       ...knownOf(view),
       stopped: lastStopped,
+      onFound(newest) {
+        updateView(newest.view);
+        heardAt = Math.max(heardAt, clocks.monotonic() - newest.heardAgoMs);
+      },
       addresses: knownPeers.all(),
     });
     if (recovered) await acquireLease(reading, signal, recovered);
--- a/packages/placement/src/lib/recover-placement.ts
+++ b/packages/placement/src/lib/recover-placement.ts
@@ -66,6 +66,8 @@
   readonly directory: Pick<ServerDirectory, 'get'>;
   readonly clocks: Clocks;
   readonly log: PlacementLogger;
+  /** Called with the newest placement that any router knows beyond the copy. */
+  onFound(newest: FetchedPlacement): void;
 }
 
 /**
@@ -214,6 +216,7 @@
   const newest = await findNewest(options);
   const copy = reading.copy && viewOf(reading.copy);
   if (!newest || (copy && isNewer(copy, newest.view))) return fromCopy(options);
+  options.onFound(newest);
   if (stopped?.isLast === true && stopped.placement.leaderLease.epoch === newest.view.epoch) {
     return fromStopped(stopped, clocks.monotonic());
   }
