--- a/packages/placement/src/test/fake-row-store.ts
+++ b/packages/placement/src/test/fake-row-store.ts
@@ -3,6 +3,9 @@
   type PutOutcome,
   type RowStore,
   type StoredRow,
+  eraOf,
+  inEra,
+  withinEra,
 } from '@boragepoint/platform';
 import { err, ok } from 'neverthrow';
 
@@ -22,6 +25,10 @@
   rows: Map<string, StoredRow>;
   /** Carries out the delayed writes whose expected version still matches. */
   deliverLate(): void;
+  /** The era of the store, which is part of all versions. */
+  era: number;
+  /** Keeps a copy; returns a function that makes the store come back from it, in a new era. */
+  takeCopy(): () => void;
 }
 
 /** Creates an empty store; `now` is its clock in milliseconds. */
@@ -32,14 +39,33 @@
 
   function write(key: string, value: Uint8Array, expectedVersion: number): PutOutcome {
     const current = rows.get(key);
-    if ((current?.version ?? 0) !== expectedVersion) return { kind: 'conflict', current };
-    version += 1;
-    rows.set(key, { key, version, value });
-    return { kind: 'committed', version, nowMs: now() };
+    // Like a real one, the store does not know the era in which the expected version was read.
+    const isExpected = withinEra(current?.version ?? 0) === withinEra(expectedVersion);
+    if (isExpected) {
+      version += 1;
+      rows.set(key, { key, version, value });
+    }
+    const { era } = store;
+    if (eraOf(expectedVersion) !== era) return { kind: 'other-era', era, nowMs: now() };
+    return isExpected
+      ? { kind: 'committed', version, nowMs: now() }
+      : { kind: 'conflict', current };
   }
 
   const store: FakeRowStore = {
     fault: 'none',
+    era: 0,
+    takeCopy() {
+      const copied = new Map(rows);
+      const counter = withinEra(version);
+      return () => {
+        store.era += 1;
+        version = inEra(store.era, counter);
+        rows.clear();
+        for (const [key, row] of copied)
+          rows.set(key, { ...row, version: inEra(store.era, withinEra(row.version)) });
+      };
+    },
     rows,
     onEra: () => undefined,
     list() {
--- a/packages/platform/src/test/watch-rows_test.ts
+++ b/packages/platform/src/test/watch-rows_test.ts
@@ -5,6 +5,7 @@
 
 import { PlatformError } from '../lib/platform-error.js';
 import type { RowChanges, RowStore, StoredRow } from '../lib/row-store.js';
+import { inEra } from '../lib/store-era.js';
 import { type RowWatch, type RowWatchOptions, createRowWatch } from '../lib/watch-rows.js';
 
 type Poll = Result<RowChanges, PlatformError>;
@@ -70,6 +71,7 @@
       onRemoval: (key) => events.push(`removal ${key}`),
       onLost: () => events.push('lost'),
       onRecovered: () => events.push('recovered'),
+      onReturn: (era) => events.push(`return ${era}`),
     },
     ...options,
   });
@@ -240,3 +242,18 @@
   });
   expect(events).toEqual(['snapshot a', 'lost']);
 });
+
+// Guards against a watch that drops what it reads because the store's counter has gone back.
+test('a table is read anew when the store comes back from a copy with lower versions', async () => {
+  const lists = [[row('a', inEra(1, 90))], [row('b', inEra(2, 40))]];
+  const { calls, events } = await watchStore({
+    list: () => listOf(lists.shift() ?? [])(),
+    answer({ version, end }) {
+      if (version === inEra(1, 90)) return Promise.resolve(ok({ kind: 'history-lost' }));
+      end();
+      return Promise.resolve(noChanges(version));
+    },
+  });
+  expect(events).toEqual(['snapshot a', 'return 2', 'snapshot b']);
+  expect(calls.filter((it) => it === 'list').length).toEqual(2);
+});
