Tests of odd entries, documents, rows and messages

What callers saw: while an entry with port 70000 or an octet of 999 stood among those of the servers, routers of a service without keys served nothing; in a partitioned service programs ended by 'Invalid URL' and a range stayed at the entry after its removal. The tests also cover what was not reported: ids that no header can carry, numbers beyond 2^53 in messages and in the placement's row, odd rows in the store's answers, odd documents of the operator. Calls to another router at an address that can't be called did not throw; a former leader at such an address counted as gone, which its test refuses.

--- a/packages/placement/src/test/hand-over_test.ts
+++ b/packages/placement/src/test/hand-over_test.ts
@@ -7,6 +7,7 @@
 import { type HeldRange, newHolder, unownedRange } from '../lib/held-range.js';
 import type { LeaderContext } from '../lib/leader-context.js';
 import { recordAnswered, recordUnanswered } from '../lib/lease-bound.js';
+import { renewLeases } from '../lib/lease-renewals.js';
 import { createServerHealth } from '../lib/server-health.js';
 import { type FakeDirectory, createFakeDirectory, incarnationOf } from './fake-directory.js';
 import { type FakeHolders, createFakeHolders } from './fake-holders.js';
@@ -140,3 +141,42 @@
   expect(range.busy).toEqual(false);
   expect(holders.holdersOf(5)).toEqual([]);
 });
+
+const throwing = () => Promise.reject(new RangeError('no such port'));
+
+// Guards against a range that stays where it is for ever: an order that threw left it busy.
+test('an order that throws leaves no range busy, and the range may be handed over again', async () => {
+  const { ctx, holders, range } = await setUp();
+  const broken = { ...ctx, orders: { grant: throwing, release: throwing } };
+  await handOver(broken, range);
+  expect([range.busy, range.granted]).toEqual([false, false]);
+  await handOver(ctx, range);
+  expect(holders.holdersOf(5)).toEqual(['b']);
+});
+
+// Guards against a range that stays busy when the record of its new token can't be written.
+test('a write that throws leaves no range busy', async () => {
+  const { ctx, range } = await setUp();
+  range.former = [];
+  const fenced = () => Promise.resolve({ kind: 'fenced' as const });
+  const broken = { ...ctx, orders: { grant: fenced, release: fenced }, persist: throwing };
+  await handOver(broken, range).catch(() => undefined);
+  expect(range.busy).toEqual(false);
+});
+
+// Guards against a range whose owner is never asked again: a renewal that threw left it marked.
+test('a renewal that throws leaves the range free to be renewed and moved', async () => {
+  const { ctx, range } = await setUp();
+  const abort = new AbortController();
+  let tries = 0;
+  const grant = () => {
+    tries += 1;
+    abort.abort();
+    return throwing();
+  };
+  const renewed = { ...range, granted: true };
+  const broken = { ...ctx, orders: { grant, release: throwing }, signal: abort.signal };
+  await renewLeases(broken, new Map([['s', { ranges: [renewed] }]]), () => undefined);
+  await setTimeout(1);
+  expect([tries, renewed.renewing, renewed.busy]).toEqual([1, false, false]);
+});
--- a/packages/placement/src/test/limit-exchange_test.ts
+++ b/packages/placement/src/test/limit-exchange_test.ts
@@ -1,8 +1,10 @@
 import { test } from 'node:test';
 
+import { ServerLimitSchema } from '@boragepoint/protocol';
+import { create, toBinary } from '@bufbuild/protobuf';
 import { expect } from 'earl';
 
-import { createLimitExchange, decodeLimit } from '../lib/limit-exchange.js';
+import { createLimitExchange, decodeLimit, encodeLimit } from '../lib/limit-exchange.js';
 import { createServerLimits } from '../lib/server-limits.js';
 
 const A = { server: 'a', startedMs: 1 };
@@ -58,3 +60,16 @@
   expect(decodeLimit({ ...message, perS: Infinity })).toEqual(undefined);
   expect(decodeLimit(message)).toEqual({ server: 'a', startedMs: 1, perS: undefined, ageMs: 0 });
 });
+
+// Guards against a notice that no message can carry: every later report of the router threw.
+test('a limit with a start or an age out of range is ignored or bounded', () => {
+  const message = { server: 'a', startedMs: 1n, ageMs: 0 };
+  expect(decodeLimit({ ...message, startedMs: 2n ** 63n - 1n })).toEqual(undefined);
+  expect(decodeLimit({ ...message, startedMs: 2n ** 53n })).toEqual(undefined);
+  expect(decodeLimit({ ...message, startedMs: -1n })).toEqual(undefined);
+  const old = { server: 'a', startedMs: 1, perS: 2, ageMs: 2 ** 32 + 5 };
+  expect(() => create(ServerLimitSchema, encodeLimit(old))).not.toThrow();
+  expect(() =>
+    toBinary(ServerLimitSchema, create(ServerLimitSchema, encodeLimit(old))),
+  ).not.toThrow();
+});
--- a/packages/placement/src/test/placement-record_test.ts
+++ b/packages/placement/src/test/placement-record_test.ts
@@ -1,10 +1,14 @@
 import { test } from 'node:test';
 
+import { type PlacementRecord, PlacementRecordSchema } from '@boragepoint/protocol';
+import { fromBinary, toBinary } from '@bufbuild/protobuf';
 import { expect } from 'earl';
 
 import { divideKeys } from '../lib/key-range.js';
 import { type Placement, decodePlacement, encodePlacement } from '../lib/placement-record.js';
 
+type Mutable = PlacementRecord;
+
 const incarnationOf = (number: number) => ({
   server: `i-${number.toString(16).padStart(10, '0')}`,
   address: `10.128.${number >> 8}.${number & 255}:8080`,
@@ -61,3 +65,46 @@
   const row = { key: 'placement', version: 1, value: Buffer.from('no placement') };
   expect(decodePlacement(row).isErr()).toEqual(true);
 });
+
+function decodeChanged(change: (placement: Mutable) => void) {
+  const message = fromBinary(PlacementRecordSchema, encodePlacement(placementOf(3, 9)));
+  change(message);
+  const value = toBinary(PlacementRecordSchema, message);
+  return decodePlacement({ key: 'placement', version: 1, value });
+}
+
+// Guards against a row that its reader can't write again: the leader's encoder throws.
+test('a row with a number beyond what can be counted exactly is an error', () => {
+  const large = 2n ** 63n - 1n;
+  const changes: ((it: Mutable) => void)[] = [
+    (it) => (it.version = large),
+    (it) => (it.change = large),
+    (it) => (it.nextFence = 2n ** 64n - 1n),
+    (it) => it.seat && (it.seat.epoch = large),
+    (it) => it.seat && (it.seat.untilMs = large),
+    (it) => it.seat && (it.seat.startedMs = -large),
+    (it) => it.services[0]?.ranges[0]?.owner && (it.services[0].ranges[0].owner.fence = large),
+    (it) => it.services[0]?.lives[0] && (it.services[0].lives[0].startedMs = large),
+  ];
+  expect(changes.map((it) => decodeChanged(it).isErr())).toEqual(changes.map(() => true));
+  expect(decodeChanged(() => undefined).isOk()).toEqual(true);
+});
+
+// Guards against two owners of one key, and against a search that misses the range of a key.
+test('a row whose ranges are out of order, overlap or lie outside of the keys is an error', () => {
+  const changes: ((it: Mutable) => void)[] = [
+    (it) => it.services[0]?.ranges.reverse(),
+    (it) => it.services[0]?.ranges[1] && (it.services[0].ranges[1].first -= 1),
+    (it) => it.services[0]?.ranges[8] && (it.services[0].ranges[8].last = 65_536),
+    (it) => it.services[0]?.ranges[3] && (it.services[0].ranges[3].last = 0),
+  ];
+  expect(changes.map((it) => decodeChanged(it).isErr())).toEqual(changes.map(() => true));
+});
+
+// Guards against calls to addresses that no connection can be opened to.
+test('addresses of other routers that cannot be called are left out of a row', () => {
+  const decoded = decodeChanged((it) => {
+    it.peers = ['10.0.0.2:7', '10.0.0.2:70000', '10.0.0.999:7', ''];
+  });
+  expect(decoded._unsafeUnwrap().peers).toEqual(['10.0.0.2:7']);
+});
--- a/packages/placement/src/test/report-responder_test.ts
+++ b/packages/placement/src/test/report-responder_test.ts
@@ -9,7 +9,9 @@
 import type { PlacementLeader } from '../lib/placement-leader.js';
 import { type ReportResponderOptions, createReportResponder } from '../lib/report-responder.js';
 import { createReporters } from '../lib/reporters.js';
+import type { IncarnationId } from '../lib/server-directory.js';
 import { createServerLimits } from '../lib/server-limits.js';
+import type { ServiceLoadReport } from '../lib/service-planner.js';
 import { createSuspectExchange } from '../lib/suspect-exchange.js';
 import { createSuspectRecord } from '../lib/suspect-record.js';
 import { processClocks } from '../lib/suspension-guard.js';
@@ -110,3 +112,42 @@
   const large = createResponder({ directory: changedRegistry(1 << 20) });
   expect((await large(report({ knownServers: 8n }))).servers).toEqual(undefined);
 });
+
+// Guards against measurements of another router that make every plan of the leader a guess, and
+// against ids of incarnations that no message can carry.
+test('odd measurements and incarnations in a report are ignored, and the others are used', async () => {
+  const loads: ServiceLoadReport[] = [];
+  const left: IncarnationId[] = [];
+  const leader = {
+    ...idleLeader,
+    report: (load: ServiceLoadReport) => loads.push(load),
+  } as unknown as PlacementLeader;
+  const directory = {
+    ...createFakeDirectory([]),
+    noteLeaving(it: IncarnationId) {
+      left.push(it);
+      return true;
+    },
+  };
+  const sound = { server: 'a', latencyMs: 1, units: 2, answered: 3, failed: 0 };
+  const odd = [
+    { ...sound, latencyMs: NaN },
+    { ...sound, units: Infinity },
+    { ...sound, latencyMs: -1 },
+  ];
+  await createResponder({ leader: () => leader, directory })(
+    report({
+      knownEpoch: 2n,
+      waitMs: 1,
+      services: [
+        { service: 's', keys: [1, 65_535, 65_536, 4_000_000_000], servers: [sound, ...odd] },
+      ],
+      leaving: [
+        { server: 'a', startedMs: 2n ** 63n - 1n },
+        { server: 'b', startedMs: 7n },
+      ],
+    }),
+  );
+  expect(loads.map((it) => [it.keys, it.servers.length])).toEqual([[[1, 65_535], 1]]);
+  expect(left).toEqual([{ server: 'b', startedMs: 7 }]);
+});
--- a/packages/placement/src/test/suspect-record_test.ts
+++ b/packages/placement/src/test/suspect-record_test.ts
@@ -1,5 +1,7 @@
 import { test } from 'node:test';
 
+import { SuspectRunSchema } from '@boragepoint/protocol';
+import { create, toBinary } from '@bufbuild/protobuf';
 import { expect } from 'earl';
 import fc from 'fast-check';
 
@@ -174,3 +176,13 @@
   expect(kept.some((it) => it.run === ended.run)).toEqual(true);
   expect(kept.at(-1)?.server).toEqual('server-1999');
 });
+
+// Guards against a run that no message can carry: every later report of the router threw.
+test('a run with a start or an age out of range is ignored or bounded', () => {
+  const run = { ...runOf('a', { state: 'lost' }), ageMs: 2 ** 32 + 5 };
+  const wire = create(SuspectRunSchema, encodeRun(run));
+  expect(() => toBinary(SuspectRunSchema, wire)).not.toThrow();
+  for (const startedMs of [2n ** 63n - 1n, 2n ** 53n, -1n]) {
+    expect(decodeRun({ ...wire, startedMs })).toEqual(undefined);
+  }
+});
