--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -4,7 +4,12 @@
 export * from './lib/configuration-document.js';
 export * from './lib/configuration-error.js';
 export * from './lib/define-service.js';
-export { type IpEndpoint, parseIpEndpoint } from './lib/ip-address.js';
+export {
+  type IpEndpoint,
+  isCallable,
+  parseCallableEndpoint,
+  parseIpEndpoint,
+} from './lib/ip-address.js';
 export * from './lib/fleet-settings.js';
 export * from './lib/operator-api.js';
 export * from './lib/operator-error-body.js';
--- a/packages/config/src/lib/ip-address.ts
+++ b/packages/config/src/lib/ip-address.ts
@@ -33,6 +33,19 @@
   return endpoint !== undefined && endpoint.port >= minPort;
 }
 
+/**
+ * Parses an address that connections can be opened to and URLs can be built from; returns
+ * `undefined` for anything else. The one check of addresses that come from elsewhere.
+ */
+export function parseCallableEndpoint(text: string): IpEndpoint | undefined {
+  const endpoint = parseIpEndpoint(text);
+  // No URL can hold the zone of an IPv6 address.
+  return endpoint && endpoint.port > 0 && !endpoint.host.includes('%') ? endpoint : undefined;
+}
+
+/** Whether connections can be opened to an address; see {@link parseCallableEndpoint}. */
+export const isCallable = (text: string): boolean => parseCallableEndpoint(text) !== undefined;
+
 /** Schema of an address to connect to; its port is not 0. @internal */
 export const ipEndpointSchema = v.pipe(
   v.string(),
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -1,3 +1,4 @@
+import { isCallable } from '@boragepoint/config';
 import type { IncarnationId, ServerDirectory } from '@boragepoint/placement';
 import type { ServerEntry } from '@boragepoint/platform';
 
@@ -110,6 +111,10 @@
       return existing;
     }
     existing?.connections.close();
+    if (!isCallable(entry.address)) {
+      servers.delete(id);
+      return undefined;
+    }
     const created: PooledServer = {
       entry,
       load: createServerLoad(entry.slots, medianServiceMs(entry.service)),
--- a/packages/router/src/lib/server-probe.ts
+++ b/packages/router/src/lib/server-probe.ts
@@ -1,6 +1,6 @@
 import { connect } from 'node:net';
 
-import { parseIpEndpoint } from '@boragepoint/config';
+import { parseCallableEndpoint } from '@boragepoint/config';
 
 /** Timeout of a probe connection; after it the result is `unclear`, in milliseconds. */
 const PROBE_TIMEOUT_MS = 1_000;
@@ -21,7 +21,7 @@
 
 /** Connects once; `dropped` if the connection was established and ended at once. */
 function connectOnce(address: string): Promise<ProbeResult | 'dropped'> {
-  const endpoint = parseIpEndpoint(address);
+  const endpoint = parseCallableEndpoint(address);
   if (!endpoint) return Promise.resolve('unclear');
   return new Promise((resolve) => {
     const socket = connect({ ...endpoint, timeout: PROBE_TIMEOUT_MS });
