Placement: no thrown error leaves a range busy or ends a router

What callers saw: a range stayed at an entry with port 70000 after the entry had gone, and 57 of 60 requests were served. Cause: an order that threw left the range marked as being renewed or handed over, and such a range is neither renewed nor moved. The tasks of a leader that threw were rejections that nobody caught; a member's loop ended with the first one. Ruled out: the former owner's lease, which the leader waits for a bounded time. Why the fix works: the marks are taken back in any case. An order that throws counts as unanswered, because it may have been sent; so its range waits as for a silent server. Tasks end with a line in the log, and the loops go on.

--- a/packages/placement/src/lib/hand-over.ts
+++ b/packages/placement/src/lib/hand-over.ts
@@ -82,12 +82,21 @@
 /**
  * Hands a range over to its new owner, which must already be stored in the row. The owner is
  * granted the range only after no former holder can hold it any more. The range is marked as busy
- * meanwhile.
+ * meanwhile, and in no case longer.
  */
 export async function handOver(ctx: LeaderContext, range: HeldRange): Promise<void> {
+  range.busy = true;
+  try {
+    await vacateAndGrant(ctx, range);
+  } finally {
+    range.busy = false;
+    ctx.noteChange(range);
+  }
+}
+
+async function vacateAndGrant(ctx: LeaderContext, range: HeldRange): Promise<void> {
   const startedAt = ctx.clocks.monotonic();
   const from = range.former.map((it) => it.incarnation.server);
-  range.busy = true;
   await Promise.all(range.former.map((it) => waitUntilVacated(ctx, range, it)));
   if (!ctx.signal.aborted) {
     const vacatedAt = ctx.clocks.monotonic();
@@ -106,6 +115,4 @@
     });
     if (range.granted) range.handover = undefined;
   }
-  range.busy = false;
-  ctx.noteChange(range);
 }
--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -78,6 +78,15 @@
   return known !== undefined && known.entry.startedMs > incarnation.startedMs;
 }
 
+/** Runs a task of a leader to its end; an unexpected error is logged and ends this task only. */
+export async function runTask(ctx: LeaderContext, task: () => Promise<unknown>): Promise<void> {
+  try {
+    await task();
+  } catch (cause) {
+    ctx.log.warn('placement task failed unexpectedly', { reason: String(cause) });
+  }
+}
+
 /** Returns the time until which a holder may hold a range, on the monotonic clock. */
 export function mayHoldUntil(ctx: LeaderContext, holder: Holder): number {
   if (hasEnded(ctx, holder.incarnation)) return -Infinity;
@@ -119,6 +128,26 @@
   }
 }
 
+/**
+ * Returns the outcome of an order. An order that threw may have been sent before, so that it counts
+ * as unanswered.
+ */
+async function settle(
+  ctx: LeaderContext,
+  incarnation: ServerIncarnation,
+  order: () => Promise<OrderOutcome>,
+): Promise<OrderOutcome> {
+  try {
+    return await order();
+  } catch (cause) {
+    ctx.log.warn('order failed unexpectedly', {
+      server: incarnation.server,
+      reason: String(cause),
+    });
+    return { kind: 'unanswered' };
+  }
+}
+
 const targetOf = (incarnation: ServerIncarnation) => ({
   serverId: incarnation.server,
   address: incarnation.address,
@@ -139,11 +168,9 @@
   };
   const sentAt = ctx.clocks.monotonic();
   range.renewedAt = sentAt;
-  const outcome = await ctx.orders.grant(
-    targetOf(owner.incarnation),
-    order,
-    ORDER_TIMEOUT_MS,
-    ctx.signal,
+  const target = targetOf(owner.incarnation);
+  const outcome = await settle(ctx, owner.incarnation, () =>
+    ctx.orders.grant(target, order, ORDER_TIMEOUT_MS, ctx.signal),
   );
   noteOutcome(ctx, owner.incarnation, outcome);
   const now = ctx.clocks.monotonic();
@@ -163,11 +190,9 @@
   holder: Holder,
 ): Promise<OrderOutcome> {
   const order: RangeOrder = { first: range.first, last: range.last, fence: holder.fence };
-  const outcome = await ctx.orders.release(
-    targetOf(holder.incarnation),
-    order,
-    RELEASE_TIMEOUT_MS,
-    ctx.signal,
+  const target = targetOf(holder.incarnation);
+  const outcome = await settle(ctx, holder.incarnation, () =>
+    ctx.orders.release(target, order, RELEASE_TIMEOUT_MS, ctx.signal),
   );
   noteOutcome(ctx, holder.incarnation, outcome);
   if (outcome.kind === 'done') recordReleased(holder.bound);
--- a/packages/placement/src/lib/lease-renewals.ts
+++ b/packages/placement/src/lib/lease-renewals.ts
@@ -3,7 +3,7 @@
 import { RENEWAL_CHECK_INTERVAL_MS, dueRenewals } from './due-renewals.js';
 import { handOver } from './hand-over.js';
 import type { HeldRange } from './held-range.js';
-import { type LeaderContext, hasEnded, sendGrant } from './leader-context.js';
+import { type LeaderContext, hasEnded, runTask, sendGrant } from './leader-context.js';
 import { type RangeTable, joinNeighbours } from './range-table.js';
 
 /** Time between two checks for adjacent ranges that one renewal can cover, in milliseconds. */
@@ -18,8 +18,9 @@
   const { owner } = range;
   if (!owner || hasEnded(ctx, owner.incarnation)) return;
   range.renewing = true;
-  const outcome = await sendGrant(ctx, range, owner);
-  range.renewing = false;
+  const outcome = await sendGrant(ctx, range, owner).finally(() => {
+    range.renewing = false;
+  });
   if (outcome.kind === 'done') return;
   ctx.log.info('lease not renewed', {
     first: range.first,
@@ -37,8 +38,11 @@
   if (!range.owner) return;
   range.busy = true;
   range.owner.fence = ctx.nextFence();
-  if (await ctx.persist()) await handOver(ctx, range);
-  range.busy = false;
+  try {
+    if (await ctx.persist()) await handOver(ctx, range);
+  } finally {
+    range.busy = false;
+  }
 }
 
 /**
@@ -46,8 +50,11 @@
  * it.
  */
 export async function grantJoined(ctx: LeaderContext, range: HeldRange): Promise<void> {
-  if (range.owner && ctx.mayOrder()) await sendGrant(ctx, range, range.owner);
-  range.busy = false;
+  try {
+    if (range.owner && ctx.mayOrder()) await sendGrant(ctx, range, range.owner);
+  } finally {
+    range.busy = false;
+  }
 }
 
 /** Renews the leases of all ranges until `ctx.signal` aborts. */
@@ -65,7 +72,9 @@
         for (const table of tables.values()) joinNeighbours(table);
       }
       const ranges = [...tables.values()].flatMap((it) => it.ranges);
-      for (const range of dueRenewals(ranges, now)) void renew(ctx, range, onOwnerEnded);
+      for (const range of dueRenewals(ranges, now)) {
+        void runTask(ctx, () => renew(ctx, range, onOwnerEnded));
+      }
     }
     await sleep(RENEWAL_CHECK_INTERVAL_MS, undefined, { signal: ctx.signal }).catch(
       () => undefined,
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -12,6 +12,7 @@
   ORDER_TIMEOUT_MS,
   type PlacementLogger,
   mayHoldUntil,
+  runTask,
 } from './leader-context.js';
 import { LEADER_LEASE_MS, type LeaderLease, RENEWAL_GRACE_MS } from './leader-lease.js';
 import { type LeaseTimes, maxLeaseMs } from './lease-bound.js';
@@ -231,9 +232,11 @@
       epoch: leaderLease.epoch,
     });
     if (!(await writer.persist())) return;
-    for (const range of joined) void grantJoined(ctx, range);
+    for (const range of joined) void runTask(ctx, () => grantJoined(ctx, range));
     for (const range of moved) feed.note(range);
-    for (const range of moved) void handOver(ctx, range).then(planWakeSignal.wake);
+    for (const range of moved) {
+      void runTask(ctx, () => handOver(ctx, range)).then(planWakeSignal.wake);
+    }
   }
 
   /** Finds overloaded owners, and notifies waiting routers if the shares changed significantly. */
@@ -258,7 +261,7 @@
       const balance = now >= balanceAt;
       if (balance) balanceAt = now + BALANCE_INTERVAL_MS;
       if (balance) updateOverloads();
-      if (ctx.mayOrder() && directory.isLoaded()) await plan(balance);
+      if (ctx.mayOrder() && directory.isLoaded()) await runTask(ctx, () => plan(balance));
       await planWakeSignal.wait(Math.max(1, balanceAt - clocks.monotonic()));
     }
   }
@@ -267,7 +270,7 @@
   function resumeHandOvers(): void {
     for (const { ranges } of tables.values()) {
       for (const range of ranges) {
-        if (range.owner && !range.granted) void handOver(ctx, range);
+        if (range.owner && !range.granted) void runTask(ctx, () => handOver(ctx, range));
       }
     }
   }
@@ -315,7 +318,7 @@
     });
     resumeHandOvers();
     const loops = [renewLeases(ctx, tables, planWakeSignal.wake), planAll()];
-    await writer.run(writerAbort.signal);
+    await runTask(ctx, () => writer.run(writerAbort.signal));
     signal.removeEventListener('abort', onAbort);
     hasSteppedDown = true;
     const mustHandOver = signal.aborted || successor !== undefined;
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -263,9 +263,12 @@
     isCaughtUp = true;
     lastEpochLed = created.epoch;
     followedLeader = undefined;
-    leaderRun = created.run(signal).finally(() => {
-      leader = undefined;
-    });
+    leaderRun = created
+      .run(signal)
+      .catch(noteFailure)
+      .finally(() => {
+        leader = undefined;
+      });
   }
 
   /** Asks a known router for the leader; used while the store does not answer. */
@@ -384,6 +387,21 @@
   /**
    * Leads, follows, or searches for a leader; acquires the leadership lease only until the signal
    * aborts.
+  /** Logs an unexpected error; the router goes on leading or following. */
+  function noteFailure(cause: unknown): void {
+    options.log.warn('placement task failed unexpectedly', { reason: String(cause) });
+  }
+
+  /** Runs once; after an unexpected error it waits before the next time. */
+  async function runOnceSafely(signal: AbortSignal): Promise<void> {
+    try {
+      await runOnce(signal);
+    } catch (cause) {
+      noteFailure(cause);
+      await sleep(RETRY_MS);
+    }
+  }
+
    */
   async function runOnce(signal: AbortSignal): Promise<void> {
     const leading = leader;
@@ -463,7 +481,7 @@
       const ended = new Promise((resolve) => {
         followSignal.addEventListener('abort', resolve);
       });
-      while (!followSignal.aborted) await Promise.race([runOnce(leadSignal), ended]);
+      while (!followSignal.aborted) await Promise.race([runOnceSafely(leadSignal), ended]);
       await leaderRun;
     },
   };
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -1,11 +1,16 @@
 import { test } from 'node:test';
 import { setTimeout } from 'node:timers/promises';
 
+import type { ServerOrders } from '@boragepoint/platform';
 import { expect } from 'earl';
 
 import { LEASE_MS } from '../lib/leader-context.js';
 import type { LeaderLease } from '../lib/leader-lease.js';
-import { type PlacementLeader, createPlacementLeader } from '../lib/placement-leader.js';
+import {
+  type PlacementLeader,
+  type PlacementLeaderOptions,
+  createPlacementLeader,
+} from '../lib/placement-leader.js';
 import type { HolderRecord, Placement, RangeRecord } from '../lib/placement-record.js';
 import { renewFences } from '../lib/renew-fences.js';
 import { processClocks } from '../lib/suspension-guard.js';
@@ -56,6 +61,7 @@
 function startSuccessor(
   ranges: readonly RangeRecord[],
   held: readonly RangeRecord[],
+  more: (holders: FakeHolders) => Partial<PlacementLeaderOptions> = () => ({}),
 ): SuccessorFixture {
   const holders = createFakeHolders(processClocks.monotonic);
   for (const { first, last, owner } of held) {
@@ -89,6 +95,7 @@
     suspects: () => [],
     knownPeers: () => [],
     limits: { limitOf: () => undefined },
+    ...more(holders),
   });
   const end = new AbortController();
   const running = leader.run(end.signal);
@@ -187,3 +194,29 @@
   await until(() => holders.sent.some((it) => it.startsWith('grant b 0-99')));
   expect(processClocks.monotonic() >= heldUntilMs).toEqual(true);
 });
+
+// Guards against a range that stays for ever at a server that has left: an order that threw left
+// it marked as busy.
+test('a range whose orders threw moves on once its owner has left the registry', async () => {
+  const directory = createFakeDirectory(['b']);
+  const unowned = { first: 0, last: 65_535, owner: undefined, former: [] };
+  let thrown = 0;
+  const orders = (holders: FakeHolders): ServerOrders => ({
+    grant(target, ...rest) {
+      if (target.serverId !== 'b') return holders.grant(target, ...rest);
+      thrown += 1;
+      return Promise.reject(new RangeError('no such port'));
+    },
+    release: (target, ...rest) =>
+      target.serverId === 'b'
+        ? Promise.reject(new RangeError('no such port'))
+        : holders.release(target, ...rest),
+  });
+  const more = (holders: FakeHolders) => ({ directory, orders: orders(holders) });
+  await using fixture = startSuccessor([unowned], [], more);
+  await until(() => thrown > 0);
+  directory.set('a', {});
+  directory.drop('b');
+  await until(() => fixture.holders.holdersOf(50).includes('a'));
+  expect(fixture.holders.holdersOf(50)).toEqual(['a']);
+});
