--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -16,6 +16,7 @@
 export * from './lib/settled-write.js';
 export * from './lib/table-service.js';
 export * from './lib/table-wire.js';
+export * from './lib/unusable-entries.js';
 export * from './lib/wake-signal.js';
 export { writerOf } from './lib/write-evidence.js';
 export * from './lib/watch-rows.js';
