Reports: numbers that can't be written again are left out

What callers saw: nothing yet. A limit or a suspect run with a start of 2^63-1, or an age near 2^32 ms, is passed on by every router that received it, and the encoder throws: reports fail until the notice has expired. Keys beyond 65535, measurements that are no number and a processor time without bound reached the leader's plans. Cause: 64-bit fields were turned into numbers without a look at their size, and back. Why the fix works: what can't be counted exactly is left out where a message is decoded, and told; ages end at the field's largest value; measurements that are no sums are left out of the plan.

--- a/packages/placement/src/lib/limit-exchange.ts
+++ b/packages/placement/src/lib/limit-exchange.ts
@@ -5,6 +5,7 @@
 import type { LimitNotice, ServerLimits } from './server-limits.js';
 import { createSyncPoints } from './sync-points.js';
 import type { Clocks } from './suspension-guard.js';
+import { decodeCount, encodeMs } from './wire-number.js';
 
 /** A notice about a limit, and its age when it was sent. */
 export interface AgedLimit extends Omit<LimitNotice, 'seenAt'> {
@@ -18,20 +19,22 @@
 export const encodeLimit = ({ server, startedMs, perS, ageMs }: AgedLimit): LimitMessage => ({
   server,
   startedMs: BigInt(startedMs),
-  ageMs: Math.round(Math.max(0, ageMs)),
+  ageMs: encodeMs(ageMs),
   ...(perS !== undefined && { perS }),
 });
 
-/** Decodes a notice; `undefined` if its limit is no number. */
+/** Decodes a notice; `undefined` if its limit or its start is out of range. */
 export function decodeLimit(message: {
   readonly server: string;
   readonly startedMs: bigint;
   readonly perS?: number;
   readonly ageMs: number;
 }): AgedLimit | undefined {
-  const { server, startedMs, perS, ageMs } = message;
+  const { server, perS, ageMs } = message;
+  const startedMs = decodeCount(message.startedMs);
+  if (startedMs === undefined) return undefined;
   if (perS !== undefined && !(perS >= 0 && perS < Infinity)) return undefined;
-  return { server, startedMs: Number(startedMs), perS, ageMs };
+  return { server, startedMs, perS, ageMs };
 }
 
 /** Notices with the number of the sender's last change that they include. */
--- a/packages/placement/src/lib/report-responder.ts
+++ b/packages/placement/src/lib/report-responder.ts
@@ -2,13 +2,17 @@
 import type { MessageInitShape } from '@bufbuild/protobuf';
 
 import type { ChangeSignal } from './change-signal.js';
+import { type OnUnusable, decodeList } from './decode-list.js';
+import { LAST_KEY } from './key-range.js';
 import { type LimitExchange, decodeLimit, encodeLimit } from './limit-exchange.js';
 import type { PlacementLeader } from './placement-leader.js';
 import type { LeaderAddress, NamedTableReport } from './placement-peers.js';
 import type { Reporters } from './reporters.js';
 import type { ServerDirectory } from './server-directory.js';
 import type { SuspectExchange } from './suspect-exchange.js';
+import type { ServiceLoadReport } from './service-planner.js';
 import type { SuspectRecord } from './suspect-record.js';
+import { decodeCount } from './wire-number.js';
 
 /**
  * Largest update of the service registry in an answer, in bytes; beyond it, the reporting router
@@ -41,6 +45,7 @@
    * changed, so that reporting routers learn of it immediately.
    */
   readonly storeChanges: ChangeSignal;
+  readonly onUnusable?: OnUnusable | undefined;
 }
 
 /** Answers another router's report, at the next change or after the wait time in the report. */
@@ -60,6 +65,16 @@
   return Number(req.knownEpoch) === leading.epoch ? Number(req.knownChange) : -1;
 }
 
+/** Leaves out keys that do not exist, and measurements that are no sums of times. */
+function usableLoad({ service, keys, servers }: ServiceLoadReport): ServiceLoadReport {
+  const isSum = (sum: number) => sum >= 0 && sum < Infinity;
+  return {
+    service,
+    keys: keys.filter((it) => it <= LAST_KEY),
+    servers: servers.filter((it) => isSum(it.latencyMs) && isSum(it.units)),
+  };
+}
+
 /** Creates the responder of one router. */
 export function createReportResponder(options: ReportResponderOptions): ReportResponder {
   const { exchange, suspects, limitExchange, reporters, directory } = options;
@@ -101,10 +116,12 @@
   }
 
   function applyReport(req: ReportRequest, leading: PlacementLeader): void {
-    reporters.note(req);
-    for (const load of req.services) leading.report(load);
-    for (const { server, startedMs } of req.leaving) {
-      directory.noteLeaving({ server, startedMs: Number(startedMs) });
+    // A router whose processor time is no number is not made the leader because of it.
+    reporters.note({ ...req, capacity: Number.isFinite(req.capacity) ? req.capacity : 0 });
+    for (const load of req.services) leading.report(usableLoad(load));
+    for (const { server, startedMs: wire } of req.leaving) {
+      const startedMs = decodeCount(wire);
+      if (startedMs !== undefined) directory.noteLeaving({ server, startedMs });
     }
   }
 
@@ -112,7 +129,12 @@
     const leading = options.leader();
     const knownSuspects = exchange.receiveReport(req);
     limitExchange.receive(req.address, {
-      limits: req.limits.flatMap((it) => decodeLimit(it) ?? []),
+      limits: decodeList(
+        req.limits,
+        decodeLimit,
+        { source: 'limits', from: req.address },
+        options.onUnusable,
+      ),
       startedMs: Number(req.startedMs),
     });
     if (!leading) return replyNotLeading(req, knownSuspects);
--- a/packages/placement/src/lib/suspect-run.ts
+++ b/packages/placement/src/lib/suspect-run.ts
@@ -1,5 +1,7 @@
 import { RunState as WireState, type SuspectRun as WireRun } from '@boragepoint/protocol';
 
+import { decodeCount, encodeMs } from './wire-number.js';
+
 /** Identity of a request; equal requests of one caller share it. */
 export interface RequestIdentity {
   /** Fingerprint of the request; equal for equal requests of different callers. */
@@ -63,16 +65,16 @@
     ...run,
     startedMs: BigInt(startedMs),
     state: WIRE_STATES[state],
-    ageMs: Math.max(0, Math.round(ageMs)),
+    ageMs: encodeMs(ageMs),
   };
 }
 
-/** Decodes a run; returns `undefined` if its state is not known to this version. */
+/** Decodes a run; returns `undefined` if its state is not known to this version or its start out of range. */
 export function decodeRun(wire: WireRun): AgedRun | undefined {
   const states = Object.keys(WIRE_STATES) as RunState[];
   const state = states.find((it) => WIRE_STATES[it] === wire.state);
-  if (!state) return undefined;
+  const startedMs = decodeCount(wire.startedMs);
+  if (!state || startedMs === undefined) return undefined;
   const { request, caller, run, server, othersServed, ageMs } = wire;
-  const startedMs = Number(wire.startedMs);
   return { request, caller, run, server, startedMs, state, othersServed, ageMs };
 }
--- a/packages/placement/src/test/report-responder_test.ts
+++ b/packages/placement/src/test/report-responder_test.ts
@@ -135,8 +135,11 @@
     { ...sound, units: Infinity },
     { ...sound, latencyMs: -1 },
   ];
-  await createResponder({ leader: () => leader, directory })(
+  const reporters = createReporters(processClocks);
+  await createResponder({ leader: () => leader, directory, reporters })(
     report({
+      capacity: Infinity,
+      servedByStore: true,
       knownEpoch: 2n,
       waitMs: 1,
       services: [
@@ -150,4 +153,5 @@
   );
   expect(loads.map((it) => [it.keys, it.servers.length])).toEqual([[[1, 65_535], 1]]);
   expect(left).toEqual([{ server: 'b', startedMs: 7 }]);
+  expect(reporters.strongest()?.capacity).toEqual(0);
 });
