Placement's row: numbers, ranges and addresses are checked

What callers saw: nothing yet. A new leader that reads an epoch or a token of 2^63-1 can't write its row, and the encoder throws; ranges that overlap have two owners, and in a wrong order a search misses the range of a key. Cause: the row was decoded field by field without a look at what the fields say together. Why the fix works: such a row counts as one that can't be decoded, and no router leads on it; placements that leaders write pass. Addresses of other routers that can't be called are left out. A holder's address isn't checked here: an order to it is 'unreachable', and its range moves on. The package depends on @boragepoint/config now, for the check of addresses.

--- a/packages/placement/src/lib/key-range.ts
+++ b/packages/placement/src/lib/key-range.ts
@@ -23,6 +23,16 @@
   return a !== undefined && a.server === b?.server && a.startedMs === b.startedMs;
 }
 
+/** Returns whether spans lie within the keys, in key order and without a key in common. */
+export function isInOrder(spans: readonly KeySpan[]): boolean {
+  let next = FIRST_KEY;
+  for (const { first, last } of spans) {
+    if (first < next || last < first || last > LAST_KEY) return false;
+    next = last + 1;
+  }
+  return true;
+}
+
 /** Finds the range that contains a key, by binary search over sorted ranges. */
 export function findRange<R extends KeySpan>(ranges: readonly R[], key: number): R | undefined {
   let low = 0;
--- a/packages/placement/src/lib/placement-record.ts
+++ b/packages/placement/src/lib/placement-record.ts
@@ -1,3 +1,4 @@
+import { isCallable } from '@boragepoint/config';
 import { PlatformError, type StoredRow } from '@boragepoint/platform';
 import {
   type PlacementRecord,
@@ -8,8 +9,9 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { Result } from 'neverthrow';
 
-import type { ServerIncarnation } from './key-range.js';
+import { type ServerIncarnation, isInOrder } from './key-range.js';
 import { type AgedRun, decodeRun, encodeRun } from './suspect-run.js';
+import { requireCount } from './wire-number.js';
 
 /** Table of the row that holds a fleet's placement. */
 export const PLACEMENT_TABLE = 'boragepoint';
@@ -102,19 +104,20 @@
   return { service, ranges: encoded, lives: stored };
 }
 
-function decodeService({ ranges, lives }: StoredService): RangeRecord[] {
+function decodeService({ service, ranges, lives }: StoredService): RangeRecord[] {
   function decodeHolder({ life: index, fence, settled, heldUntilMs }: StoredHolder): HolderRecord {
     const stored = lives[index];
     if (!stored) throw new RangeError(`a range refers to incarnation ${index} of ${lives.length}`);
     const { server, address, startedMs } = stored;
-    const decoded = { server, address, startedMs: Number(startedMs) };
+    const decoded = { server, address, startedMs: requireCount(startedMs) };
     return {
       incarnation: decoded,
-      fence: Number(fence),
+      fence: requireCount(fence),
       settled,
-      ...(heldUntilMs !== undefined && { heldUntilMs: Number(heldUntilMs) }),
+      ...(heldUntilMs !== undefined && { heldUntilMs: requireCount(heldUntilMs) }),
     };
   }
+  if (!isInOrder(ranges)) throw new RangeError(`the ranges of ${service} are out of order`);
   return ranges.map((range) => ({
     first: range.first,
     last: range.last,
@@ -149,19 +152,19 @@
     leaderLease: {
       router: leaderLease?.router ?? '',
       address: leaderLease?.address ?? '',
-      startedMs: Number(leaderLease?.startedMs ?? 0),
-      epoch: Number(leaderLease?.epoch ?? 0),
-      untilMs: Number(leaderLease?.untilMs ?? 0),
+      startedMs: requireCount(leaderLease?.startedMs ?? 0n),
+      epoch: requireCount(leaderLease?.epoch ?? 0n),
+      untilMs: requireCount(leaderLease?.untilMs ?? 0n),
       handedOver: leaderLease?.handedOver ?? false,
       unansweredForMs: leaderLease?.unansweredForMs ?? 0,
       successor: leaderLease?.successor ?? '',
     },
-    version: Number(message.version),
-    change: Number(message.change),
-    nextFence: Number(message.nextFence),
+    version: requireCount(message.version),
+    change: requireCount(message.change),
+    nextFence: requireCount(message.nextFence),
     services: new Map(message.services.map((it) => [it.service, decodeService(it)])),
     suspects: message.suspects.flatMap((it) => decodeRun(it) ?? []),
-    peers: message.peers,
+    peers: message.peers.filter(isCallable),
   };
 }
 
