Routers: calls and messages only with addresses that can be called

What callers saw: nothing yet. The address in another router's message was called, counted among the routers, and passed on to others and to the stored row, whatever it was; a former leader at an address that can't be called counted as gone; an answer with a registry version of 2^64-1 made a router deaf to all later changes. Ruled out: calls that throw; none did. Why the fix works: a message of a router that can't be called back is refused; parts of an answer that can't be used are left out and told, and without an epoch that can be counted it is no answer. A row of the placement that can't be used is told, too.

--- a/packages/placement/src/lib/leader-lease.ts
+++ b/packages/placement/src/lib/leader-lease.ts
@@ -1,5 +1,6 @@
 import type { RowStore, StoredRow } from '@boragepoint/platform';
 
+import type { OnUnusable } from './decode-list.js';
 import {
   type LeaderLeaseRecord,
   PLACEMENT_KEY,
@@ -39,10 +40,14 @@
   readonly receivedAt: number;
 }
 
-/** Reads the placement's row; returns `undefined` if the store gives no usable answer. */
+/**
+ * Reads the placement's row; returns `undefined` if the store gives no usable answer.
+ * `onUnusable` is called with a row that can't be used.
+ */
 export async function readLeaderLease(
   store: RowStore,
   clocks: Clocks,
+  onUnusable?: OnUnusable,
 ): Promise<LeaderLeaseReading | undefined> {
   const askedAt = clocks.monotonic();
   const listed = await store.list(PLACEMENT_TABLE);
@@ -50,7 +55,11 @@
   const receivedAt = clocks.monotonic();
   const row = listed.value.rows.find((it) => it.key === PLACEMENT_KEY);
   const placement = row && decodePlacement(row);
-  if (placement?.isErr() === true) return undefined;
+  if (placement?.isErr() === true) {
+    const reason = String(placement.error.cause);
+    onUnusable?.({ source: PLACEMENT_TABLE, key: PLACEMENT_KEY, reason });
+    return undefined;
+  }
   return {
     placement: placement?.unwrapOr(undefined),
     rowVersion: row?.version ?? 0,
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -5,6 +5,7 @@
 
 import { MAX_UNANSWERED_GRANT_MS, becomeLeader } from './become-leader.js';
 import { createChangeSignal } from './change-signal.js';
+import type { OnUnusable } from './decode-list.js';
 import { createKnownPeers } from './known-peers.js';
 import type { PlacementLogger } from './leader-context.js';
 import { createLimitExchange } from './limit-exchange.js';
@@ -164,6 +165,8 @@
   tables(): readonly NamedTableReport[];
   /** Called with the state of the store's tables, as known to the leader. */
   onTableReports(tables: readonly NamedTableReport[]): void;
+  /** Called with what can't be used of the stored placement and of reports. */
+  readonly onUnusable?: OnUnusable;
 }
 
 /** Creates a member. */
@@ -300,7 +303,7 @@
    */
   async function refresh(signal: AbortSignal): Promise<void> {
     leaseReadAt = clocks.monotonic();
-    const reading = await readLeaderLease(store, clocks);
+    const reading = await readLeaderLease(store, clocks, options.onUnusable);
     if (!reading) {
       await askPeer();
       return;
@@ -384,9 +387,6 @@
 
   const isLeading = () => leader !== undefined;
 
-  /**
-   * Leads, follows, or searches for a leader; acquires the leadership lease only until the signal
-   * aborts.
   /** Logs an unexpected error; the router goes on leading or following. */
   function noteFailure(cause: unknown): void {
     options.log.warn('placement task failed unexpectedly', { reason: String(cause) });
@@ -402,6 +402,9 @@
     }
   }
 
+  /**
+   * Leads, follows, or searches for a leader; acquires the leadership lease only until the signal
+   * aborts.
    */
   async function runOnce(signal: AbortSignal): Promise<void> {
     const leading = leader;
@@ -437,6 +440,7 @@
     routers: countRouters,
     tables: () => options.tables(),
     storeChanges,
+    onUnusable: options.onUnusable,
   });
 
   return {
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -1,3 +1,4 @@
+import { isCallable } from '@boragepoint/config';
 import {
   type ProgressTimeout,
   OversizedBodyError,
@@ -9,8 +10,11 @@
 } from '@boragepoint/platform';
 import {
   type FetchTablePart,
+  type KeyRange,
+  type LeaderSeat,
   PlacementService,
   type ReportRequestSchema,
+  type TableState,
   type TableUpdate,
 } from '@boragepoint/protocol';
 import type { MessageInitShape } from '@bufbuild/protobuf';
@@ -18,11 +22,14 @@
 import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
 
 import type { AdmittedShares } from './overload.js';
+import { type OnUnusable, decodeList } from './decode-list.js';
+import { isInOrder } from './key-range.js';
 import { type AgedLimit, decodeLimit, encodeLimit } from './limit-exchange.js';
 import type { PermitsReply, WantedPermits } from './permit-allocator.js';
 import type { LeaderLeaseRecord } from './placement-record.js';
-import type { PlacementView } from './placement-view.js';
+import type { PlacementView, RangeView } from './placement-view.js';
 import { type AgedRun, decodeRun, encodeRun } from './suspect-run.js';
+import { decodeCount, requireCount } from './wire-number.js';
 
 /** Timeouts of the transfer of a table between routers, in milliseconds. */
 const FETCH_TIMEOUTS = { firstByteTimeoutMs: 1_000, progressTimeoutMs: 1_000 };
@@ -158,13 +165,43 @@
   return reason instanceof Error && 'code' in reason && reason.code === 'ECONNREFUSED';
 }
 
-function decodeRowUpdate({ version, changed, removed }: TableUpdate): RowUpdate {
-  const rows = changed.map((it) => ({
-    key: it.key,
-    version: Number(it.version),
-    value: it.value,
-  }));
-  return { version: Number(version), changed: rows, removed };
+function decodeRow(key: string, wireVersion: bigint, value: Uint8Array): StoredRow | undefined {
+  const version = decodeCount(wireVersion);
+  return version === undefined ? undefined : { key, version, value };
+}
+
+function decodeRowUpdate(update: TableUpdate): RowUpdate | undefined {
+  const version = decodeCount(update.version);
+  const changed = update.changed.flatMap((it) => decodeRow(it.key, it.version, it.value) ?? []);
+  return version === undefined ? undefined : { version, changed, removed: update.removed };
+}
+
+/** Decodes the ranges of a service, without those that hold no key. */
+function decodeRanges(ranges: readonly KeyRange[]): RangeView[] {
+  return ranges
+    .filter((it) => isInOrder([it]))
+    .map(({ first, last, owner, granted }) => ({
+      first,
+      last,
+      owner: owner === '' ? undefined : owner,
+      granted,
+    }));
+}
+
+const decodeAddress = (address: string) => (isCallable(address) ? address : undefined);
+
+function decodeLeader({
+  router,
+  address,
+  epoch: wireEpoch,
+}: LeaderSeat): LeaderAddress | undefined {
+  const epoch = decodeCount(wireEpoch);
+  return epoch === undefined || !isCallable(address) ? undefined : { router, address, epoch };
+}
+
+function decodeTable({ table, answers, version: wire }: TableState): NamedTableReport | undefined {
+  const version = decodeCount(wire);
+  return version === undefined ? undefined : { table, answers, version };
 }
 
 /** Assembles the parts of a table. */
@@ -187,19 +224,24 @@
     size += part.piece.length + part.key.length + 1;
     if (size > MAX_TABLE_BYTES) throw new OversizedBodyError('the table exceeds the size limit');
     if (!part.endsRow) continue;
-    changed.push({ key: part.key, version: Number(part.rowVersion), value: Buffer.concat(pieces) });
+    const row = decodeRow(part.key, part.rowVersion, Buffer.concat(pieces));
+    if (row) changed.push(row);
     pieces = [];
   }
-  return head && { version: Number(head.version), keys: head.keys, changed };
+  return head && { version: requireCount(head.version), keys: head.keys, changed };
 }
 
-/** Creates a client that keeps one connection to each router. */
-export function createPlacementPeers(): PlacementPeers {
+/**
+ * Creates a client that keeps one connection to each router; `onUnusable` is called with each
+ * answer of which a part can't be used.
+ */
+export function createPlacementPeers(onUnusable?: OnUnusable): PlacementPeers {
   const peers = new Map<string, Peer>();
 
   function peerAt(address: string): Peer {
     const known = peers.get(address);
     if (known) return known;
+    if (!isCallable(address)) throw new RangeError(`${address} is no address to call`);
     const baseUrl = `http://${address}`;
     const sessions = new Http2SessionManager(baseUrl);
     const transport = createConnectTransport({
@@ -225,45 +267,35 @@
         const res = await peerAt(address).rpc.report(report, { timeoutMs });
         const view: PlacementView | undefined = res.leads
           ? {
-              epoch: Number(res.epoch),
-              change: Number(res.change),
-              services: new Map(
-                res.services.map((it) => [
-                  it.service,
-                  it.ranges.map((range) => ({
-                    first: range.first,
-                    last: range.last,
-                    owner: range.owner === '' ? undefined : range.owner,
-                    granted: range.granted,
-                  })),
-                ]),
-              ),
+              epoch: requireCount(res.epoch),
+              change: requireCount(res.change),
+              services: new Map(res.services.map((it) => [it.service, decodeRanges(it.ranges)])),
             }
           : undefined;
         const { leads, complete, routers } = res;
-        const suspects = res.suspects.flatMap((it) => decodeRun(it) ?? []);
+        const decode = <W, T>(
+          source: string,
+          items: readonly W[],
+          each: (it: W) => T | undefined,
+        ) => decodeList(items, each, { source, from: address }, onUnusable);
+        const suspects = decode('suspect runs', res.suspects, decodeRun);
         const admitted = new Map(res.admitted.map(({ server, share }) => [server, share]));
-        const leader = res.leader && {
-          router: res.leader.router,
-          address: res.leader.address,
-          epoch: Number(res.leader.epoch),
-        };
         return {
           leads,
           view,
           isComplete: complete,
           routers,
           suspects,
-          knownSuspects: Number(res.knownSuspects),
-          limits: res.limits.flatMap((it) => decodeLimit(it) ?? []),
-          knownLimits: Number(res.knownLimits),
+          knownSuspects: requireCount(res.knownSuspects),
+          limits: decode('limits', res.limits, decodeLimit),
+          knownLimits: requireCount(res.knownLimits),
           admitted,
           isLeaseExpired: res.tenureOver,
-          peers: res.peers,
-          leader,
-          startedMs: Number(res.startedMs),
-          servers: res.servers && decodeRowUpdate(res.servers),
-          tables: res.tables.map((it) => ({ ...it, version: Number(it.version) })),
+          peers: decode('router addresses', res.peers, decodeAddress),
+          leader: decode('leader', res.leader ? [res.leader] : [], decodeLeader)[0],
+          startedMs: requireCount(res.startedMs),
+          servers: decode('table update', res.servers ? [res.servers] : [], decodeRowUpdate)[0],
+          tables: decode('table states', res.tables, decodeTable),
         };
       } catch {
         disconnect(address);
@@ -285,7 +317,7 @@
       try {
         const req = { suspects: runs.map(encodeRun), address: from };
         const res = await peerAt(address).rpc.shareSuspects(req, { timeoutMs });
-        return Number(res.startedMs);
+        return requireCount(res.startedMs);
       } catch {
         return undefined;
       }
@@ -300,7 +332,7 @@
           wanted: ask.wanted.map((it) => ({ ...it, servers: [...it.servers] })),
         };
         const res = await peerAt(address).rpc.requestPermits(req, { timeoutMs });
-        return { leads: res.leads, startedMs: Number(res.startedMs), replies: res.replies };
+        return { leads: res.leads, startedMs: requireCount(res.startedMs), replies: res.replies };
       } catch {
         return undefined;
       }
--- a/packages/router/src/lib/peer-listener.ts
+++ b/packages/router/src/lib/peer-listener.ts
@@ -2,10 +2,11 @@
 import type { Socket } from 'node:net';
 import { Readable } from 'node:stream';
 
+import { isCallable } from '@boragepoint/config';
 import { type PlacementMember, decodeRun } from '@boragepoint/placement';
-import type { RowDelta } from '@boragepoint/platform';
+import type { RowDelta, UnusableEntry } from '@boragepoint/platform';
 import { PlacementService } from '@boragepoint/protocol';
-import type { ConnectRouter } from '@connectrpc/connect';
+import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
 import { partsOf } from './row-parts.js';
@@ -21,27 +22,44 @@
    * either.
    */
   readonly rowsSince: (table: string, version: number) => RowDelta | undefined;
+  /** Called with each message that can't be used. */
+  readonly onUnusable?: (entry: UnusableEntry) => void;
 }
 
 /** Starts the RPC listener for other routers. */
 export async function createPeerListener(
-  { member, rowsSince }: PeerListenerContext,
+  { member, rowsSince, onUnusable }: PeerListenerContext,
   host: string,
   port: number,
 ): Promise<AsyncDisposable> {
+  /** Refuses a message of a router that can't be called back. */
+  function checkSender(source: string, { address }: { readonly address: string }): void {
+    if (isCallable(address)) return;
+    const reason = 'the address of the sender can not be called';
+    onUnusable?.({ source, key: address, reason });
+    throw new ConnectError(reason, Code.InvalidArgument);
+  }
+
   const routes = (router: ConnectRouter) =>
     router.service(PlacementService, {
-      report: (req) => member.answerReport(req),
+      report(req) {
+        checkSender('report', req);
+        return member.answerReport(req);
+      },
       yieldSeat(req) {
         const unansweredForMs = member.answerStepDown(Number(req.epoch), Number(req.startedMs));
         return unansweredForMs === undefined ? {} : { unansweredForMs: Math.ceil(unansweredForMs) };
       },
       async shareSuspects(req) {
+        checkSender('suspect runs', req);
         const runs = req.suspects.flatMap((it) => decodeRun(it) ?? []);
         await member.receiveSuspects({ runs, from: req.address });
         return { startedMs: BigInt(member.startedMs) };
       },
-      requestPermits: (req) => member.answerPermits(req),
+      requestPermits(req) {
+        checkSender('permits', req);
+        return member.answerPermits(req);
+      },
       fetchTable(req) {
         const delta = rowsSince(req.table, Number(req.knownVersion));
         return Readable.from(delta ? partsOf(delta) : []);
