Registry and configuration: odd entries are told once, and the others are used

What callers saw: while an entry with port 70000 or an octet of 999 stood among those of the servers of a service without keys, none of its requests was served. Cause: the decoder of entries knew the form of an address and not its bounds, so that the entry came into the pool; creating its connections threw for whatever request asked for the service's servers. Of the configuration, a version that is not hexadecimal was in force as no number, and time limits of 1e400 or below 0 reached listeners and timers. Ruled out: deep nesting, 1e19 as start and 1e400 as slots, which were refused before. Why the fix works: an entry or document that can't be used has a reason instead of a value, as decoders return results now; the registry and the active configuration report it, and the router tells it once. Counter boragepoint_unusable_entries_total; log event 'unusable entry'.

--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -6,7 +6,9 @@
   type RowUpdate,
   type RowWatcher,
   type ServerEntry,
+  type StoredRow,
   type TableReport,
+  type UnusableEntry,
   type WatchOutage,
   createRowWatch,
 } from '@boragepoint/platform';
@@ -90,6 +92,8 @@
   drainNoticeMs?(): number;
   readonly onLost?: (err: PlatformError) => void;
   readonly onRecovered?: (outage: WatchOutage) => void;
+  /** Called with each row that describes no usable server, whenever it is received. */
+  readonly onUnusable?: (entry: UnusableEntry) => void;
 }
 
 const incarnationKey = ({ server, startedMs }: IncarnationId) => `${server}@${startedMs}`;
@@ -166,17 +170,26 @@
     removalTimers.set(key, timer);
   }
 
+  /** Decodes a row; returns `undefined` if it describes no usable server. */
+  function decode(row: StoredRow): ServerEntry | undefined {
+    const decoded = platform.decodeServer(row);
+    if (decoded.isOk()) return decoded.value;
+    const { key } = row;
+    options.onUnusable?.({ source: platform.serverTable, key, reason: decoded.error });
+    return undefined;
+  }
+
   const watcher: RowWatcher = {
     onSnapshot({ rows }) {
       const present = new Set(rows.map((it) => it.key));
-      for (const row of rows) put(row.key, platform.decodeServer(row));
+      for (const row of rows) put(row.key, decode(row));
       for (const key of [...servers.keys()]) if (!present.has(key)) remove(key);
       loaded = true;
       currentSince = Math.min(currentSince, clocks.monotonic());
       notifyListeners();
     },
     onChange(row) {
-      put(row.key, platform.decodeServer(row));
+      put(row.key, decode(row));
       notifyListeners();
     },
     onRemoval(key) {
--- a/packages/platform/src/lib/fleet-platform.ts
+++ b/packages/platform/src/lib/fleet-platform.ts
@@ -1,3 +1,5 @@
+import type { Result } from 'neverthrow';
+
 import type { FleetConfig, ServerEntry } from './fleet-config.js';
 import type { RowStore, StoredRow } from './row-store.js';
 import type { ServerOrders } from './server-orders.js';
@@ -64,11 +66,12 @@
   /** Table that holds the configuration. */
   readonly configTable: string;
   /**
-   * Decodes a row of the configuration table; `undefined` for a row that holds no configuration.
+   * Decodes a row of the configuration table; `undefined` for a row that holds something else, the
+   * reason as error for a configuration that can't be used.
    */
-  decodeConfig(row: StoredRow): FleetConfig | undefined;
+  decodeConfig(row: StoredRow): Result<FleetConfig | undefined, string>;
   /** Table with one row for each backend server. */
   readonly serverTable: string;
-  /** Decodes a row of the server table; `undefined` for a row that describes no server. */
-  decodeServer(row: StoredRow): ServerEntry | undefined;
+  /** Decodes a row of the server table; the reason as error if it describes no usable server. */
+  decodeServer(row: StoredRow): Result<ServerEntry, string>;
 }
--- a/packages/router/src/lib/active-config.ts
+++ b/packages/router/src/lib/active-config.ts
@@ -3,6 +3,7 @@
   type RowSource,
   type RowWatch,
   type RowWatcher,
+  type UnusableEntry,
   type WatchOutage,
   createRowWatch,
 } from '@boragepoint/platform';
@@ -16,6 +17,8 @@
   /** Source of rows while the store does not answer. */
   readonly fallback: RowSource;
   readonly log: Pick<RouterLog, 'info' | 'warn'>;
+  /** Called with each configuration that can't be used; the one in force stays. */
+  onUnusable(entry: UnusableEntry): void;
   /** Called with the routes of each new version. */
   onChange(table: RouteTable): void;
 }
@@ -57,8 +60,14 @@
       for (const row of rows) watcher.onChange(row);
     },
     onChange(row) {
-      const cfg = platform.decodeConfig(row);
-      if (cfg) apply(createRouteTable(cfg));
+      platform.decodeConfig(row).match(
+        (cfg) => {
+          if (cfg) apply(createRouteTable(cfg));
+        },
+        (reason) => {
+          options.onUnusable({ source: platform.configTable, key: row.key, reason });
+        },
+      );
     },
     onRemoval: () => undefined,
     onLost(err) {
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -9,7 +9,7 @@
   createSuspectRecord,
   processClocks,
 } from '@boragepoint/placement';
-import type { FleetPlatform, RowSource } from '@boragepoint/platform';
+import { type FleetPlatform, type RowSource, createUnusableEntries } from '@boragepoint/platform';
 
 import { createCallerListener } from './caller-listener.js';
 import { createActiveConfig, watchOutageFields } from './active-config.js';
@@ -73,7 +73,16 @@
   let stopping = false;
   const budgets = new Map<string, SharedRetryBudget>();
 
-  const peers = createPlacementPeers();
+  const unusable = createUnusableEntries({
+    now: clocks.monotonic,
+    count(source) {
+      metrics.recordUnusableEntry(source);
+    },
+    tell(entry) {
+      log.warn('unusable entry', { ...entry });
+    },
+  });
+  const peers = createPlacementPeers(unusable.note);
   /** Reads rows from a peer while the store does not answer. */
   const fallback: RowSource = {
     async rowsSince(table, version) {
@@ -103,6 +112,7 @@
       log.info('service registry watch regained', watchOutageFields(outage));
       member.noteStoreChange();
     },
+    onUnusable: unusable.note,
   });
   const suspects = createSuspectRecord(clocks.monotonic);
   const limits = createServerLimits(clocks.monotonic);
@@ -115,6 +125,7 @@
     platform,
     fallback,
     log,
+    onUnusable: unusable.note,
     onChange({ cfg }) {
       metrics.setConfigurationVersion(cfg.version);
       listener.applyLimits(cfg.limits);
@@ -153,6 +164,7 @@
       { table: platform.configTable, ...config.watch.tableReport() },
       { table: platform.serverTable, ...directory.tableReport() },
     ],
+    onUnusable: unusable.note,
     onTableReports(tables) {
       for (const { table, ...advice } of tables) {
         if (table === platform.configTable) config.watch.applyReport(advice);
@@ -276,6 +288,7 @@
   const peerEndpoint = endpointOf(settings.listen.peers);
   const peerContext = {
     member,
+    onUnusable: unusable.note,
     rowsSince(table: string, version: number) {
       if (table === platform.configTable) return config.watch.deltaSince(version);
       return table === platform.serverTable ? directory.rowsSince(version) : undefined;
--- a/packages/router/src/lib/router-metrics.ts
+++ b/packages/router/src/lib/router-metrics.ts
@@ -19,6 +19,8 @@
   recordLimitedRefusal(service: string): void;
   /** Counts a request whose handling threw. */
   recordUnexpectedError(): void;
+  /** Counts something from the store or another router that can't be used, once. */
+  recordUnusableEntry(source: string): void;
   /** Sets the version of the active configuration. */
   setConfigurationVersion(version: number): void;
   /** Sets the digest of the active settings. */
@@ -112,6 +114,12 @@
     help: 'Errors that nobody foresaw; each has a line in the log.',
     registers: [registry],
   });
+  const unusable = new Counter({
+    name: 'boragepoint_unusable_entries_total',
+    help: 'Entries of the store and messages of routers that could not be used, once each.',
+    labelNames: ['source'],
+    registers: [registry],
+  });
   const configuration = inForceGauge('configuration', 'version', registry);
   const settings = inForceGauge('settings', 'digest', registry);
   const refused = new Counter({
@@ -158,6 +166,9 @@
     recordUnexpectedError() {
       unexpected.inc();
     },
+    recordUnusableEntry(source) {
+      unusable.inc({ source });
+    },
     setConfigurationVersion(version) {
       configuration(String(version));
     },
