--- a/packages/placement/src/lib/known-peers.ts
+++ b/packages/placement/src/lib/known-peers.ts
@@ -1,9 +1,11 @@
+import { isCallable } from '@boragepoint/config';
+
 /** Number of addresses that are kept; the least recently noted are dropped first. */
 const MAX_PEERS = 12;
 
 /** Addresses at which other routers were last known to answer. */
 export interface KnownPeers {
-  /** Adds addresses, or marks them as the most recent. */
+  /** Adds addresses, or marks them as the most recent; those that can't be called are left out. */
   note(addresses: readonly string[]): void;
   all(): readonly string[];
   /** An address picked at random; `undefined` if none is known. */
@@ -18,7 +20,7 @@
   return {
     note(addresses) {
       for (const address of addresses) {
-        if (address === '' || address === self) continue;
+        if (address === self || !isCallable(address)) continue;
         known.delete(address);
         known.add(address);
       }
--- a/packages/router/src/test/server-pool_test.ts
+++ b/packages/router/src/test/server-pool_test.ts
@@ -78,3 +78,23 @@
   servers.set('b', knownServer('b', 0));
   expect(Math.round(pool.get('b')?.load.serviceMs() ?? 0)).toEqual(40);
 });
+
+// Guards against a service none of whose servers gets a request, because connections to one of them
+// can't be created.
+test('a server at an address that cannot be called is not pooled, and the others are', () => {
+  const addressed = (id: string, address: string) => {
+    const known = knownServer(id, 0);
+    return [id, { ...known, entry: { ...known.entry, id, address } }] as const;
+  };
+  const servers = new Map([
+    addressed('a', '127.0.0.1:70000'),
+    addressed('b', '127.0.0.1:1'),
+    addressed('c', '127.0.0.999:1'),
+  ]);
+  const pool = poolOf(servers);
+  expect(pool.ofService('s').map((it) => it.entry.id)).toEqual(['b']);
+  expect(pool.get('a')).toEqual(undefined);
+  servers.set('b', addressed('b', '127.0.0.1:70000')[1]);
+  pool.refresh();
+  expect(pool.ofService('s')).toEqual([]);
+});
