--- a/packages/platform/src/lib/row-store.ts
+++ b/packages/platform/src/lib/row-store.ts
@@ -1,6 +1,7 @@
 import type { Result } from 'neverthrow';
 
 import type { PlatformError } from './platform-error.js';
+import type { UnusableEntry } from './unusable-entries.js';
 
 /** A row of a {@link RowStore}. */
 export interface StoredRow {
@@ -42,6 +43,8 @@
 
 /** A linearizable store of rows in tables, with conditional writes and watches. */
 export interface RowStore {
+  /** Sets the listener that is called with each answer of which a part can't be used. */
+  onUnusable?(listener: (entry: UnusableEntry) => void): void;
   /** Reads all rows of a table. */
   list(table: string): Promise<Result<RowSnapshot, PlatformError>>;
   /** Waits up to `waitMs` milliseconds for changes after a version, or until the signal aborts. */
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -82,6 +82,7 @@
       log.warn('unusable entry', { ...entry });
     },
   });
+  platform.store.onUnusable?.(unusable.note);
   const peers = createPlacementPeers(unusable.note);
   /** Reads rows from a peer while the store does not answer. */
   const fallback: RowSource = {
