Placement: a leader whose write throws stops leading

What callers saw: nothing yet. Since no thrown error ends a router any more, a write of the placement's row that throws would leave the tasks that wait for it waiting, and the router leading for ever without an order. Evidence: placement-leader_test, 'a leader whose write throws stops leading': never ended before. Why the fix works: the writer answers the calls that wait in any case, and the leadership ends as if the lease were lost.

--- a/packages/placement/src/lib/placement-writer.ts
+++ b/packages/placement/src/lib/placement-writer.ts
@@ -93,10 +93,13 @@
         wakeSignal.wake();
       };
       signal.addEventListener('abort', wake);
-      while (!signal.aborted && !isClosed) await writeOnce();
-      signal.removeEventListener('abort', wake);
-      isClosed = true;
-      resolveCalls(false, Infinity);
+      try {
+        while (!signal.aborted && !isClosed) await writeOnce();
+      } finally {
+        signal.removeEventListener('abort', wake);
+        isClosed = true;
+        resolveCalls(false, Infinity);
+      }
     },
     async handOver(note) {
       version += 1;
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -52,6 +52,8 @@
 interface SuccessorFixture extends AsyncDisposable {
   readonly leader: PlacementLeader;
   readonly holders: FakeHolders;
+  /** Resolves once the leader has stopped. */
+  readonly running: Promise<void>;
 }
 
 /**
@@ -102,6 +104,7 @@
   return {
     leader,
     holders,
+    running,
     async [Symbol.asyncDispose]() {
       end.abort();
       await running;
@@ -220,3 +223,20 @@
   await until(() => fixture.holders.holdersOf(50).includes('a'));
   expect(fixture.holders.holdersOf(50)).toEqual(['a']);
 });
+
+// Guards against a router that leads for ever without an order: a write that threw left its tasks
+// waiting.
+test('a leader whose write throws stops leading', { timeout: 10_000 }, async () => {
+  const unowned = { first: 0, last: 65_535, owner: undefined, former: [] };
+  let writes = 0;
+  const write = () => {
+    writes += 1;
+    return Promise.reject(new RangeError('no such number'));
+  };
+  await using fixture = startSuccessor([unowned], [], () => ({
+    leaderLease: { ...heldLease, write },
+  }));
+  await fixture.running;
+  expect(writes).toEqual(1);
+  expect(fixture.holders.sent).toEqual([]);
+});
