--- a/packages/placement/src/lib/leader-lease.ts
+++ b/packages/placement/src/lib/leader-lease.ts
@@ -1,5 +1,6 @@
 import { type RowStore, type StoredRow, eraOf, inEra } from '@boragepoint/platform';
 
+import type { OnUnusable } from './decode-list.js';
 import {
   type LeaderLeaseRecord,
   PLACEMENT_TABLE,
@@ -47,10 +48,14 @@
   readonly receivedAt: number;
 }
 
-/** Reads the placement's row; returns `undefined` if the store gives no usable answer. */
+/**
+ * Reads the placement's row; returns `undefined` if the store gives no usable answer.
+ * `onUnusable` is called with a row that can't be used.
+ */
 export async function readLeaderLease(
   store: RowStore,
   clocks: Clocks,
+  onUnusable?: OnUnusable,
 ): Promise<LeaderLeaseReading | undefined> {
   const askedAt = clocks.monotonic();
   const listed = await store.list(PLACEMENT_TABLE);
@@ -59,7 +64,11 @@
   const era = eraOf(listed.value.version);
   const { present, earlier } = findPlacementRows(listed.value, era);
   const placement = present && decodePlacement(present);
-  if (placement?.isErr() === true) return undefined;
+  if (placement?.isErr() === true) {
+    const reason = String(placement.error.cause);
+    onUnusable?.({ source: PLACEMENT_TABLE, key: placementKey(era), reason });
+    return undefined;
+  }
   return {
     era,
     placement: placement?.unwrapOr(undefined),
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -12,6 +12,7 @@
   ORDER_TIMEOUT_MS,
   type PlacementLogger,
   mayHoldUntil,
+  runTask,
 } from './leader-context.js';
 import { LEADER_LEASE_MS, type LeaderLease, RENEWAL_GRACE_MS } from './leader-lease.js';
 import { type LeaseTimes, maxLeaseMs } from './lease-bound.js';
@@ -271,8 +272,10 @@
     for (const range of moved) feed.note(range);
     const [isStored] = await Promise.all([writer.persist(), witnesses.tell()]);
     if (!isStored) return;
-    for (const range of joined) void grantJoined(ctx, range);
-    for (const range of moved) void handOver(ctx, range).then(planWakeSignal.wake);
+    for (const range of joined) void runTask(ctx, () => grantJoined(ctx, range));
+    for (const range of moved) {
+      void runTask(ctx, () => handOver(ctx, range)).then(planWakeSignal.wake);
+    }
   }
 
   /** Finds overloaded owners, and notifies waiting routers if the shares changed significantly. */
@@ -297,7 +300,7 @@
       const balance = now >= balanceAt;
       if (balance) balanceAt = now + BALANCE_INTERVAL_MS;
       if (balance) updateOverloads();
-      if (ctx.mayOrder() && directory.isLoaded()) await plan(balance);
+      if (ctx.mayOrder() && directory.isLoaded()) await runTask(ctx, () => plan(balance));
       await planWakeSignal.wait(Math.max(1, balanceAt - clocks.monotonic()));
     }
   }
@@ -308,7 +311,7 @@
     if (unfinished.length === 0) return;
     for (const range of unfinished) range.busy = true;
     void witnesses.tell().then(() => {
-      for (const range of unfinished) void handOver(ctx, range);
+      for (const range of unfinished) void runTask(ctx, () => handOver(ctx, range));
     });
   }
 
@@ -383,8 +386,8 @@
       firstFence: nextFence,
       inheritedForMs: Math.round(options.inheritedForMs),
     });
-    const work = sendOrders();
-    await writer.run(writerAbort.signal);
+    const work = runTask(ctx, sendOrders);
+    await runTask(ctx, () => writer.run(writerAbort.signal));
     signal.removeEventListener('abort', onAbort);
     hasSteppedDown = true;
     const mustHandOver = signal.aborted || successor !== undefined;
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -5,6 +5,7 @@
 
 import { becomeLeader } from './become-leader.js';
 import { createChangeSignal } from './change-signal.js';
+import type { OnUnusable } from './decode-list.js';
 import { createKnownPeers } from './known-peers.js';
 import { createKnownPlacement } from './known-placement.js';
 import type { PlacementLogger } from './leader-context.js';
@@ -188,6 +189,8 @@
   tables(): readonly NamedTableReport[];
   /** Called with the state of the store's tables, as known to the leader. */
   onTableReports(tables: readonly NamedTableReport[]): void;
+  /** Called with what can't be used of the stored placement and of reports. */
+  readonly onUnusable?: OnUnusable;
 }
 
 /** Creates a member. */
@@ -316,10 +319,13 @@
     witnessedEpoch = created.epoch;
     updateView(created.view());
     followedLeader = undefined;
-    leaderRun = created.run(signal).finally(() => {
-      keepStopped(created);
-      leader = undefined;
-    });
+    leaderRun = created
+      .run(signal)
+      .catch(noteFailure)
+      .finally(() => {
+        keepStopped(created);
+        leader = undefined;
+      });
   }
 
   /** Asks a known router for the leader; used while the store does not answer. */
@@ -391,7 +397,7 @@
    */
   async function refresh(signal: AbortSignal): Promise<void> {
     leaseReadAt = clocks.monotonic();
-    const reading = await readLeaderLease(store, clocks);
+    const reading = await readLeaderLease(store, clocks, options.onUnusable);
     if (!reading) {
       await askPeer();
       return;
@@ -481,6 +487,21 @@
 
   const isLeading = () => leader !== undefined;
 
+  /** Logs an unexpected error; the router goes on leading or following. */
+  function noteFailure(cause: unknown): void {
+    options.log.warn('placement task failed unexpectedly', { reason: String(cause) });
+  }
+
+  /** Runs once; after an unexpected error it waits before the next time. */
+  async function runOnceSafely(signal: AbortSignal): Promise<void> {
+    try {
+      await runOnce(signal);
+    } catch (cause) {
+      noteFailure(cause);
+      await sleep(RETRY_MS);
+    }
+  }
+
   /**
    * Leads, follows, or searches for a leader; acquires the leadership lease only until the signal
    * aborts.
@@ -520,6 +541,7 @@
     routers: countRouters,
     tables: () => options.tables(),
     storeChanges,
+    onUnusable: options.onUnusable,
   });
 
   return {
@@ -599,7 +621,7 @@
       const ended = new Promise((resolve) => {
         followSignal.addEventListener('abort', resolve);
       });
-      while (!followSignal.aborted) await Promise.race([runOnce(leadSignal), ended]);
+      while (!followSignal.aborted) await Promise.race([runOnceSafely(leadSignal), ended]);
       await leaderRun;
     },
   };
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -1,3 +1,4 @@
+import { isCallable } from '@boragepoint/config';
 import {
   type ProgressTimeout,
   OversizedBodyError,
@@ -10,9 +11,12 @@
 import {
   type FetchPlacementResponse,
   type FetchTablePart,
+  type KeyRange,
+  type LeaderSeat,
   type NotePlacementRequest,
   PlacementService,
   type ReportRequestSchema,
+  type TableState,
   type TableUpdate,
 } from '@boragepoint/protocol';
 import type { MessageInitShape } from '@bufbuild/protobuf';
@@ -20,12 +24,15 @@
 import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
 
 import type { AdmittedShares } from './overload.js';
+import { type OnUnusable, decodeList } from './decode-list.js';
+import { isInOrder } from './key-range.js';
 import { type AgedLimit, decodeLimit, encodeLimit } from './limit-exchange.js';
 import type { PermitsReply, WantedPermits } from './permit-allocator.js';
 import type { LeaderLeaseRecord } from './placement-record.js';
-import type { PlacementView } from './placement-view.js';
+import type { PlacementView, RangeView } from './placement-view.js';
 import { type StoppedLeader, decodeStoppedLeader } from './stopped-leader.js';
 import { type AgedRun, decodeRun, encodeRun } from './suspect-run.js';
+import { decodeCount, requireCount } from './wire-number.js';
 import type { PlacementNote } from './witnesses.js';
 
 /** Timeouts of the transfer of a table between routers, in milliseconds. */
@@ -190,31 +197,57 @@
   return reason instanceof Error && 'code' in reason && reason.code === 'ECONNREFUSED';
 }
 
-function decodeRowUpdate({ version, changed, removed }: TableUpdate): RowUpdate {
-  const rows = changed.map((it) => ({
-    key: it.key,
-    version: Number(it.version),
-    value: it.value,
-  }));
-  return { version: Number(version), changed: rows, removed };
+function decodeRow(key: string, wireVersion: bigint, value: Uint8Array): StoredRow | undefined {
+  const version = decodeCount(wireVersion);
+  return version === undefined ? undefined : { key, version, value };
 }
 
-/** Decodes a note of a leader. */
-export function decodeNote(req: NotePlacementRequest): PlacementNote {
-  return { view: decodeView(req), isComplete: req.complete, after: Number(req.after) };
+function decodeRowUpdate(update: TableUpdate): RowUpdate | undefined {
+  const version = decodeCount(update.version);
+  const changed = update.changed.flatMap((it) => decodeRow(it.key, it.version, it.value) ?? []);
+  return version === undefined ? undefined : { version, changed, removed: update.removed };
 }
 
-function decodeView({ epoch, change, services }: ViewMessage): PlacementView {
-  const decoded = services.map(({ service, ranges }) => {
-    const views = ranges.map(({ first, last, owner, granted }) => ({
+/** Decodes the ranges of a service, without those that hold no key. */
+function decodeRanges(ranges: readonly KeyRange[]): RangeView[] {
+  return ranges
+    .filter((it) => isInOrder([it]))
+    .map(({ first, last, owner, granted }) => ({
       first,
       last,
       owner: owner === '' ? undefined : owner,
       granted,
     }));
-    return [service, views] as const;
-  });
-  return { epoch: Number(epoch), change: Number(change), services: new Map(decoded) };
+}
+
+const decodeAddress = (address: string) => (isCallable(address) ? address : undefined);
+
+function decodeLeader({
+  router,
+  address,
+  epoch: wireEpoch,
+}: LeaderSeat): LeaderAddress | undefined {
+  const epoch = decodeCount(wireEpoch);
+  return epoch === undefined || !isCallable(address) ? undefined : { router, address, epoch };
+}
+
+function decodeTable({ table, answers, version: wire }: TableState): NamedTableReport | undefined {
+  const version = decodeCount(wire);
+  return version === undefined ? undefined : { table, answers, version };
+}
+
+/** Decodes a note of a leader; throws if its numbers can't be told apart. */
+export function decodeNote(req: NotePlacementRequest): PlacementNote {
+  return { view: decodeView(req), isComplete: req.complete, after: requireCount(req.after) };
+}
+
+/** Decodes a view; throws if its numbers can't be told apart. */
+function decodeView({ epoch, change, services }: ViewMessage): PlacementView {
+  return {
+    epoch: requireCount(epoch),
+    change: requireCount(change),
+    services: new Map(services.map((it) => [it.service, decodeRanges(it.ranges)])),
+  };
 }
 
 /** Encodes the services of a view. */
@@ -258,19 +291,24 @@
     size += part.piece.length + part.key.length + 1;
     if (size > MAX_TABLE_BYTES) throw new OversizedBodyError('the table exceeds the size limit');
     if (!part.endsRow) continue;
-    changed.push({ key: part.key, version: Number(part.rowVersion), value: Buffer.concat(pieces) });
+    const row = decodeRow(part.key, part.rowVersion, Buffer.concat(pieces));
+    if (row) changed.push(row);
     pieces = [];
   }
-  return head && { version: Number(head.version), keys: head.keys, changed };
+  return head && { version: requireCount(head.version), keys: head.keys, changed };
 }
 
-/** Creates a client that keeps one connection to each router. */
-export function createPlacementPeers(): PlacementPeers {
+/**
+ * Creates a client that keeps one connection to each router; `onUnusable` is called with each
+ * answer of which a part can't be used.
+ */
+export function createPlacementPeers(onUnusable?: OnUnusable): PlacementPeers {
   const peers = new Map<string, Peer>();
 
   function peerAt(address: string): Peer {
     const known = peers.get(address);
     if (known) return known;
+    if (!isCallable(address)) throw new RangeError(`${address} is no address to call`);
     const baseUrl = `http://${address}`;
     const sessions = new Http2SessionManager(baseUrl);
     const transport = createConnectTransport({
@@ -296,30 +334,30 @@
         const res = await peerAt(address).rpc.report(report, { timeoutMs });
         const view = res.leads ? decodeView(res) : undefined;
         const { leads, complete, routers } = res;
-        const suspects = res.suspects.flatMap((it) => decodeRun(it) ?? []);
+        const decode = <W, T>(
+          source: string,
+          items: readonly W[],
+          each: (it: W) => T | undefined,
+        ) => decodeList(items, each, { source, from: address }, onUnusable);
+        const suspects = decode('suspect runs', res.suspects, decodeRun);
         const admitted = new Map(res.admitted.map(({ server, share }) => [server, share]));
-        const leader = res.leader && {
-          router: res.leader.router,
-          address: res.leader.address,
-          epoch: Number(res.leader.epoch),
-        };
         return {
           leads,
           view,
           isComplete: complete,
           routers,
           suspects,
-          knownSuspects: Number(res.knownSuspects),
-          limits: res.limits.flatMap((it) => decodeLimit(it) ?? []),
-          knownLimits: Number(res.knownLimits),
+          knownSuspects: requireCount(res.knownSuspects),
+          limits: decode('limits', res.limits, decodeLimit),
+          knownLimits: requireCount(res.knownLimits),
           admitted,
           isLeaseExpired: res.tenureOver,
-          peers: res.peers,
-          witnesses: res.witnesses,
-          leader,
-          startedMs: Number(res.startedMs),
-          servers: res.servers && decodeRowUpdate(res.servers),
-          tables: res.tables.map((it) => ({ ...it, version: Number(it.version) })),
+          peers: decode('router addresses', res.peers, decodeAddress),
+          witnesses: decode('router addresses', res.witnesses, decodeAddress),
+          leader: decode('leader', res.leader ? [res.leader] : [], decodeLeader)[0],
+          startedMs: requireCount(res.startedMs),
+          servers: decode('table update', res.servers ? [res.servers] : [], decodeRowUpdate)[0],
+          tables: decode('table states', res.tables, decodeTable),
         };
       } catch {
         disconnect(address);
@@ -330,10 +368,9 @@
       try {
         const res = await peerAt(address).rpc.fetchPlacement({}, { timeoutMs });
         if (res.epoch === 0n) return undefined;
-        const { leader } = res;
         return {
           view: decodeView(res),
-          leader: leader && { address: leader.address, epoch: Number(leader.epoch) },
+          leader: res.leader && decodeLeader(res.leader),
           isWitness: res.witness,
           heardAgoMs: res.heardAgoMs,
         };
@@ -374,7 +411,7 @@
       try {
         const req = { suspects: runs.map(encodeRun), address: from };
         const res = await peerAt(address).rpc.shareSuspects(req, { timeoutMs });
-        return Number(res.startedMs);
+        return requireCount(res.startedMs);
       } catch {
         return undefined;
       }
@@ -389,7 +426,7 @@
           wanted: ask.wanted.map((it) => ({ ...it, servers: [...it.servers] })),
         };
         const res = await peerAt(address).rpc.requestPermits(req, { timeoutMs });
-        return { leads: res.leads, startedMs: Number(res.startedMs), replies: res.replies };
+        return { leads: res.leads, startedMs: requireCount(res.startedMs), replies: res.replies };
       } catch {
         return undefined;
       }
--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -6,7 +6,9 @@
   type RowUpdate,
   type RowWatcher,
   type ServerEntry,
+  type StoredRow,
   type TableReport,
+  type UnusableEntry,
   type WatchOutage,
   createRowWatch,
 } from '@boragepoint/platform';
@@ -92,6 +94,8 @@
   readonly onLost?: (err: PlatformError) => void;
   readonly onRecovered?: (outage: WatchOutage) => void;
   readonly onReturn?: (difference: RegistryDifference) => void;
+  /** Called with each row that describes no usable server, whenever it is received. */
+  readonly onUnusable?: (entry: UnusableEntry) => void;
 }
 
 /** How the registry of a store that came back from an older copy differs from what was known. */
@@ -207,6 +211,15 @@
     removalTimers.set(key, timer);
   }
 
+  /** Decodes a row; returns `undefined` if it describes no usable server. */
+  function decode(row: StoredRow): ServerEntry | undefined {
+    const decoded = platform.decodeServer(row);
+    if (decoded.isOk()) return decoded.value;
+    const { key } = row;
+    options.onUnusable?.({ source: platform.serverTable, key, reason: decoded.error });
+    return undefined;
+  }
+
   const watcher: RowWatcher = {
     onReturn(era) {
       returnedAt = clocks.monotonic();
@@ -217,7 +230,7 @@
     },
     onSnapshot({ rows }) {
       const present = new Set(rows.map((it) => it.key));
-      for (const row of rows) put(row.key, platform.decodeServer(row));
+      for (const row of rows) put(row.key, decode(row));
       const missing = [...servers.keys()].filter((it) => !present.has(it));
       for (const key of missing) remove(key);
       if (returnedEra !== undefined) {
@@ -230,7 +243,7 @@
       notifyListeners();
     },
     onChange(row) {
-      put(row.key, platform.decodeServer(row));
+      put(row.key, decode(row));
       notifyListeners();
     },
     onRemoval(key) {
--- a/packages/platform/src/lib/row-store.ts
+++ b/packages/platform/src/lib/row-store.ts
@@ -1,6 +1,7 @@
 import type { Result } from 'neverthrow';
 
 import type { PlatformError } from './platform-error.js';
+import type { UnusableEntry } from './unusable-entries.js';
 
 /** A row of a {@link RowStore}. */
 export interface StoredRow {
@@ -64,6 +65,8 @@
 export interface RowStore {
   /** Adds a listener that is called with the first answer of each era. */
   onEra(listener: (change: EraChange) => void): void;
+  /** Sets the listener that is called with each answer of which a part can't be used. */
+  onUnusable?(listener: (entry: UnusableEntry) => void): void;
   /** Reads all rows of a table. */
   list(table: string): Promise<Result<RowSnapshot, PlatformError>>;
   /** Waits up to `waitMs` milliseconds for changes after a version, or until the signal aborts. */
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -9,7 +9,7 @@
   createSuspectRecord,
   processClocks,
 } from '@boragepoint/placement';
-import type { FleetPlatform, RowSource } from '@boragepoint/platform';
+import { type FleetPlatform, type RowSource, createUnusableEntries } from '@boragepoint/platform';
 
 import { createCallerListener } from './caller-listener.js';
 import { createActiveConfig, watchOutageFields } from './active-config.js';
@@ -73,7 +73,17 @@
   let stopping = false;
   const budgets = new Map<string, SharedRetryBudget>();
 
-  const peers = createPlacementPeers();
+  const unusable = createUnusableEntries({
+    now: clocks.monotonic,
+    count(source) {
+      metrics.recordUnusableEntry(source);
+    },
+    tell(entry) {
+      log.warn('unusable entry', { ...entry });
+    },
+  });
+  platform.store.onUnusable?.(unusable.note);
+  const peers = createPlacementPeers(unusable.note);
   /** Reads rows from a peer while the store does not answer. */
   const fallback: RowSource = {
     async rowsSince(table, version) {
@@ -107,6 +117,7 @@
       log.info('service registry of the returned store read', { ...difference });
       member.noteStoreChange();
     },
+    onUnusable: unusable.note,
   });
   const suspects = createSuspectRecord(clocks.monotonic);
   const limits = createServerLimits(clocks.monotonic);
@@ -119,6 +130,7 @@
     platform,
     fallback,
     log,
+    onUnusable: unusable.note,
     onChange({ cfg }) {
       metrics.setConfigurationVersion(cfg.version);
       listener.applyLimits(cfg.limits);
@@ -165,6 +177,7 @@
       { table: platform.configTable, ...config.watch.tableReport() },
       { table: platform.serverTable, ...directory.tableReport() },
     ],
+    onUnusable: unusable.note,
     onTableReports(tables) {
       for (const { table, ...advice } of tables) {
         if (table === platform.configTable) config.watch.applyReport(advice);
@@ -289,6 +302,7 @@
   const peerEndpoint = endpointOf(settings.listen.peers);
   const peerContext = {
     member,
+    onUnusable: unusable.note,
     rowsSince(table: string, version: number) {
       if (table === platform.configTable) return config.watch.deltaSince(version);
       return table === platform.serverTable ? directory.rowsSince(version) : undefined;
