--- a/packages/router/src/test/send-request_test.ts
+++ b/packages/router/src/test/send-request_test.ts
@@ -101,6 +101,29 @@
   });
 });
 
+const NAMELESS_HEADS = {
+  success: 'HTTP/1.1 200 OK\r\nsignature: s\r\n',
+  failure: 'HTTP/1.1 500 Error\r\nsignature: s\r\n',
+  'refusal of a full server': 'HTTP/1.1 503 Full\r\nnot-run: 1\r\n',
+  'refusal for another server': 'HTTP/1.1 421 Misdirected\r\n',
+  'refusal of a bad request': 'HTTP/1.1 400 Bad\r\nnot-run: 1\r\n',
+};
+
+for (const [name, head] of Object.entries(NAMELESS_HEADS)) {
+  // Guards against a copy of the answer to an earlier request that is taken for this one's: without
+  // an id nothing tells them apart.
+  test(`an answer that names no request is not believed: ${name}`, async () => {
+    const outcome = await sendTo((socket) => {
+      socket.end(`${head}content-length: 2\r\n\r\nok`);
+    });
+    expect(outcome).toLooseEqual({
+      kind: 'unknown',
+      why: 'garbled',
+      detail: 'the answer names no request',
+    });
+  });
+}
+
 /**
  * When a server duplicates its first answer: while the connection is idle, or after the next
  * request arrived.
