Answers of servers: only one that names the request is believed

Callers were told 'not run, try again' (503) for unsafe requests that ran, when a server repeated an earlier refusal on a kept connection without any id.

Cause: an answer that named another request was thrown away, one that named none was taken for the request's own, whatever it said. A refusal was then proof that the request had not run.

What changed: an answer counts only if it names exactly this request. Any other ends its connection, and the outcome is unknown: 502 for an unsafe request, which isn't sent again; a safe one may reach another server. 'request outcome unknown' logs the detail.

Ruled out: to believe a refusal without an id on a connection's first answer only; servers need no such exception, and it would leave the rule to the state of the connection.

--- a/packages/platform/src/lib/fleet-platform.ts
+++ b/packages/platform/src/lib/fleet-platform.ts
@@ -24,6 +24,10 @@
 
 /** Metadata that the router reads from the headers of a backend server's answer. */
 export interface AnswerMeta {
+  /**
+   * Id of the attempt that the answer names. Servers name it in every answer, refusals included;
+   * one that names none, or another one, says nothing about the request.
+   */
   readonly attemptId: string | undefined;
   /** True if the server declares that it did not run the request. */
   readonly notRun: boolean;
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -172,6 +172,7 @@
         fingerprint: requestKey(identityOf(req)),
         server: entry.id,
         why: outcome.why,
+        detail: outcome.detail,
         callerLeft: req.disconnectSignal.aborted,
       });
     }
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -54,7 +54,7 @@
 const HTTP_MISDIRECTED = 421;
 const HTTP_BAD_REQUEST = 400;
 
-/** Aborts a request that received the answer to another one; this closes the connection. */
+/** Aborts a request that received an answer not known to be its own; this closes the connection. */
 class MismatchedAnswerError extends Error {
   override readonly name = 'MismatchedAnswerError';
 }
@@ -93,8 +93,9 @@
 }
 
 /**
- * Sends a request and buffers the whole answer, so that a truncated answer is never passed on. A
- * connection that delivers the answer to another request is closed.
+ * Sends a request and buffers the whole answer, so that a truncated answer is never passed on. Only
+ * an answer that names the request is believed: any other may be a late or repeated answer to an
+ * earlier request on the connection, which is closed then.
  */
 export function sendRequest(
   connections: Pick<ServerConnections, 'dispatcher' | 'isHandlingReset'>,
@@ -144,8 +145,9 @@
       onResponseStart(started, status, headers) {
         if (status < 200) return;
         const meta = codec.readAnswer(status, headers);
-        if (meta.attemptId !== undefined && meta.attemptId !== req.attemptId) {
-          started.abort(new MismatchedAnswerError('the answer names another request'));
+        if (meta.attemptId !== req.attemptId) {
+          const named = meta.attemptId === undefined ? 'no request' : 'another request';
+          started.abort(new MismatchedAnswerError(`the answer names ${named}`));
           return;
         }
         const framed =
