Answers of servers: a second send to the same server has a connection of its own

Callers were told 'not run, try again' (503) for unsafe requests with a key that ran: their first send was refused by the owner, which had room, the second one went over the same kept connection, and the owner repeated its refusal before it answered. Both bear the id of the request, so that the id tells nothing.

What changed: where an earlier attempt reached the server, the next one opens a connection beside the shared ones and closes it afterwards; no answer to the earlier attempt can arrive there.

Ruled out: to wait for late bytes before the connection is used again (how long is the server's choice), and to replace all connections to the server (costs those of the other requests). It costs one connection for each such send; the retry budget bounds them.

--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -25,6 +25,7 @@
   MAX_CRASHES,
   type Attempt,
   finalAnswer,
+  hasReached,
   mayRetry,
 } from './request-outcome.js';
 import { type CallerAnswer, ownAnswer } from './caller-answer.js';
@@ -126,10 +127,15 @@
   const picker = createServerPicker(ctx);
   const answerMemory = createAnswerMemory();
 
-  async function send(run: GuardedRun, pick: PickedServer): Promise<SendOutcome> {
+  /** Sends a request; `isRepeat` if an earlier attempt of it reached the same server. */
+  async function send(
+    run: GuardedRun,
+    pick: PickedServer,
+    isRepeat: boolean,
+  ): Promise<SendOutcome> {
     const { req, server } = run;
     const { serviceTimes } = pick;
-    const { load, connections, entry } = server;
+    const { load, entry } = server;
     const startedAt = ctx.now();
     const leftMs = Math.max(1, Math.floor(req.deadlineAt - startedAt));
     const added = codec.writeRequest(entry.id, leftMs);
@@ -150,12 +156,14 @@
     noteSent(server, startedAt);
     if (ctx.limits.limitOf(incarnationOf(server)) !== undefined)
       ctx.metrics.recordLimitedSend(req.service);
-    const outcome = await sendRequest(connections, outgoing, {
+    const fresh = isRepeat ? server.connections.openFresh() : undefined;
+    const outcome = await sendRequest(fresh ?? server.connections, outgoing, {
       codec,
       memory: answerMemory,
       signal: cancellation.signal,
       unsentSignal: unsentSignalOf(pick),
     });
+    fresh?.close();
     clearTimeout(timer);
     req.disconnectSignal.removeEventListener('abort', cancel);
     noteOutcome(server, outcome, startedAt);
@@ -339,7 +347,7 @@
         if (ctx.now() < suspectWaitUntil) continue;
         return end(SUSPECT_WAIT_REFUSAL.reason, SUSPECT_WAIT_REFUSAL);
       }
-      const outcome = await send(admission.run, pick);
+      const outcome = await send(admission.run, pick, hasReached(attempts, pick.server));
       ({ shared } = await ctx.guard.finish(admission.run, outcome));
       attempts.push({ server: pick.server, outcome });
       if (outcome.kind === 'answer' && outcome.answer.status < HTTP_SERVER_ERROR) {
--- a/packages/router/src/lib/request-outcome.ts
+++ b/packages/router/src/lib/request-outcome.ts
@@ -17,6 +17,15 @@
   readonly outcome: SendOutcome;
 }
 
+/**
+ * Whether an earlier attempt reached the server, so that a late or repeated answer to it may still
+ * arrive. It bears the same id as the answer to a later attempt.
+ */
+export function hasReached(attempts: readonly Attempt[], server: PooledServer): boolean {
+  const earlier = attempts.filter((it) => it.server === server);
+  return earlier.some(({ outcome }) => outcome.kind !== 'not-run' || outcome.answer !== undefined);
+}
+
 /**
  * Whether a server that shed a request had capacity for it: servers shed some requests at any load.
  */
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -2,7 +2,7 @@
 import { type Dispatcher, errors } from 'undici';
 
 import type { AnswerMemory } from './answer-memory.js';
-import type { ServerConnections } from './server-connections.js';
+import type { RequestConnections } from './server-connections.js';
 
 /** A request as it goes to a backend server. */
 export interface OutgoingRequest {
@@ -98,7 +98,7 @@
  * earlier request on the connection, which is closed then.
  */
 export function sendRequest(
-  connections: Pick<ServerConnections, 'dispatcher' | 'isHandlingReset'>,
+  connections: Omit<RequestConnections, 'close'>,
   req: OutgoingRequest,
   { codec, memory, signal, unsentSignal }: SendOptions,
 ): Promise<SendOutcome> {
--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -22,8 +22,8 @@
 /** Most bytes that valid answers can bring on one connection between two flood checks. */
 const MAX_BYTES_PER_CHECK = 4 * MAX_ANSWER_BYTES;
 
-/** Connections to one backend server. */
-export interface ServerConnections {
+/** Sends requests to one backend server. */
+export interface RequestConnections {
   readonly dispatcher: Dispatcher;
   /**
    * True while a connection reset is being handled. The HTTP library reports an answer without
@@ -31,6 +31,17 @@
    * check this.
    */
   isHandlingReset(): boolean;
+  /** Closes connections once their requests have ended. */
+  close(): void;
+}
+
+/** Connections to one backend server. */
+export interface ServerConnections extends RequestConnections {
+  /**
+   * Opens a connection beside the shared ones, for a request that was sent to the server before: an
+   * answer to that send can't arrive on it.
+   */
+  openFresh(): RequestConnections;
   /** Applies another share if it differs much; requests in flight continue. */
   resize(share: ConnectionShare): void;
   /** Drops idle connections, which may be dead; requests in flight continue. */
@@ -39,7 +50,6 @@
    * Closes connections that received more bytes since the last call than valid answers can take.
    */
   closeFlooded(): void;
-  close(): void;
 }
 
 /** One router's share of a server's connections. */
@@ -97,9 +107,9 @@
     });
   };
 
-  const createPool = () =>
+  const createPool = (connections: number) =>
     new Pool(`http://${address}`, {
-      connections: share.connections,
+      connections,
       pipelining: 1,
       keepAliveTimeout: share.keepAliveMs,
       keepAliveMaxTimeout: share.keepAliveMs,
@@ -107,19 +117,33 @@
       bodyTimeout: 0,
       connect,
     });
-  let pool = createPool();
+  const closePool = (old: Pool) => {
+    void old.close().catch(() => undefined);
+  };
+  const isHandlingReset = () => handlingReset;
+  let pool = createPool(share.connections);
 
   function replacePool(): void {
     const old = pool;
-    pool = createPool();
-    void old.close().catch(() => undefined);
+    pool = createPool(share.connections);
+    closePool(old);
   }
 
   return {
     get dispatcher() {
       return pool;
     },
-    isHandlingReset: () => handlingReset,
+    isHandlingReset,
+    openFresh() {
+      const fresh = createPool(1);
+      return {
+        dispatcher: fresh,
+        isHandlingReset,
+        close() {
+          closePool(fresh);
+        },
+      };
+    },
     replacePool,
     resize(next) {
       if (!shouldResize(share, next)) return;
@@ -133,7 +157,7 @@
       }
     },
     close() {
-      void pool.close().catch(() => undefined);
+      closePool(pool);
     },
   };
 }
--- a/packages/router/src/test/request-outcome_test.ts
+++ b/packages/router/src/test/request-outcome_test.ts
@@ -3,7 +3,13 @@
 import { expect } from 'earl';
 
 import type { CallerRequest } from '../lib/caller-request.js';
-import { type RetryInput, finalAnswer, hasCapacity, mayRetry } from '../lib/request-outcome.js';
+import {
+  type RetryInput,
+  finalAnswer,
+  hasCapacity,
+  hasReached,
+  mayRetry,
+} from '../lib/request-outcome.js';
 import type { SendOutcome } from '../lib/send-request.js';
 import type { PooledServer } from '../lib/server-pool.js';
 
@@ -85,3 +91,14 @@
   const answer = finalAnswer(requestOf(false), [{ server, outcome: shed(full) }], undefined, 0);
   expect(answer.kind === 'own' && answer.retryAfterMs).toEqual(200);
 });
+
+// Guards against a later attempt that is judged by a late or repeated answer to an earlier one.
+test('an attempt has reached a server unless it provably was not sent', () => {
+  const other = { entry: { id: 'i-2' } } as unknown as PooledServer;
+  const reached = (outcome: SendOutcome) => hasReached([{ server, outcome }], server);
+  expect(reached(shed(full))).toEqual(true);
+  expect(reached(broken)).toEqual(true);
+  expect(reached({ kind: 'not-run', why: 'refused' })).toEqual(false);
+  expect(reached({ kind: 'not-run', why: 'paused' })).toEqual(false);
+  expect(hasReached([{ server, outcome: shed(full) }], other)).toEqual(false);
+});
