Answers of servers: only chunks or a length state where an answer ends

A caller got a 200 with a short body and a length, although the server's connection had ended within the body: the answer bore a transfer coding other than chunked, which ends with its connection. The router took any coding for framing and counted the length of what it had.

What changed: with a transfer coding an answer is framed only if chunked is the last one; the others are passed on to the end of the connection, as those without a length are.

--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -59,6 +59,16 @@
   override readonly name = 'MismatchedAnswerError';
 }
 
+/**
+ * Whether an answer states where it ends. With a transfer coding, only chunks as the last one do,
+ * whatever length is stated.
+ */
+function isFramed(headers: HeaderValues): boolean {
+  const codings = headers['transfer-encoding'];
+  if (codings === undefined) return headers['content-length'] !== undefined;
+  return /(^|,)\s*chunked\s*$/i.test([codings].flat().join(','));
+}
+
 function connectFailureOf(err: Error): 'refused' | 'unconnected' {
   return 'code' in err && err.code === 'ECONNREFUSED' ? 'refused' : 'unconnected';
 }
@@ -150,9 +160,7 @@
           started.abort(new MismatchedAnswerError(`the answer names ${named}`));
           return;
         }
-        const framed =
-          headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-        head = { status, headers, framed, meta };
+        head = { status, headers, framed: isFramed(headers), meta };
       },
       onResponseData(_controller, chunk) {
         chunks.push(chunk);
