boragepointd: a repeated attempt has a connection of its own

Not reported, found by looking for the same class. A request that is not idempotent, with an Idempotency-Key, could run twice at an owner that repeats its refusal: the copy bears the request's id, was believed at the second attempt, which ran, and the third attempt ran again.

What changed: an attempt after an earlier one at the same server uses a new connection, as an exclusive run does, so that no answer to the earlier attempt can arrive there. Answers that name no request, or another one, were thrown away before.

--- a/packages/routing/src/lib/dispatch/admitted-attempt.ts
+++ b/packages/routing/src/lib/dispatch/admitted-attempt.ts
@@ -68,20 +68,26 @@
   readonly placement: Placement;
   /** Aborts the attempt, at the latest when its time limit is reached. */
   readonly signal: AbortSignal;
+  /**
+   * True if an earlier attempt may have reached the server: a late or repeated answer to it bears
+   * the same id.
+   */
+  readonly isRepeated: boolean;
   /** True once the attempt was ended for a reason that says nothing about the server. */
   wasCancelled(): boolean;
 }
 
 /**
  * Sends the request. An exclusive run uses a new connection, because the loss of a pooled
- * connection that was idle says nothing about the request.
+ * connection that was idle says nothing about the request; so does a repeated attempt, because no
+ * answer to the earlier one can arrive there.
  */
 async function send(
   link: ServerLink,
-  { req, placement, signal }: Attempt,
+  { req, placement, signal, isRepeated }: Attempt,
   exclusive: boolean,
 ): Promise<AttemptOutcome> {
-  if (!exclusive) return sendAttempt(link.pool, req, placement.assignment, signal);
+  if (!exclusive && !isRepeated) return sendAttempt(link.pool, req, placement.assignment, signal);
   const client = new Client(`http://${link.address}`);
   const outcome = await sendAttempt(client, req, placement.assignment, signal);
   await client.destroy();
--- a/packages/routing/src/lib/dispatch/keeper-run.ts
+++ b/packages/routing/src/lib/dispatch/keeper-run.ts
@@ -101,6 +101,7 @@
     fingerprint,
     placement,
     signal: bounded.signal,
+    isRepeated: attempt > 1,
     wasCancelled: () => parent.aborted,
   });
   if (attempted.isOk()) return toDispatchOutcome(attempted.value);
--- a/packages/routing/src/lib/dispatch/run-idempotent.ts
+++ b/packages/routing/src/lib/dispatch/run-idempotent.ts
@@ -175,6 +175,7 @@
       fingerprint,
       placement,
       signal: owner.signal,
+      isRepeated: failedPlacement?.server.id === placement.server.id,
       wasCancelled: () => owner.hasChanged() || req.signal.aborted,
     });
     if (attempted.isErr()) {
