Answers of servers: second sends have kept connections of their own

Servers that shed although they have room are asked twice all the time there.

What changed: a router keeps a few connections to each server for first sends, and apart from them a quarter as many, two at least, for second ones, and so on. A request meets each of them at most once, so that no answer to an earlier send can arrive there, as before.

--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -24,8 +24,8 @@
   HTTP_SERVER_ERROR,
   MAX_CRASHES,
   type Attempt,
+  countSends,
   finalAnswer,
-  hasReached,
   mayRetry,
 } from './request-outcome.js';
 import { type CallerAnswer, ownAnswer } from './caller-answer.js';
@@ -127,11 +127,11 @@
   const picker = createServerPicker(ctx);
   const answerMemory = createAnswerMemory();
 
-  /** Sends a request; `isRepeat` if an earlier attempt of it reached the same server. */
+  /** Sends a request that was sent to the same server `earlierSends` times before. */
   async function send(
     run: GuardedRun,
     pick: PickedServer,
-    isRepeat: boolean,
+    earlierSends: number,
   ): Promise<SendOutcome> {
     const { req, server } = run;
     const { serviceTimes } = pick;
@@ -156,14 +156,12 @@
     noteSent(server, startedAt);
     if (ctx.limits.limitOf(incarnationOf(server)) !== undefined)
       ctx.metrics.recordLimitedSend(req.service);
-    const fresh = isRepeat ? server.connections.openFresh() : undefined;
-    const outcome = await sendRequest(fresh ?? server.connections, outgoing, {
+    const outcome = await sendRequest(server.connections.forRepeat(earlierSends), outgoing, {
       codec,
       memory: answerMemory,
       signal: cancellation.signal,
       unsentSignal: unsentSignalOf(pick),
     });
-    fresh?.close();
     clearTimeout(timer);
     req.disconnectSignal.removeEventListener('abort', cancel);
     noteOutcome(server, outcome, startedAt);
@@ -253,7 +251,7 @@
       server.unreachableUntil = now + UNREACHABLE_MS;
     }
     if (outcome.kind === 'unknown' && outcome.why === 'broken-off')
-      server.connections.replacePool();
+      server.connections.replacePools();
   }
 
   /** Records the latency of an answer; for a cancelled request it is only a lower bound. */
@@ -347,7 +345,7 @@
         if (ctx.now() < suspectWaitUntil) continue;
         return end(SUSPECT_WAIT_REFUSAL.reason, SUSPECT_WAIT_REFUSAL);
       }
-      const outcome = await send(admission.run, pick, hasReached(attempts, pick.server));
+      const outcome = await send(admission.run, pick, countSends(attempts, pick.server));
       ({ shared } = await ctx.guard.finish(admission.run, outcome));
       attempts.push({ server: pick.server, outcome });
       if (outcome.kind === 'answer' && outcome.answer.status < HTTP_SERVER_ERROR) {
--- a/packages/router/src/lib/request-outcome.ts
+++ b/packages/router/src/lib/request-outcome.ts
@@ -18,12 +18,12 @@
 }
 
 /**
- * Whether an earlier attempt reached the server, so that a late or repeated answer to it may still
- * arrive. It bears the same id as the answer to a later attempt.
+ * Counts the earlier attempts that reached a server, so that a late or repeated answer to them may
+ * still arrive. It bears the same id as the answer to a later attempt.
  */
-export function hasReached(attempts: readonly Attempt[], server: PooledServer): boolean {
+export function countSends(attempts: readonly Attempt[], server: PooledServer): number {
   const earlier = attempts.filter((it) => it.server === server);
-  return earlier.some(({ outcome }) => outcome.kind !== 'not-run' || outcome.answer !== undefined);
+  return earlier.filter(({ outcome }) => outcome.kind !== 'not-run' || outcome.answer).length;
 }
 
 /**
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -108,7 +108,7 @@
  * earlier request on the connection, which is closed then.
  */
 export function sendRequest(
-  connections: Omit<RequestConnections, 'close'>,
+  connections: RequestConnections,
   req: OutgoingRequest,
   { codec, memory, signal, unsentSignal }: SendOptions,
 ): Promise<SendOutcome> {
--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -19,6 +19,8 @@
 /** Share of a server's connection limit that all known routers use together. */
 const USABLE_SHARE = 0.5;
 const MIN_CONNECTIONS = 2;
+/** Connections for repeated requests, as a share of a router's connections to a server. */
+const REPEAT_SHARE = 0.25;
 /** Most bytes that valid answers can bring on one connection between two flood checks. */
 const MAX_BYTES_PER_CHECK = 4 * MAX_ANSWER_BYTES;
 
@@ -31,25 +33,24 @@
    * check this.
    */
   isHandlingReset(): boolean;
-  /** Closes connections once their requests have ended. */
-  close(): void;
 }
 
 /** Connections to one backend server. */
 export interface ServerConnections extends RequestConnections {
   /**
-   * Opens a connection beside the shared ones, for a request that was sent to the server before: an
-   * answer to that send can't arrive on it.
+   * Connections for a request that was sent to the server `earlierSends` times before. They carry no
+   * requests with another number of sends, so that no answer to an earlier one can arrive on them.
    */
-  openFresh(): RequestConnections;
+  forRepeat(earlierSends: number): RequestConnections;
   /** Applies another share if it differs much; requests in flight continue. */
   resize(share: ConnectionShare): void;
   /** Drops idle connections, which may be dead; requests in flight continue. */
-  replacePool(): void;
+  replacePools(): void;
   /**
    * Closes connections that received more bytes since the last call than valid answers can take.
    */
   closeFlooded(): void;
+  close(): void;
 }
 
 /** One router's share of a server's connections. */
@@ -117,38 +118,41 @@
       bodyTimeout: 0,
       connect,
     });
-  const closePool = (old: Pool) => {
-    void old.close().catch(() => undefined);
-  };
   const isHandlingReset = () => handlingReset;
-  let pool = createPool(share.connections);
+  /** Pools by the number of earlier sends of their requests. */
+  const pools = new Map<number, Pool>();
+
+  function poolOf(earlierSends: number): Pool {
+    const existing = pools.get(earlierSends);
+    if (existing) return existing;
+    const repeatConnections = Math.floor(share.connections * REPEAT_SHARE);
+    const connections =
+      earlierSends === 0 ? share.connections : Math.max(MIN_CONNECTIONS, repeatConnections);
+    const pool = createPool(connections);
+    pools.set(earlierSends, pool);
+    return pool;
+  }
 
-  function replacePool(): void {
-    const old = pool;
-    pool = createPool(share.connections);
-    closePool(old);
+  function closePools(): void {
+    for (const pool of pools.values()) void pool.close().catch(() => undefined);
+  }
+
+  function replacePools(): void {
+    closePools();
+    pools.clear();
   }
 
   return {
     get dispatcher() {
-      return pool;
+      return poolOf(0);
     },
     isHandlingReset,
-    openFresh() {
-      const fresh = createPool(1);
-      return {
-        dispatcher: fresh,
-        isHandlingReset,
-        close() {
-          closePool(fresh);
-        },
-      };
-    },
-    replacePool,
+    forRepeat: (earlierSends) => ({ dispatcher: poolOf(earlierSends), isHandlingReset }),
+    replacePools,
     resize(next) {
       if (!shouldResize(share, next)) return;
       share = next;
-      replacePool();
+      replacePools();
     },
     closeFlooded() {
       for (const [socket, before] of sockets) {
@@ -156,8 +160,6 @@
         if (socket.bytesRead - before > MAX_BYTES_PER_CHECK) socket.destroy();
       }
     },
-    close() {
-      closePool(pool);
-    },
+    close: closePools,
   };
 }
--- a/packages/router/src/test/request-outcome_test.ts
+++ b/packages/router/src/test/request-outcome_test.ts
@@ -5,9 +5,9 @@
 import type { CallerRequest } from '../lib/caller-request.js';
 import {
   type RetryInput,
+  countSends,
   finalAnswer,
   hasCapacity,
-  hasReached,
   mayRetry,
 } from '../lib/request-outcome.js';
 import type { SendOutcome } from '../lib/send-request.js';
@@ -93,12 +93,12 @@
 });
 
 // Guards against a later attempt that is judged by a late or repeated answer to an earlier one.
-test('an attempt has reached a server unless it provably was not sent', () => {
+test('an attempt was sent to a server unless it provably was not', () => {
   const other = { entry: { id: 'i-2' } } as unknown as PooledServer;
-  const reached = (outcome: SendOutcome) => hasReached([{ server, outcome }], server);
-  expect(reached(shed(full))).toEqual(true);
-  expect(reached(broken)).toEqual(true);
-  expect(reached({ kind: 'not-run', why: 'refused' })).toEqual(false);
-  expect(reached({ kind: 'not-run', why: 'paused' })).toEqual(false);
-  expect(hasReached([{ server, outcome: shed(full) }], other)).toEqual(false);
+  const sends = (outcome: SendOutcome) => countSends([{ server, outcome }], server);
+  expect(sends(shed(full))).toEqual(1);
+  expect(sends(broken)).toEqual(1);
+  expect(sends({ kind: 'not-run', why: 'refused' })).toEqual(0);
+  expect(sends({ kind: 'not-run', why: 'paused' })).toEqual(0);
+  expect(countSends([{ server, outcome: shed(full) }], other)).toEqual(0);
 });
