--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -24,6 +24,7 @@
   HTTP_SERVER_ERROR,
   MAX_CRASHES,
   type Attempt,
+  countSends,
   finalAnswer,
   mayRetry,
 } from './request-outcome.js';
@@ -126,10 +127,15 @@
   const picker = createServerPicker(ctx);
   const answerMemory = createAnswerMemory();
 
-  async function send(run: GuardedRun, pick: PickedServer): Promise<SendOutcome> {
+  /** Sends a request that was sent to the same server `earlierSends` times before. */
+  async function send(
+    run: GuardedRun,
+    pick: PickedServer,
+    earlierSends: number,
+  ): Promise<SendOutcome> {
     const { req, server } = run;
     const { serviceTimes } = pick;
-    const { load, connections, entry } = server;
+    const { load, entry } = server;
     const startedAt = ctx.now();
     const leftMs = Math.max(1, Math.floor(req.deadlineAt - startedAt));
     const added = codec.writeRequest(entry.id, leftMs);
@@ -150,7 +156,7 @@
     noteSent(server, startedAt);
     if (ctx.limits.limitOf(incarnationOf(server)) !== undefined)
       ctx.metrics.recordLimitedSend(req.service);
-    const outcome = await sendRequest(connections, outgoing, {
+    const outcome = await sendRequest(server.connections.forRepeat(earlierSends), outgoing, {
       codec,
       memory: answerMemory,
       signal: cancellation.signal,
@@ -172,6 +178,7 @@
         fingerprint: requestKey(identityOf(req)),
         server: entry.id,
         why: outcome.why,
+        detail: outcome.detail,
         callerLeft: req.disconnectSignal.aborted,
       });
     }
@@ -244,7 +251,7 @@
       server.unreachableUntil = now + UNREACHABLE_MS;
     }
     if (outcome.kind === 'unknown' && outcome.why === 'broken-off')
-      server.connections.replacePool();
+      server.connections.replacePools();
   }
 
   /** Records the latency of an answer; for a cancelled request it is only a lower bound. */
@@ -338,7 +345,7 @@
         if (ctx.now() < suspectWaitUntil) continue;
         return end(SUSPECT_WAIT_REFUSAL.reason, SUSPECT_WAIT_REFUSAL);
       }
-      const outcome = await send(admission.run, pick);
+      const outcome = await send(admission.run, pick, countSends(attempts, pick.server));
       ({ shared } = await ctx.guard.finish(admission.run, outcome));
       attempts.push({ server: pick.server, outcome });
       if (outcome.kind === 'answer' && outcome.answer.status < HTTP_SERVER_ERROR) {
--- a/packages/router/src/lib/request-outcome.ts
+++ b/packages/router/src/lib/request-outcome.ts
@@ -17,6 +17,15 @@
   readonly outcome: SendOutcome;
 }
 
+/**
+ * Counts the earlier attempts that reached a server, so that a late or repeated answer to them may
+ * still arrive. It bears the same id as the answer to a later attempt.
+ */
+export function countSends(attempts: readonly Attempt[], server: PooledServer): number {
+  const earlier = attempts.filter((it) => it.server === server);
+  return earlier.filter(({ outcome }) => outcome.kind !== 'not-run' || outcome.answer).length;
+}
+
 /**
  * Whether a server that shed a request had capacity for it: servers shed some requests at any load.
  */
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -2,7 +2,7 @@
 import { type Dispatcher, errors } from 'undici';
 
 import type { AnswerMemory } from './answer-memory.js';
-import type { ServerConnections } from './server-connections.js';
+import type { RequestConnections } from './server-connections.js';
 
 /** A request as it goes to a backend server. */
 export interface OutgoingRequest {
@@ -54,11 +54,21 @@
 const HTTP_MISDIRECTED = 421;
 const HTTP_BAD_REQUEST = 400;
 
-/** Aborts a request that received the answer to another one; this closes the connection. */
+/** Aborts a request that received an answer not known to be its own; this closes the connection. */
 class MismatchedAnswerError extends Error {
   override readonly name = 'MismatchedAnswerError';
 }
 
+/**
+ * Whether an answer states where it ends. With a transfer coding, only chunks as the last one do,
+ * whatever length is stated.
+ */
+function isFramed(headers: HeaderValues): boolean {
+  const codings = headers['transfer-encoding'];
+  if (codings === undefined) return headers['content-length'] !== undefined;
+  return /(^|,)\s*chunked\s*$/i.test([codings].flat().join(','));
+}
+
 function connectFailureOf(err: Error): 'refused' | 'unconnected' {
   return 'code' in err && err.code === 'ECONNREFUSED' ? 'refused' : 'unconnected';
 }
@@ -93,11 +103,12 @@
 }
 
 /**
- * Sends a request and buffers the whole answer, so that a truncated answer is never passed on. A
- * connection that delivers the answer to another request is closed.
+ * Sends a request and buffers the whole answer, so that a truncated answer is never passed on. Only
+ * an answer that names the request is believed: any other may be a late or repeated answer to an
+ * earlier request on the connection, which is closed then.
  */
 export function sendRequest(
-  connections: Pick<ServerConnections, 'dispatcher' | 'isHandlingReset'>,
+  connections: RequestConnections,
   req: OutgoingRequest,
   { codec, memory, signal, unsentSignal }: SendOptions,
 ): Promise<SendOutcome> {
@@ -144,13 +155,12 @@
       onResponseStart(started, status, headers) {
         if (status < 200) return;
         const meta = codec.readAnswer(status, headers);
-        if (meta.attemptId !== undefined && meta.attemptId !== req.attemptId) {
-          started.abort(new MismatchedAnswerError('the answer names another request'));
+        if (meta.attemptId !== req.attemptId) {
+          const named = meta.attemptId === undefined ? 'no request' : 'another request';
+          started.abort(new MismatchedAnswerError(`the answer names ${named}`));
           return;
         }
-        const framed =
-          headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-        head = { status, headers, framed, meta };
+        head = { status, headers, framed: isFramed(headers), meta };
       },
       onResponseData(_controller, chunk) {
         chunks.push(chunk);
