Ledger: records that the table forgot are written again

Seen: with a table that comes back from an older copy, a payment whose intent was lost while it ran was never recorded. Its outcome met no row, or an earlier "not run", was taken as superseded and dropped; a repeat at another keeper ran it again (ledger-restored-table_test before this change: both cases "answered" where "replayed" is right, two runs). Records that were complete and then lost stayed lost although the keeper that wrote them still knew them.

Cause: the recorder took a row that is gone, or that shows another run as not run, for a later state. The table hands out versions again after such a return, so neither is later.

Now an outcome is written where its intent is gone, and over a "not run" of another run: a run that was dispatched outweighs one that provably was not. If one is missing, all that are known and missing are written again by compare-and-set. A row in which another run is recorded is left alone and counted.

Ruled out: reading only the newest record. A record written after the return hides that those before it are gone (a test). Removal of expired rows: expired records are not watched.

Not mended: a repeat at another keeper before the check, or after the loss of the keeper, runs again (two tests show it).

--- a/packages/routing/src/lib/ledger/intent-writer.ts
+++ b/packages/routing/src/lib/ledger/intent-writer.ts
@@ -9,6 +9,7 @@
 import type { LedgerConfig } from './ledger-config.js';
 import type { BeginOutcome } from './ledger-types.js';
 import type { OutageTracker } from './outage-tracker.js';
+import type { RecordWatch } from './record-watch.js';
 import type { Run, RunMemory } from './run-memory.js';
 
 /** Options of {@link createIntentWriter}. */
@@ -17,6 +18,7 @@
   readonly commit: GroupCommit;
   readonly interpretRow: RowInterpreter;
   readonly memory: RunMemory;
+  readonly watch: Pick<RecordWatch, 'note'>;
   readonly outageTracker: OutageTracker;
   readonly clock: LedgerClock;
   readonly cfg: LedgerConfig;
@@ -35,7 +37,8 @@
 
 /** Creates an intent writer. @internal */
 export function createIntentWriter(options: IntentWriterOptions): IntentWriter {
-  const { table, commit, interpretRow, memory, outageTracker, clock, cfg, recordNotRun } = options;
+  const { table, commit, interpretRow, memory, watch } = options;
+  const { outageTracker, clock, cfg, recordNotRun } = options;
 
   /**
    * Writes the pending row. A write that timed out may still be committed, so the row is then
@@ -117,6 +120,7 @@
       outageTracker.recordSuccess();
       if (outcome.kind === 'committed') {
         run.version = outcome.version;
+        watch.note(run.rowKey, outcome.version, { ...run.record, outcome: { state: 'pending' } });
         return { kind: 'started', handle: run };
       }
       const decision = await resolveExistingRow(outcome.row, run, waitDeadlineAt);
--- a/packages/routing/src/lib/ledger/ledger-config.ts
+++ b/packages/routing/src/lib/ledger/ledger-config.ts
@@ -60,6 +60,10 @@
   recordMaxPauseMs: v.optional(wholeNumber(1), 5_000),
   /** Size of the cache of outcomes, from which repeats are answered without a read of the table. */
   memoryBytes: v.optional(wholeNumber(1), 16_777_216),
+  /** Interval between checks that the table still has the latest records of this instance. */
+  watchEveryMs: v.optional(wholeNumber(1), 1_000),
+  /** Size of the latest records that are kept, to write them again if the table forgot them. */
+  watchBytes: v.optional(wholeNumber(1), 8_388_608),
   /** Maximum number of tokens of runs known not to have run that are cached. */
   memoryNotRun: v.optional(wholeNumber(1), 10_000),
   /** Smallest and largest retry delay sent with a refusal; it grows with the outage. */
--- a/packages/routing/src/lib/ledger/ledger-types.ts
+++ b/packages/routing/src/lib/ledger/ledger-types.ts
@@ -83,4 +83,8 @@
   readonly unrecorded: number;
   /** Number of outcomes that were not recorded after the last retry. */
   readonly recordsLost: number;
+  /** Number of records that were written again after the table had forgotten them. */
+  readonly recordsRestored: number;
+  /** Number of records that the table had forgotten and in whose place another run is recorded. */
+  readonly recordsForgotten: number;
 }
--- a/packages/routing/src/lib/ledger/ledger.ts
+++ b/packages/routing/src/lib/ledger/ledger.ts
@@ -18,6 +18,7 @@
   RecordOutcome,
 } from './ledger-types.js';
 import { createOutageTracker } from './outage-tracker.js';
+import { createRecordWatch } from './record-watch.js';
 import { createRecorder } from './recorder.js';
 import { type Run, createRunMemory } from './run-memory.js';
 
@@ -52,7 +53,8 @@
   const fairIntervalMs = () => (liveRouters() * ONE_SECOND_MS) / cfg.transactionsPerSecond;
   const minStartIntervalMs = () => Math.max(cfg.batchGapMs, fairIntervalMs());
   const commit = createGroupCommit({ table, newToken, clock, cfg, minStartIntervalMs });
-  const recorder = createRecorder(commit, cfg);
+  const watch = createRecordWatch({ table, commit, clock, cfg });
+  const recorder = createRecorder(commit, watch, cfg);
   const interpretRow = createRowInterpreter({ objects, incarnation, clock, memory });
   const outageTracker = createOutageTracker(clock, cfg);
   const recordNotRun = (run: Run) => void recordState(run, 'not-run');
@@ -61,6 +63,7 @@
     commit,
     interpretRow,
     memory,
+    watch,
     outageTracker,
     clock,
     cfg,
@@ -114,6 +117,7 @@
   async function notRun(handle: LedgerHandle): Promise<RecordOutcome> {
     const run = memory.runOf(handle);
     if (run === undefined) return 'not-recorded';
+    watch.forget(run.rowKey, run.runToken);
     memory.markNotRun(run.runToken);
     memory.end(run, { kind: 'not-run' });
     return recordState(run, 'not-run');
@@ -134,6 +138,7 @@
     stats() {
       const { transactions, rows, queued } = commit.counts();
       const { waiting, lost } = recorder.counts();
+      const { restored, forgotten } = watch.counts();
       return {
         transactions,
         rowsWritten: rows,
@@ -141,10 +146,13 @@
         running: memory.runningCount(),
         unrecorded: waiting,
         recordsLost: lost,
+        recordsRestored: restored,
+        recordsForgotten: forgotten,
       };
     },
     async [Symbol.asyncDispose]() {
       await recorder[Symbol.asyncDispose]();
+      await watch[Symbol.asyncDispose]();
     },
   };
 }
--- a/packages/routing/src/lib/ledger/recorder.ts
+++ b/packages/routing/src/lib/ledger/recorder.ts
@@ -1,9 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import type { TableRow } from '@boragepoint/platform';
+
 import type { GroupCommit } from './group-commit.js';
 import { type IntentRecord, type IntentState, parseIntent } from './intent-record.js';
 import type { LedgerConfig } from './ledger-config.js';
 import type { RecordOutcome } from './ledger-types.js';
+import type { RecordWatch } from './record-watch.js';
 
 /** The fields of a record that are the same for the intent and the outcome. */
 export type RunRecord = Omit<IntentRecord, 'writer' | 'outcome'>;
@@ -26,12 +29,36 @@
 
 type AttemptResult = 'recorded' | 'superseded' | 'retry' | { readonly nextVersion: number };
 
+/**
+ * Returns what to do about a row that has another version than expected. A row that is gone, or
+ * that shows an earlier run as not run, comes from a table that forgot the intent of this run.
+ */
+function resultOfConflict(
+  row: TableRow | undefined,
+  { record }: RecordTask,
+  { state }: IntentState,
+): AttemptResult {
+  if (row === undefined) return { nextVersion: 0 };
+  const found = parseIntent(row);
+  if (found === undefined) return 'superseded';
+  if (found.run === record.run) {
+    if (found.outcome.state === state) return 'recorded';
+    return found.outcome.state === 'pending' ? { nextVersion: row.version } : 'superseded';
+  }
+  const isForgotten = found.outcome.state === 'not-run' && state !== 'not-run';
+  return isForgotten ? { nextVersion: row.version } : 'superseded';
+}
+
 /**
  * Creates a recorder. Disposing of it cancels the delays between retries; a task that was waiting
  * makes one last attempt.
  * @internal
  */
-export function createRecorder(commit: GroupCommit, cfg: LedgerConfig): Recorder {
+export function createRecorder(
+  commit: GroupCommit,
+  watch: Pick<RecordWatch, 'note' | 'forget'>,
+  cfg: LedgerConfig,
+): Recorder {
   const stopping = new AbortController();
   const waiting = new Set<Promise<RecordOutcome>>();
   let lost = 0;
@@ -39,17 +66,14 @@
   async function tryOnce(task: RecordTask, version: number): Promise<AttemptResult> {
     const state = await task.prepare();
     if (state === undefined) return 'retry';
-    const outcome = await commit.submit({
-      key: task.rowKey,
-      expectedVersion: version,
-      value: { ...task.record, outcome: state },
-    }).outcome;
-    if (outcome.kind === 'committed') return 'recorded';
-    if (outcome.kind !== 'conflict') return 'retry';
-    const found = outcome.row && parseIntent(outcome.row);
-    if (outcome.row === undefined || found?.run !== task.record.run) return 'superseded';
-    if (found.outcome.state === state.state) return 'recorded';
-    return found.outcome.state === 'pending' ? { nextVersion: outcome.row.version } : 'superseded';
+    const value = { ...task.record, outcome: state };
+    const write = { key: task.rowKey, expectedVersion: version, value };
+    const outcome = await commit.submit(write).outcome;
+    if (outcome.kind === 'conflict') return resultOfConflict(outcome.row, task, state);
+    if (outcome.kind !== 'committed') return 'retry';
+    if (state.state === 'not-run') watch.forget(task.rowKey, task.record.run);
+    else watch.note(task.rowKey, outcome.version, value);
+    return 'recorded';
   }
 
   async function run(task: RecordTask): Promise<RecordOutcome> {
--- a/packages/routing/src/test/ledger-fixture.ts
+++ b/packages/routing/src/test/ledger-fixture.ts
@@ -25,6 +25,7 @@
   recordPauseMs: 1,
   recordMaxPauseMs: 2,
   recordRetries: 20,
+  watchEveryMs: 5,
 };
 const DEADLINE_MS = 10_000;
 
