Routers write back rows that the table has forgotten, and decide nothing meanwhile

Seen: when the table comes back from an older copy, routers that knew later versions kept expecting these: no claim, no move and no change of roles committed any more, until the versions had caught up by other writes. Such a version, with the epochs of the older copy, then counted as newer: a router that knew a shard at another server under a higher epoch took the older owner for the newer one.

Cause: what was read or written once was taken to be in the table still, and a higher version to come from a router that knew the lower one.

Now a read of all rows compares with what was known before it was sent. Rows that are older or gone are written back, by compare-and-set, with the value and up to the version that were acknowledged; each router adds what others did not know. The table counts as down until a later read is whole, which stops claims, new roles, plans and moves for balance; leases are renewed within the tenure as in any outage. A row store takes no row with lower epochs, whatever its version, from the table or from peers. A row of another history (same version and another writer, or lower epochs) is left alone: the router decides nothing and its renewals end with its tenure. A keeper no longer concludes from versions alone that nobody acted between two of its roles; the epochs must follow on one another too.

Ruled out: writing back above the acknowledged version (operators' expected versions would be refused); taking a row of another history over at once (a server keeps a shard until its lease ends, so the old owner would go on being renewed).

Not mended, with tests that show it: an epoch is given out twice by a router that knows nothing of the first time.

--- a/packages/config/src/lib/operator-history.ts
+++ b/packages/config/src/lib/operator-history.ts
@@ -37,6 +37,7 @@
   'quarantine',
   'refusal',
   'router',
+  'table',
   'takeover',
 ]);
 export type EventKind = v.InferOutput<typeof eventKindSchema>;
--- a/packages/daemon/src/lib/metrics.ts
+++ b/packages/daemon/src/lib/metrics.ts
@@ -13,6 +13,10 @@
   readonly peerCalls: Counter<'method' | 'direction'>;
   /** Number of backend servers whose leases this router renews. */
   readonly keptServers: Gauge;
+  /** Rows that reads found older than known, or with another history, by kind. */
+  readonly regressedRows: Counter<'kind'>;
+  /** Records of non-idempotent requests that the table forgot, by what became of them. */
+  readonly forgottenRecords: Gauge<'result'>;
 }
 
 /** Creates the metrics, including the default metrics of the process. */
@@ -46,5 +50,17 @@
       help: 'Backend servers that this router acts for as the keeper',
       registers,
     }),
+    regressedRows: new Counter({
+      name: 'boragepoint_table_rows_regressed_total',
+      help: 'Rows that reads of the table found older than known, or with another history',
+      labelNames: ['kind'],
+      registers,
+    }),
+    forgottenRecords: new Gauge({
+      name: 'boragepoint_table_records_forgotten',
+      help: 'Records of non-idempotent requests that the table forgot, by result',
+      labelNames: ['result'],
+      registers,
+    }),
   };
 }
--- a/packages/daemon/src/lib/router-node.ts
+++ b/packages/daemon/src/lib/router-node.ts
@@ -56,6 +56,7 @@
 import { type PeerLinks, createPeerLinks } from './peers/peer-links.js';
 import { createServerVerdicts } from './server-verdicts.js';
 import { reportTableFailures } from './table-failures.js';
+import { createTableLossReport } from './table-losses.js';
 
 /** Maximum number of connections to each platform service. */
 const PLATFORM_CONNECTIONS = 8;
@@ -117,7 +118,11 @@
     const version = map.configVersion(service);
     journal.add('configuration', { service }, `version ${version} is in force`);
   });
-  const sync = createTableSync(table, createHttpInstanceList(instancePool), rows, membership);
+  const losses = createTableLossReport(journal, metrics);
+  const instances = createHttpInstanceList(instancePool);
+  const sync = createTableSync(table, instances, rows, membership, (regressed) => {
+    losses.reportRows(regressed);
+  });
   const quarantine = createQuarantine({
     broadcast: (entries) => links.broadcastQuarantine(entries),
   });
@@ -202,6 +207,7 @@
   const refreshTimer = setInterval(() => {
     servers.setLiveRouters(liveRouters());
     metrics.keptServers.set(keepers.renewedServers().length);
+    losses.reportRecords(ledger.stats());
   }, 500);
   for (const pool of [tablePool, objectPool, instancePool]) {
     stack.defer(() => pool.destroy());
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -10,6 +10,7 @@
 export * from './lib/ownership-context.js';
 export * from './lib/pause.js';
 export * from './lib/row-store.js';
+export * from './lib/row-sync.js';
 export * from './lib/row-writer.js';
 export * from './lib/service-planner.js';
 export * from './lib/shard-mover.js';
--- a/packages/ownership/src/lib/role-holder.ts
+++ b/packages/ownership/src/lib/role-holder.ts
@@ -60,6 +60,8 @@
   let held: HeldRole | undefined;
   /** Version of the latest row under which this router was the acting keeper. */
   let lastActingVersion = 0;
+  /** Lowest keeper epoch that no role had in that row. */
+  let lastNextEpoch = 0;
   /** Standby in that row. */
   let lastStandby: KeeperRole | undefined;
   /** Highest epoch of a standby's role from which this router has stood down. */
@@ -100,8 +102,9 @@
   function createHeldRole(row: VersionedRow<KeeperRow>, role: KeeperRole): HeldRole {
     const isActing = isOwnRole(ctx, row.value.acting);
     if (held?.role.epoch === role.epoch) return { ...held, isActing };
-    // Each change of roles is one version of the row, so no other router was acting in between.
-    const wasActing = lastActingVersion + 1 === row.version;
+    // Each change of roles is one version of the row and takes the next epochs, so no other router
+    // was acting in between. A row that was written back after a loss has a version that skips changes.
+    const wasActing = lastActingVersion + 1 === row.version && role.epoch === lastNextEpoch;
     mayHaveUnrecordedMoves = isActing && !wasActing && role.epoch > 1;
     const router = ctx.membership.self.id;
     const otherRenewer = wasActing ? otherRenewerOf(row.value) : 'not-known';
@@ -126,6 +129,7 @@
       held = createHeldRole(row, role);
       if (held.isActing) {
         lastActingVersion = row.version;
+        lastNextEpoch = row.value.nextEpoch;
         lastStandby = row.value.standby;
       }
       return held;
--- a/packages/ownership/src/lib/row-store.ts
+++ b/packages/ownership/src/lib/row-store.ts
@@ -1,7 +1,8 @@
-import type { TableRow } from '@boragepoint/platform';
+import { type TableRow, writerOf } from '@boragepoint/platform';
 import * as v from 'valibot';
 
 import type { KeyHasher } from './key-hash.js';
+import { hasLowerEpochs } from './row-epochs.js';
 import {
   type AssignRow,
   type ConfigRow,
@@ -27,11 +28,22 @@
 export type RowListener = (key: string) => void;
 
 /**
- * Rows that this router knows, from the table or from peers. The version of a row never decreases.
+ * Rows that this router knows, from the table or from peers. Neither the version of a row nor its
+ * epochs ever decrease.
  */
 export interface RowStore {
-  /** Stores a row; false when it is not newer than the stored one, or malformed. */
+  /**
+   * Stores a row; false when it is not newer than the stored one, gives out epochs again, or is
+   * malformed.
+   */
   offer(row: TableRow): boolean;
+  /**
+   * True when the row is no older than the stored one but was written by a router that did not know
+   * that one: it has the same version and another writer, or gives out epochs again.
+   */
+  contradicts(row: TableRow): boolean;
+  /** The row as the table had it. */
+  stored(key: string): TableRow | undefined;
   config(key: string): VersionedRow<ConfigRow> | undefined;
   assign(key: string): VersionedRow<AssignRow> | undefined;
   keeper(key: string): VersionedRow<KeeperRow> | undefined;
@@ -78,18 +90,41 @@
     for (const listener of [...listeners]) listener(row.key);
   }
 
+  /** Parses a row; `undefined` when it is malformed, which is reported. */
+  function parse({ key, version, value }: TableRow): StoredRow | undefined {
+    try {
+      return { key, version, text: value, value: parseValue(key, value) };
+    } catch (cause) {
+      onBadRow(key, cause);
+      return undefined;
+    }
+  }
+
+  function stored(key: string): TableRow | undefined {
+    const row = rows.get(key);
+    return row && { key, version: row.version, value: row.text };
+  }
+
   return {
-    offer({ key, version, value }) {
-      const before = rows.get(key);
-      if (before !== undefined && before.version >= version) return false;
-      try {
-        replace({ key, version, text: value, value: parseValue(key, value) });
-        return true;
-      } catch (cause) {
-        onBadRow(key, cause);
-        return false;
-      }
+    offer(row) {
+      const before = rows.get(row.key);
+      if (before !== undefined && before.version >= row.version) return false;
+      const parsed = parse(row);
+      if (parsed === undefined) return false;
+      if (before !== undefined && hasLowerEpochs(row.key, before.value, parsed.value)) return false;
+      replace(parsed);
+      return true;
+    },
+    contradicts(row) {
+      const before = rows.get(row.key);
+      const known = stored(row.key);
+      if (before === undefined || known === undefined || row.version < before.version) return false;
+      if (row.value === known.value) return false;
+      if (row.version === before.version) return writerOf(row) !== writerOf(known);
+      const parsed = parse(row);
+      return parsed !== undefined && hasLowerEpochs(row.key, before.value, parsed.value);
     },
+    stored,
     config: (key) => rowAt<ConfigRow>(key),
     assign: (key) => rowAt<AssignRow>(key),
     keeper: (key) => rowAt<KeeperRow>(key),
--- a/packages/ownership/src/lib/table-sync.ts
+++ b/packages/ownership/src/lib/table-sync.ts
@@ -3,7 +3,7 @@
 import type { Membership } from './membership.js';
 import { monotonicMs, pause } from './pause.js';
 import type { RowStore } from './row-store.js';
-import { ROW_PREFIXES } from './table-rows.js';
+import { type RegressedRow, createRowSync } from './row-sync.js';
 
 /** Interval between reads of the table and of the instance list. */
 const POLL_INTERVAL_MS = 1_000;
@@ -12,7 +12,10 @@
 export interface TableSync extends AsyncDisposable {
   /** When the last complete read was sent, on the monotonic clock; `-Infinity` when none was. */
   lastReadAt(): number;
-  /** False after a failed read or write, until a read succeeds. */
+  /**
+   * False after a failed read or write, and after a read that lacks rows or epochs known here, until
+   * a read succeeds.
+   */
   isUp(): boolean;
   /** Time that the last complete read took, in milliseconds. */
   lastReadMs(): number;
@@ -20,13 +23,18 @@
   noteFailure(): void;
 }
 
-/** Creates the task and starts it. */
+/**
+ * Creates the task and starts it. `onRegressed` is called with the rows that show that the table
+ * came back from an older copy.
+ */
 export function createTableSync(
   table: TableService,
   instances: InstanceList,
   rows: RowStore,
   membership: Membership,
+  onRegressed: (regressed: readonly RegressedRow[]) => void,
 ): TableSync {
+  const rowSync = createRowSync(table, rows, onRegressed);
   const stopping = new AbortController();
   let lastReadAt = -Infinity;
   let lastReadMs = 0;
@@ -42,12 +50,8 @@
 
   async function pollTable(): Promise<void> {
     const sentAt = monotonicMs();
-    const scans = await Promise.all(
-      Object.values(ROW_PREFIXES).map((prefix) => table.scan(prefix)),
-    );
-    up = scans.every((it) => it.isOk());
+    up = (await rowSync.poll()) === 'complete';
     if (!up) return;
-    for (const row of scans.flatMap((it) => it.unwrapOr([]))) rows.offer(row);
     lastReadAt = sentAt;
     lastReadMs = monotonicMs() - sentAt;
   }
--- a/packages/ownership/src/test/fake-table.ts
+++ b/packages/ownership/src/test/fake-table.ts
@@ -24,6 +24,15 @@
     return row;
   }
 
+  /** Takes a copy; the function returned brings the table back from it. */
+  takeCopy(): () => void {
+    const copy = new Map(this.rows);
+    return () => {
+      this.rows.clear();
+      for (const [key, row] of copy) this.rows.set(key, row);
+    };
+  }
+
   read(keys: readonly string[]): Promise<Result<TableRow[], PlatformError>> {
     return this.#answer(() => keys.flatMap((key) => this.rows.get(key) ?? []));
   }
