Moves: a conflict that brings no newer rows is tried again at an interval

Seen: a keeper whose move met a table that lacked its rows repeated the transaction without a pause, two calls of the table each time, for as long as that lasted; in the test no timer ran any more.

Cause: a conflict was taken to mean that a newer row is there to be read. When the table has forgotten rows there is none.

Now the mover waits 50 ms after a conflict if no row that it knows has changed since the write began. A conflict with a newer row is resolved at once, as before.

--- a/packages/ownership/src/lib/shard-mover.ts
+++ b/packages/ownership/src/lib/shard-mover.ts
@@ -15,6 +15,8 @@
 const HISTORY_LENGTH = 64;
 /** Interval between checks whether an earlier move is recorded. */
 const EARLIER_MOVE_CHECK_INTERVAL_MS = 50;
+/** Delay after a conflict with rows that are not newer than the known ones: the table forgot some. */
+const FORGOTTEN_ROW_RETRY_MS = 50;
 
 /** One shard's change of owner, decided by the keeper of its present owner. */
 export interface ShardChange {
@@ -131,6 +133,7 @@
         }
         const writes = rowChanges(service, changes);
         if (writes.length === 0) return ok(undefined);
+        const digestBefore = rows.digest();
         const written = await writer.write([check, ...writes], signal);
         if (written.isOk()) return ok(undefined);
         if (written.error.reason === 'given-up') break;
@@ -138,6 +141,7 @@
         if (rows.keeper(keeper.key)?.version !== keeper.version) {
           return err(new MoveError('replaced'));
         }
+        if (rows.digest() === digestBefore) await pause(FORGOTTEN_ROW_RETRY_MS, signal);
       }
       return err(new MoveError('given-up'));
     },
--- a/packages/ownership/src/test/restored-table_test.ts
+++ b/packages/ownership/src/test/restored-table_test.ts
@@ -1,4 +1,5 @@
 import { test } from 'node:test';
+import { setImmediate as eventLoopTurn } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
@@ -20,6 +21,8 @@
 import type { FakeTable } from './fake-table.js';
 
 const KEEPER = { acting: role('r1', 1), nextEpoch: 2 };
+/** Number of transactions after which a test ends a write that is repeated without a pause. */
+const MAX_TRANSACTIONS = 1_000;
 const NEVER_ABORTED = new AbortController().signal;
 
 function moveOfShard0(to: string): ShardChange {
@@ -206,3 +209,29 @@
   expect(table.rows.get(KEEPER_KEY)?.version).toEqual(versionBefore + 2);
   expect(scenario.recorded().map((it) => it.owner)).toEqual(SUCCESSORS);
 });
+
+// The write was repeated without a pause for as long as the table lacked the row: a processor and the
+// table were kept busy, and timers never ran.
+test('a move whose rows the table forgot is tried again at an interval', async () => {
+  await using scenario = await Scenario.create({ keeper: KEEPER });
+  scenario.run();
+  const { table } = scenario;
+  const router = createRouter(scenario, table, 'r1');
+  await router.sync.poll();
+  table.rows.delete(ASSIGN_KEY);
+  const stopping = new AbortController();
+  const transact = table.transact.bind(table);
+  let transactions = 0;
+  table.transact = (writes) => {
+    transactions += 1;
+    if (transactions === MAX_TRANSACTIONS) stopping.abort();
+    return transact(writes);
+  };
+  const keeper = router.rows.keeper(KEEPER_KEY);
+  if (keeper === undefined) throw new Error('the keeper row is not known');
+  const recording = router.mover.record('svc', keeper, [moveOfShard0('s2')], stopping.signal);
+  await eventLoopTurn();
+  stopping.abort();
+  await recording;
+  expect(transactions < MAX_TRANSACTIONS).toEqual(true);
+});
