Settled writes: a row below its expected version proves nothing

Seen: a transaction over two rows took effect, its answer was lost, and the table came back from a copy without it. Its repetition met a conflict; one row was at its expected version, which counted as proof that the write had not taken effect.

Cause: the proof rests on versions that only increase. A row that has a lower version than the writer had read shows that the table forgot rows, so that another row at its expected version says nothing.

Now only the token counts then, and the outcome is unsettled; the same transaction is repeated as after any lost answer. Rows that are to be deleted are left out of that check, since other sweepers delete them too.

A single row that went back was unsettled before too.

--- a/packages/platform/src/lib/settled-write.ts
+++ b/packages/platform/src/lib/settled-write.ts
@@ -11,7 +11,10 @@
 /** Maximum number of copies in flight, so that a slow table gets at most twice the load. */
 const MAX_COPIES = 2;
 const NO_ANSWER = new PlatformError('table service did not answer before the deadline', true);
-const OVERWRITTEN = new PlatformError('row was overwritten before it could be read back', true);
+const NO_EVIDENCE = new PlatformError(
+  'rows were overwritten or forgotten before a read-back',
+  true,
+);
 
 /** Limits of a settled write. */
 export interface SettledWriteOptions {
@@ -67,7 +70,9 @@
  *   A row at its expected version, or at the next one with another token, proves that none did.
  * - If no conclusive answer arrives before the deadline, the outcome is `unsettled`.
  *
- * This requires that versions only increase. A caller that deletes rows and inserts them again
+ * This requires that versions only increase. In a table that came back from an older copy, a
+ * conflict is about the rows as they are now: an earlier copy may have committed and be forgotten,
+ * or take effect once the version that it expects is reached again. A caller that deletes rows and inserts them again
  * under the same key restarts them at version 1, and has to protect itself from delayed requests by
  * other means.
  */
@@ -149,5 +154,5 @@
   const evidence = evidenceOfRows(writes, read.value, token);
   if (evidence === 'committed') return { kind: 'committed' };
   if (evidence === 'not-committed') return { kind: 'conflict', conflicts, rows };
-  return { kind: 'unsettled', error: OVERWRITTEN };
+  return { kind: 'unsettled', error: NO_EVIDENCE };
 }
--- a/packages/platform/src/lib/write-evidence.ts
+++ b/packages/platform/src/lib/write-evidence.ts
@@ -24,7 +24,12 @@
   return isUntouched || isWrittenByAnother ? 'not-committed' : 'none';
 }
 
-/** What all rows of a transaction prove: it took effect completely or not at all. @internal */
+/**
+ * What all rows of a transaction prove: it took effect completely or not at all. A row below its
+ * expected version shows a table that came back from an older copy, which may have forgotten the
+ * transaction; only the token proves something then. Rows to delete may be gone for other reasons.
+ * @internal
+ */
 export function evidenceOfRows(
   writes: readonly TableWrite[],
   rows: readonly TableRow[],
@@ -33,5 +38,10 @@
   const byKey = new Map(rows.map((row) => [row.key, row]));
   const evidence = writes.map((write) => evidenceOfRow(write, byKey.get(write.key), token));
   if (evidence.includes('committed')) return 'committed';
+  const isForgetful = writes.some(
+    ({ key, expectedVersion, value }) =>
+      value !== null && (byKey.get(key)?.version ?? 0) < expectedVersion,
+  );
+  if (isForgetful) return 'none';
   return evidence.includes('not-committed') ? 'not-committed' : 'none';
 }
--- a/packages/platform/src/test/settled-write_test.ts
+++ b/packages/platform/src/test/settled-write_test.ts
@@ -137,3 +137,24 @@
   const second = await settledWrite(lost.table, [writeOf('a', 't1')], 't1', options);
   expect(second.kind).toEqual('unsettled');
 });
+
+test('a row that went below its expected version proves nothing about a lost answer', async () => {
+  const { table, rows, apply } = createTable(['lost-after']);
+  apply([writeOf('a', 'other')]);
+  apply([writeOf('a', 'other', 1)]);
+  const write = settledWrite(table, [writeOf('a', 't1', 2)], 't1', LONG_DEADLINE);
+  rows.set('a', { key: 'a', version: 1, value: '{"writer":"other"}' });
+  expect((await write).kind).toEqual('unsettled');
+});
+
+// Guards against "did not take effect" for a write that took effect and was forgotten with its table.
+test('an untouched row proves nothing when another row went below its expected version', async () => {
+  const { table, rows, apply } = createTable(['lost-after']);
+  apply([writeOf('b', 'other')]);
+  apply([writeOf('b', 'other', 1)]);
+  const writes = [writeOf('a', 't1'), writeOf('b', 't1', 2)];
+  const write = settledWrite(table, writes, 't1', LONG_DEADLINE);
+  rows.delete('a');
+  rows.set('b', { key: 'b', version: 1, value: '{"writer":"other"}' });
+  expect((await write).kind).toEqual('unsettled');
+});
