Keepers: new roles after a refusal lie above the epoch that the server has seen

Seen: after the table had forgotten a keeper, the next one took the epochs of the row one after another until the backend server accepted one. With 8 seen it took 2, 4, 6 and 8: the epoch of the forgotten keeper, given out a second time.

Cause: new roles took the row's next epoch alone. The server's refusal names the highest epoch that it has seen.

Now a refused keeper takes an epoch above that one.

Not mended: a keeper whose first epoch equals that of a forgotten one is not refused.

--- a/packages/ownership/src/lib/keeper-session.ts
+++ b/packages/ownership/src/lib/keeper-session.ts
@@ -115,7 +115,8 @@
     if (row === undefined || found === undefined) return;
     if (!roles.mustReclaim(row.value)) return;
     const { service, server } = found;
-    rowWriter.write(row, assignRoles(ctx, service.name, server, ctx.membership.self, row.value));
+    const before = { ...row.value, nextEpoch: roles.nextEpoch(row.value) };
+    rowWriter.write(row, assignRoles(ctx, service.name, server, ctx.membership.self, before));
   }
 
   /** Renews once, then updates the keeper row or the stored successors if necessary. */
@@ -175,7 +176,7 @@
   }
 
   function noteReplaced(keeperEpoch: number): void {
-    roles.noteRefused();
+    roles.noteRefused(keeperEpoch);
     const message = `keeper epoch ${keeperEpoch} is in place`;
     ctx.journal.add('takeover', { server: serverId }, message);
     void ctx.writer.refresh([keeperKey(serverId)]);
--- a/packages/ownership/src/lib/role-holder.ts
+++ b/packages/ownership/src/lib/role-holder.ts
@@ -41,7 +41,12 @@
   /** Notes that all moves of earlier keepers are recorded. */
   noteNoUnrecordedMoves(): void;
   /** Notes that the backend server has seen a higher keeper epoch. */
-  noteRefused(): void;
+  noteRefused(seenEpoch: number): void;
+  /**
+   * Lowest keeper epoch for new roles: one that neither the row nor the backend server has seen. A
+   * table that came back from an older copy has forgotten epochs that the server remembers.
+   */
+  nextEpoch(row: KeeperRow): number;
   /**
    * True when this router must take new epochs: the row names it, the backend server refuses it,
    * and the standby that took over does not enter the row. This is assumed at once if the standby
@@ -70,6 +75,8 @@
   let takeoverEpoch = 0;
   /** Epoch under which the backend server last refused this router. */
   let refusedEpoch = 0;
+  /** Highest keeper epoch that the backend server named when it refused this router. */
+  let highestSeenEpoch = 0;
   /** When it refused this router, on the monotonic clock. */
   let refusedAt = 0;
   let mayHaveUnrecordedMoves = false;
@@ -143,7 +150,9 @@
     noteNoUnrecordedMoves() {
       mayHaveUnrecordedMoves = false;
     },
-    noteRefused() {
+    nextEpoch: (row) => Math.max(row.nextEpoch, highestSeenEpoch + 1),
+    noteRefused(seenEpoch) {
+      highestSeenEpoch = Math.max(highestSeenEpoch, seenEpoch);
       refusedEpoch = held?.role.epoch ?? 0;
       refusedAt = monotonicMs();
     },
--- a/packages/ownership/src/test/restored-table_test.ts
+++ b/packages/ownership/src/test/restored-table_test.ts
@@ -23,6 +23,8 @@
 const KEEPER = { acting: role('r1', 1), nextEpoch: 2 };
 /** Number of transactions after which a test ends a write that is repeated without a pause. */
 const MAX_TRANSACTIONS = 1_000;
+/** Even, as the epochs that a keeper without this knowledge would try one after another. */
+const FORGOTTEN_KEEPER_EPOCH = 8;
 const NEVER_ABORTED = new AbortController().signal;
 
 function moveOfShard0(to: string): ShardChange {
@@ -235,3 +237,17 @@
   await recording;
   expect(transactions < MAX_TRANSACTIONS).toEqual(true);
 });
+
+// Guards against a keeper epoch that the backend server has seen from a keeper whose row was lost.
+test('a refused keeper takes an epoch above the one that the backend server has seen', async () => {
+  await using scenario = await Scenario.create({ keeper: KEEPER });
+  const { server } = scenario;
+  server.keeperEpoch = FORGOTTEN_KEEPER_EPOCH;
+  scenario.run();
+  const accepted = () => server.received.filter((it) => it.accepted);
+  await waitUntil('the server accepts renewals', () => accepted().length > 2);
+  expect([...new Set(accepted().map((it) => it.req.keeperEpoch))]).toEqual([
+    FORGOTTEN_KEEPER_EPOCH + 1,
+  ]);
+  expect(scenario.keeperRow().acting.epoch).toEqual(FORGOTTEN_KEEPER_EPOCH + 1);
+});
