Fault case: the table comes back from an older copy

The stand-in table takes a copy and comes back from it. The case drains a server, brings the table back to the time before the drain, and kills an owner right after. It checks that rows and records of payments that live routers know are there again, that the configuration in force does not go back, that the drained server gets no keys back, and that the killed owner's keys are served.

--- a/packages/standin/src/lib/faults/cases.ts
+++ b/packages/standin/src/lib/faults/cases.ts
@@ -6,6 +6,7 @@
 import { ownerFrozen, ownerKilled, ownerKilledStoreDown, zoneKilled } from './owner-cases.js';
 import { routerPartitioned } from './partition-cases.js';
 import { payments } from './payment-cases.js';
+import { tableRestored } from './restored-table-cases.js';
 import { storeDown } from './store-cases.js';
 
 /** All fault cases, in the order in which they run. */
@@ -22,6 +23,7 @@
   ownerKilledKeeperPaused,
   drainKeeperPaused,
   storeDown,
+  tableRestored,
   payments,
   crashRequest,
   crashPayment,
--- a/packages/standin/src/lib/platform/app.ts
+++ b/packages/standin/src/lib/platform/app.ts
@@ -43,6 +43,7 @@
 export function createPlatformApp(): Hono<NodeEnv> {
   const app = new Hono<NodeEnv>();
   const table = createMemoryTable();
+  let restoreTable = table.takeCopy();
   const objects = new Map<string, Uint8Array>();
   const faults = new PlatformFaults();
   const counters: PlatformCounters = { reads: 0, writes: 0, refused: 0, bytesIn: 0, bytesOut: 0 };
@@ -107,7 +108,10 @@
     return send(c, faults.instances());
   });
   app.post(PLATFORM_CONTROL_PATH, async (c) => {
-    faults.apply(await readJson(c, platformControlSchema));
+    const change = await readJson(c, platformControlSchema);
+    faults.apply(change);
+    if (change.table === 'take-copy') restoreTable = table.takeCopy();
+    if (change.table === 'restore') restoreTable();
     return c.json({});
   });
   app.get(PLATFORM_CONTROL_PATH, (c) => c.json(counters));
--- a/packages/standin/src/lib/platform/control.ts
+++ b/packages/standin/src/lib/platform/control.ts
@@ -10,6 +10,8 @@
 export const platformControlSchema = v.strictObject({
   /** `refuse` answers 503, `silent` never answers, `no` ends the outage. */
   down: v.exactOptional(v.picklist(['no', 'refuse', 'silent'])),
+  /** `take-copy` takes a copy of the table, `restore` brings the table back from the latest one. */
+  table: v.exactOptional(v.picklist(['take-copy', 'restore'])),
   /** Delay before each call is processed, in milliseconds. */
   slowMs: v.exactOptional(v.number()),
   /** Number of upcoming writes that take effect but whose answer is lost. */
--- a/packages/standin/src/lib/platform/memory-table.ts
+++ b/packages/standin/src/lib/platform/memory-table.ts
@@ -6,11 +6,19 @@
   readonly value: string | null;
 }
 
-/** An in-memory table. Transactions are atomic, and a key's versions only increase. */
+/**
+ * An in-memory table. Transactions are atomic, and a key's versions only increase unless the table is
+ * brought back from a copy.
+ */
 export interface MemoryTable {
   read(keys: readonly string[]): TableRow[];
   scan(prefix: string): TableRow[];
   transact(writes: readonly TableWrite[]): TransactOutcome;
+  /**
+   * Takes a copy; the function returned brings the table back from it. Later writes are lost then,
+   * and their versions are given out again.
+   */
+  takeCopy(): () => void;
 }
 
 /** Creates an empty in-memory table. */
@@ -45,5 +53,12 @@
       writes.forEach(write);
       return { committed: true };
     },
+    takeCopy() {
+      const copy = [...rows];
+      return () => {
+        rows.clear();
+        for (const [key, row] of copy) rows.set(key, row);
+      };
+    },
   };
 }
--- a/packages/standin/src/test/platform_test.ts
+++ b/packages/standin/src/test/platform_test.ts
@@ -56,3 +56,15 @@
   await controlPlatform(context.address, { instancesLagMs: 0, instances });
   expect((await context.instances.list())._unsafeUnwrap()).toEqual(instances);
 });
+
+test('a table that was brought back from a copy gives out versions again', async () => {
+  await using context = await setUp();
+  await context.table.transact([{ key: 'a', expectedVersion: 0, value: '1' }]);
+  await controlPlatform(context.address, { table: 'take-copy' });
+  await context.table.transact([{ key: 'a', expectedVersion: 1, value: '2' }]);
+  await controlPlatform(context.address, { table: 'restore' });
+  const outcome = await context.table.transact([{ key: 'a', expectedVersion: 1, value: '3' }]);
+  expect(outcome._unsafeUnwrap()).toEqual({ committed: true });
+  const rows = await context.table.read(['a']);
+  expect(rows._unsafeUnwrap()).toEqual([{ key: 'a', version: 2, value: '3' }]);
+});
