--- a/packages/routing/src/test/ledger_test.ts
+++ b/packages/routing/src/test/ledger_test.ts
@@ -10,6 +10,14 @@
 const LARGE_BYTES = 20_000;
 const NOT_CONNECTED: DispatchOutcome = { kind: 'not-run', reason: 'refused', mayRetry: false };
 
+/** Longer than the deadline of the request that it hits. */
+const STALL_MS = 20;
+
+/** Stops this thread, as a machine that runs other programs does. */
+function stallProcess(ms: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, ms);
+}
+
 function request(key: string, fingerprint = 'f') {
   const deadlineAt = performance.now() + 10_000;
   return { service: SERVICE, idempotencyKey: key, fingerprint, deadlineAt };
@@ -163,6 +171,31 @@
   expect(fixture.runsOf('k')).toEqual(1);
 });
 
+/**
+ * Repeats a request until the table was sent its intent. A process that stalls past the deadline
+ * withdraws the intent before that, which is another case than the one tested.
+ */
+async function refuseOnceSent(
+  table: { transactions(): number },
+  request: () => Promise<void>,
+): Promise<void> {
+  do await request();
+  while (table.transactions() === 0);
+}
+
+// A process that stalled until the deadline sent no intent; tests of late intents took it for one.
+test('an intent is withdrawn when the deadline passes before it was sent', async () => {
+  const fixture = createFixture();
+  const table = createFaultyTable(fixture.table, () => 'answered');
+  const ledger = fixture.keeper('a', { table });
+  const seen = fixture.send(ledger, 'k', undefined, { deadlineAt: performance.now() + 15 });
+  while (ledger.stats().rowsQueued === 0) await Promise.resolve();
+  stallProcess(STALL_MS);
+  expect(await seen).toEqual(RESULT_CODES.tableUnavailable);
+  expect(table.transactions()).toEqual(0);
+  expect(await fixture.send(ledger, 'k')).toEqual('answered');
+});
+
 test('an intent committed after its caller was refused does not block a repeat', async () => {
   const fixture = createFixture();
   const faults = ['delayed', 'refused'] as const;
@@ -172,8 +205,11 @@
     isDown ? (faults[calls++] ?? 'refused') : 'answered',
   );
   const ledger = fixture.keeper('a', { table, config: { recordRetries: 10_000 } });
-  const seen = await fixture.send(ledger, 'k', undefined, { deadlineAt: performance.now() + 15 });
-  expect(seen).toEqual(RESULT_CODES.tableUnavailable);
+  await refuseOnceSent(table, async () => {
+    const deadlineAt = performance.now() + 15;
+    const seen = await fixture.send(ledger, 'k', undefined, { deadlineAt });
+    expect(seen).toEqual(RESULT_CODES.tableUnavailable);
+  });
   await table.deliverDelayed();
   const key = intentRowKey(SERVICE, 'k');
   const rows = (await fixture.table.read([key]))._unsafeUnwrap();
@@ -188,7 +224,10 @@
   let isDown = true;
   const table = createFaultyTable(fixture.table, () => (isDown ? 'lost-after' : 'answered'));
   const ledger = fixture.keeper('a', { table, config: { recordRetries: 10_000 } });
-  await fixture.send(ledger, 'k', undefined, { deadlineAt: performance.now() + 15 });
+  await refuseOnceSent(table, async () => {
+    const deadlineAt = performance.now() + 15;
+    await fixture.send(ledger, 'k', undefined, { deadlineAt });
+  });
   isDown = false;
   const other = fixture.keeper('b');
   await eventually(async () => (await fixture.send(other, 'k')) !== RESULT_CODES.outcomeUnknown);
