--- a/packages/standin/src/lib/faults/restored-table-cases.ts
+++ b/packages/standin/src/lib/faults/restored-table-cases.ts
@@ -71,6 +71,25 @@
   return { before, records, version, forgotten, forgottenRecords };
 }
 
+/** Waits until no row is below its earlier version and no answer is gone; names them otherwise. */
+async function waitUntilWhole(
+  context: CaseContext,
+  { before, records }: Awaited<ReturnType<typeof forgetDrain>>,
+): Promise<void> {
+  let missing: string[] = [];
+  const isWhole = async () => {
+    const below = rowsBelow(before, await readRows(context, SHARED_PREFIXES));
+    const gone = rowsGone(records, await readRows(context, RECORD_PREFIXES));
+    missing = [...below, ...gone];
+    return missing.length === 0 ? true : undefined;
+  };
+  try {
+    await waitUntil('the table is whole', isWhole, WHOLE_TIMEOUT_MS);
+  } catch (cause) {
+    throw new Error(`the table still lacks ${missing.join(', ')}`, { cause });
+  }
+}
+
 /** The table comes back from a copy without a drain and its moves; then an owner is killed. */
 export const tableRestored: FaultCase = {
   name: 'table-restored',
@@ -85,12 +104,7 @@
     const owner = pick(owners, random);
     const keys = keysServedBy(probe, [owner]);
     const killedAt = await owner.kill();
-    const isWhole = async () => {
-      const below = rowsBelow(lost.before, await readRows(context, SHARED_PREFIXES));
-      const gone = rowsGone(lost.records, await readRows(context, RECORD_PREFIXES));
-      return below.length + gone.length === 0 ? true : undefined;
-    };
-    await waitUntil('the table is whole', isWhole, WHOLE_TIMEOUT_MS);
+    await waitUntilWhole(context, lost);
     const wholeMs = Math.round(monotonicMs() - restoredAt);
     await waitUntilMoved(() => keysServedBy(probe, [owner]));
     await waitUntilServed(probe, killedAt);
