--- a/packages/ownership/src/lib/role-holder.ts
+++ b/packages/ownership/src/lib/role-holder.ts
@@ -41,7 +41,12 @@
   /** Notes that all moves of earlier keepers are recorded. */
   noteNoUnrecordedMoves(): void;
   /** Notes that the backend server has seen a higher keeper epoch. */
-  noteRefused(): void;
+  noteRefused(seenEpoch: number): void;
+  /**
+   * Lowest keeper epoch for new roles: one that neither the row nor the backend server has seen. A
+   * table that came back from an older copy has forgotten epochs that the server remembers.
+   */
+  nextEpoch(row: KeeperRow): number;
   /**
    * True when this router must take new epochs: the row names it, the backend server refuses it,
    * and the standby that took over does not enter the row. This is assumed at once if the standby
@@ -60,6 +65,8 @@
   let held: HeldRole | undefined;
   /** Version of the latest row under which this router was the acting keeper. */
   let lastActingVersion = 0;
+  /** Lowest keeper epoch that no role had in that row. */
+  let lastNextEpoch = 0;
   /** Standby in that row. */
   let lastStandby: KeeperRole | undefined;
   /** Highest epoch of a standby's role from which this router has stood down. */
@@ -68,6 +75,8 @@
   let takeoverEpoch = 0;
   /** Epoch under which the backend server last refused this router. */
   let refusedEpoch = 0;
+  /** Highest keeper epoch that the backend server named when it refused this router. */
+  let highestSeenEpoch = 0;
   /** When it refused this router, on the monotonic clock. */
   let refusedAt = 0;
   let mayHaveUnrecordedMoves = false;
@@ -100,8 +109,9 @@
   function createHeldRole(row: VersionedRow<KeeperRow>, role: KeeperRole): HeldRole {
     const isActing = isOwnRole(ctx, row.value.acting);
     if (held?.role.epoch === role.epoch) return { ...held, isActing };
-    // Each change of roles is one version of the row, so no other router was acting in between.
-    const wasActing = lastActingVersion + 1 === row.version;
+    // Each change of roles is one version of the row and takes the next epochs, so no other router
+    // was acting in between. A row that was written back after a loss has a version that skips changes.
+    const wasActing = lastActingVersion + 1 === row.version && role.epoch === lastNextEpoch;
     mayHaveUnrecordedMoves = isActing && !wasActing && role.epoch > 1;
     const router = ctx.membership.self.id;
     const otherRenewer = wasActing ? otherRenewerOf(row.value) : 'not-known';
@@ -126,6 +136,7 @@
       held = createHeldRole(row, role);
       if (held.isActing) {
         lastActingVersion = row.version;
+        lastNextEpoch = row.value.nextEpoch;
         lastStandby = row.value.standby;
       }
       return held;
@@ -139,7 +150,9 @@
     noteNoUnrecordedMoves() {
       mayHaveUnrecordedMoves = false;
     },
-    noteRefused() {
+    nextEpoch: (row) => Math.max(row.nextEpoch, highestSeenEpoch + 1),
+    noteRefused(seenEpoch) {
+      highestSeenEpoch = Math.max(highestSeenEpoch, seenEpoch);
       refusedEpoch = held?.role.epoch ?? 0;
       refusedAt = monotonicMs();
     },
