Specification: a store that comes back from an older copy

What callers saw: two servers held a key after the store had come back from a copy that lacked its last changes of leader and moves; some tokens were not above those of the lost seconds. No model had this disturbance.

The new model begins where the store returns: its row is that of the copy, what the routers and servers know is newer, and a write of the earlier era may still arrive. Eleven rules are mutations; each one leads to a violation when it is removed.

Ruled out by the model: that a release at the other servers suffices where a router has only a view (a late grant of the former leader follows it), and that the longest lease suffices where nobody knows (a leader that is cut off goes on renewing).

--- a/packages/spec/src/lib/model-configurations.ts
+++ b/packages/spec/src/lib/model-configurations.ts
@@ -5,6 +5,7 @@
 import { createOwnershipModel } from './ownership/ownership-model.js';
 import type { OwnershipOptions } from './ownership/state.js';
 import { createRequestModel } from './requests/request-model.js';
+import { createRestoreModel } from './restores/restore-model.js';
 
 /** A model with bounds, whose state space is explored completely. */
 export interface ModelConfiguration {
@@ -29,6 +30,15 @@
   maxMoves: 1,
 } as const;
 
+const RESTORE_BUDGET = {
+  restores: 0,
+  moves: 0,
+  grants: 2,
+  restarts: 0,
+  freezes: 0,
+  acquisitions: 1,
+} as const;
+
 function exploreOwnership(features: Partial<OwnershipOptions>): ModelConfiguration['run'] {
   return (mutation) => explore(createOwnershipModel({ ...BASE_OPTIONS, ...features, mutation }));
 }
@@ -108,6 +118,24 @@
     ],
     run: (mutation) => explore(createGrantModel({ mutation, renewalsPerLeader: 1 })),
   },
+  {
+    name: 'store that comes back from a copy',
+    isQuick: true,
+    mutations: [
+      'era-fence',
+      'era-row',
+      'era-answer',
+      'era-confirm',
+      'era-stale-leader',
+      'era-record',
+      'era-first',
+      'era-clear',
+      'era-late',
+      'era-grace',
+      'era-wait',
+    ],
+    run: (mutation) => explore(createRestoreModel({ mutation, budget: RESTORE_BUDGET })),
+  },
   {
     name: 'at most once, 2 attempts',
     isQuick: true,
--- a/packages/spec/src/lib/model/mutations.ts
+++ b/packages/spec/src/lib/model/mutations.ts
@@ -40,6 +40,21 @@
   'grant-suspension': 'a leader acts after a suspension without confirming its leadership lease',
   'grant-grace':
     'a leader renews leases regardless of how long its leadership lease is unconfirmed',
+  'era-fence': 'tokens of a new era of the store are not above those of earlier eras',
+  'era-row': 'the row has the same key in all eras, so a late write of an earlier era may match it',
+  'era-answer': 'an answer of a later era confirms a leadership lease of an earlier one',
+  'era-confirm':
+    'a leader counts as confirmed in a new era before it has written the row of that era',
+  'era-stale-leader':
+    'a leader whose lease has expired when it learns of a new era goes on leading',
+  'era-record':
+    'a leader whose lease has expired when it learns of a new era hands over its record',
+  'era-first': 'a router acquires the lease of a new era at once although the leader may live',
+  'era-clear': 'the view of a follower counts as complete',
+  'era-late': 'a release counts although grants of the former leader may still take effect',
+  'era-grace':
+    'a router that knows nothing waits for the longest lease, not for renewals of the former leader',
+  'era-wait': 'a router that knows nothing waits for no lease',
 } as const;
 
 /** Name of a rule that can be removed; removing it is a mutation of the model. */
