Specification: two returns in a row, frozen leaders, restarts; what is lost by name

Seen while the first model was refined: a leader that was confirmed at one return and did not write the row of that era would go on at a second return, although another router had led in between and was lost with that era (17 steps); and a thawed leader must not count its lease as confirmed (13 steps). Both rules are mutations now. A late write of an earlier era may expect any number, since numbers are given out again.

Ruled out: acquiring at once because the leader that the router knows has ended, since a hand-over of that leader may be lost (era-first).

--- a/packages/spec/src/lib/model-configurations.ts
+++ b/packages/spec/src/lib/model-configurations.ts
@@ -6,6 +6,7 @@
 import type { OwnershipOptions } from './ownership/state.js';
 import { createRequestModel } from './requests/request-model.js';
 import { createRestoreModel } from './restores/restore-model.js';
+import type { Budget, ScenarioName } from './restores/restore-state.js';
 
 /** A model with bounds, whose state space is explored completely. */
 export interface ModelConfiguration {
@@ -30,7 +31,7 @@
   maxMoves: 1,
 } as const;
 
-const RESTORE_BUDGET = {
+const RETURN_BUDGET = {
   restores: 0,
   moves: 0,
   grants: 2,
@@ -39,6 +40,14 @@
   acquisitions: 1,
 } as const;
 
+function exploreReturn(
+  budget: Partial<Budget>,
+  scenarios?: readonly ScenarioName[],
+): ModelConfiguration['run'] {
+  const bounds = { ...RETURN_BUDGET, ...budget };
+  return (mutation) => explore(createRestoreModel({ mutation, budget: bounds, scenarios }));
+}
+
 function exploreOwnership(features: Partial<OwnershipOptions>): ModelConfiguration['run'] {
   return (mutation) => explore(createOwnershipModel({ ...BASE_OPTIONS, ...features, mutation }));
 }
@@ -119,7 +128,7 @@
     run: (mutation) => explore(createGrantModel({ mutation, renewalsPerLeader: 1 })),
   },
   {
-    name: 'store that comes back from a copy',
+    name: 'store comes back from a copy',
     isQuick: true,
     mutations: [
       'era-fence',
@@ -134,7 +143,7 @@
       'era-grace',
       'era-wait',
     ],
-    run: (mutation) => explore(createRestoreModel({ mutation, budget: RESTORE_BUDGET })),
+    run: exploreReturn({}),
   },
   {
     name: 'at most once, 2 attempts',
@@ -188,4 +197,37 @@
       canMoveUnrecorded: true,
     }),
   },
+  {
+    name: 'store comes back from a copy, further moves',
+    isQuick: false,
+    mutations: [],
+    run: exploreReturn({ moves: 1 }),
+  },
+  {
+    name: 'store comes back from a copy twice',
+    isQuick: false,
+    mutations: ['era-again'],
+    run: exploreReturn({ restores: 1 }, ['a move is lost']),
+  },
+  {
+    name: 'store comes back from a copy, frozen leader',
+    isQuick: false,
+    mutations: ['era-thaw'],
+    run: exploreReturn({ freezes: 1 }, [
+      'a move is lost',
+      'a change of leader, unnoticed by router 0, and a move are lost',
+    ]),
+  },
+  {
+    name: 'store comes back from a copy, all routers are started anew',
+    isQuick: false,
+    mutations: [],
+    run: exploreReturn({ restarts: 2 }, ['a move is lost']),
+  },
+  {
+    name: 'store comes back from a copy, two changes of leader',
+    isQuick: false,
+    mutations: [],
+    run: exploreReturn({ acquisitions: 2 }, ['a move is lost']),
+  },
 ];
--- a/packages/spec/src/lib/model/mutations.ts
+++ b/packages/spec/src/lib/model/mutations.ts
@@ -47,6 +47,9 @@
     'a leader counts as confirmed in a new era before it has written the row of that era',
   'era-stale-leader':
     'a leader whose lease has expired when it learns of a new era goes on leading',
+  'era-again':
+    'a leader that was confirmed at one return of the store goes on at later ones without confirming',
+  'era-thaw': 'a leader that was frozen counts its leadership lease as confirmed',
   'era-record':
     'a leader whose lease has expired when it learns of a new era hands over its record',
   'era-first': 'a router acquires the lease of a new era at once although the leader may live',
--- a/packages/spec/src/lib/restores/acquire-steps.ts
+++ b/packages/spec/src/lib/restores/acquire-steps.ts
@@ -20,7 +20,7 @@
 const INHERITED_TICKS = RENEWAL_GRACE_TICKS + LATE_TICKS;
 
 /** What a new leader takes over: owner, highest token and bounds by server. */
-type Inherited = Pick<Lead, 'owner' | 'fence' | 'answeredLeft' | 'lateLeft'>;
+type Inherited = Pick<Lead, 'source' | 'owner' | 'fence' | 'answeredLeft' | 'lateLeft'>;
 
 /** A router acquires the leadership lease. @internal */
 export function acquireSteps(view: RouterView): Steps {
@@ -40,6 +40,7 @@
   const lead: Lead = {
     era: store.era,
     epoch: fence,
+    source: inherited.source,
     version,
     sinceConfirmed: 0,
     needsConfirmation: false,
@@ -77,6 +78,7 @@
 function acquireFromRow(view: RouterView, row: Row): Steps {
   if (row.leaderLeaseLeft > 0) return [];
   return acquire(view, 'of its era', {
+    source: 'row',
     owner: row.owner,
     fence: row.fence,
     answeredLeft: byServer(row.owner, LEASE_TICKS, row.heldLeft),
@@ -89,12 +91,13 @@
   const { state, number, options } = view;
   const router = routerOf(view);
   const hasWaited = router.eraAge >= LEADER_LEASE_TICKS;
-  if (!hasWaited && options.mutation !== 'era-first') return [];
+  const fromRecord = state.routers.flatMap((_, former) => acquireFromRecord(view, former));
+  if (!hasWaited && options.mutation !== 'era-first') return fromRecord;
   const known = router.view;
   const others = state.routers.filter((it, index) => index !== number && !it.isFrozen && !it.lead);
   const reported = newest([known, ...others.map((it) => it.view)]);
   return [
-    ...state.routers.flatMap((_, former) => acquireFromRecord(view, former)),
+    ...fromRecord,
     ...(known ? acquireFromView(view, known, 'with its own view') : acquireUnknown(view)),
     ...(reported && reported !== known
       ? acquireFromView(view, reported, 'with a reported view')
@@ -112,13 +115,17 @@
   if (!lead) return [];
   const stopped = viewOf(former, router.incarnation, lead);
   const next = withRouter(state, former, { ...asked, lead: undefined, view: stopped });
-  return acquire({ ...view, state: next }, `with the record of router ${former}`, lead);
+  return acquire({ ...view, state: next }, `with the record of router ${former}`, {
+    ...lead,
+    source: 'record',
+  });
 }
 
 function acquireFromView(view: RouterView, known: View, text: string): Steps {
   const { mutation } = view.options;
   const late = mutation === 'era-late' || mutation === 'era-clear' ? 0 : INHERITED_TICKS;
   return acquire(view, text, {
+    source: 'view',
     owner: known.owner,
     fence: known.fence,
     answeredLeft: byServer(known.owner, LEASE_TICKS, mutation === 'era-clear' ? 0 : LEASE_TICKS),
@@ -134,6 +141,7 @@
   const wait = options.mutation === 'era-grace' ? LATE_TICKS : INHERITED_TICKS;
   const late = options.mutation === 'era-wait' ? 0 : wait;
   return acquire(view, 'without any knowledge beyond the copy', {
+    source: 'copy',
     owner: row.owner,
     fence: row.fence,
     answeredLeft: byServer(row.owner, LEASE_TICKS, late),
--- a/packages/spec/src/lib/restores/canonical.ts
+++ b/packages/spec/src/lib/restores/canonical.ts
@@ -1,4 +1,5 @@
 import type { Grant, Lead, RestoreState, Router, Row, Server, Store } from './restore-state.js';
+import { mapped } from './update.js';
 
 /**
  * Returns an equivalent state without what can have no effect any more, so that fewer states are
@@ -9,7 +10,7 @@
   const mayAcquire = budget.acquisitions > 0;
   return {
     ...state,
-    store: canonicalStore(state.store, budget.restores > 0),
+    store: canonicalStore(state.store),
     routers: mapped(state.routers, (it) => canonicalRouter(it, state.store.era, mayAcquire)),
     grants: grants.some((it) => isRefused(it, servers))
       ? grants.filter((it) => !isRefused(it, servers))
@@ -17,22 +18,13 @@
   };
 }
 
-/** Maps a list; returns the same list if no element changes. */
-function mapped<T>(list: readonly T[], change: (element: T) => T): readonly T[] {
-  const next = list.map(change);
-  return next.every((it, index) => it === list[index]) ? list : next;
-}
-
 function isRefused(grant: Grant, servers: readonly Server[]): boolean {
   return grant.fence < (servers[grant.server]?.fence ?? 0);
 }
 
-const NO_COPY: Store['copy'] = [];
-
-function canonicalStore(store: Store, mayComeBack: boolean): Store {
+function canonicalStore(store: Store): Store {
   const rows = mapped(store.rows, (it) => canonicalRow(it, store.era));
-  const copy = mayComeBack ? store.copy : NO_COPY;
-  return rows === store.rows && copy === store.copy ? store : { era: store.era, rows, copy };
+  return rows === store.rows ? store : { ...store, rows };
 }
 
 /** Of the row of an earlier era only the owner and the token can matter. */
--- a/packages/spec/src/lib/restores/restore-model.ts
+++ b/packages/spec/src/lib/restores/restore-model.ts
@@ -7,21 +7,46 @@
   LEADER_LEASE_TICKS,
   RENEWAL_GRACE_TICKS,
   type Grant,
+  type Lead,
   type RestoreOptions,
   type RestoreState,
   type Router,
   type Row,
+  type Server,
   TOKENS_PER_ERA,
 } from './restore-state.js';
 import { routerSteps } from './router-steps.js';
 import { firstReturn, startState } from './scenarios.js';
 import { storeSteps } from './store-steps.js';
+import { mapped } from './update.js';
 
 type Steps = Step<RestoreState>[];
 
 /** Time since the last confirmation from which nothing is renewed. */
 const STOPS_RENEWING_TICKS = LEADER_LEASE_TICKS + RENEWAL_GRACE_TICKS + 1;
 
+type Goals = Model<RestoreState>['goals'];
+
+function hasGranted({ routers }: RestoreState, source: Lead['source']): boolean {
+  return routers.some(
+    ({ lead }) => lead?.source === source && lead.era > 0 && lead.phase === 'granted',
+  );
+}
+
+const GOALS: Goals = {
+  'the former leader goes on in the new era': (state) => hasGranted(state, 'row'),
+  'the former leader hands over its record': (state) => hasGranted(state, 'record'),
+  'a view is used': (state) => hasGranted(state, 'view'),
+  'the key moves in the new era': ({ servers }) =>
+    servers.every((it) => it.fence > 0) && servers.some((it) => it.fence > TOKENS_PER_ERA),
+};
+
+const GOALS_OF_ALL_SCENARIOS: Goals = {
+  'nobody who is asked knows more than the copy': (state) => hasGranted(state, 'copy'),
+  'a delayed write of the earlier era changes only the row of that era': ({ store, write }) =>
+    !write && store.rows[0]?.version === 3 && store.rows[1] !== undefined,
+};
+
 /** Model of a store that comes back from an older copy of itself. */
 export function createRestoreModel(options: RestoreOptions): Model<RestoreState> {
   return {
@@ -36,16 +61,7 @@
         ? 'a server takes the key under a token that is not the highest'
         : undefined;
     },
-    goals: {
-      'the former leader goes on in the new era': ({ routers }) =>
-        routers[0]?.lead !== undefined && routers[0].lead.era > 0,
-      'another router leads in the new era': ({ routers }) =>
-        routers[1]?.lead !== undefined && routers[1].lead.era > 0,
-      'the key moves in the new era': ({ servers }) =>
-        servers.every((it) => it.fence > 0) && servers.some((it) => it.fence > TOKENS_PER_ERA),
-      'a delayed write of the earlier era changes only the row of that era': ({ store, write }) =>
-        !write && store.rows[0]?.fence === 2 && store.rows[1]?.owner === 0,
-    },
+    goals: options.scenarios ? GOALS : { ...GOALS, ...GOALS_OF_ALL_SCENARIOS },
   };
 }
 
@@ -55,7 +71,7 @@
 }
 
 function stepsOf(state: RestoreState, options: RestoreOptions): Steps {
-  if (state.store.era === 0) return firstReturn(state);
+  if (state.store.era === 0) return firstReturn(state, options);
   return [
     ...tick(state),
     ...storeSteps(state),
@@ -71,7 +87,7 @@
 const decremented = (left: number) => Math.max(0, left - 1);
 
 function tickRow(row: Row | undefined): Row | undefined {
-  if (row === undefined) return undefined;
+  if (row === undefined || (row.leaderLeaseLeft === 0 && row.heldLeft === 0)) return row;
   return {
     ...row,
     leaderLeaseLeft: decremented(row.leaderLeaseLeft),
@@ -79,35 +95,45 @@
   };
 }
 
+function tickLead(lead: Lead): Lead {
+  return {
+    ...lead,
+    sinceConfirmed: Math.min(lead.sinceConfirmed + 1, STOPS_RENEWING_TICKS),
+    answeredLeft: lead.answeredLeft.map(decremented),
+    lateLeft: lead.lateLeft.map(decremented),
+  };
+}
+
 function tickRouter(router: Router): Router {
-  if (router.isFrozen) return router;
-  const { lead } = router;
+  const { isFrozen, eraAge, lead } = router;
+  if (isFrozen || (!lead && eraAge === LEADER_LEASE_TICKS)) return router;
   return {
     ...router,
-    eraAge: Math.min(router.eraAge + 1, LEADER_LEASE_TICKS),
-    lead: lead && {
-      ...lead,
-      sinceConfirmed: Math.min(lead.sinceConfirmed + 1, STOPS_RENEWING_TICKS),
-      answeredLeft: lead.answeredLeft.map(decremented),
-      lateLeft: lead.lateLeft.map(decremented),
-    },
+    eraAge: Math.min(eraAge + 1, LEADER_LEASE_TICKS),
+    lead: lead && tickLead(lead),
   };
 }
 
+function tickServer(server: Server): Server {
+  if (server.leaseLeft === 0) return server;
+  return { ...server, leaseLeft: decremented(server.leaseLeft) };
+}
+
 /** A grant whose lease has lapsed has no effect. */
-function tickGrants(grants: readonly Grant[]): Grant[] {
+function tickGrants(grants: readonly Grant[]): readonly Grant[] {
+  if (grants.length === 0) return grants;
   return grants.filter((it) => it.timeLeft > 1).map((it) => ({ ...it, timeLeft: it.timeLeft - 1 }));
 }
 
 function tick(state: RestoreState): Steps {
-  const { store, write } = state;
+  const { store } = state;
+  const rows = mapped(store.rows, tickRow);
   const next: RestoreState = {
     ...state,
-    store: { ...store, rows: store.rows.map(tickRow), copy: store.copy.map(tickRow) },
-    routers: state.routers.map(tickRouter),
-    servers: state.servers.map((it) => ({ ...it, leaseLeft: decremented(it.leaseLeft) })),
+    store: rows === store.rows ? store : { ...store, rows },
+    routers: mapped(state.routers, tickRouter),
+    servers: mapped(state.servers, tickServer),
     grants: tickGrants(state.grants),
-    write: write && { ...write, row: tickRow(write.row) ?? write.row },
   };
   return [{ name: 'time passes', next }];
 }
--- a/packages/spec/src/lib/restores/restore-state.ts
+++ b/packages/spec/src/lib/restores/restore-state.ts
@@ -43,11 +43,10 @@
   readonly row: Row;
 }
 
-/** The store: the row of each era, and the copy from which it may come back. */
+/** The store, with the row of each era. */
 export interface Store {
   readonly era: number;
   readonly rows: readonly (Row | undefined)[];
-  readonly copy: readonly (Row | undefined)[];
 }
 
 /** What a router knows of the placement from a leader. */
@@ -63,6 +62,8 @@
   /** Era of the row that holds its leadership lease. */
   readonly era: number;
   readonly epoch: number;
+  /** From where it has its first knowledge. */
+  readonly source: 'row' | 'record' | 'view' | 'copy';
   readonly version: number;
   readonly sinceConfirmed: number;
   readonly needsConfirmation: boolean;
@@ -131,8 +132,21 @@
   readonly budget: Budget;
 }
 
+/** What is lost when the store comes back; the copy names router 0 as leader, A as owner. */
+export type ScenarioName =
+  | 'nothing is lost'
+  | 'nothing is lost, the write of a move is under way'
+  | 'a move is lost'
+  | 'a move is lost, router 1 was started anew'
+  | 'a hand-over to router 1 and a move are lost'
+  | 'a hand-over to router 1 and a move are lost, router 0 was started anew'
+  | 'a change of leader, unnoticed by router 0, and a move are lost'
+  | 'a change of leader, unnoticed by router 0, and a move are lost, router 1 was started anew';
+
 /** Bounds of the exploration, and the rule that is removed, if any. */
 export interface RestoreOptions {
   readonly mutation: Mutation | undefined;
   readonly budget: Budget;
+  /** All of them if missing. */
+  readonly scenarios?: readonly ScenarioName[] | undefined;
 }
--- a/packages/spec/src/lib/restores/router-steps.ts
+++ b/packages/spec/src/lib/restores/router-steps.ts
@@ -27,7 +27,7 @@
 ): Router {
   if (era <= router.era) return router;
   const { lead } = router;
-  const stays = lead && (isConfirmed(lead) || mutation === 'era-stale-leader');
+  const stays = lead && mayStay(router, lead, mutation);
   return {
     ...router,
     era,
@@ -40,6 +40,12 @@
   };
 }
 
+function mayStay(router: Router, lead: Lead, mutation: string | undefined): boolean {
+  // It stayed at an earlier return, so its lease was confirmed then.
+  if (mutation === 'era-again' && router.era > lead.era) return true;
+  return isConfirmed(lead) || mutation === 'era-stale-leader';
+}
+
 function confirmedByEra(lead: Lead, era: number, mutation: string | undefined): Lead {
   return mutation === 'era-confirm' ? { ...lead, era, sinceConfirmed: 0 } : lead;
 }
@@ -82,9 +88,9 @@
 }
 
 function thaw(view: RouterView): Steps {
-  const { state, number } = view;
+  const { state, number, options } = view;
   const { lead } = routerOf(view);
-  const thawed = lead && { ...lead, needsConfirmation: true };
+  const thawed = lead && { ...lead, needsConfirmation: options.mutation !== 'era-thaw' };
   return [
     {
       name: `router ${number} thaws`,
--- a/packages/spec/src/lib/restores/scenarios.ts
+++ b/packages/spec/src/lib/restores/scenarios.ts
@@ -9,6 +9,7 @@
   type RestoreState,
   type Router,
   type Row,
+  type ScenarioName,
   type Server,
   type Write,
 } from './restore-state.js';
@@ -26,10 +27,14 @@
   settled: true,
 };
 
+/** Rows of the copy: there is none of a later era. @internal */
+export const COPIED_ROWS: readonly (Row | undefined)[] = [COPIED_ROW, undefined, undefined];
+
 /** Router 0 as the copy names it. */
 const LEAD: Lead = {
   era: 0,
   epoch: 1,
+  source: 'row',
   version: 1,
   sinceConfirmed: 0,
   needsConfirmation: false,
@@ -83,26 +88,23 @@
 /** What is there when the store comes back; the copy says that router 0 leads and A owns the key. */
 type Scenario = Pick<RestoreState, 'routers' | 'servers'> & { readonly write?: Write };
 
-/** A write of router 0 that is delayed over the return. */
-function delayed({ owner, fence, phase }: Lead, expectedVersion: number): Write {
-  const version = expectedVersion + 1;
-  const heldLeft = phase === 'granted' ? 0 : LEASE_TICKS;
-  const row = { ...COPIED_ROW, version, owner, fence, heldLeft };
-  return { router: 0, incarnation: 0, key: 0, expectedVersion, row };
-}
+/** Write of a move by router 0 that is delayed over the return, after another one that is lost. */
+const DELAYED_MOVE: Write = {
+  router: 0,
+  incarnation: 0,
+  key: 0,
+  expectedVersion: 2,
+  row: { ...COPIED_ROW, version: 3, owner: 1, fence: 2 },
+};
 
-const SCENARIOS: Readonly<Record<string, Scenario>> = {
+const SCENARIOS: Readonly<Record<ScenarioName, Scenario>> = {
   'nothing is lost': { routers: [leading(LEAD), FOLLOWER], servers: A_HOLDS },
   'nothing is lost, the write of a move is under way': {
-    routers: [leading({ ...MOVING, version: 1, phase: 'sent' }), FOLLOWER],
-    servers: A_HOLDS,
-    write: delayed(MOVING, 1),
-  },
-  'a move is lost': {
-    routers: [leading(MOVING), FOLLOWER],
+    routers: [leading({ ...MOVING, phase: 'sent' }), FOLLOWER],
     servers: A_HOLDS,
-    write: delayed(MOVING, 2),
+    write: DELAYED_MOVE,
   },
+  'a move is lost': { routers: [leading(MOVING), FOLLOWER], servers: A_HOLDS },
   'a move is lost, router 1 was started anew': {
     routers: [leading({ ...MOVED, fence: 3 }), STARTED_ANEW],
     servers: B_HOLDS,
@@ -111,23 +113,26 @@
     routers: [FOLLOWER, leading(SUCCESSOR)],
     servers: A_HOLDS,
   },
-  'a change of leader that router 0 has not noticed and a move are lost': {
+  'a hand-over to router 1 and a move are lost, router 0 was started anew': {
+    routers: [STARTED_ANEW, leading(SUCCESSOR)],
+    servers: A_HOLDS,
+  },
+  'a change of leader, unnoticed by router 0, and a move are lost': {
     routers: [leading(REPLACED), leading(SUCCESSOR)],
     servers: A_HOLDS,
   },
-  'a change of leader that router 0 has not noticed and a move are lost, router 1 was started anew':
-    {
-      routers: [leading(REPLACED), STARTED_ANEW],
-      servers: B_HOLDS,
-    },
+  'a change of leader, unnoticed by router 0, and a move are lost, router 1 was started anew': {
+    routers: [leading(REPLACED), STARTED_ANEW],
+    servers: B_HOLDS,
+  },
 };
 
+const SCENARIO_NAMES = Object.keys(SCENARIOS) as ScenarioName[];
+
 /** State before the store is away; its only steps are the returns of the store. @internal */
 export function startState({ budget }: RestoreOptions): RestoreState {
-  const eras = budget.restores + 2;
-  const rows = Array.from({ length: eras }, (_, era) => (era === 0 ? COPIED_ROW : undefined));
   return {
-    store: { era: 0, rows, copy: rows },
+    store: { era: 0, rows: COPIED_ROWS },
     routers: [leading(LEAD), FOLLOWER],
     servers: A_HOLDS,
     grants: [],
@@ -138,10 +143,11 @@
 }
 
 /** The store comes back from its copy, with something lost. @internal */
-export function firstReturn(state: RestoreState): Step<RestoreState>[] {
+export function firstReturn(state: RestoreState, options: RestoreOptions): Step<RestoreState>[] {
   const store = { ...state.store, era: 1 };
-  return Object.entries(SCENARIOS).map(([name, { routers, servers, write }]) => ({
+  const names = options.scenarios ?? SCENARIO_NAMES;
+  return names.map((name) => ({
     name: `the store comes back with era 1: ${name}`,
-    next: { ...state, store, routers, servers, write },
+    next: { ...state, store, ...SCENARIOS[name] },
   }));
 }
--- a/packages/spec/src/lib/restores/store-steps.ts
+++ b/packages/spec/src/lib/restores/store-steps.ts
@@ -1,5 +1,6 @@
 import type { Step } from '../model/explore.js';
 import type { RestoreOptions, RestoreState, Row, Store } from './restore-state.js';
+import { COPIED_ROWS } from './scenarios.js';
 import { spend } from './update.js';
 
 type Steps = Step<RestoreState>[];
@@ -22,18 +23,20 @@
 
 /** The store comes back from its copy once more, or a delayed write arrives. @internal */
 export function storeSteps(state: RestoreState): Steps {
-  return [...restore(state), ...writeArrives(state)];
+  return [...comesBack(state), ...writeArrives(state)];
 }
 
-function restore(state: RestoreState): Steps {
+/** It loses all of the present era, or nothing. */
+function comesBack(state: RestoreState): Steps {
   const { store, budget } = state;
   if (budget.restores === 0) return [];
-  const next = {
-    ...state,
-    store: { ...store, era: store.era + 1, rows: store.copy },
-    budget: spend(budget, 'restores'),
-  };
-  return [{ name: `the store comes back from its copy with era ${next.store.era}`, next }];
+  const era = store.era + 1;
+  const spent = { ...state, budget: spend(budget, 'restores') };
+  const name = `the store comes back with era ${era}`;
+  return [
+    { name, next: { ...spent, store: { ...store, era, rows: COPIED_ROWS } } },
+    { name: `${name}, nothing is lost`, next: { ...spent, store: { ...store, era } } },
+  ];
 }
 
 /** The answer of a delayed write is lost; the leader repeats the write. */
--- a/packages/spec/src/lib/restores/update.ts
+++ b/packages/spec/src/lib/restores/update.ts
@@ -41,3 +41,9 @@
     undefined,
   );
 }
+
+/** Maps a list; returns the same list if no element changes. */
+export function mapped<T>(list: readonly T[], change: (element: T) => T): readonly T[] {
+  const next = list.map(change);
+  return next.every((it, index) => it === list[index]) ? list : next;
+}
