--- a/packages/spec/src/lib/model-configurations.ts
+++ b/packages/spec/src/lib/model-configurations.ts
@@ -7,6 +7,7 @@
 import { createRequestModel } from './requests/request-model.js';
 import { createRestoreModel } from './restores/restore-model.js';
 import type { Budget, ScenarioName } from './restores/restore-state.js';
+import { SCENARIO_NAMES } from './restores/scenarios.js';
 
 /** A model with bounds, whose state space is explored completely. */
 export interface ModelConfiguration {
@@ -42,7 +43,7 @@
 
 function exploreReturn(
   budget: Partial<Budget>,
-  scenarios?: readonly ScenarioName[],
+  scenarios: readonly ScenarioName[],
 ): ModelConfiguration['run'] {
   const bounds = { ...RETURN_BUDGET, ...budget };
   return (mutation) => explore(createRestoreModel({ mutation, budget: bounds, scenarios }));
@@ -128,22 +129,36 @@
     run: (mutation) => explore(createGrantModel({ mutation, renewalsPerLeader: 1 })),
   },
   {
-    name: 'store comes back from a copy',
+    name: 'store comes back from a copy, nothing is lost',
     isQuick: true,
-    mutations: [
-      'era-fence',
-      'era-row',
-      'era-answer',
-      'era-confirm',
-      'era-stale-leader',
-      'era-record',
-      'era-first',
-      'era-clear',
-      'era-late',
-      'era-grace',
-      'era-wait',
-    ],
-    run: exploreReturn({}),
+    mutations: ['era-row', 'era-confirm'],
+    run: exploreReturn({}, [
+      'nothing is lost',
+      'nothing is lost, the write of a move is under way',
+    ]),
+  },
+  {
+    name: 'store comes back from a copy, a move is lost',
+    isQuick: true,
+    mutations: ['era-late'],
+    run: exploreReturn({}, ['a move is lost']),
+  },
+  {
+    name: 'store comes back from a copy, a move is lost and a router started anew',
+    isQuick: true,
+    mutations: ['era-fence', 'era-first', 'era-grace', 'era-wait'],
+    run: exploreReturn({}, ['a move is lost, router 1 was started anew']),
+  },
+  {
+    name: 'store comes back from a copy, a change of leader is lost',
+    isQuick: true,
+    mutations: ['era-answer', 'era-clear', 'era-record', 'era-stale-leader'],
+    run: exploreReturn({}, [
+      'a hand-over to router 1 and a move are lost',
+      'a hand-over to router 1 and a move are lost, router 0 was started anew',
+      'a change of leader, unnoticed by router 0, and a move are lost',
+      'a change of leader, unnoticed by router 0, and a move are lost, router 1 was started anew',
+    ]),
   },
   {
     name: 'at most once, 2 attempts',
@@ -201,7 +216,7 @@
     name: 'store comes back from a copy, further moves',
     isQuick: false,
     mutations: [],
-    run: exploreReturn({ moves: 1 }),
+    run: exploreReturn({ moves: 1 }, SCENARIO_NAMES),
   },
   {
     name: 'store comes back from a copy twice',
@@ -210,14 +225,19 @@
     run: exploreReturn({ restores: 1 }, ['a move is lost']),
   },
   {
-    name: 'store comes back from a copy, frozen leader',
+    name: 'store comes back from a copy, a leader is frozen',
     isQuick: false,
     mutations: ['era-thaw'],
     run: exploreReturn({ freezes: 1 }, [
-      'a move is lost',
       'a change of leader, unnoticed by router 0, and a move are lost',
     ]),
   },
+  {
+    name: 'store comes back from a copy, a leader is frozen and a move is lost',
+    isQuick: false,
+    mutations: [],
+    run: exploreReturn({ freezes: 1 }, ['a move is lost']),
+  },
   {
     name: 'store comes back from a copy, all routers are started anew',
     isQuick: false,
--- a/packages/spec/src/lib/restores/restore-model.ts
+++ b/packages/spec/src/lib/restores/restore-model.ts
@@ -16,7 +16,7 @@
   TOKENS_PER_ERA,
 } from './restore-state.js';
 import { routerSteps } from './router-steps.js';
-import { firstReturn, startState } from './scenarios.js';
+import { firstReturn, hasDelayedWrite, hasRouterStartedAnew, startState } from './scenarios.js';
 import { storeSteps } from './store-steps.js';
 import { mapped } from './update.js';
 
@@ -41,12 +41,23 @@
     servers.every((it) => it.fence > 0) && servers.some((it) => it.fence > TOKENS_PER_ERA),
 };
 
-const GOALS_OF_ALL_SCENARIOS: Goals = {
+const GOALS_WITH_A_ROUTER_STARTED_ANEW: Goals = {
   'nobody who is asked knows more than the copy': (state) => hasGranted(state, 'copy'),
+};
+
+const GOALS_WITH_A_DELAYED_WRITE: Goals = {
   'a delayed write of the earlier era changes only the row of that era': ({ store, write }) =>
     !write && store.rows[0]?.version === 3 && store.rows[1] !== undefined,
 };
 
+function goalsOf({ scenarios }: RestoreOptions): Goals {
+  return {
+    ...GOALS,
+    ...(scenarios.some(hasRouterStartedAnew) ? GOALS_WITH_A_ROUTER_STARTED_ANEW : {}),
+    ...(scenarios.some(hasDelayedWrite) ? GOALS_WITH_A_DELAYED_WRITE : {}),
+  };
+}
+
 /** Model of a store that comes back from an older copy of itself. */
 export function createRestoreModel(options: RestoreOptions): Model<RestoreState> {
   return {
@@ -61,7 +72,7 @@
         ? 'a server takes the key under a token that is not the highest'
         : undefined;
     },
-    goals: options.scenarios ? GOALS : { ...GOALS, ...GOALS_OF_ALL_SCENARIOS },
+    goals: goalsOf(options),
   };
 }
 
--- a/packages/spec/src/lib/restores/restore-state.ts
+++ b/packages/spec/src/lib/restores/restore-state.ts
@@ -147,6 +147,5 @@
 export interface RestoreOptions {
   readonly mutation: Mutation | undefined;
   readonly budget: Budget;
-  /** All of them if missing. */
-  readonly scenarios?: readonly ScenarioName[] | undefined;
+  readonly scenarios: readonly ScenarioName[];
 }
--- a/packages/spec/src/lib/restores/scenarios.ts
+++ b/packages/spec/src/lib/restores/scenarios.ts
@@ -127,7 +127,18 @@
   },
 };
 
-const SCENARIO_NAMES = Object.keys(SCENARIOS) as ScenarioName[];
+/** All scenarios. */
+export const SCENARIO_NAMES = Object.keys(SCENARIOS) as ScenarioName[];
+
+/** A write of the earlier era is still under way. @internal */
+export function hasDelayedWrite(name: ScenarioName): boolean {
+  return SCENARIOS[name].write !== undefined;
+}
+
+/** A router knows nothing. @internal */
+export function hasRouterStartedAnew(name: ScenarioName): boolean {
+  return SCENARIOS[name].routers.includes(STARTED_ANEW);
+}
 
 /** State before the store is away; its only steps are the returns of the store. @internal */
 export function startState({ budget }: RestoreOptions): RestoreState {
@@ -145,8 +156,7 @@
 /** The store comes back from its copy, with something lost. @internal */
 export function firstReturn(state: RestoreState, options: RestoreOptions): Step<RestoreState>[] {
   const store = { ...state.store, era: 1 };
-  const names = options.scenarios ?? SCENARIO_NAMES;
-  return names.map((name) => ({
+  return options.scenarios.map((name) => ({
     name: `the store comes back with era 1: ${name}`,
     next: { ...state, store, ...SCENARIOS[name] },
   }));
