--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -103,6 +103,10 @@
       log.info('service registry watch regained', watchOutageFields(outage));
       member.noteStoreChange();
     },
+    onReturn: (difference) => {
+      log.info('service registry of the returned store read', { ...difference });
+      member.noteStoreChange();
+    },
   });
   const suspects = createSuspectRecord(clocks.monotonic);
   const limits = createServerLimits(clocks.monotonic);
@@ -120,6 +124,14 @@
       listener.applyLimits(cfg.limits);
     },
   });
+  platform.store.onEra(({ era, previous, call }) => {
+    if (previous === undefined) {
+      log.info('era of the store', { era, call });
+      return;
+    }
+    metrics.recordStoreReturn();
+    log.warn('store came back from an older copy', { era, previous, call });
+  });
   const serviceOf = (service: string) => config.table()?.service(service);
   const isPartitioned = (service: string) => serviceOf(service)?.partitioned ?? false;
   const partitionedServices = () =>
@@ -187,6 +199,7 @@
     view: () => member.view(),
     admittedShare: (server) => member.admittedShare(server),
     waitForPlacement: (ms) => member.waitForChange(ms),
+    ownersUnknownForMs: () => member.unknownForMs(),
     routers: () => member.routers(),
     distanceTo(zone) {
       if (zone === instance.availabilityZone) return 0;
