Claims of an era: rules from the review and the model

What changes, each with a test of the decision:

- The state of a leader counts as exact only if its lease was confirmed when it was asked to stop, and only for the era whose claimant asked first.
A leader that handed over or lost its lease to another is no witness either.
- A router counts as a witness for 3 s after the leader's last word; a leader that loses all witnesses waits as long before it orders the next move; a router that the leader no longer names is none.
- A silent leader may renew for its lease and its grace time: the waits count both.
An ended one counts from when its end was known.
The leader in the copy is asked to step down as well.
- A claimant whose reading is old does not stop the leader that has claimed the era meanwhile.
- Entries of the copy that were not written again are believed in any case when their time is over: timers may fire early.
- Waiting routers ask less often in large fleets; the answer of the former leader is logged when it changes.

The bounds that recover-placement_test held before were too short (18.2 s for a silent leader that may renew for 13 s); the test now holds the longer ones.

--- a/packages/placement/src/lib/leader-lease.ts
+++ b/packages/placement/src/lib/leader-lease.ts
@@ -124,8 +124,13 @@
    * milliseconds.
    */
   storeTime(at: number): number;
-  /** Returns whether the lease is lost only because the store came back from an older copy. */
-  isLostToReturn(): boolean;
+  /**
+   * Returns whether the lease had expired when the store came back from an older copy, so that it
+   * was not continued.
+   */
+  isEndedByReturn(): boolean;
+  /** The era of the store in which the lease was confirmed last. */
+  era(): number;
   /** Treats the lease as unconfirmed until the next write succeeds. */
   invalidate(): void;
 }
@@ -164,7 +169,8 @@
   let storeClock = { nowMs: reading.storeNowMs, at: reading.askedAt };
   let confirmedAt = -Infinity;
   let confirmedUntil = -Infinity;
-  let isLostToReturn = false;
+  let isEndedByReturn = false;
+  let confirmedEra = -1;
 
   const storeTime = (at: number) => storeClock.nowMs + (at - storeClock.at);
 
@@ -189,7 +195,7 @@
   function enterEra(next: number, nowMs: number, sentAt: number): boolean {
     const isContinued = clocks.monotonic() < confirmedUntil && !guard.mayHaveBeenSuspended();
     options.onReturn?.({ epoch, era: next, isContinued });
-    isLostToReturn = !isContinued;
+    isEndedByReturn = !isContinued;
     if (!isContinued) return false;
     era = next;
     rowVersion = inEra(next, 0);
@@ -231,6 +237,7 @@
 
   function confirm(sentAt: number): void {
     guard.mayHaveBeenSuspended();
+    confirmedEra = era;
     confirmedAt = sentAt;
     confirmedUntil = sentAt + LEADER_LEASE_MS;
   }
@@ -241,7 +248,8 @@
     isConfirmed: () => clocks.monotonic() < confirmedUntil,
     sinceConfirmedMs: () => clocks.monotonic() - confirmedAt,
     storeTime,
-    isLostToReturn: () => isLostToReturn,
+    isEndedByReturn: () => isEndedByReturn,
+    era: () => confirmedEra,
     invalidate() {
       confirmedUntil = -Infinity;
     },
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -33,7 +33,7 @@
 } from './service-planner.js';
 import type { AgedRun } from './suspect-run.js';
 import { type Clocks, createSuspensionGuard } from './suspension-guard.js';
-import { type PlacementNote, createWitnesses } from './witnesses.js';
+import { type NoteAnswer, type PlacementNote, createWitnesses } from './witnesses.js';
 
 /**
  * Time between two plans that balance load, in milliseconds; ranges without an owner are placed
@@ -53,6 +53,8 @@
 /** Assigns the keys of partitioned services to backend servers while this router leads. */
 export interface PlacementLeader {
   readonly epoch: number;
+  /** The era of the store in which the leadership lease was confirmed last. */
+  era(): number;
   /** When the router began to lead, on the monotonic clock. */
   readonly startedAt: number;
   view(): PlacementView;
@@ -93,8 +95,10 @@
   readonly unansweredForMs: number;
   /** Estimate of the store's clock, in milliseconds. */
   readonly storeNowMs: number;
-  /** True if the leader lost its lease only because the store came back from an older copy. */
-  readonly isLostToReturn: boolean;
+  /** True if the lease was confirmed, so that no other router can have led. */
+  readonly isConfirmed: boolean;
+  /** True if the lease had expired when the store came back from an older copy. */
+  readonly isEndedByReturn: boolean;
 }
 
 /** Options of {@link createPlacementLeader}. */
@@ -119,8 +123,8 @@
   drainNoticeMs(): number;
   /** Addresses of other routers that may witness moves, the most recently heard first. */
   witnessCandidates(): readonly string[];
-  /** Tells a router of the placement; resolves to false if it does not note it. */
-  tellWitness(address: string, note: PlacementNote): Promise<boolean>;
+  /** Tells a router of the placement. */
+  tellWitness(address: string, note: PlacementNote): Promise<NoteAnswer>;
   /** Limits that backend servers name. */
   readonly limits: Pick<ServerLimits, 'limitOf'>;
   /** Suspect runs to store in the row. */
@@ -147,6 +151,7 @@
     tell: (address, note) => options.tellWitness(address, note),
     view: () => feed.view(),
     now: clocks.monotonic,
+    pause,
     changedSince: (change) => feed.since(change),
   });
   const planWakeSignal = createWakeSignal();
@@ -408,6 +413,7 @@
 
   return {
     epoch: leaderLease.epoch,
+    era: () => leaderLease.era(),
     startedAt,
     view: () => feed.view(),
     admitted: () => admitted,
@@ -439,7 +445,8 @@
     stopped: () => ({
       // Without a confirmed lease, another router may have led since and sent orders.
       content: { ...content(), isUnverified: !isVerified || !leaderLease.isConfirmed() },
-      isLostToReturn: leaderLease.isLostToReturn(),
+      isConfirmed: leaderLease.isConfirmed(),
+      isEndedByReturn: leaderLease.isEndedByReturn(),
       unansweredForMs: unansweredForMs(),
       storeNowMs: leaderLease.storeTime(clocks.monotonic()),
     }),
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -32,6 +32,7 @@
   NamedTableReport,
   PlacementPeers,
   ReportAnswer,
+  StepDownAnswer,
   SuspectUpdate,
 } from './placement-peers.js';
 import type { Placement } from './placement-record.js';
@@ -52,7 +53,7 @@
 import { createSuspectExchange } from './suspect-exchange.js';
 import type { SuspectRecord } from './suspect-record.js';
 import type { Clocks } from './suspension-guard.js';
-import type { PlacementNote } from './witnesses.js';
+import { type PlacementNote, WITNESS_TTL_MS } from './witnesses.js';
 
 /**
  * Longest time for which the leader delays the answer to a report until a change, in milliseconds.
@@ -71,6 +72,8 @@
 const WITNESS_TIMEOUT_MS = 200;
 /** Average pause between two attempts to claim an era, in milliseconds. */
 const UNCLAIMED_RETRY_MS = 600;
+/** Number of routers beyond which that pause grows with the fleet. */
+const ROUTERS_PER_CLAIM_PAUSE = 60;
 /** Time for which the leader's admitted shares are valid, in milliseconds. */
 const ADMITTED_TTL_MS = 3_000;
 /**
@@ -143,10 +146,10 @@
   /** Notes what a leader tells a witness; returns false if this router lacks earlier changes. */
   notePlacement(note: PlacementNote): boolean;
   /**
-   * Answers a successor's request to step down; returns `undefined` if the request names another
-   * process. A `startedMs` of 0 names the process that led the epoch.
+   * Answers a request to step down: `gone` if it names another process, `refused` if this router
+   * leads in the era that the asking one wants to claim.
    */
-  answerStepDown(epoch: number, startedMs: number): StepDownReply | undefined;
+  answerStepDown(req: StepDownRequest): StepDownReply | 'gone' | 'refused';
   /**
    * Leads or follows until `leadSignal` aborts, then hands over if it leads; follows until
    * `followSignal` aborts.
@@ -154,6 +157,18 @@
   run(leadSignal: AbortSignal, followSignal: AbortSignal): Promise<void>;
 }
 
+/** A request to a former leader to step down. */
+export interface StepDownRequest {
+  readonly epoch: number;
+  /** Start of its process; 0 names the process that led the epoch. */
+  readonly startedMs: number;
+  /**
+   * The era of the store that the asking router wants to claim; `undefined` if it has acquired the
+   * leadership lease.
+   */
+  readonly claimedEra: number | undefined;
+}
+
 /** Answer to a request to step down. */
 export interface StepDownReply {
   /** Time until unanswered grants have expired, in milliseconds. */
@@ -247,6 +262,12 @@
   let lastEpochLed = 0;
   /** What this router knew when it last stopped leading. */
   let lastStopped: StoppedLeader | undefined;
+  /** The era whose claimant was given that, if it stopped because it was asked. */
+  let stoppedForEra: number | undefined;
+  /** The leader that was asked to step down last, and since when it has given this answer. */
+  let askedLeader:
+    | { readonly epoch: number; readonly answer: StepDownAnswer['kind']; readonly since: number }
+    | undefined;
   /** An era of the store that no leader has claimed, and when that was first seen. */
   let unclaimedEra: { era: number; since: number } | undefined;
   /** The leader to report to. */
@@ -279,12 +300,16 @@
 
   /** Keeps what the leader knows, for the case that the store forgets it. */
   function keepStopped(stopping: PlacementLeader, isAskedToStop = false): StoppedLeader {
-    const { content, isLostToReturn, ...rest } = stopping.stopped();
+    const { content, isConfirmed, isEndedByReturn, ...rest } = stopping.stopped();
     const { epoch } = stopping;
     const lease = { untilMs: 0, handedOver: true, unansweredForMs: 0, successor: '' };
     const placement = { ...content, version: 0, leaderLease: { ...self, epoch, ...lease } };
     const wasLast = lastStopped?.placement.leaderLease.epoch === epoch && lastStopped.isLast;
-    lastStopped = { placement, ...rest, isLast: wasLast || isLostToReturn || isAskedToStop };
+    const isLast = wasLast || (isAskedToStop && isConfirmed);
+    lastStopped = { placement, ...rest, isLast };
+    // Another router may have led after one that handed over, or lost its lease.
+    if (isLast || isEndedByReturn || isAskedToStop) heardAt = clocks.monotonic();
+    else witnessedEpoch = undefined;
     return lastStopped;
   }
 
@@ -315,6 +340,7 @@
       random: Math.random,
     });
     isCaughtUp = true;
+    unclaimedEra = undefined;
     lastEpochLed = created.epoch;
     witnessedEpoch = created.epoch;
     updateView(created.view());
@@ -351,9 +377,30 @@
     await Promise.all([...others].map((address) => reportClient.report(address, times)));
   }
 
+  /**
+   * Returns whether the leader of an epoch told this router of each move, until the store came back
+   * or until now.
+   */
+  function isWitnessOf(epoch: number | undefined): boolean {
+    const until = unclaimedEra?.since ?? clocks.monotonic();
+    return witnessedEpoch === epoch && until - heardAt <= WITNESS_TTL_MS;
+  }
+
+  /** Notes the answer of a leader that was asked to step down; see {@link recoverPlacement}. */
+  function noteStepDown(epoch: number, answer: StepDownAnswer['kind']): number {
+    const now = clocks.monotonic();
+    const before = askedLeader?.epoch === epoch ? askedLeader : undefined;
+    if (before?.answer !== answer)
+      options.log.info('leader before the return asked to step down', { epoch, answer });
+    const isKnownGone = before !== undefined && before.answer !== 'silent';
+    const since = isKnownGone ? before.since : now;
+    askedLeader = { epoch, answer, since };
+    return answer === 'silent' ? 0 : now - since;
+  }
+
   /** What this router knows about the leader of a view. */
   const knownOf = (view: PlacementView | undefined) => ({
-    isWitness: witnessedEpoch === view?.epoch,
+    isWitness: isWitnessOf(view?.epoch),
     heardAgoMs: clocks.monotonic() - heardAt,
     leader: lastLeader?.epoch === view?.epoch ? lastLeader : undefined,
   });
@@ -385,6 +432,7 @@
         updateView(newest.view);
         heardAt = Math.max(heardAt, clocks.monotonic() - newest.heardAgoMs);
       },
+      noteStepDown,
       addresses: knownPeers.all(),
     });
     if (recovered) await acquireLease(reading, signal, recovered);
@@ -462,7 +510,10 @@
       options.log.info('following the leader', { leader: followed.router, epoch: followed.epoch });
     }
     lastLeader = { ...followed, epoch: answer.view?.epoch ?? followed.epoch };
-    heardAt = clocks.monotonic();
+    if (!answer.isLeaseExpired) heardAt = clocks.monotonic();
+    // The leader has given up telling this router.
+    if (witnessedEpoch === answer.view?.epoch && !answer.witnesses.includes(self.address))
+      witnessedEpoch = undefined;
     knownPeers.note([...answer.peers, ...answer.witnesses, followed.address]);
     // Applied before the placement, which may name servers that are new in the registry.
     if (answer.servers) options.directory.applyUpdate(answer.servers);
@@ -525,7 +576,9 @@
     }
     if (followedLeader) return;
     await refresh(signal);
-    const pauseMs = unclaimedEra ? UNCLAIMED_RETRY_MS : RETRY_MS;
+    // All routers of a fleet may wait for the same few that know something.
+    const claimPauseMs = UNCLAIMED_RETRY_MS * Math.max(1, routers / ROUTERS_PER_CLAIM_PAUSE);
+    const pauseMs = unclaimedEra ? claimPauseMs : RETRY_MS;
     if (!isLeading()) await sleep(pauseMs * (0.5 + Math.random()));
   }
 
@@ -570,7 +623,8 @@
     answerPermits: (req) => permits.answer(req),
     unknownForMs() {
       if (!unclaimedEra || known.beyondCopy()) return 0;
-      return Math.max(0, unclaimedEra.since + MAX_UNANSWERED_GRANT_MS - clocks.monotonic());
+      const leftMs = unclaimedEra.since + MAX_UNANSWERED_GRANT_MS - clocks.monotonic();
+      return Math.max(UNCLAIMED_RETRY_MS, leftMs);
     },
     waitForChange(ms) {
       pacer.expedite();
@@ -604,18 +658,23 @@
       heardAt = clocks.monotonic();
       return true;
     },
-    answerStepDown(epoch, startedMs) {
-      if (startedMs !== 0 && startedMs !== self.startedMs) return undefined;
+    answerStepDown({ epoch, startedMs, claimedEra }) {
+      if (startedMs !== 0 && startedMs !== self.startedMs) return 'gone';
       if (leader?.epoch === epoch) {
+        // A claimant's reading of the row may be older than the leader's own claim.
+        if (claimedEra !== undefined && leader.era() >= claimedEra) return 'refused';
         const unansweredForMs = leader.stepDown();
-        // A router of a new era asks before it acquires the lease, others ask after that.
-        return { unansweredForMs, stopped: keepStopped(leader, startedMs === 0) };
+        stoppedForEra = claimedEra;
+        return { unansweredForMs, stopped: keepStopped(leader, claimedEra !== undefined) };
       }
       // A process that has not led the epoch is a later one.
-      if (startedMs === 0 && epoch > lastEpochLed) return undefined;
+      if (startedMs === 0 && epoch > lastEpochLed) return 'gone';
       const unansweredForMs = epoch <= lastEpochLed ? MAX_UNANSWERED_GRANT_MS : 0;
-      const isLast = lastStopped?.placement.leaderLease.epoch === epoch;
-      return { unansweredForMs, stopped: isLast ? lastStopped : undefined };
+      if (lastStopped?.placement.leaderLease.epoch !== epoch)
+        return { unansweredForMs, stopped: undefined };
+      // In a later era, a router that got the record in an earlier one may have led since.
+      const isLast = lastStopped.isLast && stoppedForEra === claimedEra;
+      return { unansweredForMs, stopped: { ...lastStopped, isLast } };
     },
     async run(leadSignal, followSignal) {
       const ended = new Promise((resolve) => {
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -33,7 +33,7 @@
 import { type StoppedLeader, decodeStoppedLeader } from './stopped-leader.js';
 import { type AgedRun, decodeRun, encodeRun } from './suspect-run.js';
 import { decodeCount, requireCount } from './wire-number.js';
-import type { PlacementNote } from './witnesses.js';
+import type { NoteAnswer, PlacementNote } from './witnesses.js';
 
 /** Timeouts of the transfer of a table between routers, in milliseconds. */
 const FETCH_TIMEOUTS = { firstByteTimeoutMs: 1_000, progressTimeoutMs: 1_000 };
@@ -154,14 +154,19 @@
    * `undefined` if it knows none, or without an answer in time.
    */
   fetchPlacement(address: string, timeoutMs: number): Promise<FetchedPlacement | undefined>;
-  /** Tells a router of the placement; resolves to false if it does not note it in time. */
-  notePlacement(address: string, note: PlacementNote, timeoutMs: number): Promise<boolean>;
-  /** Asks a former leader to step down; `startedMs` names its process, 0 if it is not known. */
+  /** Tells a router of the placement. */
+  notePlacement(address: string, note: PlacementNote, timeoutMs: number): Promise<NoteAnswer>;
+  /**
+   * Asks a former leader to step down; `startedMs` names its process, 0 if it is not known.
+   * `claimedEra` is the era of the store that the asking router wants to claim, if it does not hold
+   * the leadership lease yet.
+   */
   requestStepDown(
     address: string,
     epoch: number,
     startedMs: number,
     timeoutMs: number,
+    claimedEra?: number,
   ): Promise<StepDownAnswer>;
   /**
    * Shares suspect runs; resolves to the start of the receiving process, `undefined` without an
@@ -375,7 +380,6 @@
           heardAgoMs: res.heardAgoMs,
         };
       } catch {
-        disconnect(address);
         return undefined;
       }
     },
@@ -389,13 +393,17 @@
       };
       try {
         const res = await peerAt(address).rpc.notePlacement(req, { timeoutMs });
-        return res.noted;
-      } catch {
-        return false;
+        return res.noted ? 'noted' : 'refused';
+      } catch (cause) {
+        return isConnectionRefused(cause) ? 'gone' : 'silent';
       }
     },
-    async requestStepDown(address, epoch, startedMs, timeoutMs) {
-      const req = { epoch: BigInt(epoch), startedMs: BigInt(startedMs) };
+    async requestStepDown(address, epoch, startedMs, timeoutMs, claimedEra) {
+      const req = {
+        epoch: BigInt(epoch),
+        startedMs: BigInt(startedMs),
+        ...(claimedEra !== undefined && { claimedEra: BigInt(claimedEra) }),
+      };
       try {
         const res = await peerAt(address).rpc.yieldSeat(req, { timeoutMs });
         const { unansweredForMs } = res;
--- a/packages/placement/src/lib/recover-placement.ts
+++ b/packages/placement/src/lib/recover-placement.ts
@@ -1,6 +1,6 @@
-import { inEra } from '@boragepoint/platform';
+import { eraOf, inEra } from '@boragepoint/platform';
 
-import { LEASE_MS, ORDER_TIMEOUT_MS, type PlacementLogger } from './leader-context.js';
+import { LEASE_MS, ORDER_TIMEOUT_MS } from './leader-context.js';
 import { LEADER_LEASE_MS, type LeaderLeaseReading, RENEWAL_GRACE_MS } from './leader-lease.js';
 import { maxLeaseMs } from './lease-bound.js';
 import type { FetchedPlacement, PlacementPeers, StepDownAnswer } from './placement-peers.js';
@@ -65,9 +65,13 @@
   readonly peers: Pick<PlacementPeers, 'fetchPlacement' | 'requestStepDown'>;
   readonly directory: Pick<ServerDirectory, 'get'>;
   readonly clocks: Clocks;
-  readonly log: PlacementLogger;
   /** Called with the newest placement that any router knows beyond the copy. */
   onFound(newest: FetchedPlacement): void;
+  /**
+   * Called with the answer of the leader of an epoch that was asked to step down; returns the time
+   * for which its process has been known to have ended, in milliseconds.
+   */
+  noteStepDown(epoch: number, answer: StepDownAnswer['kind']): number;
 }
 
 /**
@@ -160,30 +164,52 @@
   };
 }
 
+/**
+ * Returns whether all leases have ended that a leader may have granted which is silent, or has been
+ * known to have ended for `goneForMs`. A silent one may be cut off from the store, and renew leases
+ * until its grace time is over.
+ */
+function haveLeasesEnded(goneForMs: number, unheardForMs: number): boolean {
+  if (goneForMs >= MAX_UNANSWERED_GRANT_MS) return true;
+  return unheardForMs >= LEADER_LEASE_MS + RENEWAL_GRACE_MS + MAX_UNANSWERED_GRANT_MS;
+}
+
 /** Returns a view's placement, once no leader that it may lack can have sent unknown grants. */
 function fromView(
   { view, isWitness, heardAgoMs }: FetchedPlacement,
   options: RecoverOptions,
-  isGone: boolean,
+  { isGone, goneForMs }: LeaderEnd,
 ): RecoveredPlacement | undefined {
   const { unclaimedForMs } = options;
-  const unansweredForMs = MAX_UNANSWERED_GRANT_MS + (isGone ? 0 : RENEWAL_GRACE_MS);
-  const leasesEnded = Math.min(unclaimedForMs, heardAgoMs) >= unansweredForMs;
+  const leasesEnded = haveLeasesEnded(goneForMs, Math.min(unclaimedForMs, heardAgoMs));
   const placement = placementOfView(view, options);
   if (!leasesEnded && (!isWitness || unclaimedForMs < LEADER_LEASE_MS)) return undefined;
+  const renewedForMs = isGone ? 0 : LEADER_LEASE_MS + RENEWAL_GRACE_MS;
   return {
     source: 'routers',
     placement: leasesEnded ? withoutFormer(placement) : placement,
-    inheritedForMs: leasesEnded ? 0 : unansweredForMs,
+    inheritedForMs: leasesEnded ? 0 : MAX_UNANSWERED_GRANT_MS + renewedForMs,
     toMonotonic: (storeMs) => storeMs,
     leasesEnded,
   };
 }
 
 /** Returns the copy's placement once all leases that it may lack have ended. */
-function fromCopy({ reading, unclaimedForMs }: RecoverOptions): RecoveredPlacement | undefined {
+async function fromCopy(options: RecoverOptions): Promise<RecoveredPlacement | undefined> {
+  const { reading, unclaimedForMs, peers } = options;
   const { copy } = reading;
-  if (copy && unclaimedForMs < MAX_UNANSWERED_GRANT_MS) return undefined;
+  if (copy) {
+    const { address, epoch, startedMs } = copy.leaderLease;
+    const answer = await peers.requestStepDown(
+      address,
+      epoch,
+      startedMs,
+      STEP_DOWN_TIMEOUT_MS,
+      reading.era,
+    );
+    const goneForMs = options.noteStepDown(epoch, answer.kind);
+    if (!haveLeasesEnded(goneForMs, unclaimedForMs)) return undefined;
+  }
   return {
     source: copy ? 'copy' : 'none',
     placement: copy && withoutFormer(copy),
@@ -193,6 +219,14 @@
   };
 }
 
+/** What is known of the end of a leader. */
+interface LeaderEnd {
+  /** True if its process has ended, or sends no more orders. */
+  readonly isGone: boolean;
+  /** Time for which that has been known, in milliseconds. */
+  readonly goneForMs: number;
+}
+
 async function stopLeader(
   newest: FetchedPlacement,
   options: RecoverOptions,
@@ -200,7 +234,8 @@
   const { leader } = newest;
   if (!leader) return { kind: 'silent' };
   const { epoch } = newest.view;
-  return options.peers.requestStepDown(leader.address, epoch, 0, STEP_DOWN_TIMEOUT_MS);
+  const { era } = options.reading;
+  return options.peers.requestStepDown(leader.address, epoch, 0, STEP_DOWN_TIMEOUT_MS, era);
 }
 
 /**
@@ -212,22 +247,20 @@
 export async function recoverPlacement(
   options: RecoverOptions,
 ): Promise<RecoveredPlacement | undefined> {
-  const { reading, stopped, clocks, log } = options;
+  const { reading, stopped, clocks } = options;
   const newest = await findNewest(options);
   const copy = reading.copy && viewOf(reading.copy);
+  // A leader has claimed the era since the row was read.
+  if (newest && eraOf(newest.view.epoch) >= reading.era) return undefined;
   if (!newest || (copy && isNewer(copy, newest.view))) return fromCopy(options);
   options.onFound(newest);
   if (stopped?.isLast === true && stopped.placement.leaderLease.epoch === newest.view.epoch) {
     return fromStopped(stopped, clocks.monotonic());
   }
   const answer = await stopLeader(newest, options);
-  log.info('leader before the return asked to step down', {
-    leader: newest.leader?.address,
-    epoch: newest.view.epoch,
-    answer: answer.kind,
-  });
+  const goneForMs = options.noteStepDown(newest.view.epoch, answer.kind);
   if (answer.kind === 'stopped' && answer.stopped?.isLast === true) {
     return fromStopped(answer.stopped, clocks.monotonic());
   }
-  return fromView(newest, options, answer.kind !== 'silent');
+  return fromView(newest, options, { isGone: answer.kind !== 'silent', goneForMs });
 }
--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -185,6 +185,7 @@
   function believeOutdated(): void {
     const entries = [...outdated];
     outdated.clear();
+    returnedAt = -Infinity;
     for (const [key, entry] of entries) put(key, entry);
     if (entries.length > 0) notifyListeners();
   }
--- a/packages/placement/src/lib/witnesses.ts
+++ b/packages/placement/src/lib/witnesses.ts
@@ -16,15 +16,29 @@
   readonly after: number;
 }
 
+/**
+ * Answer of a router that was told of a placement:
+ * - `noted`: it knows the placement.
+ * - `refused`: it knows a later epoch, or lacks earlier changes.
+ * - `gone`: its process has ended.
+ * - `silent`: it did not answer in time.
+ */
+export type NoteAnswer = 'noted' | 'refused' | 'gone' | 'silent';
+
+/**
+ * Time after the last word of the leader for which a router counts as its witness, in milliseconds.
+ */
+export const WITNESS_TTL_MS = 3_000;
+
 /** Options of {@link createWitnesses}. */
 export interface WitnessesOptions {
   /** Addresses of other routers, the most recently heard first. */
   candidates(): readonly string[];
-  /** Tells a router; resolves to false if it does not answer, or lacks earlier changes. */
-  tell(address: string, note: PlacementNote): Promise<boolean>;
+  tell(address: string, note: PlacementNote): Promise<NoteAnswer>;
   view(): PlacementView;
   /** Monotonic time in milliseconds. */
   now(): number;
+  pause(ms: number): Promise<void>;
   /** Ranges that changed after the change with a number. */
   changedSince(change: number): PlacementView['services'];
 }
@@ -35,7 +49,10 @@
  * store nor a witness knows of.
  */
 export interface Witnesses {
-  /** Resolves once the witnesses know the present placement, or no other router answers. */
+  /**
+   * Resolves once the witnesses know the present placement. If none answers any more, resolves
+   * after the time for which they may still count as witnesses.
+   */
   tell(): Promise<void>;
   addresses(): readonly string[];
 }
@@ -47,41 +64,47 @@
   /** When the routers that did not answer may be told again. */
   const avoided = new Map<string, number>();
 
-  async function tellOne(address: string): Promise<boolean> {
+  async function tellOne(address: string): Promise<NoteAnswer> {
     const view = options.view();
     const after = known.get(address);
-    if (after === view.change) return true;
+    if (after === view.change) return 'noted';
     if (after !== undefined) {
       const services = options.changedSince(after);
       const changes = { view: { ...view, services }, isComplete: false, after };
-      if (await options.tell(address, changes)) return true;
+      const answer = await options.tell(address, changes);
+      if (answer !== 'refused') return answer;
     }
     return options.tell(address, { view, isComplete: true, after: 0 });
   }
 
-  async function tellAndNote(address: string): Promise<void> {
+  async function tellAndNote(address: string): Promise<NoteAnswer> {
     const { change } = options.view();
-    if (await tellOne(address)) {
+    const answer = await tellOne(address);
+    if (answer === 'noted') {
       known.set(address, change);
-      return;
+      return answer;
     }
     known.delete(address);
     avoided.set(address, options.now() + AVOID_MS);
+    return answer;
   }
 
+  const mayTell = (address: string) => options.now() >= (avoided.get(address) ?? -Infinity);
+
   return {
     async tell() {
       const told = new Set(known.keys());
-      await Promise.all([...told].map(tellAndNote));
-      const candidates = [...new Set(options.candidates())].filter(
-        (it) => !told.has(it) && options.now() >= (avoided.get(it) ?? -Infinity),
-      );
-      let rest = candidates.slice(0, MAX_CANDIDATES);
+      const answers = await Promise.all([...told].map(tellAndNote));
+      const candidates = new Set(options.candidates());
+      let rest = [...candidates].filter((it) => !told.has(it) && mayTell(it));
+      rest = rest.slice(0, MAX_CANDIDATES);
       while (known.size < WITNESSES && rest.length > 0) {
         const missing = WITNESSES - known.size;
         await Promise.all(rest.slice(0, missing).map(tellAndNote));
         rest = rest.slice(missing);
       }
+      // Former witnesses that live would not tell the next leader of this change.
+      if (known.size === 0 && answers.includes('silent')) await options.pause(WITNESS_TTL_MS);
     },
     addresses: () => [...known.keys()],
   };
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -39,7 +39,8 @@
   isConfirmed: () => true,
   sinceConfirmedMs: () => 0,
   storeTime: (at) => at,
-  isLostToReturn: () => false,
+  isEndedByReturn: () => false,
+  era: () => 0,
   invalidate: () => undefined,
 };
 
@@ -98,7 +99,7 @@
     suspects: () => [],
     knownPeers: () => [],
     witnessCandidates: () => [],
-    tellWitness: () => Promise.resolve(false),
+    tellWitness: () => Promise.resolve('silent'),
     limits: { limitOf: () => undefined },
     ...more(holders),
   });
--- a/packages/placement/src/test/recover-placement_test.ts
+++ b/packages/placement/src/test/recover-placement_test.ts
@@ -18,6 +18,8 @@
 const ERA = 2;
 const COPY_EPOCH = 3;
 const LATER_EPOCH = 5;
+/** Time after which a leader that is silent can't have granted any lease that lasts. */
+const SILENT_MS = LEADER_LEASE_MS + RENEWAL_GRACE_MS + MAX_UNANSWERED_GRANT_MS;
 
 const placementOf = (epoch: number, owner: string): Placement => ({
   leaderLease: {
@@ -74,9 +76,14 @@
   /** What each other router answers. */
   readonly others?: readonly (FetchedPlacement | undefined)[];
   readonly stepDown?: StepDownAnswer;
+  /** Time for which the leader has been known to have ended, in milliseconds. */
+  readonly goneForMs?: number;
 }
 
-function recover({ others = [], stepDown = { kind: 'silent' }, ...options }: Known) {
+const GONE: StepDownAnswer = { kind: 'gone' };
+
+function recover(known: Known) {
+  const { others = [], stepDown = { kind: 'silent' }, goneForMs = 0, ...options } = known;
   const clocks = createFakeClocks();
   const copy = placementOf(COPY_EPOCH, 'b');
   return recoverPlacement({
@@ -103,8 +110,8 @@
     },
     directory: createFakeDirectory(['a', 'b']),
     clocks,
-    log: { info: () => undefined, warn: () => undefined },
     onFound: () => undefined,
+    noteStepDown: (_epoch, answer) => (answer === 'silent' ? 0 : goneForMs),
     ...options,
   });
 }
@@ -114,13 +121,20 @@
 
 // Guards against the copy's owners being granted keys that others hold since.
 test('the copy is used only when the longest lease that it may lack has ended', async () => {
-  expect(await recover({ unclaimedForMs: MAX_UNANSWERED_GRANT_MS - 1 })).toEqual(undefined);
-  const recovered = await recover({ unclaimedForMs: MAX_UNANSWERED_GRANT_MS });
+  const early = { stepDown: GONE, goneForMs: MAX_UNANSWERED_GRANT_MS - 1, unclaimedForMs: 60 };
+  expect(await recover(early)).toEqual(undefined);
+  const recovered = await recover({ ...early, goneForMs: MAX_UNANSWERED_GRANT_MS });
   expect(recovered?.source).toEqual('copy');
   expect(recovered?.leasesEnded).toEqual(true);
   expect(ownerIn(recovered?.placement)).toEqual('b');
 });
 
+// Guards against the leader of the copy, which is cut off from the store and renews leases.
+test('the copy of a leader that is silent is used only when its renewals have ended', async () => {
+  expect(await recover({ unclaimedForMs: SILENT_MS - 1 })).toEqual(undefined);
+  expect((await recover({ unclaimedForMs: SILENT_MS }))?.source).toEqual('copy');
+});
+
 test('an own view that is older than the copy counts for nothing', async () => {
   const view = viewOf(COPY_EPOCH - 1, 'a');
   expect(await recover({ view, isWitness: true, unclaimedForMs: LEADER_LEASE_MS })).toEqual(
@@ -165,19 +179,25 @@
   expect(recovered?.leasesEnded).toEqual(false);
 });
 
-// Guards against a move that the leader ordered and no living router has heard of.
+// Guards against a move that the leader ordered and no living router has heard of, also by a leader
+// that renewed leases until it ended just now.
 test('a view without a witness is used only when all leases of its leader have ended', async () => {
   const others = [{ ...fetched(LATER_EPOCH, 'a', false), heardAgoMs: 60_000 }];
-  const stepDown = { kind: 'gone' } as const;
-  const early = { others, stepDown, unclaimedForMs: MAX_UNANSWERED_GRANT_MS - 1 };
-  expect(await recover(early)).toEqual(undefined);
-  const late = await recover({ others, stepDown, unclaimedForMs: MAX_UNANSWERED_GRANT_MS });
+  const gone = { others, stepDown: GONE, unclaimedForMs: 12_000 };
+  const early = await recover({ ...gone, goneForMs: MAX_UNANSWERED_GRANT_MS - 1 });
+  expect(early).toEqual(undefined);
+  const late = await recover({ ...gone, goneForMs: MAX_UNANSWERED_GRANT_MS });
   expect(late?.leasesEnded).toEqual(true);
-  const silentFor = MAX_UNANSWERED_GRANT_MS + RENEWAL_GRACE_MS;
-  expect(await recover({ others, unclaimedForMs: silentFor - 1 })).toEqual(undefined);
-  expect((await recover({ others, unclaimedForMs: silentFor }))?.leasesEnded).toEqual(true);
+  expect(await recover({ others, unclaimedForMs: SILENT_MS - 1 })).toEqual(undefined);
+  expect((await recover({ others, unclaimedForMs: SILENT_MS }))?.leasesEnded).toEqual(true);
   const heard = [fetched(LATER_EPOCH, 'a', false)];
-  expect(await recover({ others: heard, stepDown, unclaimedForMs: silentFor })).toEqual(undefined);
+  expect(await recover({ others: heard, unclaimedForMs: SILENT_MS })).toEqual(undefined);
+});
+
+// Guards against a claimant that stops the leader which has claimed the same era meanwhile.
+test('an era that a leader has claimed since the row was read is not claimed', async () => {
+  const others = [fetched(inEra(ERA, 1), 'a', true)];
+  expect(await recover({ others, stepDown: GONE, unclaimedForMs: 60_000 })).toEqual(undefined);
 });
 
 // Guards against a former owner that may still hold a range whose hand-over was under way.
@@ -187,7 +207,7 @@
   const range = recovered?.placement?.services.get('s')?.[0];
   expect(range?.owner?.incarnation.server).toEqual('a');
   expect(range?.former.length).toEqual(1);
-  expect(recovered?.inheritedForMs).toEqual(MAX_UNANSWERED_GRANT_MS + RENEWAL_GRACE_MS);
+  expect(recovered?.inheritedForMs).toEqual(SILENT_MS);
 });
 
 test('an owner without a registry entry keeps its range from others', async () => {
--- a/packages/placement/src/test/returned-store_test.ts
+++ b/packages/placement/src/test/returned-store_test.ts
@@ -52,7 +52,7 @@
   clocks.advance(LEADER_LEASE_MS);
   comeBack();
   expect(await leaderLease.write(content(2))).toEqual('lost');
-  expect(leaderLease.isLostToReturn()).toEqual(true);
+  expect(leaderLease.isEndedByReturn()).toEqual(true);
 });
 
 // Guards against a process that was suspended over the return and counts its lease too long.
@@ -74,7 +74,7 @@
   const other = await openLease(store, clocks, 'b');
   expect(await other.leaderLease.write(content(1))).toEqual('committed');
   expect(await leaderLease.write(content(2))).toEqual('lost');
-  expect(leaderLease.isLostToReturn()).toEqual(false);
+  expect(leaderLease.isEndedByReturn()).toEqual(false);
 });
 
 // Guards against a late write that meets another content under the version that it expects.
--- a/packages/placement/src/test/witnesses_test.ts
+++ b/packages/placement/src/test/witnesses_test.ts
@@ -2,27 +2,33 @@
 
 import { expect } from 'earl';
 
-import { type PlacementNote, createWitnesses } from '../lib/witnesses.js';
+import { type PlacementNote, WITNESS_TTL_MS, createWitnesses } from '../lib/witnesses.js';
 
 function setUp(candidates: readonly string[]) {
   const told: string[] = [];
   const silent = new Set<string>();
+  const pauses: number[] = [];
   let change = 1;
   let now = 0;
   const witnesses = createWitnesses({
     candidates: () => candidates,
     tell(address: string, { isComplete, after, view }: PlacementNote) {
       told.push(`${address} ${isComplete ? 'all' : `after ${after}`} to ${view.change}`);
-      return Promise.resolve(!silent.has(address));
+      return Promise.resolve(silent.has(address) ? 'silent' : 'noted');
     },
     view: () => ({ epoch: 1, change, services: new Map() }),
     changedSince: () => new Map(),
     now: () => now,
+    pause(ms: number) {
+      pauses.push(ms);
+      return Promise.resolve();
+    },
   });
   return {
     witnesses,
     told,
     silent,
+    pauses,
     advance: (changes: number, ms: number) => {
       change += changes;
       now += ms;
@@ -63,3 +69,16 @@
   expect(told).toEqual([]);
   expect(witnesses.addresses()).toEqual([]);
 });
+
+// Guards against a router that still counts as a witness, and does not know of the next move.
+test('a leader without witnesses waits until its former ones do not count any more', async () => {
+  const { witnesses, silent, pauses, advance } = setUp(['a']);
+  await witnesses.tell();
+  silent.add('a');
+  advance(1, 0);
+  await witnesses.tell();
+  expect(pauses).toEqual([WITNESS_TTL_MS]);
+  advance(1, 0);
+  await witnesses.tell();
+  expect(pauses).toEqual([WITNESS_TTL_MS]);
+});
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -14,7 +14,7 @@
 export * from './lib/row-store.js';
 export * from './lib/server-orders.js';
 export * from './lib/settled-write.js';
-export * from './lib/store-era.js';
+export * from './lib/eras.js';
 export * from './lib/table-service.js';
 export * from './lib/table-wire.js';
 export * from './lib/unusable-entries.js';
--- a/packages/platform/src/lib/poll-scheduler.ts
+++ b/packages/platform/src/lib/poll-scheduler.ts
@@ -1,4 +1,4 @@
-import { eraOf } from './store-era.js';
+import { eraOf } from './eras.js';
 import { createWakeSignal } from './wake-signal.js';
 
 /** Another router's report about its own watch of a table of the store. */
--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -4,7 +4,7 @@
 import { type TableReport, WATCH_WAIT_MS, createPollScheduler } from './poll-scheduler.js';
 import { type RowDelta, type RowSource, type RowUpdate, createRowMirror } from './row-mirror.js';
 import type { RowSnapshot, RowStore, StoredRow } from './row-store.js';
-import { eraOf, inEra } from './store-era.js';
+import { eraOf, inEra } from './eras.js';
 
 /**
  * Time without an answer after which the whole table is read again, in milliseconds. The changes
--- a/packages/platform/src/test/watch-rows_test.ts
+++ b/packages/platform/src/test/watch-rows_test.ts
@@ -5,7 +5,7 @@
 
 import { PlatformError } from '../lib/platform-error.js';
 import type { RowChanges, RowStore, StoredRow } from '../lib/row-store.js';
-import { inEra } from '../lib/store-era.js';
+import { inEra } from '../lib/eras.js';
 import { type RowWatch, type RowWatchOptions, createRowWatch } from '../lib/watch-rows.js';
 
 type Poll = Result<RowChanges, PlatformError>;
--- a/packages/router/src/lib/peer-listener.ts
+++ b/packages/router/src/lib/peer-listener.ts
@@ -53,8 +53,15 @@
         return member.answerReport(req);
       },
       yieldSeat(req) {
-        const reply = member.answerStepDown(Number(req.epoch), Number(req.startedMs));
-        if (!reply) return {};
+        const { epoch, startedMs, claimedEra } = req;
+        const reply = member.answerStepDown({
+          epoch: Number(epoch),
+          startedMs: Number(startedMs),
+          claimedEra: claimedEra === undefined ? undefined : Number(claimedEra),
+        });
+        if (reply === 'gone') return {};
+        if (reply === 'refused')
+          throw new ConnectError('this router leads', Code.FailedPrecondition);
         const { unansweredForMs, stopped } = reply;
         return {
           unansweredForMs: Math.ceil(unansweredForMs),
