Claims of an era: a leader whose lease expired after the return gives its exact state

It is exact if the lease expired only after the claimant had seen the era: until then no other router could lead in the earlier one.

--- a/packages/placement/src/lib/leader-lease.ts
+++ b/packages/placement/src/lib/leader-lease.ts
@@ -129,6 +129,8 @@
    * was not continued.
    */
   isEndedByReturn(): boolean;
+  /** Time since the lease expired, in milliseconds; 0 if it is valid, `Infinity` if not known. */
+  lapsedForMs(): number;
   /** The era of the store in which the lease was confirmed last. */
   era(): number;
   /** Treats the lease as unconfirmed until the next write succeeds. */
@@ -250,6 +252,7 @@
     storeTime,
     isEndedByReturn: () => isEndedByReturn,
     era: () => confirmedEra,
+    lapsedForMs: () => Math.max(0, clocks.monotonic() - confirmedUntil),
     invalidate() {
       confirmedUntil = -Infinity;
     },
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -95,8 +95,8 @@
   readonly unansweredForMs: number;
   /** Estimate of the store's clock, in milliseconds. */
   readonly storeNowMs: number;
-  /** True if the lease was confirmed, so that no other router can have led. */
-  readonly isConfirmed: boolean;
+  /** Time since the lease expired, in milliseconds; see {@link LeaderLease.lapsedForMs}. */
+  readonly lapsedForMs: number;
   /** True if the lease had expired when the store came back from an older copy. */
   readonly isEndedByReturn: boolean;
 }
@@ -445,7 +445,7 @@
     stopped: () => ({
       // Without a confirmed lease, another router may have led since and sent orders.
       content: { ...content(), isUnverified: !isVerified || !leaderLease.isConfirmed() },
-      isConfirmed: leaderLease.isConfirmed(),
+      lapsedForMs: leaderLease.lapsedForMs(),
       isEndedByReturn: leaderLease.isEndedByReturn(),
       unansweredForMs: unansweredForMs(),
       storeNowMs: leaderLease.storeTime(clocks.monotonic()),
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -300,15 +300,17 @@
 
   /** Keeps what the leader knows, for the case that the store forgets it. */
   function keepStopped(stopping: PlacementLeader, isAskedToStop = false): StoppedLeader {
-    const { content, isConfirmed, isEndedByReturn, ...rest } = stopping.stopped();
+    const { content, isEndedByReturn, ...rest } = stopping.stopped();
     const { epoch } = stopping;
     const lease = { untilMs: 0, handedOver: true, unansweredForMs: 0, successor: '' };
     const placement = { ...content, version: 0, leaderLease: { ...self, epoch, ...lease } };
     const wasLast = lastStopped?.placement.leaderLease.epoch === epoch && lastStopped.isLast;
-    const isLast = wasLast || (isAskedToStop && isConfirmed);
-    lastStopped = { placement, ...rest, isLast };
+    const isLast = wasLast || isAskedToStop;
+    // The leader stopped when it was asked, not when its last tasks ended.
+    const lapsedForMs = wasLast ? (lastStopped?.lapsedForMs ?? Infinity) : rest.lapsedForMs;
+    lastStopped = { placement, ...rest, isLast, lapsedForMs };
     // Another router may have led after one that handed over, or lost its lease.
-    if (isLast || isEndedByReturn || isAskedToStop) heardAt = clocks.monotonic();
+    if (isLast || isEndedByReturn) heardAt = clocks.monotonic();
     else witnessedEpoch = undefined;
     return lastStopped;
   }
--- a/packages/placement/src/lib/recover-placement.ts
+++ b/packages/placement/src/lib/recover-placement.ts
@@ -227,6 +227,14 @@
   readonly goneForMs: number;
 }
 
+/**
+ * Returns whether no other router can have led before the return: the leader's lease expired only
+ * after the present era had been seen.
+ */
+function wasLast(stopped: StoppedLeader, { unclaimedForMs }: RecoverOptions): boolean {
+  return stopped.isLast && stopped.lapsedForMs <= unclaimedForMs;
+}
+
 async function stopLeader(
   newest: FetchedPlacement,
   options: RecoverOptions,
@@ -254,12 +262,11 @@
   if (newest && eraOf(newest.view.epoch) >= reading.era) return undefined;
   if (!newest || (copy && isNewer(copy, newest.view))) return fromCopy(options);
   options.onFound(newest);
-  if (stopped?.isLast === true && stopped.placement.leaderLease.epoch === newest.view.epoch) {
-    return fromStopped(stopped, clocks.monotonic());
-  }
+  const isOwn = stopped?.placement.leaderLease.epoch === newest.view.epoch;
+  if (isOwn && wasLast(stopped, options)) return fromStopped(stopped, clocks.monotonic());
   const answer = await stopLeader(newest, options);
   const goneForMs = options.noteStepDown(newest.view.epoch, answer.kind);
-  if (answer.kind === 'stopped' && answer.stopped?.isLast === true) {
+  if (answer.kind === 'stopped' && answer.stopped && wasLast(answer.stopped, options)) {
     return fromStopped(answer.stopped, clocks.monotonic());
   }
   return fromView(newest, options, { isGone: answer.kind !== 'silent', goneForMs });
--- a/packages/placement/src/lib/stopped-leader.ts
+++ b/packages/placement/src/lib/stopped-leader.ts
@@ -14,19 +14,26 @@
    * its lease.
    */
   readonly isLast: boolean;
+  /**
+   * Time for which its leadership lease had expired then, in milliseconds; 0 if it was valid,
+   * `Infinity` if that is not known.
+   */
+  readonly lapsedForMs: number;
 }
 
 /** Encodes what a leader knew, for another router. */
-export function encodeStoppedLeader({ placement, storeNowMs, isLast }: StoppedLeader) {
-  return { record: encodePlacement(placement), storeNowMs, last: isLast };
+export function encodeStoppedLeader(stopped: StoppedLeader) {
+  const { placement, storeNowMs, isLast, lapsedForMs } = stopped;
+  return { record: encodePlacement(placement), storeNowMs, last: isLast, lapsedForMs };
 }
 
 /** Decodes what a leader knew; `undefined` if that is not possible. */
 export function decodeStoppedLeader(
-  { record, storeNowMs, last: isLast }: StoppedLeaderMessage,
+  message: StoppedLeaderMessage,
   unansweredForMs: number,
 ): StoppedLeader | undefined {
+  const { record, storeNowMs, last: isLast, lapsedForMs } = message;
   const decoded = decodePlacement({ value: record });
   if (decoded.isErr()) return undefined;
-  return { placement: decoded.value, unansweredForMs, storeNowMs, isLast };
+  return { placement: decoded.value, unansweredForMs, storeNowMs, isLast, lapsedForMs };
 }
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -41,6 +41,7 @@
   storeTime: (at) => at,
   isEndedByReturn: () => false,
   era: () => 0,
+  lapsedForMs: () => 0,
   invalidate: () => undefined,
 };
 
--- a/packages/placement/src/test/recover-placement_test.ts
+++ b/packages/placement/src/test/recover-placement_test.ts
@@ -65,11 +65,12 @@
   heardAgoMs: 0,
 });
 
-const stoppedLeader = (epoch: number, isLast: boolean): StoppedLeader => ({
+const stoppedLeader = (epoch: number, isLast: boolean, lapsedForMs = 0): StoppedLeader => ({
   placement: placementOf(epoch, 'a'),
   unansweredForMs: 700,
   storeNowMs: 50,
   isLast,
+  lapsedForMs,
 });
 
 interface Known extends Partial<RecoverOptions> {
@@ -169,6 +170,16 @@
   expect(ownerIn(older?.placement)).toEqual('b');
 });
 
+// Guards against a leader that led in the time that the store forgot, after this one's lease had
+// expired.
+test('the state of a leader counts as exact only if its lease expired after the return', async () => {
+  const view = viewOf(LATER_EPOCH, 'a');
+  const stopped = stoppedLeader(LATER_EPOCH, true, 500);
+  expect(await recover({ view, stopped, unclaimedForMs: 499 })).toEqual(undefined);
+  const recovered = await recover({ view, stopped, unclaimedForMs: 500 });
+  expect(recovered?.source).toEqual('stopped leader');
+});
+
 // Guards against a router that claims the era of a leader that is about to claim it.
 test('a view is used only after the time in which a living leader claims the era', async () => {
   const others = [fetched(LATER_EPOCH, 'a', true)];
