--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -9,6 +9,7 @@
 import { createKnownPeers } from './known-peers.js';
 import { createKnownPlacement } from './known-placement.js';
 import type { PlacementLogger } from './leader-context.js';
+import { type StepDownReply, type StepDownRequest, createLeaderMemory } from './leader-memory.js';
 import { createLimitExchange } from './limit-exchange.js';
 import {
   type Candidate,
@@ -32,7 +33,6 @@
   NamedTableReport,
   PlacementPeers,
   ReportAnswer,
-  StepDownAnswer,
   SuspectUpdate,
 } from './placement-peers.js';
 import type { Placement } from './placement-record.js';
@@ -49,11 +49,10 @@
 import type { ServerDirectory } from './server-directory.js';
 import type { LimitNotice, ServerLimits } from './server-limits.js';
 import type { ServiceLoadReport } from './service-planner.js';
-import type { StoppedLeader } from './stopped-leader.js';
 import { createSuspectExchange } from './suspect-exchange.js';
 import type { SuspectRecord } from './suspect-record.js';
 import type { Clocks } from './suspension-guard.js';
-import { type PlacementNote, WITNESS_TTL_MS } from './witnesses.js';
+import type { PlacementNote } from './witnesses.js';
 
 /**
  * Longest time for which the leader delays the answer to a report until a change, in milliseconds.
@@ -157,26 +156,6 @@
   run(leadSignal: AbortSignal, followSignal: AbortSignal): Promise<void>;
 }
 
-/** A request to a former leader to step down. */
-export interface StepDownRequest {
-  readonly epoch: number;
-  /** Start of its process; 0 names the process that led the epoch. */
-  readonly startedMs: number;
-  /**
-   * The era of the store that the asking router wants to claim; `undefined` if it has acquired the
-   * leadership lease.
-   */
-  readonly claimedEra: number | undefined;
-}
-
-/** Answer to a request to step down. */
-export interface StepDownReply {
-  /** Time until unanswered grants have expired, in milliseconds. */
-  readonly unansweredForMs: number;
-  /** What the router knew as the leader of that epoch, if it still knows. */
-  readonly stopped: StoppedLeader | undefined;
-}
-
 /** Options of {@link createPlacementMember}. */
 export interface PlacementMemberOptions {
   readonly self: Candidate;
@@ -214,6 +193,7 @@
   const reporters = createReporters(clocks);
   const knownPeers = createKnownPeers(self.address);
   const known = createKnownPlacement();
+  const memory = createLeaderMemory({ self, clocks, log: options.log });
   const viewSignal = createChangeSignal();
   const pacer = createReportPacer();
   const storeChanges = createChangeSignal();
@@ -259,24 +239,8 @@
   /** Gives permits out while this router leads. */
   let allocator: PermitAllocator | undefined;
   let leaderRun: Promise<void> = Promise.resolve();
-  let lastEpochLed = 0;
-  /** What this router knew when it last stopped leading. */
-  let lastStopped: StoppedLeader | undefined;
-  /** The era whose claimant was given that, if it stopped because it was asked. */
-  let stoppedForEra: number | undefined;
-  /** The leader that was asked to step down last, and since when it has given this answer. */
-  let askedLeader:
-    | { readonly epoch: number; readonly answer: StepDownAnswer['kind']; readonly since: number }
-    | undefined;
-  /** An era of the store that no leader has claimed, and when that was first seen. */
-  let unclaimedEra: { era: number; since: number } | undefined;
   /** The leader to report to. */
   let followedLeader: LeaderAddress | undefined;
-  /** The leader that answered last, and when, on the monotonic clock. */
-  let lastLeader: LeaderAddress | undefined;
-  let heardAt = -Infinity;
-  /** Epoch of the leader that told this router of each move before its first order. */
-  let witnessedEpoch: number | undefined;
   /** When the last read of the row was sent, on the monotonic clock. */
   let leaseReadAt = -Infinity;
   let isLeaderLeaseExpired = false;
@@ -298,23 +262,6 @@
   const isServedByStore = () => options.directory.currentSince() < Infinity;
   const countRouters = () => reporters.count() + 1;
 
-  /** Keeps what the leader knows, for the case that the store forgets it. */
-  function keepStopped(stopping: PlacementLeader, isAskedToStop = false): StoppedLeader {
-    const { content, isEndedByReturn, ...rest } = stopping.stopped();
-    const { epoch } = stopping;
-    const lease = { untilMs: 0, handedOver: true, unansweredForMs: 0, successor: '' };
-    const placement = { ...content, version: 0, leaderLease: { ...self, epoch, ...lease } };
-    const wasLast = lastStopped?.placement.leaderLease.epoch === epoch && lastStopped.isLast;
-    const isLast = wasLast || isAskedToStop;
-    // The leader stopped when it was asked, not when its last tasks ended.
-    const lapsedForMs = wasLast ? (lastStopped?.lapsedForMs ?? Infinity) : rest.lapsedForMs;
-    lastStopped = { placement, ...rest, isLast, lapsedForMs };
-    // Another router may have led after one that handed over, or lost its lease.
-    if (isLast || isEndedByReturn) heardAt = clocks.monotonic();
-    else witnessedEpoch = undefined;
-    return lastStopped;
-  }
-
   async function acquireLease(
     reading: LeaderLeaseReading,
     signal: AbortSignal,
@@ -330,7 +277,7 @@
       witnessCandidates: () => [...reporters.addresses(), ...knownPeers.all()],
       tellWitness: (address, note) => peers.notePlacement(address, note, WITNESS_TIMEOUT_MS),
       reading,
-      knownEpoch: Math.max(known.view().epoch, lastEpochLed),
+      knownEpoch: Math.max(known.view().epoch, memory.lastEpochLed()),
       ...(recovered && { recovered }),
       signal,
     });
@@ -342,16 +289,14 @@
       random: Math.random,
     });
     isCaughtUp = true;
-    unclaimedEra = undefined;
-    lastEpochLed = created.epoch;
-    witnessedEpoch = created.epoch;
+    memory.noteLed(created.epoch);
     updateView(created.view());
     followedLeader = undefined;
     leaderRun = created
       .run(signal)
       .catch(noteFailure)
       .finally(() => {
-        keepStopped(created);
+        memory.keepStopped(created);
         leader = undefined;
       });
   }
@@ -379,41 +324,13 @@
     await Promise.all([...others].map((address) => reportClient.report(address, times)));
   }
 
-  /**
-   * Returns whether the leader of an epoch told this router of each move, until the store came back
-   * or until now.
-   */
-  function isWitnessOf(epoch: number | undefined): boolean {
-    const until = unclaimedEra?.since ?? clocks.monotonic();
-    return witnessedEpoch === epoch && until - heardAt <= WITNESS_TTL_MS;
-  }
-
-  /** Notes the answer of a leader that was asked to step down; see {@link recoverPlacement}. */
-  function noteStepDown(epoch: number, answer: StepDownAnswer['kind']): number {
-    const now = clocks.monotonic();
-    const before = askedLeader?.epoch === epoch ? askedLeader : undefined;
-    if (before?.answer !== answer)
-      options.log.info('leader before the return asked to step down', { epoch, answer });
-    const isKnownGone = before !== undefined && before.answer !== 'silent';
-    const since = isKnownGone ? before.since : now;
-    askedLeader = { epoch, answer, since };
-    return answer === 'silent' ? 0 : now - since;
-  }
-
-  /** What this router knows about the leader of a view. */
-  const knownOf = (view: PlacementView | undefined) => ({
-    isWitness: isWitnessOf(view?.epoch),
-    heardAgoMs: clocks.monotonic() - heardAt,
-    leader: lastLeader?.epoch === view?.epoch ? lastLeader : undefined,
-  });
-
   /**
    * Acquires the leadership lease of an era that no leader has claimed, once the placement to start
    * from is known. Until then, the leader of the earlier era may claim it.
    */
   async function claimEra(reading: LeaderLeaseReading, signal: AbortSignal): Promise<void> {
     const { era, copy } = reading;
-    if (unclaimedEra?.era !== era) unclaimedEra = { era, since: clocks.monotonic() };
+    memory.noteUnclaimed(era);
     followedLeader = undefined;
     if (copy) {
       if (known.updateFromCopy(viewOf(copy))) viewSignal.wakeAll();
@@ -426,15 +343,15 @@
     const recovered = await recoverPlacement({
       ...options,
       reading,
-      unclaimedForMs: clocks.monotonic() - unclaimedEra.since,
+      unclaimedForMs: memory.noteUnclaimed(era),
       view,
-      ...knownOf(view),
-      stopped: lastStopped,
+      ...memory.knowledgeOf(view),
+      stopped: memory.lastStopped(),
       onFound(newest) {
         updateView(newest.view);
-        heardAt = Math.max(heardAt, clocks.monotonic() - newest.heardAgoMs);
+        memory.noteHeard(clocks.monotonic() - newest.heardAgoMs);
       },
-      noteStepDown,
+      noteStepDown: (epoch, answer) => memory.noteStepDown(epoch, answer),
       addresses: knownPeers.all(),
     });
     if (recovered) await acquireLease(reading, signal, recovered);
@@ -456,7 +373,7 @@
       await claimEra(reading, signal);
       return;
     }
-    unclaimedEra = undefined;
+    memory.noteClaimed();
     if (reading.placement) {
       updateView(viewOf(reading.placement));
       exchange.mergeStored(reading.placement.suspects);
@@ -508,14 +425,9 @@
       handleLostLeader(followed, answer, askedAt);
       return false;
     }
-    if (lastLeader?.epoch !== followed.epoch) {
+    if (memory.noteAnswer(followed, answer)) {
       options.log.info('following the leader', { leader: followed.router, epoch: followed.epoch });
     }
-    lastLeader = { ...followed, epoch: answer.view?.epoch ?? followed.epoch };
-    if (!answer.isLeaseExpired) heardAt = clocks.monotonic();
-    // The leader has given up telling this router.
-    if (witnessedEpoch === answer.view?.epoch && !answer.witnesses.includes(self.address))
-      witnessedEpoch = undefined;
     knownPeers.note([...answer.peers, ...answer.witnesses, followed.address]);
     // Applied before the placement, which may name servers that are new in the registry.
     if (answer.servers) options.directory.applyUpdate(answer.servers);
@@ -580,7 +492,8 @@
     await refresh(signal);
     // All routers of a fleet may wait for the same few that know something.
     const claimPauseMs = UNCLAIMED_RETRY_MS * Math.max(1, routers / ROUTERS_PER_CLAIM_PAUSE);
-    const pauseMs = unclaimedEra ? claimPauseMs : RETRY_MS;
+    const isUnclaimed = memory.unclaimedForMs() !== undefined;
+    const pauseMs = isUnclaimed ? claimPauseMs : RETRY_MS;
     if (!isLeading()) await sleep(pauseMs * (0.5 + Math.random()));
   }
 
@@ -624,9 +537,9 @@
     },
     answerPermits: (req) => permits.answer(req),
     unknownForMs() {
-      if (!unclaimedEra || known.beyondCopy()) return 0;
-      const leftMs = unclaimedEra.since + MAX_UNANSWERED_GRANT_MS - clocks.monotonic();
-      return Math.max(UNCLAIMED_RETRY_MS, leftMs);
+      const unclaimedForMs = memory.unclaimedForMs();
+      if (unclaimedForMs === undefined || known.beyondCopy()) return 0;
+      return Math.max(UNCLAIMED_RETRY_MS, MAX_UNANSWERED_GRANT_MS - unclaimedForMs);
     },
     waitForChange(ms) {
       pacer.expedite();
@@ -648,7 +561,7 @@
         };
       }
       const view = known.beyondCopy();
-      return view && { view, ...knownOf(view) };
+      return view && { view, ...memory.knowledgeOf(view) };
     },
     notePlacement({ view, isComplete, after }) {
       const current = known.view();
@@ -656,28 +569,10 @@
       const hasEarlier = view.epoch === current.epoch && current.change >= after;
       if (!isComplete && !hasEarlier) return false;
       updateView(isComplete ? view : withChanges(current, view));
-      witnessedEpoch = view.epoch;
-      heardAt = clocks.monotonic();
+      memory.noteWitnessed(view.epoch);
       return true;
     },
-    answerStepDown({ epoch, startedMs, claimedEra }) {
-      if (startedMs !== 0 && startedMs !== self.startedMs) return 'gone';
-      if (leader?.epoch === epoch) {
-        // A claimant's reading of the row may be older than the leader's own claim.
-        if (claimedEra !== undefined && leader.era() >= claimedEra) return 'refused';
-        const unansweredForMs = leader.stepDown();
-        stoppedForEra = claimedEra;
-        return { unansweredForMs, stopped: keepStopped(leader, claimedEra !== undefined) };
-      }
-      // A process that has not led the epoch is a later one.
-      if (startedMs === 0 && epoch > lastEpochLed) return 'gone';
-      const unansweredForMs = epoch <= lastEpochLed ? MAX_UNANSWERED_GRANT_MS : 0;
-      if (lastStopped?.placement.leaderLease.epoch !== epoch)
-        return { unansweredForMs, stopped: undefined };
-      // In a later era, a router that got the record in an earlier one may have led since.
-      const isLast = lastStopped.isLast && stoppedForEra === claimedEra;
-      return { unansweredForMs, stopped: { ...lastStopped, isLast } };
-    },
+    answerStepDown: (req) => memory.answerStepDown(req, leader),
     async run(leadSignal, followSignal) {
       const ended = new Promise((resolve) => {
         followSignal.addEventListener('abort', resolve);
