--- a/packages/placement/src/lib/leader-lease.ts
+++ b/packages/placement/src/lib/leader-lease.ts
@@ -63,16 +63,19 @@
   const receivedAt = clocks.monotonic();
   const era = eraOf(listed.value.version);
   const { present, earlier } = findPlacementRows(listed.value, era);
-  const placement = present && decodePlacement(present);
-  if (placement?.isErr() === true) {
-    const reason = String(placement.error.cause);
-    onUnusable?.({ source: PLACEMENT_TABLE, key: placementKey(era), reason });
+  // Without a present row, one of an earlier era that can't be read may hide what servers hold.
+  const row = present ?? earlier;
+  const decoded = row && decodePlacement(row);
+  if (row && decoded?.isErr() === true) {
+    const reason = String(decoded.error.cause);
+    onUnusable?.({ source: PLACEMENT_TABLE, key: row.key, reason });
     return undefined;
   }
+  const placement = decoded?.unwrapOr(undefined);
   return {
     era,
-    placement: placement?.unwrapOr(undefined),
-    copy: earlier && decodePlacement(earlier).unwrapOr(undefined),
+    placement: present && placement,
+    copy: present ? undefined : placement,
     rowVersion: present?.version ?? inEra(era, 0),
     storeNowMs: listed.value.nowMs,
     askedAt,
