Registry: a server that only the copy of a returned store has is not believed at once

A router that followed the registry until the store was lost knows more than the copy: an entry that only the copy has is believed after two seconds, or when it is written again.

--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -130,6 +130,8 @@
   /** The era of a return, until the registry has been read in it. */
   let returnedEra: number | undefined;
   let returnTimer: NodeJS.Timeout | undefined;
+  /** True while the first snapshot of a new era is applied by a router that followed earlier ones. */
+  let isCopyRead = false;
   let currentSince = Infinity;
 
   function notifyListeners(): void {
@@ -153,12 +155,15 @@
       forget(key);
       return;
     }
-    if (isReturnRecent() && restoredEntries.isOutdated(row, servers.get(key)?.entry)) {
+    const known = servers.get(key);
+    // What a router followed until the store was lost is newer than the copy: a server that only
+    // the copy has is gone.
+    const isOnlyInCopy = isCopyRead && !known;
+    if (isReturnRecent() && (isOnlyInCopy || restoredEntries.isOutdated(row, known?.entry))) {
       outdated.set(key, row);
       return;
     }
     const entry = withAnnouncedDrain(row);
-    const known = servers.get(key);
     const now = clocks.monotonic();
     const isSameStart = known?.entry.startedMs === entry.startedMs;
     if (isSameStart && known.entry.draining === entry.draining) {
@@ -231,7 +236,9 @@
     },
     onSnapshot({ rows }) {
       const present = new Set(rows.map((it) => it.key));
+      isCopyRead = loaded && returnedEra !== undefined;
       for (const row of rows) put(row.key, decode(row));
+      isCopyRead = false;
       const missing = [...servers.keys()].filter((it) => !present.has(it));
       for (const key of missing) remove(key);
       if (returnedEra !== undefined) {
