Specification: the cache of state keys is bounded

Traced with gdb: WeakMap.set in the rehash of its table, in GetIdentityHash. The runtime's identity hashes have 20 bits, so that a weak map of about a million live keys grows in quadratic time; how many are alive depends on when the collector runs.

--- a/packages/spec/src/lib/model/state-key.ts
+++ b/packages/spec/src/lib/model/state-key.ts
@@ -1,7 +1,13 @@
 /** Number of each distinct part seen so far, by its text. */
 const numberByText = new Map<string, number>();
+/**
+ * Maximum number of cached objects. The runtime tells the keys of a weak map apart by 20 bits of a
+ * hash; with about a million keys, growing the map takes minutes.
+ */
+const MAX_CACHED = 200_000;
 /** Caches the numbers by object, since successive states share their unchanged parts. */
-const numberByPart = new WeakMap<object, number>();
+let numberByPart = new WeakMap<object, number>();
+let cached = 0;
 
 /**
  * Returns a short text that is equal for equal states. Nested objects appear in it as numbers, and
@@ -23,12 +29,21 @@
   return `#${numberOf(part)}`;
 }
 
+function cache(part: object, number: number): void {
+  if (cached >= MAX_CACHED) {
+    numberByPart = new WeakMap();
+    cached = 0;
+  }
+  cached += 1;
+  numberByPart.set(part, number);
+}
+
 function numberOf(part: object): number {
   const found = numberByPart.get(part);
   if (found !== undefined) return found;
   const text = textOfParts(part);
   const number = numberByText.get(text) ?? numberByText.size;
   numberByText.set(text, number);
-  numberByPart.set(part, number);
+  cache(part, number);
   return number;
 }
