--- a/packages/placement/src/lib/become-leader.ts
+++ b/packages/placement/src/lib/become-leader.ts
@@ -14,7 +14,7 @@
   createPlacementLeader,
 } from './placement-leader.js';
 import type { PlacementPeers } from './placement-peers.js';
-import type { LeaderLeaseRecord } from './placement-record.js';
+import { type LeaderLeaseRecord, releasedLease } from './placement-record.js';
 import {
   MAX_UNANSWERED_GRANT_MS,
   type RecoveredPlacement,
@@ -44,10 +44,6 @@
   readonly signal: AbortSignal;
 }
 
-function unheldLease(self: Candidate): LeaderLeaseRecord {
-  return { ...self, epoch: 0, untilMs: 0, handedOver: true, unansweredForMs: 0, successor: '' };
-}
-
 /**
  * Returns the time for which a grant of the former leader may still be in effect, in milliseconds.
  */
@@ -130,6 +126,6 @@
     ...options,
     ...inherited,
     leaderLease,
-    previous: { ...content, leaderLease: placement?.leaderLease ?? unheldLease(self) },
+    previous: { ...content, leaderLease: placement?.leaderLease ?? releasedLease(self, 0) },
   });
 }
--- a/packages/placement/src/lib/leader-memory.ts
+++ b/packages/placement/src/lib/leader-memory.ts
@@ -2,6 +2,7 @@
 import type { Candidate } from './leader-lease.js';
 import type { PlacementLogger } from './leader-context.js';
 import type { PlacementLeader } from './placement-leader.js';
+import { releasedLease } from './placement-record.js';
 import type { PlacementView } from './placement-view.js';
 import { MAX_UNANSWERED_GRANT_MS } from './recover-placement.js';
 import type { StoppedLeader } from './stopped-leader.js';
@@ -113,8 +114,7 @@
   function keepStopped(stopping: PlacementLeader, isAskedToStop: boolean): StoppedLeader {
     const { content, isEndedByReturn, ...rest } = stopping.stopped();
     const { epoch } = stopping;
-    const lease = { untilMs: 0, handedOver: true, unansweredForMs: 0, successor: '' };
-    const placement = { ...content, version: 0, leaderLease: { ...self, epoch, ...lease } };
+    const placement = { ...content, version: 0, leaderLease: releasedLease(self, epoch) };
     const wasLast = lastStopped?.placement.leaderLease.epoch === epoch && lastStopped.isLast;
     const isLast = wasLast || isAskedToStop;
     // The leader stopped when it was asked, not when its last tasks ended.
--- a/packages/placement/src/lib/placement-record.ts
+++ b/packages/placement/src/lib/placement-record.ts
@@ -38,6 +38,14 @@
   readonly successor: string;
 }
 
+/** Returns the record of a lease that a router does not hold any more, or never held. */
+export function releasedLease(
+  router: Pick<LeaderLeaseRecord, 'router' | 'address' | 'startedMs'>,
+  epoch: number,
+): LeaderLeaseRecord {
+  return { ...router, epoch, untilMs: 0, handedOver: true, unansweredForMs: 0, successor: '' };
+}
+
 /** A server that may hold a range under a fencing token. */
 export interface HolderRecord {
   readonly incarnation: ServerIncarnation;
--- a/packages/placement/src/lib/recover-placement.ts
+++ b/packages/placement/src/lib/recover-placement.ts
@@ -4,11 +4,12 @@
 import { LEADER_LEASE_MS, type LeaderLeaseReading, RENEWAL_GRACE_MS } from './leader-lease.js';
 import { maxLeaseMs } from './lease-bound.js';
 import type { FetchedPlacement, PlacementPeers, StepDownAnswer } from './placement-peers.js';
-import type {
-  HolderRecord,
-  LeaderLeaseRecord,
-  Placement,
-  RangeRecord,
+import {
+  type HolderRecord,
+  type LeaderLeaseRecord,
+  type Placement,
+  type RangeRecord,
+  releasedLease,
 } from './placement-record.js';
 import { type PlacementView, type RangeView, isNewer, viewOf } from './placement-view.js';
 import type { ServerDirectory } from './server-directory.js';
@@ -125,16 +126,8 @@
   const services = [...view.services].map(([service, ranges]) => {
     return [service, ranges.map((it) => recordOfView(it, directory))] as const;
   });
-  const leaderLease: LeaderLeaseRecord = {
-    ...self,
-    epoch: view.epoch,
-    untilMs: 0,
-    handedOver: true,
-    unansweredForMs: 0,
-    successor: '',
-  };
   return {
-    leaderLease,
+    leaderLease: releasedLease(self, view.epoch),
     version: 0,
     change: view.change,
     nextFence: inEra(reading.era, 1),
