--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -26,8 +26,10 @@
     isUp: false,
     /** If it returns a status, the request gets that instead of being run. */
     onRequest: undefined,
+    state: 'ready',
     start,
     crash,
+    leave,
     stop,
     beat,
   };
@@ -46,7 +48,7 @@
       zone,
       version: 'v1',
       slots: SLOTS,
-      state: 'ready',
+      state: backend.state,
       warmup_left_ms: Math.max(0, Math.round(warmupMs - age)),
       sequence: state.sequence,
       born: state.born,
@@ -103,6 +105,24 @@
     end();
   }
 
+  /**
+   * Reports that it drains, serves for `servesMs` after the store has taken that, and exits.
+   * Returns when the store took it.
+   */
+  function leave(servesMs) {
+    backend.state = 'draining';
+    beat();
+    const at = record.note('draining', label());
+    void sleep(servesMs).then(() => {
+      const cut = [...(current?.running.values() ?? [])].map((it) => it.attempt);
+      record.note('exits', { ...label(), cut: cut.join() });
+      end();
+      store.remove('servers', id);
+      options.onExit?.({ backend, cut });
+    });
+    return at;
+  }
+
   function stop() {
     end();
   }
@@ -175,6 +195,7 @@
       refuse(res, 421, attempt);
       return;
     }
+    options.onReach?.({ backend, attempt, at: record.now() });
     const status = backend.onRequest?.(req, attempt);
     if (status !== undefined) {
       refuse(res, status, attempt);
@@ -205,7 +226,7 @@
     let finish;
     const ended = new Promise((resolve) => (finish = resolve));
     const token = {};
-    state.running.set(token, { key, ended });
+    state.running.set(token, { key, ended, attempt });
     await sleep(workMs * (0.5 + Math.random()));
     state.running.delete(token);
     finish();
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -2,6 +2,7 @@
 import { createAgent, newAttempt, send } from './client.mjs';
 import { createBackend, expireEntries } from './backend.mjs';
 import { sleep } from './net.mjs';
+import { startProxy } from './proxy.mjs';
 import { startRouters } from './routers.mjs';
 import { startStore } from './store.mjs';
 
@@ -64,23 +65,50 @@
   );
   for (const it of backends) await it.start();
   const stopExpiry = expireEntries(backends, store, HEARTBEAT_MS, record);
-  const fleet = await startRouters({ count: routers, storePort: store.port, record, ...options });
+  const proxies = options.hasProxies
+    ? await Promise.all(Array.from({ length: routers }, () => startProxy(store.port)))
+    : [];
+  const fleet = await startRouters({
+    count: routers,
+    storePort: store.port,
+    storePorts: proxies.map((it) => it.port),
+    record,
+    ...options,
+  });
   return {
     store,
     backends,
+    /** Proxies before the store, one for each router. */
+    proxies,
+    /** Starts another backend of the sharded service. */
+    async addBackend(id) {
+      const backend = createBackend({
+        ...common,
+        id,
+        isSharded: true,
+        service: 'timetable',
+        workMs: options.workMs ?? 100,
+        warmupMs: options.warmupMs ?? 3_000,
+      });
+      backends.push(backend);
+      await backend.start();
+      return backend;
+    },
     routers: fleet.routers,
     areReady: () => fleet.areReady(),
     async stop() {
       await fleet.stop();
       stopExpiry();
       for (const it of backends) it.stop();
+      await Promise.all(proxies.map((it) => it.stop()));
       await store.stop();
     },
   };
 }
 
 /** Sends safe requests for keys at a steady rate until `until` says so; busy keys lie together. */
-export async function sendKeyed({ routers, record, perS, isOver, deadlineMs = 2_500, onAnswer }) {
+export async function sendKeyed({ routers, record, perS, isOver, ...options }) {
+  const { deadlineMs = 2_500, onSend, onAnswer } = options;
   const agents = routers.map(() => createAgent());
   const open = new Set();
   const hot = Math.floor(Math.random() * 60_000);
@@ -94,6 +122,7 @@
     const { front } = routers[index].ports;
     const path = `/read/${key.toString(16)}`;
     const request = { port: front, agent: agents[index], record, host: HOST, path, attempt };
+    onSend?.({ attempt, router: routers[index] });
     const sent = send({ ...request, key, deadlineMs }).then((answer) => {
       open.delete(sent);
       onAnswer?.(answer, attempt);
