Placement: a server has ended only if it refuses all routers

Cause: the leader took one refused connection for the end of the process. A cut path refuses in the same way.

The leader now asks the other routers (ReachServer): all of them that reported within the longest lease have to be refused too. If one reaches the server, the release goes over it, so that the keys move with their state; if one does not answer, the lease is waited for. A proof holds only for grants whose outcome was known before the question began. The release at servers that do not own a range, and the question to a former leader, take the same proof.

Ruled out: waiting for the lease at each refusal (7 s without an owner); shorter leases (they lapse during a change of leader); the registry's heartbeats (the row does not change with them); relayed grants (a suspended router delivers them late).

--- a/packages/placement/src/lib/become-leader.ts
+++ b/packages/placement/src/lib/become-leader.ts
@@ -2,6 +2,7 @@
 
 import { type RowStore, inEra } from '@boragepoint/platform';
 
+import type { RequestStepDown } from './former-leader.js';
 import {
   type Candidate,
   type LeaderLeaseReading,
@@ -13,7 +14,6 @@
   type PlacementLeaderOptions,
   createPlacementLeader,
 } from './placement-leader.js';
-import type { PlacementPeers } from './placement-peers.js';
 import { type LeaderLeaseRecord, releasedLease } from './placement-record.js';
 import {
   MAX_UNANSWERED_GRANT_MS,
@@ -34,7 +34,7 @@
 > {
   readonly self: Candidate;
   readonly store: RowStore;
-  readonly peers: PlacementPeers;
+  readonly requestStepDown: RequestStepDown;
   /** The reading of the row that showed that the leadership lease is free. */
   readonly reading: LeaderLeaseReading;
   /** The placement to start from, in an era that no leader has claimed. */
@@ -49,12 +49,12 @@
  */
 async function inheritedForMs(
   previous: LeaderLeaseRecord,
-  { self, peers, log }: BecomeLeaderOptions,
+  { self, requestStepDown, log }: BecomeLeaderOptions,
 ): Promise<number> {
   if (previous.handedOver) return previous.unansweredForMs;
   if (previous.router === self.router) return MAX_UNANSWERED_GRANT_MS;
   const { address, epoch, startedMs } = previous;
-  const answer = await peers.requestStepDown(address, epoch, startedMs, STEP_DOWN_TIMEOUT_MS);
+  const answer = await requestStepDown(address, epoch, startedMs, STEP_DOWN_TIMEOUT_MS);
   log.info('former leader asked to step down', { router: previous.router, answer: answer.kind });
   if (answer.kind === 'stopped') return answer.unansweredForMs;
   return answer.kind === 'gone'
--- a/packages/placement/src/lib/hand-over.ts
+++ b/packages/placement/src/lib/hand-over.ts
@@ -44,7 +44,6 @@
         continue;
       }
     }
-    if (hasEnded(ctx, holder.incarnation)) return;
     if (!isWaiting && waitMs > LONG_WAIT_MS) {
       isWaiting = true;
       ctx.log.info('range waits for its former owner', {
--- a/packages/placement/src/lib/held-range.ts
+++ b/packages/placement/src/lib/held-range.ts
@@ -86,7 +86,8 @@
   if (heldUntilMs === undefined) return inheritedHolder(record, times, !settled);
   const until = times.toMonotonic(heldUntilMs);
   const unansweredUntil = settled ? -Infinity : until;
-  return { incarnation, fence, bound: { answeredUntil: until, unansweredUntil }, inherited: false };
+  const bound = { ...noLease(), answeredUntil: until, unansweredUntil };
+  return { incarnation, fence, bound, inherited: false };
 }
 
 function inheritedHolder(
@@ -94,7 +95,7 @@
   { answeredUntil }: InheritedTimes,
   inherited: boolean,
 ): Holder {
-  return { incarnation, fence, bound: { answeredUntil, unansweredUntil: -Infinity }, inherited };
+  return { incarnation, fence, bound: { ...noLease(), answeredUntil }, inherited };
 }
 
 /**
--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -11,6 +11,7 @@
 } from './lease-bound.js';
 import type { IncarnationId, ServerDirectory } from './server-directory.js';
 import type { ServerHealth } from './server-health.js';
+import type { ServerReach } from './server-reach.js';
 import type { Clocks } from './suspension-guard.js';
 
 /** Logger for the decisions of placement. */
@@ -32,6 +33,8 @@
 /** Shared dependencies and state of a leader's parts. */
 export interface LeaderContext {
   readonly orders: ServerOrders;
+  /** Reaches servers over other routers. */
+  readonly reach: ServerReach;
   readonly directory: ServerDirectory;
   readonly health: ServerHealth;
   readonly clocks: Clocks;
@@ -68,14 +71,18 @@
   readonly nextFence: () => number;
 }
 
+/** Returns what the registry shows of a later start of the server. */
+function laterStart(ctx: LeaderContext, incarnation: ServerIncarnation) {
+  const entry = ctx.directory.get(incarnation.server)?.entry;
+  return entry && entry.startedMs > incarnation.startedMs ? entry : undefined;
+}
+
 /**
  * Returns whether an incarnation has ended, as proved by an order or by a later start in the
- * registry.
+ * registry. Its orders may have reached a later incarnation: see {@link mayHoldUntil}.
  */
 export function hasEnded(ctx: LeaderContext, incarnation: ServerIncarnation): boolean {
-  if (ctx.health.hasEnded(incarnation)) return true;
-  const known = ctx.directory.get(incarnation.server);
-  return known !== undefined && known.entry.startedMs > incarnation.startedMs;
+  return ctx.health.hasEnded(incarnation) || laterStart(ctx, incarnation) !== undefined;
 }
 
 /** Runs a task of a leader to its end; an unexpected error is logged and ends this task only. */
@@ -87,9 +94,16 @@
   }
 }
 
+/** Returns whether all processes have ended that a holder's grants can have reached. */
+function haveGrantsEnded(ctx: LeaderContext, { incarnation, bound }: Holder): boolean {
+  const endedFrom = ctx.health.endedFrom(incarnation);
+  if (endedFrom !== undefined && bound.settledAt <= endedFrom) return true;
+  return laterStart(ctx, incarnation) !== undefined;
+}
+
 /** Returns the time until which a holder may hold a range, on the monotonic clock. */
 export function mayHoldUntil(ctx: LeaderContext, holder: Holder): number {
-  if (hasEnded(ctx, holder.incarnation)) return -Infinity;
+  if (haveGrantsEnded(ctx, holder)) return -Infinity;
   const own = heldUntil(holder.bound);
   return holder.inherited ? Math.max(own, ctx.inheritedUntil()) : own;
 }
@@ -99,33 +113,58 @@
 
 /**
  * Returns whether a server may be leaving. A server announces that in the registry ahead of its
- * end. A leaving server stops listening before its last work has ended, so a refused connection
- * does not prove that its process has ended.
+ * end. A leaving server stops listening before its last work has ended, so that no connection to it
+ * proves anything.
  */
 function mayBeLeaving(ctx: LeaderContext, incarnation: ServerIncarnation): boolean {
-  const known = ctx.directory.get(incarnation.server);
-  if (known?.entry.startedMs !== incarnation.startedMs || known.entry.draining) return true;
+  const entry = ctx.directory.get(incarnation.server)?.entry;
+  if (!entry || entry.draining || entry.startedMs < incarnation.startedMs) return true;
   const followedMs = ctx.clocks.monotonic() - ctx.directory.currentSince();
   return followedMs < ctx.drainNoticeMs() + REGISTRY_DELAY_MS;
 }
 
-function noteOutcome(
+const targetOf = (incarnation: ServerIncarnation) => ({
+  serverId: incarnation.server,
+  address: incarnation.address,
+});
+
+function noteEnded(
   ctx: LeaderContext,
   incarnation: ServerIncarnation,
-  outcome: OrderOutcome,
+  proof: 'closed to all routers' | 'address taken',
+  from: number,
 ): void {
-  if (outcome.kind === 'gone' && mayBeLeaving(ctx, incarnation)) {
+  if (!ctx.health.hasEnded(incarnation)) {
+    const afterMs = Math.round(ctx.clocks.monotonic() - from);
+    ctx.log.info('backend server ended', { server: incarnation.server, proof, afterMs });
+  }
+  ctx.health.noteEnded(incarnation, from);
+}
+
+/**
+ * Finds out whether a server whose connection was refused has ended. The refusal may come from the
+ * path to it, so that the other routers are asked as well.
+ */
+async function checkEnd(ctx: LeaderContext, incarnation: ServerIncarnation): Promise<void> {
+  const from = mayBeLeaving(ctx, incarnation)
+    ? undefined
+    : await ctx.reach.closedFrom(targetOf(incarnation));
+  if (from === undefined || mayBeLeaving(ctx, incarnation))
     ctx.health.noteUnanswered(incarnation, ctx.clocks.monotonic());
-  } else if (outcome.kind === 'gone' || outcome.kind === 'misdirected') {
-    if (!ctx.health.hasEnded(incarnation)) {
-      ctx.log.info('backend server ended', { server: incarnation.server, proof: outcome.kind });
-    }
-    ctx.health.noteEnded(incarnation);
-  } else if (outcome.kind === 'unanswered' || outcome.kind === 'unreachable') {
+  else noteEnded(ctx, incarnation, 'closed to all routers', from);
+}
+
+async function noteOutcome(
+  ctx: LeaderContext,
+  incarnation: ServerIncarnation,
+  outcome: OrderOutcome,
+  sentAt: number,
+): Promise<void> {
+  if (outcome.kind === 'closed') await checkEnd(ctx, incarnation);
+  else if (outcome.kind === 'misdirected') noteEnded(ctx, incarnation, 'address taken', sentAt);
+  else if (outcome.kind === 'unanswered' || outcome.kind === 'unreachable')
     ctx.health.noteUnanswered(incarnation, ctx.clocks.monotonic());
-  } else {
-    ctx.health.noteAnswered(incarnation);
-  }
+  else ctx.health.noteAnswered(incarnation);
 }
 
 /**
@@ -148,11 +187,6 @@
   }
 }
 
-const targetOf = (incarnation: ServerIncarnation) => ({
-  serverId: incarnation.server,
-  address: incarnation.address,
-});
-
 /** Grants a range to its owner or renews its lease, and updates the bound of the lease. */
 export async function sendGrant(
   ctx: LeaderContext,
@@ -172,17 +206,44 @@
   const outcome = await settle(ctx, owner.incarnation, () =>
     ctx.orders.grant(target, order, ORDER_TIMEOUT_MS, ctx.signal),
   );
-  noteOutcome(ctx, owner.incarnation, outcome);
   const now = ctx.clocks.monotonic();
   if (outcome.kind === 'done') {
     recordAnswered(owner.bound, now, ctx.times);
     // The owner now refuses grants of the former leader, which have lower fencing tokens.
     owner.inherited = false;
   }
-  if (outcome.kind === 'unanswered') recordUnanswered(owner.bound, sentAt, ctx.times);
+  if (outcome.kind === 'unanswered') recordUnanswered(owner.bound, sentAt, now, ctx.times);
+  await noteOutcome(ctx, owner.incarnation, outcome, sentAt);
   return outcome;
 }
 
+/**
+ * Asks a server to release keys; over another router if connections from here are refused although
+ * the server has not ended.
+ */
+export async function orderRelease(
+  ctx: LeaderContext,
+  incarnation: ServerIncarnation,
+  order: RangeOrder,
+  timeoutMs: number,
+): Promise<OrderOutcome> {
+  const target = targetOf(incarnation);
+  const sentAt = ctx.clocks.monotonic();
+  const outcome = await settle(ctx, incarnation, () =>
+    ctx.orders.release(target, order, timeoutMs, ctx.signal),
+  );
+  await noteOutcome(ctx, incarnation, outcome, sentAt);
+  if (outcome.kind !== 'closed' || ctx.health.hasEnded(incarnation)) return outcome;
+  const relayed = await ctx.reach.release(target, order, timeoutMs);
+  ctx.log.info('release sent over another router', {
+    server: incarnation.server,
+    ...order,
+    outcome: relayed.kind,
+  });
+  if (relayed.kind === 'misdirected') noteEnded(ctx, incarnation, 'address taken', sentAt);
+  return relayed;
+}
+
 /** Asks a holder to release a range, and updates the bound of its lease. */
 export async function sendRelease(
   ctx: LeaderContext,
@@ -190,11 +251,7 @@
   holder: Holder,
 ): Promise<OrderOutcome> {
   const order: RangeOrder = { first: range.first, last: range.last, fence: holder.fence };
-  const target = targetOf(holder.incarnation);
-  const outcome = await settle(ctx, holder.incarnation, () =>
-    ctx.orders.release(target, order, RELEASE_TIMEOUT_MS, ctx.signal),
-  );
-  noteOutcome(ctx, holder.incarnation, outcome);
+  const outcome = await orderRelease(ctx, holder.incarnation, order, RELEASE_TIMEOUT_MS);
   if (outcome.kind === 'done') recordReleased(holder.bound);
   return outcome;
 }
--- a/packages/placement/src/lib/leader-memory.ts
+++ b/packages/placement/src/lib/leader-memory.ts
@@ -1,4 +1,5 @@
-import type { LeaderAddress, ReportAnswer, StepDownAnswer } from './placement-peers.js';
+import type { FormerLeaderAnswer } from './former-leader.js';
+import type { LeaderAddress, ReportAnswer } from './placement-peers.js';
 import type { Candidate } from './leader-lease.js';
 import type { PlacementLogger } from './leader-context.js';
 import type { PlacementLeader } from './placement-leader.js';
@@ -71,7 +72,7 @@
    * Notes the answer of a leader that was asked to step down; returns the time for which its
    * process has been known to have ended, in milliseconds.
    */
-  noteStepDown(epoch: number, answer: StepDownAnswer['kind']): number;
+  noteStepDown(epoch: number, answer: FormerLeaderAnswer['kind']): number;
   /**
    * Answers a request to step down: `gone` if it names another process, `refused` if `leader` leads
    * in the era that the asking router wants to claim.
@@ -96,7 +97,7 @@
   /** The era whose claimant was given that, if this router stopped because it was asked. */
   let stoppedForEra: number | undefined;
   /** The leader that was asked to step down last, and since when it has given this answer. */
-  let asked: { epoch: number; answer: StepDownAnswer['kind']; since: number } | undefined;
+  let asked: { epoch: number; answer: FormerLeaderAnswer['kind']; since: number } | undefined;
   /** An era of the store that no leader has claimed, and when that was first seen. */
   let unclaimed: { era: number; since: number } | undefined;
   /** The leader that answered last, and when, on the monotonic clock. */
--- a/packages/placement/src/lib/lease-bound.ts
+++ b/packages/placement/src/lib/lease-bound.ts
@@ -27,22 +27,33 @@
   answeredUntil: number;
   /** Time until which unanswered grants may let the server hold the range. */
   unansweredUntil: number;
+  /** When the outcome of the last grant was known that may let the server hold the range. */
+  settledAt: number;
 }
 
 /** Returns the bound of a server that was never granted the range. */
 export function noLease(): LeaseBound {
-  return { answeredUntil: -Infinity, unansweredUntil: -Infinity };
+  return { answeredUntil: -Infinity, unansweredUntil: -Infinity, settledAt: -Infinity };
 }
 
 /** Records a grant that was answered at `now`. */
 export function recordAnswered(bound: LeaseBound, now: number, times: LeaseTimes): void {
   bound.answeredUntil = Math.max(bound.answeredUntil, now + maxLeaseMs(times));
+  bound.settledAt = Math.max(bound.settledAt, now);
 }
 
-/** Records an unanswered grant that was sent at `sentAt`; it may or may not be carried out. */
-export function recordUnanswered(bound: LeaseBound, sentAt: number, times: LeaseTimes): void {
+/**
+ * Records a grant that was sent at `sentAt` and given up at `now`; it may or may not be carried out.
+ */
+export function recordUnanswered(
+  bound: LeaseBound,
+  sentAt: number,
+  now: number,
+  times: LeaseTimes,
+): void {
   const until = sentAt + times.transitMs + maxLeaseMs(times);
   bound.unansweredUntil = Math.max(bound.unansweredUntil, until);
+  bound.settledAt = Math.max(bound.settledAt, now);
 }
 
 /** Records an answered release, which ends answered grants but not unanswered ones. */
--- a/packages/placement/src/lib/lease-renewals.ts
+++ b/packages/placement/src/lib/lease-renewals.ts
@@ -30,7 +30,7 @@
     outcome: outcome.kind,
   });
   if (outcome.kind === 'fenced') await regrant(ctx, range);
-  if (outcome.kind === 'gone' || outcome.kind === 'misdirected') onOwnerEnded();
+  if (hasEnded(ctx, owner.incarnation)) onOwnerEnded();
 }
 
 /** Grants a range under a new fencing token after its owner has refused a lower one. */
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { type ServerOrders, createWakeSignal } from '@boragepoint/platform';
+import { type OrderOutcome, type ServerOrders, createWakeSignal } from '@boragepoint/platform';
 
 import { createChangeFeed } from './change-feed.js';
 import { handOver } from './hand-over.js';
@@ -26,6 +26,7 @@
 import type { ServerDirectory } from './server-directory.js';
 import { createServerHealth } from './server-health.js';
 import type { ServerLimits } from './server-limits.js';
+import { type ReachRequest, createServerReach } from './server-reach.js';
 import {
   MAX_JOINS_PER_PLAN,
   type ServiceLoadReport,
@@ -112,6 +113,10 @@
   /** Converts a time of the store's clock to the latest monotonic time at which it can occur. */
   readonly toMonotonic: (storeMs: number) => number;
   readonly orders: ServerOrders;
+  /** Addresses of the other routers that may reach servers. */
+  reachers(): readonly string[];
+  /** Asks another router to reach a server; see {@link ServerReachOptions.ask}. */
+  askToReach(router: string, req: ReachRequest): Promise<OrderOutcome>;
   readonly directory: ServerDirectory;
   readonly clocks: Clocks;
   readonly log: PlacementLogger;
@@ -227,6 +232,11 @@
 
   const ctx: LeaderContext = {
     orders: options.orders,
+    reach: createServerReach({
+      others: () => options.reachers(),
+      ask: (router, req) => options.askToReach(router, req),
+      now: clocks.monotonic,
+    }),
     directory,
     health: createServerHealth(),
     clocks,
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -1,11 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { RowStore, ServerOrders } from '@boragepoint/platform';
+import type { OrderOutcome, RowStore, ServerOrders } from '@boragepoint/platform';
 import type { ReportRequest, RequestPermitsRequest } from '@boragepoint/protocol';
 
 import { becomeLeader } from './become-leader.js';
 import { createChangeSignal } from './change-signal.js';
 import type { OnUnusable } from './decode-list.js';
+import { createStepDownRequests } from './former-leader.js';
 import { createKnownPeers } from './known-peers.js';
 import { createKnownPlacement } from './known-placement.js';
 import type { PlacementLogger } from './leader-context.js';
@@ -48,6 +49,7 @@
 import { createReporters } from './reporters.js';
 import type { ServerDirectory } from './server-directory.js';
 import type { LimitNotice, ServerLimits } from './server-limits.js';
+import type { ReachRequest } from './server-reach.js';
 import type { ServiceLoadReport } from './service-planner.js';
 import { createSuspectExchange } from './suspect-exchange.js';
 import type { SuspectRecord } from './suspect-record.js';
@@ -80,6 +82,8 @@
  * milliseconds.
  */
 const LEASE_CHECK_INTERVAL_MS = 1_000;
+/** Time in which the other routers have reported to a new leader, in milliseconds. */
+const FIRST_REPORTS_MS = 2_000;
 /** Number of peers that a starting router reports to, besides the leader. */
 const CATCH_UP_PEERS = 3;
 /** Timeout of these reports, in milliseconds. */
@@ -149,6 +153,8 @@
    * leads in the era that the asking one wants to claim.
    */
   answerStepDown(req: StepDownRequest): StepDownReply | 'gone' | 'refused';
+  /** Reaches a backend server for a leader whose connection to it was refused. */
+  reachServer(req: ReachRequest): Promise<OrderOutcome>;
   /**
    * Leads or follows until `leadSignal` aborts, then hands over if it leads; follows until
    * `followSignal` aborts.
@@ -163,6 +169,8 @@
   readonly capacity: number;
   readonly store: RowStore;
   readonly orders: ServerOrders;
+  /** Opens a connection to an address and closes it; `unclear` if it is neither made nor refused. */
+  probeServer(address: string): Promise<'listens' | 'refused' | 'unclear'>;
   readonly directory: ServerDirectory;
   readonly peers: PlacementPeers;
   readonly clocks: Clocks;
@@ -231,6 +239,12 @@
     limitExchange,
     view: () => known.view(),
     isServedByStore: () => isServedByStore(),
+    isStopping: () => isStopping,
+  });
+  const requestStepDown = createStepDownRequests({
+    peers,
+    others: () => knownPeers.all(),
+    now: clocks.monotonic,
   });
   const transferLeadership = createLeadershipTransfer(options.capacity, clocks);
   let routers = 1;
@@ -245,6 +259,7 @@
   let leaseReadAt = -Infinity;
   let isLeaderLeaseExpired = false;
   let isCaughtUp = false;
+  let isStopping = false;
   const createdAt = clocks.monotonic();
 
   // The leader confirms its lease in a new era as soon as any call tells of it.
@@ -262,6 +277,17 @@
   const isServedByStore = () => options.directory.currentSince() < Infinity;
   const countRouters = () => reporters.count() + 1;
 
+  /**
+   * Addresses of the routers that may reach servers. A router that has just begun to lead adds those
+   * that it knows, since some may not have reported to it yet.
+   */
+  function reachers(): readonly string[] {
+    const reporting = reporters.mayReachServers();
+    const ledForMs = leader ? clocks.monotonic() - leader.startedAt : 0;
+    if (ledForMs >= FIRST_REPORTS_MS) return reporting;
+    return [...new Set([...reporting, ...knownPeers.all()])];
+  }
+
   async function acquireLease(
     reading: LeaderLeaseReading,
     signal: AbortSignal,
@@ -270,10 +296,13 @@
     const partitionedServices = () => options.partitionedServices() ?? [];
     const created = await becomeLeader({
       ...options,
+      requestStepDown,
       partitionedServices,
       routers: countRouters,
       suspects: () => exchange.runsToStore(),
       knownPeers: () => knownPeers.all(),
+      reachers: () => reachers(),
+      askToReach: (router, req) => peers.reachServer(router, req),
       witnessCandidates: () => [...reporters.addresses(), ...knownPeers.all()],
       tellWitness: (address, note) => peers.notePlacement(address, note, WITNESS_TIMEOUT_MS),
       reading,
@@ -342,6 +371,7 @@
     const view = known.beyondCopy();
     const recovered = await recoverPlacement({
       ...options,
+      requestStepDown,
       reading,
       unclaimedForMs: memory.noteUnclaimed(era),
       view,
@@ -573,7 +603,16 @@
       return true;
     },
     answerStepDown: (req) => memory.answerStepDown(req, leader),
+    async reachServer({ target, release, timeoutMs }) {
+      if (release) return options.orders.release(target, release, timeoutMs);
+      const result = await options.probeServer(target.address);
+      if (result === 'listens') return { kind: 'done', handover: undefined };
+      return { kind: result === 'refused' ? 'closed' : 'unanswered' };
+    },
     async run(leadSignal, followSignal) {
+      leadSignal.addEventListener('abort', () => {
+        isStopping = true;
+      });
       const ended = new Promise((resolve) => {
         followSignal.addEventListener('abort', resolve);
       });
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -1,5 +1,6 @@
 import { isCallable } from '@boragepoint/config';
 import {
+  type OrderOutcome,
   type ProgressTimeout,
   OversizedBodyError,
   type RowDelta,
@@ -15,6 +16,9 @@
   type LeaderSeat,
   type NotePlacementRequest,
   PlacementService,
+  ReachServerResponse_Reach as Reach,
+  type ReachServerRequest,
+  type ReachServerResponse,
   type ReportRequestSchema,
   type TableState,
   type TableUpdate,
@@ -31,12 +35,15 @@
 import type { LeaderLeaseRecord } from './placement-record.js';
 import type { PlacementView, RangeView } from './placement-view.js';
 import { type StoppedLeader, decodeStoppedLeader } from './stopped-leader.js';
+import type { ReachRequest } from './server-reach.js';
 import { type AgedRun, decodeRun, encodeRun } from './suspect-run.js';
 import { decodeCount, requireCount } from './wire-number.js';
 import type { NoteAnswer, PlacementNote } from './witnesses.js';
 
 /** Timeouts of the transfer of a table between routers, in milliseconds. */
 const FETCH_TIMEOUTS = { firstByteTimeoutMs: 1_000, progressTimeoutMs: 1_000 };
+/** Time that a router gets beyond the time in which a server has to answer it, in milliseconds. */
+const REACH_SLACK_MS = 300;
 /** Largest message of another router, in bytes. */
 const MAX_ANSWER_BYTES = 16 << 20;
 /** Longest time since a leader was heard that is told, in milliseconds. */
@@ -108,7 +115,8 @@
  * Answer of a former leader that was asked to step down:
  * - `stopped`: it sends no more orders; `unansweredForMs` is the time until its unanswered grants
  *   have expired, `stopped` is what it knew, if it still has that.
- * - `gone`: its process has ended.
+ * - `gone`: its process has ended: another one answered at its address.
+ * - `refused`: the connection was refused, which does not tell whether its process has ended.
  * - `silent`: it did not answer.
  */
 export type StepDownAnswer =
@@ -117,7 +125,7 @@
       readonly unansweredForMs: number;
       readonly stopped: StoppedLeader | undefined;
     }
-  | { readonly kind: 'gone' | 'silent' };
+  | { readonly kind: 'gone' | 'refused' | 'silent' };
 
 /** Suspect runs that one router shares with another. */
 export interface SuspectUpdate {
@@ -183,6 +191,11 @@
     ask: PermitsAsk,
     timeoutMs: number,
   ): Promise<PermitsAnswer | undefined>;
+  /**
+   * Asks a router to reach a backend server; resolves to `unanswered` without an answer of it. The
+   * router gets a little longer than the server does.
+   */
+  reachServer(address: string, req: ReachRequest): Promise<OrderOutcome>;
   /**
    * Fetches the rows that another router has of a table after a version; resolves to `undefined`
    * without an answer.
@@ -192,6 +205,37 @@
 
 type ViewMessage = Pick<FetchPlacementResponse, 'epoch' | 'change' | 'services'>;
 
+const REACH_OF: Readonly<Partial<Record<OrderOutcome['kind'], Reach>>> = {
+  done: Reach.DONE,
+  closed: Reach.CLOSED,
+  misdirected: Reach.MISDIRECTED,
+};
+
+/** Encodes what came of reaching a server; what says nothing of it is left out. */
+export function encodeReach(outcome: OrderOutcome) {
+  const handover = outcome.kind === 'done' ? outcome.handover : undefined;
+  const reach = REACH_OF[outcome.kind] ?? Reach.UNSPECIFIED;
+  return { reach, ...(handover !== undefined && { handover }) };
+}
+
+function decodeReach({ reach, handover }: ReachServerResponse): OrderOutcome {
+  if (reach === Reach.DONE) return { kind: 'done', handover };
+  if (reach === Reach.CLOSED) return { kind: 'closed' };
+  return { kind: reach === Reach.MISDIRECTED ? 'misdirected' : 'unanswered' };
+}
+
+/** Decodes a request to reach a server; throws if its numbers can't be told apart. */
+export function decodeReachRequest(req: ReachServerRequest): ReachRequest {
+  const { server, address, release, timeoutMs } = req;
+  const { first, last, fence } = release ?? {};
+  const isRelease = first !== undefined && last !== undefined && fence !== undefined;
+  return {
+    target: { serverId: server, address },
+    release: isRelease ? { first, last, fence: requireCount(fence) } : undefined,
+    timeoutMs,
+  };
+}
+
 interface Peer {
   readonly rpc: Client<typeof PlacementService>;
   readonly sessions: Http2SessionManager;
@@ -412,7 +456,7 @@
         return { kind: 'stopped', unansweredForMs, stopped };
       } catch (cause) {
         disconnect(address);
-        return { kind: isConnectionRefused(cause) ? 'gone' : 'silent' };
+        return { kind: isConnectionRefused(cause) ? 'refused' : 'silent' };
       }
     },
     async shareSuspects(address, { runs, from }, timeoutMs) {
@@ -439,6 +483,20 @@
         return undefined;
       }
     },
+    async reachServer(address, { target, release, timeoutMs }) {
+      const req = {
+        server: target.serverId,
+        address: target.address,
+        timeoutMs,
+        ...(release && { release: { ...release, fence: BigInt(release.fence) } }),
+      };
+      try {
+        const limits = { timeoutMs: timeoutMs + REACH_SLACK_MS };
+        return decodeReach(await peerAt(address).rpc.reachServer(req, limits));
+      } catch {
+        return { kind: 'unanswered' };
+      }
+    },
     async rowsSince(address, table, knownVersion) {
       using timeout = createProgressTimeout(FETCH_TIMEOUTS);
       const req = { table, knownVersion: BigInt(knownVersion) };
--- a/packages/placement/src/lib/range-table.ts
+++ b/packages/placement/src/lib/range-table.ts
@@ -102,6 +102,7 @@
   if (!bound || !other) return;
   bound.answeredUntil = Math.max(bound.answeredUntil, other.answeredUntil);
   bound.unansweredUntil = Math.max(bound.unansweredUntil, other.unansweredUntil);
+  bound.settledAt = Math.max(bound.settledAt, other.settledAt);
 }
 
 function hasSameOwner(a: HeldRange, b: HeldRange): boolean {
--- a/packages/placement/src/lib/recover-placement.ts
+++ b/packages/placement/src/lib/recover-placement.ts
@@ -3,7 +3,8 @@
 import { LEASE_MS, ORDER_TIMEOUT_MS } from './leader-context.js';
 import { LEADER_LEASE_MS, type LeaderLeaseReading, RENEWAL_GRACE_MS } from './leader-lease.js';
 import { maxLeaseMs } from './lease-bound.js';
-import type { FetchedPlacement, PlacementPeers, StepDownAnswer } from './placement-peers.js';
+import type { FormerLeaderAnswer, RequestStepDown } from './former-leader.js';
+import type { FetchedPlacement, PlacementPeers } from './placement-peers.js';
 import {
   type HolderRecord,
   type LeaderLeaseRecord,
@@ -63,7 +64,8 @@
   readonly stopped: StoppedLeader | undefined;
   /** Addresses of other routers. */
   readonly addresses: readonly string[];
-  readonly peers: Pick<PlacementPeers, 'fetchPlacement' | 'requestStepDown'>;
+  readonly peers: Pick<PlacementPeers, 'fetchPlacement'>;
+  readonly requestStepDown: RequestStepDown;
   readonly directory: Pick<ServerDirectory, 'get'>;
   readonly clocks: Clocks;
   /** Called with the newest placement that any router knows beyond the copy. */
@@ -72,7 +74,7 @@
    * Called with the answer of the leader of an epoch that was asked to step down; returns the time
    * for which its process has been known to have ended, in milliseconds.
    */
-  noteStepDown(epoch: number, answer: StepDownAnswer['kind']): number;
+  noteStepDown(epoch: number, answer: FormerLeaderAnswer['kind']): number;
 }
 
 /**
@@ -189,11 +191,11 @@
 
 /** Returns the copy's placement once all leases that it may lack have ended. */
 async function fromCopy(options: RecoverOptions): Promise<RecoveredPlacement | undefined> {
-  const { reading, unclaimedForMs, peers } = options;
+  const { reading, unclaimedForMs, requestStepDown } = options;
   const { copy } = reading;
   if (copy) {
     const { address, epoch, startedMs } = copy.leaderLease;
-    const answer = await peers.requestStepDown(
+    const answer = await requestStepDown(
       address,
       epoch,
       startedMs,
@@ -231,12 +233,12 @@
 async function stopLeader(
   newest: FetchedPlacement,
   options: RecoverOptions,
-): Promise<StepDownAnswer> {
+): Promise<FormerLeaderAnswer> {
   const { leader } = newest;
   if (!leader) return { kind: 'silent' };
   const { epoch } = newest.view;
   const { era } = options.reading;
-  return options.peers.requestStepDown(leader.address, epoch, 0, STEP_DOWN_TIMEOUT_MS, era);
+  return options.requestStepDown(leader.address, epoch, 0, STEP_DOWN_TIMEOUT_MS, era);
 }
 
 /**
--- a/packages/placement/src/lib/release-others.ts
+++ b/packages/placement/src/lib/release-others.ts
@@ -3,7 +3,7 @@
 import type { KeySpan } from '@boragepoint/platform';
 
 import type { HeldRange } from './held-range.js';
-import { type LeaderContext, hasEnded } from './leader-context.js';
+import { type LeaderContext, hasEnded, orderRelease } from './leader-context.js';
 import type { KnownServer } from './server-directory.js';
 
 const MAX_KEY = 65_535;
@@ -32,13 +32,11 @@
   fence: number,
 ): Promise<boolean> {
   const incarnation = { server: entry.id, address: entry.address, startedMs: entry.startedMs };
-  const target = { serverId: entry.id, address: entry.address };
   const deadline = ctx.clocks.monotonic() + MAX_WAIT_MS;
   while (!ctx.signal.aborted && !hasEnded(ctx, incarnation)) {
     const order = { ...span, fence };
-    const outcome = await ctx.orders.release(target, order, MAX_WAIT_MS, ctx.signal);
-    if (outcome.kind === 'done' || outcome.kind === 'gone' || outcome.kind === 'misdirected')
-      return true;
+    const outcome = await orderRelease(ctx, incarnation, order, MAX_WAIT_MS);
+    if (outcome.kind === 'done' || outcome.kind === 'misdirected') return true;
     if (ctx.clocks.monotonic() >= deadline) return false;
     await sleep(RETRY_MS);
   }
--- a/packages/placement/src/lib/report-client.ts
+++ b/packages/placement/src/lib/report-client.ts
@@ -24,6 +24,8 @@
   view(): PlacementView;
   /** Returns whether the store answers this router. */
   isServedByStore(): boolean;
+  /** Returns whether this process is about to end. */
+  isStopping(): boolean;
 }
 
 /** Times of one report. */
@@ -62,6 +64,7 @@
       address: self.address,
       capacity: options.capacity,
       servedByStore: options.isServedByStore(),
+      stopping: options.isStopping(),
       startedMs: BigInt(self.startedMs),
       knownEpoch: BigInt(known.epoch),
       knownChange: BigInt(known.change),
--- a/packages/placement/src/lib/reporters.ts
+++ b/packages/placement/src/lib/reporters.ts
@@ -1,7 +1,13 @@
+import { MAX_UNANSWERED_GRANT_MS } from './recover-placement.js';
 import type { Clocks } from './suspension-guard.js';
 
 /** Time without a report after which a router is dropped, in milliseconds. */
 const REPORTER_TTL_MS = 3_500;
+/**
+ * Time since its last report for which a router may still reach servers that hold leases, in
+ * milliseconds: as long as the longest of these leases.
+ */
+const REACH_TTL_MS = MAX_UNANSWERED_GRANT_MS;
 /** Maximum number of routers named in an answer to a report. */
 const MAX_NAMED_PEERS = 3;
 
@@ -13,6 +19,8 @@
   readonly capacity: number;
   /** True if the store answers the router. */
   readonly servedByStore: boolean;
+  /** True if its process is about to end. */
+  readonly stopping: boolean;
 }
 
 /** Routers that reported to this one recently. */
@@ -25,6 +33,11 @@
   count(): number;
   /** Addresses of the routers that reported recently. */
   addresses(): string[];
+  /**
+   * Addresses of the routers that may reach servers which this one does not reach, whether or not
+   * they still report; without those that said that they stop.
+   */
+  mayReachServers(): string[];
   /** Addresses of some of these routers, without the address `except`. */
   someAddresses(except: string): string[];
 }
@@ -34,29 +47,34 @@
   const reporters = new Map<string, Reporter & { at: number }>();
 
   function forgetSilent(): void {
-    const oldest = clocks.monotonic() - REPORTER_TTL_MS;
+    const oldest = clocks.monotonic() - REACH_TTL_MS;
     for (const [router, { at }] of reporters) if (at < oldest) reporters.delete(router);
   }
 
+  function recent(): readonly Reporter[] {
+    forgetSilent();
+    const oldest = clocks.monotonic() - REPORTER_TTL_MS;
+    return [...reporters.values()].filter((it) => it.at >= oldest);
+  }
+
   return {
     note(reporter) {
       reporters.set(reporter.router, { ...reporter, at: clocks.monotonic() });
     },
     strongest() {
-      forgetSilent();
-      const served = [...reporters.values()].filter((it) => it.servedByStore);
+      const served = recent().filter((it) => it.servedByStore);
       return served.sort((a, b) => b.capacity - a.capacity)[0];
     },
-    count() {
-      forgetSilent();
-      return reporters.size;
-    },
-    addresses() {
+    count: () => recent().length,
+    addresses: () => recent().map((it) => it.address),
+    mayReachServers() {
       forgetSilent();
-      return [...reporters.values()].map((it) => it.address);
+      return [...reporters.values()].filter((it) => !it.stopping).map((it) => it.address);
     },
     someAddresses(except) {
-      const others = [...reporters.values()].map((it) => it.address).filter((it) => it !== except);
+      const others = recent()
+        .map((it) => it.address)
+        .filter((it) => it !== except);
       if (others.length <= MAX_NAMED_PEERS) return others;
       const start = Math.floor(random() * others.length);
       return Array.from(
--- a/packages/placement/src/lib/server-health.ts
+++ b/packages/placement/src/lib/server-health.ts
@@ -10,9 +10,14 @@
   noteAnswered(incarnation: ServerIncarnation): void;
   /** Records an unanswered order; `now` is on the monotonic clock. */
   noteUnanswered(incarnation: ServerIncarnation, now: number): void;
-  /** Records proof that the incarnation has ended. */
-  noteEnded(incarnation: ServerIncarnation): void;
+  /** Records proof that no process of the server was left at its address at some time after `from`. */
+  noteEnded(incarnation: ServerIncarnation, from: number): void;
   hasEnded(incarnation: ServerIncarnation): boolean;
+  /**
+   * Returns the time up to which orders can only have reached processes that have ended, on the
+   * monotonic clock; `undefined` without proof.
+   */
+  endedFrom(incarnation: ServerIncarnation): number | undefined;
   /** Returns true while the latest orders to the incarnation went unanswered. */
   isUnresponsive(incarnation: ServerIncarnation, now: number): boolean;
 }
@@ -23,7 +28,7 @@
 /** Creates a record without outcomes. */
 export function createServerHealth(): ServerHealth {
   const unanswered = new Map<string, { count: number; at: number }>();
-  const ended = new Set<string>();
+  const ended = new Map<string, number>();
   return {
     noteAnswered(incarnation) {
       unanswered.delete(incarnationKey(incarnation));
@@ -32,10 +37,12 @@
       const count = (unanswered.get(incarnationKey(incarnation))?.count ?? 0) + 1;
       unanswered.set(incarnationKey(incarnation), { count, at: now });
     },
-    noteEnded(incarnation) {
-      ended.add(incarnationKey(incarnation));
+    noteEnded(incarnation, from) {
+      const known = ended.get(incarnationKey(incarnation)) ?? -Infinity;
+      ended.set(incarnationKey(incarnation), Math.max(known, from));
     },
     hasEnded: (incarnation) => ended.has(incarnationKey(incarnation)),
+    endedFrom: (incarnation) => ended.get(incarnationKey(incarnation)),
     isUnresponsive(incarnation, now) {
       const last = unanswered.get(incarnationKey(incarnation));
       return (
--- a/packages/placement/src/test/fake-holders.ts
+++ b/packages/placement/src/test/fake-holders.ts
@@ -1,7 +1,12 @@
 import type { GrantOrder, OrderOutcome, RangeOrder, ServerOrders } from '@boragepoint/platform';
 
-/** How a fake server reacts to orders. */
-export type HolderMode = 'answers' | 'silent' | 'gone';
+import type { ServerReach } from '../lib/server-reach.js';
+
+/**
+ * How a fake server reacts to orders; `cut` refuses connections from the leader, `closed` from all
+ * routers.
+ */
+export type HolderMode = 'answers' | 'silent' | 'cut' | 'closed';
 
 interface Lease {
   first: number;
@@ -20,6 +25,8 @@
   holdersOf(key: number): string[];
   /** Carries out the unanswered grants; their leases start now. */
   deliverLate(): void;
+  /** Reaches the servers over another router. */
+  readonly reach: ServerReach;
 }
 
 const DONE: OrderOutcome = { kind: 'done', handover: undefined };
@@ -54,7 +61,7 @@
 
   function unavailable(server: string): OrderOutcome | undefined {
     const mode = holders.modes.get(server) ?? 'answers';
-    if (mode === 'gone') return { kind: 'gone' };
+    if (mode === 'closed' || mode === 'cut') return { kind: 'closed' };
     return mode === 'silent' ? { kind: 'unanswered' } : undefined;
   }
 
@@ -84,6 +91,18 @@
       for (const deliver of late) deliver();
       late = [];
     },
+    reach: {
+      closedFrom: ({ serverId }) =>
+        Promise.resolve(holders.modes.get(serverId) === 'closed' ? now() : undefined),
+      release({ serverId }, order) {
+        holders.sent.push(
+          `relayed release ${serverId} ${order.first}-${order.last} #${order.fence}`,
+        );
+        if (holders.modes.get(serverId) !== 'cut') return Promise.resolve({ kind: 'unreachable' });
+        drop(serverId, order);
+        return Promise.resolve({ kind: 'done', handover: `state of ${serverId}` });
+      },
+    },
   };
   return holders;
 }
--- /dev/null
+++ b/packages/placement/src/test/former-leader_test.ts
@@ -0,0 +1,40 @@
+import { test } from 'node:test';
+
+import type { OrderOutcome } from '@boragepoint/platform';
+import { expect } from 'earl';
+
+import { createStepDownRequests } from '../lib/former-leader.js';
+import type { StepDownAnswer } from '../lib/placement-peers.js';
+
+const LEADER = 'leader:1';
+
+/** Asks a former leader; `others` says what the other routers find at its address. */
+function ask(answer: StepDownAnswer, others: Readonly<Record<string, OrderOutcome['kind']>>) {
+  const requestStepDown = createStepDownRequests({
+    peers: {
+      requestStepDown: () => Promise.resolve(answer),
+      reachServer(router) {
+        const kind = others[router] ?? 'unanswered';
+        return Promise.resolve(kind === 'done' ? { kind, handover: undefined } : { kind });
+      },
+    },
+    others: () => [LEADER, ...Object.keys(others)],
+    now: () => 0,
+  });
+  return requestStepDown(LEADER, 1, 1, 100);
+}
+
+// Guards against a former leader that goes on renewing leases behind a cut path: the refused
+// connection was taken for its end.
+test('a former leader that refuses the connection has ended only if it refuses all routers', async () => {
+  const refused = { kind: 'refused' } as const;
+  expect(await ask(refused, { r1: 'closed', r2: 'closed' })).toEqual({ kind: 'gone' });
+  expect(await ask(refused, { r1: 'closed', r2: 'done' })).toEqual({ kind: 'silent' });
+  expect(await ask(refused, { r1: 'closed', r2: 'unanswered' })).toEqual({ kind: 'silent' });
+  expect(await ask(refused, {})).toEqual({ kind: 'silent' });
+});
+
+test('other answers of a former leader stand as they are', async () => {
+  expect(await ask({ kind: 'silent' }, { r1: 'closed' })).toEqual({ kind: 'silent' });
+  expect(await ask({ kind: 'gone' }, { r1: 'done' })).toEqual({ kind: 'gone' });
+});
--- a/packages/placement/src/test/hand-over_test.ts
+++ b/packages/placement/src/test/hand-over_test.ts
@@ -28,6 +28,7 @@
   const directory = createFakeDirectory(['a', 'b']);
   const ctx: LeaderContext = {
     orders: holders,
+    reach: holders.reach,
     directory,
     health: createServerHealth(),
     clocks: { monotonic: now, timeOfDay: Date.now },
@@ -80,7 +81,7 @@
   const sentAt = performance.now();
   await holders.grant({ serverId: 'a', address: 'a:1' }, order, 100);
   const former = range.former[0];
-  if (former) recordUnanswered(former.bound, sentAt, times);
+  if (former) recordUnanswered(former.bound, sentAt, performance.now(), times);
   holders.modes.set('a', 'answers');
   const handingOver = handOver(ctx, range);
   holders.deliverLate();
@@ -94,7 +95,7 @@
 
 test('a hand-over does not wait for a former owner whose process has ended', async () => {
   const { ctx, holders, range } = await setUp();
-  holders.modes.set('a', 'gone');
+  holders.modes.set('a', 'closed');
   await handOver(ctx, range);
   expect(holders.sent).toEqual(['release a 0-9 #1', 'grant b 0-9 #2']);
   expect(range.granted).toEqual(true);
@@ -102,7 +103,7 @@
 
 test('a leaving former owner that refuses connections may still hold the range', async () => {
   const { ctx, holders, directory, range } = await setUp();
-  holders.modes.set('a', 'gone');
+  holders.modes.set('a', 'closed');
   directory.set('a', { draining: true });
   const handingOver = handOver(ctx, range);
   await setTimeout(20);
@@ -113,7 +114,7 @@
 
 test('a former owner that has left the registry and refuses connections may still hold the range', async () => {
   const { ctx, holders, directory, range } = await setUp();
-  holders.modes.set('a', 'gone');
+  holders.modes.set('a', 'closed');
   directory.drop('a');
   const handingOver = handOver(ctx, range);
   await setTimeout(20);
@@ -124,7 +125,7 @@
 
 test('shortly after a gap in the watch of the registry, a refused connection does not prove that a process ended', async () => {
   const { ctx, holders, directory, range } = await setUp();
-  holders.modes.set('a', 'gone');
+  holders.modes.set('a', 'closed');
   directory.resumeWatch(performance.now());
   const handingOver = handOver(ctx, range);
   await setTimeout(20);
@@ -133,9 +134,41 @@
   expect(holders.holdersOf(5)).toEqual(['b']);
 });
 
+// Guards against two holders when only the path from the leader to a server is cut: the refused
+// connection was taken for the server's end, and its keys were granted to another at once.
+test('a former owner that refuses only the leader releases the range over another router', async () => {
+  const { ctx, holders, range } = await setUp();
+  holders.modes.set('a', 'cut');
+  await handOver(ctx, range);
+  expect(holders.sent).toEqual(['release a 0-9 #1', 'relayed release a 0-9 #1', 'grant b 0-9 #2']);
+  expect(holders.holdersOf(5)).toEqual(['b']);
+});
+
+// Guards against the same where no other router reaches the server either, and some do not say so.
+test('a former owner that refuses the leader and is not known to refuse all routers keeps the range until its lease has expired', async () => {
+  const { ctx, holders, range } = await setUp();
+  holders.modes.set('a', 'cut');
+  const release = () => Promise.resolve({ kind: 'unreachable' as const });
+  const handingOver = handOver({ ...ctx, reach: { ...holders.reach, release } }, range);
+  await setTimeout(20);
+  expect(holders.holdersOf(5)).toEqual(['a']);
+  await handingOver;
+  expect(holders.holdersOf(5)).toEqual(['b']);
+});
+
+// Guards against two holders when a server starts again between its end and the proof of that.
+test('a grant that was answered after the proof of an end lets the server hold the range', async () => {
+  const { ctx, holders, range } = await setUp();
+  ctx.health.noteEnded(incarnationOf('a'), performance.now());
+  const former = range.former[0];
+  if (former) recordAnswered(former.bound, performance.now() + 1, times);
+  await handOver(ctx, range);
+  expect(holders.sent).toEqual(['release a 0-9 #1', 'grant b 0-9 #2']);
+});
+
 test('if the process of the new owner has ended, the range stays without a grant until the next plan', async () => {
   const { ctx, holders, range } = await setUp();
-  holders.modes.set('b', 'gone');
+  holders.modes.set('b', 'closed');
   await handOver(ctx, range);
   expect(range.granted).toEqual(false);
   expect(range.busy).toEqual(false);
--- a/packages/placement/src/test/lease-bound_test.ts
+++ b/packages/placement/src/test/lease-bound_test.ts
@@ -33,7 +33,7 @@
 test('an answered release does not end an unanswered grant, which may be carried out later', () => {
   const bound = noLease();
   recordAnswered(bound, 10_000, times);
-  recordUnanswered(bound, 11_000, times);
+  recordUnanswered(bound, 11_000, 11_500, times);
   recordReleased(bound);
   expect(heldUntil(bound)).toEqual(11_000 + times.transitMs + maxLeaseMs(times));
 });
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -91,6 +91,8 @@
     inheritedForMs: INHERITED_MS,
     toMonotonic: (storeMs) => storeMs,
     orders: holders,
+    reachers: () => [],
+    askToReach: () => Promise.resolve({ kind: 'unanswered' }),
     directory: createFakeDirectory(['a', 'b']),
     clocks: processClocks,
     log: { info: () => undefined, warn: () => undefined },
--- a/packages/placement/src/test/recover-placement_test.ts
+++ b/packages/placement/src/test/recover-placement_test.ts
@@ -4,7 +4,8 @@
 import { expect } from 'earl';
 
 import { LEADER_LEASE_MS, RENEWAL_GRACE_MS } from '../lib/leader-lease.js';
-import type { FetchedPlacement, StepDownAnswer } from '../lib/placement-peers.js';
+import type { FormerLeaderAnswer } from '../lib/former-leader.js';
+import type { FetchedPlacement } from '../lib/placement-peers.js';
 import type { Placement } from '../lib/placement-record.js';
 import {
   MAX_UNANSWERED_GRANT_MS,
@@ -76,12 +77,12 @@
 interface Known extends Partial<RecoverOptions> {
   /** What each other router answers. */
   readonly others?: readonly (FetchedPlacement | undefined)[];
-  readonly stepDown?: StepDownAnswer;
+  readonly stepDown?: FormerLeaderAnswer;
   /** Time for which the leader has been known to have ended, in milliseconds. */
   readonly goneForMs?: number;
 }
 
-const GONE: StepDownAnswer = { kind: 'gone' };
+const GONE: FormerLeaderAnswer = { kind: 'gone' };
 
 function recover(known: Known) {
   const { others = [], stepDown = { kind: 'silent' }, goneForMs = 0, ...options } = known;
@@ -105,10 +106,8 @@
     leader: undefined,
     stopped: undefined,
     addresses: others.map((_, index) => String(index)),
-    peers: {
-      fetchPlacement: (address) => Promise.resolve(others[Number(address)]),
-      requestStepDown: () => Promise.resolve(stepDown),
-    },
+    peers: { fetchPlacement: (address) => Promise.resolve(others[Number(address)]) },
+    requestStepDown: () => Promise.resolve(stepDown),
     directory: createFakeDirectory(['a', 'b']),
     clocks,
     onFound: () => undefined,
--- a/packages/placement/src/test/release-others_test.ts
+++ b/packages/placement/src/test/release-others_test.ts
@@ -30,6 +30,7 @@
   let fence = 70;
   const ctx: LeaderContext = {
     orders: holders,
+    reach: holders.reach,
     directory: createFakeDirectory(['a', 'b', 'c']),
     health: createServerHealth(),
     clocks: { monotonic: now, timeOfDay: Date.now },
--- a/packages/placement/src/test/reporters_test.ts
+++ b/packages/placement/src/test/reporters_test.ts
@@ -10,6 +10,7 @@
   address: `${router}:1`,
   capacity,
   servedByStore,
+  stopping: false,
 });
 
 test('the strongest router is one that the store answers and that reported recently', () => {
@@ -24,6 +25,20 @@
   expect(reporters.count()).toEqual(3);
 });
 
+// Guards against two holders when a path is cut: routers that fell silent with a server were not
+// asked whether it had ended.
+test('a router that fell silent may reach servers for as long as their leases last, unless it said that it stops', () => {
+  const clocks = createFakeClocks();
+  const reporters = createReporters(clocks);
+  reporters.note(reporter('silent', 1));
+  reporters.note({ ...reporter('stopping', 1), stopping: true });
+  clocks.advance(8_000);
+  expect(reporters.addresses()).toEqual([]);
+  expect(reporters.mayReachServers()).toEqual(['silent:1']);
+  clocks.advance(1_000);
+  expect(reporters.mayReachServers()).toEqual([]);
+});
+
 test('an answer names a few other routers, but never the reporting one', () => {
   const reporters = createReporters(createFakeClocks(), () => 0.9);
   for (const name of ['a', 'b', 'c', 'd', 'e']) reporters.note(reporter(name, 1));
--- a/packages/placement/src/test/service-planner_test.ts
+++ b/packages/placement/src/test/service-planner_test.ts
@@ -21,8 +21,10 @@
   let now = 0;
   let limitPerS: number | undefined;
   let fence = 0;
+  const holders = createFakeHolders(() => now);
   const ctx: LeaderContext = {
-    orders: createFakeHolders(() => now),
+    orders: holders,
+    reach: holders.reach,
     directory: createFakeDirectory(SERVERS),
     health: createServerHealth(),
     clocks: { monotonic: () => now, timeOfDay: () => now },
--- a/packages/platform/src/lib/server-orders.ts
+++ b/packages/platform/src/lib/server-orders.ts
@@ -33,14 +33,15 @@
  * - `fenced`: refused, since the server has seen a higher fencing token.
  * - `misdirected`: not carried out, since another server has the address now.
  * - `refused`: not carried out, since the server rejected the order.
- * - `gone`: not carried out, since nothing listens at the address: the process has ended.
+ * - `closed`: not carried out, since the connection was refused: the process has ended, listens no more,
+ *   or the path to it is cut.
  * - `unreachable`: not sent, since no connection could be opened.
  * - `unanswered`: sent without an answer; the server may still carry it out.
  */
 export type OrderOutcome =
   | { readonly kind: 'done'; readonly handover: string | undefined }
   | {
-      readonly kind: 'fenced' | 'misdirected' | 'refused' | 'gone' | 'unreachable' | 'unanswered';
+      readonly kind: 'fenced' | 'misdirected' | 'refused' | 'closed' | 'unreachable' | 'unanswered';
     };
 
 /** Grants backend servers leases on key ranges, and releases them. */
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -152,12 +152,14 @@
       ?.cfg.services.filter((it) => it.partitioned)
       .map((it) => it.name);
   const keyLoad = createKeyLoad(() => pool);
+  const probe = createServerProbe();
 
   const member = createPlacementMember({
     self: { router: instance.id, address: settings.listen.peers, startedMs: clocks.timeOfDay() },
     capacity: settings.processor.capacity,
     store: platform.store,
     orders: platform.orders,
+    probeServer: (address) => probe.check(address),
     directory,
     peers,
     clocks,
@@ -193,7 +195,7 @@
   const guard = createCrashGuard({
     record: suspects,
     directory,
-    probe: createServerProbe(),
+    probe,
     log,
     shareSuspects: () => member.shareSuspects(),
     now: clocks.monotonic,
--- a/packages/router/src/lib/peer-listener.ts
+++ b/packages/router/src/lib/peer-listener.ts
@@ -6,8 +6,10 @@
 import {
   type PlacementMember,
   decodeNote,
+  decodeReachRequest,
   decodeRun,
   encodeKnownPlacement,
+  encodeReach,
   encodeStoppedLeader,
 } from '@boragepoint/placement';
 import type { RowDelta, UnusableEntry } from '@boragepoint/platform';
@@ -83,6 +85,7 @@
         checkSender('permits', req);
         return member.answerPermits(req);
       },
+      reachServer: async (req) => encodeReach(await member.reachServer(decodeReachRequest(req))),
       fetchTable(req) {
         const delta = rowsSince(req.table, Number(req.knownVersion));
         return Readable.from(delta ? partsOf(delta) : []);
