Placement: a server that started again releases what it accepted before

Cause: orders name an id and an address, which two lives share. The new life accepted renewals meant for the former one; its entry in the registry was then taken for the end of these grants, and nothing was released.

A later start now ends the need for that owner, not the bound of its lease: the range is released at the address first. Where a grant may still be carried out, by this leader or a former one, the range stays with the new life under a higher fencing token, since it can reach nobody else.

Ruled out: the lease (7 s for each start under an old id); the time of the start (clocks disagree).

--- a/packages/placement/src/lib/hand-over.ts
+++ b/packages/placement/src/lib/hand-over.ts
@@ -20,6 +20,19 @@
   await sleep(ms, undefined, { signal: ctx.signal }).catch(() => undefined);
 }
 
+/**
+ * Returns whether the owner is a later incarnation of a holder at the same address. A grant that was
+ * meant for the holder reaches nobody but the owner, which has a higher fencing token.
+ */
+function isFormerIncarnation({ incarnation }: Holder, owner: Holder | undefined): boolean {
+  const later = owner?.incarnation;
+  return (
+    later?.server === incarnation.server &&
+    later.address === incarnation.address &&
+    later.startedMs > incarnation.startedMs
+  );
+}
+
 /**
  * Waits until a former holder can't hold the range any more: it released it, its lease expired, or
  * its process ended.
@@ -29,6 +42,7 @@
   range: HeldRange,
   holder: Holder,
 ): Promise<void> {
+  if (isFormerIncarnation(holder, range.owner)) return;
   let released = false;
   let isWaiting = false;
   while (!ctx.signal.aborted) {
--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -94,11 +94,16 @@
   }
 }
 
-/** Returns whether all processes have ended that a holder's grants can have reached. */
+/**
+ * Returns whether all processes have ended that a holder's grants can have reached. A later start
+ * does not show that: a server that starts again under its id and address accepts grants that were
+ * meant for its former incarnation.
+ */
 function haveGrantsEnded(ctx: LeaderContext, { incarnation, bound }: Holder): boolean {
   const endedFrom = ctx.health.endedFrom(incarnation);
   if (endedFrom !== undefined && bound.settledAt <= endedFrom) return true;
-  return laterStart(ctx, incarnation) !== undefined;
+  const later = laterStart(ctx, incarnation);
+  return later !== undefined && later.address !== incarnation.address;
 }
 
 /** Returns the time until which a holder may hold a range, on the monotonic clock. */
--- a/packages/placement/src/lib/service-planner.ts
+++ b/packages/placement/src/lib/service-planner.ts
@@ -3,7 +3,12 @@
 import { type LoadMap, createLoadMap } from './load-map.js';
 import { type AdmittedShares, findOverloads } from './overload.js';
 import { planJoins } from './plan-joins.js';
-import { type PlannedRange, type PlannedServer, planMoves } from './plan-moves.js';
+import {
+  type PlannedMove,
+  type PlannedRange,
+  type PlannedServer,
+  planMoves,
+} from './plan-moves.js';
 import { type RangeTable, applyMove } from './range-table.js';
 import type { KnownServer } from './server-directory.js';
 import { type SpeedReport, createServerSpeeds } from './server-speed.js';
@@ -57,6 +62,8 @@
   return { server: entry.id, address: entry.address, startedMs: entry.startedMs };
 }
 
+const isIdle = ({ busy, renewing }: HeldRange) => !busy && !renewing;
+
 /** Creates a planner without load measurements. */
 export function createServicePlanner(ctx: LeaderContext): ServicePlanner {
   const { directory, health, clocks } = ctx;
@@ -111,20 +118,51 @@
     return leaving !== undefined && now > leaving.stateSeenAt + MAX_LEAVING_OWNER_MS;
   }
 
+  /**
+   * Returns the owner's later incarnation at the same address if the range had to wait before it may
+   * go elsewhere: a grant that may still be carried out reaches nobody but that incarnation.
+   */
+  function laterOwner(
+    { owner }: HeldRange,
+    usable: ReadonlyMap<string, KnownServer>,
+    now: number,
+  ): KnownServer | undefined {
+    if (!owner) return undefined;
+    const { server, address, startedMs } = owner.incarnation;
+    const known = usable.get(server);
+    const isLater = known?.entry.address === address && known.entry.startedMs > startedMs;
+    const mustWait = owner.bound.unansweredUntil > now || !hasNoInheritedGrant(owner, now);
+    return isLater && mustWait ? known : undefined;
+  }
+
+  /** Plans that ranges stay with servers that started again. */
+  function planStays(
+    table: RangeTable,
+    usable: ReadonlyMap<string, KnownServer>,
+    now: number,
+  ): PlannedMove[] {
+    return table.ranges.flatMap((range) => {
+      const later = laterOwner(range, usable, now);
+      const { first, last } = range;
+      return later && isIdle(range) ? [{ first, last, to: later.entry.id }] : [];
+    });
+  }
+
   function plannedRange(
     range: HeldRange,
     usable: ReadonlyMap<string, KnownServer>,
     now: number,
   ): PlannedRange {
-    const needsOwner = mustMove(range, usable, now);
-    const isIdle = !range.busy && !range.renewing;
+    const stays = laterOwner(range, usable, now) !== undefined;
+    const needsOwner = !stays && mustMove(range, usable, now);
     const isSettled = range.granted && now > range.grantedAt + MIN_OWNERSHIP_MS;
     return {
       first: range.first,
       last: range.last,
       owner: needsOwner ? undefined : range.owner?.incarnation.server,
       movable:
-        isIdle &&
+        isIdle(range) &&
+        !stays &&
         (needsOwner ||
           (isSettled && range.owner !== undefined && hasNoInheritedGrant(range.owner, now))),
     };
@@ -164,12 +202,13 @@
         load,
         maxMoves: balance ? MAX_MOVES_PER_PLAN : 0,
       });
+      const stays = planStays(table, usable, now);
       const maxRanges = servers.length * MAX_RANGES_PER_SERVER;
       const joins =
         balance && moves.length === 0
           ? planJoins({ ranges, load, maxRanges, maxMoves: MAX_JOINS_PER_PLAN })
           : [];
-      return [...moves, ...joins].flatMap((move) => {
+      return [...stays, ...moves, ...joins].flatMap((move) => {
         const to = usable.get(move.to);
         return (to && applyMove(table, move, incarnationOf(to), ctx.nextFence())) ?? [];
       });
--- a/packages/placement/src/test/fake-holders.ts
+++ b/packages/placement/src/test/fake-holders.ts
@@ -25,6 +25,8 @@
   holdersOf(key: number): string[];
   /** Carries out the unanswered grants; their leases start now. */
   deliverLate(): void;
+  /** Starts a server again: it holds no keys and has seen no fencing token. */
+  restart(server: string): void;
   /** Reaches the servers over another router. */
   readonly reach: ServerReach;
 }
@@ -91,6 +93,10 @@
       for (const deliver of late) deliver();
       late = [];
     },
+    restart(server) {
+      leases.delete(server);
+      seen.delete(server);
+    },
     reach: {
       closedFrom: ({ serverId }) =>
         Promise.resolve(holders.modes.get(serverId) === 'closed' ? now() : undefined),
--- a/packages/placement/src/test/hand-over_test.ts
+++ b/packages/placement/src/test/hand-over_test.ts
@@ -156,7 +156,21 @@
   expect(holders.holdersOf(5)).toEqual(['b']);
 });
 
-// Guards against two holders when a server starts again between its end and the proof of that.
+// Guards against two holders after a server started again under its id: the new process accepted a
+// renewal for the former one, whose end was then taken for the end of that lease.
+test('a server that started again releases what it accepted for its former incarnation', async () => {
+  const { ctx, holders, directory, range } = await setUp();
+  holders.restart('a');
+  const renewal = { first: 0, last: 9, fence: 1, leaseMs: times.leaseMs, handover: undefined };
+  await holders.grant({ serverId: 'a', address: 'a:1' }, renewal, 100);
+  directory.set('a', { startedMs: 2 });
+  holders.sent = [];
+  await handOver(ctx, range);
+  expect(holders.sent).toEqual(['release a 0-9 #1', 'grant b 0-9 #2']);
+  expect(holders.holdersOf(5)).toEqual(['b']);
+});
+
+// Guards against the same where the server started again between its end and the proof of that.
 test('a grant that was answered after the proof of an end lets the server hold the range', async () => {
   const { ctx, holders, range } = await setUp();
   ctx.health.noteEnded(incarnationOf('a'), performance.now());
@@ -166,6 +180,17 @@
   expect(holders.sent).toEqual(['release a 0-9 #1', 'grant b 0-9 #2']);
 });
 
+test('a range that stays with a server which started again waits for nothing', async () => {
+  const { ctx, holders, directory, range } = await setUp();
+  const former = range.former[0];
+  if (former) recordUnanswered(former.bound, performance.now(), performance.now(), times);
+  holders.restart('a');
+  directory.set('a', { startedMs: 2 });
+  range.owner = newHolder({ ...incarnationOf('a'), startedMs: 2 }, 2);
+  await handOver(ctx, range);
+  expect(holders.sent).toEqual(['grant a 0-9 #2']);
+});
+
 test('if the process of the new owner has ended, the range stays without a grant until the next plan', async () => {
   const { ctx, holders, range } = await setUp();
   holders.modes.set('b', 'closed');
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -247,3 +247,14 @@
   expect(writes).toEqual(1);
   expect(fixture.holders.sent).toEqual([]);
 });
+
+// Guards against keys that are served by nobody for seconds when a leader and a server both start
+// again: a hand-over would wait for grants that can reach only that server.
+test('a range stays with a server that started again while a grant of the former leader may reach it', async () => {
+  const all = rangeRecord(0, 65_535, holder('b', 4));
+  const directory = createFakeDirectory(['a', 'b']);
+  directory.set('b', { startedMs: 2 });
+  await using fixture = startSuccessor([all], [], () => ({ directory }));
+  await until(() => fixture.holders.holdersOf(50).length > 0);
+  expect(fixture.holders.holdersOf(50)).toEqual(['b']);
+});
