Registry: what a leader delivers is trusted only as far as it covers

Cause: a router that gets the registry from the leader could not know how old the leader's knowledge was. A leader that the store had gone silent for said so after up to 2.7 s, and the notice was counted from there.

Answers to reports now say up to when the leader knew all changes of a table. A router relies on them for 2 s from that time, whatever comes after, and asks the store then; the notice of a leaving server counts from the earliest time at which the store can have taken its word. The leader polls the registry each 0.8 s, and the answers to reports of large fleets wait less, so that relying stays the rule.

Ruled out: a shorter share of the notice alone (with a leader that stands still the sight took longer than the notice); a poll of every router each second; the confirmation of the leader's lease (it says nothing of the registry).

Evidence: the new tests of poll-scheduler, watch-rows and pick-server don't hold on the code before (no coverage in reports; 0.6 of the notice from its sight).

--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -44,7 +44,7 @@
   recoverPlacement,
 } from './recover-placement.js';
 import { createReportClient } from './report-client.js';
-import { MIN_REPORT_GAP_MS, createReportPacer } from './report-pacer.js';
+import { MIN_REPORT_GAP_MS, createReportPacer, reportWaitMs } from './report-pacer.js';
 import { type ReportReply, createReportResponder } from './report-responder.js';
 import { createReporters } from './reporters.js';
 import type { ServerDirectory } from './server-directory.js';
@@ -56,11 +56,9 @@
 import type { Clocks } from './suspension-guard.js';
 import type { PlacementNote } from './witnesses.js';
 
-/**
- * Longest time for which the leader delays the answer to a report until a change, in milliseconds.
- */
-const REPORT_WAIT_MS = 600;
-/** Time after `REPORT_WAIT_MS` from which the leader counts as unreachable, in milliseconds. */
+/** Longest time from one look of a leader at its own changes to the next, in milliseconds. */
+const LEAD_CHECK_MS = 600;
+/** Time after the answer to a report is due from which the leader counts as unreachable, in milliseconds. */
 const REPORT_TIMEOUT_MS = 800;
 /**
  * Time for which the store must have answered a router before it checks the leadership lease, in
@@ -448,7 +446,8 @@
    * answer.
    */
   async function followOnce(followed: LeaderAddress): Promise<boolean> {
-    const times = { waitMs: REPORT_WAIT_MS, timeoutMs: REPORT_WAIT_MS + REPORT_TIMEOUT_MS };
+    const waitMs = reportWaitMs(routers);
+    const times = { waitMs, timeoutMs: waitMs + REPORT_TIMEOUT_MS };
     const askedAt = clocks.monotonic();
     const answer = await reportClient.report(followed.address, times, options.takeLoad());
     if (!answer?.leads) {
@@ -506,8 +505,8 @@
     if (leading) {
       leadOnce(leading);
       await Promise.race([
-        leading.waitForChange(known.view().change, REPORT_WAIT_MS),
-        sleep(REPORT_WAIT_MS),
+        leading.waitForChange(known.view().change, LEAD_CHECK_MS),
+        sleep(LEAD_CHECK_MS),
       ]);
       updateView(leading.view());
       await sleep(MIN_REPORT_GAP_MS);
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -48,6 +48,8 @@
 const MAX_ANSWER_BYTES = 16 << 20;
 /** Longest time since a leader was heard that is told, in milliseconds. */
 const MAX_HEARD_AGO_MS = 60_000;
+/** Longest time since a table was known that is told, in milliseconds. */
+const MAX_CONFIRMED_AGO_MS = 60_000;
 /** Largest table that another router sends in parts, in bytes. */
 const MAX_TABLE_BYTES = 64 << 20;
 
@@ -280,9 +282,29 @@
   return epoch === undefined || !isCallable(address) ? undefined : { router, address, epoch };
 }
 
-function decodeTable({ table, answers, version: wire }: TableState): NamedTableReport | undefined {
-  const version = decodeCount(wire);
-  return version === undefined ? undefined : { table, answers, version };
+/** Encodes the state of a table in the answer to a report that arrived at a time. */
+export function encodeTable(report: NamedTableReport, arrivedAt: number) {
+  const { table, answers, version, confirmedAt } = report;
+  const afterMs = Math.floor(Math.max(-MAX_CONFIRMED_AGO_MS, confirmedAt - arrivedAt));
+  const isConfirmed = confirmedAt > -Infinity;
+  return {
+    table,
+    answers,
+    version: BigInt(version),
+    ...(isConfirmed && { confirmedAfterMs: afterMs }),
+  };
+}
+
+/**
+ * Decodes the state of a table in the answer to a report that was sent at `sentAt`. What the other
+ * router confirms relative to the arrival of the report, it confirms relative to an earlier time
+ * here.
+ */
+function decodeTable(state: TableState, sentAt: number): NamedTableReport | undefined {
+  const { table, answers, confirmedAfterMs = -Infinity } = state;
+  const version = decodeCount(state.version);
+  if (version === undefined) return undefined;
+  return { table, answers, version, confirmedAt: sentAt + confirmedAfterMs };
 }
 
 /** Decodes a note of a leader; throws if its numbers can't be told apart. */
@@ -379,6 +401,7 @@
 
   return {
     async report(address, report, timeoutMs) {
+      const sentAt = performance.now();
       try {
         const res = await peerAt(address).rpc.report(report, { timeoutMs });
         const view = res.leads ? decodeView(res) : undefined;
@@ -406,7 +429,7 @@
           leader: decode('leader', res.leader ? [res.leader] : [], decodeLeader)[0],
           startedMs: requireCount(res.startedMs),
           servers: decode('table update', res.servers ? [res.servers] : [], decodeRowUpdate)[0],
-          tables: decode('table states', res.tables, decodeTable),
+          tables: decode('table states', res.tables, (it) => decodeTable(it, sentAt)),
         };
       } catch {
         disconnect(address);
--- a/packages/placement/src/lib/report-pacer.ts
+++ b/packages/placement/src/lib/report-pacer.ts
@@ -9,6 +9,9 @@
 const MAX_REPORT_GAP_MS = 1_000;
 /** Reports per second that one leader receives while no request waits for a change. */
 const REPORTS_PER_S = 500;
+/** Time between two reports while nothing changes, in milliseconds. */
+const REPORT_CYCLE_MS = 750;
+const MIN_REPORT_WAIT_MS = 150;
 const MS_PER_S = 1_000;
 
 /** Paces a router's reports, so that the leader of a large fleet is not overloaded by them. */
@@ -22,13 +25,28 @@
   wait(routers: number): Promise<void>;
 }
 
+/** Time between the answer to a report and the next report, in a fleet of `routers` routers. */
+function reportGapMs(routers: number): number {
+  const gapMs = (routers * MS_PER_S) / REPORTS_PER_S;
+  return Math.min(MAX_REPORT_GAP_MS, Math.max(MIN_REPORT_GAP_MS, gapMs));
+}
+
+/**
+ * Longest time for which the leader of a fleet of `routers` routers delays the answer to a report
+ * until a change, in milliseconds. Where reports are rare the delay is short, so that what an answer
+ * covers of the store's tables is not out of date before the next one.
+ */
+export function reportWaitMs(routers: number): number {
+  return Math.max(MIN_REPORT_WAIT_MS, REPORT_CYCLE_MS - reportGapMs(routers));
+}
+
 /** Creates a pacer. */
 export function createReportPacer(): ReportPacer {
   const wakeSignal = createWakeSignal();
   return {
     expedite: wakeSignal.wake,
     async wait(routers) {
-      const gapMs = Math.min(MAX_REPORT_GAP_MS, (routers * MS_PER_S) / REPORTS_PER_S);
+      const gapMs = reportGapMs(routers);
       await new Promise((resolve) => setTimeout(resolve, MIN_REPORT_GAP_MS));
       if (gapMs > MIN_REPORT_GAP_MS) await wakeSignal.wait(gapMs - MIN_REPORT_GAP_MS);
     },
--- a/packages/placement/src/lib/report-responder.ts
+++ b/packages/placement/src/lib/report-responder.ts
@@ -6,7 +6,12 @@
 import { LAST_KEY } from './key-range.js';
 import { type LimitExchange, decodeLimit, encodeLimit } from './limit-exchange.js';
 import type { PlacementLeader } from './placement-leader.js';
-import { type LeaderAddress, type NamedTableReport, encodeServices } from './placement-peers.js';
+import {
+  type LeaderAddress,
+  type NamedTableReport,
+  encodeServices,
+  encodeTable,
+} from './placement-peers.js';
 import type { Reporters } from './reporters.js';
 import type { ServerDirectory } from './server-directory.js';
 import type { SuspectExchange } from './suspect-exchange.js';
@@ -126,6 +131,7 @@
   }
 
   return async (req) => {
+    const arrivedAt = performance.now();
     const leading = options.leader();
     const knownSuspects = exchange.receiveReport(req);
     limitExchange.receive(req.address, {
@@ -167,7 +173,7 @@
       ...exchange.replyFields(req.address, knownSuspects),
       ...limitFieldsFor(req),
       ...(servers && { servers }),
-      tables: options.tables().map((it) => ({ ...it, version: BigInt(it.version) })),
+      tables: options.tables().map((it) => encodeTable(it, arrivedAt)),
       admitted: [...leading.admitted()].map(([server, share]) => ({ server, share })),
       services: encodeServices(services),
     };
--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -31,9 +31,10 @@
 export interface KnownServer {
   readonly entry: ServerEntry;
   /**
-   * When the entry was first seen in its current state (draining or not), on the monotonic clock.
+   * Earliest time at which the entry can have got its current state (draining or not), on the
+   * monotonic clock: a change may be seen long after the store has taken it.
    */
-  readonly stateSeenAt: number;
+  readonly stateSince: number;
   /** When this incarnation was first seen, on the monotonic clock. */
   readonly firstSeenAt: number;
   /** When the entry was last received, on the monotonic clock. */
@@ -91,6 +92,8 @@
   readonly fallback?: RowSource;
   /** How long before its end a server announces that it leaves, in milliseconds. */
   drainNoticeMs?(): number;
+  /** Returns whether other routers get the registry from this one. */
+  isRelayed?(): boolean;
   readonly onLost?: (err: PlatformError) => void;
   readonly onRecovered?: (outage: WatchOutage) => void;
   readonly onReturn?: (difference: RegistryDifference) => void;
@@ -172,12 +175,18 @@
     }
     servers.set(key, {
       entry,
-      stateSeenAt: now,
+      stateSince: earliestChangeAt(),
       firstSeenAt: isSameStart ? known.firstSeenAt : now,
       receivedAt: now,
     });
   }
 
+  /** Earliest time at which a change that is applied now can have been made. */
+  function earliestChangeAt(): number {
+    const confirmedAt = watch.confirmedAt();
+    return confirmedAt === -Infinity ? clocks.monotonic() : confirmedAt;
+  }
+
   const isReturnRecent = () => clocks.monotonic() < returnedAt + STORE_RETURN_GRACE_MS;
 
   function forget(key: string): void {
@@ -277,6 +286,7 @@
     watcher,
     peerDeliversChanges: true,
     ...(options.fallback && { fallback: options.fallback }),
+    isRelayed: () => options.isRelayed?.() === true,
     peerWatchPauseMs: () => (options.drainNoticeMs?.() ?? 0) * MAX_PAUSE_SHARE,
   });
 
@@ -307,7 +317,7 @@
       }
       if (!isThisIncarnation) return true;
       const entry = { ...known.entry, draining: true };
-      servers.set(incarnation.server, { ...known, entry, stateSeenAt: clocks.monotonic() });
+      servers.set(incarnation.server, { ...known, entry, stateSince: clocks.monotonic() });
       notifyListeners();
       return true;
     },
--- a/packages/placement/src/lib/service-planner.ts
+++ b/packages/placement/src/lib/service-planner.ts
@@ -115,7 +115,7 @@
     // can't be shown to end earlier. A leaving owner therefore goes on serving the range, for up to
     // `MAX_LEAVING_OWNER_MS`.
     const leaving = directory.get(owner.incarnation.server);
-    return leaving !== undefined && now > leaving.stateSeenAt + MAX_LEAVING_OWNER_MS;
+    return leaving !== undefined && now > leaving.stateSince + MAX_LEAVING_OWNER_MS;
   }
 
   /**
--- a/packages/placement/src/test/fake-directory.ts
+++ b/packages/placement/src/test/fake-directory.ts
@@ -32,7 +32,7 @@
     updateSince: () => undefined,
     applyUpdate: () => undefined,
     applyReport: () => undefined,
-    tableReport: () => ({ answers: true, version: 0 }),
+    tableReport: () => ({ answers: true, version: 0, confirmedAt: -Infinity }),
     noteLeaving: () => false,
     leaving: () => [],
     set(server, changes) {
@@ -51,7 +51,7 @@
       };
       known.set(server, {
         entry,
-        stateSeenAt: -Infinity,
+        stateSince: -Infinity,
         firstSeenAt: -Infinity,
         receivedAt: -Infinity,
       });
--- a/packages/placement/src/test/report-pacer_test.ts
+++ b/packages/placement/src/test/report-pacer_test.ts
@@ -3,7 +3,7 @@
 
 import { expect } from 'earl';
 
-import { createReportPacer } from '../lib/report-pacer.js';
+import { createReportPacer, reportWaitMs } from '../lib/report-pacer.js';
 
 const STEP_MS = 10;
 
@@ -58,3 +58,8 @@
   );
   expect(early).toEqual(150);
 });
+
+// Guards against routers of a large fleet that stop relying on their leader between two reports.
+test('a report waits for a change for as long as makes 0.75 s with the pause after it, and 0.15 s at least', () => {
+  expect([3, 60, 200, 300, 1_000].map(reportWaitMs)).toEqual([600, 600, 350, 150, 150]);
+});
--- a/packages/placement/src/test/report-responder_test.ts
+++ b/packages/placement/src/test/report-responder_test.ts
@@ -80,7 +80,7 @@
   });
   const storeChanges = createChangeSignal();
   let answers = true;
-  const tables = () => [{ table: 't', answers, version: 7 }];
+  const tables = () => [{ table: 't', answers, version: 7, confirmedAt: -Infinity }];
   const respond = createResponder({ tables, storeChanges });
   const waiting = respond(report({ waitMs: WAIT_MS }));
   answers = false;
@@ -89,6 +89,17 @@
   expect(reply.tables).toEqual([{ table: 't', answers: false, version: 7n }]);
 });
 
+// Guards against a router that takes the time of an answer for the time up to which the leader knew
+// all changes.
+test('an answer says up to when the leader knew all changes of a table', async (t) => {
+  t.mock.method(performance, 'now', () => 5_000);
+  const tables = () => [{ table: 't', answers: true, version: 7, confirmedAt: 4_200.5 }];
+  const reply = await createResponder({ tables })(report());
+  expect(reply.tables).toEqual([
+    { table: 't', answers: true, version: 7n, confirmedAfterMs: -800 },
+  ]);
+});
+
 /** Returns a registry with one removed entry and one changed entry of a size in bytes. */
 function changedRegistry(bytes: number) {
   const changed = [{ key: 's', version: 9, value: new Uint8Array(bytes) }];
--- a/packages/platform/src/lib/poll-scheduler.ts
+++ b/packages/platform/src/lib/poll-scheduler.ts
@@ -7,6 +7,11 @@
   readonly answers: boolean;
   /** Version of the table's latest change that it knows. */
   readonly version: number;
+  /**
+   * Time up to which it knows all changes of the table, on the monotonic clock of the router that
+   * has the report; -Infinity if it knows none.
+   */
+  readonly confirmedAt: number;
 }
 
 /**
@@ -22,7 +27,10 @@
 const PEER_WATCH_WAIT_MS = 20_000;
 /** Maximum time between two polls while another router delivers the changes, in milliseconds. */
 const MAX_DELIVERED_WAIT_MS = 20_000;
-/** Time for which a report is valid, in milliseconds. */
+/**
+ * Time for which a report is valid, in milliseconds: from its arrival if the watch polls the store
+ * besides, from the time that the report covers if it does not.
+ */
 const REPORT_LIFETIME_MS = 2_000;
 /**
  * Maximum time from another router's report of a change to the arrival of the change here, in
@@ -66,10 +74,17 @@
   waitWhileDelivered(signal: AbortSignal): Promise<void>;
 }
 
-/**
- * Creates a scheduler; `knownVersion` returns the version up to which the watch knows its table.
- */
-export function createPollScheduler(knownVersion: () => number): PollScheduler {
+/** Options of {@link createPollScheduler}. */
+export interface PollSchedulerOptions {
+  /** Returns the version up to which the watch knows its table. */
+  knownVersion(): number;
+  /** True if the watch gets the changes from the router that reports, and polls only without it. */
+  readonly peerDeliversChanges?: boolean;
+}
+
+/** Creates a scheduler. */
+export function createPollScheduler(options: PollSchedulerOptions): PollScheduler {
+  const knownVersion = () => options.knownVersion();
   let pollAbort = new AbortController();
   let latestReport: TableReport | undefined;
   let expiryTimer: NodeJS.Timeout | undefined;
@@ -88,6 +103,11 @@
     if (reliesOnPeer) pollAbort.abort();
   }
 
+  function lifetimeMs({ answers, confirmedAt }: TableReport): number {
+    if (!answers || options.peerDeliversChanges !== true) return REPORT_LIFETIME_MS;
+    return Math.max(0, REPORT_LIFETIME_MS - Math.max(0, performance.now() - confirmedAt));
+  }
+
   function checkArrival(): void {
     arrivalTimer = undefined;
     if (isBehind()) pollAbort.abort();
@@ -115,7 +135,7 @@
       clearTimeout(expiryTimer);
       expiryTimer = setTimeout(() => {
         stopRelyingOnPeer(undefined);
-      }, REPORT_LIFETIME_MS);
+      }, lifetimeMs(report));
       if (!report.answers) {
         stopRelyingOnPeer(report);
         return;
--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -13,6 +13,10 @@
 const REREAD_AFTER_MS = 2_500;
 /** Pause between two polls, so that one call fetches several changes, in milliseconds. */
 const BATCH_PAUSE_MS = 500;
+/** That pause, and the time for which the store may hold a poll, of a watch that is relied on. */
+const RELAYED_POLL_MS = 400;
+/** Longest time on the way of a change that the store sends without a pause, in milliseconds. */
+const TRANSIT_MS = 100;
 const FIRST_RETRY_DELAY_MS = 100;
 
 /** Receives the contents of a watched table. */
@@ -59,6 +63,11 @@
    * milliseconds.
    */
   readonly peerWatchPauseMs?: () => number;
+  /**
+   * Returns whether other routers rely on this watch's reports. It then polls more often, so that
+   * its reports never cover much less than the present.
+   */
+  readonly isRelayed?: () => boolean;
 }
 
 /** A watch of one table. */
@@ -86,6 +95,11 @@
   applyReport(report: TableReport): void;
   /** Report of this watch for other routers. */
   tableReport(): TableReport;
+  /**
+   * Time up to which the watch knew all changes before the ones that are being applied, on the
+   * monotonic clock: none of these can be older. -Infinity until the table has been read.
+   */
+  confirmedAt(): number;
 }
 
 /** Creates a watch of a table. */
@@ -98,12 +112,19 @@
   let newestVersion = 0;
   /** Version of the latest applied change of the table; `newestVersion` may be higher. */
   let lastChangeVersion = 0;
-  const scheduler = createPollScheduler(() => newestVersion);
+  const scheduler = createPollScheduler({
+    knownVersion: () => newestVersion,
+    peerDeliversChanges: options.peerDeliversChanges === true,
+  });
   let retryMs = 0;
   let tries = 0;
   /** Error of the last failed poll; `undefined` while the store answers. */
   let lastError: PlatformError | undefined;
   let answeredAt = performance.now();
+  /** See {@link RowWatch.confirmedAt}. */
+  let confirmedAt = -Infinity;
+  /** True if another router delivered the changes since the last poll. */
+  let wasDelivered = false;
   /** Time of the first retry after the store stopped answering. */
   let firstRetryAt: number | undefined;
   /** True if a new era became known since the last poll began. */
@@ -166,12 +187,15 @@
     const pollSignal = scheduler.beginPoll();
     isEraNew = false;
     if (version === undefined) {
+      const sentAt = performance.now();
       const snapshot = await store.list(table);
       return snapshot.map((it) => {
         if (signal.aborted || it.version < newestVersion) return;
         advanceTo(it.version);
         version = it.version;
+        confirmOwnPolls(!wasDelivered || retryMs > 0);
         replaceAll(it);
+        confirmedAt = Math.max(confirmedAt, sentAt);
       });
     }
     if (retryMs > 0 && missedMs() > REREAD_AFTER_MS) {
@@ -181,7 +205,8 @@
     // After an outage the store is polled without waiting: a long poll would detect its recovery
     // late.
     const isImmediate = retryMs > 0 || wasAborted || isPeerDelivering();
-    const waitMs = isImmediate ? 0 : scheduler.waitMs();
+    const waitMs = isImmediate ? 0 : longestWaitMs();
+    const sentAt = performance.now();
     const answer = await store.changesAfter(table, version, waitMs, pollSignal);
     return answer.map((it) => {
       if (signal.aborted) return;
@@ -189,6 +214,7 @@
         version = undefined;
         return;
       }
+      confirmOwnPolls(!wasDelivered && retryMs === 0);
       for (const changed of it.changes) {
         // Another router may have delivered this change and later ones in the meantime.
         if (changed.version <= newestVersion) continue;
@@ -197,9 +223,23 @@
       }
       newestVersion = Math.max(newestVersion, it.version);
       version = newestVersion;
+      // Without a change, the store has held the poll for all its wait.
+      const heldMs = it.changes.length === 0 ? waitMs : 0;
+      confirmedAt = Math.max(confirmedAt, Math.min(sentAt + heldMs, performance.now()));
     });
   }
 
+  /**
+   * Raises the confirmed time before the changes of a poll are applied. While the watch polls without
+   * a gap, a change is at most as old as the pause between two polls and its time on the way. How old
+   * one is that was missed while the store did not answer can't be told; it counts as that new too.
+   */
+  function confirmOwnPolls(isGapless: boolean): void {
+    wasDelivered = false;
+    if (!isGapless) return;
+    confirmedAt = Math.max(confirmedAt, performance.now() - pauseMs() - TRANSIT_MS);
+  }
+
   /** Applies what the fallback source knows beyond this watch. */
   async function readFallback(signal: AbortSignal): Promise<void> {
     const delta = await fallback?.rowsSince(table, newestVersion);
@@ -226,11 +266,18 @@
    * that one call fetches more changes.
    */
   function pauseMs(): number {
+    if (options.isRelayed?.() === true) return RELAYED_POLL_MS;
     return scheduler.isPeerWatching()
       ? Math.max(BATCH_PAUSE_MS, options.peerWatchPauseMs?.() ?? 0)
       : BATCH_PAUSE_MS;
   }
 
+  /** Time for which the store may hold a poll, in milliseconds. */
+  function longestWaitMs(): number {
+    const waitMs = scheduler.waitMs();
+    return options.isRelayed?.() === true ? Math.min(RELAYED_POLL_MS, waitMs) : waitMs;
+  }
+
   function noteAnswer(): void {
     const now = performance.now();
     if (lastError) watcher.onRecovered({ tries, forMs: now - answeredAt, lastError });
@@ -269,7 +316,9 @@
         noteAnswer();
         if (isEraNew) continue;
         await scheduler.pause(pauseMs(), signal);
-        if (isPeerDelivering()) await scheduler.waitWhileDelivered(signal);
+        if (!isPeerDelivering()) continue;
+        wasDelivered = true;
+        await scheduler.waitWhileDelivered(signal);
       }
       scheduler[Symbol.dispose]();
     },
@@ -292,10 +341,14 @@
     },
     applyReport(report) {
       scheduler.applyReport(report);
+      const hasAll = report.version <= newestVersion && version !== undefined;
+      if (hasAll && report.answers) confirmedAt = Math.max(confirmedAt, report.confirmedAt);
     },
     tableReport: () => ({
       answers: lastError === undefined && newestVersion > 0,
       version: lastChangeVersion,
+      confirmedAt,
     }),
+    confirmedAt: () => confirmedAt,
   };
 }
--- a/packages/platform/src/test/watch-rows_test.ts
+++ b/packages/platform/src/test/watch-rows_test.ts
@@ -171,7 +171,7 @@
   const { calls, events } = await watchStore({
     async answer({ number, signal, rowWatch, end }) {
       if (number === 1) {
-        rowWatch.applyReport({ answers: true, version: 2 });
+        rowWatch.applyReport({ answers: true, version: 2, confirmedAt: performance.now() });
         await isAborted(signal);
         return unavailable;
       }
@@ -195,7 +195,8 @@
   await watchStore({
     options: { peerWatchPauseMs: () => 1_000 },
     answer({ number, version, rowWatch, end }) {
-      if (number === 2) rowWatch.applyReport({ answers: true, version: 1 });
+      if (number === 2)
+        rowWatch.applyReport({ answers: true, version: 1, confirmedAt: performance.now() });
       if (number === 3) end();
       return Promise.resolve(noChanges(version));
     },
@@ -235,7 +236,7 @@
     },
     async answer({ signal, rowWatch, end: endWatch }) {
       end.signal.addEventListener('abort', endWatch);
-      rowWatch.applyReport({ answers: true, version: 2 });
+      rowWatch.applyReport({ answers: true, version: 2, confirmedAt: performance.now() });
       await isAborted(signal);
       return ok({ kind: 'history-lost' });
     },
@@ -273,3 +274,76 @@
   expect(calls.length).toEqual(2);
   expect(known).toEqual(300_000);
 });
+
+/** A watcher that notes how old a change can be, at each change. */
+function noteAges(ages: number[], rowWatch: () => RowWatch | undefined) {
+  return {
+    onSnapshot: () => undefined,
+    onChange: () => ages.push(performance.now() - (rowWatch()?.confirmedAt() ?? -Infinity)),
+    onRemoval: () => undefined,
+    onLost: () => undefined,
+    onRecovered: () => undefined,
+  };
+}
+
+// Guards against a notice that is counted from when its change was seen: another router may deliver
+// the change long after the store took it.
+test('a delivered change may be as old as the last report that covered the time before it', async (t) => {
+  let now = 10_000;
+  t.mock.method(performance, 'now', () => now);
+  const ages: number[] = [];
+  let rowWatch: RowWatch | undefined;
+  await watchStore({
+    options: { peerDeliversChanges: true, watcher: noteAges(ages, () => rowWatch) },
+    answer(poll) {
+      rowWatch = poll.rowWatch;
+      now = 12_000;
+      rowWatch.applyReport({ answers: true, version: 1, confirmedAt: 11_500 });
+      now = 13_400;
+      rowWatch.applyUpdate({ version: 2, changed: [row('a', 2)], removed: [] });
+      poll.end();
+      return Promise.resolve(noChanges(2));
+    },
+  });
+  expect(ages).toEqual([1_900]);
+});
+
+test('a polled change is no older than the pause between two polls and its time on the way', async (t) => {
+  let now = 10_000;
+  t.mock.method(performance, 'now', () => now);
+  const ages: number[] = [];
+  let rowWatch: RowWatch | undefined;
+  await watchStore({
+    options: { watcher: noteAges(ages, () => rowWatch) },
+    answer(poll) {
+      rowWatch = poll.rowWatch;
+      now += 1_900;
+      if (poll.number === 2) poll.end();
+      return Promise.resolve(
+        ok({ kind: 'changes', changes: [row('a', poll.version + 1)], version: poll.version + 1 }),
+      );
+    },
+  });
+  expect(ages).toEqual([600]);
+});
+
+// Guards against a router that covers for others and polls the store so rarely that they stop
+// relying on it.
+test('a watch that others rely on is held by the store for 400 ms at most', async () => {
+  const waits: number[] = [];
+  const end = new AbortController();
+  const store: RowStore = {
+    onEra: () => undefined,
+    list: listOf([row('a', 1)]),
+    changesAfter(_table, version, waitMs) {
+      waits.push(waitMs);
+      end.abort();
+      return Promise.resolve(noChanges(version));
+    },
+    put: () => Promise.resolve(err(new PlatformError('not used', false))),
+  };
+  const watcher = noteAges([], () => undefined);
+  const options = { store, table: 't', watcher, isRelayed: () => true };
+  await createRowWatch(options).run(end.signal);
+  expect(waits).toEqual([400]);
+});
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -105,6 +105,7 @@
     clocks,
     fallback,
     drainNoticeMs: () => settings.drain.noticeMs,
+    isRelayed: () => member.isLeading(),
     onLost: (err) => {
       log.warn('service registry watch lost', { reason: err.message });
       member.noteStoreChange();
@@ -224,7 +225,7 @@
     drainNoticeMs: () => settings.drain.noticeMs,
     drainingSince(id) {
       const known = directory.get(id);
-      return known?.entry.draining === true ? known.stateSeenAt : undefined;
+      return known?.entry.draining === true ? known.stateSince : undefined;
     },
     isPartitioned,
     budgetOf(service) {
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -27,8 +27,11 @@
  * requests that is admitted.
  */
 const OVERLOAD_RETRY_AFTER_MS = 400;
-/** A draining server gets no new requests after this share of its notice time. */
-const USABLE_NOTICE_SHARE = 0.6;
+/**
+ * A draining server gets no new requests after this share of its notice time; the rest is for the
+ * way to the server.
+ */
+const USABLE_NOTICE_SHARE = 0.85;
 
 /** Dependencies of the server picker. */
 export interface ServerPickerContext {
@@ -49,8 +52,8 @@
   /** Notice time for which a draining server accepts requests, in milliseconds. */
   readonly drainNoticeMs: () => number;
   /**
-   * When a server was first seen draining, in milliseconds of the monotonic clock; `undefined` if
-   * it isn't.
+   * Earliest time at which a server can have begun to drain, in milliseconds of the monotonic
+   * clock; `undefined` if it doesn't.
    */
   drainingSince(id: string): number | undefined;
   /** Share of the requests for a server's keys that this router forwards. */
--- a/packages/router/src/test/crash-guard_test.ts
+++ b/packages/router/src/test/crash-guard_test.ts
@@ -61,7 +61,7 @@
         const entry = entries.get(id) ?? { startedMs: 1, draining: false };
         if (entry.id === 'gone') return undefined;
         const { writtenAt = 0 } = entry;
-        return { entry, stateSeenAt: 0, firstSeenAt: 0, receivedAt: writtenAt } as KnownServer;
+        return { entry, stateSince: 0, firstSeenAt: 0, receivedAt: writtenAt } as KnownServer;
       },
     },
     probe: { check: () => Promise.resolve(state.probeResult) },
--- a/packages/router/src/test/pick-server_test.ts
+++ b/packages/router/src/test/pick-server_test.ts
@@ -99,6 +99,24 @@
   expect(waits > 0).toEqual(true);
 });
 
+// Guards against requests that reach a leaving server later than its notice allows.
+test('an owner that drains is used for part of its notice, counted from when it can have begun', async () => {
+  const pickAt = async (now: number) => {
+    let clock = now;
+    const picker = pickerOf({
+      drainingSince: () => 0,
+      now: () => clock,
+      waitForPlacement: (ms) => {
+        clock += ms;
+        return Promise.resolve();
+      },
+    });
+    return (await picker.pickOwner({ ...req, answerBy: 9_000 }, 7)).kind;
+  };
+  expect(await pickAt(2_100)).toEqual('server');
+  expect(await pickAt(2_200)).toEqual('refuse');
+});
+
 /** A picker of idle servers without keys, of which some name a limit and some have a permit. */
 function pickerOfLimited(limited: readonly string[], permitted: readonly string[]) {
   const servers = ['a', 'b', 'c'].map((id) => ({
--- a/packages/router/src/test/server-pool_test.ts
+++ b/packages/router/src/test/server-pool_test.ts
@@ -21,7 +21,7 @@
     startedMs: 1,
     heartbeat: 0,
   };
-  return { entry, stateSeenAt: firstSeenAt, firstSeenAt, receivedAt: firstSeenAt };
+  return { entry, stateSince: firstSeenAt, firstSeenAt, receivedAt: firstSeenAt };
 }
 
 function poolOf(servers: Map<string, KnownServer>) {
