Program: signals are taken before anything else is loaded

Cause: the handlers were set when the program had been loaded and had started.

target/router.mjs now takes the signals and loads the program then; they are held until it has started.

--- a/packages/router/src/test/log-events_test.ts
+++ b/packages/router/src/test/log-events_test.ts
@@ -8,7 +8,7 @@
 import { createRouterLog } from '../lib/router-log.js';
 
 const root = path.join(path.dirname(fileURLToPath(import.meta.url)), '../../../..');
-const SOURCES = ['packages/router/src/lib', 'packages/placement/src/lib', 'platform/src/bin'];
+const SOURCES = ['packages/router/src/lib', 'packages/placement/src/lib', 'platform/src/lib'];
 
 function loggedMessages(): string[] {
   const files = SOURCES.flatMap((folder) =>
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,6 @@
-// Bundles the router for the platform from its TypeScript sources into target/router.mjs. A single
-// minified file loads faster than separate modules, which shortens the router's start.
+// Bundles the router for the platform from its TypeScript sources: target/router.mjs takes signals and
+// then loads the program, target/run-router.mjs. A single minified file loads faster than separate
+// modules, which shortens the router's start.
 import { readdirSync } from 'node:fs';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -19,16 +20,38 @@
   },
 };
 
-await build({
+/** Leaves the program out of the file that loads it. */
+const programPlugin = {
+  name: 'program',
+  setup(build) {
+    build.onResolve({ filter: /\/run-router\.js$/ }, () => ({
+      path: './run-router.mjs',
+      external: true,
+    }));
+  },
+};
+
+const options = {
   absWorkingDir: root,
-  entryPoints: ['platform/src/bin/router.ts'],
-  outfile: 'target/router.mjs',
   bundle: true,
   platform: 'node',
   target: 'node20',
   format: 'esm',
   minify: true,
   legalComments: 'none',
+};
+
+await build({
+  ...options,
+  entryPoints: ['platform/src/bin/router.ts'],
+  outfile: 'target/router.mjs',
+  plugins: [programPlugin],
+});
+
+await build({
+  ...options,
+  entryPoints: ['platform/src/lib/run-router.ts'],
+  outfile: 'target/run-router.mjs',
   plugins: [undiciCorePlugin],
   alias: Object.fromEntries(
     packages.map((name) => [`@boragepoint/${name}`, `./packages/${name}/src/index.ts`]),
