Listener: a stop keeps connections until their answers are sent

Cause: close() and closeIdleConnections() of node:http take a connection for idle once the answer has been handed over, and destroy it with what is not written yet, also the answers behind it.

The listener closes connections itself: one without open requests, after its last byte. "stopped" names the bytes that it had to leave.

Ruled out: waiting for the whole grace at each stop.

--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -1,5 +1,5 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
-import type { Socket } from 'node:net';
+import { Server as NetServer, type Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import type { CallerLimits, HeaderCodec } from '@boragepoint/platform';
@@ -59,7 +59,8 @@
    */
   announceClose(): void;
   /**
-   * Accepts no new connections, closes idle ones, and resolves when the last request is answered.
+   * Accepts no new connections, closes idle ones, and resolves when all callers have been sent the
+   * last answer.
    */
   drain(): Promise<void>;
   /**
@@ -68,6 +69,8 @@
    */
   abortBlockingRequests(): void;
   openRequests(): number;
+  /** Bytes of answers that callers have not been sent yet. */
+  unsentBytes(): number;
 }
 
 /** Starts the listener. */
@@ -77,6 +80,7 @@
   port: number,
 ): Promise<CallerListener> {
   let closing = false;
+  let draining = false;
   let openCount = 0;
   /** For each request without an answer yet, the function that answers it early. */
   const pendingAborts = new Map<PipelineEntry, (answer: OwnAnswer) => void>();
@@ -89,6 +93,19 @@
   );
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
   server.on('clientError', rejectMalformedRequest);
+  const sockets = new Set<Socket>();
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
+
+  /**
+   * Closes a connection without open requests, once the caller has been sent all its answers. The
+   * HTTP server's own methods destroy connections whose answers are not written yet.
+   */
+  function closeIfIdle(socket: Socket): void {
+    if ((pipelines.get(socket)?.endListeners.size ?? 0) === 0) socket.destroySoon();
+  }
 
   /** Reads the body of a request and finds its answer. */
   async function findAnswer(
@@ -207,6 +224,7 @@
       if (!pipeline.endListeners.delete(finish)) return;
       openCount -= 1;
       if (!res.writableFinished) disconnect.abort();
+      if (draining) closeIfIdle(req.socket);
     };
     pipeline.endListeners.add(finish);
     res.on('close', finish);
@@ -263,8 +281,9 @@
       closing = true;
     },
     async drain() {
-      const closed = new Promise((resolve) => server.close(resolve));
-      server.closeIdleConnections();
+      draining = true;
+      const closed = new Promise((resolve) => NetServer.prototype.close.call(server, resolve));
+      for (const socket of sockets) closeIfIdle(socket);
       await closed;
     },
     abortBlockingRequests() {
@@ -272,5 +291,6 @@
       for (const [entry, abort] of pendingAborts) if (entry.blocksReadyAnswers()) abort(answer);
     },
     openRequests: () => openCount,
+    unsentBytes: () => [...sockets].reduce((sum, it) => sum + it.writableLength, 0),
   };
 }
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -362,6 +362,7 @@
       metricsServer?.close();
       log.info('stopped', {
         openRequests: listener.openRequests(),
+        unsentBytes: listener.unsentBytes(),
         afterMs: Math.round(clocks.monotonic() - startedAt),
       });
       log.flush();
--- a/packages/router/src/test/caller-listener_test.ts
+++ b/packages/router/src/test/caller-listener_test.ts
@@ -210,6 +210,41 @@
   await listener.drain();
 });
 
+// Guards against answers that are cut off at a stop: a connection whose answer had been handed over
+// but not written yet counted as idle and was destroyed, with the answers behind it.
+test('a caller that is still reading its answers when the router drains gets them whole', async () => {
+  const body = 'x'.repeat(8 << 20);
+  let handled = 0;
+  const allHandled = deferred<undefined>();
+  const { port, listener } = await listen(() => {
+    handled += 1;
+    if (handled === 2) allHandled.resolve(undefined);
+    return Promise.resolve(serverAnswer(body, true));
+  });
+  const socket = connect(port, '127.0.0.1');
+  const ended = new Promise((resolve) => socket.on('close', resolve));
+  socket.write(get('/p/1', 'one') + get('/p/2', 'two'));
+  socket.pause();
+  await allHandled.promise;
+  const drained = listener.drain();
+  let received = 0;
+  socket.on('data', (chunk) => (received += chunk.length));
+  socket.resume();
+  await Promise.all([drained, ended]);
+  expect(received > 2 * body.length).toEqual(true);
+});
+
+test('a drain closes idle connections at once', async () => {
+  const { port, listener } = await listen(() => Promise.resolve(serverAnswer('a', true)));
+  const socket = connect(port, '127.0.0.1');
+  const answered = new Promise((resolve) => socket.once('data', resolve));
+  const ended = new Promise((resolve) => socket.on('close', resolve));
+  socket.write(get('/p/1', 'one'));
+  await answered;
+  await Promise.all([listener.drain(), ended]);
+  expect(listener.openRequests()).toEqual(0);
+});
+
 test('a caller that disconnects cancels its request', async () => {
   const started = deferred<CallerRequest>();
   const { port, listener } = await listen(
