Listener: large bodies share a bound, and what has no room is refused

Cause: chunks of a body were copied once more at its end, and nothing bound the sum over all requests.

One alone always has room.

--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -6,6 +6,7 @@
 
 import type { CallerRequest } from './caller-request.js';
 import { type Pipeline, type PipelineEntry, createPipeline } from './pipeline.js';
+import { createBodyMemory } from './body-memory.js';
 import { readBody } from './read-body.js';
 import { type OwnAnswer, type CallerAnswer, ownAnswer } from './caller-answer.js';
 import type { RouteTable } from './route-table.js';
@@ -34,6 +35,9 @@
 /** `Retry-After` of a router that has not loaded its configuration yet, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 500;
 
+/** `Retry-After` of a request for whose body there is no room, in milliseconds. */
+const NO_ROOM_RETRY_AFTER_MS = 1_000;
+
 /** Dependencies of the listener. */
 export interface CallerListenerContext {
   readonly codec: HeaderCodec;
@@ -85,6 +89,7 @@
   /** For each request without an answer yet, the function that answers it early. */
   const pendingAborts = new Map<PipelineEntry, (answer: OwnAnswer) => void>();
   const pipelines = new WeakMap<Socket, Pipeline>();
+  const bodies = createBodyMemory();
   const server: Server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
     (req, res) => {
@@ -116,7 +121,8 @@
     const table = ctx.routes();
     const target = req.url ?? '/';
     const route = table?.find(req.headers.host ?? '', target.split('?')[0] ?? target);
-    const read = await readBody(req, table?.cfg.limits.maxBodyBytes ?? 0);
+    using room = bodies.begin();
+    const read = await readBody(req, table?.cfg.limits.maxBodyBytes ?? 0, room);
     if (read.kind === 'disconnected' || disconnectSignal.aborted)
       return { answer: { kind: 'none' } };
     if (!table) {
@@ -128,6 +134,10 @@
     if (read.kind === 'too-large') {
       return { answer: ownAnswer('bodyTooLarge', 'the body is over the limit') };
     }
+    if (read.kind === 'no-room') {
+      const reason = 'the bodies of other requests take all room';
+      return { answer: ownAnswer('overloaded', reason, NO_ROOM_RETRY_AFTER_MS) };
+    }
     const meta = ctx.codec.readRequest(req.headers);
     if (meta.attemptId === undefined) {
       return { answer: ownAnswer('badRequest', 'the request has no id') };
@@ -254,7 +264,8 @@
     }
     // Pipelined requests that were accepted after this one still need the connection for their
     // answers.
-    if ((closing && entry.isLast()) || !req.complete) {
+    const isReadOn = req.complete || req.readableFlowing === true;
+    if ((closing && entry.isLast()) || !isReadOn) {
       pipelineOf(req.socket).isClosing = true;
       res.setHeader('connection', 'close');
     }
--- a/packages/router/src/test/caller-listener_test.ts
+++ b/packages/router/src/test/caller-listener_test.ts
@@ -210,6 +210,30 @@
   await listener.drain();
 });
 
+// Guards against a router that ends because several large bodies come at once.
+test('a large body for which there is no room is refused at once, and its connection stays usable', async () => {
+  const largeBytes = 100 << 20;
+  const limits = { ...cfg.limits, maxBodyBytes: 2 * largeBytes };
+  const routes = createRouteTable({ ...cfg, limits });
+  const { port, listener } = await listen(() => Promise.resolve(serverAnswer('', true)), routes);
+  const post = (id: string) =>
+    `POST /p/1 HTTP/1.1\r\nhost: a.example\r\nattempt: ${id}\r\ncontent-length: ${largeBytes}\r\n\r\n`;
+  const first = connect(port, '127.0.0.1');
+  first.write(`${post('one')}x`);
+  while (listener.openRequests() === 0) await new Promise((resolve) => setImmediate(resolve));
+  const second = connect(port, '127.0.0.1');
+  let received = '';
+  const answered = new Promise((resolve) => second.once('data', resolve));
+  second.on('data', (chunk) => (received += String(chunk)));
+  second.write(`${post('two')}x`);
+  await answered;
+  expect(received.startsWith('HTTP/1.1 503')).toEqual(true);
+  expect(received.includes('retry-after: 1.000')).toEqual(true);
+  expect(received.toLowerCase().includes('connection: close')).toEqual(false);
+  for (const socket of [first, second]) socket.destroy();
+  await listener.drain();
+});
+
 // Guards against answers that are cut off at a stop: a connection whose answer had been handed over
 // but not written yet counted as idle and was destroyed, with the answers behind it.
 test('a caller that is still reading its answers when the router drains gets them whole', async () => {
