Placement: a joined range counts as changed when a part of it was

Callers: a router that had not heard of the move of a range was never told of it once that range had been joined to one before it; it sent such keys to the former owner, and refused them after the 421.

Cause: joinInto kept the number of the first range's change. The larger one counts now.

Evidence: the test of range-table failed before (1 of 7).

--- a/packages/placement/src/lib/range-table.ts
+++ b/packages/placement/src/lib/range-table.ts
@@ -97,6 +97,7 @@
   range.last = next.last;
   range.grantedAt = Math.max(range.grantedAt, next.grantedAt);
   range.renewedAt = Math.min(range.renewedAt, next.renewedAt);
+  range.change = Math.max(range.change, next.change);
   const bound = range.owner?.bound;
   const other = next.owner?.bound;
   if (!bound || !other) return;
--- a/packages/placement/src/test/range-table_test.ts
+++ b/packages/placement/src/test/range-table_test.ts
@@ -37,6 +37,14 @@
   );
 });
 
+// Guards against routers that go on sending keys to their former owner: a range that had moved was
+// joined to one that had not, and routers which had not heard of the move were never told.
+test('a joined range counts as changed when either of its parts last was', () => {
+  const table = { ranges: [held(0, 49, 'a', 3), { ...held(50, 99, 'a', 3), change: 8 }] };
+  joinNeighbours(table);
+  expect(table.ranges.map((it) => it.change)).toEqual([8]);
+});
+
 test('adjacent ranges under one fencing token are joined', () => {
   const table = { ranges: [held(0, 9, 'a', 1), held(10, 19, 'a', 1), held(20, 29, 'a', 2)] };
   joinNeighbours(table);
