--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -9,6 +9,7 @@
 import { createBodyMemory } from './body-memory.js';
 import { readBody } from './read-body.js';
 import { type OwnAnswer, type CallerAnswer, ownAnswer } from './caller-answer.js';
+import { listenWhenFree } from './listen-when-free.js';
 import type { RouteTable } from './route-table.js';
 import {
   UNWRITABLE_ANSWER,
@@ -32,6 +33,8 @@
 const CLOSE_EVENT_TURNS = 3;
 /** Duration of one turn from which the event loop counts as busy, in milliseconds. */
 const BUSY_TURN_MS = 4;
+/** Number of connections that may wait to be accepted. */
+const LISTEN_BACKLOG = 1_024;
 /** `Retry-After` of a router that has not loaded its configuration yet, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 500;
 
@@ -278,10 +281,7 @@
     writeOwnAnswer(res, own, id === undefined ? {} : ctx.codec.writeAnswer(id));
   }
 
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, 1_024, resolve);
-  });
+  await listenWhenFree(server, { host, port, backlog: LISTEN_BACKLOG });
 
   return {
     applyLimits(limits) {
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -296,7 +296,7 @@
 
   const isReady = () =>
     !stopping && config.table() !== undefined && directory.isLoaded() && member.isCaughtUp();
-  const readiness = serveReadiness(isReady, endpointOf(settings.listen.readiness));
+  const readiness = await serveReadiness(isReady, endpointOf(settings.listen.readiness));
   const metricsServer =
     settings.listen.metrics === undefined
       ? undefined
--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -2,6 +2,7 @@
 
 import type { IpEndpoint } from '@boragepoint/config';
 
+import { listenWhenFree } from './listen-when-free.js';
 import type { RouterLog } from './router-log.js';
 import type { RouterMetrics } from './router-metrics.js';
 
@@ -9,12 +10,16 @@
 const HTTP_UNAVAILABLE = 503;
 
 /** Serves the platform's readiness check: whether this router may get new connections. */
-export function serveReadiness(isReady: () => boolean, { host, port }: IpEndpoint): Server {
+export async function serveReadiness(
+  isReady: () => boolean,
+  { host, port }: IpEndpoint,
+): Promise<Server> {
   const server = createServer((_req, res) => {
     res.writeHead(isReady() ? HTTP_OK : HTTP_UNAVAILABLE, { 'content-length': 0 });
     res.end();
   });
-  return server.listen(port, host);
+  await listenWhenFree(server, { host, port });
+  return server;
 }
 
 /**
@@ -32,8 +37,8 @@
       res.end(text);
     });
   });
-  server.on('error', (err) => {
-    log.warn('metrics not served', { reason: err.message });
+  listenWhenFree(server, { host, port }).catch((cause: unknown) => {
+    log.warn('metrics not served', { reason: String(cause) });
   });
-  return server.listen(port, host);
+  return server;
 }
--- a/packages/router/src/lib/peer-listener.ts
+++ b/packages/router/src/lib/peer-listener.ts
@@ -17,6 +17,7 @@
 import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
+import { listenWhenFree } from './listen-when-free.js';
 import { partsOf } from './row-parts.js';
 
 /** Largest message that a peer may send, in bytes. */
@@ -103,10 +104,7 @@
     session.on('error', () => undefined);
   });
   server.on('sessionError', () => undefined);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
+  await listenWhenFree(server, { host, port });
   return {
     async [Symbol.asyncDispose]() {
       for (const socket of sockets) socket.destroy();
