Placement: an owner that leaves two grants unanswered is given up

Keys that were to go to a server which the leader does not reach had no owner for up to four tries of a second each, while other servers could take them. From the second unanswered grant on the server counts as unresponsive, and the planner, which is woken by the end of the hand-over, passes over it.

Evidence: the new test saw four grants before.

--- a/packages/placement/src/lib/hand-over.ts
+++ b/packages/placement/src/lib/hand-over.ts
@@ -90,6 +90,8 @@
       owner.fence = ctx.nextFence();
       if (!(await ctx.persist())) return;
     }
+    // The planner chooses another owner at once.
+    if (ctx.health.isUnresponsive(owner.incarnation, ctx.clocks.monotonic())) return;
     await pause(ctx, RETRY_MS);
   }
 }
--- a/packages/placement/src/test/hand-over_test.ts
+++ b/packages/placement/src/test/hand-over_test.ts
@@ -200,6 +200,17 @@
   expect(holders.holdersOf(5)).toEqual([]);
 });
 
+// Guards against keys that wait for an owner which the leader does not reach, while others could
+// take them.
+test('a new owner that leaves two grants unanswered is given up', async () => {
+  const { ctx, holders, range } = await setUp();
+  range.former = [];
+  holders.modes.set('b', 'cut');
+  await handOver(ctx, range);
+  expect(holders.sent).toEqual(['grant b 0-9 #2', 'grant b 0-9 #2']);
+  expect([range.granted, range.busy]).toEqual([false, false]);
+});
+
 const throwing = () => Promise.reject(new RangeError('no such port'));
 
 // Guards against a range that stays where it is for ever: an order that threw left it busy.
