--- a/packages/spec/src/lib/model-configurations.ts
+++ b/packages/spec/src/lib/model-configurations.ts
@@ -1,5 +1,7 @@
 import { createConfigurationModel } from './configuration/configuration-model.js';
+import { createEndModel } from './ends/end-model.js';
 import { createGrantModel } from './grants/grant-model.js';
+import { createLeaveModel } from './leaves/leave-model.js';
 import { type Exploration, explore } from './model/explore.js';
 import type { Mutation } from './model/mutations.js';
 import { createOwnershipModel } from './ownership/ownership-model.js';
@@ -128,6 +130,18 @@
     ],
     run: (mutation) => explore(createGrantModel({ mutation, renewalsPerLeader: 1 })),
   },
+  {
+    name: 'a server that ends, starts again or loses a path',
+    isQuick: true,
+    mutations: ['end-refused', 'end-silent', 'end-since', 'end-later-start'],
+    run: (mutation) => explore(createEndModel({ mutation })),
+  },
+  {
+    name: 'a server that leaves, and a registry that the leader delivers',
+    isQuick: true,
+    mutations: ['leave-sight', 'leave-coverage'],
+    run: (mutation) => explore(createLeaveModel({ mutation })),
+  },
   {
     name: 'store comes back from a copy, nothing is lost',
     isQuick: true,
--- a/packages/spec/src/lib/model/mutations.ts
+++ b/packages/spec/src/lib/model/mutations.ts
@@ -40,6 +40,12 @@
   'grant-suspension': 'a leader acts after a suspension without confirming its leadership lease',
   'grant-grace':
     'a leader renews leases regardless of how long its leadership lease is unconfirmed',
+  'end-refused': 'a connection that is refused to the leader alone proves the end of a server',
+  'end-silent': 'a router that does not say whether it reaches a server counts as refused',
+  'end-since': 'the proof of an end counts for grants that were answered after the question',
+  'end-later-start': 'a later start in the registry proves the end of what was granted since',
+  'leave-sight': 'the notice of a leaving server counts from when a router sees it',
+  'leave-coverage': 'a report of the leader counts as new whatever it covers',
   'era-fence': 'tokens of a new era of the store are not above those of earlier eras',
   'era-row': 'the row has the same key in all eras, so a late write of an earlier era may match it',
   'era-answer': 'an answer of a later era confirms a leadership lease of an earlier one',
