Listener: the time of a request ends with the router's

Callers (an operator's report): requests that came late in the grace period were passed on and cut off with no answer at its end, some of them unsafe.

Cause: a request whose body arrives late was given its whole time, as if the router went on, so that nothing refused it and nothing answered it before the process ended.

The server is told that time.

--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -49,6 +49,8 @@
   handle(req: CallerRequest): Promise<CallerAnswer>;
   /** Monotonic time in milliseconds. */
   now(): number;
+  /** When the router stops, in milliseconds of the monotonic clock; `Infinity` until it is asked to. */
+  stopsAt(): number;
   /** How long data that is read now may have waited in the socket buffer, in milliseconds. */
   readDelayMs(): number;
   /** Called with the answer to each request that reached the handler, for metrics and the log. */
@@ -159,7 +161,7 @@
       route,
       service: route.nextService(),
       arrivedAt,
-      answerBy: arrivedAt + timeoutMs,
+      answerBy: Math.min(arrivedAt + timeoutMs, ctx.stopsAt()),
       deadlineAt: arrivedAt + deadlineMs,
       disconnectSignal,
     };
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -71,6 +71,7 @@
   let settings = initial;
   const { instance } = settings;
   let stopping = false;
+  let stopsAt = Infinity;
   const budgets = new Map<string, SharedRetryBudget>();
 
   const unusable = createUnusableEntries({
@@ -267,6 +268,7 @@
       routes: () => (member.isCaughtUp() ? config.table() : undefined),
       handle: (req) => handler.handle(req),
       now: clocks.monotonic,
+      stopsAt: () => stopsAt,
       readDelayMs: () => stalls.readDelayMs(),
       onUnexpectedError(err) {
         metrics.recordUnexpectedError();
@@ -344,6 +346,7 @@
       const startedAt = clocks.monotonic();
       const stopBy = startedAt + settings.shutdown.graceMs - GRACE_MARGIN_MS;
       stopping = true;
+      stopsAt = stopBy - LAST_ANSWERS_MS;
       log.info('stopping', { openRequests: listener.openRequests() });
       listener.announceClose();
       handOver.abort();
--- a/packages/router/src/test/caller-listener_test.ts
+++ b/packages/router/src/test/caller-listener_test.ts
@@ -88,6 +88,7 @@
   handle: (req: CallerRequest) => Promise<CallerAnswer>,
   routes: RouteTable | undefined = createRouteTable(cfg),
   readDelayMs = 0,
+  stopsAt = Infinity,
 ): Promise<Running> {
   const port = await freePort();
   const listener = await createCallerListener(
@@ -96,6 +97,7 @@
       routes: () => routes,
       handle,
       now: () => performance.now(),
+      stopsAt: () => stopsAt,
       readDelayMs: () => readDelayMs,
       onAnswer: () => undefined,
       onUnexpectedError: (err) => unexpectedErrors.push(err),
@@ -175,6 +177,7 @@
       routes: () => undefined,
       handle: () => Promise.resolve(serverAnswer('', true)),
       now: () => performance.now(),
+      stopsAt: () => Infinity,
       readDelayMs: () => 0,
       onAnswer: () => undefined,
       onUnexpectedError: (err) => unexpectedErrors.push(err),
@@ -234,6 +237,21 @@
   await listener.drain();
 });
 
+// Guards against requests that are passed on late in the grace period and cut off at its end: one whose
+// body came late was given its whole time, as if the router went on.
+test('a request that arrives while the router stops is to be answered before its end', async () => {
+  let answerBy = Infinity;
+  const handle = (req: CallerRequest) => {
+    answerBy = req.answerBy;
+    return Promise.resolve(serverAnswer('', true));
+  };
+  const stopsAt = performance.now() + 500;
+  const { port, listener } = await listen(handle, createRouteTable(cfg), 0, stopsAt);
+  await exchange(port, get('/p/1', 'a', CLOSE_HEADER));
+  expect(answerBy).toEqual(stopsAt);
+  await listener.drain();
+});
+
 // Guards against answers that are cut off at a stop: a connection whose answer had been handed over
 // but not written yet counted as idle and was destroyed, with the answers behind it.
 test('a caller that is still reading its answers when the router drains gets them whole', async () => {
