--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -12,6 +12,7 @@
 export * from './lib/recover-placement.js';
 export * from './lib/server-directory.js';
 export * from './lib/server-limits.js';
+export type { ReachRequest } from './lib/server-reach.js';
 export * from './lib/server-speed.js';
 export * from './lib/stopped-leader.js';
 export * from './lib/suspension-guard.js';
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -58,7 +58,10 @@
 
 /** Longest time from one look of a leader at its own changes to the next, in milliseconds. */
 const LEAD_CHECK_MS = 600;
-/** Time after the answer to a report is due from which the leader counts as unreachable, in milliseconds. */
+/**
+ * Time from when the answer to a report is due to when its leader counts as unreachable, in
+ * milliseconds.
+ */
 const REPORT_TIMEOUT_MS = 800;
 /**
  * Time for which the store must have answered a router before it checks the leadership lease, in
