Placement: a former leader that refuses is gone unless a router reaches it

Callers: after a restart of all routers and a return of the store, keys were unserved for up to 21 s instead of 8 s.

Cause: of "a server has ended only if it refuses all routers": the same proof was asked for a former leader, and of the routers that new ones know after such a restart none is left to answer.

A refusal counts as the leader's end unless another router reaches it, which keeps the case of a cut path. Servers stay with the stronger proof: the routers that reported to the leader are known to be there.

A stop also waits 300 ms longer for callers that still read.

--- a/packages/placement/src/lib/former-leader.ts
+++ b/packages/placement/src/lib/former-leader.ts
@@ -19,8 +19,9 @@
 }
 
 /**
- * Asks former leaders to step down. One that refuses the connection has ended if it refuses all
- * other routers as well; otherwise only the path to it may be cut, and it counts as silent.
+ * Asks former leaders to step down. One that refuses the connection counts as silent if another
+ * router reaches it, since only the path to it is cut then, and as ended otherwise. After a restart
+ * of all routers none of those that are known may be left to say more.
  */
 export function createStepDownRequests(options: StepDownRequestsOptions): RequestStepDown {
   const { peers } = options;
@@ -33,7 +34,7 @@
       ask: (router, req) => peers.reachServer(router, req),
       now: () => options.now(),
     });
-    const closedFrom = await reach.closedFrom({ serverId: '', address });
-    return { kind: closedFrom === undefined ? 'silent' : 'gone' };
+    const isReached = await reach.isReachedByAny({ serverId: '', address });
+    return { kind: isReached ? 'silent' : 'gone' };
   };
 }
--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -34,7 +34,7 @@
 export interface LeaderContext {
   readonly orders: ServerOrders;
   /** Reaches servers over other routers. */
-  readonly reach: ServerReach;
+  readonly reach: Pick<ServerReach, 'closedFrom' | 'release'>;
   readonly directory: ServerDirectory;
   readonly health: ServerHealth;
   readonly clocks: Clocks;
--- a/packages/placement/src/lib/server-reach.ts
+++ b/packages/placement/src/lib/server-reach.ts
@@ -26,6 +26,8 @@
    * any of them reached it or did not answer, or if there is none.
    */
   closedFrom(target: OrderTarget): Promise<number | undefined>;
+  /** Asks the other routers likewise; resolves to true if any of them reached something there. */
+  isReachedByAny(target: OrderTarget): Promise<boolean>;
   /** Sends a release over a router that reached the server when it was last asked. */
   release(target: OrderTarget, order: RangeOrder, timeoutMs: number): Promise<OrderOutcome>;
 }
@@ -98,6 +100,11 @@
       const question = questionFor(target);
       return (await question.isClosed) ? question.from : undefined;
     },
+    async isReachedByAny(target) {
+      const question = questionFor(target);
+      await question.isClosed;
+      return question.reachedBy.length > 0;
+    },
     async release(target, order, timeoutMs) {
       const question = questionFor(target);
       await question.isClosed;
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -32,8 +32,10 @@
 
 /** Time after the router reports not ready in which callers may still connect, in milliseconds. */
 const CLOSE_ANNOUNCEMENT_MS = 2_600;
-/** Part of the grace period that stays unused, in milliseconds. */
+/** Part of the grace period in which no request is worked on any more, in milliseconds. */
 const GRACE_MARGIN_MS = 400;
+/** Part of the grace period that stays unused, in milliseconds. */
+const EXIT_MARGIN_MS = 100;
 /** Time at the end of the grace period for writing answers that are ready, in milliseconds. */
 const LAST_ANSWERS_MS = 150;
 
@@ -363,6 +365,8 @@
       stalls[Symbol.dispose]();
       readiness.close();
       metricsServer?.close();
+      const exitBy = startedAt + settings.shutdown.graceMs - EXIT_MARGIN_MS;
+      await Promise.race([drained, sleep(Math.max(0, exitBy - clocks.monotonic()))]);
       log.info('stopped', {
         openRequests: listener.openRequests(),
         unsentBytes: listener.unsentBytes(),
