--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -3,6 +3,7 @@
 import { createServer } from 'node:http';
 import { performance } from 'node:perf_hooks';
 import { setTimeout } from 'node:timers';
+import { URL } from 'node:url';
 
 const encode = (value) => Buffer.from(JSON.stringify(value)).toString('base64');
 
