--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -12,6 +12,8 @@
 import { startStore } from '../lib-2/store.mjs';
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
+/** Exit code of a broken rule; an unexpected error ends with another one. */
+const BROKEN = 10;
 const TROUBLE = process.env.TROUBLE !== '0';
 const RUN_MS = 30_000;
 const BACKENDS = 6;
@@ -230,4 +232,4 @@
     `answers reset midway, ${counts.cut} successes with a part of the body`,
 );
 writeFileSync(join(FOLDER, 'record.txt'), `${record.join('\n')}\n`);
-process.exit(counts.successes === 0 ? 2 : counts.cut > 0 ? 1 : 0);
+process.exit(counts.successes === 0 ? 2 : counts.cut > 0 ? BROKEN : 0);
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -14,6 +14,8 @@
 import { startStore } from '../lib-2/store.mjs';
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
+/** Exit code of a broken rule; an unexpected error ends with another one. */
+const BROKEN = 10;
 const TROUBLE = process.env.TROUBLE !== '0';
 const ROUNDS = 4;
 /** Sizes of the backend's bodies; routers take answers of up to 4 MiB. */
@@ -218,4 +220,4 @@
 }
 note(`answers that were cut and look complete: ${broken} of ${answered}`);
 writeFileSync(join(FOLDER, 'record.txt'), `${record.join('\n')}\n`);
-process.exit(answered < ROUNDS ? 2 : broken > 0 ? 1 : 0);
+process.exit(answered < ROUNDS ? 2 : broken > 0 ? BROKEN : 0);
--- a/review/lib-2/routers.mjs
+++ b/review/lib-2/routers.mjs
@@ -1,6 +1,5 @@
 // Starts routers as processes, with the command of the deploy file and settings of a small site.
 import { spawn } from 'node:child_process';
-import { once } from 'node:events';
 import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
 import { createServer } from 'node:net';
@@ -13,17 +12,29 @@
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 const RUN = ['node', '--max-old-space-size=200', 'target/router.mjs'];
 
+/** Ports below those that the operating system gives to outgoing connections. */
+const FIRST_PORT = 15_000;
+const PORTS = 15_000;
+const usedPorts = new Set();
+
+async function isFree(port) {
+  const server = createServer();
+  const result = await new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => resolve(true));
+  });
+  if (result) await new Promise((resolve) => server.close(resolve));
+  return result;
+}
+
 async function freePorts(count) {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = createServer();
-      server.listen(0, '127.0.0.1');
-      await once(server, 'listening');
-      return server;
-    }),
-  );
-  const ports = servers.map((it) => it.address().port);
-  await Promise.all(servers.map((it) => new Promise((resolve) => it.close(resolve))));
+  const ports = [];
+  while (ports.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    if (usedPorts.has(port) || !(await isFree(port))) continue;
+    usedPorts.add(port);
+    ports.push(port);
+  }
   return ports;
 }
 
@@ -93,6 +104,13 @@
     router.isReady = async () => (await statusOf(router.ready)) === 200;
     routers.push(router);
   }
+  const stop = () => {
+    for (const { child } of routers) child?.kill('SIGKILL');
+    if (process.env.KEEP !== '1') rmSync(folder, { recursive: true, force: true });
+  };
+  // Nothing that was started stays, however this process ends.
+  process.on('exit', stop);
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(2));
   for (const it of routers) it.start();
   for (const it of routers) {
     for (let tries = 0; !(await it.isReady()); tries += 1) {
@@ -100,12 +118,5 @@
       await sleep(100);
     }
   }
-  return {
-    routers,
-    folder,
-    stop() {
-      for (const { child } of routers) child.kill('SIGKILL');
-      if (process.env.KEEP !== '1') rmSync(folder, { recursive: true, force: true });
-    },
-  };
+  return { routers, folder, stop };
 }
