--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,12 +1,10 @@
-// Case 8: a router is killed while it passes on an answer that has no length.
-import { Buffer } from 'node:buffer';
+// Case 8: connections are reset in the middle of answers that have no length.
 import { writeFileSync } from 'node:fs';
-import { createServer } from 'node:http';
-import { connect } from 'node:net';
+import { connect, createServer } from 'node:net';
 import { dirname, join } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import process from 'node:process';
-import { clearInterval, setInterval, setTimeout } from 'node:timers';
+import { clearInterval, setInterval } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
@@ -17,10 +15,12 @@
 /** Exit code of a broken rule; an unexpected error ends with another one. */
 const BROKEN = 10;
 const TROUBLE = process.env.TROUBLE !== '0';
-const ROUNDS = 4;
-/** Sizes of the backend's bodies; routers take answers of up to 4 MiB. */
-const FIRST_BYTES = 2_500_000;
-const SECOND_BYTES = 4_000_000;
+const RUN_MS = 30_000;
+const BACKENDS = 6;
+/** Share of the backends that spoil answers, and the share of their answers that they spoil. */
+const FAULTY_SHARE = 0.5;
+const SPOILT_SHARE = 0.02;
+const CLIENTS = 12;
 const ZONES = { 'amman-a': 'amman', 'irbid-a': 'irbid', 'aqaba-a': 'aqaba' };
 
 const record = [];
@@ -29,36 +29,74 @@
   record.push(`${((performance.now() - startedAt) / 1_000).toFixed(3)} ${text}`);
 }
 
+/** Whole bodies by attempt: what backends have made, whether or not it was sent to its end. */
+const bodies = new Map();
+let spoilt = 0;
+
 /**
- * A backend: the first transcript's answer states its length, the second one's has no length and
- * ends with its connection.
+ * A backend. A faulty one answers some requests without a length; with TROUBLE, it sends half of
+ * such an answer and resets the connection.
  */
-async function startBackend(store) {
-  const id = 'i-archive-1';
+async function startBackend(store, number) {
+  const id = `i-archive-${number}`;
+  const isFaulty = number <= BACKENDS * FAULTY_SHARE;
   const born = Date.now();
   let sequence = 0;
-  const server = createServer((req, res) => {
-    req.resume();
-    const attempt = String(req.headers['x-boragepoint-attempt-id'] ?? '');
-    if (req.headers['x-boragepoint-expect-instance'] !== id) {
-      res.writeHead(421, {
-        'x-boragepoint-attempt-id': attempt,
-        'x-boragepoint-not-executed': '1',
-        'content-length': 0,
-      });
-      res.end();
+  let runs = 0;
+  let served = 0;
+  const sockets = new Set();
+
+  async function answer(socket, head) {
+    const header = (name) => new RegExp(`^${name}: *(.*)$`, 'im').exec(head)?.[1] ?? '';
+    const attempt = header('x-boragepoint-attempt-id');
+    const common = [
+      `X-Boragepoint-Attempt-Id: ${attempt}`,
+      `X-Boragepoint-Instance-Id: ${id}`,
+      `X-Boragepoint-Server-Load: ${runs},0,2`,
+    ];
+    if (header('x-boragepoint-expect-instance') !== id) {
+      const lines = ['HTTP/1.1 421 Misdirected Request', ...common, 'Content-Length: 0', '', ''];
+      socket.write(lines.join('\r\n'));
+      return;
+    }
+    runs += 1;
+    served += 1;
+    const isOdd = isFaulty && served % Math.round(1 / SPOILT_SHARE) === 0;
+    await sleep(20 + (served % 5) * 10);
+    runs -= 1;
+    const body = `${attempt} `.repeat(100);
+    bodies.set(attempt, body);
+    const signed = ['HTTP/1.1 200 OK', ...common, `X-Boragepoint-Server-Signature: s.${attempt}`];
+    if (!isOdd) {
+      const lines = [...signed, `Content-Length: ${body.length}`, '', ''];
+      socket.write(lines.join('\r\n') + body);
       return;
     }
-    const hasLength = req.url === '/transcripts/1';
-    const size = hasLength ? FIRST_BYTES : SECOND_BYTES;
-    note(`${id} runs ${attempt} and answers with ${size} bytes, with a length: ${hasLength}`);
-    res.useChunkedEncodingByDefault = false;
-    res.writeHead(200, {
-      'x-boragepoint-attempt-id': attempt,
-      'x-boragepoint-server-signature': `s.${id}.${attempt}`,
-      ...(hasLength ? { 'content-length': size } : { connection: 'close' }),
+    const lines = [...signed, 'Connection: close', '', ''];
+    if (!TROUBLE) {
+      socket.end(lines.join('\r\n') + body);
+      return;
+    }
+    spoilt += 1;
+    const half = body.slice(0, body.length / 2);
+    note(`${id} sends ${half.length} of ${body.length} bytes for ${attempt} and resets`);
+    socket.write(lines.join('\r\n') + half, () => socket.resetAndDestroy());
+  }
+
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+    socket.on('error', () => undefined);
+    let text = '';
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+      // The requests of this case have no body.
+      for (let end = text.indexOf('\r\n\r\n'); end >= 0; end = text.indexOf('\r\n\r\n')) {
+        const head = text.slice(0, end);
+        text = text.slice(end + 4);
+        void answer(socket, head);
+      }
     });
-    res.end(Buffer.alloc(size, 'x'));
   });
   await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
   const beat = () => {
@@ -66,7 +104,7 @@
     store.put('servers', id, {
       service: 'archive',
       address: `127.0.0.1:${server.address().port}`,
-      zone: 'amman-a',
+      zone: Object.keys(ZONES)[number % 3],
       version: 'v1',
       slots: 2,
       state: 'ready',
@@ -77,92 +115,70 @@
   };
   beat();
   const timer = setInterval(beat, 870);
-  return {
-    stop() {
-      clearInterval(timer);
-      server.closeAllConnections();
-      server.close();
-    },
+  return () => {
+    clearInterval(timer);
+    for (const socket of sockets) socket.destroy();
+    server.close();
   };
 }
 
-/**
- * Sends two safe requests, the second one before the first has been answered, and reads slowly:
- * some bytes, and the rest once `onFirstBytes` has resolved. Resolves to what came.
- */
-function readSlowly(port, attempt, onFirstBytes) {
+let count = 0;
+const counts = { successes: 0, others: 0, cut: 0 };
+
+/** Sends one request on a new connection and reads the answer to its end. */
+function ask(port) {
+  count += 1;
+  const attempt = `${process.pid}-${count}`;
   return new Promise((resolve) => {
     const socket = connect({ host: '127.0.0.1', port });
-    let bytes = Buffer.alloc(0);
+    let text = '';
     let end = 'none';
-    for (const number of [1, 2]) {
-      socket.write(
-        [
-          `GET /transcripts/${number} HTTP/1.1`,
-          'Host: karmel.example',
-          `X-Boragepoint-Attempt-Id: ${attempt}-${number}`,
-          'X-Boragepoint-Deadline-Ms: 10000',
-          '',
-          '',
-        ].join('\r\n'),
-      );
-    }
-    socket.once('data', (chunk) => {
-      bytes = Buffer.concat([bytes, chunk]);
-      socket.pause();
-      onFirstBytes().then(() => {
-        const chunks = [bytes];
-        socket.on('data', (more) => chunks.push(more));
-        socket.on('end', () => (end = 'closed'));
-        socket.on('error', (err) => (end = err.code));
-        socket.on('close', () => {
-          resolve({ bytes: Buffer.concat(chunks), end });
-        });
-        socket.resume();
-      });
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+      const split = text.indexOf('\r\n\r\n');
+      const length = /^content-length: *(\d+)/im.exec(text.slice(0, split))?.[1];
+      if (length !== undefined && text.length >= split + 4 + Number(length)) socket.end();
     });
-    socket.on('error', () => undefined);
-    setTimeout(() => socket.destroy(), 15_000).unref();
+    socket.on('end', () => (end = 'closed'));
+    socket.on('error', (err) => (end = err.code));
+    socket.on('close', () => resolve({ attempt, text, end }));
+    socket.setTimeout(8_000, () => socket.destroy());
+    const lines = [
+      'GET /transcripts/1 HTTP/1.1',
+      'Host: karmel.example',
+      `X-Boragepoint-Attempt-Id: ${attempt}`,
+      'X-Boragepoint-Deadline-Ms: 5000',
+      '',
+      '',
+    ];
+    socket.write(lines.join('\r\n'));
   });
 }
 
-/** Splits an answer off; without a length it goes on to the end of the connection. */
-function parse(bytes) {
-  const split = bytes.indexOf('\r\n\r\n');
-  if (split < 0) return undefined;
-  const head = bytes.subarray(0, split).toString('latin1');
+function judge({ attempt, text, end }) {
+  const split = text.indexOf('\r\n\r\n');
+  const head = text.slice(0, split);
+  if (!/^HTTP\/1\.1 2/.test(head)) {
+    counts.others += 1;
+    return;
+  }
   const stated = /^content-length: *(\d+)/im.exec(head)?.[1];
-  const length = stated === undefined ? undefined : Number(stated);
-  const rest = bytes.subarray(split + 4);
-  return {
-    status: head.split('\r\n')[0],
-    isSuccess: /^HTTP\/1\.1 2/.test(head),
-    isSigned: /^x-boragepoint-server-signature:/im.test(head),
-    isChunked: /^transfer-encoding:.*chunked/im.test(head),
-    length,
-    body: length === undefined ? rest : rest.subarray(0, length),
-    rest: length === undefined ? Buffer.alloc(0) : rest.subarray(length),
-  };
-}
-
-/** Returns whether the second answer is a success that was cut and looks complete. */
-function judge({ bytes, end }) {
-  const first = parse(bytes);
-  const second = first && parse(first.rest);
-  if (!second) {
-    note(`the requester got no second answer, connection: ${end}`);
-    return false;
+  const isChunked = /^transfer-encoding:.*chunked/im.test(head);
+  const body = text.slice(split + 4);
+  const endsWithConnection = stated === undefined && !isChunked;
+  const looksComplete = endsWithConnection ? end === 'closed' : Number(stated) === body.length;
+  if (!looksComplete) {
+    counts.others += 1;
+    return;
   }
-  const { status, isSigned, length, isChunked, body } = second;
-  // Without a length, an answer ends where its connection is closed; a reset shows that it is cut.
-  const endsWithConnection = length === undefined && !isChunked;
-  const looksComplete = endsWithConnection ? end === 'closed' : length === body.length;
+  counts.successes += 1;
+  const whole = bodies.get(attempt);
+  if (body === whole) return;
+  counts.cut += 1;
   note(
-    `second answer: ${status}, signed: ${isSigned}, length: ${length ?? 'none'}, ` +
-      `chunked: ${isChunked}, ${body.length} of ${SECOND_BYTES} bytes of body, ` +
-      `connection: ${end}, looks complete: ${looksComplete}`,
+    `BROKEN: ${attempt} got ${head.split('\r\n')[0]}, length: ${stated ?? 'none'}, ${body.length} ` +
+      `of the backend's ${whole?.length ?? 0} bytes, connection: ${end}: it looks complete`,
   );
-  return second.isSuccess && looksComplete && body.length !== SECOND_BYTES;
 }
 
 const store = await startStore();
@@ -174,7 +190,7 @@
       hostname: 'karmel.example',
       prefix: '/transcripts/',
       kind: 'safe',
-      timeout_ms: 5_000,
+      timeout_ms: 2_500,
       target_latency_ms: 1_200,
       priority: 2,
       max_attempts: 2,
@@ -189,35 +205,31 @@
     idle_timeout_ms: 10_000,
   },
 });
-const backend = await startBackend(store);
+const stops = [];
+for (let number = 1; number <= BACKENDS; number += 1) stops.push(await startBackend(store, number));
 const fleet = await startRouters({
   zoneList: Object.keys(ZONES),
   zones: ZONES,
   storeOf: () => store.address,
 });
-let broken = 0;
-let answered = 0;
 try {
-  for (let round = 1; round <= ROUNDS; round += 1) {
-    const router = fleet.routers[round % fleet.routers.length];
-    const got = await readSlowly(router.callers, `attempt-${round}`, async () => {
-      await sleep(300);
-      if (TROUBLE) {
-        note(`SIGKILL to ${router.name}`);
-        router.kill('SIGKILL');
-        await sleep(100);
-        router.start();
-      }
-    });
-    answered += 1;
-    if (judge(got)) broken += 1;
-    while (!(await router.isReady())) await sleep(100);
-  }
+  const until = performance.now() + RUN_MS;
+  const client = async (number) => {
+    const { callers } = fleet.routers[number % fleet.routers.length];
+    while (performance.now() < until) {
+      judge(await ask(callers));
+      await sleep(20);
+    }
+  };
+  await Promise.all(Array.from({ length: CLIENTS }, (_, number) => client(number)));
 } finally {
   fleet.stop();
-  backend.stop();
+  for (const stop of stops) stop();
   store.close();
 }
-note(`answers that were cut and look complete: ${broken} of ${answered}`);
+note(
+  `${count} requests, ${counts.successes} successes, ${counts.others} other answers, ${spoilt} ` +
+    `answers reset midway, ${counts.cut} successes with a part of the body`,
+);
 writeFileSync(join(FOLDER, 'record.txt'), `${record.join('\n')}\n`);
-process.exit(answered < ROUNDS ? 2 : broken > 0 ? BROKEN : 0);
+process.exit(counts.successes === 0 ? 2 : counts.cut > 0 ? BROKEN : 0);
