--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -144,7 +144,7 @@
     socket.on('close', () => resolve({ attempt, text, end }));
     socket.setTimeout(8_000, () => socket.destroy());
     const lines = [
-      'GET /transcripts/1 HTTP/1.1',
+      `GET /transcripts/${count} HTTP/1.1`,
       'Host: karmel.example',
       `X-Boragepoint-Attempt-Id: ${attempt}`,
       'X-Boragepoint-Deadline-Ms: 5000',
