--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -15,7 +15,11 @@
 /** Exit code of a broken rule; an unexpected error ends with another one. */
 const BROKEN = 10;
 const TROUBLE = process.env.TROUBLE !== '0';
-const RUN_MS = 30_000;
+/** The trouble comes in spells, which are no longer than the site's; requests go on between them. */
+const SPELLS = 3;
+const SPELL_MS = 5_500;
+const PAUSE_MS = 2_500;
+const RUN_MS = SPELLS * (SPELL_MS + PAUSE_MS);
 const BACKENDS = 6;
 /** Share of the backends that spoil answers, and the share of their answers that they spoil. */
 const FAULTY_SHARE = 0.5;
@@ -32,6 +36,13 @@
 /** Whole bodies by attempt: what backends have made, whether or not it was sent to its end. */
 const bodies = new Map();
 let spoilt = 0;
+let loadFrom = Infinity;
+
+/** Whether a spell of trouble is on; each is followed by a pause. */
+const isSpell = () => {
+  const ms = performance.now() - loadFrom;
+  return ms >= 0 && ms % (SPELL_MS + PAUSE_MS) < SPELL_MS;
+};
 
 /**
  * A backend. A faulty one answers some requests without a length; with TROUBLE, it sends half of
@@ -61,7 +72,7 @@
     }
     runs += 1;
     served += 1;
-    const isOdd = isFaulty && served % Math.round(1 / SPOILT_SHARE) === 0;
+    const isOdd = isFaulty && isSpell() && served % Math.round(1 / SPOILT_SHARE) === 0;
     await sleep(20 + (served % 5) * 10);
     runs -= 1;
     const body = `${attempt} `.repeat(100);
@@ -213,7 +224,8 @@
   storeOf: () => store.address,
 });
 try {
-  const until = performance.now() + RUN_MS;
+  loadFrom = performance.now();
+  const until = loadFrom + RUN_MS;
   const client = async (number) => {
     const { callers } = fleet.routers[number % fleet.routers.length];
     while (performance.now() < until) {
