Router: what a send shows of a server is learned in a module of its own

request-handler.ts had grown to 382 lines and mixed the way of a request with what its outcome says of the server (load, health, limit, back-off, leaving). The latter is server-observer.ts now; nothing else changes. All tests of the router package pass.

--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -1,11 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import {
-  type IncarnationId,
-  type CrashCounts,
-  type ServerLimits,
-  requestKey,
-} from '@boragepoint/placement';
+import { type CrashCounts, requestKey } from '@boragepoint/placement';
 import type { HeaderCodec } from '@boragepoint/platform';
 
 import { createAnswerMemory } from './answer-memory.js';
@@ -31,26 +26,17 @@
 import { type CallerAnswer, ownAnswer } from './caller-answer.js';
 import type { RouterLog } from './router-log.js';
 import type { RouterMetrics } from './router-metrics.js';
-import { type SendOutcome, type ServerAnswer, sendRequest } from './send-request.js';
-import { cancelUnsent, noteSent, noteAccepted, startBackoff } from './server-backoff.js';
-import { type PooledServer, incarnationOf, isWarmingUp } from './server-pool.js';
+import { type SendOutcome, sendRequest } from './send-request.js';
+import { noteSent } from './server-backoff.js';
+import { type ServerObserverContext, createServerObserver } from './server-observer.js';
+import { incarnationOf } from './server-pool.js';
 import type { SharedRetryBudget } from './shared-retry-budget.js';
 
-/** Time for which a server is avoided while others can take its requests, in milliseconds. */
-const AVOID_MS = 1_000;
-/**
- * Time for which an owner of keys gets no requests after a connection to it failed, in
- * milliseconds.
- */
-const UNREACHABLE_MS = 250;
 /** Time in which a request with a permit has to be sent, in milliseconds. */
 const PERMIT_TTL_MS = 500;
 /** `Retry-After` of the refusal of a crashing request, in milliseconds. */
 const CRASH_RETRY_AFTER_MS = 3_000;
-const HTTP_MISDIRECTED = 421;
 const HTTP_UNAVAILABLE = 503;
-/** Outcomes that say nothing about a server's health. */
-const HEALTH_NEUTRAL_REASONS: readonly string[] = ['cancelled', 'misdirected', 'paused'];
 const SUSPECT_WAIT_REFUSAL: Refusal = {
   kind: 'refuse',
   reason: 'equal requests, or others at the server, are being watched',
@@ -58,7 +44,7 @@
 };
 
 /** Dependencies of the request handler. */
-export interface RequestHandlerContext extends ServerPickerContext {
+export interface RequestHandlerContext extends ServerPickerContext, ServerObserverContext {
   readonly codec: HeaderCodec;
   readonly log: RouterLog;
   /** Number of routers that share the retry budgets. */
@@ -66,15 +52,10 @@
   isPartitioned(service: string): boolean;
   budgetOf(service: string): SharedRetryBudget;
   readonly guard: CrashGuard;
-  readonly limits: ServerLimits;
-  /** Tells the other routers of a limit that has changed. */
-  shareLimits(): void;
   readonly metrics: Pick<
     RouterMetrics,
     'recordLimitedSend' | 'recordLimitedRefusal' | 'recordAnnouncement'
   >;
-  /** Notes that an incarnation of a server is leaving; returns false if that was known before. */
-  noteLeaving(incarnation: IncarnationId): boolean;
   /** Records a request for a key. */
   recordKey(service: string, key: number): void;
 }
@@ -126,6 +107,7 @@
   const { codec, log } = ctx;
   const picker = createServerPicker(ctx);
   const answerMemory = createAnswerMemory();
+  const observer = createServerObserver(ctx);
 
   /** Sends a request that was sent to the same server `earlierSends` times before. */
   async function send(
@@ -164,13 +146,7 @@
     });
     clearTimeout(timer);
     req.disconnectSignal.removeEventListener('abort', cancel);
-    noteOutcome(server, outcome, startedAt);
-    // Latencies during warm-up do not predict those of a warm server.
-    if (!isWarmingUp(server, startedAt))
-      noteLatency(run, outcome, serviceTimes, ctx.now() - startedAt);
-    const isTimeout =
-      outcome.kind === 'unknown' && outcome.why === 'cancelled' && !req.disconnectSignal.aborted;
-    if (isTimeout && server.lastAnsweredAt < startedAt) server.avoidUntil = ctx.now() + AVOID_MS;
+    observer.noteOutcome(run, outcome, { startedAt, serviceTimes });
     if (outcome.kind === 'unknown') {
       log.info('request outcome unknown', {
         request: req.attemptId,
@@ -185,90 +161,6 @@
     return outcome;
   }
 
-  /** Notes the limit that an answer names, or that it names none. */
-  function noteLimit(server: PooledServer, { status, meta }: ServerAnswer): void {
-    // Another process at the address of a server that has ended answers so, and without a limit.
-    const mayBeAnotherServer = status === HTTP_MISDIRECTED;
-    if (meta.limitPerS === 'unreadable') return;
-    if (mayBeAnotherServer && meta.limitPerS === undefined) return;
-    const incarnation = incarnationOf(server);
-    const before = ctx.limits.limitOf(incarnation);
-    const change = ctx.limits.observe(incarnation, meta.limitPerS);
-    if (change === 'none') return;
-    const { server: id } = incarnation;
-    log.info('server limit changed', { server: id, change, perS: meta.limitPerS, before });
-    if (meta.limitPerS !== undefined) cancelUnsent(server);
-    ctx.shareLimits();
-  }
-
-  /**
-   * Applies the signals in a server's answer: that it is leaving, asks for a back-off, or names a
-   * limit.
-   */
-  function applyServerSignals(server: PooledServer, answer: ServerAnswer, now: number): void {
-    const { meta } = answer;
-    const { id, startedMs } = server.entry;
-    noteLimit(server, answer);
-    if (meta.leaving && ctx.noteLeaving({ server: id, startedMs })) {
-      log.info('server announced that it is leaving', { server: id });
-      ctx.metrics.recordAnnouncement(server.entry.service, 'leaving');
-    }
-    if (meta.backoffMs !== undefined) {
-      startBackoff(server, meta.backoffMs, now);
-      ctx.metrics.recordAnnouncement(server.entry.service, 'back-off');
-      const forMs = Math.round(server.backoffUntil - now);
-      log.info('server asked for back-off', {
-        server: id,
-        askedMs: Math.round(meta.backoffMs),
-        forMs,
-      });
-    } else if (!meta.notRun) {
-      noteAccepted(server);
-    }
-  }
-
-  /** Updates the server's load, health and availability from an outcome. */
-  function noteOutcome(server: PooledServer, outcome: SendOutcome, startedAt: number): void {
-    const now = ctx.now();
-    const { load } = server;
-    const answer = outcome.kind === 'unknown' ? undefined : outcome.answer;
-    if (answer) server.lastAnsweredAt = now;
-    if (answer) applyServerSignals(server, answer, now);
-    const asksForBackoff = answer?.meta.backoffMs !== undefined;
-    if (outcome.kind === 'answer') {
-      const isFailure = outcome.answer.status >= HTTP_SERVER_ERROR;
-      load.recordDone(startedAt, asksForBackoff ? undefined : isFailure);
-    } else if (asksForBackoff || HEALTH_NEUTRAL_REASONS.includes(outcome.why)) {
-      load.recordDone(startedAt);
-    } else {
-      load.recordDone(startedAt, true);
-    }
-    if (answer?.meta.load) load.recordReport(now, answer.meta.load);
-    const isUnreached =
-      outcome.kind === 'not-run' && (outcome.why === 'refused' || outcome.why === 'unconnected');
-    if (isUnreached) {
-      server.avoidUntil = now + AVOID_MS;
-      server.unreachableUntil = now + UNREACHABLE_MS;
-    }
-    if (outcome.kind === 'unknown' && outcome.why === 'broken-off')
-      server.connections.replacePools();
-  }
-
-  /** Records the latency of an answer; for a cancelled request it is only a lower bound. */
-  function noteLatency(
-    { req, server: { load } }: GuardedRun,
-    outcome: SendOutcome,
-    serviceTimes: number,
-    latencyMs: number,
-  ): void {
-    const isCancelled = outcome.kind === 'unknown' && outcome.why === 'cancelled';
-    const isLongerThanExpected = isCancelled && latencyMs > serviceTimes * load.serviceMs();
-    const isAnswered = outcome.kind === 'answer' && outcome.answer.status < HTTP_SERVER_ERROR;
-    if (isAnswered)
-      ctx.routeTimes.record(req.route.cfg.name, latencyMs, serviceTimes, load.serviceMs());
-    if (isAnswered || isLongerThanExpected) load.recordLatency(serviceTimes, latencyMs);
-  }
-
   function returnPermit(pick: ServerPick): void {
     if (pick.kind === 'server' && pick.hasPermit) ctx.permits.giveBack(pick.server);
   }
