--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -6,6 +6,12 @@
 export * from './lib/plan-moves.js';
 export * from './lib/placement-leader.js';
 export * from './lib/placement-member.js';
+export {
+  decodeNote,
+  decodeReachRequest,
+  encodeKnownPlacement,
+  encodeReach,
+} from './lib/peer-messages.js';
 export * from './lib/placement-peers.js';
 export * from './lib/placement-record.js';
 export * from './lib/placement-view.js';
--- a/packages/placement/src/lib/report-responder.ts
+++ b/packages/placement/src/lib/report-responder.ts
@@ -6,12 +6,8 @@
 import { LAST_KEY } from './key-range.js';
 import { type LimitExchange, decodeLimit, encodeLimit } from './limit-exchange.js';
 import type { PlacementLeader } from './placement-leader.js';
-import {
-  type LeaderAddress,
-  type NamedTableReport,
-  encodeServices,
-  encodeTable,
-} from './placement-peers.js';
+import { encodeServices, encodeTable } from './peer-messages.js';
+import type { LeaderAddress, NamedTableReport } from './placement-peers.js';
 import type { Reporters } from './reporters.js';
 import type { ServerDirectory } from './server-directory.js';
 import type { SuspectExchange } from './suspect-exchange.js';
