--- a/packages/placement/src/lib/leader-lease.ts
+++ b/packages/placement/src/lib/leader-lease.ts
@@ -136,7 +136,7 @@
   lapsedForMs(): number;
   /** The era of the store in which the lease was confirmed last. */
   era(): number;
-  /** Treats the lease as unconfirmed until the next write succeeds. */
+  /** Treats the lease as unconfirmed until a write succeeds that is sent from now on. */
   invalidate(): void;
 }
 
@@ -174,6 +174,7 @@
   let storeClock = { nowMs: reading.storeNowMs, at: reading.askedAt };
   let confirmedAt = -Infinity;
   let confirmedUntil = -Infinity;
+  let invalidatedAt = -Infinity;
   let isEndedByReturn = false;
   let confirmedEra = -1;
 
@@ -240,13 +241,23 @@
     return 'committed';
   }
 
+  /**
+   * Extends the lease from when a confirmed write was sent. The monotonic clock does not count a
+   * suspension since then, so that such a write does not show that the lease is still valid.
+   */
   function confirm(sentAt: number): void {
-    guard.mayHaveBeenSuspended();
+    if (guard.mayHaveBeenSuspended()) invalidate();
+    if (sentAt <= invalidatedAt) return;
     confirmedEra = era;
     confirmedAt = sentAt;
     confirmedUntil = sentAt + LEADER_LEASE_MS;
   }
 
+  function invalidate(): void {
+    confirmedUntil = -Infinity;
+    invalidatedAt = clocks.monotonic();
+  }
+
   return {
     epoch,
     write,
@@ -256,8 +267,6 @@
     isEndedByReturn: () => isEndedByReturn,
     era: () => confirmedEra,
     lapsedForMs: () => Math.max(0, clocks.monotonic() - confirmedUntil),
-    invalidate() {
-      confirmedUntil = -Infinity;
-    },
+    invalidate,
   };
 }
--- a/packages/placement/src/test/leader-lease_test.ts
+++ b/packages/placement/src/test/leader-lease_test.ts
@@ -136,3 +136,39 @@
   const later = await openLease(store, clocks, candidate('c'));
   expect(mayAcquire(later.reading, candidate('c'))).toEqual(true);
 });
+
+/** Lets a write reach the store, and holds its answer back until the returned function is called. */
+function holdNextAnswer(store: FakeRowStore): () => void {
+  const put = store.put.bind(store);
+  let release: () => void = () => undefined;
+  const held = new Promise<void>((resolve) => (release = resolve));
+  store.put = async (...args) => {
+    store.put = put;
+    const outcome = await put(...args);
+    await held;
+    return outcome;
+  };
+  return release;
+}
+
+// Guards against a leader that gives orders after a suspension although another router leads: the
+// monotonic clock does not count the suspension, so that a write from before it seemed recent.
+for (const isNoticed of [true, false]) {
+  const title = isNoticed ? 'that was noticed' : 'that nobody has noticed yet';
+  test(`a write from before a suspension ${title} does not make the lease valid again`, async () => {
+    const { clocks, store } = setUp();
+    const { leaderLease } = await openLease(store, clocks, candidate('a'));
+    await leaderLease.write(content(1));
+    clocks.advance(1_000);
+    const deliverAnswer = holdNextAnswer(store);
+    const written = leaderLease.write(content(2));
+    clocks.jump(10_000);
+    if (isNoticed) leaderLease.invalidate();
+    deliverAnswer();
+    expect(await written).toEqual('committed');
+    expect(leaderLease.isConfirmed()).toEqual(false);
+    clocks.advance(1);
+    await leaderLease.write(content(3));
+    expect(leaderLease.isConfirmed()).toEqual(true);
+  });
+}
