A router whose output is closed or unread ends after SIGTERM

FAULT: a router whose standard output was closed, or a full pipe, never ended after SIGTERM: it logged nothing more, held the thread and was killed at the end of its grace period.

Cause: the last lines were written by sonic-boom's flushSync, which tries again every 100 ms on any error (EPIPE, EAGAIN), without end, and blocks the event loop.

Mend: the end waits for the written lines asynchronously, for 0.2 s at most. Ruled out: a pool thread that blocks in write(2) keeps process.exit from returning as well, but Node.js sets pipes to non-blocking here, so the write returns EAGAIN.

--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -372,7 +372,7 @@
         unsentBytes: listener.unsentBytes(),
         afterMs: Math.round(clocks.monotonic() - startedAt),
       });
-      log.flush();
+      await log.flush();
     },
   };
 }
--- a/packages/router/src/lib/router-log.ts
+++ b/packages/router/src/lib/router-log.ts
@@ -1,3 +1,6 @@
+import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import { LogLevels, createConsola } from 'consola';
 import sonicBoom from 'sonic-boom';
 
@@ -9,8 +12,8 @@
   info(message: string, fields?: LogFields): void;
   warn(message: string, fields?: LogFields): void;
   error(message: string, fields?: LogFields): void;
-  /** Writes the buffered lines. */
-  flush(): void;
+  /** Waits until the buffered lines are written, or nobody reads them for a while. */
+  flush(): Promise<void>;
 }
 
 /** Largest number of lines a second; further ones are dropped, and their count is logged. */
@@ -18,29 +21,40 @@
 /** Largest buffer for standard output, in bytes; lines beyond it are dropped. */
 const MAX_BUFFERED_BYTES = 1 << 20;
 const LINE_WINDOW_MS = 1_000;
+/** Longest time for which the end of the process waits for its last lines, in milliseconds. */
+const MAX_FLUSH_MS = 200;
 
 /** Destination of log lines. */
 export interface LineSink {
   /** Returns false if the line was dropped. */
   write(line: string): boolean;
-  flush(): void;
+  flush(): Promise<void> | undefined;
 }
 
 /**
  * Creates a sink that writes to a file descriptor asynchronously, and drops lines when its buffer
- * is full.
+ * is full. A synchronous flush would never return if nobody reads the output, or it is closed.
  */
 export function createOutputSink(fd: number): LineSink {
   const out = new sonicBoom.SonicBoom({ fd, sync: false, maxLength: MAX_BUFFERED_BYTES });
+  let isWritten = true;
+  out.on('drain', () => {
+    isWritten = true;
+  });
   out.on('error', () => undefined);
   return {
-    write: (line) => out.write(line),
-    flush() {
-      try {
-        out.flushSync();
-      } catch {
-        // Nothing reads standard output any more, and there is no other place to report that.
-      }
+    write(line) {
+      isWritten = false;
+      return out.write(line);
+    },
+    async flush() {
+      if (isWritten) return;
+      const done = new AbortController();
+      const { signal } = done;
+      // An error of the output is an end of the wait, too.
+      const written = once(out, 'drain', { signal }).catch(() => undefined);
+      await Promise.race([written, sleep(MAX_FLUSH_MS, undefined, { signal })]);
+      done.abort();
     },
   };
 }
@@ -95,8 +109,8 @@
     error: (message, fields) => {
       logger.error(message, fields);
     },
-    flush: () => {
-      sink.flush();
+    async flush() {
+      await sink.flush();
     },
   };
 }
