Log every end and every phase of a start; stray errors end nothing

FAULT: the users saw processes that did not start or ended by themselves, without logs. Nothing in the log told the three hypotheses apart, and a start that failed said so on standard error alone.

Now: `start phase done` for each phase with its time, `not ready yet` with what is missing, `signal taken`, and `process ends` with code and reason (signal, unusable settings, start that failed, stop that failed, nothing left to do). An end without that line came from outside.

An error that no task took (uncaughtException, unhandledRejection) ended the process with code 1. It is logged and counted in boragepoint_unexpected_errors_total, and the process goes on: keys are owned by what the store and the backend servers check. The watches of the store and placement start again if they fail, so that no router lives on without them.

Ruled out: going on where the start itself fails; that is still code 1 with a message.

Order of the listeners: readiness first, then peers, then callers, so that the start can be seen while it waits.

--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -11,10 +11,11 @@
 } from '@boragepoint/placement';
 import { type FleetPlatform, type RowSource, createUnusableEntries } from '@boragepoint/platform';
 
-import { createCallerListener } from './caller-listener.js';
+import { type CallerListenerContext, createCallerListener } from './caller-listener.js';
 import { createActiveConfig, watchOutageFields } from './active-config.js';
 import { createCrashGuard } from './crash-guard.js';
-import { serveMetrics, serveReadiness } from './http-endpoints.js';
+import { errorFields } from './describe-error.js';
+import { closeServer, serveMetrics, serveReadiness } from './http-endpoints.js';
 import { createKeyLoad } from './key-load.js';
 import { createPeerListener } from './peer-listener.js';
 import { createRequestHandler } from './request-handler.js';
@@ -29,6 +30,8 @@
 import { createServiceDemand } from './service-demand.js';
 import { settingsDigest } from './settings-digest.js';
 import { watchStalls } from './stall-watch.js';
+import { type StartLog, createStartLog, watchStart } from './start-log.js';
+import { superviseTask } from './supervise-task.js';
 
 /** Time after the router reports not ready in which callers may still connect, in milliseconds. */
 const CLOSE_ANNOUNCEMENT_MS = 2_600;
@@ -45,6 +48,8 @@
   reload(next: FleetSettings): void;
   /** Logs and counts changed settings that are invalid; the current ones stay. */
   reportInvalidSettings(reason: string): void;
+  /** Logs and counts an error that no task took. */
+  noteUnexpectedError(err: unknown, origin: string): void;
   /** Stops gracefully: reports not ready at once, and lets requests in progress finish. */
   shutDown(): Promise<void>;
 }
@@ -56,16 +61,15 @@
   return endpoint;
 }
 
-/** The first frames of an error's stack. */
-function stackOf(err: unknown): string | undefined {
-  return err instanceof Error ? err.stack?.split('\n').slice(1, 4).join(' ') : undefined;
-}
-
-/** Starts a router on a platform. */
+/**
+ * Starts a router on a platform. Rejects with the system's error, and leaves nothing open, if one of
+ * its addresses can't be listened at.
+ */
 export async function createFleetRouter(
   initial: FleetSettings,
   platform: FleetPlatform,
   log: RouterLog,
+  start: StartLog = createStartLog(() => log),
 ): Promise<FleetRouter> {
   const clocks = processClocks;
   const stop = new AbortController();
@@ -259,54 +263,17 @@
     random: Math.random,
   });
 
-  const callerEndpoint = endpointOf(settings.listen.callers);
+  function noteUnexpectedError(err: unknown, origin: string): void {
+    metrics.recordUnexpectedError();
+    log.error('unexpected error', { origin, ...errorFields(err) });
+  }
+
   const stalls = watchStalls(({ lateMs, cpuMs }) => {
     metrics.recordStall(lateMs);
     log.warn('process stalled', { lateMs: Math.round(lateMs), cpuMs: Math.round(cpuMs) });
   });
-  const listener = await createCallerListener(
-    {
-      codec: platform.headers,
-      routes: () => (member.isCaughtUp() ? config.table() : undefined),
-      handle: (req) => handler.handle(req),
-      now: clocks.monotonic,
-      stopsAt: () => stopsAt,
-      readDelayMs: () => stalls.readDelayMs(),
-      onUnexpectedError(err) {
-        metrics.recordUnexpectedError();
-        log.error('unexpected error', { reason: String(err), stack: stackOf(err) });
-      },
-      onAnswer(req, answer) {
-        const latencyMs = clocks.monotonic() - req.arrivedAt;
-        metrics.recordAnswer(req, answer, latencyMs);
-        if (answer.kind === 'own') {
-          log.info('answered by the router', {
-            request: req.attemptId,
-            route: req.route.cfg.name,
-            status: answer.status,
-            result: answer.result,
-            reason: answer.reason,
-            retryAfterMs: answer.retryAfterMs && Math.round(answer.retryAfterMs),
-            afterMs: Math.round(latencyMs),
-            configVersion: config.table()?.cfg.version,
-            placementChange: member.view().change,
-          });
-        }
-      },
-    },
-    callerEndpoint.host,
-    callerEndpoint.port,
-  );
-
   const isReady = () =>
     !stopping && config.table() !== undefined && directory.isLoaded() && member.isCaughtUp();
-  const readiness = await serveReadiness(isReady, endpointOf(settings.listen.readiness));
-  const metricsServer =
-    settings.listen.metrics === undefined
-      ? undefined
-      : serveMetrics(metrics, endpointOf(settings.listen.metrics), log);
-
-  const peerEndpoint = endpointOf(settings.listen.peers);
   const peerContext = {
     member,
     onUnusable: unusable.note,
@@ -315,9 +282,81 @@
       return table === platform.serverTable ? directory.rowsSince(version) : undefined;
     },
   };
-  const peerListener = await createPeerListener(peerContext, peerEndpoint.host, peerEndpoint.port);
-  void Promise.all([config.watch.run(stop.signal), directory.run(stop.signal)]);
-  const memberStopped = member.run(handOver.signal, stop.signal);
+  const callerContext: CallerListenerContext = {
+    codec: platform.headers,
+    routes: () => (member.isCaughtUp() ? config.table() : undefined),
+    handle: (req) => handler.handle(req),
+    now: clocks.monotonic,
+    stopsAt: () => stopsAt,
+    readDelayMs: () => stalls.readDelayMs(),
+    onUnexpectedError: (err) => {
+      noteUnexpectedError(err, 'request');
+    },
+    onAnswer(req, answer) {
+      const latencyMs = clocks.monotonic() - req.arrivedAt;
+      metrics.recordAnswer(req, answer, latencyMs);
+      if (answer.kind === 'own') {
+        log.info('answered by the router', {
+          request: req.attemptId,
+          route: req.route.cfg.name,
+          status: answer.status,
+          result: answer.result,
+          reason: answer.reason,
+          retryAfterMs: answer.retryAfterMs && Math.round(answer.retryAfterMs),
+          afterMs: Math.round(latencyMs),
+          configVersion: config.table()?.cfg.version,
+          placementChange: member.view().change,
+        });
+      }
+    },
+  };
+
+  /** Opens the listeners: the check of readiness first, and the one for callers last. */
+  async function openListeners() {
+    const { listen } = settings;
+    const readiness = await serveReadiness(isReady, endpointOf(listen.readiness));
+    start.phaseDone('readiness served', { address: listen.readiness });
+    let peerListener: AsyncDisposable | undefined;
+    try {
+      const peerEndpoint = endpointOf(listen.peers);
+      peerListener = await createPeerListener(peerContext, peerEndpoint.host, peerEndpoint.port);
+      start.phaseDone('peers listened for', { address: listen.peers });
+      const { host, port } = endpointOf(listen.callers);
+      const callers = await createCallerListener(callerContext, host, port);
+      start.phaseDone('callers listened for', { address: listen.callers });
+      return { readiness, peerListener, callers };
+    } catch (cause) {
+      closeServer(readiness);
+      await peerListener?.[Symbol.asyncDispose]();
+      peers[Symbol.dispose]();
+      stalls[Symbol.dispose]();
+      throw cause;
+    }
+  }
+
+  const { readiness, peerListener, callers: listener } = await openListeners();
+  const metricsServer =
+    settings.listen.metrics === undefined
+      ? undefined
+      : serveMetrics(metrics, endpointOf(settings.listen.metrics), log);
+  const supervise = (task: () => Promise<void>, origin: string) =>
+    superviseTask(task, stop.signal, (err) => {
+      noteUnexpectedError(err, origin);
+    });
+  void supervise(() => config.watch.run(stop.signal), 'configuration watch');
+  void supervise(() => directory.run(stop.signal), 'service registry watch');
+  const memberStopped = supervise(() => member.run(handOver.signal, stop.signal), 'placement');
+  const startWatch = watchStart(
+    {
+      'store answered': () => config.watch.knownVersion() > 0 || directory.isLoaded(),
+      'configuration known': () => config.table() !== undefined,
+      'service registry known': () => directory.isLoaded(),
+      'placement known': () => member.isCaughtUp(),
+      ready: isReady,
+    },
+    start,
+    log,
+  );
   log.info('started', {
     zone: instance.availabilityZone,
     region: instance.region,
@@ -344,8 +383,10 @@
         digest: settingsDigest(settings),
       });
     },
+    noteUnexpectedError,
     async shutDown() {
       const startedAt = clocks.monotonic();
+      startWatch[Symbol.dispose]();
       const stopBy = startedAt + settings.shutdown.graceMs - GRACE_MARGIN_MS;
       stopping = true;
       stopsAt = stopBy - LAST_ANSWERS_MS;
@@ -364,7 +405,7 @@
       peers[Symbol.dispose]();
       stalls[Symbol.dispose]();
       readiness.close();
-      metricsServer?.close();
+      metricsServer?.[Symbol.dispose]();
       const exitBy = startedAt + settings.shutdown.graceMs - EXIT_MARGIN_MS;
       await Promise.race([drained, sleep(Math.max(0, exitBy - clocks.monotonic()))]);
       log.info('stopped', {
--- a/packages/router/src/test/log-events_test.ts
+++ b/packages/router/src/test/log-events_test.ts
@@ -16,7 +16,9 @@
   );
   const messages = files.flatMap((file) => {
     const text = readFileSync(file, 'utf8');
-    return [...text.matchAll(/log\.(?:info|warn|error)\(\s*'([^']+)'/g)].map((it) => it[1] ?? '');
+    return [...text.matchAll(/log(?:\(\))?\.(?:info|warn|error)\(\s*'([^']+)'/g)].map(
+      (it) => it[1] ?? '',
+    );
   });
   return [...new Set(messages)].sort();
 }
