--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -19,9 +19,7 @@
   readonly status: number;
   readonly headers: HeaderValues;
   readonly body: Buffer;
-  /**
-   * Whether a length or chunked encoding marks the end; without, a truncated answer looks complete.
-   */
+  /** Whether the answer itself marks its end; the end of its connection does otherwise. */
   readonly framed: boolean;
   readonly meta: AnswerMeta;
 }
@@ -51,6 +49,8 @@
       readonly detail: string;
     };
 
+const HTTP_NO_CONTENT = 204;
+const HTTP_NOT_MODIFIED = 304;
 const HTTP_MISDIRECTED = 421;
 const HTTP_BAD_REQUEST = 400;
 
@@ -59,11 +59,16 @@
   override readonly name = 'MismatchedAnswerError';
 }
 
+/** Whether an answer has no body, whatever its headers say. */
+function isBodiless(method: string, status: number): boolean {
+  return method === 'HEAD' || status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED;
+}
+
 /**
- * Whether an answer states where it ends. With a transfer coding, only chunks as the last one do,
- * whatever length is stated.
+ * Whether headers state where the body ends. With a transfer coding, only chunks as the last one
+ * do, whatever length is stated.
  */
-function isFramed(headers: HeaderValues): boolean {
+function statesEnd(headers: HeaderValues): boolean {
   const codings = headers['transfer-encoding'];
   if (codings === undefined) return headers['content-length'] !== undefined;
   return /(^|,)\s*chunked\s*$/i.test([codings].flat().join(','));
@@ -140,6 +145,13 @@
       resolve(outcome);
     }
 
+    /** Finishes with an answer that is whole only if its connection ended in order. */
+    async function finishAtEnd(answer: ServerAnswer): Promise<void> {
+      const isWhole = await connections.confirmEnd();
+      if (isWhole) finish(classifyAnswer(answer));
+      else finish({ kind: 'unknown', why: 'broken-off', detail: 'reset before the end' });
+    }
+
     if (signal.aborted) {
       finish({ kind: 'not-run', why: 'cancelled' });
       return;
@@ -160,7 +172,8 @@
           started.abort(new MismatchedAnswerError(`the answer names ${named}`));
           return;
         }
-        head = { status, headers, framed: isFramed(headers), meta };
+        const framed = isBodiless(req.method, status) || statesEnd(headers);
+        head = { status, headers, framed, meta };
       },
       onResponseData(_controller, chunk) {
         chunks.push(chunk);
@@ -171,11 +184,9 @@
           finish({ kind: 'unknown', why: 'garbled', detail: 'no head' });
           return;
         }
-        if (connections.isHandlingReset()) {
-          finish({ kind: 'unknown', why: 'broken-off', detail: 'reset before the end' });
-          return;
-        }
-        finish(classifyAnswer({ ...head, body: Buffer.concat(chunks) }));
+        const answer = { ...head, body: Buffer.concat(chunks) };
+        if (answer.framed) finish(classifyAnswer(answer));
+        else void finishAtEnd(answer);
       },
       onResponseError(_controller, err) {
         if (!controller) {
--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -3,6 +3,7 @@
 import { type Dispatcher, Pool, buildConnector } from 'undici';
 
 import { MAX_ANSWER_BYTES } from './answer-memory.js';
+import { createConnectionEnds } from './connection-ends.js';
 
 /** Timeout for establishing a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -28,11 +29,11 @@
 export interface RequestConnections {
   readonly dispatcher: Dispatcher;
   /**
-   * True while a connection reset is being handled. The HTTP library reports an answer without
-   * framing as complete when its connection is reset, so the receiver of such an answer has to
-   * check this.
+   * Whether the connection of an answer that ends with it ended in order. The HTTP library reports
+   * such an answer as complete also when its connection was reset, so its receiver has to ask, in
+   * the turn in which the end is reported.
    */
-  isHandlingReset(): boolean;
+  confirmEnd(): Promise<boolean>;
 }
 
 /** Connections to one backend server. */
@@ -85,25 +86,20 @@
   initialShare: ConnectionShare,
 ): ServerConnections {
   let share = initialShare;
-  const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-  let handlingReset = false;
+  const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true });
+  const ends = createConnectionEnds();
   /** Open connections, with the bytes received on each at the last flood check. */
   const sockets = new Map<Socket, number>();
 
-  /** Connects, and observes connection errors before the HTTP library does. */
+  /** Connects, and observes the end of the connection before the HTTP library does. */
   const connect: buildConnector.connector = (options, callback) => {
     connectSocket(options, (...result) => {
       const [, socket] = result;
       if (socket) {
+        ends.watch(socket);
         sockets.set(socket, 0);
         socket.once('close', () => sockets.delete(socket));
       }
-      socket?.on('error', () => {
-        handlingReset = true;
-        queueMicrotask(() => {
-          handlingReset = false;
-        });
-      });
       callback(...result);
     });
   };
@@ -118,7 +114,7 @@
       bodyTimeout: 0,
       connect,
     });
-  const isHandlingReset = () => handlingReset;
+  const confirmEnd = () => ends.confirmEnd();
   /** Pools by the number of earlier sends of their requests. */
   const pools = new Map<number, Pool>();
 
@@ -146,8 +142,8 @@
     get dispatcher() {
       return poolOf(0);
     },
-    isHandlingReset,
-    forRepeat: (earlierSends) => ({ dispatcher: poolOf(earlierSends), isHandlingReset }),
+    confirmEnd,
+    forRepeat: (earlierSends) => ({ dispatcher: poolOf(earlierSends), confirmEnd }),
     replacePools,
     resize(next) {
       if (!shouldResize(share, next)) return;
--- a/packages/router/src/test/send-request_test.ts
+++ b/packages/router/src/test/send-request_test.ts
@@ -36,7 +36,9 @@
 
 /** Sends one request to a server that answers as `reply` does. */
 async function sendTo(reply: (socket: Socket) => void): Promise<SendOutcome> {
-  const server: Server = createServer((socket) => {
+  // Half-open connections stay open at the server until the router closes them.
+  const server: Server = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on('end', () => socket.end());
     socket.on('error', () => undefined);
     socket.once('data', () => {
       reply(socket);
@@ -62,25 +64,66 @@
 
 const HEAD = 'HTTP/1.1 200 OK\r\nattempt: a1\r\nsignature: s\r\n';
 
-test('an answer without framing is complete when its connection ends in order', async () => {
-  const outcome = await sendTo((socket) => {
-    socket.end(`${HEAD}connection: close\r\n\r\nwhole`);
-  });
-  expect(outcome.kind).toEqual('answer');
-});
-
-test('an answer without framing is incomplete when its connection is reset', async () => {
-  const outcome = await sendTo((socket) => {
-    socket.write(`${HEAD}connection: close\r\n\r\npart`, () => {
+const UNFRAMED_HEADS: Readonly<Record<string, string>> = {
+  'of HTTP/1.1': `${HEAD}connection: close\r\n`,
+  'of HTTP/1.1 that says nothing of closing': HEAD,
+  'of HTTP/1.0': HEAD.replace('1.1', '1.0'),
+  'of another coding': `${HEAD}transfer-encoding: identity\r\n`,
+};
+/** How a server ends the connection after the bytes of an answer. */
+const ENDINGS: Readonly<
+  Record<string, { isOrderly: boolean; end: (socket: Socket, text: string) => void }>
+> = {
+  'is closed': {
+    isOrderly: true,
+    end: (socket, text) => socket.end(text, () => socket.destroy()),
+  },
+  'is half closed': { isOrderly: true, end: (socket, text) => socket.end(text) },
+  'is closed and then reset': {
+    isOrderly: true,
+    end: (socket, text) => socket.end(text, () => socket.resetAndDestroy()),
+  },
+  'is reset at once': {
+    isOrderly: false,
+    end: (socket, text) => {
+      // The turn of the event loop keeps the reset from overtaking the bytes.
+      socket.write(text, () => setImmediate(() => socket.resetAndDestroy()));
+    },
+  },
+  'is reset later': {
+    isOrderly: false,
+    end: (socket, text) => {
       // The delay keeps the reset from overtaking the bytes, so that the answer has begun.
-      setTimeout(() => socket.resetAndDestroy(), 50);
+      socket.write(text, () => setTimeout(() => socket.resetAndDestroy(), 50));
+    },
+  },
+};
+const SENDS_PER_ENDING = 40;
+
+for (const [headName, head] of Object.entries(UNFRAMED_HEADS)) {
+  for (const [endName, { isOrderly, end }] of Object.entries(ENDINGS)) {
+    // Guards against a part of a body that is taken for the whole one because the last bytes and the
+    // reset are read together, and against whole answers that are taken for broken ones.
+    test(`an answer without framing ${headName} whose connection ${endName}`, async () => {
+      const sends = Array.from({ length: SENDS_PER_ENDING }, () =>
+        sendTo((socket) => {
+          end(socket, `${head}\r\nbody`);
+        }),
+      );
+      for (const outcome of await Promise.all(sends)) {
+        const why = 'why' in outcome ? outcome.why : 'whole';
+        expect(why).toEqual(isOrderly ? 'whole' : 'broken-off');
+      }
     });
+  }
+}
+
+// Guards against an answer without a body that is taken for one that its connection has to end.
+test('an answer that can have no body is complete on a connection that stays open', async () => {
+  const outcome = await sendTo((socket) => {
+    socket.write('HTTP/1.1 204 No Content\r\nattempt: a1\r\nsignature: s\r\n\r\n');
   });
-  expect(outcome).toLooseEqual({
-    kind: 'unknown',
-    why: 'broken-off',
-    detail: 'reset before the end',
-  });
+  expect(outcome.kind === 'answer' && outcome.answer.framed).toEqual(true);
 });
 
 test('an answer that is shorter than its content-length is not passed on', async () => {
--- a/packages/router/src/test/server-connections_test.ts
+++ b/packages/router/src/test/server-connections_test.ts
@@ -50,3 +50,38 @@
   for (const it of open) it.destroy();
   await new Promise((resolve) => server.close(resolve));
 });
+
+// Guards against connections that stay half open, each with a descriptor, since they may be half open.
+test('a connection that the server half closes is closed, in use or idle', async () => {
+  const answers: Readonly<Record<string, string>> = {
+    'in use': 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nwhole',
+    idle: 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n',
+    'no answer': '',
+  };
+  for (const answer of Object.values(answers)) {
+    let closed: () => void = () => undefined;
+    const isClosed = new Promise<void>((resolve) => (closed = resolve));
+    const server = createServer({ allowHalfOpen: true }, (socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => socket.end(answer));
+      // This side is closed only after the router's has been.
+      socket.once('end', closed);
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const { port } = server.address() as AddressInfo;
+    const connections = createServerConnections(`127.0.0.1:${port}`, connectionShare(110, 1));
+    connections.dispatcher.dispatch(
+      { method: 'GET', path: '/' },
+      {
+        onRequestStart: () => undefined,
+        onResponseStart: () => undefined,
+        onResponseData: () => undefined,
+        onResponseEnd: () => undefined,
+        onResponseError: () => undefined,
+      },
+    );
+    await isClosed;
+    connections.close();
+    await new Promise((resolve) => server.close(resolve));
+  }
+});
