--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,6 @@
 export * from './lib/abort-after.js';
 export * from './lib/backend-server-protocol.js';
+export * from './lib/connection-close.js';
 export * from './lib/fleet-config.js';
 export * from './lib/fleet-platform.js';
 export * from './lib/http-instance-list.js';
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -2,7 +2,12 @@
 import { Server as NetServer, type Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 
-import type { CallerLimits, HeaderCodec } from '@boragepoint/platform';
+import {
+  type CallerLimits,
+  type ClosedConnection,
+  type HeaderCodec,
+  createConnectionCloser,
+} from '@boragepoint/platform';
 
 import type { CallerRequest } from './caller-request.js';
 import { type Pipeline, type PipelineEntry, createPipeline } from './pipeline.js';
@@ -57,6 +62,8 @@
   onAnswer(req: CallerRequest, answer: CallerAnswer): void;
   /** Called when handling a request threw; the router goes on. */
   onUnexpectedError(err: unknown): void;
+  /** Called when a connection that the listener closed has ended. */
+  onConnectionClosed(closed: ClosedConnection): void;
 }
 
 /** HTTP listener for callers' requests. */
@@ -80,6 +87,9 @@
   openRequests(): number;
   /** Bytes of answers that callers have not been sent yet. */
   unsentBytes(): number;
+  openConnections(): number;
+  /** Reports the connections that the end of the process closes. */
+  reportExit(): void;
 }
 
 /** Starts the listener. */
@@ -102,9 +112,25 @@
     },
   );
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
-  server.on('clientError', rejectMalformedRequest);
+  const closer = createConnectionCloser({
+    now: () => ctx.now(),
+    onClosed(closed) {
+      ctx.onConnectionClosed(closed);
+    },
+  });
+  server.on('clientError', (err, socket: Socket) => {
+    rejectMalformedRequest(err, socket);
+    closer.close(socket, 'malformed-request');
+  });
+  server.on('timeout', (socket: Socket) => {
+    closer.close(socket, 'idle-timeout');
+  });
   const sockets = new Set<Socket>();
   server.on('connection', (socket: Socket) => {
+    // The HTTP server calls this after an answer that closes the connection.
+    socket.destroySoon = () => {
+      closer.close(socket, pipelines.get(socket)?.isBodyRefused ? 'body-refused' : 'last-answer');
+    };
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
@@ -114,7 +140,7 @@
    * HTTP server's own methods destroy connections whose answers are not written yet.
    */
   function closeIfIdle(socket: Socket): void {
-    if ((pipelines.get(socket)?.endListeners.size ?? 0) === 0) socket.destroySoon();
+    if ((pipelines.get(socket)?.endListeners.size ?? 0) === 0) closer.close(socket, 'idle-at-stop');
   }
 
   /** Reads the body of a request and finds its answer. */
@@ -230,7 +256,10 @@
     const pipeline = pipelineOf(req.socket);
     // The previous answer closes the connection, which tells the caller that this request was not
     // read.
-    if (pipeline.isClosing || (closing && pipeline.isBusy())) return;
+    if (pipeline.isClosing || (closing && pipeline.isBusy())) {
+      closer.noteNotTaken(req.socket);
+      return;
+    }
     const entry = pipeline.add();
     openCount += 1;
     const disconnect = new AbortController();
@@ -271,7 +300,9 @@
     // answers.
     const isReadOn = req.complete || req.readableFlowing === true;
     if ((closing && entry.isLast()) || !isReadOn) {
-      pipelineOf(req.socket).isClosing = true;
+      const pipeline = pipelineOf(req.socket);
+      pipeline.isClosing = true;
+      pipeline.isBodyRefused = !isReadOn;
       res.setHeader('connection', 'close');
     }
     if (found.kind === 'server' && isWritable(found.answer.status)) {
@@ -305,5 +336,9 @@
     },
     openRequests: () => openCount,
     unsentBytes: () => [...sockets].reduce((sum, it) => sum + it.writableLength, 0),
+    openConnections: () => sockets.size,
+    reportExit() {
+      closer.reportExit(sockets);
+    },
   };
 }
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -15,6 +15,7 @@
 import { createActiveConfig, watchOutageFields } from './active-config.js';
 import { createCrashGuard } from './crash-guard.js';
 import { serveMetrics, serveReadiness } from './http-endpoints.js';
+import { logClosedConnection } from './log-closed-connection.js';
 import { createKeyLoad } from './key-load.js';
 import { createPeerListener } from './peer-listener.js';
 import { createRequestHandler } from './request-handler.js';
@@ -276,6 +277,10 @@
         metrics.recordUnexpectedError();
         log.error('unexpected error', { reason: String(err), stack: stackOf(err) });
       },
+      onConnectionClosed(closed) {
+        metrics.recordClosedConnection(closed.reason);
+        logClosedConnection(closed, log);
+      },
       onAnswer(req, answer) {
         const latencyMs = clocks.monotonic() - req.arrivedAt;
         metrics.recordAnswer(req, answer, latencyMs);
@@ -367,8 +372,10 @@
       metricsServer?.close();
       const exitBy = startedAt + settings.shutdown.graceMs - EXIT_MARGIN_MS;
       await Promise.race([drained, sleep(Math.max(0, exitBy - clocks.monotonic()))]);
+      listener.reportExit();
       log.info('stopped', {
         openRequests: listener.openRequests(),
+        openConnections: listener.openConnections(),
         unsentBytes: listener.unsentBytes(),
         afterMs: Math.round(clocks.monotonic() - startedAt),
       });
--- a/packages/router/src/lib/pipeline.ts
+++ b/packages/router/src/lib/pipeline.ts
@@ -22,6 +22,8 @@
    * Set once an answer that closes the connection was written: later requests count as not read.
    */
   isClosing: boolean;
+  /** Set if that answer was written before the body of its request had been read. */
+  isBodyRefused: boolean;
   add(): PipelineEntry;
   /**
    * Functions that are called when the connection ends; a request that finishes removes its own.
@@ -51,6 +53,7 @@
   return {
     isBusy: () => states.length > 0,
     isClosing: false,
+    isBodyRefused: false,
     endListeners,
     add() {
       const state: AnswerState = { isReady: false };
--- a/packages/router/src/lib/router-metrics.ts
+++ b/packages/router/src/lib/router-metrics.ts
@@ -1,3 +1,4 @@
+import type { CloseReason } from '@boragepoint/platform';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 import type { CallerRequest } from './caller-request.js';
@@ -29,6 +30,8 @@
   recordStoreReturn(): void;
   /** Counts changed settings that are invalid. */
   recordRefusedSettings(): void;
+  /** Counts a caller's connection that the router closed. */
+  recordClosedConnection(reason: CloseReason): void;
   /** The metrics in the Prometheus text format. */
   text(): Promise<string>;
 }
@@ -127,6 +130,12 @@
     labelNames: ['source'],
     registers: [registry],
   });
+  const closedConnections = new Counter({
+    name: 'boragepoint_connections_closed_total',
+    help: "Callers' connections that the router closed, by reason.",
+    labelNames: ['reason'],
+    registers: [registry],
+  });
   const configuration = inForceGauge('configuration', 'version', registry);
   const settings = inForceGauge('settings', 'digest', registry);
   const refused = new Counter({
@@ -188,6 +197,9 @@
     recordRefusedSettings() {
       refused.inc();
     },
+    recordClosedConnection(reason) {
+      closedConnections.inc({ reason });
+    },
     text: () => registry.metrics(),
   };
 }
--- a/packages/router/src/test/caller-listener_test.ts
+++ b/packages/router/src/test/caller-listener_test.ts
@@ -2,7 +2,7 @@
 import { type AddressInfo, connect, createServer } from 'node:net';
 import { test } from 'node:test';
 
-import type { FleetConfig, HeaderCodec } from '@boragepoint/platform';
+import type { ClosedConnection, FleetConfig, HeaderCodec } from '@boragepoint/platform';
 import { expect } from 'earl';
 
 import { type CallerListener, createCallerListener } from '../lib/caller-listener.js';
@@ -83,6 +83,8 @@
 
 /** Errors that were passed to `onUnexpectedError`. */
 const unexpectedErrors: unknown[] = [];
+/** What was passed to `onConnectionClosed`. */
+const closedConnections: ClosedConnection[] = [];
 
 async function listen(
   handle: (req: CallerRequest) => Promise<CallerAnswer>,
@@ -101,6 +103,7 @@
       readDelayMs: () => readDelayMs,
       onAnswer: () => undefined,
       onUnexpectedError: (err) => unexpectedErrors.push(err),
+      onConnectionClosed: (it) => closedConnections.push(it),
     },
     '127.0.0.1',
     port,
@@ -181,6 +184,7 @@
       readDelayMs: () => 0,
       onAnswer: () => undefined,
       onUnexpectedError: (err) => unexpectedErrors.push(err),
+      onConnectionClosed: (it) => closedConnections.push(it),
     },
     '127.0.0.1',
     port,
