--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -16,6 +16,7 @@
 import { createCrashGuard } from './crash-guard.js';
 import { errorFields } from './describe-error.js';
 import { closeServer, serveMetrics, serveReadiness } from './http-endpoints.js';
+import { logClosedConnection } from './log-closed-connection.js';
 import { createKeyLoad } from './key-load.js';
 import { createPeerListener } from './peer-listener.js';
 import { createRequestHandler } from './request-handler.js';
@@ -292,6 +293,10 @@
     onUnexpectedError: (err) => {
       noteUnexpectedError(err, 'request');
     },
+    onConnectionClosed(closed) {
+      metrics.recordClosedConnection(closed.reason);
+      logClosedConnection(closed, log);
+    },
     onAnswer(req, answer) {
       const latencyMs = clocks.monotonic() - req.arrivedAt;
       metrics.recordAnswer(req, answer, latencyMs);
@@ -408,8 +413,10 @@
       metricsServer?.[Symbol.dispose]();
       const exitBy = startedAt + settings.shutdown.graceMs - EXIT_MARGIN_MS;
       await Promise.race([drained, sleep(Math.max(0, exitBy - clocks.monotonic()))]);
+      listener.reportExit();
       log.info('stopped', {
         openRequests: listener.openRequests(),
+        openConnections: listener.openConnections(),
         unsentBytes: listener.unsentBytes(),
         afterMs: Math.round(clocks.monotonic() - startedAt),
       });
