Specification: refusals by all routers, and of a former leader, are no proof of an end

The model of a server's end knows cuts of all paths to a living server, and a process that takes the address; the model of grants knows a former leader that ends, and one that refuses and lives.

--- a/packages/spec/src/lib/ends/end-model.ts
+++ b/packages/spec/src/lib/ends/end-model.ts
@@ -6,8 +6,8 @@
 
 /**
  * State of the model: one key, the servers A and B, one leader that moves the key from A to B, and
- * one other router. A may end, start again under its id and address, and lose its path to the
- * leader.
+ * one other router. A may end, start again under its id and address, and lose its paths to the
+ * leader and to the other router. Another process may have its address meanwhile.
  */
 export interface EndState {
   /** A's present life: 1, or 2 after it has started again. */
@@ -17,6 +17,10 @@
   readonly registeredLife: number;
   /** True if connections from the leader to A are refused although A lives. */
   readonly isPathCut: boolean;
+  /** True if connections from the other router are refused although A lives. */
+  readonly isOtherPathCut: boolean;
+  /** True while another process listens at A's address, at which A can't start again then. */
+  readonly isAddressTaken: boolean;
   /** True if the other router does not answer the leader; it may still reach A. */
   readonly isOtherSilent: boolean;
   /** Ticks left of the lease of A's present life. */
@@ -26,9 +30,11 @@
   readonly phase: 'leading' | 'moving' | 'moved';
   /** How much longer A may hold the key, as the leader knows from its answered grants. */
   readonly boundLeft: number;
-  /** The leader's question whether A has ended: `'closed'` if the other router was refused too. */
-  readonly question: 'none' | 'asked' | 'closed';
-  /** True if a grant was answered after the question had begun. */
+  /** Who was refused by A as far as the leader knows; that is a suspicion of A's end, no proof. */
+  readonly refused: 'none' | 'leader' | 'all';
+  /** True if another process answered at A's address. */
+  readonly isEndSeen: boolean;
+  /** True if a grant was answered after that. */
   readonly isGrantedSince: boolean;
 }
 
@@ -44,12 +50,15 @@
   isUp: true,
   registeredLife: 1,
   isPathCut: false,
+  isOtherPathCut: false,
+  isAddressTaken: false,
   isOtherSilent: false,
   leaseLeft: LEASE_TICKS,
   hasBLease: false,
   phase: 'leading',
   boundLeft: LEASE_TICKS,
-  question: 'none',
+  refused: 'none',
+  isEndSeen: false,
   isGrantedSince: false,
 };
 
@@ -60,7 +69,8 @@
     steps: (state) => [
       ...worldSteps(state),
       ...renew(state),
-      ...questionSteps(state, options),
+      ...refusalSteps(state, options),
+      ...answerOfAnother(state),
       ...moveSteps(state, options),
     ],
     violation: ({ leaseLeft, hasBLease }) =>
@@ -70,6 +80,8 @@
         phase === 'moved' && boundLeft > 0,
       'the key moves while A lives behind a cut path': ({ phase, isUp, isPathCut }) =>
         phase === 'moved' && isUp && isPathCut,
+      'the key moves while A lives behind cuts from all routers': (state) =>
+        state.phase === 'moved' && state.isUp && state.isPathCut && state.isOtherPathCut,
       'a later life holds the key by a grant for the former one': ({ life, leaseLeft }) =>
         life === 2 && leaseLeft > 0,
     },
@@ -77,7 +89,7 @@
 }
 
 function worldSteps(state: EndState): Steps {
-  const { life, isUp, registeredLife, isPathCut, isOtherSilent, leaseLeft, boundLeft } = state;
+  const { life, isUp, registeredLife, leaseLeft, boundLeft, isAddressTaken } = state;
   const aged = {
     ...state,
     leaseLeft: Math.max(0, leaseLeft - 1),
@@ -85,57 +97,83 @@
   };
   const steps: Steps = [{ name: 'time passes', next: aged }];
   if (isUp) steps.push({ name: 'A ends', next: { ...state, isUp: false, leaseLeft: 0 } });
-  if (!isUp && life === 1)
+  if (!isUp && life === 1 && !isAddressTaken)
     steps.push({ name: 'A starts again', next: { ...state, isUp: true, life: 2 } });
+  if (!isUp && !isAddressTaken)
+    steps.push({
+      name: 'another process takes the address',
+      next: { ...state, isAddressTaken: true },
+    });
+  if (isAddressTaken)
+    steps.push({ name: 'the other process ends', next: { ...state, isAddressTaken: false } });
   if (registeredLife < life)
     steps.push({ name: 'the registry shows it', next: { ...state, registeredLife: life } });
-  if (!isPathCut) steps.push({ name: 'the path is cut', next: { ...state, isPathCut: true } });
-  if (!isOtherSilent)
+  return [...steps, ...pathSteps(state)];
+}
+
+function pathSteps(state: EndState): Steps {
+  const steps: Steps = [];
+  if (!state.isPathCut)
+    steps.push({ name: 'the path is cut', next: { ...state, isPathCut: true } });
+  if (!state.isOtherPathCut)
+    steps.push({ name: 'the other path is cut', next: { ...state, isOtherPathCut: true } });
+  if (!state.isOtherSilent)
     steps.push({ name: 'the other router falls silent', next: { ...state, isOtherSilent: true } });
   return steps;
 }
 
-const isRefused = ({ isUp, isPathCut }: EndState) => !isUp || isPathCut;
+const isRefused = ({ isUp, isPathCut, isAddressTaken }: EndState) =>
+  isPathCut || (!isUp && !isAddressTaken);
+
+const isRefusedToOther = ({ isUp, isOtherPathCut }: EndState) => !isUp || isOtherPathCut;
 
 /** The grant names A's id and address, so that any life of A accepts it. */
 function renew(state: EndState): Steps {
-  if (state.phase !== 'leading' || isRefused(state)) return [];
-  const isGrantedSince = state.question !== 'none';
+  if (state.phase !== 'leading' || !state.isUp || state.isPathCut) return [];
+  const isGrantedSince = state.isEndSeen;
   const granted = { ...state, leaseLeft: LEASE_TICKS, boundLeft: LEASE_TICKS, isGrantedSince };
   return [{ name: 'the leader renews the lease', next: granted }];
 }
 
-function questionSteps(state: EndState, { mutation }: EndOptions): Steps {
-  const { question, isUp, isOtherSilent } = state;
-  if (question === 'none' && isRefused(state)) {
-    const asked = { ...state, question: 'asked', isGrantedSince: false } as const;
+function refusalSteps(state: EndState, { mutation }: EndOptions): Steps {
+  const { refused, isOtherSilent } = state;
+  if (refused === 'none' && isRefused(state)) {
+    const asked = { ...state, refused: 'leader' } as const;
     return [{ name: 'the leader is refused and asks', next: asked }];
   }
-  if (question !== 'asked') return [];
+  if (refused !== 'leader') return [];
   if (isOtherSilent) {
     if (mutation !== 'end-silent') return [];
-    return [{ name: 'silence counts as a refusal', next: { ...state, question: 'closed' } }];
+    return [{ name: 'silence counts as a refusal', next: { ...state, refused: 'all' } }];
   }
-  return isUp
-    ? [{ name: 'the other router reaches A', next: { ...state, question: 'none' } }]
-    : [{ name: 'the other router is refused', next: { ...state, question: 'closed' } }];
+  return isRefusedToOther(state)
+    ? [{ name: 'the other router is refused', next: { ...state, refused: 'all' } }]
+    : [{ name: 'the other router reaches A', next: { ...state, refused: 'none' } }];
+}
+
+function answerOfAnother(state: EndState): Steps {
+  if (!state.isAddressTaken || state.isPathCut) return [];
+  const seen = { ...state, isEndSeen: true, isGrantedSince: false };
+  return [{ name: 'another process answers at the address', next: seen }];
 }
 
 function isEndProved(state: EndState, { mutation }: EndOptions): boolean {
-  const { question, isGrantedSince, registeredLife } = state;
-  if (mutation === 'end-refused' && question !== 'none') return true;
+  const { refused, isEndSeen, isGrantedSince, registeredLife } = state;
+  if (mutation === 'end-refused' && refused !== 'none') return true;
   if (mutation === 'end-later-start' && registeredLife > 1) return true;
-  const isForAllGrants = !isGrantedSince || mutation === 'end-since';
-  return question === 'closed' && isForAllGrants;
+  const isAllRefusalProof = mutation === 'end-all-refused' || mutation === 'end-silent';
+  if (isAllRefusalProof && refused === 'all') return true;
+  return isEndSeen && (!isGrantedSince || mutation === 'end-since');
 }
 
 function moveSteps(state: EndState, options: EndOptions): Steps {
-  const { phase, isUp, isPathCut, isOtherSilent, boundLeft } = state;
+  const { phase, isUp, isPathCut, isOtherSilent, isOtherPathCut, boundLeft } = state;
   if (phase === 'leading')
     return [{ name: 'the leader moves the key', next: { ...state, phase: 'moving' } }];
   if (phase === 'moved') return [];
   const steps: Steps = [];
-  const isReached = isUp && (!isPathCut || !isOtherSilent);
+  const isOverOther = !isOtherSilent && !isOtherPathCut;
+  const isReached = isUp && (!isPathCut || isOverOther);
   if (isReached && boundLeft > 0)
     steps.push({ name: 'A releases the key', next: { ...state, leaseLeft: 0, boundLeft: 0 } });
   if (boundLeft === 0 || isEndProved(state, options))
--- a/packages/spec/src/lib/grants/grant-model.ts
+++ b/packages/spec/src/lib/grants/grant-model.ts
@@ -14,6 +14,9 @@
 
 type Steps = Step<GrantState>[];
 
+/** Longest time for which a grant of a leader that has ended may be in effect. */
+const ENDED_LEADER_TICKS = MAX_TRANSIT_TICKS + LEASE_TICKS;
+
 /** A router that may lead, with its number, the state that it is part of and the options. */
 interface LeaderView {
   readonly state: GrantState;
@@ -40,6 +43,8 @@
         state.grants.some((it) => it.server === SERVER_A && it.fence < state.highestFenceSeenByA),
       'a grant is late': (state) =>
         state.grants.some((it) => it.hasArrived && it.timeLeft < LEASE_TICKS),
+      'the second leader knows that the first has ended': ({ leaders }) =>
+        leaders[0]?.phase === 'ended' && leaders[1]?.inheritedLeft === ENDED_LEADER_TICKS,
       'a leader is suspended': (state) => state.leaders.some((it) => it.isSuspended),
     },
   };
@@ -161,9 +166,12 @@
 }
 
 function leaderSteps(view: LeaderView): Steps {
+  if (view.leader.phase === 'ended') return [];
   if (view.leader.isSuspended) return resume(view);
   return [
     ...suspend(view),
+    ...end(view),
+    ...askFormerLeader(view),
     ...acquireLeaderLease(view),
     ...confirmLeaderLease(view),
     ...renew(view),
@@ -183,6 +191,27 @@
   return leaderStep(view, 'resumes', { isSuspended: false, needsConfirmation });
 }
 
+/** The first leader's process ends. */
+function end(view: LeaderView): Steps {
+  if (view.number !== 0) return [];
+  return leaderStep(view, 'ends', { phase: 'ended' });
+}
+
+/**
+ * The second leader asks the first to step down. An answer of another process at its address shows
+ * that it has ended; a refused connection shows nothing.
+ */
+function askFormerLeader(view: LeaderView): Steps {
+  const { state, leader, options } = view;
+  if (leader.phase === 'following' || leader.inheritedLeft <= ENDED_LEADER_TICKS) return [];
+  const former = state.leaders[0];
+  const change = { inheritedLeft: ENDED_LEADER_TICKS };
+  if (former?.phase === 'ended')
+    return leaderStep(view, 'is answered by another process at the address of leader 0', change);
+  if (options.mutation !== 'grant-former-refused') return [];
+  return leaderStep(view, 'is refused by leader 0', change);
+}
+
 function acquireLeaderLease(view: LeaderView): Steps {
   const { state, number, leader, options } = view;
   const { row } = state;
@@ -190,9 +219,7 @@
   const isMoved = row.owner === SERVER_B;
   const mustWait = options.mutation !== 'grant-inherited' && !(isMoved && row.settled);
   // A former owner gets no more grants, so the time that the row states for its lease is final.
-  const inheritedLeft = isMoved
-    ? row.heldLeft
-    : RENEWAL_GRACE_TICKS + MAX_TRANSIT_TICKS + LEASE_TICKS;
+  const inheritedLeft = isMoved ? row.heldLeft : RENEWAL_GRACE_TICKS + ENDED_LEADER_TICKS;
   return leaderStep(
     view,
     'acquires the leadership lease',
--- a/packages/spec/src/lib/grants/grant-state.ts
+++ b/packages/spec/src/lib/grants/grant-state.ts
@@ -31,9 +31,10 @@
 export interface Leader {
   /**
    * `'leading'` before a move of the key, `'stored'` once the row names B as owner, `'released'`
-   * once A released the key, `'moved'` once the grant to B is sent.
+   * once A released the key, `'moved'` once the grant to B is sent, `'ended'` once its process has
+   * ended.
    */
-  readonly phase: 'following' | 'leading' | 'stored' | 'released' | 'moved';
+  readonly phase: 'following' | 'leading' | 'stored' | 'released' | 'moved' | 'ended';
   readonly isSuspended: boolean;
   /** True from when it notices a suspension until it confirms its leadership lease. */
   readonly needsConfirmation: boolean;
--- a/packages/spec/src/lib/model-configurations.ts
+++ b/packages/spec/src/lib/model-configurations.ts
@@ -127,13 +127,14 @@
       'grant-held',
       'grant-suspension',
       'grant-grace',
+      'grant-former-refused',
     ],
     run: (mutation) => explore(createGrantModel({ mutation, renewalsPerLeader: 1 })),
   },
   {
     name: 'a server that ends, starts again or loses a path',
     isQuick: true,
-    mutations: ['end-refused', 'end-silent', 'end-since', 'end-later-start'],
+    mutations: ['end-refused', 'end-all-refused', 'end-silent', 'end-since', 'end-later-start'],
     run: (mutation) => explore(createEndModel({ mutation })),
   },
   {
--- a/packages/spec/src/lib/model/mutations.ts
+++ b/packages/spec/src/lib/model/mutations.ts
@@ -40,7 +40,9 @@
   'grant-suspension': 'a leader acts after a suspension without confirming its leadership lease',
   'grant-grace':
     'a leader renews leases regardless of how long its leadership lease is unconfirmed',
+  'grant-former-refused': 'a former leader that refuses the connection counts as ended',
   'end-refused': 'a connection that is refused to the leader alone proves the end of a server',
+  'end-all-refused': 'connections that are refused to all routers prove the end of a server',
   'end-silent': 'a router that does not say whether it reaches a server counts as refused',
   'end-since': 'the proof of an end counts for grants that were answered after the question',
   'end-later-start': 'a later start in the registry proves the end of what was granted since',
