--- a/packages/placement/src/lib/become-leader.ts
+++ b/packages/placement/src/lib/become-leader.ts
@@ -30,7 +30,7 @@
 /** Options of {@link becomeLeader}. */
 export interface BecomeLeaderOptions extends Omit<
   PlacementLeaderOptions,
-  'leaderLease' | 'previous' | 'inheritedForMs' | 'toMonotonic' | 'leasesEnded'
+  'leaderLease' | 'previous' | 'inheritedForMs' | 'askFormerLeader' | 'toMonotonic' | 'leasesEnded'
 > {
   readonly self: Candidate;
   readonly store: RowStore;
@@ -44,32 +44,46 @@
   readonly signal: AbortSignal;
 }
 
-/**
- * Returns the time for which a grant of the former leader may still be in effect, in milliseconds.
- */
-async function inheritedForMs(
+/** What is known of the grants of a former leader. */
+interface FormerGrants {
+  /** Time for which they may still be in effect, in milliseconds. */
+  readonly inheritedForMs: number;
+  /** See {@link PlacementLeaderOptions.askFormerLeader}. */
+  readonly askFormerLeader?: () => Promise<number | undefined>;
+}
+
+/** Asks the former leader to step down, and again later if it does not answer. */
+async function formerGrants(
   previous: LeaderLeaseRecord,
   { self, requestStepDown, log }: BecomeLeaderOptions,
-): Promise<number> {
-  if (previous.handedOver) return previous.unansweredForMs;
-  if (previous.router === self.router) return MAX_UNANSWERED_GRANT_MS;
-  const { address, epoch, startedMs } = previous;
-  const answer = await requestStepDown(address, epoch, startedMs, STEP_DOWN_TIMEOUT_MS);
-  log.info('former leader asked to step down', { router: previous.router, answer: answer.kind });
-  if (answer.kind === 'stopped') return answer.unansweredForMs;
-  return answer.kind === 'gone'
-    ? MAX_UNANSWERED_GRANT_MS
-    : RENEWAL_GRACE_MS + MAX_UNANSWERED_GRANT_MS;
+): Promise<FormerGrants> {
+  if (previous.handedOver) return { inheritedForMs: previous.unansweredForMs };
+  if (previous.router === self.router) return { inheritedForMs: MAX_UNANSWERED_GRANT_MS };
+  const { router, address, epoch, startedMs } = previous;
+  let lastAnswer = '';
+  async function askFormerLeader(): Promise<number | undefined> {
+    const answer = await requestStepDown(address, epoch, startedMs, STEP_DOWN_TIMEOUT_MS);
+    if (answer.kind !== lastAnswer)
+      log.info('former leader asked to step down', { router, answer: answer.kind });
+    lastAnswer = answer.kind;
+    if (answer.kind === 'stopped') return answer.unansweredForMs;
+    return answer.kind === 'gone' ? MAX_UNANSWERED_GRANT_MS : undefined;
+  }
+  const inheritedForMs = await askFormerLeader();
+  if (inheritedForMs !== undefined) return { inheritedForMs };
+  return { inheritedForMs: RENEWAL_GRACE_MS + MAX_UNANSWERED_GRANT_MS, askFormerLeader };
 }
 
 /** Returns what a leader takes over from the former one, once its lease is acquired. */
-async function takeOver(options: BecomeLeaderOptions): Promise<Omit<RecoveredPlacement, 'source'>> {
+async function takeOver(
+  options: BecomeLeaderOptions,
+): Promise<Omit<RecoveredPlacement, 'source'> & FormerGrants> {
   const { reading, recovered } = options;
   if (recovered) return recovered;
   const { placement, receivedAt, storeNowMs } = reading;
   return {
     placement,
-    inheritedForMs: placement ? await inheritedForMs(placement.leaderLease, options) : 0,
+    ...(placement ? await formerGrants(placement.leaderLease, options) : { inheritedForMs: 0 }),
     toMonotonic: (storeMs) => receivedAt + (storeMs - storeNowMs),
     leasesEnded: false,
   };
--- a/packages/placement/src/lib/due-renewals.ts
+++ b/packages/placement/src/lib/due-renewals.ts
@@ -1,11 +1,11 @@
 import type { HeldRange } from './held-range.js';
 
 /** Time between two checks for leases to renew, in milliseconds. */
-export const RENEWAL_CHECK_INTERVAL_MS = 100;
+export const RENEWAL_CHECK_INTERVAL_MS = 50;
 /** Age from which a lease is due for renewal, in milliseconds. */
-const RENEW_AFTER_MS = 2_000;
+const RENEW_AFTER_MS = 1_000;
 /** Age from which a lease is renewed regardless of the limit per check, in milliseconds. */
-const OVERDUE_AFTER_MS = 3_200;
+const OVERDUE_AFTER_MS = 1_600;
 /** Limit of renewals per check, as a multiple of the steady rate that keeps all leases alive. */
 const MAX_CATCH_UP_FACTOR = 2;
 
--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -1,5 +1,6 @@
 import type { OrderOutcome, RangeOrder, ServerOrders } from '@boragepoint/platform';
 
+import { type EndProof, endByAnswer, endByStart } from './end-proof.js';
 import { type HeldRange, type Holder } from './held-range.js';
 import type { ServerIncarnation } from './key-range.js';
 import {
@@ -21,7 +22,7 @@
 }
 
 /** Length of the leases that are granted to backend servers, in milliseconds. */
-export const LEASE_MS = 7_000;
+export const LEASE_MS = 4_000;
 /** Time after which an order counts as unanswered and its connection is reset, in milliseconds. */
 export const ORDER_TIMEOUT_MS = 1_000;
 /**
@@ -34,7 +35,7 @@
 export interface LeaderContext {
   readonly orders: ServerOrders;
   /** Reaches servers over other routers. */
-  readonly reach: Pick<ServerReach, 'closedFrom' | 'release'>;
+  readonly reach: Pick<ServerReach, 'isRefusedToAll' | 'release'>;
   readonly directory: ServerDirectory;
   readonly health: ServerHealth;
   readonly clocks: Clocks;
@@ -49,8 +50,6 @@
    * to keep leases alive.
    */
   mayRenew(): boolean;
-  /** How long before its end a server announces that it leaves, in milliseconds. */
-  drainNoticeMs(): number;
   /**
    * Time until which a grant of the former leader may still be in effect, on the monotonic clock.
    */
@@ -71,10 +70,16 @@
   readonly nextFence: () => number;
 }
 
-/** Returns what the registry shows of a later start of the server. */
-function laterStart(ctx: LeaderContext, incarnation: ServerIncarnation) {
+const lifeOf = ({ server, address, startedMs }: ServerIncarnation) => ({
+  id: server,
+  address,
+  startedMs,
+});
+
+/** Returns the proof of an incarnation's end that lies in a later start in the registry. */
+function endInRegistry(ctx: LeaderContext, incarnation: ServerIncarnation): EndProof | undefined {
   const entry = ctx.directory.get(incarnation.server)?.entry;
-  return entry && entry.startedMs > incarnation.startedMs ? entry : undefined;
+  return entry && endByStart(lifeOf(incarnation), entry);
 }
 
 /**
@@ -82,7 +87,7 @@
  * registry. Its orders may have reached a later incarnation: see {@link mayHoldUntil}.
  */
 export function hasEnded(ctx: LeaderContext, incarnation: ServerIncarnation): boolean {
-  return ctx.health.hasEnded(incarnation) || laterStart(ctx, incarnation) !== undefined;
+  return ctx.health.hasEnded(incarnation) || endInRegistry(ctx, incarnation) !== undefined;
 }
 
 /** Runs a task of a leader to its end; an unexpected error is logged and ends this task only. */
@@ -100,10 +105,8 @@
  * meant for its former incarnation.
  */
 function haveGrantsEnded(ctx: LeaderContext, { incarnation, bound }: Holder): boolean {
-  const endedFrom = ctx.health.endedFrom(incarnation);
-  if (endedFrom !== undefined && bound.settledAt <= endedFrom) return true;
-  const later = laterStart(ctx, incarnation);
-  return later !== undefined && later.address !== incarnation.address;
+  const proofs = [ctx.health.endOf(incarnation), endInRegistry(ctx, incarnation)];
+  return proofs.some((it) => it?.ordersUntil !== undefined && bound.settledAt <= it.ordersUntil);
 }
 
 /** Returns the time until which a holder may hold a range, on the monotonic clock. */
@@ -113,50 +116,31 @@
   return holder.inherited ? Math.max(own, ctx.inheritedUntil()) : own;
 }
 
-/** Longest time until a change of a registry entry is known to routers, in milliseconds. */
-const REGISTRY_DELAY_MS = 2_000;
-
-/**
- * Returns whether a server may be leaving. A server announces that in the registry ahead of its
- * end. A leaving server stops listening before its last work has ended, so that no connection to it
- * proves anything.
- */
-function mayBeLeaving(ctx: LeaderContext, incarnation: ServerIncarnation): boolean {
-  const entry = ctx.directory.get(incarnation.server)?.entry;
-  if (!entry || entry.draining || entry.startedMs < incarnation.startedMs) return true;
-  const followedMs = ctx.clocks.monotonic() - ctx.directory.currentSince();
-  return followedMs < ctx.drainNoticeMs() + REGISTRY_DELAY_MS;
-}
-
 const targetOf = (incarnation: ServerIncarnation) => ({
   serverId: incarnation.server,
   address: incarnation.address,
 });
 
-function noteEnded(
-  ctx: LeaderContext,
-  incarnation: ServerIncarnation,
-  proof: 'closed to all routers' | 'address taken',
-  from: number,
-): void {
-  if (!ctx.health.hasEnded(incarnation)) {
-    const afterMs = Math.round(ctx.clocks.monotonic() - from);
-    ctx.log.info('backend server ended', { server: incarnation.server, proof, afterMs });
-  }
-  ctx.health.noteEnded(incarnation, from);
+function noteEnded(ctx: LeaderContext, incarnation: ServerIncarnation, proof: EndProof): void {
+  if (!ctx.health.hasEnded(incarnation))
+    ctx.log.info('backend server ended', { server: incarnation.server, proof: proof.seenBy });
+  ctx.health.noteEnded(incarnation, proof);
 }
 
 /**
- * Finds out whether a server whose connection was refused has ended. The refusal may come from the
- * path to it, so that the other routers are asked as well.
+ * Notes that a server refused a connection. If it refuses all routers it may have ended, or all
+ * paths to it are cut: its ranges get other owners, once it can't hold them any more.
  */
-async function checkEnd(ctx: LeaderContext, incarnation: ServerIncarnation): Promise<void> {
-  const from = mayBeLeaving(ctx, incarnation)
-    ? undefined
-    : await ctx.reach.closedFrom(targetOf(incarnation));
-  if (from === undefined || mayBeLeaving(ctx, incarnation))
-    ctx.health.noteUnanswered(incarnation, ctx.clocks.monotonic());
-  else noteEnded(ctx, incarnation, 'closed to all routers', from);
+async function noteRefused(ctx: LeaderContext, incarnation: ServerIncarnation): Promise<void> {
+  const isRefusedToAll = await ctx.reach.isRefusedToAll(targetOf(incarnation));
+  const now = ctx.clocks.monotonic();
+  if (!isRefusedToAll) {
+    ctx.health.noteUnanswered(incarnation, now);
+    return;
+  }
+  if (!ctx.health.isUnresponsive(incarnation, now))
+    ctx.log.info('backend server refuses all routers', { server: incarnation.server });
+  ctx.health.noteSuspected(incarnation, now);
 }
 
 async function noteOutcome(
@@ -165,8 +149,9 @@
   outcome: OrderOutcome,
   sentAt: number,
 ): Promise<void> {
-  if (outcome.kind === 'closed') await checkEnd(ctx, incarnation);
-  else if (outcome.kind === 'misdirected') noteEnded(ctx, incarnation, 'address taken', sentAt);
+  if (outcome.kind === 'closed') await noteRefused(ctx, incarnation);
+  else if (outcome.kind === 'misdirected')
+    noteEnded(ctx, incarnation, endByAnswer(lifeOf(incarnation), outcome.kind, sentAt));
   else if (outcome.kind === 'unanswered' || outcome.kind === 'unreachable')
     ctx.health.noteUnanswered(incarnation, ctx.clocks.monotonic());
   else ctx.health.noteAnswered(incarnation);
@@ -223,8 +208,7 @@
 }
 
 /**
- * Asks a server to release keys; over another router if connections from here are refused although
- * the server has not ended.
+ * Asks a server to release keys; over another router if connections from here are refused.
  */
 export async function orderRelease(
   ctx: LeaderContext,
@@ -240,12 +224,14 @@
   await noteOutcome(ctx, incarnation, outcome, sentAt);
   if (outcome.kind !== 'closed' || ctx.health.hasEnded(incarnation)) return outcome;
   const relayed = await ctx.reach.release(target, order, timeoutMs);
+  if (relayed.kind === 'unreachable') return relayed;
   ctx.log.info('release sent over another router', {
     server: incarnation.server,
     ...order,
     outcome: relayed.kind,
   });
-  if (relayed.kind === 'misdirected') noteEnded(ctx, incarnation, 'address taken', sentAt);
+  if (relayed.kind === 'misdirected')
+    noteEnded(ctx, incarnation, endByAnswer(lifeOf(incarnation), relayed.kind, sentAt));
   return relayed;
 }
 
--- a/packages/placement/src/lib/leader-lease.ts
+++ b/packages/placement/src/lib/leader-lease.ts
@@ -17,7 +17,7 @@
  * Time for which a leader goes on renewing servers' leases after its leadership lease has expired
  * without confirmation by the store, in milliseconds.
  */
-export const RENEWAL_GRACE_MS = 10_000;
+export const RENEWAL_GRACE_MS = 4_000;
 
 /** A router that may acquire the leadership lease. */
 export interface Candidate {
--- a/packages/placement/src/lib/lease-renewals.ts
+++ b/packages/placement/src/lib/lease-renewals.ts
@@ -2,19 +2,21 @@
 
 import { RENEWAL_CHECK_INTERVAL_MS, dueRenewals } from './due-renewals.js';
 import { handOver } from './hand-over.js';
-import type { HeldRange } from './held-range.js';
+import type { HeldRange, Holder } from './held-range.js';
 import { type LeaderContext, hasEnded, runTask, sendGrant } from './leader-context.js';
 import { type RangeTable, joinNeighbours } from './range-table.js';
 
 /** Time between two checks for adjacent ranges that one renewal can cover, in milliseconds. */
 const JOIN_INTERVAL_MS = 2_000;
 
-/** Renews one lease; calls `onOwnerEnded` if the owner's process has ended. */
-async function renew(
-  ctx: LeaderContext,
-  range: HeldRange,
-  onOwnerEnded: () => void,
-): Promise<void> {
+function isLost(ctx: LeaderContext, { incarnation }: Holder): boolean {
+  return (
+    hasEnded(ctx, incarnation) || ctx.health.isUnresponsive(incarnation, ctx.clocks.monotonic())
+  );
+}
+
+/** Renews one lease; calls `onOwnerLost` if the owner has ended or can't be reached. */
+async function renew(ctx: LeaderContext, range: HeldRange, onOwnerLost: () => void): Promise<void> {
   const { owner } = range;
   if (!owner || hasEnded(ctx, owner.incarnation)) return;
   range.renewing = true;
@@ -30,7 +32,7 @@
     outcome: outcome.kind,
   });
   if (outcome.kind === 'fenced') await regrant(ctx, range);
-  if (hasEnded(ctx, owner.incarnation)) onOwnerEnded();
+  if (isLost(ctx, owner)) onOwnerLost();
 }
 
 /** Grants a range under a new fencing token after its owner has refused a lower one. */
@@ -61,7 +63,7 @@
 export async function renewLeases(
   ctx: LeaderContext,
   tables: ReadonlyMap<string, RangeTable>,
-  onOwnerEnded: () => void,
+  onOwnerLost: () => void,
 ): Promise<void> {
   let joinAt = -Infinity;
   while (!ctx.signal.aborted) {
@@ -73,7 +75,7 @@
       }
       const ranges = [...tables.values()].flatMap((it) => it.ranges);
       for (const range of dueRenewals(ranges, now)) {
-        void runTask(ctx, () => renew(ctx, range, onOwnerEnded));
+        void runTask(ctx, () => renew(ctx, range, onOwnerLost));
       }
     }
     await sleep(RENEWAL_CHECK_INTERVAL_MS, undefined, { signal: ctx.signal }).catch(
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -48,6 +48,8 @@
  * milliseconds.
  */
 const FIRST_PLAN_DELAY_MS = 1_500;
+/** Time between two questions to a former leader that does not answer, in milliseconds. */
+const FORMER_LEADER_RETRY_MS = 300;
 /** Time between two checks whether the registry has been read, in milliseconds. */
 const VERIFY_RETRY_MS = 50;
 
@@ -108,6 +110,11 @@
   readonly previous: Placement | undefined;
   /** Time for which a grant of the former leader may still be in effect, in milliseconds. */
   readonly inheritedForMs: number;
+  /**
+   * Asks the former leader again if it has not answered. Resolves to the time from then on for which
+   * its grants may still be in effect, in milliseconds; to `undefined` while it does not answer.
+   */
+  readonly askFormerLeader?: (() => Promise<number | undefined>) | undefined;
   /** True if all leases of the former placement have ended. */
   readonly leasesEnded?: boolean;
   /** Converts a time of the store's clock to the latest monotonic time at which it can occur. */
@@ -124,8 +131,6 @@
   partitionedServices(): readonly string[];
   /** Number of routers that share the load, including this one. */
   routers(): number;
-  /** How long before its end a server announces that it leaves, in milliseconds. */
-  drainNoticeMs(): number;
   /** Addresses of other routers that may witness moves, the most recently heard first. */
   witnessCandidates(): readonly string[];
   /** Tells a router of the placement. */
@@ -143,7 +148,7 @@
   const { leaderLease, previous, directory, clocks, log } = options;
   const times: LeaseTimes = { leaseMs: LEASE_MS, transitMs: ORDER_TIMEOUT_MS };
   const startedAt = clocks.monotonic();
-  const inheritedUntil = startedAt + options.inheritedForMs;
+  let inheritedUntil = startedAt + options.inheritedForMs;
   const guard = createSuspensionGuard(clocks);
   const tables = inheritTables(previous, {
     leasesEnded: options.leasesEnded === true,
@@ -245,7 +250,6 @@
     signal: orderAbort.signal,
     mayOrder: () => mayRenew() && leaderLease.isConfirmed(),
     mayRenew,
-    drainNoticeMs: () => options.drainNoticeMs(),
     inheritedUntil: () => inheritedUntil,
     noteChange: (range) => {
       feed.note(range);
@@ -330,6 +334,22 @@
     });
   }
 
+  /** Asks the former leader until it answers, or until its grants count for nothing. */
+  async function askFormerLeader(): Promise<void> {
+    const ask = options.askFormerLeader;
+    const isAnyInherited = () =>
+      allRanges().some((it) => [it.owner, ...it.former].some((holder) => holder?.inherited));
+    while (ask && clocks.monotonic() < inheritedUntil && isAnyInherited()) {
+      await pause(FORMER_LEADER_RETRY_MS);
+      if (orderAbort.signal.aborted) return;
+      const forMs = await ask();
+      if (forMs === undefined) continue;
+      inheritedUntil = Math.min(inheritedUntil, clocks.monotonic() + forMs);
+      planWakeSignal.wake();
+      return;
+    }
+  }
+
   /** Releases ranges at servers that may hold them although they don't own them. */
   async function verify(): Promise<void> {
     const from = clocks.monotonic();
@@ -356,6 +376,7 @@
   async function sendOrders(): Promise<void> {
     if (!isVerified) await verify();
     resumeHandOvers();
+    void runTask(ctx, askFormerLeader);
     await Promise.all([renewLeases(ctx, tables, planWakeSignal.wake), planAll()]);
   }
 
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -178,8 +178,6 @@
   readonly log: PlacementLogger;
   /** Names of the partitioned services; `undefined` until the configuration is known. */
   partitionedServices(): readonly string[] | undefined;
-  /** How long before its end a server announces that it leaves, in milliseconds. */
-  drainNoticeMs(): number;
   /** Returns the load since the last call. */
   takeLoad(): readonly ServiceLoadReport[];
   /** Runs that may have ended their server, shared by all routers. */
@@ -244,7 +242,6 @@
   });
   const requestStepDown = createStepDownRequests({
     peers,
-    others: () => knownPeers.all(),
     now: clocks.monotonic,
   });
   const transferLeadership = createLeadershipTransfer(options.capacity, clocks);
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -461,8 +461,8 @@
       try {
         const res = await peerAt(address).rpc.notePlacement(req, { timeoutMs });
         return res.noted ? 'noted' : 'refused';
-      } catch (cause) {
-        return isConnectionRefused(cause) ? 'gone' : 'silent';
+      } catch {
+        return 'silent';
       }
     },
     async requestStepDown(address, epoch, startedMs, timeoutMs, claimedEra) {
--- a/packages/placement/src/lib/server-health.ts
+++ b/packages/placement/src/lib/server-health.ts
@@ -1,3 +1,4 @@
+import type { EndProof } from './end-proof.js';
 import type { ServerIncarnation } from './key-range.js';
 
 /** Number of consecutive unanswered orders after which a server counts as unresponsive. */
@@ -10,14 +11,15 @@
   noteAnswered(incarnation: ServerIncarnation): void;
   /** Records an unanswered order; `now` is on the monotonic clock. */
   noteUnanswered(incarnation: ServerIncarnation, now: number): void;
-  /** Records proof that no process of the server was left at its address at some time after `from`. */
-  noteEnded(incarnation: ServerIncarnation, from: number): void;
-  hasEnded(incarnation: ServerIncarnation): boolean;
   /**
-   * Returns the time up to which orders can only have reached processes that have ended, on the
-   * monotonic clock; `undefined` without proof.
+   * Records that no router reaches the server, which may have ended: it counts as unresponsive at
+   * once. `now` is on the monotonic clock.
    */
-  endedFrom(incarnation: ServerIncarnation): number | undefined;
+  noteSuspected(incarnation: ServerIncarnation, now: number): void;
+  noteEnded(incarnation: ServerIncarnation, proof: EndProof): void;
+  hasEnded(incarnation: ServerIncarnation): boolean;
+  /** Returns the latest proof of the incarnation's end by an order. */
+  endOf(incarnation: ServerIncarnation): EndProof | undefined;
   /** Returns true while the latest orders to the incarnation went unanswered. */
   isUnresponsive(incarnation: ServerIncarnation, now: number): boolean;
 }
@@ -28,7 +30,7 @@
 /** Creates a record without outcomes. */
 export function createServerHealth(): ServerHealth {
   const unanswered = new Map<string, { count: number; at: number }>();
-  const ended = new Map<string, number>();
+  const ended = new Map<string, EndProof>();
   return {
     noteAnswered(incarnation) {
       unanswered.delete(incarnationKey(incarnation));
@@ -37,12 +39,14 @@
       const count = (unanswered.get(incarnationKey(incarnation))?.count ?? 0) + 1;
       unanswered.set(incarnationKey(incarnation), { count, at: now });
     },
-    noteEnded(incarnation, from) {
-      const known = ended.get(incarnationKey(incarnation)) ?? -Infinity;
-      ended.set(incarnationKey(incarnation), Math.max(known, from));
+    noteSuspected(incarnation, now) {
+      unanswered.set(incarnationKey(incarnation), { count: UNRESPONSIVE_AFTER, at: now });
+    },
+    noteEnded(incarnation, proof) {
+      ended.set(incarnationKey(incarnation), proof);
     },
     hasEnded: (incarnation) => ended.has(incarnationKey(incarnation)),
-    endedFrom: (incarnation) => ended.get(incarnationKey(incarnation)),
+    endOf: (incarnation) => ended.get(incarnationKey(incarnation)),
     isUnresponsive(incarnation, now) {
       const last = unanswered.get(incarnationKey(incarnation));
       return (
--- a/packages/placement/src/lib/server-reach.ts
+++ b/packages/placement/src/lib/server-reach.ts
@@ -4,6 +4,8 @@
 const QUESTION_TIMEOUT_MS = 500;
 /** Time after a question in which it is not asked again, in milliseconds. */
 const QUESTION_PAUSE_MS = 300;
+/** Longest such time: it doubles while no router reaches the address. In milliseconds. */
+const MAX_QUESTION_PAUSE_MS = 1_200;
 /** Maximum number of other routers that are asked; more are picked at random. */
 const MAX_ASKED = 32;
 
@@ -16,18 +18,15 @@
 }
 
 /**
- * Reaches backend servers over other routers, where this router's own connections are refused. Only
- * a server that no router reaches has ended; one that some router reaches has lost only a path.
+ * Reaches backend servers over other routers, where this router's own connections are refused. A
+ * server that no router reaches may have ended, or all paths to it are cut.
  */
 export interface ServerReach {
   /**
-   * Asks the other routers whether anything listens at a server's address. Resolves to the time at
-   * which the question began if all of them were refused, on the monotonic clock; to `undefined` if
-   * any of them reached it or did not answer, or if there is none.
+   * Asks the other routers whether anything listens at a server's address. Resolves to true if all
+   * of them were refused; to false if any of them reached it or did not answer, or if there is none.
    */
-  closedFrom(target: OrderTarget): Promise<number | undefined>;
-  /** Asks the other routers likewise; resolves to true if any of them reached something there. */
-  isReachedByAny(target: OrderTarget): Promise<boolean>;
+  isRefusedToAll(target: OrderTarget): Promise<boolean>;
   /** Sends a release over a router that reached the server when it was last asked. */
   release(target: OrderTarget, order: RangeOrder, timeoutMs: number): Promise<OrderOutcome>;
 }
@@ -49,6 +48,8 @@
 /** A question about one address, and what came of it. */
 interface Question {
   readonly from: number;
+  /** Time after which it may be asked again, in milliseconds. */
+  readonly pauseMs: number;
   readonly isClosed: Promise<boolean>;
   /** Routers that reached the server. */
   readonly reachedBy: string[];
@@ -68,7 +69,7 @@
     return ranked.slice(0, MAX_ASKED).map((it) => it.address);
   }
 
-  function begin(target: OrderTarget): Question {
+  function begin(target: OrderTarget, pauseMs: number): Question {
     const reachedBy: string[] = [];
     const others = pickOthers();
     const answers = others.map(async (router) => {
@@ -77,11 +78,11 @@
       return kind === 'closed';
     });
     const isClosed = Promise.all(answers).then((all) => all.length > 0 && all.every(Boolean));
-    return { from: now(), isClosed, reachedBy };
+    return { from: now(), pauseMs, isClosed, reachedBy };
   }
 
   function forgetOld(): void {
-    const oldest = now() - QUESTION_TIMEOUT_MS - QUESTION_PAUSE_MS;
+    const oldest = now() - QUESTION_TIMEOUT_MS - MAX_QUESTION_PAUSE_MS;
     for (const [address, { from }] of questions) if (from < oldest) questions.delete(address);
   }
 
@@ -89,22 +90,16 @@
   function questionFor(target: OrderTarget): Question {
     forgetOld();
     const known = questions.get(target.address);
-    if (known && now() < known.from + QUESTION_PAUSE_MS) return known;
-    const question = begin(target);
+    if (known && now() < known.from + known.pauseMs) return known;
+    const isRepeated = known?.reachedBy.length === 0;
+    const pauseMs = isRepeated ? 2 * known.pauseMs : QUESTION_PAUSE_MS;
+    const question = begin(target, Math.min(MAX_QUESTION_PAUSE_MS, pauseMs));
     questions.set(target.address, question);
     return question;
   }
 
   return {
-    async closedFrom(target) {
-      const question = questionFor(target);
-      return (await question.isClosed) ? question.from : undefined;
-    },
-    async isReachedByAny(target) {
-      const question = questionFor(target);
-      await question.isClosed;
-      return question.reachedBy.length > 0;
-    },
+    isRefusedToAll: (target) => questionFor(target).isClosed,
     async release(target, order, timeoutMs) {
       const question = questionFor(target);
       await question.isClosed;
--- a/packages/placement/src/lib/witnesses.ts
+++ b/packages/placement/src/lib/witnesses.ts
@@ -20,10 +20,10 @@
  * Answer of a router that was told of a placement:
  * - `noted`: it knows the placement.
  * - `refused`: it knows a later epoch, or lacks earlier changes.
- * - `gone`: its process has ended.
- * - `silent`: it did not answer in time.
+ * - `silent`: it did not answer in time, or refused the connection: it may live, and know the placement
+ *   of before.
  */
-export type NoteAnswer = 'noted' | 'refused' | 'gone' | 'silent';
+export type NoteAnswer = 'noted' | 'refused' | 'silent';
 
 /**
  * Time after the last word of the leader for which a router counts as its witness, in milliseconds.
--- a/packages/placement/src/test/due-renewals_test.ts
+++ b/packages/placement/src/test/due-renewals_test.ts
@@ -4,8 +4,7 @@
 
 import { RENEWAL_CHECK_INTERVAL_MS, dueRenewals } from '../lib/due-renewals.js';
 import { type HeldRange, newHolder, unownedRange } from '../lib/held-range.js';
-
-const LEASE_MS = 7_000;
+import { LEASE_MS } from '../lib/leader-context.js';
 
 function held(count: number, renewedAt: number): HeldRange[] {
   return Array.from({ length: count }, (_, index) => ({
--- a/packages/placement/src/test/fake-holders.ts
+++ b/packages/placement/src/test/fake-holders.ts
@@ -4,9 +4,9 @@
 
 /**
  * How a fake server reacts to orders; `cut` refuses connections from the leader, `closed` from all
- * routers.
+ * routers, and another process answers at the address of one that is `taken`.
  */
-export type HolderMode = 'answers' | 'silent' | 'cut' | 'closed';
+export type HolderMode = 'answers' | 'silent' | 'cut' | 'closed' | 'taken';
 
 interface Lease {
   first: number;
@@ -28,7 +28,7 @@
   /** Starts a server again: it holds no keys and has seen no fencing token. */
   restart(server: string): void;
   /** Reaches the servers over another router. */
-  readonly reach: Pick<ServerReach, 'closedFrom' | 'release'>;
+  readonly reach: Pick<ServerReach, 'isRefusedToAll' | 'release'>;
 }
 
 const DONE: OrderOutcome = { kind: 'done', handover: undefined };
@@ -63,6 +63,7 @@
 
   function unavailable(server: string): OrderOutcome | undefined {
     const mode = holders.modes.get(server) ?? 'answers';
+    if (mode === 'taken') return { kind: 'misdirected' };
     if (mode === 'closed' || mode === 'cut') return { kind: 'closed' };
     return mode === 'silent' ? { kind: 'unanswered' } : undefined;
   }
@@ -98,8 +99,7 @@
       seen.delete(server);
     },
     reach: {
-      closedFrom: ({ serverId }) =>
-        Promise.resolve(holders.modes.get(serverId) === 'closed' ? now() : undefined),
+      isRefusedToAll: ({ serverId }) => Promise.resolve(holders.modes.get(serverId) === 'closed'),
       release({ serverId }, order) {
         holders.sent.push(
           `relayed release ${serverId} ${order.first}-${order.last} #${order.fence}`,
--- a/packages/placement/src/test/hand-over_test.ts
+++ b/packages/placement/src/test/hand-over_test.ts
@@ -3,6 +3,7 @@
 
 import { expect } from 'earl';
 
+import { endByAnswer } from '../lib/end-proof.js';
 import { handOver } from '../lib/hand-over.js';
 import { type HeldRange, newHolder, unownedRange } from '../lib/held-range.js';
 import type { LeaderContext } from '../lib/leader-context.js';
@@ -37,7 +38,6 @@
     signal: new AbortController().signal,
     mayOrder: () => true,
     mayRenew: () => true,
-    drainNoticeMs: () => 100,
     inheritedUntil: () => -Infinity,
     noteChange: () => undefined,
     persist: () => Promise.resolve(true),
@@ -95,12 +95,42 @@
 
 test('a hand-over does not wait for a former owner whose process has ended', async () => {
   const { ctx, holders, range } = await setUp();
-  holders.modes.set('a', 'closed');
+  holders.modes.set('a', 'taken');
   await handOver(ctx, range);
   expect(holders.sent).toEqual(['release a 0-9 #1', 'grant b 0-9 #2']);
   expect(range.granted).toEqual(true);
 });
 
+// Guards against two holders when the paths of all routers to a living server are cut: the refusals
+// were taken for its end, and its keys were granted to another at once.
+test('a former owner that refuses all routers keeps the range until its lease has expired', async () => {
+  const { ctx, holders, range } = await setUp();
+  holders.modes.set('a', 'closed');
+  const handingOver = handOver(ctx, range);
+  while (!range.granted) {
+    expect(holders.holdersOf(5).length <= 1).toEqual(true);
+    await setTimeout(5);
+  }
+  await handingOver;
+  expect(holders.holdersOf(5)).toEqual(['b']);
+  expect(ctx.health.hasEnded(incarnationOf('a'))).toEqual(false);
+});
+
+// Guards against keys that wait for the end of a lease although the path to their owner has healed.
+test('a former owner that refuses all routers for a while releases the range with its state afterwards', async () => {
+  const { ctx, holders, range } = await setUp();
+  const former = range.former[0];
+  if (former) former.bound.answeredUntil = performance.now() + 60_000;
+  holders.modes.set('a', 'closed');
+  const handingOver = handOver(ctx, range);
+  await setTimeout(1);
+  expect([range.granted, holders.holdersOf(5)]).toEqual([false, ['a']]);
+  holders.modes.set('a', 'answers');
+  await handingOver;
+  expect(holders.sent.slice(-2)).toEqual(['release a 0-9 #1', 'grant b 0-9 #2']);
+  expect(holders.holdersOf(5)).toEqual(['b']);
+});
+
 test('a leaving former owner that refuses connections may still hold the range', async () => {
   const { ctx, holders, directory, range } = await setUp();
   holders.modes.set('a', 'closed');
@@ -173,7 +203,8 @@
 // Guards against the same where the server started again between its end and the proof of that.
 test('a grant that was answered after the proof of an end lets the server hold the range', async () => {
   const { ctx, holders, range } = await setUp();
-  ctx.health.noteEnded(incarnationOf('a'), performance.now());
+  const life = { ...incarnationOf('a'), id: 'a' };
+  ctx.health.noteEnded(incarnationOf('a'), endByAnswer(life, 'misdirected', performance.now()));
   const former = range.former[0];
   if (former) recordAnswered(former.bound, performance.now() + 1, times);
   await handOver(ctx, range);
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -97,7 +97,6 @@
     clocks: processClocks,
     log: { info: () => undefined, warn: () => undefined },
     partitionedServices: () => ['s'],
-    drainNoticeMs: () => 100,
     routers: () => 1,
     suspects: () => [],
     knownPeers: () => [],
@@ -205,6 +204,29 @@
   expect(processClocks.monotonic() >= heldUntilMs).toEqual(true);
 });
 
+// Guards against keys that wait for the longest grace time of a former leader that refused the first
+// question, although another process has begun at its address since.
+test(
+  'a former leader is asked again, and its answer shortens the wait for its grants',
+  { timeout: 10_000 },
+  async () => {
+    const moving = rangeRecord(0, 99, holder('b', 5), [holder('a', 4, false)]);
+    const rest = rangeRecord(100, 65_535, holder('b', 3));
+    const before = rangeRecord(0, 99, holder('a', 4));
+    let asked = 0;
+    const askFormerLeader = () => {
+      asked += 1;
+      return Promise.resolve(asked > 1 ? 50 : undefined);
+    };
+    const more = () => ({ inheritedForMs: 60_000, askFormerLeader });
+    await using fixture = startSuccessor([moving, rest], [before, rest], more);
+    const { holders } = fixture;
+    await until(() => holders.sent.some((it) => it.startsWith('grant b 0-99')));
+    expect(asked).toEqual(2);
+    expect(holders.holdersOf(50)).toEqual(['b']);
+  },
+);
+
 // Guards against a range that stays for ever at a server that has left: an order that threw left
 // it marked as busy.
 test('a range whose orders threw moves on once its owner has left the registry', async () => {
--- a/packages/placement/src/test/recover-placement_test.ts
+++ b/packages/placement/src/test/recover-placement_test.ts
@@ -3,6 +3,7 @@
 import { inEra } from '@boragepoint/platform';
 import { expect } from 'earl';
 
+import { endByAnswer } from '../lib/end-proof.js';
 import { LEADER_LEASE_MS, RENEWAL_GRACE_MS } from '../lib/leader-lease.js';
 import type { FormerLeaderAnswer } from '../lib/former-leader.js';
 import type { FetchedPlacement } from '../lib/placement-peers.js';
@@ -82,7 +83,8 @@
   readonly goneForMs?: number;
 }
 
-const GONE: FormerLeaderAnswer = { kind: 'gone' };
+const LEADER_LIFE = { id: 'leader', address: 'leader:1', startedMs: 1 };
+const GONE: FormerLeaderAnswer = { kind: 'gone', proof: endByAnswer(LEADER_LIFE, 'gone', 0) };
 
 function recover(known: Known) {
   const { others = [], stepDown = { kind: 'silent' }, goneForMs = 0, ...options } = known;
--- a/packages/placement/src/test/release-others_test.ts
+++ b/packages/placement/src/test/release-others_test.ts
@@ -39,7 +39,6 @@
     signal: new AbortController().signal,
     mayOrder: () => true,
     mayRenew: () => true,
-    drainNoticeMs: () => 100,
     inheritedUntil: () => -Infinity,
     noteChange: () => undefined,
     persist: () => Promise.resolve(true),
--- a/packages/placement/src/test/reporters_test.ts
+++ b/packages/placement/src/test/reporters_test.ts
@@ -2,6 +2,7 @@
 
 import { expect } from 'earl';
 
+import { MAX_UNANSWERED_GRANT_MS } from '../lib/recover-placement.js';
 import { createReporters } from '../lib/reporters.js';
 import { createFakeClocks } from './fake-clocks.js';
 
@@ -32,10 +33,10 @@
   const reporters = createReporters(clocks);
   reporters.note(reporter('silent', 1));
   reporters.note({ ...reporter('stopping', 1), stopping: true });
-  clocks.advance(8_000);
+  clocks.advance(MAX_UNANSWERED_GRANT_MS);
   expect(reporters.addresses()).toEqual([]);
   expect(reporters.mayReachServers()).toEqual(['silent:1']);
-  clocks.advance(1_000);
+  clocks.advance(1);
   expect(reporters.mayReachServers()).toEqual([]);
 });
 
--- a/packages/placement/src/test/server-reach_test.ts
+++ b/packages/placement/src/test/server-reach_test.ts
@@ -27,23 +27,23 @@
   return { reach, asked, advance };
 }
 
-test('a server is closed from the time of the question if all other routers are refused', async () => {
+test('a server is refused to all if all other routers are refused', async () => {
   const { reach, asked } = setUp({ r1: 'closed', r2: 'closed' });
-  expect(await reach.closedFrom(TARGET)).toEqual(1_000);
+  expect(await reach.isRefusedToAll(TARGET)).toEqual(true);
   expect(asked).toEqual(['r1', 'r2']);
 });
 
 // Guards against two holders when only some paths to a server are cut.
 for (const kind of ['done', 'unanswered', 'misdirected'] as const) {
-  test(`a server is not known to be closed if a router answers: ${kind}`, async () => {
+  test(`a server is not known to be refused to all if a router answers: ${kind}`, async () => {
     const { reach } = setUp({ r1: 'closed', r2: kind });
-    expect(await reach.closedFrom(TARGET)).toEqual(undefined);
+    expect(await reach.isRefusedToAll(TARGET)).toEqual(false);
   });
 }
 
-test('a router that knows no other one has no proof that a server is closed', async () => {
+test('a router that knows no other one does not know a server as refused to all', async () => {
   const { reach } = setUp({});
-  expect(await reach.closedFrom(TARGET)).toEqual(undefined);
+  expect(await reach.isRefusedToAll(TARGET)).toEqual(false);
   expect(await reach.release(TARGET, RELEASE, 100)).toEqual({ kind: 'unreachable' });
 });
 
@@ -57,11 +57,11 @@
 test('questions about one address are asked once in 300 ms, and of 32 routers at most', async () => {
   const many = Array.from({ length: 100 }, (_, index) => [`r${index}`, 'closed'] as const);
   const { reach, asked, advance } = setUp(Object.fromEntries(many));
-  await Promise.all([reach.closedFrom(TARGET), reach.closedFrom(TARGET)]);
-  await reach.closedFrom(TARGET);
+  await Promise.all([reach.isRefusedToAll(TARGET), reach.isRefusedToAll(TARGET)]);
+  await reach.isRefusedToAll(TARGET);
   expect(new Set(asked).size).toEqual(32);
   expect(asked.length).toEqual(32);
   advance(300);
-  expect(await reach.closedFrom(TARGET)).toEqual(1_300);
+  expect(await reach.isRefusedToAll(TARGET)).toEqual(true);
   expect(asked.length).toEqual(64);
 });
--- a/packages/placement/src/test/service-planner_test.ts
+++ b/packages/placement/src/test/service-planner_test.ts
@@ -33,7 +33,6 @@
     signal: new AbortController().signal,
     mayOrder: () => true,
     mayRenew: () => true,
-    drainNoticeMs: () => 2_500,
     inheritedUntil: () => -Infinity,
     noteChange: () => undefined,
     persist: () => Promise.resolve(true),
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -169,7 +169,6 @@
     clocks,
     log,
     partitionedServices,
-    drainNoticeMs: () => settings.drain.noticeMs,
     takeLoad: () => keyLoad.take(partitionedServices() ?? []),
     suspects,
     limits,
--- a/packages/spec/src/lib/grants/grant-model.ts
+++ b/packages/spec/src/lib/grants/grant-model.ts
@@ -2,7 +2,6 @@
 import {
   SERVER_A,
   SERVER_B,
-  RENEWAL_GRACE_TICKS,
   type Grant,
   type GrantOptions,
   type GrantState,
@@ -30,7 +29,7 @@
   return {
     initial: initialState(options),
     steps: (state) => [
-      ...tick(state),
+      ...tick(state, options),
       ...state.grants.flatMap((grant, index) => grantSteps(state, grant, index)),
       ...state.leaders.flatMap((leader, number) => leaderSteps({ state, number, leader, options })),
     ],
@@ -43,9 +42,13 @@
         state.grants.some((it) => it.server === SERVER_A && it.fence < state.highestFenceSeenByA),
       'a grant is late': (state) =>
         state.grants.some((it) => it.hasArrived && it.timeLeft < LEASE_TICKS),
-      'the second leader knows that the first has ended': ({ leaders }) =>
-        leaders[0]?.phase === 'ended' && leaders[1]?.inheritedLeft === ENDED_LEADER_TICKS,
-      'a leader is suspended': (state) => state.leaders.some((it) => it.isSuspended),
+      ...(options.canSuspend && {
+        'a leader is suspended': (state: GrantState) => state.leaders.some((it) => it.isSuspended),
+      }),
+      ...(options.canEnd && {
+        'the second leader knows that the first has ended': ({ leaders }: GrantState) =>
+          leaders[0]?.phase === 'ended' && leaders[1]?.inheritedLeft === ENDED_LEADER_TICKS,
+      }),
     },
   };
 }
@@ -67,7 +70,7 @@
     ...follower,
     phase: 'leading',
     answeredLeft: LEASE_TICKS,
-    suspensionsLeft: 1,
+    suspensionsLeft: options.canSuspend ? 1 : 0,
   } as const;
   return {
     row: {
@@ -86,18 +89,18 @@
 
 const decremented = (left: number) => Math.max(0, left - 1);
 
-function tickLeader(leader: Leader): Leader {
+function tickLeader(leader: Leader, { renewalGraceTicks }: GrantOptions): Leader {
   if (leader.isSuspended) return leader;
   return {
     ...leader,
-    sinceConfirmed: Math.min(leader.sinceConfirmed + 1, LEADER_LEASE_TICKS + RENEWAL_GRACE_TICKS),
+    sinceConfirmed: Math.min(leader.sinceConfirmed + 1, LEADER_LEASE_TICKS + renewalGraceTicks),
     answeredLeft: decremented(leader.answeredLeft),
     unansweredLeft: decremented(leader.unansweredLeft),
     inheritedLeft: decremented(leader.inheritedLeft),
   };
 }
 
-function tick(state: GrantState): Steps {
+function tick(state: GrantState, options: GrantOptions): Steps {
   const next: GrantState = {
     ...state,
     row: {
@@ -105,7 +108,7 @@
       leaderLeaseLeft: decremented(state.row.leaderLeaseLeft),
       heldLeft: decremented(state.row.heldLeft),
     },
-    leaders: state.leaders.map(tickLeader),
+    leaders: state.leaders.map((it) => tickLeader(it, options)),
     leaseLeft: state.leaseLeft.map(decremented),
     // A grant that did not arrive in time never arrives; one whose lease has lapsed has no effect.
     grants: state.grants
@@ -193,7 +196,7 @@
 
 /** The first leader's process ends. */
 function end(view: LeaderView): Steps {
-  if (view.number !== 0) return [];
+  if (view.number !== 0 || !view.options.canEnd) return [];
   return leaderStep(view, 'ends', { phase: 'ended' });
 }
 
@@ -203,6 +206,7 @@
  */
 function askFormerLeader(view: LeaderView): Steps {
   const { state, leader, options } = view;
+  if (!options.canEnd) return [];
   if (leader.phase === 'following' || leader.inheritedLeft <= ENDED_LEADER_TICKS) return [];
   const former = state.leaders[0];
   const change = { inheritedLeft: ENDED_LEADER_TICKS };
@@ -219,7 +223,7 @@
   const isMoved = row.owner === SERVER_B;
   const mustWait = options.mutation !== 'grant-inherited' && !(isMoved && row.settled);
   // A former owner gets no more grants, so the time that the row states for its lease is final.
-  const inheritedLeft = isMoved ? row.heldLeft : RENEWAL_GRACE_TICKS + ENDED_LEADER_TICKS;
+  const inheritedLeft = isMoved ? row.heldLeft : options.renewalGraceTicks + ENDED_LEADER_TICKS;
   return leaderStep(
     view,
     'acquires the leadership lease',
@@ -260,7 +264,8 @@
 function mayRenew({ leader, options }: LeaderView): boolean {
   if (options.mutation === 'grant-grace') return true;
   return (
-    !leader.needsConfirmation && leader.sinceConfirmed < LEADER_LEASE_TICKS + RENEWAL_GRACE_TICKS
+    !leader.needsConfirmation &&
+    leader.sinceConfirmed < LEADER_LEASE_TICKS + options.renewalGraceTicks
   );
 }
 
--- a/packages/spec/src/lib/grants/grant-state.ts
+++ b/packages/spec/src/lib/grants/grant-state.ts
@@ -9,9 +9,6 @@
 export const MAX_TRANSIT_TICKS = 1;
 /** Length of the leadership lease. */
 export const LEADER_LEASE_TICKS = 2;
-/** How long a leader still renews leases after its leadership lease has expired unconfirmed. */
-export const RENEWAL_GRACE_TICKS = 1;
-
 /** Backend servers; the key moves from A to B. */
 export const SERVER_A = 0;
 export const SERVER_B = 1;
@@ -77,4 +74,10 @@
 export interface GrantOptions {
   readonly mutation: Mutation | undefined;
   readonly renewalsPerLeader: number;
+  /** How long a leader still renews leases after its leadership lease has expired unconfirmed. */
+  readonly renewalGraceTicks: number;
+  /** The first leader may be suspended once. */
+  readonly canSuspend: boolean;
+  /** The first leader's process may end, and the second one asks it to step down. */
+  readonly canEnd: boolean;
 }
--- a/packages/spec/src/lib/model-configurations.ts
+++ b/packages/spec/src/lib/model-configurations.ts
@@ -127,9 +127,32 @@
       'grant-held',
       'grant-suspension',
       'grant-grace',
-      'grant-former-refused',
     ],
-    run: (mutation) => explore(createGrantModel({ mutation, renewalsPerLeader: 1 })),
+    run: (mutation) =>
+      explore(
+        createGrantModel({
+          mutation,
+          renewalsPerLeader: 1,
+          renewalGraceTicks: 1,
+          canSuspend: true,
+          canEnd: false,
+        }),
+      ),
+  },
+  {
+    name: 'grants, a former leader that ends or refuses connections',
+    isQuick: true,
+    mutations: ['grant-former-refused'],
+    run: (mutation) =>
+      explore(
+        createGrantModel({
+          mutation,
+          renewalsPerLeader: 1,
+          renewalGraceTicks: 2,
+          canSuspend: false,
+          canEnd: true,
+        }),
+      ),
   },
   {
     name: 'a server that ends, starts again or loses a path',
