--- a/packages/spec/src/lib/model-configurations.ts
+++ b/packages/spec/src/lib/model-configurations.ts
@@ -128,12 +128,36 @@
       'grant-suspension',
       'grant-grace',
     ],
-    run: (mutation) => explore(createGrantModel({ mutation, renewalsPerLeader: 1 })),
+    run: (mutation) =>
+      explore(
+        createGrantModel({
+          mutation,
+          renewalsPerLeader: 1,
+          renewalGraceTicks: 1,
+          canSuspend: true,
+          canEnd: false,
+        }),
+      ),
+  },
+  {
+    name: 'grants, a former leader that ends or refuses connections',
+    isQuick: true,
+    mutations: ['grant-former-refused'],
+    run: (mutation) =>
+      explore(
+        createGrantModel({
+          mutation,
+          renewalsPerLeader: 1,
+          renewalGraceTicks: 2,
+          canSuspend: false,
+          canEnd: true,
+        }),
+      ),
   },
   {
     name: 'a server that ends, starts again or loses a path',
     isQuick: true,
-    mutations: ['end-refused', 'end-silent', 'end-since', 'end-later-start'],
+    mutations: ['end-refused', 'end-all-refused', 'end-silent', 'end-since', 'end-later-start'],
     run: (mutation) => explore(createEndModel({ mutation })),
   },
   {
