--- a/packages/platform/src/lib/connection-close.ts
+++ b/packages/platform/src/lib/connection-close.ts
@@ -1,4 +1,17 @@
-import { Socket } from 'node:net';
+import type { Socket } from 'node:net';
+
+import { createAckEstimate } from './ack-estimate.js';
+import { dropInput } from './drop-input.js';
+
+/** Shortest time in which a peer may close its side, in milliseconds. */
+const PEER_CLOSE_MS = 1_000;
+/** Slowest pace at which answers that wait in this process may leave it, in bytes per second. */
+const MIN_SEND_BYTES_PER_S = 16 * 1_024;
+/** Time beyond that pace in which nothing needs to leave, in milliseconds. */
+const MAX_SEND_PAUSE_MS = 30_000;
+/** Number of closing connections beyond which the oldest is cut, unless the listener stops. */
+const MAX_CLOSING = 1_000;
+const MS_PER_S = 1_000;
 
 /** Why a listener closes a connection. */
 export type CloseReason =
@@ -19,13 +32,24 @@
   readonly endedBy: 'peer' | 'time' | 'number' | 'exit';
 }
 
-/** Closes the connections of a listener. */
+/**
+ * Closes the connections of a listener in two steps. A connection that is closed while its peer
+ * still sends is reset, and the system drops what the peer has not received yet. So the sending
+ * side is ended first, and what arrives is read and dropped until the peer has closed its side too,
+ * or a bound has passed.
+ */
 export interface ConnectionCloser {
-  /** Closes a connection once its answers are sent. */
+  /** Closes a connection behind what has been written to it. */
   close(socket: Socket, reason: CloseReason): void;
   isClosing(socket: Socket): boolean;
+  /** From now on what arrives is dropped unread; answers can still be written. */
+  stopReading(socket: Socket): void;
+  /** Notes that an answer was written. */
+  noteAnswer(socket: Socket): void;
   /** Notes a request that was read and is not taken. */
   noteNotTaken(socket: Socket): void;
+  /** Lifts the bound on the number of closing connections: no new ones are accepted. */
+  liftNumberBound(): void;
   /** Reports connections that are still open when the process ends. */
   reportExit(open: Iterable<Socket>): void;
 }
@@ -34,6 +58,10 @@
   readonly reason: CloseReason;
   readonly since: number;
   readonly bytesReadBefore: number;
+  timer?: NodeJS.Timeout;
+  endedBy: ClosedConnection['endedBy'];
+  /** Set when a bound cuts the connection, because a destroyed socket forgets it. */
+  unsentBytes?: number;
 }
 
 /** Dependencies of a closer. */
@@ -45,13 +73,16 @@
 
 /** Creates the closer of one listener. */
 export function createConnectionCloser(ctx: ConnectionCloserContext): ConnectionCloser {
+  /** Closing connections, oldest first. */
   const closing = new Map<Socket, Closing>();
   const notTaken = new WeakMap<Socket, number>();
+  const acks = createAckEstimate(() => ctx.now());
+  let maxClosing = MAX_CLOSING;
 
   function report(socket: Socket, endedBy: ClosedConnection['endedBy'], known?: Closing): void {
     ctx.onClosed({
       reason: known?.reason ?? 'exit',
-      unsentBytes: socket.writableLength,
+      unsentBytes: known?.unsentBytes ?? socket.writableLength,
       lateBytes: known ? socket.bytesRead - known.bytesReadBefore : 0,
       requestsNotTaken: notTaken.get(socket) ?? 0,
       forMs: known ? ctx.now() - known.since : 0,
@@ -59,21 +90,63 @@
     });
   }
 
+  function cut(socket: Socket, known: Closing, endedBy: 'time' | 'number'): void {
+    known.endedBy = endedBy;
+    known.unsentBytes = socket.writableLength;
+    socket.destroy();
+  }
+
+  function cutAfter(socket: Socket, known: Closing, ms: number): void {
+    clearTimeout(known.timer);
+    known.timer = setTimeout(() => {
+      cut(socket, known, 'time');
+    }, ms);
+    known.timer.unref();
+  }
+
+  function cutOldest(): void {
+    const oldest = closing.entries().next().value;
+    if (oldest) cut(...oldest, 'number');
+  }
+
+  /** Waits until all is handed to the system, then until the peer has closed its side. */
+  function boundTime(socket: Socket, known: Closing): void {
+    const sendMs = (socket.writableLength / MIN_SEND_BYTES_PER_S) * MS_PER_S;
+    cutAfter(socket, known, MAX_SEND_PAUSE_MS + sendMs);
+    socket.once('finish', () => {
+      cutAfter(socket, known, Math.max(PEER_CLOSE_MS, acks.unackedForMs(socket)));
+    });
+  }
+
   return {
     close(socket, reason) {
       if (socket.destroyed || closing.has(socket)) return;
-      const known = { reason, since: ctx.now(), bytesReadBefore: socket.bytesRead };
+      const since = ctx.now();
+      const known: Closing = { reason, since, bytesReadBefore: socket.bytesRead, endedBy: 'peer' };
       closing.set(socket, known);
       socket.once('close', () => {
+        clearTimeout(known.timer);
         closing.delete(socket);
-        report(socket, 'peer', known);
+        report(socket, known.endedBy, known);
       });
-      Socket.prototype.destroySoon.call(socket);
+      socket.setTimeout(0);
+      dropInput(socket);
+      acks.noteWritten(socket);
+      boundTime(socket, known);
+      socket.end();
+      if (closing.size > maxClosing) cutOldest();
     },
     isClosing: (socket) => closing.has(socket),
+    stopReading: dropInput,
+    noteAnswer: (socket) => {
+      acks.noteWritten(socket);
+    },
     noteNotTaken(socket) {
       notTaken.set(socket, (notTaken.get(socket) ?? 0) + 1);
     },
+    liftNumberBound() {
+      maxClosing = Infinity;
+    },
     reportExit(open) {
       for (const socket of open) report(socket, 'exit', closing.get(socket));
     },
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -256,8 +256,10 @@
     const pipeline = pipelineOf(req.socket);
     // The previous answer closes the connection, which tells the caller that this request was not
     // read.
-    if (pipeline.isClosing || (closing && pipeline.isBusy())) {
+    const isClosing = pipeline.isClosing || closer.isClosing(req.socket);
+    if (isClosing || (closing && pipeline.isBusy())) {
       closer.noteNotTaken(req.socket);
+      closer.stopReading(req.socket);
       return;
     }
     const entry = pipeline.add();
@@ -267,6 +269,7 @@
     const finish = () => {
       if (!pipeline.endListeners.delete(finish)) return;
       openCount -= 1;
+      closer.noteAnswer(req.socket);
       if (!res.writableFinished) disconnect.abort();
       if (draining) closeIfIdle(req.socket);
     };
@@ -326,6 +329,7 @@
     },
     async drain() {
       draining = true;
+      closer.liftNumberBound();
       const closed = new Promise((resolve) => NetServer.prototype.close.call(server, resolve));
       for (const socket of sockets) closeIfIdle(socket);
       await closed;
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -3,6 +3,7 @@
 export * from './lib/backend/event-log.js';
 export * from './lib/backend/server-request.js';
 export * from './lib/harness/free-ports.js';
+export * from './lib/harness/steady-caller.js';
 export * from './lib/listen.js';
 export * from './lib/platform/app.js';
 export * from './lib/platform/control.js';
