--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -1,5 +1,5 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
-import { Server as NetServer, type Socket } from 'node:net';
+import { Server as NetServer, Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import {
@@ -14,12 +14,12 @@
 import { createBodyMemory } from './body-memory.js';
 import { readBody } from './read-body.js';
 import { type OwnAnswer, type CallerAnswer, ownAnswer } from './caller-answer.js';
+import { refuseMalformed } from './refuse-malformed.js';
 import { listenWhenFree } from './listen-when-free.js';
 import type { RouteTable } from './route-table.js';
 import {
   UNWRITABLE_ANSWER,
   isWritable,
-  rejectMalformedRequest,
   writeOwnAnswer,
   writeServerAnswer,
 } from './write-answer.js';
@@ -106,7 +106,7 @@
   const pipelines = new WeakMap<Socket, Pipeline>();
   const bodies = createBodyMemory();
   const server: Server = createServer(
-    { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
+    { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, requireHostHeader: false },
     (req, res) => {
       void answer(req, res);
     },
@@ -118,9 +118,12 @@
       ctx.onConnectionClosed(closed);
     },
   });
-  server.on('clientError', (err, socket: Socket) => {
-    rejectMalformedRequest(err, socket);
-    closer.close(socket, 'malformed-request');
+  server.on('clientError', refuse);
+  // The HTTP server leaves the connection of such a request to its user.
+  server.on('connect', (_req, socket) => {
+    socket.on('error', () => undefined);
+    if (socket instanceof Socket) refuse(new TypeError('CONNECT is not served'), socket);
+    else socket.destroy();
   });
   server.on('timeout', (socket: Socket) => {
     closer.close(socket, 'idle-timeout');
@@ -129,7 +132,7 @@
   server.on('connection', (socket: Socket) => {
     // The HTTP server calls this after an answer that closes the connection.
     socket.destroySoon = () => {
-      closer.close(socket, pipelines.get(socket)?.isBodyRefused ? 'body-refused' : 'last-answer');
+      closer.close(socket, pipelineOf(socket).closeReason);
     };
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
@@ -143,6 +146,14 @@
     if ((pipelines.get(socket)?.endListeners.size ?? 0) === 0) closer.close(socket, 'idle-at-stop');
   }
 
+  function refuse(err: Error, socket: Socket): void {
+    refuseMalformed(err, socket, {
+      closer,
+      pipeline: pipelineOf(socket),
+      answerEarly: (entry, answer) => pendingAborts.get(entry)?.(answer),
+    });
+  }
+
   /** Reads the body of a request and finds its answer. */
   async function findAnswer(
     req: IncomingMessage,
@@ -161,6 +172,9 @@
         answer: ownAnswer('routerNotReady', 'no configuration yet', NOT_READY_RETRY_AFTER_MS),
       };
     }
+    if (req.headers.host === undefined && req.httpVersion === '1.1') {
+      return { answer: ownAnswer('badRequest', 'the request has no host') };
+    }
     if (!route) return { answer: ownAnswer('noMatchingRule', 'no route for this path') };
     if (read.kind === 'too-large') {
       return { answer: ownAnswer('bodyTooLarge', 'the body is over the limit') };
@@ -262,7 +276,7 @@
       closer.stopReading(req.socket);
       return;
     }
-    const entry = pipeline.add();
+    const entry = pipeline.add(req);
     openCount += 1;
     const disconnect = new AbortController();
     res.on('error', () => undefined);
@@ -271,6 +285,7 @@
       openCount -= 1;
       closer.noteAnswer(req.socket);
       if (!res.writableFinished) disconnect.abort();
+      if (pipeline.endListeners.size === 0) pipeline.onIdle?.();
       if (draining) closeIfIdle(req.socket);
     };
     pipeline.endListeners.add(finish);
@@ -284,7 +299,7 @@
       write(req, res, found, entry);
     } catch (err) {
       ctx.onUnexpectedError(err);
-      res.destroy();
+      replaceAnswer(req, res);
     }
     entry.remove();
   }
@@ -301,22 +316,38 @@
     }
     // Pipelined requests that were accepted after this one still need the connection for their
     // answers.
-    const isReadOn = req.complete || req.readableFlowing === true;
-    if ((closing && entry.isLast()) || !isReadOn) {
-      const pipeline = pipelineOf(req.socket);
+    const pipeline = pipelineOf(req.socket);
+    const isCutOff = pipeline.isClosing || req.readableFlowing !== true;
+    const isBodyRefused = !req.complete && isCutOff;
+    if ((closing && entry.isLast()) || isBodyRefused) {
+      if (isBodyRefused && !pipeline.isClosing) pipeline.closeReason = 'body-refused';
       pipeline.isClosing = true;
-      pipeline.isBodyRefused = !isReadOn;
       res.setHeader('connection', 'close');
     }
     if (found.kind === 'server' && isWritable(found.answer.status)) {
       writeServerAnswer(res, found);
       return;
     }
-    const own = found.kind === 'own' ? found : UNWRITABLE_ANSWER;
+    writeOwn(req, res, found.kind === 'own' ? found : UNWRITABLE_ANSWER);
+  }
+
+  function writeOwn(req: IncomingMessage, res: ServerResponse, own: OwnAnswer): void {
     const id = ctx.codec.readRequest(req.headers).attemptId;
     writeOwnAnswer(res, own, id === undefined ? {} : ctx.codec.writeAnswer(id));
   }
 
+  /** Answers in place of an answer that could not be written; others may wait behind it. */
+  function replaceAnswer(req: IncomingMessage, res: ServerResponse): void {
+    if (res.headersSent || res.destroyed) {
+      res.destroy();
+      return;
+    }
+    const isLast = res.getHeader('connection') === 'close';
+    for (const name of res.getHeaderNames()) res.removeHeader(name);
+    if (isLast) res.setHeader('connection', 'close');
+    writeOwn(req, res, UNWRITABLE_ANSWER);
+  }
+
   await listenWhenFree(server, { host, port, backlog: LISTEN_BACKLOG });
 
   return {
--- a/packages/router/src/lib/pipeline.ts
+++ b/packages/router/src/lib/pipeline.ts
@@ -1,5 +1,8 @@
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
+import type { CloseReason } from '@boragepoint/platform';
+
 /** One accepted request in the pipeline of its connection. */
 export interface PipelineEntry {
   /** Resolves when all earlier answers are written, or their requests ended without one. */
@@ -22,9 +25,15 @@
    * Set once an answer that closes the connection was written: later requests count as not read.
    */
   isClosing: boolean;
-  /** Set if that answer was written before the body of its request had been read. */
-  isBodyRefused: boolean;
-  add(): PipelineEntry;
+  /** Why that answer closes the connection. */
+  closeReason: CloseReason;
+  /** The latest accepted request. */
+  latest: { readonly req: IncomingMessage; readonly entry: PipelineEntry } | undefined;
+  /** Whether the caller left before it had been answered. */
+  isAbandoned: boolean;
+  /** Called once, when all accepted requests have ended. */
+  onIdle: (() => void) | undefined;
+  add(req: IncomingMessage): PipelineEntry;
   /**
    * Functions that are called when the connection ends; a request that finishes removes its own.
    */
@@ -43,6 +52,7 @@
   /** Resolves when the answer to the last request is written. */
   let lastWritten = Promise.resolve();
   const finishAll = () => {
+    pipeline.isAbandoned ||= endListeners.size > 0;
     for (const finish of endListeners) finish();
   };
   // Node emits `close` only on the response whose turn it is, and only once both directions are
@@ -50,12 +60,15 @@
   socket.once('end', finishAll);
   socket.once('close', finishAll);
 
-  return {
+  const pipeline: Pipeline = {
     isBusy: () => states.length > 0,
     isClosing: false,
-    isBodyRefused: false,
+    closeReason: 'last-answer',
+    latest: undefined,
+    isAbandoned: false,
+    onIdle: undefined,
     endListeners,
-    add() {
+    add(req) {
       const state: AnswerState = { isReady: false };
       const turn = lastWritten;
       let resolveWritten: (() => void) | undefined;
@@ -63,7 +76,7 @@
         resolveWritten = resolve;
       });
       states.push(state);
-      return {
+      const entry: PipelineEntry = {
         turn,
         isLast: () => states.at(-1) === state,
         blocksReadyAnswers: () => states.slice(states.indexOf(state) + 1).some((it) => it.isReady),
@@ -75,6 +88,9 @@
           resolveWritten?.();
         },
       };
+      pipeline.latest = { req, entry };
+      return entry;
     },
   };
+  return pipeline;
 }
--- a/packages/router/src/lib/write-answer.ts
+++ b/packages/router/src/lib/write-answer.ts
@@ -1,5 +1,4 @@
 import type { ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
 
 import { RESULT_CODES } from '@boragepoint/config';
 
@@ -47,15 +46,3 @@
 export const isWritable = (status: number) => status >= 200 && status <= 999;
 /** Replaces a server's answer that can't be passed on. */
 export const UNWRITABLE_ANSWER = ownAnswer('answerIncomplete', 'the answer has no valid status');
-
-/** Answers a malformed, late or oversized request head with an error, and closes the connection. */
-export function rejectMalformedRequest(err: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable || err.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const isOverflow = err.code === 'HPE_HEADER_OVERFLOW';
-  const isLate = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
-  const status = isOverflow ? 431 : isLate ? 408 : 400;
-  socket.end(`HTTP/1.1 ${status} Error\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
-}
