--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -8,3 +8,4 @@
 export * from './lib/server-permits.js';
 export * from './lib/shared-retry-budget.js';
 export * from './lib/start-log.js';
+export * from './lib/start-when-possible.js';
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -39,6 +39,8 @@
 const GRACE_MARGIN_MS = 400;
 /** Part of the grace period that stays unused, in milliseconds. */
 const EXIT_MARGIN_MS = 100;
+/** Time after which a router logs that it waits for an address, in milliseconds. */
+const SLOW_LISTEN_MS = 500;
 /** Time at the end of the grace period for writing answers that are ready, in milliseconds. */
 const LAST_ANSWERS_MS = 150;
 
@@ -311,18 +313,36 @@
     },
   };
 
+  /** Waits for a listener, and logs if that takes long. */
+  async function opened<Listener>(address: string, opening: Promise<Listener>): Promise<Listener> {
+    const timer = setTimeout(() => {
+      log.warn('address in use', { address });
+    }, SLOW_LISTEN_MS);
+    try {
+      return await opening;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
   /** Opens the listeners: the check of readiness first, and the one for callers last. */
   async function openListeners() {
     const { listen } = settings;
-    const readiness = await serveReadiness(isReady, endpointOf(listen.readiness));
+    const readiness = await opened(
+      listen.readiness,
+      serveReadiness(isReady, endpointOf(listen.readiness)),
+    );
     start.phaseDone('readiness served', { address: listen.readiness });
     let peerListener: AsyncDisposable | undefined;
     try {
       const peerEndpoint = endpointOf(listen.peers);
-      peerListener = await createPeerListener(peerContext, peerEndpoint.host, peerEndpoint.port);
+      peerListener = await opened(
+        listen.peers,
+        createPeerListener(peerContext, peerEndpoint.host, peerEndpoint.port),
+      );
       start.phaseDone('peers listened for', { address: listen.peers });
       const { host, port } = endpointOf(listen.callers);
-      const callers = await createCallerListener(callerContext, host, port);
+      const callers = await opened(listen.callers, createCallerListener(callerContext, host, port));
       start.phaseDone('callers listened for', { address: listen.callers });
       return { readiness, peerListener, callers };
     } catch (cause) {
--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -23,12 +23,13 @@
 export async function serveReadiness(
   isReady: () => boolean,
   { host, port }: IpEndpoint,
+  maxWaitMs?: number,
 ): Promise<Server> {
   const server = createServer((_req, res) => {
     res.writeHead(isReady() ? HTTP_OK : HTTP_UNAVAILABLE, { 'content-length': 0 });
     res.end();
   });
-  await listenWhenFree(server, { host, port });
+  await listenWhenFree(server, { host, port }, maxWaitMs);
   return server;
 }
 
