--- a/packages/placement/src/lib/hand-over.ts
+++ b/packages/placement/src/lib/hand-over.ts
@@ -73,13 +73,15 @@
 }
 
 async function grantToOwner(ctx: LeaderContext, range: HeldRange): Promise<void> {
-  for (let tries = 0; tries < MAX_GRANT_TRIES && !ctx.signal.aborted; tries += 1) {
+  let tries = 0;
+  while (tries < MAX_GRANT_TRIES && !ctx.signal.aborted) {
     const { owner } = range;
     if (!owner || hasEnded(ctx, owner.incarnation)) return;
     if (!ctx.mayOrder()) {
       await pause(ctx, RETRY_MS);
       continue;
     }
+    tries += 1;
     const outcome = await sendGrant(ctx, range, owner);
     if (outcome.kind === 'done') {
       range.granted = true;
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -5,7 +5,7 @@
 
 import { createChangeFeed } from './change-feed.js';
 import { handOver } from './hand-over.js';
-import { type Holder, type InheritedTimes, inheritedRange } from './held-range.js';
+import { type HeldRange, type Holder, type InheritedTimes, inheritedRange } from './held-range.js';
 import {
   LEASE_MS,
   type LeaderContext,
@@ -282,6 +282,7 @@
         )
       : [];
     const moved = [...tables].flatMap(([service, table]) => planner.plan(service, table, balance));
+    if (balance) resumeHandOvers(new Set(moved));
     if (moved.length + joined.length === 0) return;
     log.info('ranges to move', {
       count: moved.length,
@@ -324,9 +325,11 @@
     }
   }
 
-  /** Resumes the hand-overs that the former leader had begun. */
-  function resumeHandOvers(): void {
-    const unfinished = allRanges().filter((it) => it.owner && !it.granted);
+  /** Resumes the hand-overs that the former leader had begun, or that ended without a grant. */
+  function resumeHandOvers(except: ReadonlySet<HeldRange> = new Set()): void {
+    const unfinished = allRanges().filter(
+      (it) => it.owner && !it.granted && !it.busy && !it.renewing && !except.has(it),
+    );
     if (unfinished.length === 0) return;
     for (const range of unfinished) range.busy = true;
     void witnesses.tell().then(() => {
--- a/packages/placement/src/test/hand-over_test.ts
+++ b/packages/placement/src/test/hand-over_test.ts
@@ -242,6 +242,21 @@
   expect([range.granted, range.busy]).toEqual([false, false]);
 });
 
+// Guards against a range that stays without a grant: the tries were spent on waiting while the
+// leadership lease was not confirmed.
+test('time in which the leader may not order takes no try to grant a range', async () => {
+  const { ctx, holders, range } = await setUp();
+  range.former = [];
+  let checks = 0;
+  const mayOrder = () => {
+    checks += 1;
+    return checks > 5;
+  };
+  await handOver({ ...ctx, mayOrder }, range);
+  expect(holders.sent).toEqual(['grant b 0-9 #2']);
+  expect(range.granted).toEqual(true);
+});
+
 const throwing = () => Promise.reject(new RangeError('no such port'));
 
 // Guards against a range that stays where it is for ever: an order that threw left it busy.
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -227,6 +227,24 @@
   },
 );
 
+// Guards against a range that nobody is granted while this router leads: its owner refused the grants
+// of the hand-over, and answers again.
+test('a range without a grant is granted to its owner later', { timeout: 10_000 }, async () => {
+  const unowned = { first: 0, last: 65_535, owner: undefined, former: [] };
+  let refused = 0;
+  const orders = (holders: FakeHolders): ServerOrders => ({
+    grant(...args) {
+      refused += 1;
+      return refused > 4 ? holders.grant(...args) : Promise.resolve({ kind: 'refused' });
+    },
+    release: (...args) => holders.release(...args),
+  });
+  const more = (holders: FakeHolders) => ({ orders: orders(holders) });
+  await using fixture = startSuccessor([unowned], [], more);
+  await until(() => fixture.holders.holdersOf(50).length > 0);
+  expect(refused > 4).toEqual(true);
+});
+
 // Guards against a range that stays for ever at a server that has left: an order that threw left
 // it marked as busy.
 test('a range whose orders threw moves on once its owner has left the registry', async () => {
