--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -12,6 +12,7 @@
 import type { CallerRequest } from './caller-request.js';
 import { type Pipeline, type PipelineEntry, createPipeline } from './pipeline.js';
 import { createBodyMemory } from './body-memory.js';
+import { type ConnectionBacklog, createCallerBacklog } from './caller-backlog.js';
 import { readBody } from './read-body.js';
 import { type OwnAnswer, type CallerAnswer, ownAnswer } from './caller-answer.js';
 import { refuseMalformed } from './refuse-malformed.js';
@@ -92,6 +93,14 @@
   reportExit(): void;
 }
 
+/** When a request arrived. */
+interface Arrival {
+  /** Time in milliseconds of the monotonic clock. */
+  readonly arrivedAt: number;
+  /** How long it may have waited in the socket buffer before, in milliseconds. */
+  readonly readDelayMs: number;
+}
+
 /** Starts the listener. */
 export async function createCallerListener(
   ctx: CallerListenerContext,
@@ -105,6 +114,8 @@
   const pendingAborts = new Map<PipelineEntry, (answer: OwnAnswer) => void>();
   const pipelines = new WeakMap<Socket, Pipeline>();
   const bodies = createBodyMemory();
+  const backlog = createCallerBacklog();
+  const backlogs = new WeakMap<Socket, ConnectionBacklog>();
   const server: Server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, requireHostHeader: false },
     (req, res) => {
@@ -150,6 +161,7 @@
     refuseMalformed(err, socket, {
       closer,
       pipeline: pipelineOf(socket),
+      hasWaiting: backlogOf(socket).waiting() > 0,
       answerEarly: (entry, answer) => pendingAborts.get(entry)?.(answer),
     });
   }
@@ -183,6 +195,10 @@
       const reason = 'the bodies of other requests take all room';
       return { answer: ownAnswer('overloaded', reason, NO_ROOM_RETRY_AFTER_MS) };
     }
+    if (!backlog.hasRoom()) {
+      const reason = 'answers that callers have not read take all room';
+      return { answer: ownAnswer('overloaded', reason, NO_ROOM_RETRY_AFTER_MS) };
+    }
     const meta = ctx.codec.readRequest(req.headers);
     if (meta.attemptId === undefined) {
       return { answer: ownAnswer('badRequest', 'the request has no id') };
@@ -214,6 +230,17 @@
     return pipeline;
   }
 
+  function backlogOf(socket: Socket): ConnectionBacklog {
+    const known = backlogs.get(socket);
+    if (known) return known;
+    const opened = backlog.open(socket);
+    backlogs.set(socket, opened);
+    socket.once('close', () => {
+      opened.close();
+    });
+    return opened;
+  }
+
   /**
    * Lets a busy event loop process the close events of callers that have left: a request's bytes
    * are read before its connection's end. A router that lags would otherwise forward mostly
@@ -232,6 +259,7 @@
     entry: PipelineEntry,
     req: IncomingMessage,
     disconnectSignal: AbortSignal,
+    { arrivedAt, readDelayMs }: Arrival,
   ): Promise<CallerAnswer> {
     const abortedAnswer = new Promise<{ answer: CallerAnswer; callerReq?: CallerRequest }>(
       (resolve) => {
@@ -240,8 +268,6 @@
         });
       },
     );
-    const readDelayMs = ctx.readDelayMs();
-    const arrivedAt = ctx.now() - readDelayMs;
     await waitForCloseEvents(readDelayMs > 0);
     if (disconnectSignal.aborted) return { kind: 'none' };
     const found = await Promise.race([findAnswer(req, disconnectSignal, arrivedAt), abortedAnswer]);
@@ -254,9 +280,10 @@
     entry: PipelineEntry,
     req: IncomingMessage,
     disconnectSignal: AbortSignal,
+    arrival: Arrival,
   ): Promise<CallerAnswer> {
     try {
-      return await findAnswerOrAbort(entry, req, disconnectSignal);
+      return await findAnswerOrAbort(entry, req, disconnectSignal, arrival);
     } catch (err) {
       ctx.onUnexpectedError(err);
       // The error may have come after the request was sent, so the request may have run.
@@ -266,23 +293,56 @@
     }
   }
 
+  /**
+   * Returns whether the previous answer closes the connection, which tells the caller that a request
+   * behind it was not read.
+   */
+  function isAtEnd(socket: Socket): boolean {
+    const pipeline = pipelineOf(socket);
+    const isClosing = pipeline.isClosing || closer.isClosing(socket);
+    return isClosing || (closing && pipeline.isBusy());
+  }
+
+  function leaveUnread(socket: Socket): void {
+    closer.noteNotTaken(socket);
+    closer.stopReading(socket);
+  }
+
+  /** Answers a request once those before it on its connection leave room for it. */
   async function answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const pipeline = pipelineOf(req.socket);
-    // The previous answer closes the connection, which tells the caller that this request was not
-    // read.
-    const isClosing = pipeline.isClosing || closer.isClosing(req.socket);
-    if (isClosing || (closing && pipeline.isBusy())) {
-      closer.noteNotTaken(req.socket);
-      closer.stopReading(req.socket);
+    const { socket } = req;
+    const readDelayMs = ctx.readDelayMs();
+    const arrival = { arrivedAt: ctx.now() - readDelayMs, readDelayMs };
+    if (isAtEnd(socket)) {
+      leaveUnread(socket);
+      return;
+    }
+    const own = backlogOf(socket);
+    if (!own.tryEnter() && !(await own.enter())) return;
+    if (isAtEnd(socket)) {
+      leaveUnread(socket);
+      own.leave();
       return;
     }
+    await answerEntered(req, res, arrival);
+  }
+
+  async function answerEntered(
+    req: IncomingMessage,
+    res: ServerResponse,
+    arrival: Arrival,
+  ): Promise<void> {
+    const pipeline = pipelineOf(req.socket);
+    const own = backlogOf(req.socket);
     const entry = pipeline.add(req);
+    let heldBytes: number | undefined;
     openCount += 1;
     const disconnect = new AbortController();
     res.on('error', () => undefined);
     const finish = () => {
       if (!pipeline.endListeners.delete(finish)) return;
       openCount -= 1;
+      own.leave(heldBytes);
       closer.noteAnswer(req.socket);
       if (!res.writableFinished) disconnect.abort();
       if (pipeline.endListeners.size === 0) pipeline.onIdle?.();
@@ -290,7 +350,11 @@
     };
     pipeline.endListeners.add(finish);
     res.on('close', finish);
-    const found = await findAnswerOrError(entry, req, disconnect.signal);
+    const found = await findAnswerOrError(entry, req, disconnect.signal, arrival);
+    if (found.kind === 'server' && pipeline.endListeners.has(finish)) {
+      heldBytes = found.answer.body.length;
+      own.hold(heldBytes);
+    }
     entry.markReady();
     // Whether this answer is the last one and closes the connection depends on the requests that
     // are read until its turn.
--- a/packages/router/src/lib/refuse-malformed.ts
+++ b/packages/router/src/lib/refuse-malformed.ts
@@ -9,6 +9,8 @@
 export interface MalformedContext {
   readonly closer: ConnectionCloser;
   readonly pipeline: Pipeline;
+  /** True if requests before the malformed one are not accepted yet, and never will be now. */
+  readonly hasWaiting: boolean;
   /** Answers a request that has no answer yet. */
   readonly answerEarly: (entry: PipelineEntry, answer: OwnAnswer) => void;
 }
@@ -29,7 +31,7 @@
 export function refuseMalformed(
   err: NodeJS.ErrnoException,
   socket: Socket,
-  { closer, pipeline, answerEarly }: MalformedContext,
+  { closer, pipeline, hasWaiting, answerEarly }: MalformedContext,
 ): void {
   if (closer.isClosing(socket) || pipeline.isClosing) return;
   if (!socket.writable || err.code === 'ECONNRESET') {
@@ -43,7 +45,9 @@
   const isBody = latest?.req.complete === false;
   if (isBody) answerEarly(latest.entry, ownAnswer('badRequest', 'the body is malformed'));
   const refuse = () => {
-    if (!isBody && !pipeline.isAbandoned && socket.writable) socket.write(refusalOf(err));
+    // The caller would take it for the answer to a request that waits.
+    const isMisplaced = isBody || hasWaiting || pipeline.isAbandoned;
+    if (!isMisplaced && socket.writable) socket.write(refusalOf(err));
     closer.close(socket, 'malformed-request');
   };
   if (pipeline.endListeners.size === 0) refuse();
