--- a/packages/daemon/src/lib/http-listener.ts
+++ b/packages/daemon/src/lib/http-listener.ts
@@ -1,13 +1,11 @@
-import { type IncomingMessage, type Server, createServer } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
 
 import { RESULT_CODES, type ResultName, httpStatusOf } from '@boragepoint/config';
+import { type CloseReason, createConnectionCloser } from '@boragepoint/platform';
 import { createAdaptorServer } from '@hono/node-server';
 import type { Env, Hono } from 'hono';
 
-/** Interval at which a draining listener closes idle connections. */
-const IDLE_CLOSE_INTERVAL_MS = 20;
-
 /** Values that the Node.js adapter passes to an app with the request. */
 interface NodeBindings {
   readonly incoming: IncomingMessage;
@@ -76,36 +74,80 @@
   limits: ListenerLimits,
 ): Promise<HttpListener> {
   const { host, port } = splitAddress(address);
+  /** Requests that were read behind one whose answer closes the connection. */
+  const notTaken = new WeakSet<IncomingMessage>();
   const server = createAdaptorServer({
-    fetch: (req, env) => answerRequest(app, req, env as NodeBindings),
+    fetch(req, env) {
+      const bindings = env as NodeBindings;
+      // It gets no answer: an earlier one closes its connection.
+      if (notTaken.has(bindings.incoming)) return new Promise<Response>(() => undefined);
+      return answerRequest(app, req, bindings);
+    },
     createServer,
     serverOptions: { maxHeaderSize: limits.maxHeaderBytes },
   }) as Server;
   server.maxConnections = limits.maxConnections;
   server.keepAliveTimeout = limits.idleTimeoutMs;
   server.on('clientError', rejectMalformedRequest);
+  const closer = createConnectionCloser({
+    now: () => performance.now(),
+    onClosed: () => undefined,
+  });
+  const open = new Map<Socket, { answersDue: number; isLast: boolean }>();
+  let closing = false;
+  let draining = false;
+  const closeIfIdle = (socket: Socket, reason: CloseReason) => {
+    if (open.get(socket)?.answersDue === 0) closer.close(socket, reason);
+  };
+  server.on('connection', (socket: Socket) => {
+    // The HTTP server calls this after an answer that closes the connection.
+    socket.destroySoon = () => {
+      closer.close(socket, 'last-answer');
+    };
+    open.set(socket, { answersDue: 0, isLast: false });
+    socket.once('close', () => open.delete(socket));
+  });
+  server.on('timeout', (socket: Socket) => {
+    closer.close(socket, 'idle-timeout');
+  });
+  server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
+    const { socket } = req;
+    const connection = open.get(socket);
+    if (!connection) return;
+    if (connection.isLast || closer.isClosing(socket)) {
+      notTaken.add(req);
+      closer.stopReading(socket);
+      return;
+    }
+    if (closing) {
+      connection.isLast = true;
+      res.setHeader('connection', 'close');
+    }
+    connection.answersDue += 1;
+    res.once('close', () => {
+      connection.answersDue -= 1;
+      closer.noteAnswer(socket);
+      if (draining) closeIfIdle(socket, 'idle-at-stop');
+    });
+  });
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, resolve);
   });
 
   async function drain(): Promise<void> {
-    const closed = new Promise((resolve) => server.close(resolve));
-    server.closeIdleConnections();
-    // Keep-alive connections become idle one by one, as their requests are answered.
-    const closeTimer = setInterval(() => {
-      server.closeIdleConnections();
-    }, IDLE_CLOSE_INTERVAL_MS);
+    draining = true;
+    closer.liftNumberBound();
+    // The HTTP server's own method destroys connections whose answers are not written yet.
+    const closed = new Promise((resolve) => NetServer.prototype.close.call(server, resolve));
+    for (const socket of open.keys()) closeIfIdle(socket, 'idle-at-stop');
     await closed;
-    clearInterval(closeTimer);
   }
 
   return {
     port: (server.address() as AddressInfo).port,
     announceClose() {
-      server.prependListener('request', (_req, res) => {
-        res.setHeader('connection', 'close');
-      });
+      closing = true;
     },
     drain,
     async [Symbol.asyncDispose]() {
