Suspect requests: a further server is risked only once the other routers know

Now every suspect run waits until it is shared; the leader orders the shares, so the later run sees the earlier one. The bound was a matter of timing; it still is where sharing takes over 300 ms.

--- a/packages/router/src/lib/crash-guard.ts
+++ b/packages/router/src/lib/crash-guard.ts
@@ -217,10 +217,9 @@
     const announced = newRun(req, server, 'running');
     if (record.otherRunningAt(announced, identity) !== undefined) return waitBeforeRetry();
     record.put(announced);
-    const shared = options.shareSuspects();
-    // The last server that it may end is risked only once the other routers know, so that none of
-    // them does too.
-    if (crashCounts.lives === MAX_CRASHES - 1) await shared;
+    // A further server is risked only once the other routers know, and this one knows their runs:
+    // equal requests may have ended servers at several routers at the same time.
+    await options.shareSuspects();
     const next = record.crashCountsOf(identity);
     if (next.lives > MAX_CRASHES) {
       clearSuspicion(announced);
--- a/packages/router/src/test/crash-guard_test.ts
+++ b/packages/router/src/test/crash-guard_test.ts
@@ -1,4 +1,5 @@
 import { test } from 'node:test';
+import { setImmediate as nextEventLoopTurn } from 'node:timers/promises';
 
 import { type KnownServer, createSuspectRecord } from '@boragepoint/placement';
 import { expect } from 'earl';
@@ -49,7 +50,7 @@
  * Creates a guard whose probe returns `state.probeResult`, with a registry that lists every server
  * by default.
  */
-function setUp() {
+function setUp(share: () => Promise<void> = () => Promise.resolve()) {
   const state = { probeResult: 'refused' as ProbeResult, now: 1_000 };
   const entries = new Map<string, Partial<KnownServer['entry']> & { writtenAt?: number }>();
   const record = createSuspectRecord(() => state.now);
@@ -68,7 +69,7 @@
     log: { info: (message) => lines.push(message) },
     shareSuspects: () => {
       record.announce();
-      return Promise.resolve();
+      return share();
     },
     now: () => state.now,
   });
@@ -208,3 +209,38 @@
   expect(guard.crashCountsOf(requestOf('/x')).lives).toEqual(2);
   expect(guard.crashCountsOf(requestOf('/y')).lives).toEqual(0);
 });
+
+/** Creates guards of two routers that learn of each other's runs only by `deliver`. */
+function setUpPair() {
+  const waiting: (() => void)[] = [];
+  const share = () => new Promise<void>((resolve) => waiting.push(resolve));
+  const [first, second] = [setUp(share), setUp(share)];
+  return {
+    guards: [first.guard, second.guard] as const,
+    deliver: () => {
+      const told = first.record.since(0);
+      first.record.merge(second.record.since(0));
+      second.record.merge(told);
+      for (const resolve of waiting.splice(0)) resolve();
+    },
+  };
+}
+
+// Guards against routers that run equal requests at the same time, learn late of each other's
+// crashes, and end four servers or more together.
+test('two routers whose news of crashes cross late end three servers at most', async () => {
+  const { guards, deliver } = setUpPair();
+  const runs = await Promise.all(
+    guards.map((it, index) => begin(it, requestOf('/crashing'), `first-${index}`)),
+  );
+  for (const [index, run] of runs.entries()) await guards[index]?.finish(run, BROKEN);
+  const retries = guards.map(async (it, index) => {
+    const { kind } = await it.admit(requestOf('/crashing'), serverOf(`second-${index}`));
+    return kind;
+  });
+  // All decisions that need no news are made before it comes.
+  await nextEventLoopTurn();
+  deliver();
+  const sent = (await Promise.all(retries)).filter((it) => it === 'run');
+  expect(sent.length).toBeLessThanOrEqual(MAX_CRASHES - runs.length);
+});
