--- a/packages/router/src/lib/write-answer.ts
+++ b/packages/router/src/lib/write-answer.ts
@@ -5,9 +5,12 @@
 
 import { answerHeaders } from './forwarded-headers.js';
 import { type OwnAnswer, type CallerAnswer, ownAnswer } from './caller-answer.js';
+import type { ServerAnswer } from './send-request.js';
 
 /** Header that carries the result code of the router's own answers. */
 const RESULT_HEADER = 'bp-result';
+const HTTP_NO_CONTENT = 204;
+const HTTP_NOT_MODIFIED = 304;
 
 /** Writes one of the router's own answers. */
 export function writeOwnAnswer(
@@ -28,18 +31,28 @@
   res.end(body);
 }
 
-/** Writes a backend server's answer. */
+/**
+ * The length to state for an answer. To HEAD it is the one that the server stated, if any, which is
+ * that of the body a GET would get; 204 and 304 state none.
+ */
+function lengthOf({ status, headers, body }: ServerAnswer, method: string | undefined) {
+  if (status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED) return undefined;
+  if (method !== 'HEAD') return String(body.length);
+  const stated = headers['content-length'];
+  return typeof stated === 'string' && /^\d+$/.test(stated) ? stated : undefined;
+}
+
+/**
+ * Writes a backend server's answer, which has been received whole. It always states its length, so
+ * that the caller can tell a part of it, and the connection can go on.
+ */
 export function writeServerAnswer(
   res: ServerResponse,
   { answer }: Extract<CallerAnswer, { kind: 'server' }>,
 ): void {
   const headers = answerHeaders(answer.headers);
-  const isBodiless = answer.status === 204 || answer.status === 304;
-  // An answer without framing is passed on without framing, because it may have been truncated.
-  if (!answer.framed && !isBodiless) res.useChunkedEncodingByDefault = false;
-  const hasLength = answer.framed && !isBodiless;
-  const length = hasLength ? { 'content-length': String(answer.body.length) } : {};
-  res.writeHead(answer.status, { ...headers, ...length });
+  const length = lengthOf(answer, res.req.method);
+  res.writeHead(answer.status, { ...headers, ...(length && { 'content-length': length }) });
   res.end(answer.body);
 }
 
--- a/packages/router/src/test/caller-listener_test.ts
+++ b/packages/router/src/test/caller-listener_test.ts
@@ -148,16 +148,50 @@
   await listener.drain();
 });
 
-test('an answer without framing is passed on without framing', async () => {
-  const { port, listener } = await listen(() => Promise.resolve(serverAnswer('part', false)));
-  const text = await exchange(port, get('/p/1', 'a'));
-  const head = text.slice(0, text.indexOf('\r\n\r\n')).toLowerCase();
-  expect(head.includes('content-length')).toEqual(false);
-  expect(head.includes('transfer-encoding')).toEqual(false);
-  expect(text.endsWith('\r\n\r\npart')).toEqual(true);
+// Guards against an answer that the caller takes for whole when the router ends while it writes it,
+// and against requests behind it that end without an answer though a server ran them.
+test('an answer that came without a length is passed on with one, and the connection goes on', async () => {
+  const { port, listener } = await listen((req) =>
+    Promise.resolve(serverAnswer(req.attemptId, false)),
+  );
+  const text = await exchange(port, get('/p/1', 'one') + get('/p/2', 'second', CLOSE_HEADER));
+  const first = text.slice(0, text.indexOf('\r\n\r\none')).toLowerCase();
+  expect(first.includes('content-length: 3\r\n')).toEqual(true);
+  expect(first.includes('connection: close')).toEqual(false);
+  expect(text.includes('content-length: 6\r\n')).toEqual(true);
+  expect(text.endsWith('\r\n\r\nsecond')).toEqual(true);
   await listener.drain();
 });
 
+const BODILESS = [
+  { name: 'to HEAD with a length', method: 'HEAD', status: 200, stated: '14', passedOn: '14' },
+  { name: 'to HEAD without one', method: 'HEAD', status: 200, stated: undefined },
+  { name: '204', method: 'GET', status: 204, stated: undefined },
+  { name: '204 with a length', method: 'GET', status: 204, stated: '14' },
+  { name: '304', method: 'GET', status: 304, stated: undefined },
+  { name: '304 with a length', method: 'GET', status: 304, stated: '14' },
+] as const;
+
+for (const it of BODILESS) {
+  // Guards against a length of 0, or chunks, on an answer whose body is left out.
+  test(`an answer that can have no body states no length of its own: ${it.name}`, async () => {
+    const { port, listener } = await listen(() => {
+      const found = serverAnswer('', true);
+      if (found.kind !== 'server') return Promise.resolve(found);
+      const headers = { signature: 's', ...(it.stated && { 'content-length': it.stated }) };
+      return Promise.resolve({ ...found, answer: { ...found.answer, status: it.status, headers } });
+    });
+    const head = get('/p/1', 'one').replace('GET', it.method);
+    const text = await exchange(port, head + get('/p/2', 'two', CLOSE_HEADER));
+    const answers = text.toLowerCase().split('\r\n\r\n');
+    const length = /content-length: (.*)/.exec(answers[0] ?? '')?.[1];
+    expect(length).toEqual('passedOn' in it ? it.passedOn : undefined);
+    expect(answers[0]?.includes('transfer-encoding')).toEqual(false);
+    expect(answers[1]?.startsWith('http/1.1 ')).toEqual(true);
+    await listener.drain();
+  });
+}
+
 test('a refusal has a retry-after time and the id of the request', async () => {
   const { port, listener } = await listen(() =>
     Promise.resolve(ownAnswer('overloaded', 'full', 250)),
