What waits for a connection to a leaving server isn't sent after its notice

Callers could see: a request that waited in the router for a connection to a server was sent after that server's notice had ended, or after it had gone.

Cause: cancelUnsent was called for pauses and limits only. The choice of a server looks at the notice, the wait behind the choice did not.

Fix: the pool cancels what waits when the usable part of the notice ends, when the entry is gone, and when another incarnation takes its place; the request is then sent elsewhere as one that did not run. It is not cancelled when the notice begins: within it the server still serves, the owner of a key is still the only one, and another try costs retry budget.

--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -195,6 +195,8 @@
     directory,
     maxConnections: (service) => serviceOf(service)?.maxConnections ?? 1,
     routers: () => member.routers(),
+    drainNoticeMs: () => settings.drain.noticeMs,
+    now: clocks.monotonic,
   });
   const guard = createCrashGuard({
     record: suspects,
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -11,7 +11,7 @@
 import type { RouteTimes } from './route-times.js';
 import { retryAfterBackoffMs, isBackingOff } from './server-backoff.js';
 import type { ServerPermits } from './server-permits.js';
-import { type PooledServer, type ServerPool, candidateOf } from './server-pool.js';
+import { type PooledServer, type ServerPool, candidateOf, usableNoticeMs } from './server-pool.js';
 import type { ServiceDemand } from './service-demand.js';
 
 /**
@@ -27,11 +27,6 @@
  * requests that is admitted.
  */
 const OVERLOAD_RETRY_AFTER_MS = 400;
-/**
- * A draining server gets no new requests after this share of its notice time; the rest is for the
- * way to the server.
- */
-const USABLE_NOTICE_SHARE = 0.85;
 
 /** Dependencies of the server picker. */
 export interface ServerPickerContext {
@@ -129,7 +124,7 @@
 
   function isPastNotice(server: PooledServer): boolean {
     const since = ctx.drainingSince(server.entry.id);
-    return since !== undefined && ctx.now() > since + ctx.drainNoticeMs() * USABLE_NOTICE_SHARE;
+    return since !== undefined && ctx.now() > since + usableNoticeMs(ctx.drainNoticeMs());
   }
 
   /** Servers that accept requests; draining ones only if there are no others. */
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -29,7 +29,8 @@
  * - `answer`: the server's complete answer to this request.
  * - `not-run`: the request provably did not run; `refused` if nothing listens at the address,
  *   `unconnected` if no connection was established, `shed`, `misdirected` or `invalid` if the
- *   server said so, `paused` if the server asked for back-off before the request was sent,
+ *   server said so, `paused` if the server asked for back-off, had begun to leave or was gone before
+ *   the request was sent,
  *   `cancelled` if the caller disconnected or the time to answer passed before it was sent.
  * - `unknown`: the request may have run; `broken-off` if the connection broke, `garbled` if the
  *   answer is invalid, `oversized` if it exceeded the limit, `cancelled` if the caller disconnected
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -9,13 +9,24 @@
   createServerConnections,
 } from './server-connections.js';
 import { type ServerLoad, createServerLoad, loadStateOf } from './server-load.js';
-import { createUnsentAbort } from './server-backoff.js';
+import { cancelUnsent, createUnsentAbort } from './server-backoff.js';
 
 /**
  * Interval between checks for connections that receive an endless stream of bytes, in milliseconds.
  */
 const FLOOD_CHECK_INTERVAL_MS = 500;
 
+/**
+ * A draining server gets no new requests after this share of its notice time; the rest is for the
+ * way to the server.
+ */
+const USABLE_NOTICE_SHARE = 0.85;
+/** A timer may end this much too early, in milliseconds. */
+const TIMER_SLACK_MS = 5;
+
+/** Part of a notice time in which requests are still sent, in milliseconds. */
+export const usableNoticeMs = (noticeMs: number): number => noticeMs * USABLE_NOTICE_SHARE;
+
 /** A backend server as the router uses it. */
 export interface PooledServer {
   entry: ServerEntry;
@@ -65,6 +76,10 @@
   readonly directory: ServerDirectory;
   maxConnections(service: string): number;
   routers(): number;
+  /** Notice time for which a draining server accepts requests, in milliseconds. */
+  drainNoticeMs(): number;
+  /** Monotonic time in milliseconds. */
+  now(): number;
 }
 
 /** Creates a pool of the servers in a directory. */
@@ -99,6 +114,27 @@
     return times[times.length >> 1];
   }
 
+  /**
+   * Cancels the requests that still wait for a connection to a draining server when it accepts no
+   * more, so that they can be sent to others.
+   */
+  function cancelAtNoticeEnd(server: PooledServer, since: number): void {
+    const endsAt = since + usableNoticeMs(options.drainNoticeMs());
+    const timer = setTimeout(
+      () => {
+        if (server.entry.draining) cancelUnsent(server);
+      },
+      Math.max(0, endsAt - options.now()) + TIMER_SLACK_MS,
+    );
+    timer.unref();
+  }
+
+  /** Ends the use of a server that has gone: what waits for a connection to it is not sent. */
+  function discard(server: PooledServer): void {
+    cancelUnsent(server);
+    server.connections.close();
+  }
+
   function findOrCreate(id: string): PooledServer | undefined {
     resizeShares();
     const known = directory.get(id);
@@ -107,10 +143,12 @@
     const { entry } = known;
     if (existing?.entry === entry) return existing;
     if (existing?.entry.startedMs === entry.startedMs && existing.entry.address === entry.address) {
+      const beginsToDrain = entry.draining && !existing.entry.draining;
       existing.entry = entry;
+      if (beginsToDrain) cancelAtNoticeEnd(existing, known.stateSince);
       return existing;
     }
-    existing?.connections.close();
+    if (existing) discard(existing);
     if (!isCallable(entry.address)) {
       servers.delete(id);
       return undefined;
@@ -128,6 +166,7 @@
       firstSeenAt: known.firstSeenAt,
     };
     servers.set(id, created);
+    if (entry.draining) cancelAtNoticeEnd(created, known.stateSince);
     return created;
   }
 
@@ -152,8 +191,11 @@
     refresh() {
       groups.clear();
       for (const [id, server] of servers) {
-        if (directory.get(id)) continue;
-        server.connections.close();
+        if (directory.get(id)) {
+          findOrCreate(id);
+          continue;
+        }
+        discard(server);
         servers.delete(id);
       }
     },
--- a/packages/router/src/test/server-pool_test.ts
+++ b/packages/router/src/test/server-pool_test.ts
@@ -5,9 +5,10 @@
 import { expect } from 'earl';
 
 import { chooseServer } from '../lib/choose-server.js';
-import { candidateOf, createServerPool } from '../lib/server-pool.js';
+import { candidateOf, createServerPool, usableNoticeMs } from '../lib/server-pool.js';
 
 const WARM_UP_MS = 3_000;
+const DRAIN_NOTICE_MS = 40;
 
 function knownServer(id: string, firstSeenAt: number): KnownServer {
   const entry: ServerEntry = {
@@ -33,6 +34,8 @@
     directory: directory as ServerDirectory,
     maxConnections: () => 10,
     routers: () => 1,
+    drainNoticeMs: () => DRAIN_NOTICE_MS,
+    now: () => performance.now(),
   });
 }
 
@@ -99,3 +102,38 @@
   pool.refresh();
   expect(pool.ofService('s')).toEqual([]);
 });
+
+/** Resolves when the requests that wait for a connection to a server are cancelled. */
+const cancelled = (signal: AbortSignal) =>
+  new Promise<void>((resolve) => {
+    signal.addEventListener('abort', () => {
+      resolve();
+    });
+  });
+
+// Guards against a request that waits for a connection and is sent after the notice of its server.
+test('requests that wait for a connection are cancelled when the notice of their server ends', async () => {
+  const ready = knownServer('a', 0);
+  const servers = new Map([['a', ready]]);
+  const pool = poolOf(servers);
+  const signal = pool.get('a')?.unsentAbort.signal ?? AbortSignal.abort();
+  const stateSince = performance.now();
+  servers.set('a', { ...ready, stateSince, entry: { ...ready.entry, draining: true } });
+  pool.refresh();
+  expect(signal.aborted).toEqual(false);
+  // The timer of the notice keeps no process running.
+  const keepAlive = setInterval(() => undefined, 1_000);
+  await cancelled(signal);
+  clearInterval(keepAlive);
+  expect(performance.now() > stateSince + usableNoticeMs(DRAIN_NOTICE_MS)).toEqual(true);
+});
+
+// Guards against a request that waits for a connection and is sent after its server has gone.
+test('requests that wait for a connection are cancelled when their server is gone', () => {
+  const servers = new Map([['a', knownServer('a', 0)]]);
+  const pool = poolOf(servers);
+  const signal = pool.get('a')?.unsentAbort.signal;
+  servers.clear();
+  pool.refresh();
+  expect(signal?.aborted).toEqual(true);
+});
