What is known of a route's time fades while the route gets no answers

Callers could see: all requests of a route refused for good, since its first answers had been slow.

Cause: the average of a route changes with answers only, and the requests that would bring them are refused because of it.

Fix: after 10 s without an answer the average fades towards that of no measurements, by half in 5 s, and so does its weight. Answers that come now and then keep it: a fade at any age would bias slow routes with few requests.

Evidence: route-times_test: with the fade taken out 1 of 6 failed.

--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -255,7 +255,7 @@
     recordKey: (service, key) => {
       keyLoad.record(service, key);
     },
-    routeTimes: createRouteTimes(),
+    routeTimes: createRouteTimes(clocks.monotonic),
     demand: createServiceDemand(clocks.monotonic),
     now: clocks.monotonic,
     random: Math.random,
--- a/packages/router/src/lib/route-times.ts
+++ b/packages/router/src/lib/route-times.ts
@@ -5,6 +5,14 @@
 /** Number of routes that are kept; the least recently used is dropped. */
 const MAX_ROUTES = 500;
 
+/**
+ * Time without an answer after which what is known of a route begins to fade, in milliseconds: its
+ * requests may be refused because of it, so that nothing else would correct it.
+ */
+const FADE_AFTER_MS = 10_000;
+/** Time in which what is known of a route then fades by half, in milliseconds. */
+const FADE_HALF_LIFE_MS = 5_000;
+
 /** Service times of routes, relative to all requests at the same servers. */
 export interface RouteTimes {
   /**
@@ -18,24 +26,52 @@
   routeServiceMs(route: string, serviceMs: number): number;
 }
 
-/** Creates empty averages; a route without measurements has the mean service time of its server. */
-export function createRouteTimes(): RouteTimes {
-  const routes = new Map<string, { ratio: number; requests: number }>();
+interface RouteAverage {
+  readonly ratio: number;
+  /** Number of requests behind the average. */
+  readonly requests: number;
+  /** Monotonic time in milliseconds. */
+  readonly lastAnswerAt: number;
+}
+
+/** Returns an average as it counts at a time: with time it approaches that of no measurements. */
+function fade(average: RouteAverage, now: number): RouteAverage {
+  const idleMs = Math.max(0, now - average.lastAnswerAt - FADE_AFTER_MS);
+  const share = 0.5 ** (idleMs / FADE_HALF_LIFE_MS);
+  return {
+    ...average,
+    ratio: 1 + (average.ratio - 1) * share,
+    requests: average.requests * share,
+  };
+}
+
+/**
+ * Creates empty averages; a route without measurements has the mean service time of its server.
+ * @param now Monotonic time in milliseconds.
+ */
+export function createRouteTimes(now: () => number): RouteTimes {
+  const routes = new Map<string, RouteAverage>();
+
+  function averageOf(route: string): RouteAverage {
+    const known = routes.get(route) ?? { ratio: 1, requests: 0, lastAnswerAt: now() };
+    return fade(known, now());
+  }
 
   return {
     record(route, latencyMs, serviceTimes, serviceMs) {
       const routeMs = latencyMs - (serviceTimes - 1) * serviceMs;
       const ratio = Math.min(MAX_RATIO, Math.max(1 / MAX_RATIO, routeMs / serviceMs));
-      const known = routes.get(route) ?? { ratio: 1, requests: 0 };
+      const known = averageOf(route);
       const weight = Math.max(MIN_REQUEST_WEIGHT, 1 / (known.requests + 2));
       routes.delete(route);
       routes.set(route, {
         ratio: known.ratio + (ratio - known.ratio) * weight,
         requests: known.requests + 1,
+        lastAnswerAt: now(),
       });
       const [oldest] = routes.keys();
       if (routes.size > MAX_ROUTES && oldest !== undefined) routes.delete(oldest);
     },
-    routeServiceMs: (route, serviceMs) => serviceMs * (routes.get(route)?.ratio ?? 1),
+    routeServiceMs: (route, serviceMs) => serviceMs * averageOf(route).ratio,
   };
 }
--- a/packages/router/src/test/pick-server_test.ts
+++ b/packages/router/src/test/pick-server_test.ts
@@ -44,7 +44,7 @@
     drainNoticeMs: () => 2_500,
     drainingSince: () => undefined,
     admittedShare: () => 1,
-    routeTimes: createRouteTimes(),
+    routeTimes: createRouteTimes(() => 0),
     demand: createServiceDemand(() => 0),
     permits: {
       limitOf: () => undefined,
--- a/packages/router/src/test/route-times_test.ts
+++ b/packages/router/src/test/route-times_test.ts
@@ -6,7 +6,7 @@
 import { createServiceDemand } from '../lib/service-demand.js';
 
 test('routes with short and long requests at the same servers have their own service times', () => {
-  const times = createRouteTimes();
+  const times = createRouteTimes(() => 0);
   for (let count = 0; count < 100; count += 1) {
     // Both waited for two other requests.
     times.record('short', 60 + 2 * 180, 3, 180);
@@ -18,13 +18,39 @@
 });
 
 test('one outlier changes the service time little', () => {
-  const times = createRouteTimes();
+  const times = createRouteTimes(() => 0);
   for (let count = 0; count < 100; count += 1) times.record('r', 100, 1, 100);
   times.record('r', 10_000, 1, 100);
   times.record('r', 1, 5, 100);
   expect(times.routeServiceMs('r', 100) < 150).toEqual(true);
 });
 
+// Guards against a route whose requests are all refused for good since its first answers were slow.
+test('what is known of a route fades while it gets no answers, and the next answers count anew', () => {
+  let now = 0;
+  const times = createRouteTimes(() => now);
+  for (let count = 0; count < 100; count += 1) times.record('r', 700, 1, 100);
+  const slowMs = times.routeServiceMs('r', 100);
+  expect(slowMs > 600).toEqual(true);
+  now = 8_000;
+  expect(times.routeServiceMs('r', 100)).toEqual(slowMs);
+  now = 60_000;
+  expect(times.routeServiceMs('r', 100) < 110).toEqual(true);
+  for (let count = 0; count < 4; count += 1) times.record('r', 700, 1, 100);
+  expect(times.routeServiceMs('r', 100) > 400).toEqual(true);
+});
+
+// Guards against a slow route with few requests that counts as one of the mean time.
+test('what is known of a route stays while answers come now and then', () => {
+  let now = 0;
+  const times = createRouteTimes(() => now);
+  for (let count = 0; count < 100; count += 1) {
+    now += 9_000;
+    times.record('r', 700, 1, 100);
+  }
+  expect(times.routeServiceMs('r', 100) > 600).toEqual(true);
+});
+
 test('the objective of more urgent requests applies only while they are a notable share of the demand', () => {
   let now = 0;
   const demand = createServiceDemand(() => now);
