--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -201,6 +201,8 @@
     directory,
     maxConnections: (service) => serviceOf(service)?.maxConnections ?? 1,
     routers: () => member.routers(),
+    drainNoticeMs: () => settings.drain.noticeMs,
+    now: clocks.monotonic,
   });
   const guard = createCrashGuard({
     record: suspects,
@@ -259,7 +261,7 @@
     recordKey: (service, key) => {
       keyLoad.record(service, key);
     },
-    routeTimes: createRouteTimes(),
+    routeTimes: createRouteTimes(clocks.monotonic),
     demand: createServiceDemand(clocks.monotonic),
     now: clocks.monotonic,
     random: Math.random,
