--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -5,19 +5,20 @@
 import {
   type CallerLimits,
   type ClosedConnection,
-  type HeaderCodec,
   createConnectionCloser,
 } from '@boragepoint/platform';
 
 import type { CallerRequest } from './caller-request.js';
 import { type Pipeline, type PipelineEntry, createPipeline } from './pipeline.js';
-import { createBodyMemory } from './body-memory.js';
 import { type ConnectionBacklog, createCallerBacklog } from './caller-backlog.js';
-import { readBody } from './read-body.js';
+import {
+  type FoundAnswer,
+  type RequestReaderContext,
+  createRequestReader,
+} from './request-reader.js';
 import { type OwnAnswer, type CallerAnswer, ownAnswer } from './caller-answer.js';
 import { refuseMalformed } from './refuse-malformed.js';
 import { listenWhenFree } from './listen-when-free.js';
-import type { RouteTable } from './route-table.js';
 import {
   UNWRITABLE_ANSWER,
   isWritable,
@@ -28,35 +29,15 @@
 /** Largest header section that the HTTP parser accepts; the configured limit applies within it. */
 const MAX_HEADER_BYTES = 64 * 1_024;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
-/** Deadline of requests that state none, in milliseconds. */
-const DEFAULT_DEADLINE_MS = 30_000;
-/**
- * How long before a caller's deadline the router answers, in milliseconds: the caller measures the
- * deadline on its own clock.
- */
-const DEADLINE_MARGIN_MS = 40;
 /** Event loop turns within which the close event of a connection follows its last bytes. */
 const CLOSE_EVENT_TURNS = 3;
 /** Duration of one turn from which the event loop counts as busy, in milliseconds. */
 const BUSY_TURN_MS = 4;
 /** Number of connections that may wait to be accepted. */
 const LISTEN_BACKLOG = 1_024;
-/** `Retry-After` of a router that has not loaded its configuration yet, in milliseconds. */
-const NOT_READY_RETRY_AFTER_MS = 500;
-
-/** `Retry-After` of a request for whose body there is no room, in milliseconds. */
-const NO_ROOM_RETRY_AFTER_MS = 1_000;
 
 /** Dependencies of the listener. */
-export interface CallerListenerContext {
-  readonly codec: HeaderCodec;
-  /** The active routes; `undefined` before the first configuration. */
-  routes(): RouteTable | undefined;
-  handle(req: CallerRequest): Promise<CallerAnswer>;
-  /** Monotonic time in milliseconds. */
-  now(): number;
-  /** When the router stops, in milliseconds of the monotonic clock; `Infinity` until it is asked to. */
-  stopsAt(): number;
+export interface CallerListenerContext extends RequestReaderContext {
   /** How long data that is read now may have waited in the socket buffer, in milliseconds. */
   readDelayMs(): number;
   /** Called with the answer to each request that reached the handler, for metrics and the log. */
@@ -113,8 +94,8 @@
   /** For each request without an answer yet, the function that answers it early. */
   const pendingAborts = new Map<PipelineEntry, (answer: OwnAnswer) => void>();
   const pipelines = new WeakMap<Socket, Pipeline>();
-  const bodies = createBodyMemory();
   const backlog = createCallerBacklog();
+  const reader = createRequestReader(ctx, () => backlog.hasRoom());
   const backlogs = new WeakMap<Socket, ConnectionBacklog>();
   const server: Server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, requireHostHeader: false },
@@ -166,64 +147,6 @@
     });
   }
 
-  /** Reads the body of a request and finds its answer. */
-  async function findAnswer(
-    req: IncomingMessage,
-    disconnectSignal: AbortSignal,
-    arrivedAt: number,
-  ): Promise<{ answer: CallerAnswer; callerReq?: CallerRequest }> {
-    const table = ctx.routes();
-    const target = req.url ?? '/';
-    const route = table?.find(req.headers.host ?? '', target.split('?')[0] ?? target);
-    using room = bodies.begin();
-    const read = await readBody(req, table?.cfg.limits.maxBodyBytes ?? 0, room);
-    if (read.kind === 'disconnected' || disconnectSignal.aborted)
-      return { answer: { kind: 'none' } };
-    if (!table) {
-      return {
-        answer: ownAnswer('routerNotReady', 'no configuration yet', NOT_READY_RETRY_AFTER_MS),
-      };
-    }
-    if (req.headers.host === undefined && req.httpVersion === '1.1') {
-      return { answer: ownAnswer('badRequest', 'the request has no host') };
-    }
-    if (!route) return { answer: ownAnswer('noMatchingRule', 'no route for this path') };
-    if (read.kind === 'too-large') {
-      return { answer: ownAnswer('bodyTooLarge', 'the body is over the limit') };
-    }
-    if (read.kind === 'no-room') {
-      const reason = 'the bodies of other requests take all room';
-      return { answer: ownAnswer('overloaded', reason, NO_ROOM_RETRY_AFTER_MS) };
-    }
-    if (!backlog.hasRoom()) {
-      const reason = 'answers that callers have not read take all room';
-      return { answer: ownAnswer('overloaded', reason, NO_ROOM_RETRY_AFTER_MS) };
-    }
-    const meta = ctx.codec.readRequest(req.headers);
-    if (meta.attemptId === undefined) {
-      return { answer: ownAnswer('badRequest', 'the request has no id') };
-    }
-    const deadlineMs = meta.deadlineMs ?? DEFAULT_DEADLINE_MS;
-    const timeoutMs = Math.min(route.cfg.timeoutMs, deadlineMs - DEADLINE_MARGIN_MS);
-    const callerReq: CallerRequest = {
-      method: req.method ?? 'GET',
-      target,
-      rawHeaders: req.rawHeaders,
-      connection: req.headers.connection,
-      body: read.body,
-      attemptId: meta.attemptId,
-      caller: req.socket.remoteAddress ?? '',
-      meta,
-      route,
-      service: route.nextService(),
-      arrivedAt,
-      answerBy: Math.min(arrivedAt + timeoutMs, ctx.stopsAt()),
-      deadlineAt: arrivedAt + deadlineMs,
-      disconnectSignal,
-    };
-    return { answer: await ctx.handle(callerReq), callerReq };
-  }
-
   function pipelineOf(socket: Socket): Pipeline {
     const pipeline = pipelines.get(socket) ?? createPipeline(socket);
     pipelines.set(socket, pipeline);
@@ -261,16 +184,17 @@
     disconnectSignal: AbortSignal,
     { arrivedAt, readDelayMs }: Arrival,
   ): Promise<CallerAnswer> {
-    const abortedAnswer = new Promise<{ answer: CallerAnswer; callerReq?: CallerRequest }>(
-      (resolve) => {
-        pendingAborts.set(entry, (answer) => {
-          resolve({ answer });
-        });
-      },
-    );
+    const abortedAnswer = new Promise<FoundAnswer>((resolve) => {
+      pendingAborts.set(entry, (answer) => {
+        resolve({ answer });
+      });
+    });
     await waitForCloseEvents(readDelayMs > 0);
     if (disconnectSignal.aborted) return { kind: 'none' };
-    const found = await Promise.race([findAnswer(req, disconnectSignal, arrivedAt), abortedAnswer]);
+    const found = await Promise.race([
+      reader.answer(req, disconnectSignal, arrivedAt),
+      abortedAnswer,
+    ]);
     if (found.callerReq) ctx.onAnswer(found.callerReq, found.answer);
     return found.answer;
   }
