--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,6 +1,6 @@
 // Bundles the router for the platform from its TypeScript sources: target/router.cjs and
-// target/router.mjs take signals and then load the program, target/run-router.mjs. A single minified file loads faster than separate
-// modules, which shortens the router's start.
+// target/router.mjs take signals and then load the program, target/run-router.mjs. A single minified
+// file loads faster than separate modules, which shortens the router's start.
 import { readdirSync } from 'node:fs';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -41,7 +41,8 @@
   legalComments: 'none',
 };
 
-// Node.js runs a CommonJS file sooner after its own start than a module, so that signals are taken sooner.
+// Node.js runs a CommonJS file sooner after its own start than a module, so that signals are taken
+// sooner.
 for (const [outfile, format] of [
   ['target/router.cjs', 'cjs'],
   ['target/router.mjs', 'esm'],
