Router: what changes while a suspect request waits for its admission counts (DRAIN, GONE)

What callers would see: a request that reaches a server after its notice or during its back-off, or runs although its caller has left. Cause: the signals that say so were looked at after the wait for the other routers, when a new one had taken their place or the caller's had aborted already.

Fix: the signal is taken when the server is picked, and a send looks at both before it begins. The new test of send-request connects to the server without the check (read; its twin for the caller's signal stood already).

--- a/packages/router/src/lib/crash-guard.ts
+++ b/packages/router/src/lib/crash-guard.ts
@@ -217,8 +217,8 @@
     const announced = newRun(req, server, 'running');
     if (record.otherRunningAt(announced, identity) !== undefined) return waitBeforeRetry();
     record.put(announced);
-    // A further server is risked only once the other routers know, and this one knows their runs:
-    // equal requests may have ended servers at several routers at the same time.
+    // A further server is risked only once the other routers know: equal requests may have ended
+    // servers at several routers at the same time.
     await options.shareSuspects();
     const next = record.crashCountsOf(identity);
     if (next.lives > MAX_CRASHES) {
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -109,10 +109,14 @@
   const answerMemory = createAnswerMemory();
   const observer = createServerObserver(ctx);
 
-  /** Sends a request that was sent to the same server `earlierSends` times before. */
+  /**
+   * Sends a request that was sent to the same server `earlierSends` times before; not at all if
+   * `unsentSignal` has aborted since the server was picked.
+   */
   async function send(
     run: GuardedRun,
     pick: PickedServer,
+    unsentSignal: AbortSignal,
     earlierSends: number,
   ): Promise<SendOutcome> {
     const { req, server } = run;
@@ -134,6 +138,7 @@
     };
     const timer = setTimeout(cancel, Math.max(0, req.answerBy - startedAt));
     req.disconnectSignal.addEventListener('abort', cancel);
+    if (req.disconnectSignal.aborted) cancel();
     load.recordSent(startedAt);
     noteSent(server, startedAt);
     if (ctx.limits.limitOf(incarnationOf(server)) !== undefined)
@@ -142,7 +147,7 @@
       codec,
       memory: answerMemory,
       signal: cancellation.signal,
-      unsentSignal: unsentSignalOf(pick),
+      unsentSignal,
     });
     clearTimeout(timer);
     req.disconnectSignal.removeEventListener('abort', cancel);
@@ -227,6 +232,8 @@
         return { kind: 'none' };
       }
       if (pick.kind === 'refuse') return end(pick.reason, pick);
+      // The caller may leave, and the server ask for no more requests, before the run is admitted.
+      const unsentSignal = unsentSignalOf(pick);
       const admission = await ctx.guard.admit(req, pick.server);
       if (admission.kind !== 'run') returnPermit(pick);
       if (admission.kind === 'refuse') {
@@ -237,7 +244,8 @@
         if (ctx.now() < suspectWaitUntil) continue;
         return end(SUSPECT_WAIT_REFUSAL.reason, SUSPECT_WAIT_REFUSAL);
       }
-      const outcome = await send(admission.run, pick, countSends(attempts, pick.server));
+      const earlierSends = countSends(attempts, pick.server);
+      const outcome = await send(admission.run, pick, unsentSignal, earlierSends);
       ({ shared } = await ctx.guard.finish(admission.run, outcome));
       attempts.push({ server: pick.server, outcome });
       if (outcome.kind === 'answer' && outcome.answer.status < HTTP_SERVER_ERROR) {
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -157,6 +157,10 @@
       finish({ kind: 'not-run', why: 'cancelled' });
       return;
     }
+    if (unsentSignal.aborted) {
+      finish({ kind: 'not-run', why: 'paused' });
+      return;
+    }
     signal.addEventListener('abort', abort);
     unsentSignal.addEventListener('abort', cancelIfUnsent);
 
--- a/packages/router/src/test/send-request_test.ts
+++ b/packages/router/src/test/send-request_test.ts
@@ -425,3 +425,24 @@
   await new Promise((resolve) => server.close(resolve));
   expect(requests).toEqual(1);
 });
+
+// Guards against requests that reach a server after its notice or during its back-off: the server had
+// said so between its choice and the send.
+test('a request is not sent if its server has been given up since it was picked', async () => {
+  let connected = 0;
+  const server: Server = createServer((socket) => {
+    connected += 1;
+    socket.destroy();
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const share = { connections: 1, keepAliveMs: 4_000 };
+  const connections = createServerConnections(`127.0.0.1:${port}`, share);
+  const outgoing = { method: 'GET', path: '/', headers: [], body: undefined, attemptId: 'a1' };
+  const options = { ...optionsOf(new AbortController().signal), unsentSignal: AbortSignal.abort() };
+  const outcome = await sendRequest(connections, outgoing, options);
+  expect(outcome).toLooseEqual({ kind: 'not-run', why: 'paused' });
+  connections.close();
+  await new Promise((resolve) => server.close(resolve));
+  expect(connected).toEqual(0);
+});
