Placement: a leader whose orders end by an unexpected error leaves the leadership, and its ranges are not busy for good

Since stray errors no longer end the process, a leader whose planner or check had failed would have gone on renewing its leadership lease and granted nothing, and ranges whose step before the first order failed would have stayed marked as busy. All tests of the package pass; none brings such an error about.

--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -290,7 +290,9 @@
       epoch: leaderLease.epoch,
     });
     for (const range of moved) feed.note(range);
-    const [isStored] = await Promise.all([writer.persist(), witnesses.tell()]);
+    const [isStored] = await freeOnError(moved, () =>
+      Promise.all([writer.persist(), witnesses.tell()]),
+    );
     if (!isStored) return;
     for (const range of joined) void runTask(ctx, () => grantJoined(ctx, range));
     for (const range of moved) {
@@ -325,6 +327,16 @@
     }
   }
 
+  /** Runs a step of a plan; if it fails, the ranges are free for the next plan. */
+  async function freeOnError<T>(ranges: readonly HeldRange[], step: () => Promise<T>): Promise<T> {
+    try {
+      return await step();
+    } catch (cause) {
+      for (const range of ranges) range.busy = false;
+      throw cause;
+    }
+  }
+
   /** Resumes the hand-overs that the former leader had begun, or that ended without a grant. */
   function resumeHandOvers(except: ReadonlySet<HeldRange> = new Set()): void {
     const unfinished = allRanges().filter(
@@ -332,7 +344,8 @@
     );
     if (unfinished.length === 0) return;
     for (const range of unfinished) range.busy = true;
-    void witnesses.tell().then(() => {
+    void runTask(ctx, async () => {
+      await freeOnError(unfinished, () => witnesses.tell());
       for (const range of unfinished) void runTask(ctx, () => handOver(ctx, range));
     });
   }
@@ -383,6 +396,16 @@
     await Promise.all([renewLeases(ctx, tables, planWakeSignal.wake), planAll()]);
   }
 
+  /** Leaves the leadership to another router if this one can't go on with its orders. */
+  async function sendOrdersOrStepDown(): Promise<void> {
+    try {
+      await sendOrders();
+    } catch (cause) {
+      writerAbort.abort();
+      throw cause;
+    }
+  }
+
   function allRanges() {
     return [...tables.values()].flatMap((it) => it.ranges);
   }
@@ -425,7 +448,7 @@
       firstFence: nextFence,
       inheritedForMs: Math.round(options.inheritedForMs),
     });
-    const work = runTask(ctx, sendOrders);
+    const work = runTask(ctx, sendOrdersOrStepDown);
     await runTask(ctx, () => writer.run(writerAbort.signal));
     signal.removeEventListener('abort', onAbort);
     hasSteppedDown = true;
