--- a/packages/router/src/lib/connection-ends.ts
+++ b/packages/router/src/lib/connection-ends.ts
@@ -22,7 +22,7 @@
  * Writes nothing, which sends nothing, and fails if the connection was reset: where the last bytes
  * and a reset arrive together, the stream ends without an error.
  */
-function isOpenForWriting(socket: Socket): Promise<boolean> {
+function endedInOrder(socket: Socket): Promise<boolean> {
   return new Promise((resolve) => {
     socket.write('', (err) => {
       resolve(!err || cameAfterClose(err));
@@ -49,7 +49,7 @@
   return {
     watch(socket) {
       socket.once('end', () => {
-        handle(isOpenForWriting(socket));
+        handle(endedInOrder(socket));
       });
       socket.on('error', () => {
         handle(Promise.resolve(false));
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -1,3 +1,4 @@
+import type { Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { type FleetSettings, type IpEndpoint, parseIpEndpoint } from '@boragepoint/config';
@@ -334,13 +335,12 @@
   /** Opens the listeners: the check of readiness first, and the one for callers last. */
   async function openListeners() {
     const { listen } = settings;
-    const readiness = await opened(
-      listen.readiness,
-      serveReadiness(isReady, endpointOf(listen.readiness)),
-    );
-    start.phaseDone('readiness served', { address: listen.readiness });
+    let readiness: Server | undefined;
     let peerListener: AsyncDisposable | undefined;
     try {
+      const readinessEndpoint = endpointOf(listen.readiness);
+      readiness = await opened(listen.readiness, serveReadiness(isReady, readinessEndpoint));
+      start.phaseDone('readiness served', { address: listen.readiness });
       const peerEndpoint = endpointOf(listen.peers);
       peerListener = await opened(
         listen.peers,
@@ -352,7 +352,7 @@
       start.phaseDone('callers listened for', { address: listen.callers });
       return { readiness, peerListener, callers };
     } catch (cause) {
-      closeServer(readiness);
+      if (readiness) closeServer(readiness);
       await peerListener?.[Symbol.asyncDispose]();
       peers[Symbol.dispose]();
       stalls[Symbol.dispose]();
@@ -441,7 +441,6 @@
         unsentBytes: listener.unsentBytes(),
         afterMs: Math.round(clocks.monotonic() - startedAt),
       });
-      await log.flush();
     },
   };
 }
--- a/packages/router/src/lib/router-log.ts
+++ b/packages/router/src/lib/router-log.ts
@@ -22,7 +22,7 @@
 const MAX_BUFFERED_BYTES = 1 << 20;
 const LINE_WINDOW_MS = 1_000;
 /** Longest time for which the end of the process waits for its last lines, in milliseconds. */
-const MAX_FLUSH_MS = 200;
+const MAX_FLUSH_MS = 100;
 
 /** Destination of log lines. */
 export interface LineSink {
