--- a/packages/platform/src/lib/connection-close.ts
+++ b/packages/platform/src/lib/connection-close.ts
@@ -15,7 +15,13 @@
 
 /** Why a listener closes a connection. */
 export type CloseReason =
-  'last-answer' | 'idle-at-stop' | 'idle-timeout' | 'malformed-request' | 'body-refused' | 'exit';
+  | 'last-answer'
+  | 'idle-at-stop'
+  | 'idle-timeout'
+  | 'malformed-request'
+  | 'body-refused'
+  | 'unread'
+  | 'exit';
 
 /** What became of a connection that a listener closed. */
 export interface ClosedConnection {
--- a/packages/router/src/lib/caller-backlog.ts
+++ b/packages/router/src/lib/caller-backlog.ts
@@ -43,6 +43,7 @@
   waiting(): number;
   /** Lets no request enter from now on, those that wait included. */
   close(): void;
+  isClosed(): boolean;
 }
 
 /** The input of a connection. */
@@ -136,6 +137,7 @@
         admitWaiting();
       },
       waiting: () => waiting.length,
+      isClosed: () => isClosed,
       close() {
         isClosed = true;
         for (const refuse of waiting.splice(0)) refuse(false);
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -17,6 +17,7 @@
   createRequestReader,
 } from './request-reader.js';
 import { type OwnAnswer, type CallerAnswer, ownAnswer } from './caller-answer.js';
+import { createStalledCallers } from './stalled-callers.js';
 import { refuseMalformed } from './refuse-malformed.js';
 import { listenWhenFree } from './listen-when-free.js';
 import {
@@ -95,7 +96,8 @@
   const pendingAborts = new Map<PipelineEntry, (answer: OwnAnswer) => void>();
   const pipelines = new WeakMap<Socket, Pipeline>();
   const backlog = createCallerBacklog();
-  const reader = createRequestReader(ctx, () => backlog.hasRoom());
+  const reader = createRequestReader(ctx, hasRoom);
+  const stalled = createStalledCallers<Socket>(() => ctx.now());
   const backlogs = new WeakMap<Socket, ConnectionBacklog>();
   const server: Server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, requireHostHeader: false },
@@ -148,9 +150,13 @@
   }
 
   function pipelineOf(socket: Socket): Pipeline {
-    const pipeline = pipelines.get(socket) ?? createPipeline(socket);
-    pipelines.set(socket, pipeline);
-    return pipeline;
+    const known = pipelines.get(socket);
+    if (known) return known;
+    const created = createPipeline(socket, () => {
+      backlogOf(socket).close();
+    });
+    pipelines.set(socket, created);
+    return created;
   }
 
   function backlogOf(socket: Socket): ConnectionBacklog {
@@ -158,12 +164,21 @@
     if (known) return known;
     const opened = backlog.open(socket);
     backlogs.set(socket, opened);
-    socket.once('close', () => {
-      opened.close();
-    });
     return opened;
   }
 
+  /** Returns whether there is room for an answer; callers that have stopped reading make some. */
+  function hasRoom(): boolean {
+    if (backlog.hasRoom()) return true;
+    for (const { connection, forMs } of stalled.find(sockets)) {
+      const unsentBytes = connection.writableLength;
+      const closed = { reason: 'unread', unsentBytes, lateBytes: 0, requestsNotTaken: 0 } as const;
+      ctx.onConnectionClosed({ ...closed, forMs, endedBy: 'time' });
+      connection.destroy();
+    }
+    return backlog.hasRoom();
+  }
+
   /**
    * Lets a busy event loop process the close events of callers that have left: a request's bytes
    * are read before its connection's end. A router that lags would otherwise forward mostly
@@ -227,7 +242,7 @@
     return isClosing || (closing && pipeline.isBusy());
   }
 
-  function leaveUnread(socket: Socket): void {
+  function refuseToTake(socket: Socket): void {
     closer.noteNotTaken(socket);
     closer.stopReading(socket);
   }
@@ -238,13 +253,13 @@
     const readDelayMs = ctx.readDelayMs();
     const arrival = { arrivedAt: ctx.now() - readDelayMs, readDelayMs };
     if (isAtEnd(socket)) {
-      leaveUnread(socket);
+      refuseToTake(socket);
       return;
     }
     const own = backlogOf(socket);
     if (!own.tryEnter() && !(await own.enter())) return;
-    if (isAtEnd(socket)) {
-      leaveUnread(socket);
+    if (own.isClosed() || isAtEnd(socket)) {
+      refuseToTake(socket);
       own.leave();
       return;
     }
--- a/packages/router/src/lib/pipeline.ts
+++ b/packages/router/src/lib/pipeline.ts
@@ -44,14 +44,18 @@
   isReady: boolean;
 }
 
-/** Creates the pipeline of a connection. */
-export function createPipeline(socket: Socket): Pipeline {
+/**
+ * Creates the pipeline of a connection; `onEnd` is called when the connection ends, before the open
+ * requests end.
+ */
+export function createPipeline(socket: Socket, onEnd: () => void): Pipeline {
   const endListeners = new Set<() => void>();
   /** States of the requests whose answers are not written yet, in order. */
   const states: AnswerState[] = [];
   /** Resolves when the answer to the last request is written. */
   let lastWritten = Promise.resolve();
   const finishAll = () => {
+    onEnd();
     pipeline.isAbandoned ||= endListeners.size > 0;
     for (const finish of endListeners) finish();
   };
