--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -89,7 +89,9 @@
   host: string,
   port: number,
 ): Promise<CallerListener> {
+  /** From `announceClose` on: the last answer on each connection closes it. */
   let closing = false;
+  /** From `drain` on: each connection is closed as soon as it is idle. */
   let draining = false;
   let openCount = 0;
   /** For each request without an answer yet, the function that answers it early. */
--- a/packages/router/src/lib/pipeline.ts
+++ b/packages/router/src/lib/pipeline.ts
@@ -35,7 +35,8 @@
   onIdle: (() => void) | undefined;
   add(req: IncomingMessage): PipelineEntry;
   /**
-   * Functions that are called when the connection ends; a request that finishes removes its own.
+   * Functions that are called when the connection ends, one for each open request; a request that
+   * finishes removes its own.
    */
   readonly endListeners: Set<() => void>;
 }
