Router: a server that a request has ended gets equal requests again only once its next life is known

Both ends were recorded at one incarnation, so that four ends counted as three. Class: an identity that two lives share. It shows more often since keys stay with a server that refuses connections until its lease has ended.

Fix: a suspect request waits for a server that an equal one is known to have ended, until the registry names a later start. Ruled out: counting each loss as a life (a lost answer is told twice, by the router and its peers).

The new test of crash-guard fails without the check.

--- a/packages/placement/src/lib/suspect-record.ts
+++ b/packages/placement/src/lib/suspect-record.ts
@@ -60,6 +60,11 @@
    */
   waitForChange(known: number, waitMs: number): Promise<void>;
   crashCountsOf(identity: RequestIdentity): CrashCounts;
+  /** Returns whether an equal request is known to have ended an incarnation. */
+  hasEnded(
+    incarnation: Pick<SuspectRun, 'server' | 'startedMs'>,
+    identity: RequestIdentity,
+  ): boolean;
   /**
    * Returns the key of another request that runs as a suspect at an incarnation; the lowest key if
    * there are several.
@@ -231,6 +236,10 @@
         ended: countIncarnations(runs.filter((it) => it.state === 'ended')),
       };
     },
+    hasEnded: (incarnation, identity) =>
+      countedRuns(identity).some(
+        (it) => it.state === 'ended' && incarnationKey(it) === incarnationKey(incarnation),
+      ),
     otherRunningAt(incarnation, self) {
       const names = [...entries.values()]
         .map((it) => it.run)
--- a/packages/router/src/lib/crash-guard.ts
+++ b/packages/router/src/lib/crash-guard.ts
@@ -215,6 +215,8 @@
     if (crashCounts.ended >= MAX_CRASHES) return { kind: 'refuse', crashCounts };
     if (crashCounts.lives >= MAX_CRASHES) return waitBeforeRetry();
     const announced = newRun(req, server, 'running');
+    // What answers at its address now is a later life, which would not be counted as one.
+    if (record.hasEnded(announced, identity)) return waitBeforeRetry();
     if (record.otherRunningAt(announced, identity) !== undefined) return waitBeforeRetry();
     record.put(announced);
     // A further server is risked only once the other routers know: equal requests may have ended
--- a/packages/router/src/test/crash-guard_test.ts
+++ b/packages/router/src/test/crash-guard_test.ts
@@ -187,6 +187,18 @@
 });
 
 // Guards against several routers or connections that send a suspect request at the same time.
+// Guards against a fourth server that a request ends: a server that had started again under its id and
+// address ran it before the registry showed that, and both ends counted as one.
+test('a server that a request has ended gets it again only once its next life is known', async () => {
+  const { guard } = setUp();
+  const req = requestOf('/crashing');
+  const ended = serverOf('a');
+  expect(await send(guard, req, ended, BROKEN)).toEqual('sent');
+  expect((await guard.admit(req, ended)).kind).toEqual('wait');
+  const next = { ...ended, entry: { ...ended.entry, startedMs: 2 } };
+  expect((await guard.admit(req, next)).kind).toEqual('run');
+});
+
 test('a suspect request in flight counts as if it had ended its server', async () => {
   const { guard } = setUp();
   for (const id of ['a', 'b']) await send(guard, requestOf('/y'), serverOf(id), BROKEN);
