--- a/packages/platform/src/lib/connection-close.ts
+++ b/packages/platform/src/lib/connection-close.ts
@@ -47,6 +47,8 @@
 export interface ConnectionCloser {
   /** Closes a connection behind what has been written to it. */
   close(socket: Socket, reason: CloseReason): void;
+  /** Ends a connection at once because of a bound that passed `forMs` milliseconds after it began. */
+  cut(socket: Socket, reason: CloseReason, forMs: number): void;
   isClosing(socket: Socket): boolean;
   /** From now on what arrives is dropped unread; answers can still be written. */
   stopReading(socket: Socket): void;
@@ -85,18 +87,27 @@
   const acks = createAckEstimate(() => ctx.now());
   let maxClosing = MAX_CLOSING;
 
-  function report(socket: Socket, endedBy: ClosedConnection['endedBy'], known?: Closing): void {
+  function report(
+    socket: Socket,
+    endedBy: ClosedConnection['endedBy'],
+    known: Pick<ClosedConnection, 'reason' | 'forMs'> & Partial<ClosedConnection>,
+  ): void {
     ctx.onClosed({
-      reason: known?.reason ?? 'exit',
-      unsentBytes: known?.unsentBytes ?? socket.writableLength,
-      lateBytes: known ? socket.bytesRead - known.bytesReadBefore : 0,
+      unsentBytes: socket.writableLength,
+      lateBytes: 0,
       requestsNotTaken: notTaken.get(socket) ?? 0,
-      forMs: known ? ctx.now() - known.since : 0,
       endedBy,
+      ...known,
     });
   }
 
-  function cut(socket: Socket, known: Closing, endedBy: 'time' | 'number'): void {
+  function reportClosing(socket: Socket, known: Closing, endedBy = known.endedBy): void {
+    const { reason, since, bytesReadBefore, unsentBytes = socket.writableLength } = known;
+    const lateBytes = socket.bytesRead - bytesReadBefore;
+    report(socket, endedBy, { reason, unsentBytes, lateBytes, forMs: ctx.now() - since });
+  }
+
+  function cutClosing(socket: Socket, known: Closing, endedBy: 'time' | 'number'): void {
     known.endedBy = endedBy;
     known.unsentBytes = socket.writableLength;
     socket.destroy();
@@ -105,14 +116,14 @@
   function cutAfter(socket: Socket, known: Closing, ms: number): void {
     clearTimeout(known.timer);
     known.timer = setTimeout(() => {
-      cut(socket, known, 'time');
+      cutClosing(socket, known, 'time');
     }, ms);
     known.timer.unref();
   }
 
   function cutOldest(): void {
     const oldest = closing.entries().next().value;
-    if (oldest) cut(...oldest, 'number');
+    if (oldest) cutClosing(...oldest, 'number');
   }
 
   /** Waits until all is handed to the system, then until the peer has closed its side. */
@@ -133,7 +144,7 @@
       socket.once('close', () => {
         clearTimeout(known.timer);
         closing.delete(socket);
-        report(socket, known.endedBy, known);
+        reportClosing(socket, known);
       });
       socket.setTimeout(0);
       dropInput(socket);
@@ -142,6 +153,15 @@
       socket.end();
       if (closing.size > maxClosing) cutOldest();
     },
+    cut(socket, reason, forMs) {
+      const known = closing.get(socket);
+      if (known) {
+        cutClosing(socket, known, 'time');
+        return;
+      }
+      report(socket, 'time', { reason, forMs });
+      socket.destroy();
+    },
     isClosing: (socket) => closing.has(socket),
     stopReading: dropInput,
     noteAnswer: (socket) => {
@@ -154,7 +174,11 @@
       maxClosing = Infinity;
     },
     reportExit(open) {
-      for (const socket of open) report(socket, 'exit', closing.get(socket));
+      for (const socket of open) {
+        const known = closing.get(socket);
+        if (known) reportClosing(socket, known, 'exit');
+        else report(socket, 'exit', { reason: 'exit', forMs: 0 });
+      }
     },
   };
 }
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -172,12 +172,8 @@
   /** Returns whether there is room for an answer; callers that have stopped reading make some. */
   function hasRoom(): boolean {
     if (backlog.hasRoom()) return true;
-    for (const { connection, forMs } of stalled.find(sockets)) {
-      const unsentBytes = connection.writableLength;
-      const closed = { reason: 'unread', unsentBytes, lateBytes: 0, requestsNotTaken: 0 } as const;
-      ctx.onConnectionClosed({ ...closed, forMs, endedBy: 'time' });
-      connection.destroy();
-    }
+    for (const { connection, forMs } of stalled.find(sockets))
+      closer.cut(connection, 'unread', forMs);
     return backlog.hasRoom();
   }
 
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -60,10 +60,9 @@
   override readonly name = 'MismatchedAnswerError';
 }
 
-/** Whether an answer has no body, whatever its headers say. */
-function isBodiless(method: string, status: number): boolean {
-  return method === 'HEAD' || status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED;
-}
+/** Whether answers with a status have no body, whatever their headers say. */
+export const hasNoBody = (status: number) =>
+  status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED;
 
 /**
  * Whether headers state where the body ends. With a transfer coding, only chunks as the last one
@@ -177,7 +176,8 @@
           started.abort(new MismatchedAnswerError(`the answer names ${named}`));
           return;
         }
-        const framed = isBodiless(req.method, status) || statesEnd(headers);
+        const isBodiless = req.method === 'HEAD' || hasNoBody(status);
+        const framed = isBodiless || statesEnd(headers);
         head = { status, headers, framed, meta };
       },
       onResponseData(_controller, chunk) {
--- a/packages/router/src/lib/write-answer.ts
+++ b/packages/router/src/lib/write-answer.ts
@@ -4,12 +4,10 @@
 
 import { answerHeaders } from './forwarded-headers.js';
 import { type OwnAnswer, type CallerAnswer, ownAnswer } from './caller-answer.js';
-import type { ServerAnswer } from './send-request.js';
+import { type ServerAnswer, hasNoBody } from './send-request.js';
 
 /** Header that carries the result code of the router's own answers. */
 const RESULT_HEADER = 'bp-result';
-const HTTP_NO_CONTENT = 204;
-const HTTP_NOT_MODIFIED = 304;
 
 /** Writes one of the router's own answers. */
 export function writeOwnAnswer(
@@ -35,7 +33,7 @@
  * that of the body a GET would get; 204 and 304 state none.
  */
 function lengthOf({ status, headers, body }: ServerAnswer, method: string | undefined) {
-  if (status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED) return undefined;
+  if (hasNoBody(status)) return undefined;
   if (method !== 'HEAD') return String(body.length);
   const stated = headers['content-length'];
   return typeof stated === 'string' && /^\d+$/.test(stated) ? stated : undefined;
