Suspect record: runs that are only watched don't make equal requests suspect

What callers saw: after a cut path, one popular request stayed suspect for as long as it was sent: up to 215 of 1,081 requests got 503 'being watched' after 1.5 s, also for keys of healthy servers and after the paths were open again.

Cause: crashCountsOf counted runs in flight that were only being watched. Each made the next equal request suspect, which was watched in turn; an answer cleared the losses, but not this.

Ruled out: losses that stay counted (equal requests were answered all the time); the wait for the leader that is cut off (150 ms at most).

Why this works: without a loss there is nothing to watch for; beside a loss, runs in flight count as before. suspect-record_test: lives 1 before, 0 after.

--- a/packages/placement/src/lib/suspect-record.ts
+++ b/packages/placement/src/lib/suspect-record.ts
@@ -231,6 +231,8 @@
       if (entries.size === 0) return NO_CRASHES;
       removeExpired();
       const runs = countedRuns(identity);
+      // Runs that are watched but were not lost must not keep up the suspicion that they are watched for.
+      if (runs.every((it) => it.state === 'running')) return NO_CRASHES;
       return {
         lives: countIncarnations(runs),
         ended: countIncarnations(runs.filter((it) => it.state === 'ended')),
--- a/packages/placement/src/test/suspect-record_test.ts
+++ b/packages/placement/src/test/suspect-record_test.ts
@@ -51,6 +51,17 @@
   expect(record.crashCountsOf({ ...IDENTITY, request: 'other' }).lives).toEqual(0);
 });
 
+// Guards against a popular request that stays suspect for as long as it is sent: each watched run made
+// the next one suspect, long after an answer had cleared the request.
+test("runs that are only watched don't make equal requests suspect once a loss is cleared", () => {
+  const record = createSuspectRecord(() => 0);
+  record.put(runOf('a'));
+  record.put(runOf('b', { state: 'running' }));
+  expect(record.crashCountsOf(IDENTITY)).toEqual({ lives: 2, ended: 1 });
+  record.noteAnswered(IDENTITY);
+  expect(record.crashCountsOf(IDENTITY)).toEqual({ lives: 0, ended: 0 });
+});
+
 test('a run that ended a server is kept for minutes, and then expires', () => {
   let now = 0;
   const record = createSuspectRecord(() => now);
