Crash guard: a presumed end is revoked once the registry shows that the server lives

What callers saw: all routers lose the path to the only server of a service for 1 s, in the midst of requests. Equal requests got 503 long after the path was open again, by the code for ten minutes, and with three servers cut off at once everywhere.

Cause: a refused probe counts as an end; an end was kept for 600 s, cleared only by an answer to an equal request, which no server got.

Ruled out: that routers don't see the open path (other requests are served there).

Why this works: the registry tells lives apart. A heartbeat 4 s after the loss, or an entry that is still listed in a gapless watch when that of an ended server would be gone, shows that the life of the lost run goes on. An entry that was only read again no longer counts as a sign of life. A deadly request is still refused at once, as its end is presumed until then.

--- a/packages/config/src/lib/fleet-settings.ts
+++ b/packages/config/src/lib/fleet-settings.ts
@@ -53,6 +53,14 @@
   v.transform(camelKeys),
 );
 
+/** Above the usual interval, as a missing value must not make servers seem alive. */
+const DEFAULT_HEARTBEAT_MS = 3_000;
+
+const registrySchema = v.pipe(
+  exactObject({ heartbeat_ms: v.optional(notNegative, DEFAULT_HEARTBEAT_MS) }),
+  v.transform(camelKeys),
+);
+
 const distanceSchema = exactObject({
   zone: v.optional(notNegative, 0.1),
   region: v.optional(notNegative, 0.5),
@@ -60,7 +68,7 @@
 
 /**
  * Settings of a router on a platform with a row store, as written in its TOML file. Names of times
- * end with their unit. `[processor]`, `[shutdown]`, `[drain]`, `[retries]` and `[distance]` are
+ * end with their unit. `[processor]`, `[shutdown]`, `[drain]`, `[registry]`, `[retries]` and `[distance]` are
  * optional. `processor` is the share of a core that the instance gives a process, and the relative
  * speed of its cores. `retries` limits the retries of all routers together: in each window, `ratio`
  * of the requests plus `slack` retries.
@@ -76,6 +84,8 @@
   shutdown: v.optional(shutdownSchema, {}),
   /** `notice_ms`: time for which a draining backend server still accepts requests. */
   drain: v.optional(drainSchema, {}),
+  /** `heartbeat_ms`: interval at which backend servers renew their entries in the registry. */
+  registry: v.optional(registrySchema, {}),
   retries: v.optional(retriesSchema, {}),
   /**
    * How much sooner a backend server must answer to be preferred although it is in another
--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -37,8 +37,11 @@
   readonly stateSince: number;
   /** When this incarnation was first seen, on the monotonic clock. */
   readonly firstSeenAt: number;
-  /** When the entry was last received, on the monotonic clock. */
-  readonly receivedAt: number;
+  /**
+   * When a heartbeat of this incarnation was received that is newer than one received before, on the
+   * monotonic clock; -Infinity if none was.
+   */
+  readonly heartbeatAt: number;
 }
 
 /** Identifies one run of a server's process. */
@@ -51,6 +54,8 @@
    * is lost.
    */
   currentSince(): number;
+  /** See {@link RowWatch.confirmedAt}. */
+  confirmedAt(): number;
   /** Returns false until the registry has been read once. */
   isLoaded(): boolean;
   get(id: string): KnownServer | undefined;
@@ -110,6 +115,9 @@
   readonly outdated: number;
 }
 
+const heartbeatAt = (known: KnownServer, entry: ServerEntry, now: number) =>
+  entry.heartbeat > known.entry.heartbeat ? now : known.heartbeatAt;
+
 const incarnationKey = ({ server, startedMs }: IncarnationId) => `${server}@${startedMs}`;
 
 /** Creates an empty directory. */
@@ -170,14 +178,14 @@
     const now = clocks.monotonic();
     const isSameStart = known?.entry.startedMs === entry.startedMs;
     if (isSameStart && known.entry.draining === entry.draining) {
-      servers.set(key, { ...known, entry, receivedAt: now });
+      servers.set(key, { ...known, entry, heartbeatAt: heartbeatAt(known, entry, now) });
       return;
     }
     servers.set(key, {
       entry,
       stateSince: earliestChangeAt(),
       firstSeenAt: isSameStart ? known.firstSeenAt : now,
-      receivedAt: now,
+      heartbeatAt: isSameStart ? heartbeatAt(known, entry, now) : -Infinity,
     });
   }
 
@@ -302,6 +310,7 @@
 
   return {
     currentSince: () => currentSince,
+    confirmedAt: () => watch.confirmedAt(),
     isLoaded: () => loaded,
     get: (id) => servers.get(id),
     ofService: (service) => (byService ??= groupByService()).get(service) ?? [],
--- a/packages/placement/src/lib/suspect-record.ts
+++ b/packages/placement/src/lib/suspect-record.ts
@@ -75,8 +75,8 @@
   ): string | undefined;
   /** Records that an equal request was answered, which shows that it does not crash servers. */
   noteAnswered(identity: RequestIdentity): void;
-  /** Runs in the state `lost`, for which it is not known whether the server crashed. */
-  lost(): AgedRun[];
+  /** Runs in the states `lost` and `ended`, after which the server may have ended. */
+  losses(): AgedRun[];
   /** Number of incarnations that runs ended, or may have ended. */
   countSuspectIncarnations(): number;
 }
@@ -97,6 +97,8 @@
 const incarnationKey = ({ server, startedMs }: Pick<SuspectRun, 'server' | 'startedMs'>) =>
   `${server}@${startedMs}`;
 
+const isLoss = ({ state }: SuspectRun) => state === 'lost' || state === 'ended';
+
 function countIncarnations(runs: readonly SuspectRun[]): number {
   return new Set(runs.map(incarnationKey)).size;
 }
@@ -107,15 +109,15 @@
   /** Ids of runs, by the fingerprint of their request. */
   const byRequest = new Map<string, Set<string>>();
   const changes = createChangeLog();
-  /** Ids of the runs in the state `lost`. */
-  const lostRunIds = new Set<string>();
+  /** Ids of the runs in the states `lost` and `ended`. */
+  const lossIds = new Set<string>();
   let expiryCheckedAt = -Infinity;
   const changeSignal = createChangeSignal();
   let change = 0;
 
   function remove({ run, request }: SuspectRun): void {
     entries.delete(run);
-    lostRunIds.delete(run);
+    lossIds.delete(run);
     const equal = byRequest.get(request);
     equal?.delete(run);
     if (equal?.size === 0) byRequest.delete(request);
@@ -151,7 +153,7 @@
     remove(run);
     entries.set(run.run, { run, at, change: number });
     if (number > 0) changes.add(number, run.run);
-    if (run.state === 'lost') lostRunIds.add(run.run);
+    if (isLoss(run)) lossIds.add(run.run);
     const equal = byRequest.get(run.request) ?? new Set();
     byRequest.set(run.request, equal.add(run.run));
   }
@@ -260,15 +262,15 @@
         else if (!run.othersServed) update(entry, { ...run, othersServed: true });
       }
     },
-    lost() {
-      return [...lostRunIds]
+    losses() {
+      return [...lossIds]
         .flatMap((it) => entries.get(it) ?? [])
         .map(({ run, at }) => ({ ...run, ageMs: now() - at }));
     },
     countSuspectIncarnations() {
       removeExpired();
       const runs = [...entries.values()].map((it) => it.run);
-      return countIncarnations(runs.filter((it) => it.state === 'lost' || it.state === 'ended'));
+      return countIncarnations(runs.filter(isLoss));
     },
   };
 }
--- a/packages/placement/src/lib/suspect-run.ts
+++ b/packages/placement/src/lib/suspect-run.ts
@@ -13,7 +13,7 @@
  * State of a run; a later state in this list replaces an earlier one:
  * - `running`: the request is in flight. Announced in advance because equal requests were lost.
  * - `lost`: its connection ended without an answer; whether the server crashed is not known yet.
- * - `ended`: the server's process ended with it.
+ * - `ended`: the server's process is presumed to have ended with it.
  * - `cleared`: it did not end the server, or an equal request was answered since.
  */
 export type RunState = 'running' | 'lost' | 'ended' | 'cleared';
--- a/packages/placement/src/test/fake-directory.ts
+++ b/packages/placement/src/test/fake-directory.ts
@@ -22,6 +22,7 @@
   let currentSince = -Infinity;
   const directory: FakeDirectory = {
     currentSince: () => currentSince,
+    confirmedAt: () => -Infinity,
     isLoaded: () => true,
     get: (id) => known.get(id),
     ofService: () => [...known.values()],
@@ -53,7 +54,7 @@
         entry,
         stateSince: -Infinity,
         firstSeenAt: -Infinity,
-        receivedAt: -Infinity,
+        heartbeatAt: -Infinity,
       });
     },
     resumeWatch(now) {
--- a/packages/router/src/lib/crash-guard.ts
+++ b/packages/router/src/lib/crash-guard.ts
@@ -2,6 +2,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import {
+  type AgedRun,
+  type KnownServer,
   type RequestIdentity,
   type RunState,
   type ServerDirectory,
@@ -26,6 +28,10 @@
 const MIN_RESTART_MS = 500;
 /** Longest delay until a server's own change is seen in the registry, in milliseconds. */
 const MAX_REGISTRY_DELAY_MS = 4_000;
+/** Heartbeats within which the entry of a server that has ended is removed. */
+const ENTRY_LIFETIME_HEARTBEATS = 4;
+/** Interval between two looks at what the registry says of lost runs, in milliseconds. */
+const SETTLE_INTERVAL_MS = 250;
 /** Longest time that a request waits for the probe of the server that lost it, in milliseconds. */
 const PROBE_WAIT_MS = 250;
 /** Interval between checks whether a suspect request may be sent, in milliseconds. */
@@ -81,16 +87,18 @@
     run: GuardedRun,
     outcome: SendOutcome,
   ): Promise<{ readonly shared: Promise<void> | undefined }>;
-  /** Settles lost runs by what the registry says; to be called after each of its changes. */
+  /** Settles runs that may have ended servers by what the registry says; to be called after its changes. */
   applyRegistryChanges(): void;
 }
 
 /** Dependencies of a guard. */
 export interface CrashGuardOptions {
   readonly record: SuspectRecord;
-  readonly directory: Pick<ServerDirectory, 'get'>;
+  readonly directory: Pick<ServerDirectory, 'get' | 'currentSince' | 'confirmedAt'>;
   readonly probe: ServerProbe;
   readonly log: Pick<RouterLog, 'info'>;
+  /** Interval at which servers renew their entries, in milliseconds. */
+  readonly heartbeatMs: number;
   /**
    * Shares the suspect record; resolves once the other routers have it, or after a bounded wait.
    */
@@ -114,6 +122,8 @@
 export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
   const { record, directory, probe, log } = options;
   const now = () => options.now();
+  /** When the registry was last looked at, in milliseconds of the monotonic clock. */
+  let settledAt = -Infinity;
 
   function newRun(req: CallerRequest, { entry }: PooledServer, state: RunState): SuspectRun {
     const run = randomBytes(RUN_ID_BYTES).toString('base64url');
@@ -129,6 +139,16 @@
     else log.info('crash counted', { ...fields, afterMs });
   }
 
+  /**
+   * Whether a listed server has lived on after a time: it has written a heartbeat since, or its entry
+   * would have been removed by now.
+   */
+  function hasLivedOn({ heartbeatAt }: KnownServer, lostAt: number): boolean {
+    const removedBy =
+      Math.max(lostAt, directory.currentSince()) + ENTRY_LIFETIME_HEARTBEATS * options.heartbeatMs;
+    return heartbeatAt >= lostAt + MAX_REGISTRY_DELAY_MS || directory.confirmedAt() >= removedBy;
+  }
+
   /**
    * Returns what the registry shows about a run's server; `undefined` if that is not conclusive.
    */
@@ -138,8 +158,26 @@
   ): 'gone' | 'new-start' | 'alive' | undefined {
     const known = directory.get(run.server);
     if (!known) return 'gone';
-    if (known.entry.startedMs > run.startedMs) return 'new-start';
-    return known.receivedAt >= lostAt + MAX_REGISTRY_DELAY_MS ? 'alive' : undefined;
+    const { startedMs } = known.entry;
+    if (startedMs > run.startedMs) return 'new-start';
+    return startedMs === run.startedMs && hasLivedOn(known, lostAt) ? 'alive' : undefined;
+  }
+
+  /**
+   * Settles a run that was lost, and revokes that its server has ended if that was presumed: neither
+   * a refused connection nor a missing entry proves it. Returns whether its state has changed.
+   */
+  function settleLoss({ ageMs, ...run }: AgedRun): boolean {
+    const evidence = registryEvidence(run, now() - ageMs);
+    if (evidence === undefined || (run.state === 'ended' && evidence !== 'alive')) return false;
+    settle(run, evidence === 'alive' ? 'cleared' : 'ended', evidence, ageMs);
+    return true;
+  }
+
+  function settleLosses(): void {
+    settledAt = now();
+    const settled = record.losses().filter(settleLoss);
+    if (settled.length > 0) void options.shareSuspects();
   }
 
   /** Whether the end of a server is planned: it is draining, or its entry was removed. */
@@ -236,8 +274,11 @@
   }
 
   return {
-    crashCountsOf: (req) =>
-      record.isEmpty() ? { lives: 0, ended: 0 } : record.crashCountsOf(identityOf(req)),
+    crashCountsOf(req) {
+      if (record.isEmpty()) return { lives: 0, ended: 0 };
+      if (now() >= settledAt + SETTLE_INTERVAL_MS) settleLosses();
+      return record.crashCountsOf(identityOf(req));
+    },
     async admit(req, server) {
       const isSuspect = !record.isEmpty() && record.crashCountsOf(identityOf(req)).lives > 0;
       if (isSuspect) return admitSuspect(req, server, identityOf(req));
@@ -269,13 +310,7 @@
       return recordLoss(run);
     },
     applyRegistryChanges() {
-      if (record.isEmpty()) return;
-      const settled = record.lost().filter(({ ageMs, ...run }) => {
-        const evidence = registryEvidence(run, now() - ageMs);
-        if (evidence) settle(run, evidence === 'alive' ? 'cleared' : 'ended', evidence, ageMs);
-        return evidence !== undefined;
-      });
-      if (settled.length > 0) void options.shareSuspects();
+      if (!record.isEmpty()) settleLosses();
     },
   };
 }
--- a/packages/router/src/test/crash-guard_test.ts
+++ b/packages/router/src/test/crash-guard_test.ts
@@ -14,6 +14,10 @@
 const BROKEN: SendOutcome = { kind: 'unknown', why: 'broken-off', detail: 'closed' };
 const CANCELLED: SendOutcome = { kind: 'unknown', why: 'cancelled', detail: 'cancelled' };
 
+const HEARTBEAT_MS = 1_000;
+/** Time after which the entry of a server that ended is no longer listed, in milliseconds. */
+const ENTRY_LIFETIME_MS = 4 * HEARTBEAT_MS;
+
 function answerOf(status: number, framed = true): SendOutcome {
   const meta = {
     attemptId: 'a',
@@ -51,22 +55,30 @@
  * by default.
  */
 function setUp(share: () => Promise<void> = () => Promise.resolve()) {
-  const state = { probeResult: 'refused' as ProbeResult, now: 1_000 };
-  const entries = new Map<string, Partial<KnownServer['entry']> & { writtenAt?: number }>();
+  const state = {
+    probeResult: 'refused' as ProbeResult,
+    now: 1_000,
+    confirmedAt: 1_000,
+    currentSince: 0,
+  };
+  const entries = new Map<string, Partial<KnownServer['entry']> & { heartbeatAt?: number }>();
   const record = createSuspectRecord(() => state.now);
   const lines: string[] = [];
   const guard = createCrashGuard({
     record,
     directory: {
+      currentSince: () => state.currentSince,
+      confirmedAt: () => state.confirmedAt,
       get(id) {
         const entry = entries.get(id) ?? { startedMs: 1, draining: false };
         if (entry.id === 'gone') return undefined;
-        const { writtenAt = 0 } = entry;
-        return { entry, stateSince: 0, firstSeenAt: 0, receivedAt: writtenAt } as KnownServer;
+        const { heartbeatAt = -Infinity } = entry;
+        return { entry, stateSince: 0, firstSeenAt: 0, heartbeatAt } as KnownServer;
       },
     },
     probe: { check: () => Promise.resolve(state.probeResult) },
     log: { info: (message) => lines.push(message) },
+    heartbeatMs: HEARTBEAT_MS,
     shareSuspects: () => {
       record.announce();
       return share();
@@ -125,11 +137,46 @@
   expect(guard.crashCountsOf(requestOf('/y'))).toEqual({ lives: 3, ended: 0 });
   entries.set('a', { id: 'gone' });
   entries.set('b', { startedMs: 2, draining: false });
-  entries.set('c', { startedMs: 1, draining: false, writtenAt: state.now + 5_000 });
+  entries.set('c', { startedMs: 1, draining: false, heartbeatAt: state.now + 5_000 });
   guard.applyRegistryChanges();
   expect(guard.crashCountsOf(requestOf('/y'))).toEqual({ lives: 2, ended: 2 });
 });
 
+// Guards against an innocent request that is refused for minutes, because the paths to servers that run
+// it were cut: their refusals were taken for their ends.
+test('a presumed end is revoked once the registry shows that the server lives', async () => {
+  const { guard, state } = setUp();
+  const req = () => requestOf('/y');
+  for (const id of ['a', 'b', 'c']) await send(guard, req(), serverOf(id), BROKEN);
+  expect(guard.crashCountsOf(req()).ended).toEqual(MAX_CRASHES);
+  state.now += ENTRY_LIFETIME_MS;
+  state.confirmedAt = state.now;
+  expect(guard.crashCountsOf(req())).toEqual({ lives: 0, ended: 0 });
+  expect(await send(guard, req(), serverOf('a'), answerOf(200))).toEqual('sent');
+});
+
+// Guards against a deadly request that is sent on because what a router knows of the registry is old.
+test('a presumed end is not revoked by entries that may be out of date', async () => {
+  const { guard, entries, state } = setUp();
+  const req = () => requestOf('/crashing');
+  for (const id of ['a', 'b', 'c']) await send(guard, req(), serverOf(id), BROKEN);
+  // A later life, no entry, and an entry from before the loss.
+  entries.set('a', { startedMs: 2, draining: false });
+  entries.set('b', { id: 'gone' });
+  entries.set('c', { startedMs: 1, draining: false, heartbeatAt: state.now + 1_000 });
+  state.now += 10 * ENTRY_LIFETIME_MS;
+  guard.applyRegistryChanges();
+  expect(guard.crashCountsOf(req()).ended).toEqual(MAX_CRASHES);
+  // The watch began anew: entries of ended servers may not have been removed yet.
+  state.currentSince = state.now;
+  state.confirmedAt = state.now + ENTRY_LIFETIME_MS - 1;
+  guard.applyRegistryChanges();
+  expect(guard.crashCountsOf(req()).ended).toEqual(MAX_CRASHES);
+  state.confirmedAt = state.now + 10 * ENTRY_LIFETIME_MS;
+  guard.applyRegistryChanges();
+  expect(guard.crashCountsOf(req()).ended).toEqual(MAX_CRASHES - 1);
+});
+
 // Guards against an innocent request that is refused because its servers crashed for other reasons.
 test('an answer to an equal request of the same caller clears the suspicion against it', async () => {
   const { guard } = setUp();
--- a/packages/router/src/test/server-pool_test.ts
+++ b/packages/router/src/test/server-pool_test.ts
@@ -22,7 +22,7 @@
     startedMs: 1,
     heartbeat: 0,
   };
-  return { entry, stateSince: firstSeenAt, firstSeenAt, receivedAt: firstSeenAt };
+  return { entry, stateSince: firstSeenAt, firstSeenAt, heartbeatAt: -Infinity };
 }
 
 function poolOf(servers: Map<string, KnownServer>) {
