boragepointd: an answer without a length is whole only if its connection ended in order

Cause: the HTTP library reports the end of a connection as the end of an answer without a length, also where the connection was reset together with the last bytes. packages/router confirms such ends; the pools of packages/routing and of the daemon's calls to the platform did not.

Why this works: createConfirmingPool passes the end of an answer without framing on once its connection is known to have ended in order, and an error otherwise, so that every request through the pool has the rule. Ruled out: private fields of the library; refusing all answers without a length. What tells framing apart stands once (answer-framing.ts) for both programs.

--- a/packages/daemon/src/lib/router-node.ts
+++ b/packages/daemon/src/lib/router-node.ts
@@ -25,6 +25,7 @@
   rankCandidates,
 } from '@boragepoint/ownership';
 import {
+  createConfirmingPool,
   createHttpInstanceList,
   createHttpObjectStore,
   createHttpTableService,
@@ -43,7 +44,7 @@
   createSweeper,
   createSystemClock,
 } from '@boragepoint/routing';
-import { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
 import { v4 as newIncarnation } from 'uuid';
 
 import { type BurnCounters, createBurnCounters } from './burn/burn-counters.js';
@@ -84,10 +85,6 @@
   readonly sendMoves: MoveSender;
 }
 
-function platformPool(url: string): Pool {
-  return new Pool(url, { connections: PLATFORM_CONNECTIONS, pipelining: 1 });
-}
-
 /** Creates the components of a router and starts their tasks. */
 export async function createRouterNode(
   settings: Settings,
@@ -99,7 +96,9 @@
   const clock = createSystemClock();
   const hasher = await createKeyHasher();
   const pools = [settings.platform.table, settings.platform.objects, settings.platform.instances];
-  const [tablePool, objectPool, instancePool] = pools.map(platformPool) as [Pool, Pool, Pool];
+  const [tablePool, objectPool, instancePool] = pools.map((url) =>
+    createConfirmingPool(url, { connections: PLATFORM_CONNECTIONS }),
+  ) as [Dispatcher, Dispatcher, Dispatcher];
   const table = reportTableFailures(createHttpTableService(tablePool), () => {
     sync.noteFailure();
   });
--- a/packages/platform/src/lib/http-call.ts
+++ b/packages/platform/src/lib/http-call.ts
@@ -1,5 +1,5 @@
 import { Result, err, ok } from 'neverthrow';
-import type { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
 import * as v from 'valibot';
 
 import { PlatformError } from './platform-error.js';
@@ -37,7 +37,7 @@
 
 /** Sends a call and reads the complete answer. @internal */
 export async function callPlatform(
-  pool: Pool,
+  pool: Dispatcher,
   call: PlatformCall,
 ): Promise<Result<PlatformAnswer, PlatformError>> {
   using timeout = createProgressTimeout(CALL_LIMITS);
@@ -64,7 +64,7 @@
 
 /** Sends JSON by POST and validates the answer against a schema. @internal */
 export async function postJson<S extends v.GenericSchema>(
-  pool: Pool,
+  pool: Dispatcher,
   path: string,
   body: unknown,
   schema: S,
--- a/packages/platform/src/lib/http-instance-list.ts
+++ b/packages/platform/src/lib/http-instance-list.ts
@@ -1,4 +1,4 @@
-import type { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
 import * as v from 'valibot';
 
 import { callPlatform, parseAnswer } from './http-call.js';
@@ -8,7 +8,7 @@
 const instancesSchema = v.array(instanceRecordSchema);
 
 /** Creates an HTTP client of an instance list. The caller closes the pool. */
-export function createHttpInstanceList(pool: Pool): InstanceList {
+export function createHttpInstanceList(pool: Dispatcher): InstanceList {
   return {
     async list() {
       const answer = await callPlatform(pool, {
--- a/packages/platform/src/lib/http-object-store.ts
+++ b/packages/platform/src/lib/http-object-store.ts
@@ -1,5 +1,5 @@
 import { type Result, err, ok } from 'neverthrow';
-import type { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
 
 import { type PlatformAnswer, callPlatform } from './http-call.js';
 import type { ObjectStore } from './object-store.js';
@@ -19,7 +19,7 @@
 }
 
 /** Creates an HTTP client of an object store. The caller closes the pool. */
-export function createHttpObjectStore(pool: Pool): ObjectStore {
+export function createHttpObjectStore(pool: Dispatcher): ObjectStore {
   return {
     async put(key, body) {
       const answer = await callPlatform(pool, {
--- a/packages/platform/src/lib/http-table-service.ts
+++ b/packages/platform/src/lib/http-table-service.ts
@@ -1,4 +1,4 @@
-import type { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
 
 import { postJson } from './http-call.js';
 import type { TableService } from './table-service.js';
@@ -11,7 +11,7 @@
 import type * as v from 'valibot';
 
 /** Creates an HTTP client of a table service. The caller closes the pool. */
-export function createHttpTableService(pool: Pool): TableService {
+export function createHttpTableService(pool: Dispatcher): TableService {
   return {
     async read(keys) {
       const answer = await postJson(pool, TABLE_PATHS.read, { keys }, rowsAnswerSchema, false);
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -1,4 +1,9 @@
-import type { AnswerMeta, HeaderCodec, HeaderValues } from '@boragepoint/platform';
+import {
+  type AnswerMeta,
+  type HeaderCodec,
+  type HeaderValues,
+  isFramed,
+} from '@boragepoint/platform';
 import { type Dispatcher, errors } from 'undici';
 
 import type { AnswerMemory } from './answer-memory.js';
@@ -50,8 +55,6 @@
       readonly detail: string;
     };
 
-const HTTP_NO_CONTENT = 204;
-const HTTP_NOT_MODIFIED = 304;
 const HTTP_MISDIRECTED = 421;
 const HTTP_BAD_REQUEST = 400;
 
@@ -60,20 +63,6 @@
   override readonly name = 'MismatchedAnswerError';
 }
 
-/** Whether answers with a status have no body, whatever their headers say. */
-export const hasNoBody = (status: number) =>
-  status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED;
-
-/**
- * Whether headers state where the body ends. With a transfer coding, only chunks as the last one
- * do, whatever length is stated.
- */
-function statesEnd(headers: HeaderValues): boolean {
-  const codings = headers['transfer-encoding'];
-  if (codings === undefined) return headers['content-length'] !== undefined;
-  return /(^|,)\s*chunked\s*$/i.test([codings].flat().join(','));
-}
-
 function connectFailureOf(err: Error): 'refused' | 'unconnected' {
   return 'code' in err && err.code === 'ECONNREFUSED' ? 'refused' : 'unconnected';
 }
@@ -176,8 +165,7 @@
           started.abort(new MismatchedAnswerError(`the answer names ${named}`));
           return;
         }
-        const isBodiless = req.method === 'HEAD' || hasNoBody(status);
-        const framed = isBodiless || statesEnd(headers);
+        const framed = isFramed(req.method, status, headers);
         head = { status, headers, framed, meta };
       },
       onResponseData(_controller, chunk) {
--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -1,9 +1,9 @@
 import type { Socket } from 'node:net';
 
+import { createConnectionEnds } from '@boragepoint/platform';
 import { type Dispatcher, Pool, buildConnector } from 'undici';
 
 import { MAX_ANSWER_BYTES } from './answer-memory.js';
-import { createConnectionEnds } from './connection-ends.js';
 
 /** Timeout for establishing a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
--- a/packages/router/src/lib/write-answer.ts
+++ b/packages/router/src/lib/write-answer.ts
@@ -1,10 +1,11 @@
 import type { ServerResponse } from 'node:http';
 
 import { RESULT_CODES } from '@boragepoint/config';
+import { hasNoBody } from '@boragepoint/platform';
 
 import { answerHeaders } from './forwarded-headers.js';
 import { type OwnAnswer, type CallerAnswer, ownAnswer } from './caller-answer.js';
-import { type ServerAnswer, hasNoBody } from './send-request.js';
+import type { ServerAnswer } from './send-request.js';
 
 /** Header that carries the result code of the router's own answers. */
 const RESULT_HEADER = 'bp-result';
--- a/packages/routing/src/lib/dispatch/admitted-attempt.ts
+++ b/packages/routing/src/lib/dispatch/admitted-attempt.ts
@@ -1,6 +1,6 @@
 import type { AssignmentMap, Placement } from '@boragepoint/ownership';
+import { createConfirmingPool } from '@boragepoint/platform';
 import { type Result, err, ok } from 'neverthrow';
-import { Client } from 'undici';
 
 import type { AdmissionRefusal, Outcome, OutcomeKind } from '../admission/index.js';
 import type { LoadExchange } from '../balance/index.js';
@@ -88,7 +88,7 @@
   exclusive: boolean,
 ): Promise<AttemptOutcome> {
   if (!exclusive && !isRepeated) return sendAttempt(link.pool, req, placement.assignment, signal);
-  const client = new Client(`http://${link.address}`);
+  const client = createConfirmingPool(`http://${link.address}`, { connections: 1 });
   const outcome = await sendAttempt(client, req, placement.assignment, signal);
   await client.destroy();
   return outcome;
--- a/packages/routing/src/lib/dispatch/server-links.ts
+++ b/packages/routing/src/lib/dispatch/server-links.ts
@@ -1,7 +1,8 @@
 import { setMaxListeners } from 'node:events';
 
 import type { BackendServer } from '@boragepoint/config';
-import { Pool } from 'undici';
+import { createConfirmingPool } from '@boragepoint/platform';
+import type { Dispatcher } from 'undici';
 
 import {
   type AdmissionQueue,
@@ -20,7 +21,7 @@
 /** This router's connection pool for one backend server, with its limiter and admission queue. */
 export interface ServerLink {
   readonly address: string;
-  readonly pool: Pool;
+  readonly pool: Dispatcher;
   readonly limiter: ServerLimiter;
   readonly queue: AdmissionQueue;
 }
@@ -46,11 +47,10 @@
 
   function open(server: BackendServer): ServerLink {
     const { connections, slots, address } = server;
-    const pool = new Pool(`http://${address}`, {
+    const pool = createConfirmingPool(`http://${address}`, {
       connections: connectionShare(connections, liveRouters),
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      keepAliveTimeout: KEEP_ALIVE_MS,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      keepAliveMs: KEEP_ALIVE_MS,
     });
     const limiter = createServerLimiter({ clock, connections, slots, liveRouters });
     return { address, pool, limiter, queue: createAdmissionQueue({ clock, limiter }) };
