--- a/packages/router/src/lib/crash-guard.ts
+++ b/packages/router/src/lib/crash-guard.ts
@@ -98,7 +98,7 @@
   readonly probe: ServerProbe;
   readonly log: Pick<RouterLog, 'info'>;
   /** Interval at which servers renew their entries, in milliseconds. */
-  readonly heartbeatMs: number;
+  heartbeatMs(): number;
   /**
    * Shares the suspect record; resolves once the other routers have it, or after a bounded wait.
    */
@@ -145,7 +145,8 @@
    */
   function hasLivedOn({ heartbeatAt }: KnownServer, lostAt: number): boolean {
     const removedBy =
-      Math.max(lostAt, directory.currentSince()) + ENTRY_LIFETIME_HEARTBEATS * options.heartbeatMs;
+      Math.max(lostAt, directory.currentSince()) +
+      ENTRY_LIFETIME_HEARTBEATS * options.heartbeatMs();
     return heartbeatAt >= lostAt + MAX_REGISTRY_DELAY_MS || directory.confirmedAt() >= removedBy;
   }
 
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -210,7 +210,7 @@
     directory,
     probe,
     log,
-    heartbeatMs: settings.registry.heartbeatMs,
+    heartbeatMs: () => settings.registry.heartbeatMs,
     shareSuspects: () => member.shareSuspects(),
     now: clocks.monotonic,
   });
--- a/packages/router/src/test/crash-guard_test.ts
+++ b/packages/router/src/test/crash-guard_test.ts
@@ -78,7 +78,7 @@
     },
     probe: { check: () => Promise.resolve(state.probeResult) },
     log: { info: (message) => lines.push(message) },
-    heartbeatMs: HEARTBEAT_MS,
+    heartbeatMs: () => HEARTBEAT_MS,
     shareSuspects: () => {
       record.announce();
       return share();
