Watch: a poll that is given up before its answer is complete leaves a log line

A watch gives up a poll when another router knows more, or can't be relied on any more, and begins it anew.

--- a/packages/placement/src/lib/server-directory.ts
+++ b/packages/placement/src/lib/server-directory.ts
@@ -99,6 +99,8 @@
   drainNoticeMs?(): number;
   /** Returns whether other routers get the registry from this one. */
   isRelayed?(): boolean;
+  /** See {@link RowWatcher.onGivenUp}. */
+  readonly onGivenUp?: (err: PlatformError) => void;
   readonly onLost?: (err: PlatformError) => void;
   readonly onRecovered?: (outage: WatchOutage) => void;
   readonly onReturn?: (difference: RegistryDifference) => void;
@@ -275,6 +277,9 @@
       remove(key);
       notifyListeners();
     },
+    onGivenUp(err) {
+      options.onGivenUp?.(err);
+    },
     onLost(err) {
       isStoreLost = true;
       currentSince = Infinity;
--- a/packages/platform/src/lib/watch-rows.ts
+++ b/packages/platform/src/lib/watch-rows.ts
@@ -30,6 +30,11 @@
   onSnapshot(snapshot: RowSnapshot): void;
   onChange(row: StoredRow): void;
   onRemoval(key: string): void;
+  /**
+   * Called when a poll is given up before its answer is complete, because another router knows more
+   * or can't be relied on any more; the store is polled anew.
+   */
+  onGivenUp?(err: PlatformError): void;
   /** Called when the store stops answering the watch. */
   onLost(err: PlatformError): void;
   /** Called when the store answers the watch again. */
@@ -303,7 +308,10 @@
         if (polled.isErr()) {
           // The scheduler aborted the poll, which is no failure of the store; the next poll does
           // not wait.
-          if (scheduler.wasAborted() && (isEraNew || !lastError)) continue;
+          if (scheduler.wasAborted() && (isEraNew || !lastError)) {
+            watcher.onGivenUp?.(polled.error);
+            continue;
+          }
           noteFailure(polled.error);
           await readFallback(signal);
           const jitter = 1 + Math.random();
--- a/packages/router/src/lib/active-config.ts
+++ b/packages/router/src/lib/active-config.ts
@@ -70,6 +70,9 @@
       );
     },
     onRemoval: () => undefined,
+    onGivenUp(err) {
+      log.info('configuration poll given up', { reason: err.message });
+    },
     onLost(err) {
       log.warn('configuration watch lost', { reason: err.message });
     },
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -117,6 +117,9 @@
     fallback,
     drainNoticeMs: () => settings.drain.noticeMs,
     isRelayed: () => member.isLeading(),
+    onGivenUp: (err) => {
+      log.info('service registry poll given up', { reason: err.message });
+    },
     onLost: (err) => {
       log.warn('service registry watch lost', { reason: err.message });
       member.noteStoreChange();
