Watch: an answer that has begun to arrive is not given up because another router knows the change

Cause: a router that the leader tells of a change polls the store anew if the change has not arrived 0.7 s later. It did so also while the answer was arriving: 2,800 routes take about 0.9 s over the slowest links, so that each transfer was given up and begun again, as long as the leader reported. What was sent for nothing filled the link of that instance besides. Ruled out: a longer bound, which only moves the size from which it happens; no bound, as a dead connection would hide a change. Why it works: the bound holds for the beginning of the answer; from then on the transfer is given up only without progress, as all transfers from the store are.

--- a/packages/platform/src/lib/poll-scheduler.ts
+++ b/packages/platform/src/lib/poll-scheduler.ts
@@ -33,7 +33,7 @@
  */
 const REPORT_LIFETIME_MS = 2_000;
 /**
- * Maximum time from another router's report of a change to the arrival of the change here, in
+ * Maximum time from another router's report of a change to the beginning of its arrival here, in
  * milliseconds. The poll is aborted and repeated after it.
  */
 const MAX_ARRIVAL_DELAY_MS = 700;
@@ -55,9 +55,11 @@
   applyReport(report: TableReport): void;
   /** True while another router's report is valid and the store answers that router. */
   isPeerWatching(): boolean;
-  /** Begins a poll; the signal aborts it when the store has to be polled anew. */
+  /**
+   * Begins a poll; the signal ends its wait for an answer when the store has to be polled anew.
+   */
   beginPoll(): AbortSignal;
-  /** Aborts the present poll or pause, so that the store is polled anew without waiting. */
+  /** Ends the wait of the present poll, or the pause, so that the store is polled anew at once. */
   pollNow(): void;
   /** True if the scheduler aborted the latest poll. */
   wasAborted(): boolean;
--- a/packages/platform/src/lib/progress-timeout.ts
+++ b/packages/platform/src/lib/progress-timeout.ts
@@ -13,27 +13,31 @@
   readonly progressTimeoutMs: number;
 }
 
-/** Starts the timeout of a transfer that is about to begin; `parent` aborts the transfer, too. */
+/**
+ * Starts the timeout of a transfer that is about to begin. `waitSignal` aborts it too, unless the
+ * answer has begun to arrive.
+ */
 export function createProgressTimeout(
   { firstByteTimeoutMs, progressTimeoutMs }: ProgressLimits,
-  parent?: AbortSignal,
+  waitSignal?: AbortSignal,
 ): ProgressTimeout {
   const controller = new AbortController();
   const abort = () => {
     controller.abort();
   };
   let timer = setTimeout(abort, firstByteTimeoutMs);
-  parent?.addEventListener('abort', abort);
-  if (parent?.aborted === true) abort();
+  waitSignal?.addEventListener('abort', abort);
+  if (waitSignal?.aborted === true) abort();
   return {
     signal: controller.signal,
     progressed() {
+      waitSignal?.removeEventListener('abort', abort);
       clearTimeout(timer);
       timer = setTimeout(abort, progressTimeoutMs);
     },
     [Symbol.dispose]() {
       clearTimeout(timer);
-      parent?.removeEventListener('abort', abort);
+      waitSignal?.removeEventListener('abort', abort);
     },
   };
 }
--- a/packages/platform/src/lib/row-store.ts
+++ b/packages/platform/src/lib/row-store.ts
@@ -69,12 +69,16 @@
   onUnusable?(listener: (entry: UnusableEntry) => void): void;
   /** Reads all rows of a table. */
   list(table: string): Promise<Result<RowSnapshot, PlatformError>>;
-  /** Waits up to `waitMs` milliseconds for changes after a version, or until the signal aborts. */
+  /**
+   * Waits up to `waitMs` milliseconds for changes after a version, or until the signal aborts. An
+   * answer that has begun to arrive by then is read to its end: large changes take long on slow
+   * links, and would have to be sent again from the start.
+   */
   changesAfter(
     table: string,
     version: number,
     waitMs: number,
-    signal?: AbortSignal,
+    waitSignal?: AbortSignal,
   ): Promise<Result<RowChanges, PlatformError>>;
   /**
    * Writes a row if it has the expected version; the number 0 of an era means that it must not
