Router: an answer with a status that HTTP does not have is garbled

What callers saw: statuses from 600 to 999 of a backend server in trouble, passed on as answers; 502 for 000 to 099, after which equal requests were suspect of having ended the server. Cause: the parser takes any three digits, and only those below 200 were looked at. For those below 100 the HTTP library gives up the connection over its own assertion, which counted as a connection that broke. Ruled out: passing 6xx on as a failure of the server, as it is no answer in the protocol of either side. Why it works: both programs ask the same function which statuses a final answer has; any other ends as garbled.

--- a/packages/platform/src/lib/answer-framing.ts
+++ b/packages/platform/src/lib/answer-framing.ts
@@ -1,8 +1,21 @@
 import type { HeaderValues } from './fleet-platform.js';
 
+const MIN_INTERIM_STATUS = 100;
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
 const HTTP_NO_CONTENT = 204;
 const HTTP_NOT_MODIFIED = 304;
 
+/** Whether a status is one of an answer that precedes the final one. */
+export const isInterimStatus = (status: number) =>
+  status >= MIN_INTERIM_STATUS && status < MIN_FINAL_STATUS;
+
+/**
+ * Whether a status is one of a final answer. Parsers accept any three digits, but HTTP has no other
+ * statuses than these.
+ */
+export const isFinalStatus = (status: number) => status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+
 /** Whether answers with a status have no body, whatever their headers say. */
 export const hasNoBody = (status: number) =>
   status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED;
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -6,6 +6,7 @@
   type CallerLimits,
   type ClosedConnection,
   createConnectionCloser,
+  isFinalStatus,
 } from '@boragepoint/platform';
 
 import type { CallerRequest } from './caller-request.js';
@@ -20,12 +21,7 @@
 import { createStalledCallers } from './stalled-callers.js';
 import { refuseMalformed } from './refuse-malformed.js';
 import { listenWhenFree } from './listen-when-free.js';
-import {
-  UNWRITABLE_ANSWER,
-  isWritable,
-  writeOwnAnswer,
-  writeServerAnswer,
-} from './write-answer.js';
+import { UNWRITABLE_ANSWER, writeOwnAnswer, writeServerAnswer } from './write-answer.js';
 
 /** Largest header section that the HTTP parser accepts; the configured limit applies within it. */
 const MAX_HEADER_BYTES = 64 * 1_024;
@@ -325,7 +321,7 @@
       pipeline.isClosing = true;
       res.setHeader('connection', 'close');
     }
-    if (found.kind === 'server' && isWritable(found.answer.status)) {
+    if (found.kind === 'server' && isFinalStatus(found.answer.status)) {
       writeServerAnswer(res, found);
       return;
     }
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -2,7 +2,9 @@
   type AnswerMeta,
   type HeaderCodec,
   type HeaderValues,
+  isFinalStatus,
   isFramed,
+  isInterimStatus,
 } from '@boragepoint/platform';
 import { type Dispatcher, errors } from 'undici';
 
@@ -63,6 +65,11 @@
   override readonly name = 'MismatchedAnswerError';
 }
 
+/** Aborts a request that received an answer with a status that HTTP does not have. */
+class InvalidStatusError extends Error {
+  override readonly name = 'InvalidStatusError';
+}
+
 function connectFailureOf(err: Error): 'refused' | 'unconnected' {
   return 'code' in err && err.code === 'ECONNREFUSED' ? 'refused' : 'unconnected';
 }
@@ -158,7 +165,11 @@
         if (signal.aborted || unsentSignal.aborted) started.abort(new errors.RequestAbortedError());
       },
       onResponseStart(started, status, headers) {
-        if (status < 200) return;
+        if (isInterimStatus(status)) return;
+        if (!isFinalStatus(status)) {
+          started.abort(new InvalidStatusError(`the answer has the status ${status}`));
+          return;
+        }
         const meta = codec.readAnswer(status, headers);
         if (meta.attemptId !== req.attemptId) {
           const named = meta.attemptId === undefined ? 'no request' : 'another request';
@@ -188,6 +199,7 @@
         }
         const isGarbled =
           err instanceof MismatchedAnswerError ||
+          err instanceof InvalidStatusError ||
           err instanceof errors.HTTPParserError ||
           err instanceof errors.HeadersOverflowError;
         finish({
--- a/packages/router/src/lib/write-answer.ts
+++ b/packages/router/src/lib/write-answer.ts
@@ -54,7 +54,5 @@
   res.end(answer.body);
 }
 
-/** Whether an answer with this status can be passed on; a faulty server may send any number. */
-export const isWritable = (status: number) => status >= 200 && status <= 999;
 /** Replaces a server's answer that can't be passed on. */
 export const UNWRITABLE_ANSWER = ownAnswer('answerIncomplete', 'the answer has no valid status');
--- a/packages/router/src/test/send-request_test.ts
+++ b/packages/router/src/test/send-request_test.ts
@@ -238,6 +238,21 @@
   expect(outcome.kind).toEqual('unknown');
 });
 
+for (const status of ['000', '001', '099', '600', '999']) {
+  // Guards against bytes that are no answer and are passed on as one, or that count as the end of the
+  // server: HTTP has no such status.
+  test(`an answer with the status ${status} is garbled`, async () => {
+    const outcome = await sendTo((socket) => {
+      socket.end(HEAD.replace('200', status) + 'content-length: 2\r\n\r\nok');
+    });
+    expect(outcome).toLooseEqual({
+      kind: 'unknown',
+      why: 'garbled',
+      detail: `the answer has the status ${Number(status)}`,
+    });
+  });
+}
+
 test('an answer that says that the request did not run is taken as proof', async () => {
   const outcome = await sendTo((socket) => {
     socket.end('HTTP/1.1 503 Full\r\nattempt: a1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n');
--- a/packages/routing/src/lib/dispatch/server-attempt.ts
+++ b/packages/routing/src/lib/dispatch/server-attempt.ts
@@ -2,6 +2,7 @@
   ANSWER_HEADERS,
   REQUEST_HEADERS,
   type RefusalReason,
+  isFinalStatus,
   refusalReasonSchema,
 } from '@boragepoint/platform';
 import type { Assignment } from '@boragepoint/ownership';
@@ -28,7 +29,7 @@
   | { readonly kind: 'aborted' }
   /** The answer is larger than the rule allows. */
   | { readonly kind: 'too-large' }
-  /** The answer has the id of another request, or an unknown refusal reason. */
+  /** The answer has the id of another request, an invalid status or an unknown refusal reason. */
   | { readonly kind: 'wrong-answer' };
 
 /** Error codes that prove that no connection was opened. */
@@ -100,7 +101,7 @@
 ): Promise<AttemptOutcome> {
   const reason = singleHeader(res, ANSWER_HEADERS.refusal);
   const isForRequest = singleHeader(res, ANSWER_HEADERS.requestId) === req.requestId;
-  if (!isForRequest) {
+  if (!isForRequest || !isFinalStatus(res.statusCode)) {
     await res.body.dump();
     return { kind: 'wrong-answer' };
   }
--- a/packages/routing/src/test/unframed-answer_test.ts
+++ b/packages/routing/src/test/unframed-answer_test.ts
@@ -76,6 +76,16 @@
   expect(await outcomes(breakOff)).toEqual(['connection-lost']);
 });
 
+// Guards against bytes that are no answer and are taken for one: HTTP has no such status.
+test('an answer whose status is none of HTTP is no answer', async () => {
+  for (const status of ['000', '099', '600', '999']) {
+    const [kind] = await outcomes((socket) => {
+      socket.end(HEAD.replace('200', status) + BODY);
+    });
+    expect(kind === 'answered').toEqual(false);
+  }
+});
+
 test('an answer without a length whose connection ends in order is whole', async () => {
   expect(await outcomes(sendWhole)).toEqual(['answered']);
 });
