Router: a cancelled request's connection is reset, so that nothing of it arrives later

What callers saw: nothing; their requests reached servers after they had left. Cause of what is shown: a request that is cancelled after it was sent closes its connection in order. What the network has not delivered of it, across a cut path or to a server that reads late, follows once it can, with the time that its caller had when it was sent. Why it works: the operating system drops what it holds of a connection that is reset, and the server learns at once that the caller is gone.

--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -125,7 +125,9 @@
       }
       // The HTTP library reports the abort as a connection error, so the outcome is settled first.
       finish({ kind: 'unknown', why: 'cancelled', detail: 'cancelled' });
-      controller.abort(new errors.RequestAbortedError());
+      connections.resetWhile(() => {
+        controller?.abort(new errors.RequestAbortedError());
+      });
     };
     const cancelIfUnsent = () => {
       if (!controller) finish({ kind: 'not-run', why: 'paused' });
--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -34,6 +34,12 @@
    * the turn in which the end is reported.
    */
   confirmEnd(): Promise<boolean>;
+  /**
+   * Calls `cancel`, in which the HTTP library closes the connection of a request, and resets that
+   * connection. Closed in order, it would still deliver what has not arrived of the request, however
+   * much later.
+   */
+  resetWhile(cancel: () => void): void;
 }
 
 /** Connections to one backend server. */
@@ -91,12 +97,38 @@
   /** Open connections, with the bytes received on each at the last flood check. */
   const sockets = new Map<Socket, number>();
 
+  let isResetting = false;
+
+  function resetWhile(cancel: () => void): void {
+    isResetting = true;
+    try {
+      cancel();
+    } finally {
+      isResetting = false;
+    }
+  }
+
+  /** Resets a connection in place of closing it, if the HTTP library destroys it meanwhile. */
+  function watchDestroy(socket: Socket): void {
+    const destroy = socket.destroy.bind(socket);
+    let cause: Error | undefined;
+    socket.destroy = (err) => {
+      // A reset destroys the socket without an error. The HTTP library, which waits for its own,
+      // would take it for the end of an answer.
+      if (!isResetting) return destroy(err ?? cause);
+      isResetting = false;
+      cause = err;
+      return socket.resetAndDestroy();
+    };
+  }
+
   /** Connects, and observes the end of the connection before the HTTP library does. */
   const connect: buildConnector.connector = (options, callback) => {
     connectSocket(options, (...result) => {
       const [, socket] = result;
       if (socket) {
         ends.watch(socket);
+        watchDestroy(socket);
         sockets.set(socket, 0);
         socket.once('close', () => sockets.delete(socket));
       }
@@ -143,7 +175,8 @@
       return poolOf(0);
     },
     confirmEnd,
-    forRepeat: (earlierSends) => ({ dispatcher: poolOf(earlierSends), confirmEnd }),
+    resetWhile,
+    forRepeat: (earlierSends) => ({ dispatcher: poolOf(earlierSends), confirmEnd, resetWhile }),
     replacePools,
     resize(next) {
       if (!shouldResize(share, next)) return;
--- a/packages/router/src/test/send-request_test.ts
+++ b/packages/router/src/test/send-request_test.ts
@@ -461,3 +461,46 @@
   await new Promise((resolve) => server.close(resolve));
   expect(connected).toEqual(0);
 });
+
+/** Larger than what the operating system holds of a connection that is not read. */
+const LARGE_BODY = Buffer.alloc(16 << 20);
+
+// Guards against a request that reaches its server long after its caller has left: what the network
+// has not delivered yet would follow once it can, as after a cut path or at a server that reads late.
+test('what has not arrived of a cancelled request does not arrive later', async (t) => {
+  const events = new EventEmitter();
+  let receivedBytes = 0;
+  const server: Server = createServer((socket) => {
+    socket.on('data', (data) => (receivedBytes += data.length));
+    socket.on('error', (err: NodeJS.ErrnoException) => events.emit('ended', err.code));
+    socket.once('end', () => events.emit('ended', 'in order'));
+    socket.once('data', () => {
+      socket.pause();
+      events.emit('begun', socket);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  t.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const connections = createServerConnections(`127.0.0.1:${port}`, {
+    connections: 1,
+    keepAliveMs: 4_000,
+  });
+  t.after(() => {
+    connections.close();
+  });
+  const caller = new AbortController();
+  const begun = once(events, 'begun');
+  const ended = once(events, 'ended');
+  const sent = sendRequest(
+    connections,
+    { method: 'POST', path: '/', headers: [], body: LARGE_BODY, attemptId: 'a1' },
+    optionsOf(caller.signal),
+  );
+  const [socket] = (await begun) as [Socket];
+  caller.abort();
+  expect(await sent).toLooseEqual({ kind: 'unknown', why: 'cancelled', detail: 'cancelled' });
+  socket.resume();
+  expect(await ended).toEqual(['ECONNRESET']);
+  expect(receivedBytes < LARGE_BODY.length).toEqual(true);
+});
