Placement: a free leadership lease is left to much stronger routers first

What callers saw on the large site: refusals because keys have no owner, from 6 s on, after its leader had been replaced at 3 s. Cause: the lease goes to whoever polls first, and that is mostly one of 168 instances with 0.27 cores. A leader's work grows with the fleet; such an instance answers hardly a report of the other 194 and does not renew its own lease, so the next one follows 4 s later. Ruled out: handing over to a stronger router after the fact, which exists and did not come to it; a pause for all, which costs small sites time.

--- a/packages/placement/src/lib/become-leader.ts
+++ b/packages/placement/src/lib/become-leader.ts
@@ -90,15 +90,17 @@
 }
 
 /** Returns the placement to start from, with new fencing tokens. */
-function firstContent({ reading, recovered, suspects, knownPeers }: BecomeLeaderOptions) {
+function firstContent(options: BecomeLeaderOptions) {
+  const { reading, recovered } = options;
   const previous = recovered ? recovered.placement : reading.placement;
   // Tokens of this era are above all that were given out in earlier ones and may be lost.
   const nextFence = Math.max(previous?.nextFence ?? 1, inEra(reading.era, 1));
   return {
     version: (previous?.version ?? 0) + 1,
     change: previous?.change ?? 0,
-    suspects: suspects(),
-    peers: knownPeers(),
+    suspects: options.suspects(),
+    peers: options.knownPeers(),
+    strongestCapacity: options.strongestCapacity(),
     ...renewFences({ services: previous?.services ?? new Map<string, never>(), nextFence }),
     isUnverified: previous?.isUnverified ?? recovered?.source === 'none',
   };
--- a/packages/placement/src/lib/leader-lease.ts
+++ b/packages/placement/src/lib/leader-lease.ts
@@ -84,10 +84,10 @@
 }
 
 /**
- * Returns whether a candidate may acquire the leadership lease now, as far as the row of this era
+ * Returns whether the leadership lease is free for a candidate, as far as the row of this era
  * tells.
  */
-export function mayAcquire(reading: LeaderLeaseReading, candidate: Candidate): boolean {
+export function isLeaseFree(reading: LeaderLeaseReading, candidate: Candidate): boolean {
   const leaderLease = reading.placement?.leaderLease;
   if (!leaderLease || reading.storeNowMs >= leaderLease.untilMs) return true;
   if (leaderLease.handedOver)
--- a/packages/placement/src/lib/leadership-transfer.ts
+++ b/packages/placement/src/lib/leadership-transfer.ts
@@ -1,3 +1,4 @@
+import { MIN_CAPACITY_RATIO } from './candidacy.js';
 import type { PlacementLeader } from './placement-leader.js';
 import type { Reporter } from './reporters.js';
 import type { Clocks } from './suspension-guard.js';
@@ -7,8 +8,6 @@
  * reported, in milliseconds.
  */
 const MIN_LEADING_MS = 1_000;
-/** Ratio of processor time from which a change of leader is worthwhile. */
-const MIN_CAPACITY_RATIO = 1.5;
 /** Time after which leadership is offered to the same router again, in milliseconds. */
 const REPEATED_OFFER_DELAY_MS = 30_000;
 
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -141,6 +141,8 @@
   suspects(): readonly AgedRun[];
   /** Addresses of other routers to store in the row. */
   knownPeers(): readonly string[];
+  /** Processor time of the strongest router known, in cores. */
+  strongestCapacity(): number;
 }
 
 /** Creates the leader of one epoch. */
@@ -203,6 +205,7 @@
     services: recordAll(),
     suspects: options.suspects(),
     peers: options.knownPeers(),
+    strongestCapacity: options.strongestCapacity(),
     isUnverified: !isVerified,
   });
 
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -4,6 +4,7 @@
 import type { ReportRequest, RequestPermitsRequest } from '@boragepoint/protocol';
 
 import { becomeLeader } from './become-leader.js';
+import { createCandidacy } from './candidacy.js';
 import { createChangeSignal } from './change-signal.js';
 import type { OnUnusable } from './decode-list.js';
 import { createStepDownRequests } from './former-leader.js';
@@ -12,12 +13,7 @@
 import type { PlacementLogger } from './leader-context.js';
 import { type StepDownReply, type StepDownRequest, createLeaderMemory } from './leader-memory.js';
 import { createLimitExchange } from './limit-exchange.js';
-import {
-  type Candidate,
-  type LeaderLeaseReading,
-  mayAcquire,
-  readLeaderLease,
-} from './leader-lease.js';
+import { type Candidate, type LeaderLeaseReading, readLeaderLease } from './leader-lease.js';
 import { createLeadershipTransfer } from './leadership-transfer.js';
 import type { AdmittedShares } from './overload.js';
 import {
@@ -85,6 +81,11 @@
 const LEASE_CHECK_INTERVAL_MS = 1_000;
 /** Time in which the other routers have reported to a new leader, in milliseconds. */
 const FIRST_REPORTS_MS = 2_000;
+/**
+ * Time for which a leader remembers the capacity of a router that does not report to it, in
+ * milliseconds.
+ */
+const CAPACITY_MEMORY_MS = 60_000;
 /** Number of peers that a starting router reports to, besides the leader. */
 const CATCH_UP_PEERS = 3;
 /** Timeout of these reports, in milliseconds. */
@@ -245,12 +246,15 @@
     now: clocks.monotonic,
   });
   const transferLeadership = createLeadershipTransfer(options.capacity, clocks);
+  const candidacy = createCandidacy(self, options.capacity, clocks.monotonic);
   let routers = 1;
   let admitted: { shares: AdmittedShares; until: number } = { shares: new Map(), until: 0 };
   let leader: PlacementLeader | undefined;
   /** Gives permits out while this router leads. */
   let allocator: PermitAllocator | undefined;
   let leaderRun: Promise<void> = Promise.resolve();
+  /** The strongest capacity that the former leader stored, in cores. */
+  let formerCapacity = 0;
   /** The leader to report to. */
   let followedLeader: LeaderAddress | undefined;
   /** When the last read of the row was sent, on the monotonic clock. */
@@ -274,6 +278,7 @@
   /** Returns whether the store answers this router. */
   const isServedByStore = () => options.directory.currentSince() < Infinity;
   const countRouters = () => reporters.count() + 1;
+  const ledForMs = () => (leader ? clocks.monotonic() - leader.startedAt : 0);
 
   /**
    * Addresses of the routers that may reach servers. A router that has just begun to lead adds those
@@ -281,17 +286,23 @@
    */
   function reachers(): readonly string[] {
     const reporting = reporters.mayReachServers();
-    const ledForMs = leader ? clocks.monotonic() - leader.startedAt : 0;
-    if (ledForMs >= FIRST_REPORTS_MS) return reporting;
+    if (ledForMs() >= FIRST_REPORTS_MS) return reporting;
     return [...new Set([...reporting, ...knownPeers.all()])];
   }
 
+  function strongestCapacity(): number {
+    const known = Math.max(options.capacity, reporters.strongest()?.capacity ?? 0);
+    return ledForMs() < CAPACITY_MEMORY_MS ? Math.max(known, formerCapacity) : known;
+  }
+
   async function acquireLease(
     reading: LeaderLeaseReading,
     signal: AbortSignal,
     recovered?: RecoveredPlacement,
   ): Promise<void> {
     const partitionedServices = () => options.partitionedServices() ?? [];
+    const former = reading.placement ?? reading.copy;
+    formerCapacity = former?.strongestCapacity ?? 0;
     const created = await becomeLeader({
       ...options,
       requestStepDown,
@@ -299,6 +310,7 @@
       routers: countRouters,
       suspects: () => exchange.runsToStore(),
       knownPeers: () => knownPeers.all(),
+      strongestCapacity,
       reachers: () => reachers(),
       askToReach: (router, req) => peers.reachServer(router, req),
       witnessCandidates: () => [...reporters.addresses(), ...knownPeers.all()],
@@ -409,7 +421,7 @@
       isCaughtUp = true;
     }
     const mayLead = !signal.aborted && options.partitionedServices() !== undefined;
-    if (mayLead && mayAcquire(reading, self)) {
+    if (mayLead && candidacy.mayAcquire(reading)) {
       await acquireLease(reading, signal);
       return;
     }
--- a/packages/placement/src/lib/placement-record.ts
+++ b/packages/placement/src/lib/placement-record.ts
@@ -87,6 +87,8 @@
    * there yet.
    */
   readonly isUnverified?: boolean;
+  /** Processor time of the strongest router known, in cores; missing if unknown. */
+  readonly strongestCapacity?: number;
 }
 
 /** Encodes a service; each incarnation is written once and referenced by its index. */
@@ -156,12 +158,14 @@
     suspects: placement.suspects.map(encodeRun),
     peers: [...placement.peers],
     unverified: placement.isUnverified ?? false,
+    strongestCapacity: placement.strongestCapacity ?? 0,
   });
   return toBinary(PlacementRecordSchema, message);
 }
 
 function decodeMessage(message: PlacementRecord): Placement {
-  const { seat: leaderLease } = message;
+  const { seat: leaderLease, strongestCapacity } = message;
+  const isCapacityKnown = strongestCapacity > 0 && strongestCapacity < Infinity;
   return {
     leaderLease: {
       router: leaderLease?.router ?? '',
@@ -180,6 +184,7 @@
     suspects: message.suspects.flatMap((it) => decodeRun(it) ?? []),
     peers: message.peers.filter(isCallable),
     ...(message.unverified && { isUnverified: true }),
+    ...(isCapacityKnown && { strongestCapacity }),
   };
 }
 
--- a/packages/placement/src/test/leader-lease_test.ts
+++ b/packages/placement/src/test/leader-lease_test.ts
@@ -6,7 +6,7 @@
   type Candidate,
   LEADER_LEASE_MS,
   createLeaderLease,
-  mayAcquire,
+  isLeaseFree,
   readLeaderLease,
 } from '../lib/leader-lease.js';
 import { type FakeClocks, createFakeClocks } from './fake-clocks.js';
@@ -53,10 +53,10 @@
   await a.leaderLease.write(content(1));
   clocks.advance(LEADER_LEASE_MS - 1);
   const early = await openLease(store, clocks, candidate('b'));
-  expect(mayAcquire(early.reading, candidate('b'))).toEqual(false);
+  expect(isLeaseFree(early.reading, candidate('b'))).toEqual(false);
   clocks.advance(1);
   const late = await openLease(store, clocks, candidate('b'));
-  expect(mayAcquire(late.reading, candidate('b'))).toEqual(true);
+  expect(isLeaseFree(late.reading, candidate('b'))).toEqual(true);
   expect(a.leaderLease.isConfirmed()).toEqual(false);
 });
 
@@ -65,8 +65,8 @@
   const a = await openLease(store, clocks, candidate('a', 1));
   await a.leaderLease.write(content(1));
   const { reading } = await openLease(store, clocks, candidate('a', 2));
-  expect(mayAcquire(reading, candidate('a', 2))).toEqual(true);
-  expect(mayAcquire(reading, candidate('a', 1))).toEqual(false);
+  expect(isLeaseFree(reading, candidate('a', 2))).toEqual(true);
+  expect(isLeaseFree(reading, candidate('a', 1))).toEqual(false);
 });
 
 test('the outcome of a write whose answer was lost is resolved by the next writes', async () => {
@@ -111,7 +111,7 @@
   await a.leaderLease.write(content(1));
   await a.leaderLease.write(content(2), { unansweredForMs: 700 });
   const { reading } = await openLease(store, clocks, candidate('b'));
-  expect(mayAcquire(reading, candidate('b'))).toEqual(true);
+  expect(isLeaseFree(reading, candidate('b'))).toEqual(true);
   expect(reading.placement?.leaderLease.unansweredForMs).toEqual(700);
 });
 
@@ -130,11 +130,11 @@
   await a.leaderLease.write(content(1));
   await a.leaderLease.write(content(2), { unansweredForMs: 0, successor: 'b' });
   const { reading } = await openLease(store, clocks, candidate('b'));
-  expect(mayAcquire(reading, candidate('b'))).toEqual(true);
-  expect(mayAcquire(reading, candidate('c'))).toEqual(false);
+  expect(isLeaseFree(reading, candidate('b'))).toEqual(true);
+  expect(isLeaseFree(reading, candidate('c'))).toEqual(false);
   clocks.advance(LEADER_LEASE_MS);
   const later = await openLease(store, clocks, candidate('c'));
-  expect(mayAcquire(later.reading, candidate('c'))).toEqual(true);
+  expect(isLeaseFree(later.reading, candidate('c'))).toEqual(true);
 });
 
 /** Lets a write reach the store, and holds its answer back until the returned function is called. */
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -92,6 +92,7 @@
     toMonotonic: (storeMs) => storeMs,
     orders: holders,
     reachers: () => [],
+    strongestCapacity: () => 1,
     askToReach: () => Promise.resolve({ kind: 'unanswered' }),
     directory: createFakeDirectory(['a', 'b']),
     clocks: processClocks,
--- a/packages/placement/src/test/placement-record_test.ts
+++ b/packages/placement/src/test/placement-record_test.ts
@@ -47,6 +47,7 @@
     services: new Map([['s', records]]),
     suspects: [],
     peers: ['10.0.0.2:7'],
+    strongestCapacity: 0.675,
   };
 }
 
