Suspects: without a leader, runs learned from others are passed on to three routers

Cause: while no leader answers, each router sends each run of a request that may have ended a server to the up to 12 routers that it knows, also the runs that it has learned from them, so that each run is sent some 2,300 times in a fleet of 195. Evidence: suspect-exchange_test, 60 routers: more than 192 calls for one run with the old fan-out (fails), at most 192 now, nine tenths informed. Ruled out: fewer calls for what a router has observed itself, as routers of small fleets must know at once. Why it works: a run spreads by itself as long as each router passes it on to more than one; the next leader's reports fill what is left.

--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -567,7 +567,7 @@
     async receiveSuspects(update) {
       const hasChanged = exchange.receive(update) > 0;
       // A leader shares its runs with all other routers itself.
-      if (hasChanged && update.from !== followedLeader?.address) await exchange.share();
+      if (hasChanged && update.from !== followedLeader?.address) await exchange.passOn();
     },
     admittedShare: (server) =>
       clocks.monotonic() < admitted.until ? (admitted.shares.get(server) ?? 1) : 1,
--- a/packages/placement/src/lib/suspect-exchange.ts
+++ b/packages/placement/src/lib/suspect-exchange.ts
@@ -17,6 +17,8 @@
  * milliseconds.
  */
 const SHARE_ALL_TIMEOUT_MS = 300;
+/** Number of routers to which runs are passed on that others have observed, without a leader. */
+const PASS_ON_FANOUT = 3;
 /** Maximum number of suspect runs stored in the leader's row; the newest are kept. */
 const MAX_STORED_RUNS = 64;
 
@@ -36,6 +38,8 @@
   others(): readonly string[];
   /** Called when the record changed, so that a leader writes its row. */
   onChange(): void;
+  /** Uniform in [0, 1). */
+  readonly random?: () => number;
 }
 
 /** Synchronizes a router's record of suspect runs with those of other routers. */
@@ -66,6 +70,11 @@
    * they lack runs that ended their servers, or may have.
    */
   share(): Promise<void>;
+  /**
+   * Passes runs on that another router has shared: to all routers if this one leads, to the leader,
+   * or to a few others while there is none, since these pass them on, too.
+   */
+  passOn(): Promise<void>;
   /** Returns the runs to store in the leader's row. */
   runsToStore(): AgedRun[];
 }
@@ -77,7 +86,7 @@
 
 /** Creates the exchange of one router. */
 export function createSuspectExchange(options: SuspectExchangeOptions): SuspectExchange {
-  const { record, peers, clocks } = options;
+  const { record, peers, clocks, random = Math.random } = options;
   const points = createSyncPoints();
   const deliverySignal = createChangeSignal();
   /** Calls in flight, at most one per router, by address. */
@@ -147,6 +156,28 @@
     return next;
   }
 
+  /** Shares new runs over the leader, or else with the routers that `choose` picks among those known. */
+  async function shareOver(
+    choose: (others: readonly string[]) => readonly string[],
+  ): Promise<void> {
+    record.announce();
+    options.onChange();
+    const reporters = options.reporters();
+    if (reporters) {
+      await shareWithAll(reporters, record.change());
+      return;
+    }
+    const leader = options.leader();
+    if (leader !== undefined && (await shareWith(leader))) return;
+    const others = options.others().filter((it) => it !== leader);
+    await Promise.all(choose(others).map(shareWith));
+  }
+
+  function pickFew(others: readonly string[]): readonly string[] {
+    const start = Math.floor(random() * others.length);
+    return [...others.slice(start), ...others.slice(0, start)].slice(0, PASS_ON_FANOUT);
+  }
+
   return {
     reportFields: (address) => ({
       suspects: record.since(points.sentTo(address)),
@@ -178,19 +209,8 @@
     mergeStored(runs) {
       mergeRuns(runs, 'the stored placement');
     },
-    async share() {
-      record.announce();
-      options.onChange();
-      const reporters = options.reporters();
-      if (reporters) {
-        await shareWithAll(reporters, record.change());
-        return;
-      }
-      const leader = options.leader();
-      if (leader !== undefined && (await shareWith(leader))) return;
-      const others = options.others().filter((it) => it !== leader);
-      await Promise.all(others.map(shareWith));
-    },
+    share: () => shareOver((others) => others),
+    passOn: () => shareOver(pickFew),
     runsToStore() {
       const crashSuspects = record
         .since(0)
--- a/packages/placement/src/test/suspect-exchange_test.ts
+++ b/packages/placement/src/test/suspect-exchange_test.ts
@@ -130,3 +130,61 @@
   exchange.noteAnswer('leader', askedAt, answer as unknown as ReportAnswer);
   expect(exchange.reportFields('leader').suspects.map((it) => it.run)).toInclude('run-3');
 });
+
+const FLEET = 60;
+const KNOWN_PEERS = 12;
+
+/** Routers without a leader; each knows some of the others, and passes on what it learns. */
+function startFleet(random: () => number) {
+  const addresses = Array.from({ length: FLEET }, (_, index) => `r-${index}`);
+  const routers = new Map<string, SuspectExchange>();
+  const records: SuspectRecord[] = [];
+  let calls = 0;
+  const passedOn: Promise<void>[] = [];
+  for (const address of addresses) {
+    const record = createSuspectRecord(() => 0);
+    const others = addresses.filter((it) => it !== address);
+    const known = others.sort(() => random() - 0.5).slice(0, KNOWN_PEERS);
+    records.push(record);
+    const exchange = createSuspectExchange({
+      address,
+      record,
+      peers: {
+        shareSuspects(to, update) {
+          calls += 1;
+          const receiver = routers.get(to);
+          if (receiver && receiver.receive(update) > 0) passedOn.push(receiver.passOn());
+          return Promise.resolve(1);
+        },
+      },
+      clocks: processClocks,
+      log: { info: () => undefined, warn: () => undefined },
+      reporters: () => undefined,
+      leader: () => undefined,
+      others: () => known,
+      onChange: () => undefined,
+      random,
+    });
+    routers.set(address, exchange);
+  }
+  /** Waits until nothing is passed on any more. */
+  async function settle(): Promise<void> {
+    // Grows while it is iterated.
+    for (const it of passedOn) await it;
+  }
+  return { routers, records, settle, calls: () => calls };
+}
+
+// Guards against a large fleet that floods its links while it has no leader, so that the next one
+// can't answer it: each router sent each run that it learned of to all others that it knew.
+test('without a leader a run reaches nearly all routers with a few calls a router', async () => {
+  let seed = 7;
+  const random = () => (seed = (seed * 16_807) % 2_147_483_647) / 2_147_483_647;
+  const fleet = startFleet(random);
+  fleet.records[0]?.put(lostRun(1));
+  await fleet.routers.get('r-0')?.share();
+  await fleet.settle();
+  const informed = fleet.records.filter((it) => !it.isEmpty()).length;
+  expect(informed >= 0.9 * FLEET).toEqual(true);
+  expect(fleet.calls() <= KNOWN_PEERS + 3 * FLEET).toEqual(true);
+});
