Suspects: messages to other routers are bounded

Cause: a router that begins to lead has no account of what the others know, so each sends it its whole record with its report and gets the leader's whole record back, within a time limit on the whole call. If that is missed, nothing counts as sent, and all is sent again. Ruled out: newest first only, as the numbers that two routers exchange count what is known from the oldest on. Why it works: a message has the 24 oldest runs that the other router lacks, which count once they have arrived, and the 24 newest losses besides, so that these never wait. A router that is starting gets all, since it serves from then on.

--- a/packages/placement/src/lib/report-client.ts
+++ b/packages/placement/src/lib/report-client.ts
@@ -6,7 +6,6 @@
 import type { ServiceLoadReport } from './service-planner.js';
 import type { ServerLimits } from './server-limits.js';
 import type { SuspectExchange } from './suspect-exchange.js';
-import type { SuspectRecord } from './suspect-record.js';
 import { encodeRun } from './suspect-run.js';
 
 /** Options of {@link createReportClient}. */
@@ -16,7 +15,6 @@
   readonly capacity: number;
   readonly peers: Pick<PlacementPeers, 'report'>;
   readonly directory: ServerDirectory;
-  readonly suspects: SuspectRecord;
   readonly exchange: SuspectExchange;
   readonly limits: ServerLimits;
   readonly limitExchange: LimitExchange;
@@ -48,10 +46,14 @@
 
 /** Creates the client of one router. */
 export function createReportClient(options: ReportClientOptions): ReportClient {
-  const { self, directory, exchange, suspects, limits, limitExchange, peers } = options;
+  const { self, directory, exchange, limits, limitExchange, peers } = options;
 
-  function buildReport(address: string, waitMs: number, loads: readonly ServiceLoadReport[]) {
-    const suspectFields = exchange.reportFields(address);
+  function buildReport(
+    address: string,
+    suspectFields: ReturnType<SuspectExchange['reportFields']>,
+    waitMs: number,
+    loads: readonly ServiceLoadReport[],
+  ) {
     const limitFields = limitExchange.reportFields(address);
     const known = options.view();
     return {
@@ -80,11 +82,12 @@
 
   return {
     async report(address, { waitMs, timeoutMs }, loads = []) {
-      const sharedUpTo = suspects.change();
+      const suspectFields = exchange.reportFields(address);
       const limitsSharedUpTo = limits.change();
-      const answer = await peers.report(address, buildReport(address, waitMs, loads), timeoutMs);
+      const report = buildReport(address, suspectFields, waitMs, loads);
+      const answer = await peers.report(address, report, timeoutMs);
       if (answer) {
-        exchange.noteAnswer(address, sharedUpTo, answer);
+        exchange.noteAnswer(address, suspectFields.sharedUpTo, answer);
         limitExchange.noteAnswer(address, limitsSharedUpTo, answer);
       }
       return answer;
--- a/packages/placement/src/lib/report-responder.ts
+++ b/packages/placement/src/lib/report-responder.ts
@@ -66,6 +66,9 @@
   return Number(req.knownEpoch) === leading.epoch ? Number(req.knownChange) : -1;
 }
 
+/** Whether a report comes from a router that starts: it does not wait for news before it serves. */
+const isStarting = (req: ReportRequest) => req.waitMs === 0;
+
 /** Leaves out keys that do not exist, and measurements that are no sums of times. */
 function usableLoad({ service, keys, servers }: ServiceLoadReport): ServiceLoadReport {
   const isSum = (sum: number) => sum >= 0 && sum < Infinity;
@@ -89,7 +92,7 @@
     return {
       leads: false,
       startedMs: BigInt(options.startedMs),
-      ...exchange.replyFields(req.address, knownSuspects),
+      ...exchange.replyFields(req.address, knownSuspects, isStarting(req)),
       ...limitFieldsFor(req),
       ...(followedLeader && { leader: leaderMessage(followedLeader) }),
     };
@@ -166,7 +169,7 @@
       tenureOver: leading.isLeaseExpired(),
       peers: reporters.someAddresses(req.address),
       witnesses: [...leading.witnesses()],
-      ...exchange.replyFields(req.address, knownSuspects),
+      ...exchange.replyFields(req.address, knownSuspects, isStarting(req)),
       ...limitFieldsFor(req),
       ...(servers && { servers }),
       tables: options.tables().map((it) => encodeTable(it, arrivedAt)),
--- a/packages/placement/src/lib/suspect-exchange.ts
+++ b/packages/placement/src/lib/suspect-exchange.ts
@@ -19,6 +19,12 @@
 const SHARE_ALL_TIMEOUT_MS = 300;
 /** Number of routers to which runs are passed on that others have observed, without a leader. */
 const PASS_ON_FANOUT = 3;
+/**
+ * Number of the oldest runs that a router lacks in one message to it, and of the newest losses. A new
+ * leader lacks what all routers know of each other: whole records would fill its link, and be sent
+ * again and again as none of the messages arrived in time.
+ */
+const MAX_RUNS_PER_MESSAGE = 24;
 /** Maximum number of suspect runs stored in the leader's row; the newest are kept. */
 const MAX_STORED_RUNS = 64;
 
@@ -44,19 +50,23 @@
 
 /** Synchronizes a router's record of suspect runs with those of other routers. */
 export interface SuspectExchange {
-  /** Returns the suspect fields of a report to the router at an address. */
-  reportFields(
-    address: string,
-  ): Pick<ReportAnswer, 'knownSuspects'> & { suspects: readonly AgedRun[] };
+  /**
+   * Returns the suspect fields of a report to the router at an address; the report includes all
+   * changes up to `sharedUpTo`.
+   */
+  reportFields(address: string): Pick<ReportAnswer, 'knownSuspects'> & {
+    readonly suspects: readonly AgedRun[];
+    readonly sharedUpTo: number;
+  };
   /** Merges the answer to a report that included all changes up to `sharedUpTo`. */
   noteAnswer(address: string, sharedUpTo: number, answer: ReportAnswer): void;
   /** Merges a report; returns the last change of this record that the reporting router knows. */
   receiveReport(req: ReportRequest): number;
   /**
    * Returns the suspect fields of the answer to a report; assumes that the reporting router
-   * receives it.
+   * receives it. A router that is starting gets all runs at once, since it serves from then on.
    */
-  replyFields(address: string, knownUpTo: number): Pick<ReplyFields, 'suspects' | 'knownSuspects'>;
+  replyFields(address: string, knownUpTo: number, isStarting?: boolean): ReplyFields;
   /**
    * Merges runs that another router shared outside of a report; returns the number of runs that
    * changed.
@@ -131,15 +141,14 @@
   }
 
   async function sendMissing(address: string): Promise<boolean> {
-    const change = record.change();
-    const runs = record.since(points.sentTo(address));
+    const { runs, upTo } = record.batchSince(points.sentTo(address), MAX_RUNS_PER_MESSAGE);
     if (runs.length === 0) return true;
     const update = { runs, from: options.address };
     const startedMs = await peers.shareSuspects(address, update, SHARE_TIMEOUT_MS);
     if (startedMs === undefined) return false;
     // A new process must be sent everything.
     if (!points.noteProcess(address, startedMs)) return sendMissing(address);
-    points.noteSent(address, Math.max(points.sentTo(address), change));
+    points.noteSent(address, Math.max(points.sentTo(address), upTo));
     deliverySignal.wakeAll();
     return true;
   }
@@ -179,10 +188,10 @@
   }
 
   return {
-    reportFields: (address) => ({
-      suspects: record.since(points.sentTo(address)),
-      knownSuspects: points.receivedFrom(address),
-    }),
+    reportFields(address) {
+      const { runs, upTo } = record.batchSince(points.sentTo(address), MAX_RUNS_PER_MESSAGE);
+      return { suspects: runs, sharedUpTo: upTo, knownSuspects: points.receivedFrom(address) };
+    },
     noteAnswer(address, sharedUpTo, answer) {
       const { startedMs, knownSuspects } = answer;
       points.noteAnswer(address, { startedMs, sentUpTo: sharedUpTo, receivedUpTo: knownSuspects });
@@ -199,11 +208,12 @@
       );
       return points.sentTo(req.address);
     },
-    replyFields(address, knownUpTo) {
-      const change = record.change();
-      points.noteSent(address, change);
+    replyFields(address, knownUpTo, isStarting = false) {
+      const max = isStarting ? Infinity : MAX_RUNS_PER_MESSAGE;
+      const { runs, upTo } = record.batchSince(knownUpTo, max);
+      points.noteSent(address, upTo);
       deliverySignal.wakeAll();
-      return { suspects: record.since(knownUpTo).map(encodeRun), knownSuspects: BigInt(change) };
+      return { suspects: runs.map(encodeRun), knownSuspects: BigInt(upTo) };
     },
     receive: ({ runs, from }) => mergeFrom(from, runs),
     mergeStored(runs) {
--- a/packages/placement/src/lib/suspect-record.ts
+++ b/packages/placement/src/lib/suspect-record.ts
@@ -55,6 +55,8 @@
   change(): number;
   /** Runs that changed after the change with a number. */
   since(change: number): AgedRun[];
+  /** The oldest of these runs, at most `max`, and the newest losses among the others, at most `max`. */
+  batchSince(change: number, max: number): RunBatch;
   /**
    * Waits until a change after `known` is announced or merged, for at most `waitMs` milliseconds.
    */
@@ -81,6 +83,13 @@
   countSuspectIncarnations(): number;
 }
 
+/** Some of the runs that changed after a change. */
+export interface RunBatch {
+  readonly runs: readonly AgedRun[];
+  /** Change up to which the batch includes all. */
+  readonly upTo: number;
+}
+
 /** A run that may have ended its server. */
 export interface Loss {
   readonly run: SuspectRun;
@@ -193,6 +202,19 @@
       : own;
   }
 
+  const agedRun = ({ run, at }: Entry): AgedRun => ({ ...run, ageMs: now() - at });
+
+  /** Entries that changed after a change, in the order of their changes. */
+  function changedSince(known: number): Entry[] {
+    removeExpired();
+    const isLatest = ({ number, run }: NumberedChange) => entries.get(run)?.change === number;
+    changes.compact(isLatest, 2 * entries.size + EVICTION_BATCH);
+    return changes
+      .after(known)
+      .filter(isLatest)
+      .flatMap(({ run }) => entries.get(run) ?? []);
+  }
+
   return {
     isEmpty: () => entries.size === 0,
     put(run) {
@@ -223,15 +245,14 @@
       changeSignal.wakeAll();
     },
     change: () => change,
-    since(known) {
-      removeExpired();
-      const isLatest = ({ number, run }: NumberedChange) => entries.get(run)?.change === number;
-      changes.compact(isLatest, 2 * entries.size + EVICTION_BATCH);
-      return changes
-        .after(known)
-        .filter(isLatest)
-        .flatMap(({ run }) => entries.get(run) ?? [])
-        .map(({ run, at }) => ({ ...run, ageMs: now() - at }));
+    since: (known) => changedSince(known).map(agedRun),
+    batchSince(known, max) {
+      const changed = changedSince(known);
+      const oldest = changed.slice(0, max);
+      const others = changed.slice(max);
+      const newestLosses = others.filter((it) => isLoss(it.run)).slice(-max);
+      const upTo = others.length > 0 ? (oldest.at(-1)?.change ?? known) : change;
+      return { runs: [...oldest, ...newestLosses].map(agedRun), upTo };
     },
     async waitForChange(known, waitMs) {
       if (change <= known) await changeSignal.wait(waitMs);
--- a/packages/placement/src/test/suspect-exchange_test.ts
+++ b/packages/placement/src/test/suspect-exchange_test.ts
@@ -188,3 +188,32 @@
   expect(informed >= 0.9 * FLEET).toEqual(true);
   expect(fleet.calls() <= KNOWN_PEERS + 3 * FLEET).toEqual(true);
 });
+
+// Guards against a new leader whose link is filled by what all routers know already: whole records in
+// reports and answers arrived too late, and were sent again from the start.
+test('a long record reaches a new leader in parts that each count once they have arrived', () => {
+  const follower = setUp();
+  const leader = setUp([]);
+  for (let count = 0; count < 200; count += 1) putLostRun(follower.record, count);
+  follower.record.announce();
+  let reports = 0;
+  while (follower.exchange.reportFields('leader').suspects.length > 0) {
+    const { suspects, sharedUpTo } = follower.exchange.reportFields('leader');
+    expect(suspects.length <= 48).toEqual(true);
+    leader.exchange.receive({ runs: suspects, from: 'follower' });
+    const answer = { startedMs: 1, suspects: [], knownSuspects: 0 };
+    follower.exchange.noteAnswer('leader', sharedUpTo, answer as unknown as ReportAnswer);
+    reports += 1;
+  }
+  expect(reports).toEqual(Math.ceil(200 / 24));
+  expect(leader.record.since(0).length).toEqual(200);
+});
+
+test('an answer is bounded too, except to a router that is starting', () => {
+  const { record, exchange } = setUp([]);
+  for (let count = 0; count < 200; count += 1) putLostRun(record, count);
+  record.announce();
+  expect(exchange.replyFields('follower', 0).suspects.length).toEqual(48);
+  expect(exchange.replyFields('follower', 0).knownSuspects).toEqual(24n);
+  expect(exchange.replyFields('starting', 0, true).suspects.length).toEqual(200);
+});
--- a/packages/placement/src/test/suspect-record_test.ts
+++ b/packages/placement/src/test/suspect-record_test.ts
@@ -210,3 +210,17 @@
   });
   expect(visited).toEqual(['a', 'b', 'c']);
 });
+
+// Guards against messages that grow with the record, and against new losses that wait behind old ones.
+test('a batch has the oldest changes, and the newest losses besides', () => {
+  const record = createSuspectRecord(() => 0);
+  for (let count = 0; count < 10; count += 1) {
+    const state = count === 9 ? 'running' : 'lost';
+    record.merge([received(runOf(`s-${count}`, { request: `r-${count}`, state }))]);
+  }
+  const serversOf = (runs: readonly AgedRun[]) => runs.map((it) => it.server);
+  const first = record.batchSince(0, 3);
+  expect(serversOf(first.runs)).toEqual(['s-0', 's-1', 's-2', 's-6', 's-7', 's-8']);
+  expect(first.upTo).toEqual(3);
+  expect(record.batchSince(8, 3)).toLooseEqual({ runs: record.since(8), upTo: record.change() });
+});
