Suspects: a leader's calls to routers without a waiting report come in rounds, 500 a second

Cause, suspected: while runs are lost all the time, the leader calls all routers without a waiting report for each of them. Evidence: suspect-exchange_test, 20 losses in a row at a leader of 200: more than 400 calls before (fails), 400 now, and all arrive. What it does to the large site is not known yet. Why it works: losses that come within a round go together. Fleets of up to 60 routers pause for 120 ms at most; waiting reports are answered at once as before.

--- a/packages/placement/src/lib/suspect-exchange.ts
+++ b/packages/placement/src/lib/suspect-exchange.ts
@@ -1,4 +1,4 @@
-import { setImmediate as nextEventLoopTurn } from 'node:timers/promises';
+import { setImmediate as nextEventLoopTurn, setTimeout as sleep } from 'node:timers/promises';
 
 import type { ReportRequest } from '@boragepoint/protocol';
 
@@ -17,6 +17,9 @@
  * milliseconds.
  */
 const SHARE_ALL_TIMEOUT_MS = 300;
+/** Calls a second to routers without a waiting report, while runs are observed all the time. */
+const CALLS_PER_S = 500;
+const MS_PER_S = 1_000;
 /** Number of routers to which runs are passed on that others have observed, without a leader. */
 const PASS_ON_FANOUT = 3;
 /**
@@ -99,6 +102,10 @@
   const { record, peers, clocks, random = Math.random } = options;
   const points = createSyncPoints();
   const deliverySignal = createChangeSignal();
+  /** Whether a round of calls to the reporting routers is about to begin. */
+  let isRoundDue = false;
+  /** When the next round may begin, on the monotonic clock. */
+  let nextRoundAt = -Infinity;
   /** Calls in flight, at most one per router, by address. */
   const pendingShares = new Map<string, Promise<boolean>>();
 
@@ -125,6 +132,21 @@
       .some((it) => it.state === 'lost' || it.state === 'ended');
   }
 
+  /**
+   * Calls the reporting routers that lack a loss, unless calls are about to begin already. The pause
+   * after such a round leaves a leader of hundreds of routers time for its other work.
+   */
+  async function callReporters(): Promise<void> {
+    if (isRoundDue) return;
+    isRoundDue = true;
+    const pauseMs = nextRoundAt - clocks.monotonic();
+    if (pauseMs > 0) await sleep(pauseMs);
+    isRoundDue = false;
+    const reporters = options.reporters() ?? [];
+    nextRoundAt = clocks.monotonic() + (reporters.length * MS_PER_S) / CALLS_PER_S;
+    for (const address of reporters) if (isMissingLosses(address)) void shareWith(address);
+  }
+
   /**
    * Waits until all reporting routers have received a change, for at most `SHARE_ALL_TIMEOUT_MS`.
    */
@@ -134,7 +156,7 @@
     // Waiting reports are answered before the next turn of the event loop; the remaining routers
     // are between two reports.
     await nextEventLoopTurn();
-    for (const address of reporters) if (isMissingLosses(address)) void shareWith(address);
+    void callReporters();
     while (!haveAllReceived() && clocks.monotonic() < until) {
       await deliverySignal.wait(until - clocks.monotonic());
     }
--- a/packages/placement/src/test/suspect-exchange_test.ts
+++ b/packages/placement/src/test/suspect-exchange_test.ts
@@ -1,4 +1,5 @@
 import { test } from 'node:test';
+import { setImmediate as nextEventLoopTurn, setTimeout as sleep } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
@@ -217,3 +218,37 @@
   expect(exchange.replyFields('follower', 0).knownSuspects).toEqual(24n);
   expect(exchange.replyFields('starting', 0, true).suspects.length).toEqual(200);
 });
+
+// Guards against a leader that is busy with calls to hundreds of routers for each run that is lost, and
+// answers none of their reports.
+test('runs that are lost one after the other are sent to the reporting routers together', async () => {
+  const reporters = Array.from({ length: 200 }, (_, index) => `reporter-${index}`);
+  let calls = 0;
+  const record = createSuspectRecord(() => 0);
+  const exchange = createSuspectExchange({
+    address: 'self',
+    record,
+    peers: {
+      shareSuspects() {
+        calls += 1;
+        return Promise.resolve(1);
+      },
+    },
+    clocks: processClocks,
+    log: { info: () => undefined, warn: () => undefined },
+    reporters: () => reporters,
+    leader: () => undefined,
+    others: () => [],
+    onChange: () => undefined,
+  });
+  const shares: Promise<void>[] = [];
+  for (let count = 0; count < 20; count += 1) {
+    putLostRun(record, count);
+    shares.push(exchange.share());
+    await nextEventLoopTurn();
+    await nextEventLoopTurn();
+  }
+  await Promise.all(shares);
+  expect(calls <= 2 * reporters.length).toEqual(true);
+  while (calls < 2 * reporters.length) await sleep(10);
+});
