--- a/packages/placement/src/lib/suspect-exchange.ts
+++ b/packages/placement/src/lib/suspect-exchange.ts
@@ -168,7 +168,7 @@
     const update = { runs, from: options.address };
     const startedMs = await peers.shareSuspects(address, update, SHARE_TIMEOUT_MS);
     if (startedMs === undefined) return false;
-    // A new process must be sent everything.
+    // A new process lacks what the former one was sent.
     if (!points.noteProcess(address, startedMs)) return sendMissing(address);
     points.noteSent(address, Math.max(points.sentTo(address), upTo));
     deliverySignal.wakeAll();
