Suspects: what is asked of a record copies no runs; one error for unusable answers

Read again after the change: whether a router lacks a loss was found by copying its whole backlog, and the message to it was put together from the same backlog once more, for each reporting router in each round of calls. What a loss is stands once (isLoss). The two errors for answers that can't be used were handled alike and are one. The options of the exchange's tests stand once; no assertion changed.

--- a/packages/placement/src/lib/report-responder.ts
+++ b/packages/placement/src/lib/report-responder.ts
@@ -66,7 +66,10 @@
   return Number(req.knownEpoch) === leading.epoch ? Number(req.knownChange) : -1;
 }
 
-/** Whether a report comes from a router that starts: it does not wait for news before it serves. */
+/**
+ * Whether a report may come from a router that starts: it asks for what is known, and waits for no
+ * news. One that looks for the leader while the store is away asks in the same way.
+ */
 const isStarting = (req: ReportRequest) => req.waitMs === 0;
 
 /** Leaves out keys that do not exist, and measurements that are no sums of times. */
--- a/packages/placement/src/lib/suspect-exchange.ts
+++ b/packages/placement/src/lib/suspect-exchange.ts
@@ -6,7 +6,7 @@
 import type { PlacementLogger } from './leader-context.js';
 import type { PlacementPeers, ReportAnswer, SuspectUpdate } from './placement-peers.js';
 import type { SuspectRecord } from './suspect-record.js';
-import { type AgedRun, decodeRun, encodeRun } from './suspect-run.js';
+import { type AgedRun, decodeRun, encodeRun, isLoss } from './suspect-run.js';
 import { createSyncPoints } from './sync-points.js';
 import type { Clocks } from './suspension-guard.js';
 
@@ -127,9 +127,7 @@
 
   /** Returns whether the router at an address lacks a run that ended its server, or may have. */
   function isMissingLosses(address: string): boolean {
-    return record
-      .since(points.sentTo(address))
-      .some((it) => it.state === 'lost' || it.state === 'ended');
+    return record.hasLossSince(points.sentTo(address));
   }
 
   /**
@@ -244,10 +242,7 @@
     share: () => shareOver((others) => others),
     passOn: () => shareOver(pickFew),
     runsToStore() {
-      const crashSuspects = record
-        .since(0)
-        .filter((it) => it.state === 'lost' || it.state === 'ended');
-      return crashSuspects.slice(-MAX_STORED_RUNS);
+      return record.since(0).filter(isLoss).slice(-MAX_STORED_RUNS);
     },
   };
 }
--- a/packages/placement/src/lib/suspect-record.ts
+++ b/packages/placement/src/lib/suspect-record.ts
@@ -5,6 +5,7 @@
   type RequestIdentity,
   type RunState,
   type SuspectRun,
+  isLoss,
   joinRuns,
 } from './suspect-run.js';
 
@@ -77,8 +78,10 @@
   ): string | undefined;
   /** Records that an equal request was answered, which shows that it does not crash servers. */
   noteAnswered(identity: RequestIdentity): void;
-  /** Calls `visit` with each run in the state `lost` or `ended`, after which the server may have ended. */
-  forEachLoss(visit: (loss: Loss) => void): void;
+  /** Returns whether a run that changed after the change with a number is a loss. */
+  hasLossSince(change: number): boolean;
+  /** Runs in the states `lost` and `ended`, after which the server may have ended. */
+  losses(): readonly TimedRun[];
   /** Number of incarnations that runs ended, or may have ended. */
   countSuspectIncarnations(): number;
 }
@@ -90,17 +93,14 @@
   readonly upTo: number;
 }
 
-/** A run that may have ended its server. */
-export interface Loss {
+/** A run, and when it entered its state. */
+export interface TimedRun {
   readonly run: SuspectRun;
-  /** When it entered its state, in milliseconds on the clock of the record. */
+  /** In milliseconds on the clock of the record. */
   readonly at: number;
 }
 
-interface Entry {
-  readonly run: SuspectRun;
-  /** When the run entered its state, in milliseconds on the clock of the record. */
-  readonly at: number;
+interface Entry extends TimedRun {
   /** Number of the run's last change; 0 until it is announced. */
   readonly change: number;
 }
@@ -113,8 +113,6 @@
 const incarnationKey = ({ server, startedMs }: Pick<SuspectRun, 'server' | 'startedMs'>) =>
   `${server}@${startedMs}`;
 
-const isLoss = ({ state }: SuspectRun) => state === 'lost' || state === 'ended';
-
 function countIncarnations(runs: readonly SuspectRun[]): number {
   return new Set(runs.map(incarnationKey)).size;
 }
@@ -290,12 +288,8 @@
         else if (!run.othersServed) update(entry, { ...run, othersServed: true });
       }
     },
-    forEachLoss(visit) {
-      for (const id of [...lossIds]) {
-        const entry = entries.get(id);
-        if (entry) visit(entry);
-      }
-    },
+    hasLossSince: (known) => changedSince(known).some((it) => isLoss(it.run)),
+    losses: () => [...lossIds].flatMap((it) => entries.get(it) ?? []),
     countSuspectIncarnations() {
       removeExpired();
       const runs = [...entries.values()].map((it) => it.run);
--- a/packages/placement/src/lib/suspect-run.ts
+++ b/packages/placement/src/lib/suspect-run.ts
@@ -30,6 +30,10 @@
   readonly othersServed: boolean;
 }
 
+/** Whether the server of a run ended, or may have ended, with it. */
+export const isLoss = ({ state }: Pick<SuspectRun, 'state'>) =>
+  state === 'lost' || state === 'ended';
+
 /** A run with the age of its state. */
 export interface AgedRun extends SuspectRun {
   /** Time since the run entered its state, in milliseconds. */
--- a/packages/placement/src/test/suspect-exchange_test.ts
+++ b/packages/placement/src/test/suspect-exchange_test.ts
@@ -11,6 +11,14 @@
 
 const OTHERS = Array.from({ length: 12 }, (_, index) => `router-${index}`);
 
+/** Options of a router without a leader, and without anything to write or log. */
+const ALONE = {
+  clocks: processClocks,
+  log: { info: () => undefined, warn: () => undefined },
+  leader: () => undefined,
+  onChange: () => undefined,
+};
+
 interface Fixture {
   readonly record: SuspectRecord;
   readonly exchange: SuspectExchange;
@@ -37,12 +45,9 @@
         return Promise.resolve(starts.get(address));
       },
     },
-    clocks: processClocks,
-    log: { info: () => undefined, warn: () => undefined },
+    ...ALONE,
     reporters: () => reporters,
-    leader: () => undefined,
     others: () => OTHERS,
-    onChange: () => undefined,
   });
   return { record, exchange, sent, starts };
 }
@@ -158,12 +163,9 @@
           return Promise.resolve(1);
         },
       },
-      clocks: processClocks,
-      log: { info: () => undefined, warn: () => undefined },
+      ...ALONE,
       reporters: () => undefined,
-      leader: () => undefined,
       others: () => known,
-      onChange: () => undefined,
       random,
     });
     routers.set(address, exchange);
@@ -210,6 +212,7 @@
   expect(leader.record.since(0).length).toEqual(200);
 });
 
+// Guards against a starting router that serves before it knows which requests have ended servers.
 test('an answer is bounded too, except to a router that is starting', () => {
   const { record, exchange } = setUp([]);
   for (let count = 0; count < 200; count += 1) putLostRun(record, count);
@@ -234,12 +237,9 @@
         return Promise.resolve(1);
       },
     },
-    clocks: processClocks,
-    log: { info: () => undefined, warn: () => undefined },
+    ...ALONE,
     reporters: () => reporters,
-    leader: () => undefined,
     others: () => [],
-    onChange: () => undefined,
   });
   const shares: Promise<void>[] = [];
   for (let count = 0; count < 20; count += 1) {
--- a/packages/placement/src/test/suspect-record_test.ts
+++ b/packages/placement/src/test/suspect-record_test.ts
@@ -204,10 +204,10 @@
   for (const server of ['a', 'b', 'c']) record.put(runOf(server, { state: 'lost' }));
   record.put(runOf('d', { state: 'running' }));
   const visited: string[] = [];
-  record.forEachLoss(({ run }) => {
+  for (const { run } of record.losses()) {
     visited.push(run.server);
     record.put({ ...run, state: 'ended' });
-  });
+  }
   expect(visited).toEqual(['a', 'b', 'c']);
 });
 
--- a/packages/router/src/lib/crash-guard.ts
+++ b/packages/router/src/lib/crash-guard.ts
@@ -3,13 +3,13 @@
 
 import {
   type KnownServer,
-  type Loss,
   type RequestIdentity,
   type RunState,
   type ServerDirectory,
   type CrashCounts,
   type SuspectRecord,
   type SuspectRun,
+  type TimedRun,
   requestKey,
 } from '@boragepoint/placement';
 
@@ -168,7 +168,7 @@
    * Settles a run that was lost, and revokes that its server has ended if that was presumed: neither
    * a refused connection nor a missing entry proves it. Returns whether its state has changed.
    */
-  function settleLoss({ run, at }: Loss): boolean {
+  function settleLoss({ run, at }: TimedRun): boolean {
     const evidence = registryEvidence(run, at);
     if (evidence === undefined || (run.state === 'ended' && evidence !== 'alive')) return false;
     settle(run, evidence === 'alive' ? 'cleared' : 'ended', evidence, now() - at);
@@ -177,10 +177,7 @@
 
   function settleLosses(): void {
     settledAt = now();
-    const settled: Loss[] = [];
-    record.forEachLoss((loss) => {
-      if (settleLoss(loss)) settled.push(loss);
-    });
+    const settled = record.losses().filter(settleLoss);
     if (settled.length > 0) void options.shareSuspects();
   }
 
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -60,14 +60,12 @@
 const HTTP_MISDIRECTED = 421;
 const HTTP_BAD_REQUEST = 400;
 
-/** Aborts a request that received an answer not known to be its own; this closes the connection. */
-class MismatchedAnswerError extends Error {
-  override readonly name = 'MismatchedAnswerError';
-}
-
-/** Aborts a request that received an answer with a status that HTTP does not have. */
-class InvalidStatusError extends Error {
-  override readonly name = 'InvalidStatusError';
+/**
+ * Aborts a request that received an answer not known to be its own, or with a status that HTTP does
+ * not have; this closes the connection.
+ */
+class UnusableAnswerError extends Error {
+  override readonly name = 'UnusableAnswerError';
 }
 
 function connectFailureOf(err: Error): 'refused' | 'unconnected' {
@@ -169,13 +167,13 @@
       onResponseStart(started, status, headers) {
         if (isInterimStatus(status)) return;
         if (!isFinalStatus(status)) {
-          started.abort(new InvalidStatusError(`the answer has the status ${status}`));
+          started.abort(new UnusableAnswerError(`the answer has the status ${status}`));
           return;
         }
         const meta = codec.readAnswer(status, headers);
         if (meta.attemptId !== req.attemptId) {
           const named = meta.attemptId === undefined ? 'no request' : 'another request';
-          started.abort(new MismatchedAnswerError(`the answer names ${named}`));
+          started.abort(new UnusableAnswerError(`the answer names ${named}`));
           return;
         }
         const framed = isFramed(req.method, status, headers);
@@ -200,8 +198,7 @@
           return;
         }
         const isGarbled =
-          err instanceof MismatchedAnswerError ||
-          err instanceof InvalidStatusError ||
+          err instanceof UnusableAnswerError ||
           err instanceof errors.HTTPParserError ||
           err instanceof errors.HeadersOverflowError;
         finish({
