Router: what a response has besides its body is bounded

Cause: nothing but the HTTP library's limit of 16 KiB bounds what is no body. That limit counts names and values of header fields only, begins anew with each interim response, and does not stop the parser: it destroys the connection, then goes on with the same read of 64 KiB and creates an error with its stack for each further name and value. Status lines, empty lines and chunk extensions are not counted at all, so they were read until the deadline of the request or the check of closeUnwanted.

Evidence, undici alone with one flooding loopback server, 8 processors with other load: 100 responses whose head is "a: b" without end used 8,547 ms of processor time, median 82.5 ms each; in the profile 65.0 % of the time is the constructor of UndiciError, 5.8 % destroy. The eight tests "a response is given up when it has too many bytes besides its body" fail on the code before: the request is not given up, their signal cancels it after 10 s.

Fix: the socket hands the parser slices of at most 4 KiB, 16 KiB in a body, counts their bytes and lines less the reported body, and gives nothing more once the connection is destroyed or beyond the limit. As the count is where the parser takes its input, it covers every kind of byte, also those that the parser drops silently. The limit grows with the body, so that chunks of one byte remain valid.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -15,6 +15,7 @@
 export * from './lib/platform-error.js';
 export { type TableReport, WATCH_WAIT_MS } from './lib/poll-scheduler.js';
 export * from './lib/progress-timeout.js';
+export * from './lib/response-framing-limit.js';
 export * from './lib/row-mirror.js';
 export * from './lib/row-store.js';
 export * from './lib/server-orders.js';
--- /dev/null
+++ b/packages/platform/src/lib/response-framing-limit.ts
@@ -0,0 +1,82 @@
+import type { Socket } from 'node:net';
+
+import type { Dispatcher } from 'undici';
+
+import { type FramingCount, createFramingCount } from './framing-count.js';
+
+const HTTP_OK = 200;
+
+/** A connection brought more bytes around a response body than a valid response has. */
+export class ResponseFramingError extends Error {
+  override readonly name = 'ResponseFramingError';
+  readonly code = 'ERR_RESPONSE_FRAMING';
+}
+
+/** Bounds what responses bring besides their bodies: heads, chunk sizes, trailers, empty lines. */
+export interface ResponseFramingLimit {
+  /** Limits a new connection; has to come before the HTTP library listens to it. */
+  watch(socket: Socket): void;
+  /** Observes the responses on the watched connections. Every request needs it. */
+  observe(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler;
+}
+
+/**
+ * Creates the limit for connections of undici. Its parser limits the header fields of one head, but
+ * neither status lines, empty lines, interim responses and chunk extensions, nor what it does with
+ * the rest of a read after that limit. The input is passed to it in slices, and a connection that is
+ * beyond its limit passes nothing more.
+ */
+export function createResponseFramingLimit(): ResponseFramingLimit {
+  /** Count of the connection that was read from last, whose input is being parsed. */
+  let current: FramingCount | undefined;
+
+  function watch(socket: Socket): void {
+    const count = createFramingCount();
+    const read = socket.read.bind(socket);
+
+    socket.read = (size?: number): unknown => {
+      current = count;
+      count.settle();
+      // The parser otherwise goes on with what was received before the connection was closed.
+      if (socket.destroyed) return null;
+      if (count.isExceeded()) {
+        socket.destroy(
+          new ResponseFramingError('the response has too many bytes besides its body'),
+        );
+        return null;
+      }
+      const length = Math.min(socket.readableLength, size ?? Infinity, count.sliceBytes());
+      // Without a size, the stream begins to read again, or ends.
+      const slice = (length > 0 ? read(length) : read()) as Buffer | null;
+      if (slice) count.pass(slice);
+      return slice;
+    };
+  }
+
+  return {
+    watch,
+    observe(handler) {
+      let count: FramingCount | undefined;
+      return {
+        onRequestStart: (...args) => handler.onRequestStart?.(...args),
+        onRequestUpgrade: (...args) => handler.onRequestUpgrade?.(...args),
+        onResponseStart(controller, status, headers, message) {
+          if (status >= HTTP_OK) {
+            count = current;
+            count?.beginBody();
+          }
+          handler.onResponseStart?.(controller, status, headers, message);
+        },
+        onResponseData(controller, chunk) {
+          count?.noteBody(chunk.length);
+          handler.onResponseData?.(controller, chunk);
+        },
+        onResponseEnd(controller, trailers) {
+          count?.end();
+          handler.onResponseEnd?.(controller, trailers);
+        },
+        onResponseError: (...args) => handler.onResponseError?.(...args),
+      };
+    },
+  };
+}
--- a/packages/router/src/lib/connection-pool.ts
+++ b/packages/router/src/lib/connection-pool.ts
@@ -11,6 +11,8 @@
   /** Idle timeout of the others, in milliseconds. */
   readonly extraKeepAliveMs: number;
   readonly connect: buildConnector.connector;
+  /** Wraps the handler of each request, to observe its response. */
+  readonly observe?: (handler: Dispatcher.DispatchHandler) => Dispatcher.DispatchHandler;
   readonly idleLimit: IdleLimit;
   /** Monotonic time in milliseconds. */
   readonly now: () => number;
@@ -114,7 +116,7 @@
     const isReused = slot.isConnected;
     let hasAnswer = false;
     options.onSend(isReused);
-    slot.client.dispatch(request, {
+    const observed: Dispatcher.DispatchHandler = {
       onRequestStart(controller, context) {
         handler.onRequestStart?.(controller, context);
       },
@@ -135,7 +137,8 @@
         handler.onResponseError?.(controller, err);
         release(slot, false);
       },
-    });
+    };
+    slot.client.dispatch(request, options.observe?.(observed) ?? observed);
   }
 
   return {
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -2,6 +2,7 @@
   type AnswerMeta,
   type HeaderCodec,
   type HeaderValues,
+  ResponseFramingError,
   isFinalStatus,
   isFramed,
   isInterimStatus,
@@ -206,6 +207,7 @@
         }
         const isGarbled =
           err instanceof UnusableAnswerError ||
+          err instanceof ResponseFramingError ||
           err instanceof errors.HTTPParserError ||
           err instanceof errors.HeadersOverflowError;
         finish({
--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 
-import { createConnectionEnds } from '@boragepoint/platform';
+import { createConnectionEnds, createResponseFramingLimit } from '@boragepoint/platform';
 import { type Dispatcher, buildConnector } from 'undici';
 
 import { MAX_ANSWER_BYTES } from './answer-memory.js';
@@ -125,6 +125,7 @@
   const idleLimit = createIdleLimit(now);
   const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true });
   const ends = createConnectionEnds();
+  const framing = createResponseFramingLimit();
   /** Open connections, with the bytes received on each at the last flood check. */
   const sockets = new Map<Socket, number>();
 
@@ -161,6 +162,7 @@
         use?.noteOpened();
         ends.watch(socket);
         watchDestroy(socket);
+        framing.watch(socket);
         sockets.set(socket, 0);
         socket.once('close', () => sockets.delete(socket));
       }
@@ -175,6 +177,7 @@
       keepAliveMs: share.keepAliveMs,
       extraKeepAliveMs: extraKeepAliveOf(share),
       connect,
+      observe: (handler) => framing.observe(handler),
       idleLimit,
       now,
       onSend(isReused) {
--- a/packages/router/src/test/send-request_test.ts
+++ b/packages/router/src/test/send-request_test.ts
@@ -1,10 +1,11 @@
 import { EventEmitter, once } from 'node:events';
 import { type Server, type Socket, createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
-import { test } from 'node:test';
+import { type TestContext, test } from 'node:test';
 
 import type { HeaderCodec } from '@boragepoint/platform';
 import { expect } from 'earl';
+import { errors } from 'undici';
 
 import { createAnswerMemory } from '../lib/answer-memory.js';
 import { type SendOptions, type SendOutcome, sendRequest } from '../lib/send-request.js';
@@ -36,7 +37,10 @@
 }
 
 /** Sends one request to a server that answers as `reply` does. */
-async function sendTo(reply: (socket: Socket) => void): Promise<SendOutcome> {
+async function sendTo(
+  reply: (socket: Socket) => void,
+  signal = new AbortController().signal,
+): Promise<SendOutcome> {
   // Half-open connections stay open at the server until the router closes them.
   const server: Server = createServer({ allowHalfOpen: true }, (socket) => {
     socket.on('end', () => socket.end());
@@ -55,7 +59,7 @@
     return await sendRequest(
       connections,
       { method: 'GET', path: '/', headers: [], body: undefined, attemptId: 'a1' },
-      optionsOf(new AbortController().signal),
+      optionsOf(signal),
     );
   } finally {
     connections.close();
@@ -358,6 +362,127 @@
   });
 }
 
+/** Header lines that stay below the HTTP parser's limit of names and values. */
+const SMALL_LINES = 'a:\r\n'.repeat(10_000);
+const PADDING = 256 * 1_024;
+/** Bytes around a body that no valid response has; the server then waits for the connection's end. */
+const EXCESSIVE_FRAMING: Readonly<Record<string, string>> = {
+  'small header lines': `${HEAD}${SMALL_LINES}`,
+  'interim responses': 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(10_000),
+  'a status line': `HTTP/1.1 200 ${'O'.repeat(PADDING)}`,
+  'empty lines before a response': '\r\n'.repeat(PADDING / 2),
+  'zeros before a chunk size': `${HEAD}transfer-encoding: chunked\r\n\r\n${'0'.repeat(PADDING)}`,
+  'a chunk extension': `${HEAD}transfer-encoding: chunked\r\n\r\n1;${'x'.repeat(PADDING)}`,
+  'chunks of one byte with long extensions': `${HEAD}transfer-encoding: chunked\r\n\r\n${`1;${'x'.repeat(500)}\r\nb\r\n`.repeat(1_000)}`,
+  'small trailers': `${HEAD}transfer-encoding: chunked\r\n\r\n0\r\n${SMALL_LINES}`,
+};
+const ANSWER_WAIT_MS = 10_000;
+
+for (const [name, bytes] of Object.entries(EXCESSIVE_FRAMING)) {
+  // Guards against a faulty server that keeps the router's processor busy, or a request waiting,
+  // with bytes that are not part of a body.
+  test(`a response is given up when it has too many bytes besides its body: ${name}`, async () => {
+    let closed: () => void = () => undefined;
+    const isClosed = new Promise<void>((resolve) => (closed = resolve));
+    const outcome = await sendTo((socket) => {
+      socket.on('close', closed);
+      socket.write(bytes);
+    }, AbortSignal.timeout(ANSWER_WAIT_MS));
+    expect(outcome).toLooseEqual({
+      kind: 'unknown',
+      why: 'garbled',
+      detail: expect.a(String),
+    });
+    await isClosed;
+  });
+}
+
+/**
+ * Most errors that the parser may create for one head: two for each of the lines of 13 bytes that are
+ * left of a part of 4 KiB.
+ */
+const MAX_HEAD_ERRORS = 640;
+
+/** Counts the errors that the parser creates for heads over its limit, until the test ends. */
+function countOverflows(t: TestContext): () => number {
+  const { prototype } = errors.HeadersOverflowError;
+  let created = 0;
+  Object.defineProperty(prototype, 'message', {
+    configurable: true,
+    set: () => (created += 1),
+  });
+  t.after(() => Reflect.deleteProperty(prototype, 'message'));
+  return () => created;
+}
+
+// Guards against a parser that closes the connection and goes on with the rest of what was read: it
+// creates an error for each further name and value, which keeps the processor busy.
+test('nothing more of a head is parsed once it is beyond the limit of the parser', async (t) => {
+  const overflows = countOverflows(t);
+  const outcome = await sendTo((socket) => {
+    socket.write(HEAD);
+    flood(socket, 'a: 12345678\r\n');
+  });
+  expect(outcome.kind === 'unknown' && outcome.why).toEqual('garbled');
+  t.diagnostic(`${overflows()} errors`);
+  expect(overflows()).toBeGreaterThan(0);
+  expect(overflows()).toBeLessThanOrEqual(MAX_HEAD_ERRORS);
+});
+
+/** Valid responses whose framing is large; each has the body `body`. */
+const LARGE_FRAMING: Readonly<Record<string, string>> = {
+  'a head of 15 KiB in one line': `${HEAD}a: ${'x'.repeat(15 * 1_024)}\r\ncontent-length: 4\r\n\r\nbody`,
+  'a head of 1,500 lines': `${HEAD}${'a:b\r\n'.repeat(1_500)}content-length: 4\r\n\r\nbody`,
+  'interim responses before it': `${'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n'.repeat(100)}${HEAD}content-length: 4\r\n\r\nbody`,
+  'a chunk extension of 10 KiB': `${HEAD}transfer-encoding: chunked\r\n\r\n4;x=${'x'.repeat(10_240)}\r\nbody\r\n0\r\n\r\n`,
+  'trailers of 10 KiB': `${HEAD}transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\na: ${'x'.repeat(10_240)}\r\n\r\n`,
+};
+
+for (const [name, bytes] of Object.entries(LARGE_FRAMING)) {
+  // Guards against a limit that refuses valid responses.
+  test(`a valid response is passed on: ${name}`, async () => {
+    const outcome = await sendTo((socket) => socket.write(bytes));
+    expect(outcome.kind === 'answer' && outcome.answer.body.toString()).toEqual('body');
+  });
+}
+
+// Guards against a limit that adds up over the responses of a connection, and against one that
+// counts lines or chunks of bodies.
+test('a connection carries any number of large responses', async () => {
+  const body = '\n'.repeat(200_000);
+  const chunks = '1\r\n\n\r\n'.repeat(20_000);
+  const replies = [
+    `${HEAD}content-length: ${body.length}\r\n\r\n${body}`,
+    `${HEAD}transfer-encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`,
+    `${HEAD}a: ${'x'.repeat(15_000)}\r\ncontent-length: 0\r\n\r\n`,
+  ];
+  let opened = 0;
+  const server: Server = createServer((socket) => {
+    let requests = 0;
+    opened += 1;
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      socket.write(replies[requests % replies.length] ?? '');
+      requests += 1;
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const share = { connections: 1, keepAliveMs: 4_000 };
+  const connections = createServerConnections(`127.0.0.1:${port}`, share);
+  const outgoing = { method: 'GET', path: '/', headers: [], body: undefined, attemptId: 'a1' };
+  const sizes: (number | undefined)[] = [];
+  for (let sent = 0; sent < 30; sent += 1) {
+    const options = optionsOf(new AbortController().signal);
+    const outcome = await sendRequest(connections, outgoing, options);
+    sizes.push(outcome.kind === 'answer' ? outcome.answer.body.length : undefined);
+  }
+  connections.close();
+  await new Promise((resolve) => server.close(resolve));
+  expect(sizes).toEqual(Array.from({ length: 10 }, () => [200_000, 20_000, 0]).flat());
+  expect(opened).toEqual(1);
+});
+
 // Guards against endless bytes that the HTTP parser discards: no body grows, and nothing else ends
 // the connection.
 test('a connection that receives far more bytes than an answer can take is closed', async () => {
