Router: a body of a server is copied, and keeps no object for each of its parts

What callers saw: a backend server sent a chunked body in chunks of one byte, without end. The router that had called it ended with "heap out of memory", and all requests on it, those of other services included, ended without an answer.

Cause: a response's parts were kept until its end, and only their bytes counted toward the limit of 4 MiB. Each part is an object of the HTTP library (with a chunk of one byte, more than a hundred bytes for one), and holds the whole read that it came with.

Why this works: a body takes one buffer up to 64 KiB, and segments of 64 KiB beyond, into which its parts are copied; what counts is the size of these buffers. Segments of an aborted response are used again, since V8 frees buffers late. A body that states more than 4 MiB is aborted by its first byte. The growing buffer is that of request bodies, moved to body-parts.ts. The calls of answer-memory_test name the size in all instead of the bytes added; its bounds are as before.

--- a/packages/router/src/lib/answer-memory.ts
+++ b/packages/router/src/lib/answer-memory.ts
@@ -1,19 +1,21 @@
+import type { PartsRoom } from './body-parts.js';
+import { type SegmentPool, createSegmentPool } from './segment-pool.js';
+
 const MEBIBYTE = 1 << 20;
 /** Largest answer body that is passed on, in bytes. */
 export const MAX_ANSWER_BYTES = 4 * MEBIBYTE;
 /** Largest total size of the answers that are still arriving, over all requests, in bytes. */
 const MAX_BUFFERED_BYTES = 16 * MEBIBYTE;
 
-/** Memory accounting of one answer; disposing of it releases the memory. */
-export interface BufferedAnswer extends Disposable {
-  /** Accounts for received bytes of the answer. */
-  add(bytes: number): void;
-}
+/** The room that one answer takes; disposing of it frees the room. */
+export type AnswerRoom = PartsRoom & Disposable;
 
 /** Limits the memory that incomplete answers take. */
 export interface AnswerMemory {
   /** Registers an answer; `abort` is called at most once, when the answer exceeds a limit. */
-  begin(abort: () => void): BufferedAnswer;
+  begin(abort: () => void): AnswerRoom;
+  /** Buffers of large answers. */
+  readonly segments: SegmentPool;
 }
 
 interface AnswerEntry {
@@ -46,18 +48,22 @@
   }
 
   return {
+    segments: createSegmentPool(),
     begin(callback) {
       const entry: AnswerEntry = { bytes: 0, abort: callback };
       pending.add(entry);
       return {
-        add(bytes) {
-          if (!pending.has(entry)) return;
-          entry.bytes += bytes;
-          totalBytes += bytes;
+        grow(bytes) {
+          if (!pending.has(entry)) return false;
+          if (bytes <= entry.bytes) return true;
+          totalBytes += bytes - entry.bytes;
+          entry.bytes = bytes;
           if (entry.bytes > maxAnswerBytes) abortAnswer(entry);
           const toAbort = totalBytes > maxBufferedBytes ? largestPending() : undefined;
           if (toAbort) abortAnswer(toAbort);
+          return pending.has(entry);
         },
+        noteReplaced: () => undefined,
         [Symbol.dispose]() {
           end(entry);
         },
--- a/packages/router/src/lib/body-memory.ts
+++ b/packages/router/src/lib/body-memory.ts
@@ -1,15 +1,11 @@
+import type { PartsRoom } from './body-parts.js';
 import { type ClientBudget, createClientBudget } from './client-budget.js';
 
 /** Size up to which a body does not compete with larger ones, in bytes. */
 const SMALL_BODY_BYTES = 64 * 1_024;
 
 /** The room that one body takes; disposing of it frees the room. */
-export interface BodyRoom extends Disposable {
-  /** Asks for room for a body of a size in all; returns false if there is none. */
-  grow(bytes: number): boolean;
-  /** Notes that the buffer of so many bytes was replaced by a larger one. */
-  noteReplaced(bytes: number): void;
-}
+export type BodyRoom = PartsRoom & Disposable;
 
 /** Limits the memory that the bodies of all requests take together. */
 export interface BodyMemory {
--- a/packages/router/src/lib/read-body.ts
+++ b/packages/router/src/lib/read-body.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import type { BodyRoom } from './body-memory.js';
+import { createBodyParts } from './body-parts.js';
 
 /** A request's body, or why there is none. */
 export type ReadBody =
@@ -13,52 +14,6 @@
 /** Size of the buffer of a body of unknown length at first, in bytes. */
 const FIRST_BUFFER_BYTES = 4 * 1_024;
 
-/**
- * Collects the parts of a body in one buffer: a part that was kept would hold the whole read that it
- * came with, and an object of the parser, however small it is.
- */
-function createBodyParts(length: number | undefined, maxBytes: number, room: BodyRoom) {
-  let whole: Buffer | undefined;
-  let size = 0;
-
-  /** Size of the buffer that a body of so many bytes needs. */
-  function capacityFor(bytes: number): number {
-    const known = whole?.length ?? 0;
-    if (known >= bytes) return known;
-    return length ?? Math.min(maxBytes, Math.max(bytes, FIRST_BUFFER_BYTES, 2 * known));
-  }
-
-  function bufferOf(capacity: number): Buffer {
-    if (whole?.length === capacity) return whole;
-    const next = Buffer.allocUnsafe(capacity);
-    if (whole) {
-      whole.copy(next, 0, 0, size);
-      room.noteReplaced(whole.length);
-    }
-    whole = next;
-    return next;
-  }
-
-  return {
-    size: () => size,
-    /** Adds a part; returns false if there is no room for it. */
-    add(chunk: Buffer): boolean {
-      const capacity = capacityFor(size + chunk.length);
-      if (!room.grow(capacity)) return false;
-      const isWhole = chunk.length === length && chunk.buffer.byteLength <= 2 * length;
-      if (isWhole) whole = chunk;
-      else chunk.copy(bufferOf(capacity), size);
-      size += chunk.length;
-      return true;
-    },
-    drop(): void {
-      whole = undefined;
-      size = 0;
-    },
-    body: () => (size === 0 ? undefined : whole?.subarray(0, size)),
-  };
-}
-
 /** Returns the length that a request states for its body; `undefined` if it states none. */
 function statedLength(req: IncomingMessage): number | undefined {
   const stated = req.headers['content-length'];
@@ -76,7 +31,8 @@
 ): Promise<ReadBody> {
   return new Promise((resolve) => {
     const length = statedLength(req);
-    const parts = createBodyParts(length, maxBytes, room);
+    const firstBytes = length ?? FIRST_BUFFER_BYTES;
+    const parts = createBodyParts({ length, firstBytes, maxBytes }, room);
     const stop = (kind: 'too-large' | 'no-room') => {
       req.removeAllListeners('data');
       parts.drop();
--- a/packages/router/src/lib/send-request.ts
+++ b/packages/router/src/lib/send-request.ts
@@ -8,6 +8,7 @@
 } from '@boragepoint/platform';
 import { type Dispatcher, errors } from 'undici';
 
+import { type AnswerBody, createAnswerBody } from './answer-body.js';
 import type { AnswerMemory } from './answer-memory.js';
 import type { RequestConnections } from './server-connections.js';
 
@@ -118,7 +119,7 @@
   return new Promise((resolve) => {
     let controller: Dispatcher.DispatchController | undefined;
     let head: Omit<ServerAnswer, 'body'> | undefined;
-    const chunks: Buffer[] = [];
+    let body: AnswerBody | undefined;
 
     const abort = () => {
       if (!controller) {
@@ -141,6 +142,7 @@
     let isSettled = false;
     function finish(outcome: SendOutcome): void {
       isSettled = true;
+      body?.drop();
       buffered[Symbol.dispose]();
       signal.removeEventListener('abort', abort);
       unsentSignal.removeEventListener('abort', cancelIfUnsent);
@@ -185,17 +187,17 @@
         }
         const framed = isFramed(req.method, status, headers);
         head = { status, headers, framed, meta };
+        body = createAnswerBody(headers['content-length'], buffered, memory.segments);
       },
       onResponseData(_controller, chunk) {
-        chunks.push(chunk);
-        buffered.add(chunk.length);
+        body?.add(chunk);
       },
       onResponseEnd() {
-        if (!head) {
+        if (!head || !body) {
           finish({ kind: 'unknown', why: 'garbled', detail: 'no head' });
           return;
         }
-        const answer = { ...head, body: Buffer.concat(chunks) };
+        const answer = { ...head, body: body.whole() };
         if (answer.framed) finish(classifyAnswer(answer));
         else void finishAtEnd(answer);
       },
--- a/packages/router/src/test/answer-memory_test.ts
+++ b/packages/router/src/test/answer-memory_test.ts
@@ -8,10 +8,10 @@
   const memory = createAnswerMemory(100, 1_000);
   let abortCount = 0;
   const answer = memory.begin(() => (abortCount += 1));
-  answer.add(100);
+  answer.grow(100);
   expect(abortCount).toEqual(0);
-  answer.add(1);
-  answer.add(50);
+  answer.grow(101);
+  answer.grow(151);
   expect(abortCount).toEqual(1);
 });
 
@@ -21,10 +21,10 @@
   const aborted: string[] = [];
   const large = memory.begin(() => aborted.push('large'));
   const small = memory.begin(() => aborted.push('small'));
-  large.add(90);
-  small.add(40);
+  large.grow(90);
+  small.grow(40);
   expect(aborted).toEqual([]);
-  small.add(30);
+  small.grow(70);
   expect(aborted).toEqual(['large']);
 });
 
@@ -33,7 +33,7 @@
   let abortCount = 0;
   for (let index = 0; index < 50; index += 1) {
     using answer = memory.begin(() => (abortCount += 1));
-    answer.add(90);
+    answer.grow(90);
   }
   expect(abortCount).toEqual(0);
 });
