Placement: the messages between routers stand below the modules that use them

The types of the messages stood in placement-peers.ts, the client that sends them, so that six modules imported one another in a circle: end-proof, leader-context, limit-exchange, peer-messages, placement-peers and server-health. The types are in modules of their own now, by concern: report-messages, permit-messages, leader-messages and step-down-answer; the update of suspect runs is beside the runs. The same types are exported and no code changes.

--- a/packages/placement/src/lib/end-proof.ts
+++ b/packages/placement/src/lib/end-proof.ts
@@ -1,6 +1,6 @@
 import type { OrderOutcome } from '@boragepoint/platform';
 
-import type { StepDownAnswer } from './placement-peers.js';
+import type { StepDownAnswer } from './step-down-answer.js';
 
 declare const proof: unique symbol;
 
--- a/packages/placement/src/lib/former-leader.ts
+++ b/packages/placement/src/lib/former-leader.ts
@@ -1,5 +1,6 @@
 import { type EndProof, type Life, endByAnswer } from './end-proof.js';
-import type { PlacementPeers, StepDownAnswer } from './placement-peers.js';
+import type { PlacementPeers } from './placement-peers.js';
+import type { StepDownAnswer } from './step-down-answer.js';
 
 /** Answer of a former leader. One that refuses the connection is `silent`: it may live. */
 export type FormerLeaderAnswer =
--- a/packages/placement/src/lib/leader-memory.ts
+++ b/packages/placement/src/lib/leader-memory.ts
@@ -1,11 +1,12 @@
 import type { FormerLeaderAnswer } from './former-leader.js';
-import type { LeaderAddress, ReportAnswer } from './placement-peers.js';
 import type { Candidate } from './leader-lease.js';
 import type { PlacementLogger } from './leader-context.js';
+import type { LeaderAddress } from './leader-messages.js';
 import type { PlacementLeader } from './placement-leader.js';
 import { releasedLease } from './placement-record.js';
 import type { PlacementView } from './placement-view.js';
 import { MAX_UNANSWERED_GRANT_MS } from './recover-placement.js';
+import type { ReportAnswer } from './report-messages.js';
 import type { StoppedLeader } from './stopped-leader.js';
 import type { Clocks } from './suspension-guard.js';
 import { WITNESS_TTL_MS } from './witnesses.js';
--- a/packages/placement/src/lib/peer-messages.ts
+++ b/packages/placement/src/lib/peer-messages.ts
@@ -13,8 +13,9 @@
 } from '@boragepoint/protocol';
 
 import { isInOrder } from './key-range.js';
-import type { FetchedPlacement, LeaderAddress, NamedTableReport } from './placement-peers.js';
+import type { FetchedPlacement, LeaderAddress } from './leader-messages.js';
 import type { PlacementView, RangeView } from './placement-view.js';
+import type { NamedTableReport } from './report-messages.js';
 import type { ReachRequest } from './server-reach.js';
 import { decodeCount, requireCount } from './wire-number.js';
 import type { PlacementNote } from './witnesses.js';
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -12,6 +12,7 @@
 import { createKnownPlacement } from './known-placement.js';
 import type { PlacementLogger } from './leader-context.js';
 import { type StepDownReply, type StepDownRequest, createLeaderMemory } from './leader-memory.js';
+import type { FetchedPlacement, LeaderAddress } from './leader-messages.js';
 import { createLimitExchange } from './limit-exchange.js';
 import { type Candidate, type LeaderLeaseReading, readLeaderLease } from './leader-lease.js';
 import { createLeadershipTransfer } from './leadership-transfer.js';
@@ -24,14 +25,7 @@
 } from './permit-allocator.js';
 import { type PermitsAnswer, createPermitRequests } from './permit-requests.js';
 import type { PlacementLeader } from './placement-leader.js';
-import type {
-  FetchedPlacement,
-  LeaderAddress,
-  NamedTableReport,
-  PlacementPeers,
-  ReportAnswer,
-  SuspectUpdate,
-} from './placement-peers.js';
+import type { PlacementPeers } from './placement-peers.js';
 import type { Placement } from './placement-record.js';
 import { type PlacementView, viewOf, withChanges } from './placement-view.js';
 import {
@@ -40,6 +34,7 @@
   recoverPlacement,
 } from './recover-placement.js';
 import { createReportClient } from './report-client.js';
+import type { NamedTableReport, ReportAnswer } from './report-messages.js';
 import { MIN_REPORT_GAP_MS, createReportPacer, reportWaitMs } from './report-pacer.js';
 import { type ReportReply, createReportResponder } from './report-responder.js';
 import { comesBefore, createReporters } from './reporters.js';
@@ -50,6 +45,7 @@
 import type { PlacementBalance, ServiceLoadReport } from './service-planner.js';
 import { createSuspectExchange } from './suspect-exchange.js';
 import type { SuspectRecord } from './suspect-record.js';
+import type { SuspectUpdate } from './suspect-run.js';
 import type { Clocks } from './suspension-guard.js';
 import type { PlacementNote } from './witnesses.js';
 
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -4,24 +4,17 @@
   type ProgressTimeout,
   OversizedBodyError,
   type RowDelta,
-  type RowUpdate,
-  type TableReport,
   type StoredRow,
   createProgressTimeout,
 } from '@boragepoint/platform';
-import {
-  type FetchTablePart,
-  PlacementService,
-  type ReportRequestSchema,
-} from '@boragepoint/protocol';
-import type { MessageInitShape } from '@bufbuild/protobuf';
+import { type FetchTablePart, PlacementService } from '@boragepoint/protocol';
 import { type Client, ConnectError, createClient } from '@connectrpc/connect';
 import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
 
-import type { AdmittedShares } from './overload.js';
 import { type OnUnusable, decodeList } from './decode-list.js';
-import { type AgedLimit, decodeLimit, encodeLimit } from './limit-exchange.js';
-import type { PermitsReply, WantedPermits } from './permit-allocator.js';
+import { decodeLimit, encodeLimit } from './limit-exchange.js';
+import type { FetchedPlacement } from './leader-messages.js';
+import type { PermitsAnswer, PermitsAsk } from './permit-messages.js';
 import {
   decodeAddress,
   decodeLeader,
@@ -33,11 +26,11 @@
   encodeServices,
 } from './peer-messages.js';
 import { peerCompression } from './peer-compression.js';
-import type { LeaderLeaseRecord } from './placement-record.js';
-import type { PlacementView } from './placement-view.js';
-import { type StoppedLeader, decodeStoppedLeader } from './stopped-leader.js';
+import type { Report, ReportAnswer } from './report-messages.js';
+import type { StepDownAnswer } from './step-down-answer.js';
+import { decodeStoppedLeader } from './stopped-leader.js';
 import type { ReachRequest } from './server-reach.js';
-import { type AgedRun, decodeRun, encodeRun } from './suspect-run.js';
+import { type SuspectUpdate, decodeRun, encodeRun } from './suspect-run.js';
 import { requireCount } from './wire-number.js';
 import type { NoteAnswer, PlacementNote } from './witnesses.js';
 
@@ -50,113 +43,6 @@
 /** Largest table that another router sends in parts, in bytes. */
 const MAX_TABLE_BYTES = 64 << 20;
 
-/** A report to the leader. */
-export type Report = MessageInitShape<typeof ReportRequestSchema>;
-
-/** A leader's answer to a report. */
-export interface ReportAnswer {
-  /** False if the answering router does not lead; then there is no view. */
-  readonly leads: boolean;
-  /** The whole placement, or its changed ranges. */
-  readonly view: PlacementView | undefined;
-  /** True if the view is the whole placement. */
-  readonly isComplete: boolean;
-  /** Number of routers that share the load. */
-  readonly routers: number;
-  /**
-   * Position of the reporting router among these in the order of their places; `undefined` if the
-   * leader does not know it.
-   */
-  readonly position: number | undefined;
-  readonly suspects: readonly AgedRun[];
-  /**
-   * Number of the last change in the answering router's record of suspect runs that the answer
-   * includes.
-   */
-  readonly knownSuspects: number;
-  readonly admitted: AdmittedShares;
-  /**
-   * The leader's lease has expired without confirmation by the store: a router that reaches the
-   * store may acquire it.
-   */
-  readonly isLeaseExpired: boolean;
-  /** Addresses of some other routers. */
-  readonly peers: readonly string[];
-  /** Addresses of the routers that the leader tells of each move. */
-  readonly witnesses: readonly string[];
-  /** The leader that the answering router follows, if it does not lead itself. */
-  readonly leader: LeaderAddress | undefined;
-  /** State of the store's tables, as known to the leader. */
-  readonly tables: readonly NamedTableReport[];
-  /** Changes of the service registry since the reported version. */
-  readonly servers: RowUpdate | undefined;
-  /** Limits of backend servers that changed since the reported change. */
-  readonly limits: readonly AgedLimit[];
-  /** Number of the answering router's last change of limits that the answer includes. */
-  readonly knownLimits: number;
-  /** Start of the answering process, in milliseconds since the Unix epoch. */
-  readonly startedMs: number;
-}
-
-/** State of a table of the store, as known to a router. */
-export type NamedTableReport = TableReport & { readonly table: string };
-
-/** Identity and address of a leader. */
-export type LeaderAddress = Pick<LeaderLeaseRecord, 'router' | 'address' | 'epoch'>;
-
-/** The newest placement that another router knows beyond the store's copy. */
-export interface FetchedPlacement {
-  readonly view: PlacementView;
-  /** The leader of the view's epoch, if that router knows its address. */
-  readonly leader: Pick<LeaderLeaseRecord, 'address' | 'epoch'> | undefined;
-  /** True if the leader of the view's epoch told that router of each move before its first order. */
-  readonly isWitness: boolean;
-  /** Time since a leader last answered or told that router, in milliseconds. */
-  readonly heardAgoMs: number;
-}
-
-/**
- * Answer of a former leader that was asked to step down:
- * - `stopped`: it sends no more orders; `unansweredForMs` is the time until its unanswered grants
- *   have expired, `stopped` is what it knew, if it still has that.
- * - `gone`: its process has ended: another one answered at its address.
- * - `refused`: the connection was refused, which does not tell whether its process has ended.
- * - `silent`: it did not answer.
- */
-export type StepDownAnswer =
-  | {
-      readonly kind: 'stopped';
-      readonly unansweredForMs: number;
-      readonly stopped: StoppedLeader | undefined;
-    }
-  | { readonly kind: 'gone' | 'refused' | 'silent' };
-
-/** Suspect runs that one router shares with another. */
-export interface SuspectUpdate {
-  readonly runs: readonly AgedRun[];
-  /** Address of the router that shares them. */
-  readonly from: string;
-}
-
-/** A request for permits, with limits that the leader has not confirmed. */
-export interface PermitsAsk {
-  readonly router: string;
-  readonly address: string;
-  /** Start of the asking process, in milliseconds since the Unix epoch. */
-  readonly startedMs: number;
-  readonly limits: readonly AgedLimit[];
-  readonly wanted: readonly WantedPermits[];
-}
-
-/** Answer to a request for permits. */
-export interface PermitsAnswer {
-  /** False if the answering router does not lead; then there are no replies. */
-  readonly leads: boolean;
-  /** Start of the answering process, in milliseconds since the Unix epoch. */
-  readonly startedMs: number;
-  readonly replies: readonly PermitsReply[];
-}
-
 /** Client for calls to other routers. */
 export interface PlacementPeers extends Disposable {
   /** Sends a report; resolves to `undefined` without a usable answer in time. */
--- a/packages/placement/src/lib/recover-placement.ts
+++ b/packages/placement/src/lib/recover-placement.ts
@@ -2,9 +2,10 @@
 
 import { LEASE_MS, ORDER_TIMEOUT_MS } from './leader-context.js';
 import { LEADER_LEASE_MS, type LeaderLeaseReading, RENEWAL_GRACE_MS } from './leader-lease.js';
+import type { FetchedPlacement } from './leader-messages.js';
 import { maxLeaseMs } from './lease-bound.js';
 import type { FormerLeaderAnswer, RequestStepDown } from './former-leader.js';
-import type { FetchedPlacement, PlacementPeers } from './placement-peers.js';
+import type { PlacementPeers } from './placement-peers.js';
 import {
   type HolderRecord,
   type LeaderLeaseRecord,
--- a/packages/placement/src/lib/report-client.ts
+++ b/packages/placement/src/lib/report-client.ts
@@ -1,7 +1,8 @@
 import type { Candidate } from './leader-lease.js';
 import { type LimitExchange, encodeLimit } from './limit-exchange.js';
-import type { PlacementPeers, ReportAnswer } from './placement-peers.js';
+import type { PlacementPeers } from './placement-peers.js';
 import type { PlacementView } from './placement-view.js';
+import type { ReportAnswer } from './report-messages.js';
 import type { ServerDirectory } from './server-directory.js';
 import type { ServiceLoadReport } from './service-planner.js';
 import type { ServerLimits } from './server-limits.js';
--- a/packages/placement/src/lib/suspect-exchange.ts
+++ b/packages/placement/src/lib/suspect-exchange.ts
@@ -4,9 +4,10 @@
 
 import { createChangeSignal } from './change-signal.js';
 import type { PlacementLogger } from './leader-context.js';
-import type { PlacementPeers, ReportAnswer, SuspectUpdate } from './placement-peers.js';
+import type { PlacementPeers } from './placement-peers.js';
+import type { ReportAnswer } from './report-messages.js';
 import type { SuspectRecord } from './suspect-record.js';
-import { type AgedRun, decodeRun, encodeRun, isLoss } from './suspect-run.js';
+import { type SuspectUpdate, type AgedRun, decodeRun, encodeRun, isLoss } from './suspect-run.js';
 import { createSyncPoints } from './sync-points.js';
 import type { Clocks } from './suspension-guard.js';
 
--- a/packages/placement/src/lib/suspect-run.ts
+++ b/packages/placement/src/lib/suspect-run.ts
@@ -40,6 +40,13 @@
   readonly ageMs: number;
 }
 
+/** Suspect runs that one router shares with another. */
+export interface SuspectUpdate {
+  readonly runs: readonly AgedRun[];
+  /** Address of the router that shares them. */
+  readonly from: string;
+}
+
 const STATE_RANKS: Readonly<Record<RunState, number>> = {
   running: 1,
   lost: 2,
--- a/packages/placement/src/test/former-leader_test.ts
+++ b/packages/placement/src/test/former-leader_test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 
 import { createStepDownRequests } from '../lib/former-leader.js';
-import type { StepDownAnswer } from '../lib/placement-peers.js';
+import type { StepDownAnswer } from '../lib/step-down-answer.js';
 
 /** Asks a former leader that answers as told. */
 async function ask(answer: StepDownAnswer) {
--- a/packages/placement/src/test/recover-placement_test.ts
+++ b/packages/placement/src/test/recover-placement_test.ts
@@ -6,7 +6,7 @@
 import { endByAnswer } from '../lib/end-proof.js';
 import { LEADER_LEASE_MS, RENEWAL_GRACE_MS } from '../lib/leader-lease.js';
 import type { FormerLeaderAnswer } from '../lib/former-leader.js';
-import type { FetchedPlacement } from '../lib/placement-peers.js';
+import type { FetchedPlacement } from '../lib/leader-messages.js';
 import type { Placement } from '../lib/placement-record.js';
 import {
   MAX_UNANSWERED_GRANT_MS,
--- a/packages/placement/src/test/suspect-exchange_test.ts
+++ b/packages/placement/src/test/suspect-exchange_test.ts
@@ -3,7 +3,7 @@
 
 import { expect } from 'earl';
 
-import type { ReportAnswer } from '../lib/placement-peers.js';
+import type { ReportAnswer } from '../lib/report-messages.js';
 import { type SuspectExchange, createSuspectExchange } from '../lib/suspect-exchange.js';
 import { type SuspectRecord, createSuspectRecord } from '../lib/suspect-record.js';
 import type { AgedRun, SuspectRun } from '../lib/suspect-run.js';
