Ledger, tests: a dispatch over the return of the table stands once

Two tests of restored tables each wrote the dispatch in whose course the table comes back from a copy.

--- a/packages/routing/src/test/ledger-restored-table_test.ts
+++ b/packages/routing/src/test/ledger-restored-table_test.ts
@@ -19,19 +19,20 @@
   const table = createRestorableTable();
   const first = fixture.keeper('first', { table });
   const second = fixture.keeper('second', { table });
-  return { ...fixture, table, first, second };
+  /** Returns a dispatch of the payment `k` after which the table comes back from a copy. */
+  const runThenRestore = (restore: () => void) => (): Promise<DispatchOutcome> => {
+    const answer = fixture.runAtServer('k');
+    restore();
+    return Promise.resolve(answer);
+  };
+  return { ...fixture, table, first, second, runThenRestore };
 }
 
 // The outcome was dropped when its row was gone, so that a repeat elsewhere ran a second time.
 test('a payment whose intent the table forgot while it ran is recorded when it ends', async () => {
-  const { table, first, second, send, runAtServer, runsOf } = createSetup();
+  const { table, first, second, send, runThenRestore, runsOf } = createSetup();
   const restore = await table.takeCopy();
-  const dispatch = (): Promise<DispatchOutcome> => {
-    const answer = runAtServer('k');
-    restore();
-    return Promise.resolve(answer);
-  };
-  expect(await send(first, 'k', dispatch)).toEqual('answered');
+  expect(await send(first, 'k', runThenRestore(restore))).toEqual('answered');
   await eventually(() => first.stats().unrecorded === 0);
   expect(await send(second, 'k')).toEqual('replayed');
   expect(runsOf('k')).toEqual(1);
@@ -39,18 +40,13 @@
 
 // An earlier "not run" that came back was taken as a later record and left in place.
 test('a payment is recorded over an earlier "not run" that came back', async () => {
-  const { table, first, second, send, runAtServer, runsOf } = createSetup();
+  const { table, first, second, send, runThenRestore, runsOf } = createSetup();
   const refuse = (): Promise<DispatchOutcome> =>
     Promise.resolve({ kind: 'not-run', reason: 'refused', mayRetry: false });
   expect(await send(first, 'k', refuse)).toEqual(ownerUnreachable);
   await eventually(() => first.stats().unrecorded === 0);
   const restore = await table.takeCopy();
-  const dispatch = (): Promise<DispatchOutcome> => {
-    const answer = runAtServer('k');
-    restore();
-    return Promise.resolve(answer);
-  };
-  expect(await send(first, 'k', dispatch)).toEqual('answered');
+  expect(await send(first, 'k', runThenRestore(restore))).toEqual('answered');
   await eventually(() => first.stats().unrecorded === 0);
   expect(await send(second, 'k')).toEqual('replayed');
   expect(runsOf('k')).toEqual(1);
