Key placement simulation: the planner's context has its full type

The simulation cast the context that it gives the planner, so that the compiler missed new members. The planner names what it uses of a leader's context now, and the simulation provides all of it, with complete entries of the registry.

--- a/packages/placement/src/lib/leader-context.ts
+++ b/packages/placement/src/lib/leader-context.ts
@@ -75,6 +75,12 @@
   readonly nextFence: () => number;
 }
 
+/** What shows whether an incarnation has ended. */
+export interface EndContext {
+  readonly directory: Pick<ServerDirectory, 'get'>;
+  readonly health: Pick<ServerHealth, 'hasEnded'>;
+}
+
 const lifeOf = ({ server, address, startedMs }: ServerIncarnation) => ({
   id: server,
   address,
@@ -82,7 +88,7 @@
 });
 
 /** Returns the proof of an incarnation's end that lies in a later start in the registry. */
-function endInRegistry(ctx: LeaderContext, incarnation: ServerIncarnation): EndProof | undefined {
+function endInRegistry(ctx: EndContext, incarnation: ServerIncarnation): EndProof | undefined {
   const entry = ctx.directory.get(incarnation.server)?.entry;
   return entry && endByStart(lifeOf(incarnation), entry);
 }
@@ -91,7 +97,7 @@
  * Returns whether an incarnation has ended, as proved by an order or by a later start in the
  * registry. Its orders may have reached a later incarnation: see {@link mayHoldUntil}.
  */
-export function hasEnded(ctx: LeaderContext, incarnation: ServerIncarnation): boolean {
+export function hasEnded(ctx: EndContext, incarnation: ServerIncarnation): boolean {
   return ctx.health.hasEnded(incarnation) || endInRegistry(ctx, incarnation) !== undefined;
 }
 
--- a/packages/placement/src/lib/service-planner.ts
+++ b/packages/placement/src/lib/service-planner.ts
@@ -1,7 +1,7 @@
 import { createExcludedOwners } from './excluded-owners.js';
 import type { HeldRange, Holder } from './held-range.js';
 import { countKeys } from './key-range.js';
-import { type LeaderContext, hasEnded } from './leader-context.js';
+import { type EndContext, type LeaderContext, hasEnded } from './leader-context.js';
 import { type LoadChanges, type ObservedLoad, createLoadChanges } from './load-changes.js';
 import { type LoadMap, createLoadMap } from './load-map.js';
 import { type AdmittedShares, type OwnedRange, demandByOwner, findOverloads } from './overload.js';
@@ -13,7 +13,8 @@
   planMoves,
 } from './plan-moves.js';
 import { type RangeTable, applyMove } from './range-table.js';
-import type { KnownServer } from './server-directory.js';
+import type { KnownServer, ServerDirectory } from './server-directory.js';
+import type { ServerHealth } from './server-health.js';
 import { type SpeedReport, createServerSpeeds } from './server-speed.js';
 
 /** Time after a grant before balancing may move the range again, in milliseconds. */
@@ -76,6 +77,15 @@
   readonly keysMoved: number;
 }
 
+/** What a planner uses of a leader's context. */
+export interface PlannerContext extends Pick<
+  LeaderContext,
+  'clocks' | 'inheritedUntil' | 'limitOf' | 'mayOwnKeys' | 'nextFence'
+> {
+  readonly directory: EndContext['directory'] & Pick<ServerDirectory, 'ofService'>;
+  readonly health: EndContext['health'] & Pick<ServerHealth, 'isUnresponsive'>;
+}
+
 /** Decides which ranges get another owner, by load and by the state of their owners. */
 export interface ServicePlanner {
   record(report: ServiceLoadReport): void;
@@ -111,7 +121,7 @@
 }
 
 /** Creates a planner without load measurements. */
-export function createServicePlanner(ctx: LeaderContext): ServicePlanner {
+export function createServicePlanner(ctx: PlannerContext): ServicePlanner {
   const { directory, health, clocks } = ctx;
   const speeds = createServerSpeeds();
   const loads = new Map<string, ServiceLoad>();
--- a/packages/router/src/test/key-placement-simulation.ts
+++ b/packages/router/src/test/key-placement-simulation.ts
@@ -1,7 +1,7 @@
 import {
-  type LeaderContext,
   MAX_JOINS_PER_PLAN,
   NEVER_COLD,
+  type PlannerContext,
   createRangeTable,
   createServicePlanner,
   findRange,
@@ -107,19 +107,31 @@
   }));
   const table = createRangeTable(load.servers * 2);
   const entries = ids.map((id) => ({
-    entry: { id: String(id), address: '', startedMs: 1, slots: SLOTS, warmUpMs: 0 },
+    entry: {
+      id: String(id),
+      service: 's',
+      address: '',
+      availabilityZone: 'z',
+      slots: SLOTS,
+      draining: false,
+      warmUpMs: 0,
+      startedMs: 1,
+      heartbeat: 0,
+    },
+    stateSince: -Infinity,
     cold: NEVER_COLD,
+    heartbeatAt: -Infinity,
   }));
-  const ctx = {
+  const ctx: PlannerContext = {
     directory: { ofService: () => entries, get: () => undefined },
     health: { hasEnded: () => false, isUnresponsive: () => false },
-    clocks: { monotonic: () => now },
+    clocks: { monotonic: () => now, timeOfDay: () => now },
     inheritedUntil: () => -Infinity,
     limitOf: () => undefined,
     mayOwnKeys: () => true,
     nextFence: () => (fence += 1),
   };
-  const planner = createServicePlanner(ctx as unknown as LeaderContext);
+  const planner = createServicePlanner(ctx);
   const seconds: KeyedSecond[] = [];
   let second = { sent: 0, inTime: 0, moves: 0, keysMoved: 0, planMs: 0 };
 
