--- a/packages/placement/src/test/hand-over_test.ts
+++ b/packages/placement/src/test/hand-over_test.ts
@@ -9,7 +9,7 @@
 import type { LeaderContext } from '../lib/leader-context.js';
 import { recordAnswered, recordUnanswered } from '../lib/lease-bound.js';
 import { renewLeases } from '../lib/lease-renewals.js';
-import { createServerHealth } from '../lib/server-health.js';
+import { createFakeContext } from './fake-context.js';
 import { type FakeDirectory, createFakeDirectory, incarnationOf } from './fake-directory.js';
 import { type FakeHolders, createFakeHolders } from './fake-holders.js';
 
@@ -27,24 +27,12 @@
   const now = () => performance.now();
   const holders = createFakeHolders(now);
   const directory = createFakeDirectory(['a', 'b']);
-  const ctx: LeaderContext = {
-    orders: holders,
-    reach: holders.reach,
+  const ctx = createFakeContext(holders, {
     directory,
-    health: createServerHealth(),
     clocks: { monotonic: now, timeOfDay: Date.now },
-    log: { info: () => undefined, warn: () => undefined },
     times,
-    signal: new AbortController().signal,
-    mayOrder: () => true,
-    mayRenew: () => true,
-    inheritedUntil: () => -Infinity,
-    noteChange: () => undefined,
-    persist: () => Promise.resolve(true),
     nextFence: () => 9,
-    limitOf: () => undefined,
-    mayOwnKeys: () => true,
-  };
+  });
   const former = newHolder(incarnationOf('a'), 1);
   const order = { first: 0, last: 9, fence: 1, leaseMs: times.leaseMs, handover: undefined };
   await holders.grant({ serverId: 'a', address: 'a:1' }, order, 100);
--- a/packages/placement/src/test/leader-lease_test.ts
+++ b/packages/placement/src/test/leader-lease_test.ts
@@ -11,15 +11,7 @@
 } from '../lib/leader-lease.js';
 import { type FakeClocks, createFakeClocks } from './fake-clocks.js';
 import { type FakeRowStore, createFakeRowStore } from './fake-row-store.js';
-
-const content = (version: number) => ({
-  version,
-  change: 0,
-  nextFence: 1,
-  services: new Map<string, never>(),
-  suspects: [],
-  peers: [],
-});
+import { contentOf } from './row-content.js';
 
 function candidate(router: string, startedMs = 1): Candidate {
   return { router, address: `${router}:1`, startedMs };
@@ -41,8 +33,8 @@
   const { clocks, store } = setUp();
   const a = await openLease(store, clocks, candidate('a'));
   const b = await openLease(store, clocks, candidate('b'));
-  expect(await a.leaderLease.write(content(1))).toEqual('committed');
-  expect(await b.leaderLease.write(content(1))).toEqual('lost');
+  expect(await a.leaderLease.write(contentOf(1))).toEqual('committed');
+  expect(await b.leaderLease.write(contentOf(1))).toEqual('lost');
   expect(a.leaderLease.isConfirmed()).toEqual(true);
   expect(b.leaderLease.isConfirmed()).toEqual(false);
 });
@@ -50,7 +42,7 @@
 test('a lease is free once it has expired on the clock of the store, and not before', async () => {
   const { clocks, store } = setUp();
   const a = await openLease(store, clocks, candidate('a'));
-  await a.leaderLease.write(content(1));
+  await a.leaderLease.write(contentOf(1));
   clocks.advance(LEADER_LEASE_MS - 1);
   const early = await openLease(store, clocks, candidate('b'));
   expect(isLeaseFree(early.reading, candidate('b'))).toEqual(false);
@@ -63,7 +55,7 @@
 test('a restarted router may immediately acquire the lease of its former incarnation', async () => {
   const { clocks, store } = setUp();
   const a = await openLease(store, clocks, candidate('a', 1));
-  await a.leaderLease.write(content(1));
+  await a.leaderLease.write(contentOf(1));
   const { reading } = await openLease(store, clocks, candidate('a', 2));
   expect(isLeaseFree(reading, candidate('a', 2))).toEqual(true);
   expect(isLeaseFree(reading, candidate('a', 1))).toEqual(false);
@@ -73,19 +65,19 @@
   const { clocks, store } = setUp();
   const a = await openLease(store, clocks, candidate('a'));
   store.fault = 'loses-answers';
-  expect(await a.leaderLease.write(content(1))).toEqual('unknown');
+  expect(await a.leaderLease.write(contentOf(1))).toEqual('unknown');
   store.fault = 'none';
-  expect(await a.leaderLease.write(content(2))).toEqual('unknown');
-  expect(await a.leaderLease.write(content(3))).toEqual('committed');
+  expect(await a.leaderLease.write(contentOf(2))).toEqual('unknown');
+  expect(await a.leaderLease.write(contentOf(3))).toEqual('committed');
 });
 
 test('a write that is carried out late does not overwrite a newer one', async () => {
   const { clocks, store } = setUp();
   const a = await openLease(store, clocks, candidate('a'));
   store.fault = 'delays-writes';
-  expect(await a.leaderLease.write(content(1))).toEqual('unknown');
+  expect(await a.leaderLease.write(contentOf(1))).toEqual('unknown');
   store.fault = 'none';
-  expect(await a.leaderLease.write(content(2))).toEqual('committed');
+  expect(await a.leaderLease.write(contentOf(2))).toEqual('committed');
   store.deliverLate();
   expect((await readLeaderLease(store, clocks))?.placement?.version).toEqual(2);
 });
@@ -93,23 +85,23 @@
 test('a late write of a former leader does not reclaim the lease', async () => {
   const { clocks, store } = setUp();
   const a = await openLease(store, clocks, candidate('a'));
-  await a.leaderLease.write(content(1));
+  await a.leaderLease.write(contentOf(1));
   store.fault = 'delays-writes';
-  await a.leaderLease.write(content(2));
+  await a.leaderLease.write(contentOf(2));
   store.fault = 'none';
   clocks.advance(LEADER_LEASE_MS);
   const b = await openLease(store, clocks, candidate('b'));
-  expect(await b.leaderLease.write(content(3))).toEqual('committed');
+  expect(await b.leaderLease.write(contentOf(3))).toEqual('committed');
   store.deliverLate();
   expect((await readLeaderLease(store, clocks))?.placement?.leaderLease.router).toEqual('b');
-  expect(await a.leaderLease.write(content(4))).toEqual('lost');
+  expect(await a.leaderLease.write(contentOf(4))).toEqual('lost');
 });
 
 test('a leader that hands over releases its lease immediately', async () => {
   const { clocks, store } = setUp();
   const a = await openLease(store, clocks, candidate('a'));
-  await a.leaderLease.write(content(1));
-  await a.leaderLease.write(content(2), { unansweredForMs: 700 });
+  await a.leaderLease.write(contentOf(1));
+  await a.leaderLease.write(contentOf(2), { unansweredForMs: 700 });
   const { reading } = await openLease(store, clocks, candidate('b'));
   expect(isLeaseFree(reading, candidate('b'))).toEqual(true);
   expect(reading.placement?.leaderLease.unansweredForMs).toEqual(700);
@@ -118,7 +110,7 @@
 test('the estimate of the store clock by a leader is never behind that clock', async () => {
   const { clocks, store } = setUp();
   const a = await openLease(store, clocks, candidate('a'));
-  await a.leaderLease.write(content(1));
+  await a.leaderLease.write(contentOf(1));
   clocks.advance(500);
   const { reading } = await openLease(store, clocks, candidate('b'));
   expect(a.leaderLease.storeTime(clocks.monotonic()) >= reading.storeNowMs).toEqual(true);
@@ -127,8 +119,8 @@
 test('a lease that is handed over to a successor is free for it immediately, for others after its expiry', async () => {
   const { clocks, store } = setUp();
   const a = await openLease(store, clocks, candidate('a'));
-  await a.leaderLease.write(content(1));
-  await a.leaderLease.write(content(2), { unansweredForMs: 0, successor: 'b' });
+  await a.leaderLease.write(contentOf(1));
+  await a.leaderLease.write(contentOf(2), { unansweredForMs: 0, successor: 'b' });
   const { reading } = await openLease(store, clocks, candidate('b'));
   expect(isLeaseFree(reading, candidate('b'))).toEqual(true);
   expect(isLeaseFree(reading, candidate('c'))).toEqual(false);
@@ -158,17 +150,17 @@
   test(`a write from before a suspension ${title} does not make the lease valid again`, async () => {
     const { clocks, store } = setUp();
     const { leaderLease } = await openLease(store, clocks, candidate('a'));
-    await leaderLease.write(content(1));
+    await leaderLease.write(contentOf(1));
     clocks.advance(1_000);
     const deliverAnswer = holdNextAnswer(store);
-    const written = leaderLease.write(content(2));
+    const written = leaderLease.write(contentOf(2));
     clocks.jump(10_000);
     if (isNoticed) leaderLease.invalidate();
     deliverAnswer();
     expect(await written).toEqual('committed');
     expect(leaderLease.isConfirmed()).toEqual(false);
     clocks.advance(1);
-    await leaderLease.write(content(3));
+    await leaderLease.write(contentOf(3));
     expect(leaderLease.isConfirmed()).toEqual(true);
   });
 }
--- a/packages/placement/src/test/placement-member_test.ts
+++ b/packages/placement/src/test/placement-member_test.ts
@@ -14,6 +14,7 @@
 import { processClocks } from '../lib/suspension-guard.js';
 import { createFakeDirectory } from './fake-directory.js';
 import { type FakeRowStore, createFakeRowStore } from './fake-row-store.js';
+import { contentOf } from './row-content.js';
 
 const SELF = { router: 'self', address: '10.0.0.2:1', startedMs: 2 };
 const OTHER = { router: 'other', address: '10.0.0.1:1', startedMs: 1 };
@@ -21,15 +22,6 @@
 /** Time in which a state has to be reached, in milliseconds. */
 const WAIT_MS = 3_000;
 
-const CONTENT = {
-  version: 1,
-  change: 1,
-  nextFence: 1,
-  services: new Map<string, never>(),
-  suspects: [],
-  peers: [],
-};
-
 /** Answer of a leader of three routers, which admits half of the requests to a server. */
 const LEADER_ANSWER: ReportAnswer = {
   leads: true,
@@ -117,7 +109,10 @@
   const reading = await readLeaderLease(store, processClocks);
   assert(reading);
   const lease = createLeaderLease({ store, clocks: processClocks, candidate: OTHER, reading });
-  const content = { ...CONTENT, ...(strongestCapacity !== undefined && { strongestCapacity }) };
+  const content = {
+    ...contentOf(1),
+    ...(strongestCapacity !== undefined && { strongestCapacity }),
+  };
   expect(await lease.write(content)).toEqual('committed');
 }
 
--- a/packages/placement/src/test/release-others_test.ts
+++ b/packages/placement/src/test/release-others_test.ts
@@ -3,9 +3,8 @@
 import { expect } from 'earl';
 
 import { newHolder, unownedRange } from '../lib/held-range.js';
-import type { LeaderContext } from '../lib/leader-context.js';
 import { releaseOthers, spansBetween } from '../lib/release-others.js';
-import { createServerHealth } from '../lib/server-health.js';
+import { createFakeContext } from './fake-context.js';
 import { createFakeDirectory, incarnationOf } from './fake-directory.js';
 import { createFakeHolders } from './fake-holders.js';
 
@@ -28,24 +27,12 @@
   const now = () => performance.now();
   const holders = createFakeHolders(now);
   let fence = 70;
-  const ctx: LeaderContext = {
-    orders: holders,
-    reach: holders.reach,
+  const ctx = createFakeContext(holders, {
     directory: createFakeDirectory(['a', 'b', 'c']),
-    health: createServerHealth(),
     clocks: { monotonic: now, timeOfDay: Date.now },
-    log: { info: () => undefined, warn: () => undefined },
     times: { leaseMs: 300, transitMs: 50 },
-    signal: new AbortController().signal,
-    mayOrder: () => true,
-    mayRenew: () => true,
-    inheritedUntil: () => -Infinity,
-    noteChange: () => undefined,
-    persist: () => Promise.resolve(true),
     nextFence: () => (fence += 1),
-    limitOf: () => undefined,
-    mayOwnKeys: () => true,
-  };
+  });
   const grant = { first: 0, last: 99, fence: 8, leaseMs: 60_000, handover: undefined };
   await holders.grant({ serverId: 'b', address: 'b:1' }, grant, 100);
   holders.modes.set('c', 'silent');
--- a/packages/placement/src/test/returned-store_test.ts
+++ b/packages/placement/src/test/returned-store_test.ts
@@ -7,15 +7,7 @@
 import { placementKey } from '../lib/placement-rows.js';
 import { type FakeClocks, createFakeClocks } from './fake-clocks.js';
 import { type FakeRowStore, createFakeRowStore } from './fake-row-store.js';
-
-const content = (version: number) => ({
-  version,
-  change: 0,
-  nextFence: 1,
-  services: new Map<string, never>(),
-  suspects: [],
-  peers: [],
-});
+import { contentOf } from './row-content.js';
 
 function setUp() {
   const clocks = createFakeClocks();
@@ -34,9 +26,9 @@
   const { clocks, store } = setUp();
   const comeBack = store.takeCopy();
   const { leaderLease } = await openLease(store, clocks, 'a');
-  await leaderLease.write(content(1));
+  await leaderLease.write(contentOf(1));
   comeBack();
-  expect(await leaderLease.write(content(2))).toEqual('committed');
+  expect(await leaderLease.write(contentOf(2))).toEqual('committed');
   expect(leaderLease.isConfirmed()).toEqual(true);
   const { reading } = await openLease(store, clocks, 'b');
   expect(reading.placement?.version).toEqual(2);
@@ -47,11 +39,11 @@
 test('a leader whose lease has expired does not continue it when the store comes back', async () => {
   const { clocks, store } = setUp();
   const { leaderLease } = await openLease(store, clocks, 'a');
-  await leaderLease.write(content(1));
+  await leaderLease.write(contentOf(1));
   const comeBack = store.takeCopy();
   clocks.advance(LEADER_LEASE_MS);
   comeBack();
-  expect(await leaderLease.write(content(2))).toEqual('lost');
+  expect(await leaderLease.write(contentOf(2))).toEqual('lost');
   expect(leaderLease.isEndedByReturn()).toEqual(true);
 });
 
@@ -59,21 +51,21 @@
 test('a leader that may have been suspended does not continue its lease', async () => {
   const { clocks, store } = setUp();
   const { leaderLease } = await openLease(store, clocks, 'a');
-  await leaderLease.write(content(1));
+  await leaderLease.write(contentOf(1));
   store.takeCopy()();
   clocks.jump(60_000);
-  expect(await leaderLease.write(content(2))).toEqual('lost');
+  expect(await leaderLease.write(contentOf(2))).toEqual('lost');
 });
 
 // Guards against two leaders: the era may be claimed by another router already.
 test('a leader does not continue its lease in an era that another router has claimed', async () => {
   const { clocks, store } = setUp();
   const { leaderLease } = await openLease(store, clocks, 'a');
-  await leaderLease.write(content(1));
+  await leaderLease.write(contentOf(1));
   store.takeCopy()();
   const other = await openLease(store, clocks, 'b');
-  expect(await other.leaderLease.write(content(1))).toEqual('committed');
-  expect(await leaderLease.write(content(2))).toEqual('lost');
+  expect(await other.leaderLease.write(contentOf(1))).toEqual('committed');
+  expect(await leaderLease.write(contentOf(2))).toEqual('lost');
   expect(leaderLease.isEndedByReturn()).toEqual(false);
 });
 
@@ -83,15 +75,15 @@
   const comeBack = store.takeCopy();
   const first = await openLease(store, clocks, 'a');
   store.fault = 'delays-writes';
-  await first.leaderLease.write(content(1));
+  await first.leaderLease.write(contentOf(1));
   store.fault = 'none';
   comeBack();
   const second = await openLease(store, clocks, 'b');
-  await second.leaderLease.write(content(1));
+  await second.leaderLease.write(contentOf(1));
   store.deliverLate();
   const { reading } = await openLease(store, clocks, 'c');
   expect(reading.placement?.leaderLease.router).toEqual('b');
-  expect(await second.leaderLease.write(content(2))).toEqual('committed');
+  expect(await second.leaderLease.write(contentOf(2))).toEqual('committed');
 });
 
 // Guards against epochs that are given out twice: routers would not follow the later leader.
@@ -100,7 +92,7 @@
   const comeBack = store.takeCopy();
   for (const router of ['a', 'b', 'c']) {
     const { leaderLease } = await openLease(store, clocks, router);
-    await leaderLease.write(content(1));
+    await leaderLease.write(contentOf(1));
     clocks.advance(LEADER_LEASE_MS);
   }
   comeBack();
@@ -112,7 +104,7 @@
   const { clocks, store } = setUp();
   for (const era of [0, 1, 2]) {
     const { leaderLease } = await openLease(store, clocks, `router-${era}`);
-    await leaderLease.write(content(era + 1));
+    await leaderLease.write(contentOf(era + 1));
     store.takeCopy()();
     clocks.advance(LEADER_LEASE_MS);
   }
--- a/packages/placement/src/test/service-planner_test.ts
+++ b/packages/placement/src/test/service-planner_test.ts
@@ -3,10 +3,9 @@
 import { expect } from 'earl';
 
 import type { HeldRange } from '../lib/held-range.js';
-import type { LeaderContext } from '../lib/leader-context.js';
 import { createRangeTable } from '../lib/range-table.js';
-import { createServerHealth } from '../lib/server-health.js';
 import { createServicePlanner } from '../lib/service-planner.js';
+import { createFakeContext } from './fake-context.js';
 import { createFakeDirectory } from './fake-directory.js';
 import { createFakeHolders } from './fake-holders.js';
 
@@ -25,24 +24,14 @@
   const directory = createFakeDirectory(SERVERS);
   for (const server of SERVERS) directory.set(server, { availabilityZone: `zone of ${server}` });
   const holders = createFakeHolders(() => now);
-  const ctx: LeaderContext = {
-    orders: holders,
-    reach: holders.reach,
+  const ctx = createFakeContext(holders, {
     directory,
-    health: createServerHealth(),
     clocks: { monotonic: () => now, timeOfDay: () => now },
-    log: { info: () => undefined, warn: () => undefined },
     times: { leaseMs: 7_000, transitMs: 500 },
-    signal: new AbortController().signal,
-    mayOrder: () => true,
-    mayRenew: () => true,
-    inheritedUntil: () => -Infinity,
-    noteChange: () => undefined,
-    persist: () => Promise.resolve(true),
     limitOf: ({ server }) => (server === 'a' ? limitPerS : undefined),
     mayOwnKeys: (_service, zone) => !excludedZones.includes(zone),
     nextFence: () => (fence += 1),
-  };
+  });
   const planner = createServicePlanner(ctx);
   const table = createRangeTable(RANGES);
   /** Number of keys that a server owns, which is the requests per second that it gets. */
