Response framing limit: reads that the stream makes for itself pass unchanged

The stream calls read(0) for itself to receive more, and drops what it gets. The limit handed it a slice, so that these bytes were lost wherever a reader of a body pauses. The router's own requests do not pause; found by 'an answer is whole for a slow reader', which comes with the pools that do, and fails without this line.

--- a/packages/platform/src/lib/response-framing-limit.ts
+++ b/packages/platform/src/lib/response-framing-limit.ts
@@ -35,6 +35,8 @@
     const read = socket.read.bind(socket);
 
     socket.read = (size?: number): unknown => {
+      // The stream itself calls this to receive more; it drops what it gets.
+      if (size === 0) return read(0);
       current = count;
       count.settle();
       // The parser otherwise goes on with what was received before the connection was closed.
