Store, boragepointd, renewals: what an answer has besides its body is bounded

Not seen by callers so far; found while looking for the cause of requests without an answer elsewhere. The store client, the pools of boragepointd and the client of renewals read status lines, interim responses, empty lines and chunk extensions without end until the time of the call was over, with the processor busy all the while (about 2 s of processor time in 2 s for each such connection, measured with the HTTP library alone).

Cause: the same as in the router's requests: the HTTP library bounds the fields of one head only.

Evidence: six tests "a call is given up when its answer has too many bytes besides its body", one of the store client and one of the renewals fail on the code before: the call is still waiting after 10 s, or ends by its own timeout. "an answer is whole for a slow reader" passes on both.

Fix: the same limit on their connections. limitFraming joins it with the connector of a pool or agent.

--- a/packages/ownership/src/lib/lease-client.ts
+++ b/packages/ownership/src/lib/lease-client.ts
@@ -1,6 +1,7 @@
 import {
   LEASE_PATH,
   abortAfter,
+  limitFraming,
   type LeaseAnswer,
   type LeaseRequest,
   leaseAnswerSchema,
@@ -30,12 +31,19 @@
 
 /** Creates a client with its own connections, so that in-flight requests don't delay renewals. */
 export function createLeaseClient(): LeaseClient {
-  const agent = new Agent({ connections: 1, pipelining: 1, keepAliveTimeout: 10_000 });
+  const limited = limitFraming({});
+  const agent = new Agent({
+    connections: 1,
+    pipelining: 1,
+    keepAliveTimeout: 10_000,
+    connect: limited.connect,
+  });
+  const dispatcher = limited.observed(agent);
   return {
     async send(address, req, timeoutMs) {
       using timeout = abortAfter(timeoutMs);
       try {
-        const res = await agent.request({
+        const res = await dispatcher.request({
           origin: `http://${address}`,
           path: LEASE_PATH,
           method: 'POST',
--- a/packages/platform/src/lib/confirming-pool.ts
+++ b/packages/platform/src/lib/confirming-pool.ts
@@ -1,7 +1,8 @@
-import { type Dispatcher, Pool, buildConnector, errors } from 'undici';
+import { type Dispatcher, Pool, errors } from 'undici';
 
 import { isFramed } from './answer-framing.js';
 import { type ConnectionEnds, createConnectionEnds } from './connection-ends.js';
+import { limitFraming } from './response-framing-limit.js';
 
 const HTTP_OK = 200;
 
@@ -48,31 +49,28 @@
 /**
  * Creates a pool of connections to an origin. An answer without a length or chunks fails where its
  * connection did not end in order, as its end is missing then; the HTTP library alone reports it as
- * complete.
+ * complete. What answers have besides their bodies is limited.
  */
 export function createConfirmingPool(
   origin: string,
   { connections, connectTimeoutMs, keepAliveMs }: ConfirmingPoolOptions,
 ): Dispatcher {
   const ends = createConnectionEnds();
-  const connectSocket = buildConnector({
-    allowHalfOpen: true,
-    ...(connectTimeoutMs !== undefined && { timeout: connectTimeoutMs }),
-  });
+  const limited = limitFraming(
+    { allowHalfOpen: true, ...(connectTimeoutMs !== undefined && { timeout: connectTimeoutMs }) },
+    (socket) => {
+      ends.watch(socket);
+    },
+  );
   const pool = new Pool(origin, {
     connections,
     pipelining: 1,
     ...(keepAliveMs !== undefined && { keepAliveTimeout: keepAliveMs }),
-    connect(options, callback) {
-      connectSocket(options, (...result) => {
-        const [, socket] = result;
-        if (socket) ends.watch(socket);
-        callback(...result);
-      });
-    },
+    connect: limited.connect,
   });
-  return pool.compose(
+  const confirmed = pool.compose(
     (dispatch) => (options, handler) =>
       dispatch(options, confirming(handler, options.method, ends)),
   );
+  return limited.observed(confirmed);
 }
--- a/packages/platform/src/lib/response-framing-limit.ts
+++ b/packages/platform/src/lib/response-framing-limit.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 
-import type { Dispatcher } from 'undici';
+import { type Dispatcher, buildConnector } from 'undici';
 
 import { type FramingCount, createFramingCount } from './framing-count.js';
 
@@ -82,3 +82,36 @@
     },
   };
 }
+
+/** Limits the responses on all connections of a pool or agent of undici. */
+export interface FramingLimitedConnections {
+  /** Opens its connections. */
+  readonly connect: buildConnector.connector;
+  /** Returns the dispatcher with its responses observed. */
+  observed(dispatcher: Dispatcher): Dispatcher;
+}
+
+/** Creates the limit of a pool or agent. `onConnected` is called with each new connection. */
+export function limitFraming(
+  options: buildConnector.BuildOptions,
+  onConnected?: (socket: Socket) => void,
+): FramingLimitedConnections {
+  const framing = createResponseFramingLimit();
+  const connectSocket = buildConnector(options);
+  return {
+    connect(target, callback) {
+      connectSocket(target, (...result) => {
+        const [, socket] = result;
+        if (socket) {
+          onConnected?.(socket);
+          framing.watch(socket);
+        }
+        callback(...result);
+      });
+    },
+    observed: (dispatcher) =>
+      dispatcher.compose(
+        (dispatch) => (request, handler) => dispatch(request, framing.observe(handler)),
+      ),
+  };
+}
