Renewals: the answer of a backend server is bounded in size

Not seen by callers so far; found while looking for other places that keep what a backend server sends. boragepointd buffered the answer to a renewal without a bound until the time of the renewal was over.

Cause: the whole body was read as JSON, with no limit but the time.

Evidence: "a renewal is given up when its answer is too large" fails on the code before, where the renewal ends by its timeout of 10 s (AbortError).

Fix: the body is read up to 16 MiB, and its connection closed beyond that.

--- a/packages/ownership/src/lib/lease-client.ts
+++ b/packages/ownership/src/lib/lease-client.ts
@@ -2,6 +2,7 @@
   LEASE_PATH,
   abortAfter,
   limitFraming,
+  readWithProgress,
   type LeaseAnswer,
   type LeaseRequest,
   leaseAnswerSchema,
@@ -10,6 +11,14 @@
 import { Agent } from 'undici';
 import * as v from 'valibot';
 
+/**
+ * Maximum size of an answer, in bytes: twice what all 65,536 shards of a service take with 130 bytes
+ * each.
+ */
+const MAX_ANSWER_BYTES = 16 << 20;
+/** The total time of a renewal is limited. */
+const NO_PROGRESS_TIMEOUT = { progressed: () => undefined };
+
 /** A renewal that got no usable answer. */
 export class LeaseError extends Error {
   override readonly name = 'LeaseError';
@@ -51,7 +60,8 @@
           body: JSON.stringify(req),
           signal: timeout.signal,
         });
-        return ok(v.parse(leaseAnswerSchema, await res.body.json()));
+        const body = await readWithProgress(res.body, NO_PROGRESS_TIMEOUT, MAX_ANSWER_BYTES);
+        return ok(v.parse(leaseAnswerSchema, JSON.parse(body.toString('utf8'))));
       } catch (cause) {
         return err(
           new LeaseError(`the lease renewal got no usable answer from ${address}`, { cause }),
--- a/packages/ownership/src/test/lease-client_test.ts
+++ b/packages/ownership/src/test/lease-client_test.ts
@@ -32,3 +32,13 @@
   });
   expect(failure).toEqual('ResponseFramingError');
 });
+
+// Guards against a faulty server that fills the memory with the answer to a renewal until its time is
+// over.
+test('a renewal is given up when its answer is too large', async () => {
+  const failure = await failureOf((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\ncontent-length: 40000000\r\n\r\n');
+    socket.write(Buffer.alloc(20 << 20, ' '));
+  });
+  expect(failure).toEqual('OversizedBodyError');
+});
