Router: responses draw on the budget of the process, and their garbage is collected by bytes

What callers saw: under backend servers whose bodies don't end, come all at once or stall, a router on a small instance took more memory than the instance has; a platform that ends such a process loses all requests on it.

Cause: all responses that had not ended were bounded by 16 MiB on every instance, whatever it held for clients, and what was read and dropped stayed until V8 collected it, which it does by its own count from 64 MiB on.

Why this works: responses are a kind of the one budget, at most 0.35 of it and 16 MiB. The largest is aborted beyond, or when the whole budget is used up; small ones are not, and one large response alone always has room. Bodies beyond 64 KiB count as read bytes of the garbage pace: each MiB below 200 MB, each 8 MiB on larger instances. Ordinary responses don't reach that, so that they cost no collections. createAnswerMemory takes its limits by name now; the bounds in its tests are as before.

--- a/packages/router/src/lib/answer-body.ts
+++ b/packages/router/src/lib/answer-body.ts
@@ -60,6 +60,7 @@
       lastBytes += copied;
       offset += copied;
     }
+    room.noteCopied(part.length);
   }
 
   function usedSegments(): Buffer[] {
--- a/packages/router/src/lib/client-budget.ts
+++ b/packages/router/src/lib/client-budget.ts
@@ -18,8 +18,16 @@
  * - `requests`: what the HTTP library and the router hold for a request without its body.
  * - `smallBodies`, `bodies`: bodies of requests; large ones leave the small ones their room.
  * - `answers`: answers that clients have not read.
+ * - `responses`: responses of backend servers that have not ended.
  */
-export const HELD_KINDS = ['input', 'requests', 'smallBodies', 'bodies', 'answers'] as const;
+export const HELD_KINDS = [
+  'input',
+  'requests',
+  'smallBodies',
+  'bodies',
+  'answers',
+  'responses',
+] as const;
 export type HeldKind = (typeof HELD_KINDS)[number];
 
 /** Largest part of the budget for each kind, so that none displaces all others. */
@@ -29,6 +37,7 @@
   smallBodies: 0.15,
   bodies: 0.5,
   answers: 0.5,
+  responses: 0.35,
 };
 
 /** Counts the bytes that a process holds for clients. */
@@ -66,6 +75,7 @@
     smallBodies: 0,
     bodies: 0,
     answers: 0,
+    responses: 0,
   };
   let total = 0;
   const hasRoomOfKind = (kind: HeldKind, bytes: number) =>
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -20,10 +20,11 @@
 import { errorFields } from './describe-error.js';
 import { countEvacuatedRanges } from './evacuated-ranges.js';
 import { createEvacuations } from './evacuations.js';
+import { createAnswerMemory } from './answer-memory.js';
 import { budgetBytes, createClientBudget } from './client-budget.js';
 import { closeServer, serveMetrics, serveReadiness } from './http-endpoints.js';
 import { logClosedConnection } from './log-closed-connection.js';
-import { leaveGarbage, needsGarbagePace, paceGarbage } from './garbage-pace.js';
+import { paceGarbage } from './garbage-pace.js';
 import { createKeyLoad } from './key-load.js';
 import { createKeyOwnerRule } from './key-owner-zones.js';
 import { createPeerListener } from './peer-listener.js';
@@ -208,10 +209,8 @@
   const keyLoad = createKeyLoad(() => pool);
   const probe = createServerProbe();
   const { instanceMb } = settings.memory;
-  const clientBudget = createClientBudget(
-    budgetBytes(instanceMb),
-    needsGarbagePace(instanceMb) ? paceGarbage() : leaveGarbage(),
-  );
+  const garbage = paceGarbage(instanceMb);
+  const clientBudget = createClientBudget(budgetBytes(instanceMb), garbage.clients);
 
   const member = createPlacementMember({
     place: `${instance.region}/${instance.availabilityZone}`,
@@ -281,6 +280,7 @@
     pool,
     eligibility,
     codec: platform.headers,
+    answerMemory: createAnswerMemory({ budget: clientBudget, pace: garbage.responses }),
     log,
     view: () => member.view(),
     admittedShare: (server) => member.admittedShare(server),
--- a/packages/router/src/lib/garbage-pace.ts
+++ b/packages/router/src/lib/garbage-pace.ts
@@ -9,6 +9,11 @@
 const MINOR_AFTER_BYTES = MEBIBYTE;
 /** Bytes of larger buffers that are no longer used, after which the whole heap is collected. */
 const MAJOR_AFTER_BYTES = 8 * MEBIBYTE;
+/** The same for large responses on instances that leave other garbage to V8. */
+const RESPONSE_LIMITS: PaceLimits = {
+  minorAfterBytes: 8 * MEBIBYTE,
+  majorAfterBytes: 32 * MEBIBYTE,
+};
 
 /**
  * Memory of an instance below which garbage is collected by a pace, in MB. Larger ones have room for
@@ -17,7 +22,7 @@
 const PACED_BELOW_MB = 200;
 
 /** Returns whether an instance of this memory in MB is too small for V8's own collections. */
-export const needsGarbagePace = (instanceMb: number | undefined): boolean =>
+const needsGarbagePace = (instanceMb: number | undefined): boolean =>
   instanceMb !== undefined && instanceMb < PACED_BELOW_MB;
 
 /** Collects garbage of one generation. */
@@ -31,20 +36,36 @@
   noteReleased(bytes: number): void;
 }
 
+/** Bytes after which garbage is collected. */
+export interface PaceLimits {
+  /** Bytes read after which the young generation is collected. */
+  readonly minorAfterBytes: number;
+  /** Bytes released after which the whole heap is collected. */
+  readonly majorAfterBytes: number;
+}
+
+const SMALL_INSTANCE_LIMITS: PaceLimits = {
+  minorAfterBytes: MINOR_AFTER_BYTES,
+  majorAfterBytes: MAJOR_AFTER_BYTES,
+};
+
 /** Creates a pace with nothing noted. */
-export function createGarbagePace(collect: CollectGarbage): GarbagePace {
+export function createGarbagePace(
+  collect: CollectGarbage,
+  { minorAfterBytes, majorAfterBytes } = SMALL_INSTANCE_LIMITS,
+): GarbagePace {
   let readBytes = 0;
   let releasedBytes = 0;
   return {
     noteRead(bytes) {
       readBytes += bytes;
-      if (readBytes < MINOR_AFTER_BYTES) return;
+      if (readBytes < minorAfterBytes) return;
       readBytes = 0;
       collect('young');
     },
     noteReleased(bytes) {
       releasedBytes += bytes;
-      if (releasedBytes < MAJOR_AFTER_BYTES) return;
+      if (releasedBytes < majorAfterBytes) return;
       releasedBytes = 0;
       readBytes = 0;
       collect('all');
@@ -55,24 +76,36 @@
 /** Pace of a process that leaves all to V8. */
 export const NO_PACE: GarbagePace = { noteRead: () => undefined, noteReleased: () => undefined };
 
-/** Lets the young generation grow as usual in this process. */
-export function leaveGarbage(): GarbagePace {
-  setFlagsFromString('--semi-space-growth-factor=2');
-  return NO_PACE;
-}
-
-/**
- * Prepares this process for a small instance: V8 keeps the young generation at the size that it has,
- * and garbage is collected by the pace.
- */
-export function paceGarbage(): GarbagePace {
-  // Both flags are read while the program runs; others that limit the heap are read at its start only.
-  setFlagsFromString('--semi-space-growth-factor=1');
+/** Returns a function that collects garbage of this process at once. */
+function createCollector(): CollectGarbage {
+  // The flag is read while the program runs.
   setFlagsFromString('--expose-gc');
   const gc = runInNewContext('gc') as (options?: { type: 'minor' }) => void;
   setFlagsFromString('--no-expose-gc');
-  return createGarbagePace((generation) => {
+  return (generation) => {
     if (generation === 'young') gc({ type: 'minor' });
     else gc();
-  });
+  };
+}
+
+/** The paces of a process. */
+export interface GarbagePaces {
+  /** For what is read from and held for clients. */
+  readonly clients: GarbagePace;
+  /** For large responses of backend servers, whose bytes may never end. */
+  readonly responses: GarbagePace;
+}
+
+/**
+ * Prepares this process for an instance of this memory in MB. On a small one, V8 keeps the young
+ * generation at the size that it has, and all garbage is collected by one pace.
+ */
+export function paceGarbage(instanceMb: number | undefined): GarbagePaces {
+  const collect = createCollector();
+  const isPaced = needsGarbagePace(instanceMb);
+  // This flag is read while the program runs; others that limit the heap are read at its start only.
+  setFlagsFromString(`--semi-space-growth-factor=${isPaced ? 1 : 2}`);
+  if (!isPaced) return { clients: NO_PACE, responses: createGarbagePace(collect, RESPONSE_LIMITS) };
+  const pace = createGarbagePace(collect);
+  return { clients: pace, responses: pace };
 }
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -3,7 +3,7 @@
 import { type CrashCounts, requestKey } from '@boragepoint/placement';
 import type { HeaderCodec } from '@boragepoint/platform';
 
-import { createAnswerMemory } from './answer-memory.js';
+import type { AnswerMemory } from './answer-memory.js';
 import type { CallerRequest } from './caller-request.js';
 import type { CrashGuard, GuardedRun } from './crash-guard.js';
 import { requestHeaders } from './forwarded-headers.js';
@@ -46,6 +46,8 @@
 /** Dependencies of the request handler. */
 export interface RequestHandlerContext extends ServerPickerContext, ServerObserverContext {
   readonly codec: HeaderCodec;
+  /** Limits the memory of answers that are still arriving. */
+  readonly answerMemory: AnswerMemory;
   readonly log: RouterLog;
   /** Number of routers that share the retry budgets. */
   routers(): number;
@@ -113,7 +115,6 @@
 export function createRequestHandler(ctx: RequestHandlerContext): RequestHandler {
   const { codec, log } = ctx;
   const picker = createServerPicker(ctx);
-  const answerMemory = createAnswerMemory();
   const observer = createServerObserver(ctx);
 
   /**
@@ -154,7 +155,7 @@
     if (ctx.permits.isCold(server)) ctx.metrics.recordColdSend(req.service);
     const outcome = await sendRequest(server.connections.forRepeat(earlierSends), outgoing, {
       codec,
-      memory: answerMemory,
+      memory: ctx.answerMemory,
       signal: cancellation.signal,
       unsentSignal,
       maySend: () => isEligible(run),
--- a/packages/router/src/lib/segment-pool.ts
+++ b/packages/router/src/lib/segment-pool.ts
@@ -1,3 +1,5 @@
+import type { GarbagePace } from './garbage-pace.js';
+
 /** Size of a segment, in bytes. */
 export const SEGMENT_BYTES = 64 * 1_024;
 /** Most free segments that are kept, which is 8 MiB. */
@@ -14,12 +16,13 @@
  * Creates a pool. V8 frees buffers only after many more of them than a small instance has room for,
  * so that those of aborted answers are used again at once.
  */
-export function createSegmentPool(): SegmentPool {
+export function createSegmentPool(pace: GarbagePace): SegmentPool {
   const free: Buffer[] = [];
   return {
     take: () => free.pop() ?? Buffer.allocUnsafeSlow(SEGMENT_BYTES),
     release(segment) {
       if (free.length < MAX_FREE_SEGMENTS) free.push(segment);
+      else pace.noteReleased(segment.length);
     },
   };
 }
