Platform calls: an answer of the store is copied, and keeps no object for each of its parts

Not seen by the users; found by looking for the same cause elsewhere.

Cause: the parts were kept until the end. Each is an object of the HTTP library and holds the read that it came with.

Memory was not measured for this caller.

Why this works: parts are copied into one growing buffer, that of request bodies and responses; body-parts.ts moves to the platform package for that, unchanged. At the end no second buffer of the whole size is needed.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,6 +1,7 @@
 export * from './lib/abort-after.js';
 export * from './lib/answer-framing.js';
 export * from './lib/backend-server-protocol.js';
+export * from './lib/body-parts.js';
 export * from './lib/confirming-pool.js';
 export * from './lib/connection-close.js';
 export * from './lib/connection-ends.js';
--- a/packages/platform/src/lib/progress-timeout.ts
+++ b/packages/platform/src/lib/progress-timeout.ts
@@ -1,3 +1,5 @@
+import { type PartsRoom, createBodyParts } from './body-parts.js';
+
 /** Aborts a transfer that makes no progress. The total time of a transfer is not limited. */
 export interface ProgressTimeout extends Disposable {
   readonly signal: AbortSignal;
@@ -48,6 +50,11 @@
  */
 const MIN_PROGRESS_BYTES = 512;
 
+/** Size of the buffer of a body at first, in bytes. */
+const FIRST_BUFFER_BYTES = 16 * 1_024;
+/** Room of a body that only its maximum size limits. */
+const UNLIMITED_ROOM: PartsRoom = { grow: () => true, noteReplaced: () => undefined };
+
 /** A body exceeded its maximum size. */
 export class OversizedBodyError extends Error {
   override readonly name = 'OversizedBodyError';
@@ -62,17 +69,17 @@
   timeout: Pick<ProgressTimeout, 'progressed'>,
   maxBytes: number,
 ): Promise<Buffer> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const sizes = { length: undefined, firstBytes: FIRST_BUFFER_BYTES, maxBytes };
+  const parts = createBodyParts(sizes, UNLIMITED_ROOM);
   let progressSize = 0;
   timeout.progressed();
   for await (const chunk of body) {
-    chunks.push(chunk);
-    size += chunk.length;
+    const size = parts.size() + chunk.length;
     if (size > maxBytes) throw new OversizedBodyError(`body is larger than ${maxBytes} bytes`);
+    parts.add(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length));
     if (size < progressSize + MIN_PROGRESS_BYTES) continue;
     progressSize = size;
     timeout.progressed();
   }
-  return Buffer.concat(chunks);
+  return parts.body() ?? Buffer.alloc(0);
 }
--- a/packages/router/src/lib/answer-body.ts
+++ b/packages/router/src/lib/answer-body.ts
@@ -1,5 +1,5 @@
 import { type AnswerRoom, MAX_ANSWER_BYTES } from './answer-memory.js';
-import { createBodyParts } from './body-parts.js';
+import { createBodyParts } from '@boragepoint/platform';
 import { SEGMENT_BYTES, type SegmentPool } from './segment-pool.js';
 
 /** The body of an answer as it arrives. */
--- a/packages/router/src/lib/answer-memory.ts
+++ b/packages/router/src/lib/answer-memory.ts
@@ -1,4 +1,4 @@
-import type { PartsRoom } from './body-parts.js';
+import type { PartsRoom } from '@boragepoint/platform';
 import { type ClientBudget, createClientBudget } from './client-budget.js';
 import { type GarbagePace, NO_PACE } from './garbage-pace.js';
 import { type SegmentPool, createSegmentPool } from './segment-pool.js';
--- a/packages/router/src/lib/read-body.ts
+++ b/packages/router/src/lib/read-body.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import type { BodyRoom } from './body-memory.js';
-import { createBodyParts } from './body-parts.js';
+import { createBodyParts } from '@boragepoint/platform';
 
 /** A request's body, or why there is none. */
 export type ReadBody =
