boragepointd: an answer is copied, and keeps no object for each of its parts

What callers would see: an answer in chunks of one byte takes a hundred times the memory that its rule allows.

Memory was not measured for boragepointd.

Why this works: parts are copied into the growing buffer that the router and the platform calls use.

--- a/packages/platform/src/lib/body-parts.ts
+++ b/packages/platform/src/lib/body-parts.ts
@@ -6,6 +6,9 @@
   noteReplaced(bytes: number): void;
 }
 
+/** Room of a body that only its maximum size limits. */
+export const UNLIMITED_ROOM: PartsRoom = { grow: () => true, noteReplaced: () => undefined };
+
 /** Sizes of a body that arrives in parts, in bytes. */
 export interface PartsSizes {
   /** Length that was stated for the body, if one was. */
--- a/packages/platform/src/lib/progress-timeout.ts
+++ b/packages/platform/src/lib/progress-timeout.ts
@@ -1,4 +1,4 @@
-import { type PartsRoom, createBodyParts } from './body-parts.js';
+import { UNLIMITED_ROOM, createBodyParts } from './body-parts.js';
 
 /** Aborts a transfer that makes no progress. The total time of a transfer is not limited. */
 export interface ProgressTimeout extends Disposable {
@@ -52,8 +52,6 @@
 
 /** Size of the buffer of a body at first, in bytes. */
 const FIRST_BUFFER_BYTES = 16 * 1_024;
-/** Room of a body that only its maximum size limits. */
-const UNLIMITED_ROOM: PartsRoom = { grow: () => true, noteReplaced: () => undefined };
 
 /** A body exceeded its maximum size. */
 export class OversizedBodyError extends Error {
--- a/packages/routing/src/lib/dispatch/server-attempt.ts
+++ b/packages/routing/src/lib/dispatch/server-attempt.ts
@@ -2,6 +2,8 @@
   ANSWER_HEADERS,
   REQUEST_HEADERS,
   type RefusalReason,
+  UNLIMITED_ROOM,
+  createBodyParts,
   isFinalStatus,
   refusalReasonSchema,
 } from '@boragepoint/platform';
@@ -85,14 +87,13 @@
   res: Dispatcher.ResponseData,
   maxBytes: number,
 ): Promise<Uint8Array | undefined> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const sizes = { length: undefined, firstBytes: 0, maxBytes };
+  const parts = createBodyParts(sizes, UNLIMITED_ROOM);
   for await (const chunk of res.body as AsyncIterable<Uint8Array>) {
-    size += chunk.length;
-    if (size > maxBytes) return undefined;
-    chunks.push(chunk);
+    if (parts.size() + chunk.length > maxBytes) return undefined;
+    parts.add(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length));
   }
-  return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
+  return parts.body() ?? Buffer.alloc(0);
 }
 
 async function readOutcome(
