Metrics: the bytes that a router holds, by kind

Neither logs nor metrics told whether a router whose memory grows holds it for callers or of responses, so that the hypotheses about endless responses could not be told apart. The gauge boragepoint_held_bytes names each kind of the budget.

--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -152,6 +152,7 @@
     evacuatedZones: () => [...evacuations.zones()].filter(isKnownZone).length,
     evacuatedRanges: () => countEvacuatedRanges(member.view(), directory, eligibility),
     balance: () => member.balance(),
+    heldBytes: (kind) => clientBudget.held(kind),
   });
   metrics.setSettingsDigest(settingsDigest(settings));
   const isKnownZone = (zone: string) => Object.hasOwn(settings.regions, zone);
--- a/packages/router/src/lib/router-metrics.ts
+++ b/packages/router/src/lib/router-metrics.ts
@@ -4,6 +4,7 @@
 
 import type { CallerRequest } from './caller-request.js';
 import type { CallerAnswer } from './caller-answer.js';
+import { HELD_KINDS, type HeldKind } from './client-budget.js';
 import type { ConnectionUse } from './server-connections.js';
 
 const LATENCY_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10];
@@ -87,6 +88,8 @@
   readonly evacuatedRanges: () => number;
   /** How evenly keys are placed, by service; empty unless this router leads. */
   readonly balance: () => ReadonlyMap<string, PlacementBalance>;
+  /** Bytes that the process holds for clients and of responses, by kind. */
+  readonly heldBytes: (kind: HeldKind) => number;
 }
 
 /** Creates the metrics. */
@@ -96,6 +99,7 @@
   evacuatedZones,
   evacuatedRanges,
   balance,
+  heldBytes,
 }: MetricsSources): RouterMetrics {
   const registry = new Registry();
   const requests = new Counter({
@@ -243,6 +247,15 @@
       this.set(evacuatedRanges());
     },
   });
+  new Gauge({
+    name: 'boragepoint_held_bytes',
+    help: 'Bytes that are held for clients and of responses of backend servers.',
+    labelNames: ['kind'],
+    registers: [registry],
+    collect() {
+      for (const kind of HELD_KINDS) this.set({ kind }, heldBytes(kind));
+    },
+  });
   const registerBalance = (name: string, help: string, figure: keyof PlacementBalance) =>
     new Gauge({
       name,
--- a/packages/router/src/test/settings-digest_test.ts
+++ b/packages/router/src/test/settings-digest_test.ts
@@ -35,6 +35,7 @@
     evacuatedZones: () => 0,
     evacuatedRanges: () => 0,
     balance: () => new Map(),
+    heldBytes: () => 0,
   });
   metrics.setConfigurationVersion(11);
   metrics.setConfigurationVersion(12);
