Responses: many small parts are parsed in turns of the event loop

What callers saw: beside backend servers whose bodies come in chunks of one byte, requests to other servers waited for seconds.

Cause: each chunk is a call of the HTTP library, a response of the largest size may have 4 Mi of them, and all that was received of a connection was parsed in one turn of the event loop.

"an answer is whole for a slow reader" has two more cases, with chunks of one byte; all five pass before and after.

Fix: lines and parts of bodies beyond those of ordinary responses use up a budget for each turn, over all connections to backend servers of the router; the parser of a connection gets nothing more until a later turn then. The parts of a body in small chunks are passed in slices of 4 KiB.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -17,6 +17,7 @@
 export { type TableReport, WATCH_WAIT_MS } from './lib/poll-scheduler.js';
 export * from './lib/progress-timeout.js';
 export * from './lib/response-framing-limit.js';
+export * from './lib/response-turns.js';
 export * from './lib/row-mirror.js';
 export * from './lib/row-store.js';
 export * from './lib/server-orders.js';
--- a/packages/platform/src/lib/framing-count.ts
+++ b/packages/platform/src/lib/framing-count.ts
@@ -12,8 +12,8 @@
  * byte, which is valid, has five.
  */
 const FRAMING_PER_BODY_BYTE = 8;
-/** Largest part of a head that the parser gets at once, in bytes. */
-const HEAD_SLICE_BYTES = 4 * KIBIBYTE;
+/** Largest part of a head, or of a body in small parts, that the parser gets at once, in bytes. */
+const SMALL_SLICE_BYTES = 4 * KIBIBYTE;
 /** Largest part of a body that the parser gets at once, in bytes. */
 const BODY_SLICE_BYTES = 16 * KIBIBYTE;
 /** Lines of a response that count as no held memory; ordinary responses have fewer. */
@@ -23,6 +23,8 @@
  * was measured at up to 290 bytes in objects of the HTTP library; the rest is for their garbage.
  */
 const HELD_LINE_BYTES = 512;
+/** Most lines and parts of a body that ordinary responses have in one slice. */
+const ORDINARY_PARTS = 64;
 const LINE_FEED = 0x0a;
 
 /** Counts the bytes of one connection that belong to no body. */
@@ -39,8 +41,13 @@
   noteBody(bytes: number): void;
   /** The same for the bytes themselves, so that the lines before and after them count. */
   notePart(part: Buffer): void;
-  /** Notes that the parser has handled what it got. */
-  settle(): void;
+  /** Notes that the parser has handled what it got; returns whether it got anything. */
+  settle(): boolean;
+  /**
+   * Number of lines and parts of a body beyond those of ordinary responses in the slice that was
+   * handled last.
+   */
+  excessParts(): number;
   /** Memory that the lines of the head and the trailers take, in bytes. */
   heldBytes(): number;
   /** Notes the end of a response; the count begins anew. */
@@ -72,6 +79,8 @@
   let isAtHeadEnd = false;
   /** Lines before the body of the response, interim responses included. */
   let headLines = 0;
+  /** Lines and parts of a body in it. */
+  let parts = 0;
   /** Bytes and lines since the last bytes of a body. */
   let runBytes = 0;
   let runLines = 0;
@@ -94,11 +103,14 @@
   function endHead(headBytes: number): void {
     if (!isAtHeadEnd) return;
     isAtHeadEnd = false;
-    if (slice) headLines += countLines(slice.subarray(0, headBytes));
+    const lines = slice ? countLines(slice.subarray(0, headBytes)) : 0;
+    headLines += lines;
+    parts += lines;
   }
 
   function noteBody(bytes: number): void {
     endHead(0);
+    parts += 1;
     sliceBodyBytes += bytes;
     allowedBytes += bytes * FRAMING_PER_BODY_BYTE;
     runBytes = 0;
@@ -110,16 +122,21 @@
   function noteRest(passed: Buffer): void {
     const rest = passed.subarray(bodyEnd);
     runBytes += rest.length;
-    runLines += countLines(rest);
+    const lines = countLines(rest);
+    runLines += lines;
+    parts += lines;
   }
 
+  const excessParts = () => Math.max(0, parts - ORDINARY_PARTS);
+
   return {
-    sliceBytes: () => (isInBody ? BODY_SLICE_BYTES : HEAD_SLICE_BYTES),
+    sliceBytes: () => (isInBody && excessParts() === 0 ? BODY_SLICE_BYTES : SMALL_SLICE_BYTES),
     pass(passed) {
       slice = passed;
       sliceBodyBytes = 0;
       bodyEnd = 0;
       hasHead = false;
+      parts = 0;
     },
     giveBack(bytes) {
       slice = slice?.subarray(0, Math.max(0, slice.length - bytes));
@@ -146,16 +163,18 @@
       bodyEnd = start + part.length;
     },
     settle() {
-      if (!slice) return;
+      if (!slice) return false;
       if (isAtHeadEnd) endHead(slice.length);
       else noteRest(slice);
       if (!hasHead) totalBytes += slice.length - sliceBodyBytes;
       slice = undefined;
+      return true;
     },
     end() {
       restart();
       isInBody = false;
     },
+    excessParts,
     heldBytes: () => Math.max(0, headLines + runLines - FREE_LINES) * HELD_LINE_BYTES,
     isExceeded: () =>
       runBytes > MAX_FRAMING_BYTES || runLines > MAX_FRAMING_LINES || totalBytes > allowedBytes,
--- a/packages/platform/src/lib/response-framing-limit.ts
+++ b/packages/platform/src/lib/response-framing-limit.ts
@@ -3,6 +3,7 @@
 import { type Dispatcher, buildConnector } from 'undici';
 
 import { type FramingCount, createFramingCount } from './framing-count.js';
+import { type ResponseTurns, createResponseTurns } from './response-turns.js';
 
 const HTTP_OK = 200;
 
@@ -60,6 +61,13 @@
   readonly lines: HeldLines;
 }
 
+/** What the limits of several pools share. */
+export interface ResponseFramingOptions {
+  /** Accounts for header lines and trailers while they are held; they have no limit without it. */
+  readonly memory?: HeldMemory | undefined;
+  readonly turns?: ResponseTurns;
+}
+
 /** Bounds what responses bring besides their bodies: heads, chunk sizes, trailers, empty lines. */
 export interface ResponseFramingLimit {
   /** Limits a new connection; has to come before the HTTP library listens to it. */
@@ -73,9 +81,13 @@
  * neither status lines, empty lines, interim responses and chunk extensions, nor what it does with
  * the rest of a read after that limit. The input is passed to it in slices, and a connection that is
  * beyond its limit passes nothing more. The lines of a response, for which the library keeps objects
- * until it ends, take memory of the account if there is one.
+ * until it ends, take memory of the account if there is one. Many small parts are spread over turns
+ * of the event loop.
  */
-export function createResponseFramingLimit(memory?: HeldMemory): ResponseFramingLimit {
+export function createResponseFramingLimit({
+  memory,
+  turns = createResponseTurns(),
+}: ResponseFramingOptions = {}): ResponseFramingLimit {
   /** The connection that was read from last, whose input is being parsed. */
   let current: WatchedConnection | undefined;
 
@@ -85,11 +97,21 @@
     const lines = createHeldLines(memory, () => {
       socket.destroy(new ResponseMemoryError('the lines of all responses take too much memory'));
     });
+    const turn = turns.join(() => {
+      socket.emit('readable');
+    });
     const connection: WatchedConnection = { count, lines };
     socket.once('close', () => {
       lines.end();
     });
 
+    /** Notes that the parser has handled what it got. */
+    function settle(): void {
+      if (!count.settle()) return;
+      turn.note(count.excessParts());
+      if (!socket.destroyed) lines.note(count.heldBytes());
+    }
+
     const unshift = socket.unshift.bind(socket);
     // The parser does this when the reader of a body pauses it.
     socket.unshift = (chunk: Buffer, encoding?: BufferEncoding) => {
@@ -100,8 +122,7 @@
       // The stream itself calls this to receive more; it drops what it gets.
       if (size === 0) return read(0);
       current = connection;
-      count.settle();
-      if (!socket.destroyed) lines.note(count.heldBytes());
+      settle();
       // The parser otherwise goes on with what was received before the connection was closed.
       if (socket.destroyed) return null;
       if (count.isExceeded()) {
@@ -110,6 +131,7 @@
         );
         return null;
       }
+      if (socket.readableLength > 0 && !turn.mayGoOn()) return null;
       const length = Math.min(socket.readableLength, size ?? Infinity, count.sliceBytes());
       // Without a size, the stream begins to read again, or ends.
       const slice = (length > 0 ? read(length) : read()) as Buffer | null;
--- a/packages/platform/src/test/response-framing-limit_test.ts
+++ b/packages/platform/src/test/response-framing-limit_test.ts
@@ -90,12 +90,32 @@
   return `${chunks}0\r\n\r\n`;
 }
 
-const WHOLE_ANSWERS: Readonly<Record<string, { text: string; isClosing: boolean }>> = {
+/** A body whose chunks of one byte are parsed in many turns of the event loop. */
+const SMALL_BODY = BODY.slice(0, 64 * KIBIBYTE);
+
+interface WholeAnswer {
+  readonly text: string;
+  readonly isClosing: boolean;
+  /** The whole body; `BODY` if missing. */
+  readonly body?: string;
+}
+
+const WHOLE_ANSWERS: Readonly<Record<string, WholeAnswer>> = {
   'with a length': {
     text: `${HEAD}content-length: ${BODY.length}\r\n\r\n${BODY}`,
     isClosing: false,
   },
   'in chunks': { text: `${CHUNKED}${chunksOf(BODY, 1_000)}`, isClosing: false },
+  'in chunks of one byte': {
+    text: `${CHUNKED}${chunksOf(SMALL_BODY, 1)}`,
+    isClosing: false,
+    body: SMALL_BODY,
+  },
+  'in chunks of one byte before the end of the connection': {
+    text: `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n${chunksOf(SMALL_BODY, 1)}`,
+    isClosing: true,
+    body: SMALL_BODY,
+  },
   'to the end of the connection': {
     text: `${HEAD}connection: close\r\n\r\n${BODY}`,
     isClosing: true,
@@ -103,7 +123,7 @@
 };
 const PAUSE_EVERY = 16;
 
-for (const [name, { text, isClosing }] of Object.entries(WHOLE_ANSWERS)) {
+for (const [name, { text, isClosing, body = BODY }] of Object.entries(WHOLE_ANSWERS)) {
   // Guards against bytes that are lost, or an end that overtakes them, while the reader of a body is
   // slow and the parser is paused.
   test(`an answer is whole for a slow reader: ${name}`, async () => {
@@ -119,7 +139,7 @@
         parts.push(part);
         if (parts.length % PAUSE_EVERY === 0) await sleep(1);
       }
-      expect(Buffer.concat(parts).toString() === BODY).toEqual(true);
+      expect(Buffer.concat(parts).toString() === body).toEqual(true);
     }
     expect(server.opened()).toEqual(isClosing ? 3 : 1);
     await pool.destroy();
--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
 
 import {
-  type HeldMemory,
+  type ResponseFramingOptions,
   createConnectionEnds,
   createResponseFramingLimit,
 } from '@boragepoint/platform';
@@ -118,19 +118,19 @@
   return (more ?? 0) > (less ?? 0) * MIN_RESIZE_FACTOR || isShorterTimeout;
 }
 
-/** Creates the connections to the server at an address; `memory` accounts for header lines. */
+/** Creates the connections to the server at an address; `limits` are shared with others. */
 export function createServerConnections(
   address: string,
   initialShare: ConnectionShare,
   use?: ConnectionUse,
-  memory?: HeldMemory,
+  limits?: ResponseFramingOptions,
 ): ServerConnections {
   let share = initialShare;
   const now = () => performance.now();
   const idleLimit = createIdleLimit(now);
   const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true });
   const ends = createConnectionEnds();
-  const framing = createResponseFramingLimit(memory);
+  const framing = createResponseFramingLimit(limits);
   /** Open connections, with the bytes received on each at the last flood check. */
   const sockets = new Map<Socket, number>();
 
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -1,6 +1,6 @@
 import { isCallable } from '@boragepoint/config';
 import type { ColdPeriod, IncarnationId, ServerDirectory } from '@boragepoint/placement';
-import type { HeldMemory, ServerEntry } from '@boragepoint/platform';
+import { type HeldMemory, type ServerEntry, createResponseTurns } from '@boragepoint/platform';
 
 import type { ServerCandidate } from './choose-server.js';
 import {
@@ -89,6 +89,7 @@
   const { directory } = options;
   const servers = new Map<string, PooledServer>();
   const groups = new Map<string, readonly PooledServer[]>();
+  const responseLimits = { memory: options.answerMemory, turns: createResponseTurns() };
   let knownRouters = options.routers();
   const connectionCheckTimer = setInterval(() => {
     for (const { connections } of servers.values()) connections.closeUnwanted();
@@ -174,7 +175,7 @@
         entry.address,
         shareOf(entry.service),
         options.connectionUse?.(entry.service),
-        options.answerMemory,
+        responseLimits,
       ),
       avoidUntil: -Infinity,
       unreachableUntil: -Infinity,
--- a/packages/router/src/test/held-lines_test.ts
+++ b/packages/router/src/test/held-lines_test.ts
@@ -61,7 +61,7 @@
     const budget = createClientBudget(BUDGET_BYTES);
     const memory = createAnswerMemory({ budget });
     const share = { connections: STALLING + 1, keepAliveMs: 4_000 };
-    const connections = createServerConnections(`127.0.0.1:${port}`, share, undefined, memory);
+    const connections = createServerConnections(`127.0.0.1:${port}`, share, undefined, { memory });
     const send = (path: string, signal: AbortSignal) =>
       sendRequest(
         connections,
