--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -252,8 +252,10 @@
       }
     },
   });
+  const answerMemory = createAnswerMemory({ budget: clientBudget, pace: garbage.responses });
   const pool = createServerPool({
     directory,
+    answerMemory,
     maxConnections: (service) => serviceOf(service)?.maxConnections ?? 1,
     routers: () => member.routers(),
     hasWarmUpRate: (service) => serviceOf(service)?.warmUp !== undefined,
@@ -281,7 +283,7 @@
     pool,
     eligibility,
     codec: platform.headers,
-    answerMemory: createAnswerMemory({ budget: clientBudget, pace: garbage.responses }),
+    answerMemory,
     log,
     view: () => member.view(),
     admittedShare: (server) => member.admittedShare(server),
