Router: a connection is not closed for the bytes of its valid answers

Cause: a connection on which 16 MiB arrived in half a second was closed, whatever they were. The check was the only bound on bytes that are no body.

Fix: the check is gone.

--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -7,7 +7,6 @@
 } from '@boragepoint/platform';
 import { type Dispatcher, buildConnector } from 'undici';
 
-import { MAX_ANSWER_BYTES } from './answer-memory.js';
 import { type ConnectionPool, createConnectionPool } from './connection-pool.js';
 import { createIdleLimit } from './idle-limit.js';
 
@@ -29,8 +28,6 @@
 const MIN_CONNECTIONS = 2;
 /** Connections for repeated requests, as a share of a router's connections to a server. */
 const REPEAT_SHARE = 0.25;
-/** Most bytes that valid answers can bring on one connection between two flood checks. */
-const MAX_BYTES_PER_CHECK = 4 * MAX_ANSWER_BYTES;
 
 /** Sends requests to one backend server. */
 export interface RequestConnections {
@@ -60,11 +57,8 @@
   resize(share: ConnectionShare): void;
   /** Drops idle connections, which may be dead; requests in flight continue. */
   replacePools(): void;
-  /**
-   * Closes connections that received more bytes since the last call than valid answers can take,
-   * and idle ones beyond the first whose time is over.
-   */
-  closeUnwanted(): void;
+  /** Closes idle connections beyond the first whose time is over. */
+  closeIdle(): void;
   /** Closes idle connections beyond the first, because the server's queue is long. */
   closeExtra(): void;
   close(): void;
@@ -131,9 +125,6 @@
   const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true });
   const ends = createConnectionEnds();
   const framing = createResponseFramingLimit(limits);
-  /** Open connections, with the bytes received on each at the last flood check. */
-  const sockets = new Map<Socket, number>();
-
   let isResetting = false;
 
   function resetWhile(cancel: () => void): void {
@@ -168,8 +159,6 @@
         ends.watch(socket);
         watchDestroy(socket);
         framing.watch(socket);
-        sockets.set(socket, 0);
-        socket.once('close', () => sockets.delete(socket));
       }
       callback(...result);
     });
@@ -226,12 +215,8 @@
       share = next;
       replacePools();
     },
-    closeUnwanted() {
+    closeIdle() {
       for (const pool of pools.values()) pool.trim();
-      for (const [socket, before] of sockets) {
-        sockets.set(socket, socket.bytesRead);
-        if (socket.bytesRead - before > MAX_BYTES_PER_CHECK) socket.destroy();
-      }
     },
     closeExtra() {
       for (const pool of pools.values()) pool.trim(0);
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -12,10 +12,7 @@
 import { type ServerLoad, createServerLoad, loadStateOf } from './server-load.js';
 import { type BackoffState, cancelUnsent, createUnsentAbort } from './server-backoff.js';
 
-/**
- * Interval between checks for connections that receive an endless stream of bytes or were idle for
- * too long, in milliseconds.
- */
+/** Interval between checks for connections that were idle for too long, in milliseconds. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 
 /**
@@ -92,7 +89,7 @@
   const responseLimits = { memory: options.answerMemory, turns: createResponseTurns() };
   let knownRouters = options.routers();
   const connectionCheckTimer = setInterval(() => {
-    for (const { connections } of servers.values()) connections.closeUnwanted();
+    for (const { connections } of servers.values()) connections.closeIdle();
   }, CONNECTION_CHECK_INTERVAL_MS);
   connectionCheckTimer.unref();
 
