Input gate: parts of the input follow the framing of requests

What callers saw: a body that contains empty lines kept the router's thread busy. The gate took each "\r\n\r\n" for the end of a head, also within a body, and so passed a body of empty lines to the parser four bytes at a time.

Fix: the gate follows the requests: a head up to its end, then a body by its length or its chunks and trailers. A part ends with a head or a body at the latest, as before, so that the parser still creates one request at a time. A head whose end is split over two reads is now also found; before, the requests behind it were passed on with it. The position costs a search for the end of a head, and one line a chunk.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,6 +8,7 @@
 export * from './lib/fleet-platform.js';
 export * from './lib/http-instance-list.js';
 export * from './lib/input-gate.js';
+export * from './lib/request-framing.js';
 export * from './lib/http-object-store.js';
 export * from './lib/http-table-service.js';
 export * from './lib/instance-list.js';
--- a/packages/platform/src/lib/input-gate.ts
+++ b/packages/platform/src/lib/input-gate.ts
@@ -1,13 +1,13 @@
 import type { Socket } from 'node:net';
 
-/** Largest part of the input that the parser gets at once, in bytes. */
-const MAX_SLICE_BYTES = 16 * 1_024;
-const HEAD_END = Buffer.from('\r\n\r\n');
+import { type BodyFraming, createRequestFraming } from './request-framing.js';
 
 /** What the owner of a connection decides about its input. */
 export interface InputGateContext {
   /** Returns whether the parser may get more; asked again after each request head. */
   mayParse(): boolean;
+  /** Framing of the body that the parser expects next; `undefined` between requests. */
+  bodyOf(): BodyFraming | undefined;
   /** Called when the bytes that wait for the parser change in number. */
   onHeld(difference: number): void;
 }
@@ -18,15 +18,6 @@
   update(): void;
 }
 
-/**
- * Returns how much of the input the parser gets at once: up to the next end of a request head. A head
- * whose end is split over two reads comes with the next one.
- */
-export function sliceLength(input: Buffer): number {
-  const end = input.indexOf(HEAD_END);
-  return Math.min(end < 0 ? input.length : end + HEAD_END.length, MAX_SLICE_BYTES);
-}
-
 /**
  * Stands between a connection of an HTTP server and its parser, which otherwise creates the objects
  * of all requests in a read, more than a thousand, before the server can pause it. While the owner
@@ -34,6 +25,7 @@
  */
 export function createInputGate(socket: Socket, ctx: InputGateContext): InputGate {
   const parse = socket.listeners('data') as ((input: Buffer) => void)[];
+  const framing = createRequestFraming(() => ctx.bodyOf());
   let held: Buffer | undefined;
   let isPausedHere = false;
   let isPumping = false;
@@ -47,7 +39,7 @@
   const isOpen = () => !socket.destroyed && socket.listeners('data').includes(take);
 
   function passSlice(input: Buffer): void {
-    const length = sliceLength(input);
+    const length = framing.nextLength(input);
     setHeld(length < input.length ? input.subarray(length) : undefined);
     const slice = length < input.length ? input.subarray(0, length) : input;
     for (const listener of parse) listener(slice);
--- /dev/null
+++ b/packages/platform/src/lib/request-framing.ts
@@ -0,0 +1,153 @@
+import type { IncomingMessage } from 'node:http';
+
+/** Largest part of the input that the parser gets at once, in bytes. */
+const MAX_SLICE_BYTES = 16 * 1_024;
+const HEAD_END = Buffer.from('\r\n\r\n');
+const LINE_END = '\n'.charCodeAt(0);
+const CRLF_BYTES = 2;
+/** Characters of the line before a chunk that are kept; its size is at the start. */
+const MAX_SIZE_CHARS = 16;
+const NOTHING = Buffer.alloc(0);
+
+/** How the end of a request's body is found. */
+export type BodyFraming =
+  { readonly kind: 'length'; readonly bytes: number } | { readonly kind: 'chunked' };
+
+/** Returns how the end of a request's body is found; `undefined` if all of it has been parsed. */
+export function bodyFramingOf(req: IncomingMessage | undefined): BodyFraming | undefined {
+  if (!req || req.complete) return undefined;
+  if (req.headers['transfer-encoding'] !== undefined) return { kind: 'chunked' };
+  return { kind: 'length', bytes: Number(req.headers['content-length'] ?? 0) };
+}
+
+/** Follows the requests in the input of a connection. */
+export interface RequestFraming {
+  /**
+   * Returns how much of the input the parser gets next. No part goes beyond the end of a head or of a
+   * body, so that it holds one request at most.
+   */
+  nextLength(input: Buffer): number;
+}
+
+/** A step within a request: takes the input from an offset up to a limit. */
+interface Step {
+  /** Returns the offset that it has reached; it is done where that is below the limit. */
+  take(input: Buffer, from: number, limit: number): number;
+  isDone(): boolean;
+}
+
+/** Returns the offset behind the first end of a head, part of which may have come before. */
+function findHeadEnd(before: Buffer, input: Buffer, limit: number): number | undefined {
+  if (before.length > 0) {
+    const seam = Buffer.concat([before, input.subarray(0, HEAD_END.length - 1)]);
+    const index = seam.indexOf(HEAD_END);
+    if (index >= 0) return index + HEAD_END.length - before.length;
+  }
+  const index = input.subarray(0, limit).indexOf(HEAD_END);
+  return index < 0 ? undefined : index + HEAD_END.length;
+}
+
+/** The last bytes of an unfinished head that may begin its end. */
+function endOfHead(before: Buffer, part: Buffer): Buffer {
+  const keep = HEAD_END.length - 1;
+  if (part.length >= keep) return Buffer.from(part.subarray(-keep));
+  return Buffer.concat([before, part]).subarray(-keep);
+}
+
+function createHeadStep(): Step {
+  let before: Buffer = NOTHING;
+  let isDone = false;
+  return {
+    take(input, _from, limit) {
+      const end = findHeadEnd(before, input, limit);
+      isDone = end !== undefined;
+      if (end === undefined) before = endOfHead(before, input.subarray(0, limit));
+      return end ?? limit;
+    },
+    isDone: () => isDone,
+  };
+}
+
+function createLengthStep(bytes: number): Step {
+  let left = bytes;
+  return {
+    take(_input, from, limit) {
+      const taken = Math.min(left, limit - from);
+      left -= taken;
+      return from + taken;
+    },
+    isDone: () => left === 0,
+  };
+}
+
+/** Follows chunks and trailers; what is malformed counts as one part, which the parser refuses. */
+function createChunkedStep(): Step {
+  let line = '';
+  /** Bytes of the chunk that are still to come, with the line end behind it. */
+  let left = 0;
+  let isInTrailers = false;
+  let isDone = false;
+
+  function endLine(): void {
+    if (isInTrailers) {
+      isDone = line === '' || line === '\r';
+    } else {
+      const size = parseInt(line, 16);
+      isInTrailers = size === 0;
+      left = isInTrailers ? 0 : size + CRLF_BYTES;
+      if (Number.isNaN(left)) left = Infinity;
+    }
+    line = '';
+  }
+
+  /** Takes the rest of the line, or what there is of it. */
+  function takeLine(input: Buffer, from: number, limit: number): number {
+    const found = input.indexOf(LINE_END, from);
+    const end = found < 0 || found >= limit ? limit : found;
+    if (line.length < MAX_SIZE_CHARS) {
+      line += input.toString('latin1', from, Math.min(end, from + MAX_SIZE_CHARS));
+    }
+    if (end === limit) return limit;
+    endLine();
+    return end + 1;
+  }
+
+  return {
+    take(input, from, limit) {
+      let at = from;
+      while (at < limit && !isDone) {
+        const skipped = Math.min(left, limit - at);
+        left -= skipped;
+        at += skipped;
+        if (at < limit) at = takeLine(input, at, limit);
+      }
+      return at;
+    },
+    isDone: () => isDone,
+  };
+}
+
+/**
+ * Creates the framing of a connection without input. `bodyOf` is asked after each head that the parser
+ * has had, and returns the framing of its body.
+ */
+export function createRequestFraming(bodyOf: () => BodyFraming | undefined): RequestFraming {
+  let step = createHeadStep();
+  let isInHead = true;
+
+  /** Starts with the body of a head that is done, or with the next head. */
+  function advance(): void {
+    if (!step.isDone()) return;
+    const body = isInHead ? bodyOf() : undefined;
+    isInHead = body === undefined;
+    if (body === undefined) step = createHeadStep();
+    else step = body.kind === 'chunked' ? createChunkedStep() : createLengthStep(body.bytes);
+  }
+
+  return {
+    nextLength(input) {
+      advance();
+      return step.take(input, 0, Math.min(input.length, MAX_SLICE_BYTES));
+    },
+  };
+}
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -7,6 +7,7 @@
   type ClosedConnection,
   createConnectionCloser,
   type InputGate,
+  bodyFramingOf,
   createInputGate,
   isFinalStatus,
 } from '@boragepoint/platform';
@@ -154,6 +155,7 @@
     if (ctx.parsesOneByOne !== true) return;
     const gate = createInputGate(socket, {
       mayParse: () => mayParse(socket),
+      bodyOf: () => bodyFramingOf(latestRead.get(socket)),
       onHeld(difference) {
         budget.add('input', difference);
       },
--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import type { IpEndpoint } from '@boragepoint/config';
-import { type InputGate, createInputGate } from '@boragepoint/platform';
+import { type InputGate, bodyFramingOf, createInputGate } from '@boragepoint/platform';
 
 import { listenWhenFree } from './listen-when-free.js';
 import type { RouterLog } from './router-log.js';
@@ -26,6 +26,8 @@
 interface EndpointConnection {
   openRequests: number;
   requests: number;
+  /** The latest request that was read. */
+  latest?: IncomingMessage;
   readonly gate: InputGate;
 }
 
@@ -39,6 +41,7 @@
         const { openRequests = 0, requests = 0 } = connections.get(socket) ?? {};
         return openRequests === 0 && requests < MAX_REQUESTS_PER_CONNECTION;
       },
+      bodyOf: () => bodyFramingOf(connections.get(socket)?.latest),
       onHeld(difference) {
         budget?.add('input', difference);
       },
@@ -50,6 +53,7 @@
     if (!connection) return;
     connection.openRequests += 1;
     connection.requests += 1;
+    connection.latest = req;
     if (connection.requests === MAX_REQUESTS_PER_CONNECTION) res.setHeader('connection', 'close');
     res.once('close', () => {
       connection.openRequests -= 1;
