Callers' listener: chunked bodies are parsed in turns, and refused where their chunks are tiny

What callers saw: beside clients that send bodies in chunks of one byte and leave out the last one, a router answered nobody.

Cause: the parser, the stream and the accounting cost some time for each chunk, whatever its size. A read of 64 KiB holds 10,900 chunks of one byte, and the gate passed all of them before another connection had a turn. The number of chunks of a body had no bound, and a body refused for lack of room was still parsed.

A body of more than 4,096 chunks whose mean size is below 32 bytes is refused with 413 and its connection closed, so that the work for a body is bounded by its bytes. A chunked body without room keeps its 503 and is not read on; a body of stated length is, as before.

--- a/packages/platform/src/lib/input-gate.ts
+++ b/packages/platform/src/lib/input-gate.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 
+import type { ParseTurns } from './parse-turns.js';
 import { type BodyFraming, createRequestFraming } from './request-framing.js';
 
 /** What the owner of a connection decides about its input. */
@@ -8,6 +9,8 @@
   mayParse(): boolean;
   /** Framing of the body that the parser expects next; `undefined` between requests. */
   bodyOf(): BodyFraming | undefined;
+  /** Turns that chunked bodies wait for; shared by the connections of a listener. */
+  readonly turns: ParseTurns;
   /** Called when the bytes that wait for the parser change in number. */
   onHeld(difference: number): void;
 }
@@ -27,6 +30,8 @@
   const parse = socket.listeners('data') as ((input: Buffer) => void)[];
   const framing = createRequestFraming(() => ctx.bodyOf());
   let held: Buffer | undefined;
+  /** Whether the parser is within a chunked body. */
+  let isInChunks = false;
   let isPausedHere = false;
   let isPumping = false;
 
@@ -39,16 +44,26 @@
   const isOpen = () => !socket.destroyed && socket.listeners('data').includes(take);
 
   function passSlice(input: Buffer): void {
-    const length = framing.nextLength(input);
+    const { length, chunks } = framing.nextPart(input);
+    isInChunks = chunks > 0;
+    ctx.turns.note(chunks);
     setHeld(length < input.length ? input.subarray(length) : undefined);
     const slice = length < input.length ? input.subarray(0, length) : input;
     for (const listener of parse) listener(slice);
   }
 
+  /** Returns whether the parser gets more in this turn. */
+  function mayPass(): boolean {
+    if (!isOpen() || !ctx.mayParse()) return false;
+    if (!isInChunks || ctx.turns.hasRoom()) return true;
+    ctx.turns.wait(pump);
+    return false;
+  }
+
   function pump(): void {
     if (isPumping) return;
     isPumping = true;
-    while (held && isOpen() && ctx.mayParse()) passSlice(held);
+    while (held && mayPass()) passSlice(held);
     isPumping = false;
     if (!isOpen()) {
       setHeld(undefined);
--- a/packages/platform/src/lib/request-framing.ts
+++ b/packages/platform/src/lib/request-framing.ts
@@ -2,6 +2,8 @@
 
 /** Largest part of the input that the parser gets at once, in bytes. */
 const MAX_SLICE_BYTES = 16 * 1_024;
+/** Most chunks that the parser gets at once. */
+const MAX_SLICE_CHUNKS = 64;
 const HEAD_END = Buffer.from('\r\n\r\n');
 const LINE_END = '\n'.charCodeAt(0);
 const CRLF_BYTES = 2;
@@ -20,19 +22,29 @@
   return { kind: 'length', bytes: Number(req.headers['content-length'] ?? 0) };
 }
 
+/** The part of the input that the parser gets next. */
+export interface InputPart {
+  /** Size in bytes. */
+  readonly length: number;
+  /** Number of chunks that begin in it. */
+  readonly chunks: number;
+}
+
 /** Follows the requests in the input of a connection. */
 export interface RequestFraming {
   /**
-   * Returns how much of the input the parser gets next. No part goes beyond the end of a head or of a
-   * body, so that it holds one request at most.
+   * Returns the part that the parser gets next. None goes beyond the end of a head or of a body, so
+   * that it holds one request at most.
    */
-  nextLength(input: Buffer): number;
+  nextPart(input: Buffer): InputPart;
 }
 
-/** A step within a request: takes the input from an offset up to a limit. */
+/** A step within a request: takes the input up to a limit. */
 interface Step {
   /** Returns the offset that it has reached; it is done where that is below the limit. */
-  take(input: Buffer, from: number, limit: number): number;
+  take(input: Buffer, limit: number): number;
+  /** Number of chunks that began in what it took last. */
+  chunks?(): number;
   isDone(): boolean;
 }
 
@@ -58,7 +70,7 @@
   let before: Buffer = NOTHING;
   let isDone = false;
   return {
-    take(input, _from, limit) {
+    take(input, limit) {
       const end = findHeadEnd(before, input, limit);
       isDone = end !== undefined;
       if (end === undefined) before = endOfHead(before, input.subarray(0, limit));
@@ -71,10 +83,10 @@
 function createLengthStep(bytes: number): Step {
   let left = bytes;
   return {
-    take(_input, from, limit) {
-      const taken = Math.min(left, limit - from);
+    take(_input, limit) {
+      const taken = Math.min(left, limit);
       left -= taken;
-      return from + taken;
+      return taken;
     },
     isDone: () => left === 0,
   };
@@ -86,6 +98,7 @@
   /** Bytes of the chunk that are still to come, with the line end behind it. */
   let left = 0;
   let isInTrailers = false;
+  let chunks = 0;
   let isDone = false;
 
   function endLine(): void {
@@ -94,6 +107,7 @@
     } else {
       const size = parseInt(line, 16);
       isInTrailers = size === 0;
+      chunks += 1;
       left = isInTrailers ? 0 : size + CRLF_BYTES;
       if (Number.isNaN(left)) left = Infinity;
     }
@@ -113,9 +127,10 @@
   }
 
   return {
-    take(input, from, limit) {
-      let at = from;
-      while (at < limit && !isDone) {
+    take(input, limit) {
+      let at = 0;
+      chunks = 0;
+      while (at < limit && chunks < MAX_SLICE_CHUNKS && !isDone) {
         const skipped = Math.min(left, limit - at);
         left -= skipped;
         at += skipped;
@@ -123,6 +138,7 @@
       }
       return at;
     },
+    chunks: () => chunks,
     isDone: () => isDone,
   };
 }
@@ -145,9 +161,10 @@
   }
 
   return {
-    nextLength(input) {
+    nextPart(input) {
       advance();
-      return step.take(input, 0, Math.min(input.length, MAX_SLICE_BYTES));
+      const length = step.take(input, Math.min(input.length, MAX_SLICE_BYTES));
+      return { length, chunks: step.chunks?.() ?? 0 };
     },
   };
 }
--- a/packages/platform/src/test/input-gate_test.ts
+++ b/packages/platform/src/test/input-gate_test.ts
@@ -1,10 +1,12 @@
 import { type IncomingMessage, createServer } from 'node:http';
 import { type AddressInfo, connect } from 'node:net';
 import { test } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
 import { createInputGate } from '../lib/input-gate.js';
+import { createParseTurns } from '../lib/parse-turns.js';
 import { type BodyFraming, bodyFramingOf, createRequestFraming } from '../lib/request-framing.js';
 
 type BodyOfHead = BodyFraming | undefined;
@@ -23,7 +25,7 @@
   const lengths: number[] = [];
   for (const read of reads) {
     for (let rest = Buffer.from(read); rest.length > 0;) {
-      const length = framing.nextLength(rest);
+      const { length } = framing.nextPart(rest);
       lengths.push(length);
       rest = rest.subarray(length);
     }
@@ -43,6 +45,7 @@
   server.on('connection', (socket) => {
     createInputGate(socket, {
       mayParse: () => true,
+      turns: createParseTurns(),
       bodyOf: () => bodyFramingOf(latest),
       onHeld: () => undefined,
     });
@@ -103,3 +106,35 @@
     expect(sizes.length).toBeLessThanOrEqual(32);
   }
 });
+
+// Guards against a read of ten thousand chunks of one byte that the parser gets before another
+// connection is read from.
+test('the parser gets a limited number of chunks at once', () => {
+  const chunks = '1\r\nx\r\n'.repeat(640);
+  const parts = lengthsOf([`${post}\r\n${chunks}0\r\n\r\n`], [{ kind: 'chunked' }]).slice(1);
+  expect(Math.max(...parts)).toBeLessThanOrEqual(64 * 6);
+});
+
+// Guards against connections of which each gets a turn of its own, and against one that goes first
+// each time.
+test('connections share the chunks of a turn and go on in the order in which they came', async () => {
+  const turns = createParseTurns(10);
+  const seen: string[] = [];
+  const goOn = (name: string) => () => {
+    seen.push(name);
+    turns.note(10);
+  };
+  turns.note(9);
+  expect(turns.hasRoom()).toEqual(true);
+  turns.note(1);
+  expect(turns.hasRoom()).toEqual(false);
+  const [first, second] = [goOn('first'), goOn('second')];
+  for (const it of [first, second, first]) turns.wait(it);
+  expect(seen).toEqual([]);
+  await nextTurn();
+  expect(seen).toEqual(['first']);
+  await nextTurn();
+  expect(seen).toEqual(['first', 'second']);
+  await nextTurn();
+  expect([seen.length, turns.hasRoom()]).toEqual([2, true]);
+});
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -9,6 +9,7 @@
   type InputGate,
   bodyFramingOf,
   createInputGate,
+  createParseTurns,
   isFinalStatus,
 } from '@boragepoint/platform';
 
@@ -116,6 +117,7 @@
     },
   );
   const reader = createRequestReader(ctx, hasRoom, createBodyMemory(budget));
+  const turns = createParseTurns();
   const gates = new WeakMap<Socket, InputGate>();
   /** The latest request that was read on a connection. */
   const latestRead = new WeakMap<Socket, IncomingMessage>();
@@ -155,6 +157,7 @@
     if (ctx.parsesOneByOne !== true) return;
     const gate = createInputGate(socket, {
       mayParse: () => mayParse(socket),
+      turns,
       bodyOf: () => bodyFramingOf(latestRead.get(socket)),
       onHeld(difference) {
         budget.add('input', difference);
--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -3,7 +3,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import type { IpEndpoint } from '@boragepoint/config';
-import { type InputGate, bodyFramingOf, createInputGate } from '@boragepoint/platform';
+import {
+  type InputGate,
+  bodyFramingOf,
+  createInputGate,
+  createParseTurns,
+} from '@boragepoint/platform';
 
 import { listenWhenFree } from './listen-when-free.js';
 import type { RouterLog } from './router-log.js';
@@ -34,6 +39,7 @@
 /** Has a server read one request of a connection at a time, and wait until it takes the answer. */
 export function limitToOneRequest(server: Server, budget?: ClientBudget): void {
   const connections = new WeakMap<Socket, EndpointConnection>();
+  const turns = createParseTurns();
   server.setTimeout(STALL_TIMEOUT_MS);
   server.on('connection', (socket: Socket) => {
     const gate = createInputGate(socket, {
@@ -41,6 +47,7 @@
         const { openRequests = 0, requests = 0 } = connections.get(socket) ?? {};
         return openRequests === 0 && requests < MAX_REQUESTS_PER_CONNECTION;
       },
+      turns,
       bodyOf: () => bodyFramingOf(connections.get(socket)?.latest),
       onHeld(difference) {
         budget?.add('input', difference);
--- a/packages/router/src/lib/read-body.ts
+++ b/packages/router/src/lib/read-body.ts
@@ -6,13 +6,27 @@
 export type ReadBody =
   | { readonly kind: 'body'; readonly body: Buffer | undefined }
   | { readonly kind: 'too-large' }
-  /** The rest of the body is read and thrown away, so that the connection can be used again. */
+  /** Its chunks are so small that parsing them costs much more than their content. */
+  | { readonly kind: 'too-many-chunks' }
+  /**
+   * The rest of a body of stated length is read and thrown away, so that the connection can be used
+   * again. A chunked body has no such bound and isn't read on.
+   */
   | { readonly kind: 'no-room' }
   | { readonly kind: 'disconnected' };
 
 /** Size of the buffer of a body of unknown length at first, in bytes. */
 const FIRST_BUFFER_BYTES = 4 * 1_024;
 
+/** Chunks of a body that may be of any size. */
+const FREE_CHUNKS = 4_096;
+/** Smallest mean size of the chunks of a body that has more of them, in bytes. */
+const MIN_MEAN_CHUNK_BYTES = 32;
+
+/** Returns whether a body costs the parser, whose work is by chunks, too much for its size. */
+const isTooMany = (chunks: number, bytes: number) =>
+  chunks > FREE_CHUNKS && bytes < chunks * MIN_MEAN_CHUNK_BYTES;
+
 /**
  * Collects the parts of a body in one buffer: a part that was kept would hold the whole read that it
  * came with, and an object of the parser, however small it is.
@@ -77,10 +91,11 @@
   return new Promise((resolve) => {
     const length = statedLength(req);
     const parts = createBodyParts(length, maxBytes, room);
-    const stop = (kind: 'too-large' | 'no-room') => {
+    let chunks = 0;
+    const stop = (kind: 'too-large' | 'too-many-chunks' | 'no-room') => {
       req.removeAllListeners('data');
       parts.drop();
-      if (kind === 'no-room') req.resume();
+      if (kind === 'no-room' && length !== undefined) req.resume();
       else req.pause();
       resolve({ kind });
     };
@@ -90,7 +105,9 @@
     }
     req.on('data', (chunk: Buffer) => {
       const size = parts.size() + chunk.length;
+      chunks += 1;
       if (size > maxBytes || (length !== undefined && length > maxBytes)) stop('too-large');
+      else if (length === undefined && isTooMany(chunks, size)) stop('too-many-chunks');
       else if (!parts.add(chunk)) stop('no-room');
     });
     req.on('end', () => {
--- a/packages/router/src/lib/request-reader.ts
+++ b/packages/router/src/lib/request-reader.ts
@@ -82,6 +82,9 @@
     if (read.kind === 'too-large') {
       return { answer: ownAnswer('bodyTooLarge', 'the body is over the limit') };
     }
+    if (read.kind === 'too-many-chunks') {
+      return { answer: ownAnswer('bodyTooLarge', 'the chunks of the body are too small') };
+    }
     if (read.kind === 'no-room') {
       const reason = 'the bodies of other requests take all room';
       return { answer: ownAnswer('overloaded', reason, NO_ROOM_RETRY_AFTER_MS) };
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -8,8 +8,8 @@
 import { fileURLToPath } from 'node:url';
 
 const root = path.dirname(path.dirname(fileURLToPath(import.meta.url)));
-/** This file measures memory under load, so that it runs after the others. */
-const ALONE_FILE = 'client-memory_test.js';
+/** These files measure memory under load, so that they run after the others, one by one. */
+const ALONE_FILES = ['client-memory_test.js', 'client-crowds_test.js'];
 const TEST_LINE_PREFIX = 'test: ';
 
 /** Lists the compiled test files, without those whose source has been deleted. */
@@ -62,7 +62,7 @@
 }
 
 const files = testFiles();
-const isAlone = (file) => path.basename(file) === ALONE_FILE;
+const isAlone = (file) => ALONE_FILES.includes(path.basename(file));
 await runFiles(
   files.filter((file) => !isAlone(file)),
   4,
