Client memory: the input gate and a budget of the process's size where settings name no memory

What callers saw: where the settings have no instance_mb, clients that stop short of the end of their bodies, or send requests ahead and read no answers, took all memory, and the process ended.

Cause: the input gate was on only with instance_mb, and the budget took 768 MB for granted, though the run line allows a heap of 260 MB (--max-old-space-size=200).

--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -49,8 +49,6 @@
 export interface CallerListenerContext extends RequestReaderContext {
   /** Budget of what is held for callers; one of the default size if undefined. */
   readonly budget?: ClientBudget;
-  /** Whether the parser gets the requests of a connection one by one. */
-  readonly parsesOneByOne?: boolean;
   /** How long data that is read now may have waited in the socket buffer, in milliseconds. */
   readDelayMs(): number;
   /** Called with the answer to each request that reached the handler, for metrics and the log. */
@@ -154,7 +152,6 @@
     };
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
-    if (ctx.parsesOneByOne !== true) return;
     const gate = createInputGate(socket, {
       mayParse: () => mayParse(socket),
       turns,
--- a/packages/router/src/lib/client-budget.ts
+++ b/packages/router/src/lib/client-budget.ts
@@ -1,8 +1,8 @@
 import { type GarbagePace, NO_PACE } from './garbage-pace.js';
 
 const MEGABYTE = 1_000_000;
-/** Memory of an instance whose settings name none, in MB. */
-export const DEFAULT_INSTANCE_MB = 768;
+/** Memory of an instance where a part is used alone, without a router's settings, in MB. */
+const DEFAULT_INSTANCE_MB = 768;
 /** Memory that a router takes without clients, its garbage and code included, in MB. */
 const BASE_MB = 90;
 /** Smallest budget, so that a router on a tiny instance still serves, in MB. */
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -21,6 +21,7 @@
 import { countEvacuatedRanges } from './evacuated-ranges.js';
 import { createEvacuations } from './evacuations.js';
 import { budgetBytes, createClientBudget } from './client-budget.js';
+import { processMemoryMb } from './process-memory.js';
 import { closeServer, serveMetrics, serveReadiness } from './http-endpoints.js';
 import { logClosedConnection } from './log-closed-connection.js';
 import { leaveGarbage, needsGarbagePace, paceGarbage } from './garbage-pace.js';
@@ -207,7 +208,7 @@
   });
   const keyLoad = createKeyLoad(() => pool);
   const probe = createServerProbe();
-  const { instanceMb } = settings.memory;
+  const { instanceMb = processMemoryMb() } = settings.memory;
   const clientBudget = createClientBudget(
     budgetBytes(instanceMb),
     needsGarbagePace(instanceMb) ? paceGarbage() : leaveGarbage(),
@@ -361,7 +362,6 @@
   };
   const callerContext: CallerListenerContext = {
     budget: clientBudget,
-    parsesOneByOne: instanceMb !== undefined,
     codec: platform.headers,
     routes: () => (member.isCaughtUp() ? config.table() : undefined),
     handle: (req) => handler.handle(req),
--- a/packages/router/src/lib/garbage-pace.ts
+++ b/packages/router/src/lib/garbage-pace.ts
@@ -17,8 +17,7 @@
 const PACED_BELOW_MB = 200;
 
 /** Returns whether an instance of this memory in MB is too small for V8's own collections. */
-export const needsGarbagePace = (instanceMb: number | undefined): boolean =>
-  instanceMb !== undefined && instanceMb < PACED_BELOW_MB;
+export const needsGarbagePace = (instanceMb: number): boolean => instanceMb < PACED_BELOW_MB;
 
 /** Collects garbage of one generation. */
 export type CollectGarbage = (generation: 'young' | 'all') => void;
--- a/packages/router/src/test/client-budget_test.ts
+++ b/packages/router/src/test/client-budget_test.ts
@@ -4,6 +4,7 @@
 
 import { budgetBytes, createClientBudget } from '../lib/client-budget.js';
 import { createGarbagePace } from '../lib/garbage-pace.js';
+import { processMemoryMb } from '../lib/process-memory.js';
 import { createStalledClients } from '../lib/stalled-clients.js';
 
 const MEBIBYTE = 1 << 20;
@@ -14,6 +15,15 @@
   expect(budgetBytes(64)).toEqual(16_000_000);
 });
 
+// Guards against a process that holds as if it had 768 MB where its settings name no memory.
+test('a process without settings of its memory has the smallest of its limits', () => {
+  const sources = { heapLimit: 260_046_848, constrained: 2 ** 64, machine: 8e9 };
+  expect(processMemoryMb(sources)).toEqual(260);
+  expect(processMemoryMb({ ...sources, constrained: 210e6 })).toEqual(210);
+  expect(processMemoryMb({ ...sources, constrained: 0 })).toEqual(260);
+  expect(processMemoryMb({ ...sources, machine: 128e6 })).toEqual(128);
+});
+
 // Guards against bodies or unread answers that leave no room for the requests of others.
 test('no kind takes the whole budget, and all kinds together stay within it', () => {
   const budget = createClientBudget(100);
