Readiness and metrics: a request with a body closes its connection

What operators saw: nothing yet; found by reading. These endpoints read no bodies, but Node.js parses the rest of a body after the answer, without end if the client sends one, and keeps the connection.

Evidence: the new test sends a chunked body without its end to the readiness endpoint. On the code before, the answer has no "connection: close"; with the change it has.

Fix: a request whose body has not been parsed with its head is the last one of its connection, and the parser gets no more of it.

--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -44,7 +44,8 @@
   server.on('connection', (socket: Socket) => {
     const gate = createInputGate(socket, {
       mayParse() {
-        const { openRequests = 0, requests = 0 } = connections.get(socket) ?? {};
+        const { openRequests = 0, requests = 0, latest } = connections.get(socket) ?? {};
+        if (bodyFramingOf(latest)) return false;
         return openRequests === 0 && requests < MAX_REQUESTS_PER_CONNECTION;
       },
       turns,
@@ -61,7 +62,9 @@
     connection.openRequests += 1;
     connection.requests += 1;
     connection.latest = req;
-    if (connection.requests === MAX_REQUESTS_PER_CONNECTION) res.setHeader('connection', 'close');
+    // No body is read here; Node.js would parse the rest of it after the answer.
+    const isLast = connection.requests === MAX_REQUESTS_PER_CONNECTION || bodyFramingOf(req);
+    if (isLast) res.setHeader('connection', 'close');
     res.once('close', () => {
       connection.openRequests -= 1;
       connection.gate.update();
