--- a/packages/platform/src/lib/input-gate.ts
+++ b/packages/platform/src/lib/input-gate.ts
@@ -1,13 +1,16 @@
 import type { Socket } from 'node:net';
 
-/** Largest part of the input that the parser gets at once, in bytes. */
-const MAX_SLICE_BYTES = 16 * 1_024;
-const HEAD_END = Buffer.from('\r\n\r\n');
+import type { ParseTurns } from './parse-turns.js';
+import { type BodyFraming, createRequestFraming } from './request-framing.js';
 
 /** What the owner of a connection decides about its input. */
 export interface InputGateContext {
   /** Returns whether the parser may get more; asked again after each request head. */
   mayParse(): boolean;
+  /** Framing of the body that the parser expects next; `undefined` between requests. */
+  bodyOf(): BodyFraming | undefined;
+  /** Turns that chunked bodies wait for; shared by the connections of a listener. */
+  readonly turns: ParseTurns;
   /** Called when the bytes that wait for the parser change in number. */
   onHeld(difference: number): void;
 }
@@ -18,15 +21,6 @@
   update(): void;
 }
 
-/**
- * Returns how much of the input the parser gets at once: up to the next end of a request head. A head
- * whose end is split over two reads comes with the next one.
- */
-export function sliceLength(input: Buffer): number {
-  const end = input.indexOf(HEAD_END);
-  return Math.min(end < 0 ? input.length : end + HEAD_END.length, MAX_SLICE_BYTES);
-}
-
 /**
  * Stands between a connection of an HTTP server and its parser, which otherwise creates the objects
  * of all requests in a read, more than a thousand, before the server can pause it. While the owner
@@ -34,7 +28,10 @@
  */
 export function createInputGate(socket: Socket, ctx: InputGateContext): InputGate {
   const parse = socket.listeners('data') as ((input: Buffer) => void)[];
+  const framing = createRequestFraming(() => ctx.bodyOf());
   let held: Buffer | undefined;
+  /** Whether the parser is within a chunked body. */
+  let isInChunks = false;
   let isPausedHere = false;
   let isPumping = false;
 
@@ -47,16 +44,26 @@
   const isOpen = () => !socket.destroyed && socket.listeners('data').includes(take);
 
   function passSlice(input: Buffer): void {
-    const length = sliceLength(input);
+    const { length, chunks } = framing.nextPart(input);
+    isInChunks = chunks > 0;
+    ctx.turns.note(chunks);
     setHeld(length < input.length ? input.subarray(length) : undefined);
     const slice = length < input.length ? input.subarray(0, length) : input;
     for (const listener of parse) listener(slice);
   }
 
+  /** Returns whether the parser gets more in this turn. */
+  function mayPass(): boolean {
+    if (!isOpen() || !ctx.mayParse()) return false;
+    if (!isInChunks || ctx.turns.hasRoom()) return true;
+    ctx.turns.wait(pump);
+    return false;
+  }
+
   function pump(): void {
     if (isPumping) return;
     isPumping = true;
-    while (held && isOpen() && ctx.mayParse()) passSlice(held);
+    while (held && mayPass()) passSlice(held);
     isPumping = false;
     if (!isOpen()) {
       setHeld(undefined);
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -7,7 +7,9 @@
   type ClosedConnection,
   createConnectionCloser,
   type InputGate,
+  bodyFramingOf,
   createInputGate,
+  createParseTurns,
   isFinalStatus,
 } from '@boragepoint/platform';
 
@@ -47,8 +49,6 @@
 export interface CallerListenerContext extends RequestReaderContext {
   /** Budget of what is held for callers; one of the default size if undefined. */
   readonly budget?: ClientBudget;
-  /** Whether the parser gets the requests of a connection one by one. */
-  readonly parsesOneByOne?: boolean;
   /** How long data that is read now may have waited in the socket buffer, in milliseconds. */
   readDelayMs(): number;
   /** Called with the answer to each request that reached the handler, for metrics and the log. */
@@ -115,6 +115,7 @@
     },
   );
   const reader = createRequestReader(ctx, hasRoom, createBodyMemory(budget));
+  const turns = createParseTurns();
   const gates = new WeakMap<Socket, InputGate>();
   /** The latest request that was read on a connection. */
   const latestRead = new WeakMap<Socket, IncomingMessage>();
@@ -151,9 +152,10 @@
     };
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
-    if (ctx.parsesOneByOne !== true) return;
     const gate = createInputGate(socket, {
       mayParse: () => mayParse(socket),
+      turns,
+      bodyOf: () => bodyFramingOf(latestRead.get(socket)),
       onHeld(difference) {
         budget.add('input', difference);
       },
--- a/packages/router/src/lib/garbage-pace.ts
+++ b/packages/router/src/lib/garbage-pace.ts
@@ -22,8 +22,7 @@
 const PACED_BELOW_MB = 200;
 
 /** Returns whether an instance of this memory in MB is too small for V8's own collections. */
-const needsGarbagePace = (instanceMb: number | undefined): boolean =>
-  instanceMb !== undefined && instanceMb < PACED_BELOW_MB;
+const needsGarbagePace = (instanceMb: number): boolean => instanceMb < PACED_BELOW_MB;
 
 /** Collects garbage of one generation. */
 export type CollectGarbage = (generation: 'young' | 'all') => void;
@@ -100,7 +99,7 @@
  * Prepares this process for an instance of this memory in MB. On a small one, V8 keeps the young
  * generation at the size that it has, and all garbage is collected by one pace.
  */
-export function paceGarbage(instanceMb: number | undefined): GarbagePaces {
+export function paceGarbage(instanceMb: number): GarbagePaces {
   const collect = createCollector();
   const isPaced = needsGarbagePace(instanceMb);
   // This flag is read while the program runs; others that limit the heap are read at its start only.
--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -3,7 +3,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import type { IpEndpoint } from '@boragepoint/config';
-import { type InputGate, createInputGate } from '@boragepoint/platform';
+import {
+  type InputGate,
+  bodyFramingOf,
+  createInputGate,
+  createParseTurns,
+} from '@boragepoint/platform';
 
 import { listenWhenFree } from './listen-when-free.js';
 import type { RouterLog } from './router-log.js';
@@ -26,19 +31,25 @@
 interface EndpointConnection {
   openRequests: number;
   requests: number;
+  /** The latest request that was read. */
+  latest?: IncomingMessage;
   readonly gate: InputGate;
 }
 
 /** Has a server read one request of a connection at a time, and wait until it takes the answer. */
 export function limitToOneRequest(server: Server, budget?: ClientBudget): void {
   const connections = new WeakMap<Socket, EndpointConnection>();
+  const turns = createParseTurns();
   server.setTimeout(STALL_TIMEOUT_MS);
   server.on('connection', (socket: Socket) => {
     const gate = createInputGate(socket, {
       mayParse() {
-        const { openRequests = 0, requests = 0 } = connections.get(socket) ?? {};
+        const { openRequests = 0, requests = 0, latest } = connections.get(socket) ?? {};
+        if (bodyFramingOf(latest)) return false;
         return openRequests === 0 && requests < MAX_REQUESTS_PER_CONNECTION;
       },
+      turns,
+      bodyOf: () => bodyFramingOf(connections.get(socket)?.latest),
       onHeld(difference) {
         budget?.add('input', difference);
       },
@@ -50,7 +61,10 @@
     if (!connection) return;
     connection.openRequests += 1;
     connection.requests += 1;
-    if (connection.requests === MAX_REQUESTS_PER_CONNECTION) res.setHeader('connection', 'close');
+    connection.latest = req;
+    // No body is read here; Node.js would parse the rest of it after the answer.
+    const isLast = connection.requests === MAX_REQUESTS_PER_CONNECTION || bodyFramingOf(req);
+    if (isLast) res.setHeader('connection', 'close');
     res.once('close', () => {
       connection.openRequests -= 1;
       connection.gate.update();
