Callers' listener: a body of tiny chunks is refused only beside others of its kind

Cause: the limit held for each body alone. What keeps a router from answering is the number of such bodies that are parsed at the same time.

Evidence: 'a body of any number of tiny chunks is taken while few others are read' fails on the code before (413), and passes now.

--- a/packages/router/src/lib/read-body.ts
+++ b/packages/router/src/lib/read-body.ts
@@ -3,12 +3,13 @@
 import { createBodyParts } from '@boragepoint/platform';
 
 import type { BodyRoom } from './body-memory.js';
+import type { ChunkCount } from './chunk-allowance.js';
 
 /** A request's body, or why there is none. */
 export type ReadBody =
   | { readonly kind: 'body'; readonly body: Buffer | undefined }
   | { readonly kind: 'too-large' }
-  /** Its chunks are so small that parsing them costs much more than their content. */
+  /** Its chunks are tiny, and other bodies of tiny chunks are being read. */
   | { readonly kind: 'too-many-chunks' }
   /**
    * The rest of a body of stated length is read and thrown away, so that the connection can be used
@@ -20,35 +21,32 @@
 /** Size of the buffer of a body of unknown length at first, in bytes. */
 const FIRST_BUFFER_BYTES = 4 * 1_024;
 
-/** Chunks of a body that may be of any size. */
-const FREE_CHUNKS = 4_096;
-/** Smallest mean size of the chunks of a body that has more of them, in bytes. */
-const MIN_MEAN_CHUNK_BYTES = 32;
-
-/** Returns whether a body costs the parser, whose work is by chunks, too much for its size. */
-const isTooMany = (chunks: number, bytes: number) =>
-  chunks > FREE_CHUNKS && bytes < chunks * MIN_MEAN_CHUNK_BYTES;
-
 /** Returns the length that a request states for its body; `undefined` if it states none. */
 function statedLength(req: IncomingMessage): number | undefined {
   const stated = req.headers['content-length'];
   return stated === undefined ? undefined : Number(stated);
 }
 
+/** What the body of a request may take. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  readonly room: BodyRoom;
+  /** Counts the chunks of a body without a stated length. */
+  readonly chunks: ChunkCount;
+}
+
 /**
  * Reads the body of a request; stops as soon as it exceeds `maxBytes`, or as there is no room for
  * it.
  */
 export function readBody(
   req: IncomingMessage,
-  maxBytes: number,
-  room: BodyRoom,
+  { maxBytes, room, chunks }: BodyLimits,
 ): Promise<ReadBody> {
   return new Promise((resolve) => {
     const length = statedLength(req);
     const firstBytes = length ?? FIRST_BUFFER_BYTES;
     const parts = createBodyParts({ length, firstBytes, maxBytes }, room);
-    let chunks = 0;
     const stop = (kind: 'too-large' | 'too-many-chunks' | 'no-room') => {
       req.removeAllListeners('data');
       parts.drop();
@@ -62,9 +60,8 @@
     }
     req.on('data', (chunk: Buffer) => {
       const size = parts.size() + chunk.length;
-      chunks += 1;
       if (size > maxBytes || (length !== undefined && length > maxBytes)) stop('too-large');
-      else if (length === undefined && isTooMany(chunks, size)) stop('too-many-chunks');
+      else if (length === undefined && !chunks.note(size)) stop('too-many-chunks');
       else if (!parts.add(chunk)) stop('no-room');
     });
     req.on('end', () => {
--- a/packages/router/src/lib/request-reader.ts
+++ b/packages/router/src/lib/request-reader.ts
@@ -2,10 +2,11 @@
 
 import type { HeaderCodec } from '@boragepoint/platform';
 
-import type { BodyMemory } from './body-memory.js';
+import type { BodyMemory, BodyRoom } from './body-memory.js';
 import { type CallerAnswer, ownAnswer } from './caller-answer.js';
 import type { CallerRequest } from './caller-request.js';
-import { readBody } from './read-body.js';
+import { createChunkAllowance } from './chunk-allowance.js';
+import { type ReadBody, readBody } from './read-body.js';
 import type { RouteTable } from './route-table.js';
 
 /** Deadline of requests that state none, in milliseconds. */
@@ -58,6 +59,17 @@
   hasRoom: () => boolean,
   bodies: BodyMemory,
 ): RequestReader {
+  const chunkAllowance = createChunkAllowance();
+
+  async function readWithin(
+    req: IncomingMessage,
+    maxBytes: number,
+    room: BodyRoom,
+  ): Promise<ReadBody> {
+    using chunks = chunkAllowance.begin();
+    return await readBody(req, { maxBytes, room, chunks });
+  }
+
   async function answer(
     req: IncomingMessage,
     disconnectSignal: AbortSignal,
@@ -67,7 +79,7 @@
     const target = req.url ?? '/';
     const route = table?.find(req.headers.host ?? '', target.split('?')[0] ?? target);
     using room = bodies.begin();
-    const read = await readBody(req, table?.cfg.limits.maxBodyBytes ?? 0, room);
+    const read = await readWithin(req, table?.cfg.limits.maxBodyBytes ?? 0, room);
     if (read.kind === 'disconnected' || disconnectSignal.aborted)
       return { answer: { kind: 'none' } };
     if (!table) {
@@ -83,7 +95,8 @@
       return { answer: ownAnswer('bodyTooLarge', 'the body is over the limit') };
     }
     if (read.kind === 'too-many-chunks') {
-      return { answer: ownAnswer('bodyTooLarge', 'the chunks of the body are too small') };
+      const reason = 'other bodies of tiny chunks are being read';
+      return { answer: ownAnswer('overloaded', reason, NO_ROOM_RETRY_AFTER_MS) };
     }
     if (read.kind === 'no-room') {
       const reason = 'the bodies of other requests take all room';
