--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -22,6 +22,7 @@
 import { createEvacuations } from './evacuations.js';
 import { createAnswerMemory } from './answer-memory.js';
 import { budgetBytes, createClientBudget } from './client-budget.js';
+import { processMemoryMb } from './process-memory.js';
 import { closeServer, serveMetrics, serveReadiness } from './http-endpoints.js';
 import { logClosedConnection } from './log-closed-connection.js';
 import { paceGarbage } from './garbage-pace.js';
@@ -209,7 +210,7 @@
   });
   const keyLoad = createKeyLoad(() => pool);
   const probe = createServerProbe();
-  const { instanceMb } = settings.memory;
+  const { instanceMb = processMemoryMb() } = settings.memory;
   const garbage = paceGarbage(instanceMb);
   const clientBudget = createClientBudget(budgetBytes(instanceMb), garbage.clients);
 
@@ -364,7 +365,6 @@
   };
   const callerContext: CallerListenerContext = {
     budget: clientBudget,
-    parsesOneByOne: instanceMb !== undefined,
     codec: platform.headers,
     routes: () => (member.isCaughtUp() ? config.table() : undefined),
     handle: (req) => handler.handle(req),
