--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -9,7 +9,12 @@
 
 const root = path.dirname(path.dirname(fileURLToPath(import.meta.url)));
 /** These files measure memory under load, so that they run after the others, one by one. */
-const ALONE_FILES = ['client-memory_test.js', 'client-crowds_test.js'];
+const ALONE_FILES = [
+  'client-crowds_test.js',
+  'client-memory_test.js',
+  'endless-bodies_test.js',
+  'endless-responses_test.js',
+];
 const TEST_LINE_PREFIX = 'test: ';
 
 /** Lists the compiled test files, without those whose source has been deleted. */
