Responses: the parts of a response that ends in a slice count in its turn

Not seen by callers; found while reviewing the budget of parts for each turn. A server whose short responses in tiny chunks end in the bytes in which they were begun used up no budget.

Cause: the end of a response dropped the slice that was being counted.

Evidence: "the parts of a response that ends in a slice count" fails on the code before, where nothing is left to settle.

Fix: whether the parser got anything is noted apart from the slice.

--- a/packages/platform/src/lib/framing-count.ts
+++ b/packages/platform/src/lib/framing-count.ts
@@ -67,7 +67,9 @@
 /** Creates the count of a new connection. What arrives between two responses counts to the later. */
 export function createFramingCount(): FramingCount {
   let isInBody = false;
-  /** The bytes that the parser is handling. */
+  /** Whether the parser got bytes that are not settled. */
+  let isPending = false;
+  /** The bytes that the parser is handling; `undefined` once the response has ended in them. */
   let slice: Buffer | undefined;
   /** Body bytes that were reported of them. */
   let sliceBodyBytes = 0;
@@ -132,6 +134,7 @@
   return {
     sliceBytes: () => (isInBody && excessParts() === 0 ? BODY_SLICE_BYTES : SMALL_SLICE_BYTES),
     pass(passed) {
+      isPending = true;
       slice = passed;
       sliceBodyBytes = 0;
       bodyEnd = 0;
@@ -163,12 +166,14 @@
       bodyEnd = start + part.length;
     },
     settle() {
-      if (!slice) return false;
+      const wasPending = isPending;
+      isPending = false;
+      if (!slice) return wasPending;
       if (isAtHeadEnd) endHead(slice.length);
       else noteRest(slice);
       if (!hasHead) totalBytes += slice.length - sliceBodyBytes;
       slice = undefined;
-      return true;
+      return wasPending;
     },
     end() {
       restart();
--- a/packages/platform/src/test/framing-count_test.ts
+++ b/packages/platform/src/test/framing-count_test.ts
@@ -153,3 +153,16 @@
   count.settle();
   expect(count.heldBytes()).toEqual(0);
 });
+
+// Guards against short responses in tiny chunks that use up no budget of the turn, because they end
+// in the bytes in which they begin.
+test('the parts of a response that ends in a slice count', () => {
+  const count = begunResponse();
+  const slice = Buffer.from('1\r\nx\r\n'.repeat(1_000));
+  count.pass(slice);
+  for (let at = 3; at < slice.length; at += 6) count.notePart(slice.subarray(at, at + 1));
+  count.end();
+  expect(count.settle()).toEqual(true);
+  expect(count.excessParts()).toBeGreaterThan(900);
+  expect(count.settle()).toEqual(false);
+});
