Input gate: nothing is parsed while the HTTP server has paused a connection

Cause: the HTTP server pauses a connection whose answers pile up, and its parser fails on input then. The gate asked its owner only, so that it passed input on; the error left it marked as busy, and it never read again.

Evidence: 'requests in a pipeline are all answered' fails on the code before with answers of 5,000, 30,000 and 200,000 bytes, and passes now. The fault is as old as the gate, and was in force wherever the settings name a memory.

Fix: the gate waits for the server to resume the connection, and is not left busy by an error. The mark is internal to Node.js; the test fails if it goes.

--- a/packages/platform/src/lib/input-gate.ts
+++ b/packages/platform/src/lib/input-gate.ts
@@ -21,6 +21,13 @@
   update(): void;
 }
 
+/**
+ * Returns whether the HTTP server has paused a connection whose answers pile up. Its parser fails on
+ * input then; the server resumes the connection once they are written.
+ */
+const isPausedByServer = (socket: Socket & { readonly _paused?: boolean }) =>
+  socket._paused === true;
+
 /**
  * Stands between a connection of an HTTP server and its parser, which otherwise creates the objects
  * of all requests in a read, more than a thousand, before the server can pause it. While the owner
@@ -54,7 +61,7 @@
 
   /** Returns whether the parser gets more in this turn. */
   function mayPass(): boolean {
-    if (!isOpen() || !ctx.mayParse()) return false;
+    if (!isOpen() || isPausedByServer(socket) || !ctx.mayParse()) return false;
     if (!isInChunks || ctx.turns.hasRoom()) return true;
     ctx.turns.wait(pump);
     return false;
@@ -63,8 +70,11 @@
   function pump(): void {
     if (isPumping) return;
     isPumping = true;
-    while (held && mayPass()) passSlice(held);
-    isPumping = false;
+    try {
+      while (held && mayPass()) passSlice(held);
+    } finally {
+      isPumping = false;
+    }
     if (!isOpen()) {
       setHeld(undefined);
     } else if (held) {
