Readiness and metrics: requests without a body keep their connection

Each answer of these endpoints closed its connection, in place of each hundredth: a request without a body counted as one whose body is not parsed.

Evidence: 'a connection carries several requests for readiness' gets 1 of 3 answers on the code before, and 3 now.

Fix: a request without a length and without chunks has no body.

--- a/packages/platform/src/lib/request-framing.ts
+++ b/packages/platform/src/lib/request-framing.ts
@@ -15,11 +15,15 @@
 export type BodyFraming =
   { readonly kind: 'length'; readonly bytes: number } | { readonly kind: 'chunked' };
 
-/** Returns how the end of a request's body is found; `undefined` if all of it has been parsed. */
+/**
+ * Returns how the end of a request's body is found; `undefined` if it has none, or all of it has been
+ * parsed.
+ */
 export function bodyFramingOf(req: IncomingMessage | undefined): BodyFraming | undefined {
   if (!req || req.complete) return undefined;
   if (req.headers['transfer-encoding'] !== undefined) return { kind: 'chunked' };
-  return { kind: 'length', bytes: Number(req.headers['content-length'] ?? 0) };
+  const bytes = Number(req.headers['content-length'] ?? 0);
+  return bytes > 0 ? { kind: 'length', bytes } : undefined;
 }
 
 /** The part of the input that the parser gets next. */
--- a/packages/router/src/test/http-endpoints_test.ts
+++ b/packages/router/src/test/http-endpoints_test.ts
@@ -20,3 +20,16 @@
   client.destroy();
   closeServer(server);
 });
+
+// Guards against a connection that is closed after each readiness check, as if it had a body.
+test('a connection carries several requests for readiness', async () => {
+  const server = await serveReadiness(() => true, { host: '127.0.0.1', port: 0 });
+  const client = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  let received = '';
+  client.on('data', (part) => (received += String(part)));
+  const request = 'GET / HTTP/1.1\r\nhost: a\r\n';
+  client.write(`${request}\r\n${request}\r\n${request}connection: close\r\n\r\n`);
+  await new Promise((resolve) => client.once('close', resolve));
+  expect(received.split('HTTP/1.1 200').length - 1).toEqual(3);
+  closeServer(server);
+});
