Input gate: the size of a chunk is followed behind any number of zeros

A client could have the parser create the objects of hundreds of requests at once: the size of a chunk may begin with zeros, and only 16 characters of it were looked at, so that the end of the body was not found.

Evidence: 'the size of a chunk is followed behind any number of zeros' fails on the code before.

Fix: the zeros are skipped.

--- a/packages/platform/src/lib/request-framing.ts
+++ b/packages/platform/src/lib/request-framing.ts
@@ -6,6 +6,7 @@
 const MAX_SLICE_CHUNKS = 64;
 const HEAD_END = Buffer.from('\r\n\r\n');
 const LINE_END = '\n'.charCodeAt(0);
+const ZERO = '0'.charCodeAt(0);
 const CRLF_BYTES = 2;
 /** Characters of the line before a chunk that are kept; its size is at the start. */
 const MAX_SIZE_CHARS = 16;
@@ -96,7 +97,7 @@
   };
 }
 
-/** Follows chunks and trailers; what is malformed counts as one part, which the parser refuses. */
+/** Follows chunks and trailers; the parser refuses what is malformed. */
 function createChunkedStep(): Step {
   let line = '';
   /** Bytes of the chunk that are still to come, with the line end behind it. */
@@ -109,21 +110,29 @@
     if (isInTrailers) {
       isDone = line === '' || line === '\r';
     } else {
-      const size = parseInt(line, 16);
+      const size = parseInt(`0${line}`, 16);
       isInTrailers = size === 0;
       chunks += 1;
       left = isInTrailers ? 0 : size + CRLF_BYTES;
-      if (Number.isNaN(left)) left = Infinity;
     }
     line = '';
   }
 
+  /** Returns the offset behind the zeros that begin the size of a chunk; there may be any number. */
+  function skipZeros(input: Buffer, from: number, end: number): number {
+    if (isInTrailers || line !== '') return from;
+    let at = from;
+    while (at < end && input[at] === ZERO) at += 1;
+    return at;
+  }
+
   /** Takes the rest of the line, or what there is of it. */
   function takeLine(input: Buffer, from: number, limit: number): number {
     const found = input.indexOf(LINE_END, from);
     const end = found < 0 || found >= limit ? limit : found;
     if (line.length < MAX_SIZE_CHARS) {
-      line += input.toString('latin1', from, Math.min(end, from + MAX_SIZE_CHARS));
+      const start = skipZeros(input, from, end);
+      line += input.toString('latin1', start, Math.min(end, start + MAX_SIZE_CHARS));
     }
     if (end === limit) return limit;
     endLine();
--- a/packages/platform/src/test/input-gate_test.ts
+++ b/packages/platform/src/test/input-gate_test.ts
@@ -92,6 +92,17 @@
   }
 });
 
+// Guards against requests behind a body that the parser gets all at once, because the size of a chunk
+// is not followed: it may begin with any number of zeros.
+test('the size of a chunk is followed behind any number of zeros', () => {
+  const zeros = '0'.repeat(15);
+  const content = 'xyyffffffff\r\npad__';
+  const chunked = `${zeros}${content.length.toString(16)}\r\n${content}\r\n${zeros}\r\n\r\n`;
+  const parts = [`${post}\r\n`, chunked, ...repeated(500, 0).map(() => head)];
+  const lengths = parts.map((it) => it.length);
+  expect(lengthsOf([parts.join('')], [{ kind: 'chunked' }])).toEqual(lengths);
+});
+
 // Guards against a body of line ends that the parser gets in parts of four bytes: it looks like the
 // ends of many heads, and 64 KiB took 16,384 calls.
 test('the parser gets a body of empty lines in large parts', async () => {
