Parse turns: connections go on although one of them fails

An error while one connection is parsed left those that wait in the same turn unread until another one noted chunks.

Evidence: 'connections go on although one of them fails' fails on the code before: the process ends without the callback.

--- a/packages/platform/src/lib/parse-turns.ts
+++ b/packages/platform/src/lib/parse-turns.ts
@@ -21,12 +21,16 @@
   function startTurn(): void {
     isScheduled = false;
     chunksInTurn = 0;
-    for (const goOn of [...waiting]) {
-      if (!hasRoom()) break;
-      waiting.delete(goOn);
-      goOn();
+    try {
+      for (const goOn of [...waiting]) {
+        if (!hasRoom()) break;
+        waiting.delete(goOn);
+        goOn();
+      }
+    } finally {
+      // Also after an error of one connection, so that the others go on.
+      if (waiting.size > 0) schedule();
     }
-    if (waiting.size > 0) schedule();
   }
 
   function schedule(): void {
--- a/packages/platform/src/test/input-gate_test.ts
+++ b/packages/platform/src/test/input-gate_test.ts
@@ -1,3 +1,4 @@
+import { execFileSync } from 'node:child_process';
 import { type IncomingMessage, createServer } from 'node:http';
 import { type AddressInfo, connect } from 'node:net';
 import { test } from 'node:test';
@@ -149,3 +150,22 @@
   await nextTurn();
   expect([seen.length, turns.hasRoom()]).toEqual([2, true]);
 });
+
+const FAILING_TURN = `
+  const { createParseTurns } = await import(process.argv[1]);
+  process.on('uncaughtException', () => undefined);
+  const turns = createParseTurns(10);
+  turns.note(10);
+  turns.wait(() => {
+    throw new Error('the parser failed');
+  });
+  turns.wait(() => console.log('goes on'));
+`;
+
+// Guards against connections that are never read again, because another one failed in their turn. It
+// runs in a process of its own, as the test runner takes the error for its own.
+test('connections go on although one of them fails', () => {
+  const module = new URL('../lib/parse-turns.js', import.meta.url).href;
+  const args = ['--input-type=module', '--eval', FAILING_TURN, module];
+  expect(execFileSync(process.execPath, args, { encoding: 'utf8' })).toEqual('goes on\n');
+});
