Listeners: a request with an unknown expectation is handled like any other

Evidence: 'a request with an unknown expectation is handled like any other' gets 417 on the code before, and 200 now.

Fix: these requests go to the ordinary handler, at the callers' listener and at readiness and metrics.

--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -134,6 +134,10 @@
       ctx.onConnectionClosed(closed);
     },
   });
+  // The HTTP server would answer an unknown expectation itself, and read its body without a bound.
+  server.on('checkExpectation', (req, res) => {
+    void answer(req, res);
+  });
   server.on('clientError', refuse);
   // The HTTP server leaves the connection of such a request to its user.
   server.on('connect', (_req, socket) => {
--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -56,6 +56,10 @@
     });
     connections.set(socket, { openRequests: 0, requests: 0, gate });
   });
+  // The HTTP server would answer an unknown expectation itself, and read its body without a bound.
+  server.on('checkExpectation', (req, res) => {
+    server.emit('request', req, res);
+  });
   server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
     const connection = connections.get(req.socket);
     if (!connection) return;
--- a/packages/router/src/test/malformed-request_test.ts
+++ b/packages/router/src/test/malformed-request_test.ts
@@ -101,3 +101,14 @@
   expect(text.endsWith('\r\n\r\ntwo')).toEqual(true);
   await listener.drain();
 });
+
+// Guards against a request that the HTTP server itself answers with 417, and whose body it then reads
+// without a bound.
+test('a request with an unknown expectation is handled like any other', async () => {
+  const { port, listener } = await listen((req) =>
+    Promise.resolve(serverAnswer(req.attemptId, true)),
+  );
+  const text = await exchange(port, get('/p/1', 'one', `expect: foo\r\n${CLOSE_HEADER}`));
+  expect(statuses(text)).toEqual(['200']);
+  await listener.drain();
+});
