Callers' listener: what follows CONNECT is not parsed

Evidence: 'what follows CONNECT is not parsed while the connection waits for its last answer' fails on the code before with 'parser.onIncoming is not a function'.

Fix: reading stops with CONNECT, whether or not the refusal is still written.

--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -142,8 +142,13 @@
   // The HTTP server leaves the connection of such a request to its user.
   server.on('connect', (_req, socket) => {
     socket.on('error', () => undefined);
-    if (socket instanceof Socket) refuse(new TypeError('CONNECT is not served'), socket);
-    else socket.destroy();
+    if (!(socket instanceof Socket)) {
+      socket.destroy();
+      return;
+    }
+    // The server has given up the parser of the connection.
+    closer.stopReading(socket);
+    refuse(new TypeError('CONNECT is not served'), socket);
   });
   server.on('timeout', (socket: Socket) => {
     closer.close(socket, 'idle-timeout');
--- a/packages/router/src/test/malformed-request_test.ts
+++ b/packages/router/src/test/malformed-request_test.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net';
 import { test } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
@@ -112,3 +113,31 @@
   expect(statuses(text)).toEqual(['200']);
   await listener.drain();
 });
+
+// Guards against input that reaches the parser that the HTTP server has given up after CONNECT; it
+// fails, or belongs to another connection by then.
+test('what follows CONNECT is not parsed while the connection waits for its last answer', async () => {
+  const body = 'x'.repeat(8 << 20);
+  const targets: string[] = [];
+  const { port, listener } = await listen((req) => {
+    targets.push(req.target);
+    return Promise.resolve(serverAnswer(body, true));
+  });
+  const socket = connect(port, '127.0.0.1');
+  const closed = new Promise((resolve) => socket.once('close', resolve));
+  socket.on('error', () => undefined);
+  socket.pause();
+  listener.announceClose();
+  socket.write(get('/p/1', 'one'));
+  while (listener.unsentBytes() === 0) await nextTurn();
+  const behind = get('/p/2', 'two').repeat(2);
+  await new Promise((resolve) =>
+    socket.write(`CONNECT a.example:80 HTTP/1.1\r\nhost: a.example\r\n\r\n${behind}`, resolve),
+  );
+  // A request on another connection is read after the bytes written before it.
+  await exchange(port, get('/p/3', 'three', CLOSE_HEADER));
+  socket.resume();
+  await closed;
+  expect(targets).toEqual(['/p/1', '/p/3']);
+  await listener.drain();
+});
