--- a/packages/platform/src/lib/input-gate.ts
+++ b/packages/platform/src/lib/input-gate.ts
@@ -8,7 +8,7 @@
   /** Returns whether the parser may get more; asked again after each request head. */
   mayParse(): boolean;
   /** Framing of the body that the parser expects next; `undefined` between requests. */
-  bodyOf(): BodyFraming | undefined;
+  bodyFraming(): BodyFraming | undefined;
   /** Turns that chunked bodies wait for; shared by the connections of a listener. */
   readonly turns: ParseTurns;
   /** Called when the bytes that wait for the parser change in number. */
@@ -35,10 +35,10 @@
  */
 export function createInputGate(socket: Socket, ctx: InputGateContext): InputGate {
   const parse = socket.listeners('data') as ((input: Buffer) => void)[];
-  const framing = createRequestFraming(() => ctx.bodyOf());
+  const framing = createRequestFraming(() => ctx.bodyFraming());
   let held: Buffer | undefined;
-  /** Whether the parser is within a chunked body. */
-  let isInChunks = false;
+  /** Whether chunks began in the part that the parser got last. */
+  let hadChunks = false;
   let isPausedHere = false;
   let isPumping = false;
 
@@ -52,7 +52,7 @@
 
   function passSlice(input: Buffer): void {
     const { length, chunks } = framing.nextPart(input);
-    isInChunks = chunks > 0;
+    hadChunks = chunks > 0;
     ctx.turns.note(chunks);
     setHeld(length < input.length ? input.subarray(length) : undefined);
     const slice = length < input.length ? input.subarray(0, length) : input;
@@ -62,7 +62,7 @@
   /** Returns whether the parser gets more in this turn. */
   function mayPass(): boolean {
     if (!isOpen() || isPausedByServer(socket) || !ctx.mayParse()) return false;
-    if (!isInChunks || ctx.turns.hasRoom()) return true;
+    if (!hadChunks || ctx.turns.hasRoom()) return true;
     ctx.turns.wait(pump);
     return false;
   }
--- a/packages/platform/src/lib/parse-turns.ts
+++ b/packages/platform/src/lib/parse-turns.ts
@@ -1,31 +1,31 @@
-/** Chunks of bodies that the parser gets in one turn of the event loop; each takes microseconds. */
-const MAX_CHUNKS_PER_TURN = 512;
+/** Chunks or lines that parsers get in one turn of the event loop; each takes microseconds. */
+const MAX_PARTS_PER_TURN = 512;
 
-/** Spreads the parsing of chunked bodies over turns of the event loop, so that others get theirs. */
+/** Spreads the parsing of many small parts over turns of the event loop, so that others get theirs. */
 export interface ParseTurns {
-  /** Notes chunks that the parser has had in this turn. */
-  note(chunks: number): void;
-  /** Returns whether the parser may get more chunks in this turn. */
+  /** Notes parts that a parser has had in this turn. */
+  note(parts: number): void;
+  /** Returns whether parsers may get more parts in this turn. */
   hasRoom(): boolean;
   /** Calls back in a later turn with room, once for each function and in the order of the calls. */
-  wait(goOn: () => void): void;
+  wait(callback: () => void): void;
 }
 
-/** Creates the turns that the connections of a listener share. */
-export function createParseTurns(maxChunks = MAX_CHUNKS_PER_TURN): ParseTurns {
+/** Creates the turns that some connections share. */
+export function createParseTurns(maxParts = MAX_PARTS_PER_TURN): ParseTurns {
   const waiting = new Set<() => void>();
-  let chunksInTurn = 0;
+  let partsInTurn = 0;
   let isScheduled = false;
-  const hasRoom = () => chunksInTurn < maxChunks;
+  const hasRoom = () => partsInTurn < maxParts;
 
   function startTurn(): void {
     isScheduled = false;
-    chunksInTurn = 0;
+    partsInTurn = 0;
     try {
-      for (const goOn of [...waiting]) {
+      for (const callback of [...waiting]) {
         if (!hasRoom()) break;
-        waiting.delete(goOn);
-        goOn();
+        waiting.delete(callback);
+        callback();
       }
     } finally {
       // Also after an error of one connection, so that the others go on.
@@ -40,14 +40,14 @@
   }
 
   return {
-    note(chunks) {
-      if (chunks === 0) return;
-      chunksInTurn += chunks;
+    note(parts) {
+      if (parts === 0) return;
+      partsInTurn += parts;
       schedule();
     },
     hasRoom,
-    wait(goOn) {
-      waiting.add(goOn);
+    wait(callback) {
+      waiting.add(callback);
       schedule();
     },
   };
--- a/packages/platform/src/lib/request-framing.ts
+++ b/packages/platform/src/lib/request-framing.ts
@@ -56,8 +56,8 @@
 /** Returns the offset behind the first end of a head, part of which may have come before. */
 function findHeadEnd(before: Buffer, input: Buffer, limit: number): number | undefined {
   if (before.length > 0) {
-    const seam = Buffer.concat([before, input.subarray(0, HEAD_END.length - 1)]);
-    const index = seam.indexOf(HEAD_END);
+    const boundary = Buffer.concat([before, input.subarray(0, HEAD_END.length - 1)]);
+    const index = boundary.indexOf(HEAD_END);
     if (index >= 0) return index + HEAD_END.length - before.length;
   }
   const index = input.subarray(0, limit).indexOf(HEAD_END);
@@ -157,17 +157,17 @@
 }
 
 /**
- * Creates the framing of a connection without input. `bodyOf` is asked after each head that the parser
+ * Creates the framing of a connection without input. `bodyFraming` is asked after each head that the parser
  * has had, and returns the framing of its body.
  */
-export function createRequestFraming(bodyOf: () => BodyFraming | undefined): RequestFraming {
+export function createRequestFraming(bodyFraming: () => BodyFraming | undefined): RequestFraming {
   let step = createHeadStep();
   let isInHead = true;
 
   /** Starts with the body of a head that is done, or with the next head. */
   function advance(): void {
     if (!step.isDone()) return;
-    const body = isInHead ? bodyOf() : undefined;
+    const body = isInHead ? bodyFraming() : undefined;
     isInHead = body === undefined;
     if (body === undefined) step = createHeadStep();
     else step = body.kind === 'chunked' ? createChunkedStep() : createLengthStep(body.bytes);
--- a/packages/platform/src/lib/response-turns.ts
+++ b/packages/platform/src/lib/response-turns.ts
@@ -2,8 +2,8 @@
 
 /** Spreads the parsing of responses over turns of the event loop. */
 export interface ResponseTurns {
-  /** Adds a connection; `goOn` makes its parser read again. */
-  join(goOn: () => void): ConnectionTurn;
+  /** Adds a connection; `callback` makes its parser read again. */
+  join(callback: () => void): ConnectionTurn;
 }
 
 /** One connection's part in the turns. */
@@ -22,7 +22,7 @@
   const ordinary = createParseTurns();
   const busy = createParseTurns();
   return {
-    join(goOn) {
+    join(callback) {
       let turns = ordinary;
       return {
         note(excessParts) {
@@ -31,7 +31,7 @@
         },
         mayGoOn() {
           if (turns.hasRoom()) return true;
-          turns.wait(goOn);
+          turns.wait(callback);
           return false;
         },
       };
--- a/packages/platform/src/test/input-gate_test.ts
+++ b/packages/platform/src/test/input-gate_test.ts
@@ -47,7 +47,7 @@
     createInputGate(socket, {
       mayParse: () => true,
       turns: createParseTurns(),
-      bodyOf: () => bodyFramingOf(latest),
+      bodyFraming: () => bodyFramingOf(latest),
       onHeld: () => undefined,
     });
   });
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -164,7 +164,7 @@
     const gate = createInputGate(socket, {
       mayParse: () => mayParse(socket),
       turns,
-      bodyOf: () => bodyFramingOf(latestRead.get(socket)),
+      bodyFraming: () => bodyFramingOf(latestRead.get(socket)),
       onHeld(difference) {
         budget.add('input', difference);
       },
--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -49,7 +49,7 @@
         return openRequests === 0 && requests < MAX_REQUESTS_PER_CONNECTION;
       },
       turns,
-      bodyOf: () => bodyFramingOf(connections.get(socket)?.latest),
+      bodyFraming: () => bodyFramingOf(connections.get(socket)?.latest),
       onHeld(difference) {
         budget?.add('input', difference);
       },
