--- a/packages/router/src/lib/answer-body.ts
+++ b/packages/router/src/lib/answer-body.ts
@@ -1,5 +1,6 @@
-import { type AnswerRoom, MAX_ANSWER_BYTES } from './answer-memory.js';
 import { createBodyParts } from '@boragepoint/platform';
+
+import { type AnswerRoom, MAX_ANSWER_BYTES } from './answer-memory.js';
 import { SEGMENT_BYTES, type SegmentPool } from './segment-pool.js';
 
 /** The body of an answer as it arrives. */
--- a/packages/router/src/lib/answer-memory.ts
+++ b/packages/router/src/lib/answer-memory.ts
@@ -1,4 +1,5 @@
 import type { PartsRoom } from '@boragepoint/platform';
+
 import { type ClientBudget, createClientBudget } from './client-budget.js';
 import { type GarbagePace, NO_PACE } from './garbage-pace.js';
 import { type SegmentPool, createSegmentPool } from './segment-pool.js';
--- a/packages/router/src/lib/body-memory.ts
+++ b/packages/router/src/lib/body-memory.ts
@@ -1,4 +1,5 @@
 import type { PartsRoom } from '@boragepoint/platform';
+
 import { type ClientBudget, createClientBudget } from './client-budget.js';
 
 /** Size up to which a body does not compete with larger ones, in bytes. */
