--- a/packages/router/src/test/held-lines_test.ts
+++ b/packages/router/src/test/held-lines_test.ts
@@ -2,13 +2,13 @@
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { HeaderCodec } from '@boragepoint/platform';
 import { expect } from 'earl';
 
 import { createAnswerMemory } from '../lib/answer-memory.js';
 import { createClientBudget } from '../lib/client-budget.js';
 import { type SendOutcome, sendRequest } from '../lib/send-request.js';
 import { createServerConnections } from '../lib/server-connections.js';
+import { codec } from './server-codec.js';
 
 const MEGABYTE = 1_000_000;
 const BUDGET_BYTES = 10 * MEGABYTE;
@@ -24,21 +24,6 @@
 };
 const ORDINARY = `${HEAD}content-length: 2\r\n\r\nok`;
 
-const codec: HeaderCodec = {
-  readRequest: () => ({ attemptId: undefined, deadlineMs: undefined, key: undefined }),
-  readAnswer: (_status, headers) => ({
-    attemptId: headers.attempt as string | undefined,
-    notRun: false,
-    signed: true,
-    load: undefined,
-    leaving: false,
-    backoffMs: undefined,
-    limitPerS: undefined,
-  }),
-  writeRequest: () => ({}),
-  writeAnswer: () => ({}),
-};
-
 async function until(condition: () => boolean): Promise<void> {
   const end = performance.now() + WAIT_MS;
   while (!condition() && performance.now() < end) await sleep(5);
--- a/packages/router/src/test/response-turns_test.ts
+++ b/packages/router/src/test/response-turns_test.ts
@@ -1,13 +1,13 @@
 import { type AddressInfo, type Socket, createServer } from 'node:net';
 import { test } from 'node:test';
 
-import type { HeaderCodec } from '@boragepoint/platform';
 import { expect } from 'earl';
 import type { Dispatcher } from 'undici';
 
 import { createAnswerMemory } from '../lib/answer-memory.js';
 import { sendRequest } from '../lib/send-request.js';
 import { type RequestConnections, createServerConnections } from '../lib/server-connections.js';
+import { codec } from './server-codec.js';
 
 const FAULTY = 20;
 const BODY_BYTES = 50_000;
@@ -20,21 +20,6 @@
 const MAX_PARTS_BEFORE_ORDINARY = 100_000;
 const HEAD = 'HTTP/1.1 200 OK\r\nattempt: a1\r\n';
 
-const codec: HeaderCodec = {
-  readRequest: () => ({ attemptId: undefined, deadlineMs: undefined, key: undefined }),
-  readAnswer: (_status, headers) => ({
-    attemptId: headers.attempt as string | undefined,
-    notRun: false,
-    signed: true,
-    load: undefined,
-    leaving: false,
-    backoffMs: undefined,
-    limitPerS: undefined,
-  }),
-  writeRequest: () => ({}),
-  writeAnswer: () => ({}),
-};
-
 /** Text without repetition, so that a part that is lost or moved shows. */
 function numberedLines(bytes: number): string {
   let text = '';
