Platform: connections with a limit on framing are opened in one place

The connections to backend servers wrapped the connector and the limit in the same way as limitFraming, which they use now. FramingCount has one method for body bytes; the other one was called by a test only.

--- a/packages/platform/src/lib/confirming-pool.ts
+++ b/packages/platform/src/lib/confirming-pool.ts
@@ -58,8 +58,10 @@
   const ends = createConnectionEnds();
   const limited = limitFraming(
     { allowHalfOpen: true, ...(connectTimeoutMs !== undefined && { timeout: connectTimeoutMs }) },
-    (socket) => {
-      ends.watch(socket);
+    {
+      onConnected(socket) {
+        ends.watch(socket);
+      },
     },
   );
   const pool = new Pool(origin, {
--- a/packages/platform/src/lib/framing-count.ts
+++ b/packages/platform/src/lib/framing-count.ts
@@ -37,9 +37,7 @@
   giveBack(bytes: number): void;
   /** Notes the final head of a response. */
   beginBody(): void;
-  /** Notes bytes that the parser reported as body. */
-  noteBody(bytes: number): void;
-  /** The same for the bytes themselves, so that the lines before and after them count. */
+  /** Notes bytes that the parser reported as body; the lines before and after them count. */
   notePart(part: Buffer): void;
   /** Notes that the parser has handled what it got; returns whether it got anything. */
   settle(): boolean;
@@ -154,7 +152,6 @@
       hasHead = true;
       isAtHeadEnd = true;
     },
-    noteBody,
     notePart(part) {
       if (slice?.buffer !== part.buffer) {
         noteBody(part.length);
--- a/packages/platform/src/lib/response-framing-limit.ts
+++ b/packages/platform/src/lib/response-framing-limit.ts
@@ -69,7 +69,7 @@
 }
 
 /** Bounds what responses bring besides their bodies: heads, chunk sizes, trailers, empty lines. */
-export interface ResponseFramingLimit {
+interface ResponseFramingLimit {
   /** Limits a new connection; has to come before the HTTP library listens to it. */
   watch(socket: Socket): void;
   /** Observes the responses on the watched connections. Every request needs it. */
@@ -84,7 +84,7 @@
  * until it ends, take memory of the account if there is one. Many small parts are spread over turns
  * of the event loop.
  */
-export function createResponseFramingLimit({
+function createResponseFramingLimit({
   memory,
   turns = createResponseTurns(),
 }: ResponseFramingOptions = {}): ResponseFramingLimit {
@@ -173,17 +173,26 @@
 export interface FramingLimitedConnections {
   /** Opens its connections. */
   readonly connect: buildConnector.connector;
-  /** Returns the dispatcher with its responses observed. */
+  /** Observes the responses to a request. Every request needs it. */
+  observe(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler;
+  /** Returns the dispatcher with all its responses observed. */
   observed(dispatcher: Dispatcher): Dispatcher;
 }
 
-/** Creates the limit of a pool or agent. `onConnected` is called with each new connection. */
+/** Options of {@link limitFraming}. */
+export interface FramingLimitOptions extends ResponseFramingOptions {
+  /** Called with each new connection, before the HTTP library listens to it. */
+  readonly onConnected?: (socket: Socket) => void;
+}
+
+/** Creates the limit of a pool or agent whose connections are opened with the connector's options. */
 export function limitFraming(
-  options: buildConnector.BuildOptions,
-  onConnected?: (socket: Socket) => void,
+  connectorOptions: buildConnector.BuildOptions,
+  { onConnected, ...options }: FramingLimitOptions = {},
 ): FramingLimitedConnections {
-  const framing = createResponseFramingLimit();
-  const connectSocket = buildConnector(options);
+  const framing = createResponseFramingLimit(options);
+  const connectSocket = buildConnector(connectorOptions);
+  const observe = (handler: Dispatcher.DispatchHandler) => framing.observe(handler);
   return {
     connect(target, callback) {
       connectSocket(target, (...result) => {
@@ -195,9 +204,8 @@
         callback(...result);
       });
     },
+    observe,
     observed: (dispatcher) =>
-      dispatcher.compose(
-        (dispatch) => (request, handler) => dispatch(request, framing.observe(handler)),
-      ),
+      dispatcher.compose((dispatch) => (request, handler) => dispatch(request, observe(handler))),
   };
 }
--- a/packages/platform/src/test/framing-count_test.ts
+++ b/packages/platform/src/test/framing-count_test.ts
@@ -14,7 +14,7 @@
 /** Passes bytes of which a number is reported as body. */
 function pass(count: FramingCount, bytes: Buffer, bodyBytes = 0): void {
   count.pass(bytes);
-  if (bodyBytes > 0) count.noteBody(bodyBytes);
+  if (bodyBytes > 0) count.notePart(Buffer.alloc(bodyBytes));
   count.settle();
 }
 
--- a/packages/router/src/lib/server-connections.ts
+++ b/packages/router/src/lib/server-connections.ts
@@ -3,9 +3,9 @@
 import {
   type ResponseFramingOptions,
   createConnectionEnds,
-  createResponseFramingLimit,
+  limitFraming,
 } from '@boragepoint/platform';
-import { type Dispatcher, buildConnector } from 'undici';
+import type { Dispatcher } from 'undici';
 
 import { type ConnectionPool, createConnectionPool } from './connection-pool.js';
 import { createIdleLimit } from './idle-limit.js';
@@ -122,9 +122,7 @@
   let share = initialShare;
   const now = () => performance.now();
   const idleLimit = createIdleLimit(now);
-  const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true });
   const ends = createConnectionEnds();
-  const framing = createResponseFramingLimit(limits);
   let isResetting = false;
 
   function resetWhile(cancel: () => void): void {
@@ -150,19 +148,17 @@
     };
   }
 
-  /** Connects, and observes the end of the connection before the HTTP library does. */
-  const connect: buildConnector.connector = (options, callback) => {
-    connectSocket(options, (...result) => {
-      const [, socket] = result;
-      if (socket) {
+  const limited = limitFraming(
+    { timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true },
+    {
+      ...limits,
+      onConnected(socket) {
         use?.noteOpened();
         ends.watch(socket);
         watchDestroy(socket);
-        framing.watch(socket);
-      }
-      callback(...result);
-    });
-  };
+      },
+    },
+  );
 
   const createPool = (connections: number) =>
     createConnectionPool({
@@ -170,8 +166,8 @@
       connections,
       keepAliveMs: share.keepAliveMs,
       extraKeepAliveMs: extraKeepAliveOf(share),
-      connect,
-      observe: (handler) => framing.observe(handler),
+      connect: limited.connect,
+      observe: (handler) => limited.observe(handler),
       idleLimit,
       now,
       onSend(isReused) {
