Router: outcomes by the version of a route, waits in the listener, limits of refusals

Nothing told the share of requests that are served on routes that were added from that on the first ones, how long input waits to be parsed and answers to be written, or which limit refused a request.

- 'answers by version of the route' and boragepoint_requests_by_route_age_total
- 'waited in the listener' and boragepoint_listener_wait_seconds; the input gate keeps when each read came, and no longer joins reads
- refusals name the limit, its cause and the two estimates behind them

--- a/packages/platform/src/lib/input-gate.ts
+++ b/packages/platform/src/lib/input-gate.ts
@@ -13,12 +13,23 @@
   readonly turns: ParseTurns;
   /** Called when the bytes that wait for the parser change in number. */
   onHeld(difference: number): void;
+  /** Monotonic time in milliseconds. */
+  now(): number;
 }
 
 /** Input of a connection on its way to the parser. */
 export interface InputGate {
   /** Passes on what the parser may get now. */
   update(): void;
+  /** When the input that the parser got last was read, in milliseconds of the monotonic clock. */
+  receivedAt(): number;
+}
+
+/** Input of one read, or what is left of it. */
+interface HeldRead {
+  readonly input: Buffer;
+  /** In milliseconds of the monotonic clock. */
+  readonly receivedAt: number;
 }
 
 /**
@@ -36,25 +47,35 @@
 export function createInputGate(socket: Socket, ctx: InputGateContext): InputGate {
   const parse = socket.listeners('data') as ((input: Buffer) => void)[];
   const framing = createRequestFraming(() => ctx.bodyFraming());
-  let held: Buffer | undefined;
+  /** Reads that wait for the parser, in order. */
+  const held: HeldRead[] = [];
+  let receivedAt = ctx.now();
   /** Whether chunks began in the part that the parser got last. */
   let hadChunks = false;
   let isPausedHere = false;
   let isPumping = false;
 
-  function setHeld(next: Buffer | undefined): void {
-    ctx.onHeld((next?.length ?? 0) - (held?.length ?? 0));
-    held = next;
+  function hold(read: HeldRead): void {
+    held.push(read);
+    ctx.onHeld(read.input.length);
+  }
+
+  function dropHeld(): void {
+    for (const { input } of held.splice(0)) ctx.onHeld(-input.length);
   }
 
   /** Whether the parser still gets the input; a closing connection drops it. */
   const isOpen = () => !socket.destroyed && socket.listeners('data').includes(take);
 
-  function passSlice(input: Buffer): void {
+  function passSlice(read: HeldRead): void {
+    const { input } = read;
     const { length, chunks } = framing.nextPart(input);
     hadChunks = chunks > 0;
     ctx.turns.note(chunks);
-    setHeld(length < input.length ? input.subarray(length) : undefined);
+    if (length < input.length) held[0] = { ...read, input: input.subarray(length) };
+    else held.shift();
+    ctx.onHeld(-length);
+    ({ receivedAt } = read);
     const slice = length < input.length ? input.subarray(0, length) : input;
     for (const listener of parse) listener(slice);
   }
@@ -71,13 +92,13 @@
     if (isPumping) return;
     isPumping = true;
     try {
-      while (held && mayPass()) passSlice(held);
+      for (let [next] = held; next && mayPass(); [next] = held) passSlice(next);
     } finally {
       isPumping = false;
     }
     if (!isOpen()) {
-      setHeld(undefined);
-    } else if (held) {
+      dropHeld();
+    } else if (held.length > 0) {
       isPausedHere = true;
       socket.pause();
     } else if (isPausedHere) {
@@ -87,7 +108,7 @@
   }
 
   function take(input: Buffer): void {
-    setHeld(held ? Buffer.concat([held, input]) : input);
+    hold({ input, receivedAt: ctx.now() });
     pump();
   }
 
@@ -96,10 +117,8 @@
   socket.on('data', take);
   // The HTTP server resumes a connection after each request that it has read.
   socket.on('resume', () => {
-    if (held) pump();
-  });
-  socket.once('close', () => {
-    setHeld(undefined);
+    if (held.length > 0) pump();
   });
-  return { update: pump };
+  socket.once('close', dropHeld);
+  return { update: pump, receivedAt: () => receivedAt };
 }
--- a/packages/router/src/lib/active-config.ts
+++ b/packages/router/src/lib/active-config.ts
@@ -78,7 +78,7 @@
       }
       platform.decodeConfig(row).match(
         (cfg) => {
-          if (cfg) apply(createRouteTable(cfg));
+          if (cfg) apply(createRouteTable(cfg, table));
         },
         (reason) => {
           options.onUnusable({ source: platform.configTable, key: row.key, reason });
--- a/packages/router/src/lib/admission.ts
+++ b/packages/router/src/lib/admission.ts
@@ -31,19 +31,34 @@
 const MIN_RETRY_AFTER_MS = 100;
 const MAX_RETRY_AFTER_MS = 3_000;
 
-/** Refuses a request at once if its answer is expected too late to be of use. */
-export function admit(input: AdmissionInput): Admission {
-  const { expectedMs, remainingMs, objectiveMs, serviceMs, priority, urgentObjectiveMs } = input;
+/** What limits the expected time to an answer. */
+export type AdmissionLimitCause = 'time left' | 'objective' | 'more urgent requests';
+
+/** Longest expected time to an answer with which a request is sent, in milliseconds. */
+export interface AdmissionLimit {
+  readonly limitMs: number;
+  readonly cause: AdmissionLimitCause;
+}
+
+/** Returns the limit for a request. */
+export function admissionLimit(input: Omit<AdmissionInput, 'expectedMs'>): AdmissionLimit {
+  const { remainingMs, objectiveMs, serviceMs, priority, urgentObjectiveMs } = input;
   const rank = Math.min(priority, MAX_PRIORITY);
   const queueLimitMs = objectiveMs * MAX_QUEUE_OBJECTIVES * (1 - QUEUE_SHARE_PER_PRIORITY * rank);
-  // Server queues are FIFO, so more urgent requests wait behind the less urgent ones admitted
-  // before.
-  const urgentLimitMs = serviceMs + urgentObjectiveMs;
-  const limitMs = Math.min(
-    remainingMs * USABLE_TIME_SHARE,
-    Math.max(queueLimitMs, serviceMs),
-    urgentLimitMs,
-  );
+  const limits: readonly AdmissionLimit[] = [
+    { cause: 'time left', limitMs: remainingMs * USABLE_TIME_SHARE },
+    { cause: 'objective', limitMs: Math.max(queueLimitMs, serviceMs) },
+    // Server queues are FIFO, so more urgent requests wait behind the less urgent ones admitted
+    // before.
+    { cause: 'more urgent requests', limitMs: serviceMs + urgentObjectiveMs },
+  ];
+  return limits.reduce((least, it) => (it.limitMs < least.limitMs ? it : least));
+}
+
+/** Refuses a request at once if its answer is expected too late to be of use. */
+export function admit(input: AdmissionInput): Admission {
+  const { expectedMs, objectiveMs } = input;
+  const { limitMs } = admissionLimit(input);
   if (expectedMs <= limitMs) return { kind: 'send' };
   const excessMs = expectedMs - Math.min(limitMs, objectiveMs);
   return { kind: 'refuse', retryAfterMs: clampRetryAfterMs(excessMs) };
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -53,6 +53,8 @@
   readDelayMs(): number;
   /** Called with the answer to each request that reached the handler, for metrics and the log. */
   onAnswer(req: CallerRequest, answer: CallerAnswer): void;
+  /** Called when the input of a request has been parsed, and when an answer has been written. */
+  onWaited(wait: ListenerWait): void;
   /** Called when handling a request threw; the router goes on. */
   onUnexpectedError(err: unknown): void;
   /** Called when a connection that the listener closed has ended. */
@@ -85,6 +87,15 @@
   reportExit(): void;
 }
 
+/** A wait in the listener. */
+export interface ListenerWait {
+  /** `input` waits for the parser, an `answer` to be written behind earlier ones and sent. */
+  readonly what: 'input' | 'answer';
+  readonly waitedMs: number;
+  /** Id that the caller gave to the request. */
+  readonly attemptId: string | undefined;
+}
+
 /** When a request arrived. */
 interface Arrival {
   /** Time in milliseconds of the monotonic clock. */
@@ -168,6 +179,7 @@
       onHeld(difference) {
         budget.add('input', difference);
       },
+      now: () => ctx.now(),
     });
     gates.set(socket, gate);
   });
@@ -320,6 +332,8 @@
     req.once('resume', () => gates.get(socket)?.update());
     const readDelayMs = ctx.readDelayMs();
     const arrival = { arrivedAt: ctx.now() - readDelayMs, readDelayMs };
+    const inputWaitMs = ctx.now() - (gates.get(socket)?.receivedAt() ?? ctx.now());
+    ctx.onWaited({ what: 'input', waitedMs: inputWaitMs, attemptId: attemptIdOf(req) });
     if (isAtEnd(socket)) {
       refuseToTake(socket);
       return;
@@ -348,6 +362,7 @@
     const own = backlogOf(req.socket);
     const entry = pipeline.add(req);
     let heldBytes: number | undefined;
+    let readyAt = Infinity;
     openCount += 1;
     const disconnect = new AbortController();
     res.on('error', () => undefined);
@@ -357,6 +372,8 @@
       budget.add('requests', -REQUEST_BYTES);
       own.leave(heldBytes);
       closer.noteAnswer(req.socket);
+      const waitedMs = ctx.now() - readyAt;
+      if (waitedMs >= 0) ctx.onWaited({ what: 'answer', waitedMs, attemptId: attemptIdOf(req) });
       if (!res.writableFinished) disconnect.abort();
       if (pipeline.endListeners.size === 0) pipeline.onIdle?.();
       if (draining) closeIfIdle(req.socket);
@@ -368,6 +385,7 @@
       heldBytes = found.answer.body.length;
       own.hold(heldBytes);
     }
+    readyAt = ctx.now();
     entry.markReady();
     // Whether this answer is the last one and closes the connection depends on the requests that
     // are read until its turn.
@@ -408,8 +426,10 @@
     writeOwn(req, res, found.kind === 'own' ? found : UNWRITABLE_ANSWER);
   }
 
+  const attemptIdOf = (req: IncomingMessage) => ctx.codec.readRequest(req.headers).attemptId;
+
   function writeOwn(req: IncomingMessage, res: ServerResponse, own: OwnAnswer): void {
-    const id = ctx.codec.readRequest(req.headers).attemptId;
+    const id = attemptIdOf(req);
     writeOwnAnswer(res, own, id === undefined ? {} : ctx.codec.writeAnswer(id));
   }
 
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -25,6 +25,7 @@
 import { processMemoryMb } from './process-memory.js';
 import { closeServer, serveMetrics, serveReadiness } from './http-endpoints.js';
 import { logClosedConnection } from './log-closed-connection.js';
+import { logListenerWait } from './log-listener-wait.js';
 import { paceGarbage } from './garbage-pace.js';
 import { createKeyLoad } from './key-load.js';
 import { createKeyOwnerRule } from './key-owner-zones.js';
@@ -32,7 +33,8 @@
 import { createRequestHandler } from './request-handler.js';
 import { createRouteTimes } from './route-times.js';
 import type { RouterLog } from './router-log.js';
-import { createRouterMetrics } from './router-metrics.js';
+import { createRouteOutcomes } from './route-outcomes.js';
+import { createRouterMetrics, outcomeOf } from './router-metrics.js';
 import { createServerPool } from './server-pool.js';
 import { cancelUnsent } from './server-backoff.js';
 import { createServerEligibility } from './server-eligibility.js';
@@ -172,7 +174,7 @@
   const eligibility = createServerEligibility({
     regionOf: (zone) => (isKnownZone(zone) ? settings.regions[zone] : undefined),
     evacuatedZones: () => evacuations.zones(),
-    allowedRegionsOf: (route) => config.table()?.allowedRegionsOf(route),
+    allowedRegionsOf: (route) => config.table()?.routeNamed(route)?.cfg.allowedRegions,
   });
   const config = createActiveConfig({
     platform,
@@ -363,6 +365,7 @@
       return table === platform.serverTable ? directory.rowsSince(version) : undefined;
     },
   };
+  const routeOutcomes = createRouteOutcomes(log, clocks.monotonic);
   const callerContext: CallerListenerContext = {
     budget: clientBudget,
     codec: platform.headers,
@@ -378,9 +381,14 @@
       metrics.recordClosedConnection(closed.reason);
       logClosedConnection(closed, log);
     },
+    onWaited(wait) {
+      metrics.recordWait(wait.what, wait.waitedMs);
+      logListenerWait(wait, log);
+    },
     onAnswer(req, answer) {
       const latencyMs = clocks.monotonic() - req.arrivedAt;
       metrics.recordAnswer(req, answer, latencyMs);
+      routeOutcomes.record(req.route, outcomeOf(answer));
       if (answer.kind === 'own') {
         log.info('answered by the router', {
           request: req.attemptId,
--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -53,6 +53,7 @@
       onHeld(difference) {
         budget?.add('input', difference);
       },
+      now: () => performance.now(),
     });
     connections.set(socket, { openRequests: 0, requests: 0, gate });
   });
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -1,6 +1,6 @@
 import { type PlacementView, rangeOf } from '@boragepoint/placement';
 
-import { admit, clampRetryAfterMs } from './admission.js';
+import { type AdmissionLimitCause, admissionLimit, admit, clampRetryAfterMs } from './admission.js';
 import type { CallerRequest } from './caller-request.js';
 import {
   type ServerCandidate,
@@ -107,7 +107,16 @@
   /** Result of the refusal, if it is not that servers are overloaded. */
   readonly result?: 'noEligibleServer';
   readonly decidedBy?:
-    | { readonly server: string; readonly expectedMs: number; readonly inHand: number }
+    | {
+        readonly server: string;
+        readonly expectedMs: number;
+        readonly inHand: number;
+        /** Service time of the route and that of the server, in milliseconds. */
+        readonly routeMs: number;
+        readonly serviceMs: number;
+        readonly limitMs: number;
+        readonly limitedBy: AdmissionLimitCause;
+      }
     | { readonly server: string; readonly admittedShare: number }
     | { readonly server: string; readonly pausedForMs: number }
     | { readonly server: string; readonly limitPerS: number };
@@ -214,14 +223,15 @@
     const { cfg } = req.route;
     const routeMs = ctx.routeTimes.routeServiceMs(cfg.name, candidate.serviceMs);
     const answerMs = Math.max(routeMs, expectedMs(candidate) + routeMs - candidate.serviceMs);
-    const admission = admit({
+    const input = {
       expectedMs: answerMs,
       remainingMs: req.answerBy - ctx.now(),
       objectiveMs: cfg.objectiveMs,
       serviceMs: routeMs,
       priority: cfg.priority,
       urgentObjectiveMs: ctx.demand.urgentObjectiveMs(req.service, cfg.priority),
-    });
+    };
+    const admission = admit(input);
     if (admission.kind === 'send')
       return {
         kind: 'server',
@@ -229,10 +239,15 @@
         serviceTimes: expectedServiceTimes(candidate),
         hasPermit: false,
       };
+    const { limitMs, cause } = admissionLimit(input);
     const decidedBy = {
       server: candidate.id,
       expectedMs: Math.round(answerMs),
       inHand: Math.round(candidate.inFlight * 10) / 10,
+      routeMs: Math.round(routeMs),
+      serviceMs: Math.round(candidate.serviceMs),
+      limitMs: Math.round(limitMs),
+      limitedBy: cause,
     };
     const { retryAfterMs } = admission;
     return { kind: 'refuse', reason: fullReason, retryAfterMs, decidedBy };
--- a/packages/router/src/lib/route-table.ts
+++ b/packages/router/src/lib/route-table.ts
@@ -3,6 +3,8 @@
 /** A route, with the weighted choice among its targets. */
 export interface Route {
   readonly cfg: RouteConfig;
+  /** Version that added the route; `undefined` if it was in the first one that this router used. */
+  readonly addedBy: number | undefined;
   /** Picks the service of the next request in proportion to the weights. */
   nextService(): string;
 }
@@ -12,8 +14,7 @@
   readonly cfg: FleetConfig;
   /** Finds the route of the host with the longest prefix of the path. */
   find(host: string, path: string): Route | undefined;
-  /** Regions that a route is allowed in; `undefined` if there is no route of that name. */
-  allowedRegionsOf(route: string): readonly string[] | undefined;
+  routeNamed(name: string): Route | undefined;
   service(name: string): FleetService | undefined;
 }
 
@@ -37,26 +38,39 @@
 
 const withoutPort = (host: string) => host.replace(/:\d+$/, '').toLowerCase();
 
-/** Creates the route table of a configuration. */
-export function createRouteTable(cfg: FleetConfig): RouteTable {
+/** Creates the route table of a configuration that replaces the one of the previous table, if any. */
+export function createRouteTable(cfg: FleetConfig, previous?: RouteTable): RouteTable {
   const byHost = new Map<string, Route[]>();
-  for (const route of cfg.routes) {
-    const routes = byHost.get(route.host.toLowerCase()) ?? [];
-    routes.push({ cfg: route, nextService: createTargetPicker(route.targets) });
-    byHost.set(route.host.toLowerCase(), routes);
+  const byName = new Map<string, Route>();
+
+  function addedByOf(route: string): number | undefined {
+    if (!previous) return undefined;
+    const known = previous.routeNamed(route);
+    return known ? known.addedBy : cfg.version;
+  }
+
+  for (const routeCfg of cfg.routes) {
+    const route: Route = {
+      cfg: routeCfg,
+      addedBy: addedByOf(routeCfg.name),
+      nextService: createTargetPicker(routeCfg.targets),
+    };
+    const routes = byHost.get(routeCfg.host.toLowerCase()) ?? [];
+    routes.push(route);
+    byHost.set(routeCfg.host.toLowerCase(), routes);
+    byName.set(routeCfg.name, route);
   }
   for (const routes of byHost.values()) {
     routes.sort((a, b) => b.cfg.pathPrefix.length - a.cfg.pathPrefix.length);
   }
   const services = new Map(cfg.services.map((it) => [it.name, it]));
-  const regions = new Map(cfg.routes.map((it) => [it.name, it.allowedRegions]));
   return {
     cfg,
     find(host, path) {
       const routes = byHost.get(withoutPort(host)) ?? [];
       return routes.find((it) => path.startsWith(it.cfg.pathPrefix));
     },
-    allowedRegionsOf: (route) => regions.get(route),
+    routeNamed: (name) => byName.get(name),
     service: (name) => services.get(name),
   };
 }
--- a/packages/router/src/lib/router-metrics.ts
+++ b/packages/router/src/lib/router-metrics.ts
@@ -13,6 +13,8 @@
 /** Counters and latencies of one router. */
 export interface RouterMetrics {
   recordAnswer(req: CallerRequest, answer: CallerAnswer, latencyMs: number): void;
+  /** Records for how long input or an answer waited in the callers' listener. */
+  recordWait(what: 'input' | 'answer', waitedMs: number): void;
   /** Records by how much the event loop ran late. */
   recordStall(lateMs: number): void;
   /** Counts a request that is sent to a server while a limit of the server is in force. */
@@ -54,7 +56,8 @@
   text(): Promise<string>;
 }
 
-function outcomeOf(answer: CallerAnswer): string {
+/** Returns the outcome of a request as metrics and logs name it. */
+export function outcomeOf(answer: CallerAnswer): string {
   if (answer.kind === 'none') return 'caller-gone';
   if (answer.kind === 'own') return answer.result;
   return answer.answer.status < 500 ? 'ok' : 'server-error';
@@ -121,6 +124,19 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [registry],
   });
+  const waits = new Histogram({
+    name: 'boragepoint_listener_wait_seconds',
+    help: 'Time for which input waited to be parsed, and answers to be written.',
+    labelNames: ['what'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [registry],
+  });
+  const byRouteAge = new Counter({
+    name: 'boragepoint_requests_by_route_age_total',
+    help: 'Requests by outcome, on routes of the first configuration in use and on routes added later.',
+    labelNames: ['age', 'outcome'],
+    registers: [registry],
+  });
   const stalls = new Counter({
     name: 'boragepoint_stall_seconds_total',
     help: 'Time by which the event loop ran late, where it was late by a quarter of a second or more.',
@@ -289,8 +305,12 @@
       const outcome = outcomeOf(answer);
       requests.inc({ service, route: route.cfg.name, outcome });
       latency.observe({ service, outcome }, latencyMs / MS_PER_S);
+      byRouteAge.inc({ age: route.addedBy === undefined ? 'first' : 'added', outcome });
       if (outcome === 'ok' && latencyMs > route.cfg.objectiveMs) late.inc({ service });
     },
+    recordWait(what, waitedMs) {
+      waits.observe({ what }, waitedMs / MS_PER_S);
+    },
     recordStall(lateMs) {
       stalls.inc(lateMs / MS_PER_S);
     },
--- a/packages/router/src/test/caller-listener_test.ts
+++ b/packages/router/src/test/caller-listener_test.ts
@@ -100,6 +100,7 @@
       stopsAt: () => Infinity,
       readDelayMs: () => 0,
       onAnswer: () => undefined,
+      onWaited: () => undefined,
       onUnexpectedError: (err) => unexpectedErrors.push(err),
       onConnectionClosed: () => undefined,
     },
--- a/packages/router/src/test/listener-harness.ts
+++ b/packages/router/src/test/listener-harness.ts
@@ -103,6 +103,7 @@
       stopsAt: () => stopsAt,
       readDelayMs: () => readDelayMs,
       onAnswer: () => undefined,
+      onWaited: () => undefined,
       onUnexpectedError: (err) => unexpectedErrors.push(err),
       onConnectionClosed: (it) => closed.push(it),
     },
--- a/packages/router/src/test/route-table_test.ts
+++ b/packages/router/src/test/route-table_test.ts
@@ -55,6 +55,16 @@
   expect(table.find('c.example', '/s/')).toEqual(undefined);
 });
 
+// Guards against routes of a fleet that has just started, or those of all versions, that count as added.
+test('a route knows the version that added it', () => {
+  const added = route('added', 'c.example', '/', [to('x')]);
+  const next = createRouteTable({ ...cfg, version: 4, routes: [...cfg.routes, added] }, table);
+  const last = createRouteTable({ ...next.cfg, version: 6 }, next);
+  expect(last.routeNamed('added')?.addedBy).toEqual(4);
+  expect(last.find('c.example', '/')?.addedBy).toEqual(4);
+  expect(last.routeNamed('all')?.addedBy).toEqual(undefined);
+});
+
 test('a split keeps its weights over a hundred requests', () => {
   const found = table.find('b.example', '/s/');
   const services = Array.from({ length: 100 }, () => found?.nextService());
