Callers' listener: the end of a connection is noticed while its requests wait

What callers saw: requests of a caller that had left were worked on, and those behind them sent on seconds later (GONE); the connection stayed open.

Cause: the input gate paused a connection as soon as one byte waited for the parser. The end of a connection is delivered only behind all input before it, so that with one more read waiting it never was. A connection lets two requests in before any answer is known, so five requests of a pipeline that come one by one were enough.

Fix: up to 16 KiB of a connection are read while its requests wait, within the budget for input. Behind more than that, or while the budget is short, the end is noticed once the input before it has been parsed, as before.

--- a/packages/platform/src/lib/input-gate.ts
+++ b/packages/platform/src/lib/input-gate.ts
@@ -7,6 +7,8 @@
 export interface InputGateContext {
   /** Returns whether the parser may get more; asked again after each request head. */
   mayParse(): boolean;
+  /** Returns whether more input may be read although `heldBytes` wait for the parser. */
+  mayReadAhead(heldBytes: number): boolean;
   /** Framing of the body that the parser expects next; `undefined` between requests. */
   bodyFraming(): BodyFraming | undefined;
   /** Turns that chunked bodies wait for; shared by the connections of a listener. */
@@ -42,26 +44,34 @@
 /**
  * Stands between a connection of an HTTP server and its parser, which otherwise creates the objects
  * of all requests in a read, more than a thousand, before the server can pause it. While the owner
- * lets nothing pass, the connection is not read from.
+ * lets nothing pass, the connection is read from only as far as the owner allows: the end of a
+ * connection is noticed only where all input before it has been read.
  */
 export function createInputGate(socket: Socket, ctx: InputGateContext): InputGate {
   const parse = socket.listeners('data') as ((input: Buffer) => void)[];
   const framing = createRequestFraming(() => ctx.bodyFraming());
   /** Reads that wait for the parser, in order. */
   const held: HeldRead[] = [];
+  let heldBytes = 0;
   let receivedAt = ctx.now();
   /** Whether chunks began in the part that the parser got last. */
   let hadChunks = false;
   let isPausedHere = false;
   let isPumping = false;
 
+  function noteHeld(difference: number): void {
+    heldBytes += difference;
+    ctx.onHeld(difference);
+  }
+
   function hold(read: HeldRead): void {
     held.push(read);
-    ctx.onHeld(read.input.length);
+    noteHeld(read.input.length);
   }
 
   function dropHeld(): void {
-    for (const { input } of held.splice(0)) ctx.onHeld(-input.length);
+    held.length = 0;
+    noteHeld(-heldBytes);
   }
 
   /** Whether the parser still gets the input; a closing connection drops it. */
@@ -74,7 +84,7 @@
     ctx.turns.note(chunks);
     if (length < input.length) held[0] = { ...read, input: input.subarray(length) };
     else held.shift();
-    ctx.onHeld(-length);
+    noteHeld(-length);
     ({ receivedAt } = read);
     const slice = length < input.length ? input.subarray(0, length) : input;
     for (const listener of parse) listener(slice);
@@ -96,14 +106,18 @@
     } finally {
       isPumping = false;
     }
-    if (!isOpen()) {
-      dropHeld();
-    } else if (held.length > 0) {
-      isPausedHere = true;
-      socket.pause();
-    } else if (isPausedHere) {
+    if (isOpen()) readOnOrPause();
+    else dropHeld();
+  }
+
+  function readOnOrPause(): void {
+    const mayRead = heldBytes === 0 || ctx.mayReadAhead(heldBytes);
+    if (mayRead && isPausedHere) {
       isPausedHere = false;
       socket.resume();
+    } else if (!mayRead) {
+      isPausedHere = true;
+      socket.pause();
     }
   }
 
--- a/packages/platform/src/test/input-gate_test.ts
+++ b/packages/platform/src/test/input-gate_test.ts
@@ -46,6 +46,7 @@
   server.on('connection', (socket) => {
     createInputGate(socket, {
       mayParse: () => true,
+      mayReadAhead: () => false,
       turns: createParseTurns(),
       bodyFraming: () => bodyFramingOf(latest),
       onHeld: () => undefined,
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -42,6 +42,11 @@
 
 /** Estimate of what the HTTP library and the router hold for a request without its body, in bytes. */
 const REQUEST_BYTES = 8 * 1_024;
+/**
+ * Input of a connection that is read while its requests wait, in bytes: behind unread input, the end
+ * of the connection would not be noticed.
+ */
+const READ_AHEAD_BYTES = 16 * 1_024;
 /** Time between two looks for clients that stall, in milliseconds. */
 const STALL_LOOK_MS = 1_000;
 
@@ -174,6 +179,8 @@
     socket.once('close', () => sockets.delete(socket));
     const gate = createInputGate(socket, {
       mayParse: () => mayParse(socket),
+      mayReadAhead: (heldBytes) =>
+        heldBytes < READ_AHEAD_BYTES && budget.hasRoom('input', READ_AHEAD_BYTES),
       turns,
       bodyFraming: () => bodyFramingOf(latestRead.get(socket)),
       onHeld(difference) {
--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -48,6 +48,7 @@
         if (bodyFramingOf(latest)) return false;
         return openRequests === 0 && requests < MAX_REQUESTS_PER_CONNECTION;
       },
+      mayReadAhead: () => false,
       turns,
       bodyFraming: () => bodyFramingOf(connections.get(socket)?.latest),
       onHeld(difference) {
