Callers' listener: a request's time counts from when its head was received

What callers saw: a request of a pipeline that had waited to be parsed behind others was held beyond its deadline and its route's timeout, and sent to a server when its caller no longer waited for it.

Cause: the time of a request began when its head was parsed. Since the input gate, heads wait for those before them, so that each wait was added to the time limit. Requests that were already parsed and wait to enter had it right.

Evidence: 'the time of a request that waited to be parsed counts from when it was read' fails on: the last of eight requests has an age of 1 ms after hundreds of milliseconds.

Fix: the gate keeps when each read was received, less the delay of a lagging event loop at that moment. Input that is not read yet, behind 16 KiB that wait, still has no age.

--- a/packages/platform/src/lib/input-gate.ts
+++ b/packages/platform/src/lib/input-gate.ts
@@ -15,15 +15,15 @@
   readonly turns: ParseTurns;
   /** Called when the bytes that wait for the parser change in number. */
   onHeld(difference: number): void;
-  /** Monotonic time in milliseconds. */
-  now(): number;
+  /** When input that is read now was received, in milliseconds of the monotonic clock. */
+  receivedAt(): number;
 }
 
 /** Input of a connection on its way to the parser. */
 export interface InputGate {
   /** Passes on what the parser may get now. */
   update(): void;
-  /** When the input that the parser got last was read, in milliseconds of the monotonic clock. */
+  /** When the input that the parser got last was received, as of its read. */
   receivedAt(): number;
 }
 
@@ -53,7 +53,7 @@
   /** Reads that wait for the parser, in order. */
   const held: HeldRead[] = [];
   let heldBytes = 0;
-  let receivedAt = ctx.now();
+  let receivedAt = ctx.receivedAt();
   /** Whether chunks began in the part that the parser got last. */
   let hadChunks = false;
   let isPausedHere = false;
@@ -122,7 +122,7 @@
   }
 
   function take(input: Buffer): void {
-    hold({ input, receivedAt: ctx.now() });
+    hold({ input, receivedAt: ctx.receivedAt() });
     pump();
   }
 
--- a/packages/platform/src/test/input-gate_test.ts
+++ b/packages/platform/src/test/input-gate_test.ts
@@ -50,7 +50,7 @@
       turns: createParseTurns(),
       bodyFraming: () => bodyFramingOf(latest),
       onHeld: () => undefined,
-      now: () => performance.now(),
+      receivedAt: () => performance.now(),
     });
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -103,9 +103,9 @@
 
 /** When a request arrived. */
 interface Arrival {
-  /** Time in milliseconds of the monotonic clock. */
+  /** When the end of its head was received, in milliseconds of the monotonic clock. */
   readonly arrivedAt: number;
-  /** How long it may have waited in the socket buffer before, in milliseconds. */
+  /** How long what is read now may have waited in the socket buffer, in milliseconds. */
   readonly readDelayMs: number;
 }
 
@@ -186,7 +186,7 @@
       onHeld(difference) {
         budget.add('input', difference);
       },
-      now: () => ctx.now(),
+      receivedAt: () => ctx.now() - ctx.readDelayMs(),
     });
     gates.set(socket, gate);
   });
@@ -337,10 +337,10 @@
     latestRead.set(socket, req);
     // The rest of its body is let through once it is read.
     req.once('resume', () => gates.get(socket)?.update());
-    const readDelayMs = ctx.readDelayMs();
-    const arrival = { arrivedAt: ctx.now() - readDelayMs, readDelayMs };
-    const inputWaitMs = ctx.now() - (gates.get(socket)?.receivedAt() ?? ctx.now());
-    ctx.onWaited({ what: 'input', waitedMs: inputWaitMs, attemptId: attemptIdOf(req) });
+    const arrivedAt = gates.get(socket)?.receivedAt() ?? ctx.now();
+    const arrival = { arrivedAt, readDelayMs: ctx.readDelayMs() };
+    const waitedMs = ctx.now() - arrivedAt;
+    ctx.onWaited({ what: 'input', waitedMs, attemptId: attemptIdOf(req) });
     if (isAtEnd(socket)) {
       refuseToTake(socket);
       return;
--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -54,7 +54,7 @@
       onHeld(difference) {
         budget?.add('input', difference);
       },
-      now: () => performance.now(),
+      receivedAt: () => performance.now(),
     });
     connections.set(socket, { openRequests: 0, requests: 0, gate });
   });
--- a/packages/router/src/test/waiting-input_test.ts
+++ b/packages/router/src/test/waiting-input_test.ts
@@ -5,7 +5,7 @@
 import { expect } from 'earl';
 
 import type { CallerRequest } from '../lib/caller-request.js';
-import { get, listen } from './listener-harness.js';
+import { get, listen, serverAnswer } from './listener-harness.js';
 
 /** More requests than a connection may have in progress before any answer is known. */
 const PIPELINED = 8;
@@ -48,3 +48,22 @@
     expect(listener.openConnections()).toEqual(0);
   });
 }
+
+// Guards against a request that is held beyond its caller's deadline, and sent on when nobody waits
+// for it any more, because its time counts from the end of its wait for those before it.
+test('the time of a request that waited to be parsed counts from when it was read', async () => {
+  const ages: number[] = [];
+  const waitMs = 400;
+  const { port, listener } = await listen(async (req) => {
+    ages.push(performance.now() - req.arrivedAt);
+    await sleep(waitMs);
+    return serverAnswer('', true);
+  });
+  const socket = await pipeline(port);
+  socket.resume();
+  while (ages.length < PIPELINED) await sleep(REQUEST_INTERVAL_MS);
+  const last = ages.at(-1) ?? 0;
+  expect(last).toBeGreaterThanOrEqual(waitMs / 2);
+  socket.destroy();
+  await listener.drain();
+});
