--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -15,7 +15,7 @@
 
 import { type CallerListenerContext, createCallerListener } from './caller-listener.js';
 import { createActiveConfig, watchOutageFields } from './active-config.js';
-import { checkAllowedRegions } from './allowed-regions.js';
+import { checkAllowedRegions, checkSharedRegions } from './allowed-regions.js';
 import { createCrashGuard } from './crash-guard.js';
 import { errorFields } from './describe-error.js';
 import { countEvacuatedRanges } from './evacuated-ranges.js';
@@ -184,8 +184,8 @@
     onUnusable: unusable.note,
     onChange({ cfg }) {
       metrics.setConfigurationVersion(cfg.version);
-      for (const problem of checkAllowedRegions(cfg, settings.regions))
-        unusable.note({ source: platform.configTable, ...problem });
+      const problems = [...checkAllowedRegions(cfg, settings.regions), ...checkSharedRegions(cfg)];
+      for (const problem of problems) unusable.note({ source: platform.configTable, ...problem });
       listener.applyLimits(cfg.limits);
     },
   });
--- a/packages/router/src/test/server-eligibility_test.ts
+++ b/packages/router/src/test/server-eligibility_test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'earl';
 
-import { checkAllowedRegions } from '../lib/allowed-regions.js';
+import { checkAllowedRegions, checkSharedRegions } from '../lib/allowed-regions.js';
 import { createServerEligibility } from '../lib/server-eligibility.js';
 
 const REGIONS: Readonly<Record<string, string>> = { z1: 'r1', z2: 'r1', z3: 'r2', z4: 'r3' };
@@ -60,3 +60,28 @@
     { key: "route 'orders'", reason: "no availability zone is in the allowed region 'r7'" },
   ]);
 });
+
+function sharedRegionProblems(...regions: string[][]) {
+  const routes = regions.map((allowedRegions, index) => ({
+    name: `r${index}`,
+    allowedRegions,
+    targets: [{ service: 'stock', weight: 1 }],
+  }));
+  const services = [
+    { name: 'stock', partitioned: true },
+    { name: 'orders', partitioned: false },
+  ];
+  return checkSharedRegions({ routes, services } as never);
+}
+
+// Guards against routes that are refused for most keys without a sign of why.
+test('routes to a partitioned service without an allowed region in common are reported', () => {
+  expect(sharedRegionProblems([], ['r1'], ['r2', 'r3'])).toEqual([
+    {
+      key: "service 'stock'",
+      reason: "its keys have no region that all routes allow: 'r1' (r1), 'r2' (r2, r3)",
+    },
+  ]);
+  expect(sharedRegionProblems([], ['r1', 'r2'], ['r2', 'r3'])).toEqual([]);
+  expect(sharedRegionProblems([], [])).toEqual([]);
+});
