--- a/packages/router/src/test/key-placement-simulation.ts
+++ b/packages/router/src/test/key-placement-simulation.ts
@@ -1,16 +1,19 @@
 import {
+  type AdmittedShares,
   MAX_JOINS_PER_PLAN,
   NEVER_COLD,
   type PlannerContext,
   createRangeTable,
   createServicePlanner,
   findRange,
+  isSignificantChange,
   joinUnderNewFence,
 } from '@boragepoint/placement';
 import { createRandom } from '@boragepoint/standin';
 
-import { expectedServiceTimes, reportedServiceTimes } from '../lib/choose-server.js';
-import { createServerLoad } from '../lib/server-load.js';
+import { admit } from '../lib/admission.js';
+import { expectedMs, expectedServiceTimes, reportedServiceTimes } from '../lib/choose-server.js';
+import { type ServerLoad, createServerLoad, loadStateOf } from '../lib/server-load.js';
 import { createEventQueue } from './event-queue.js';
 
 /** A partitioned service under load; the routers' and the leader's decisions are the product's. */
@@ -26,6 +29,16 @@
   readonly slowdowns: boolean;
   /** Share of the requests that 200 adjacent keys receive. */
   hotShare(nowMs: number): number;
+  /** Deadlines of the requests; without them all are sent, whatever their queue. */
+  readonly deadlines?: Deadlines;
+}
+
+/** Deadlines of requests, which are refused where their answers are expected too late. */
+export interface Deadlines {
+  readonly usualMs: number;
+  /** Deadline of a small share of the requests. */
+  readonly shortMs: number;
+  readonly shortShare: number;
 }
 
 /** Result of a second. */
@@ -40,6 +53,9 @@
   /** Longest time of a plan, in milliseconds of the processor. */
   readonly planMs: number;
   readonly ranges: number;
+  /** Shares of the requests that were answered within their deadlines. */
+  readonly usualServed: number;
+  readonly shortServed: number;
 }
 
 const KEYS = 65_536;
@@ -133,21 +149,54 @@
   };
   const planner = createServicePlanner(ctx);
   const seconds: KeyedSecond[] = [];
-  let second = { sent: 0, inTime: 0, moves: 0, keysMoved: 0, planMs: 0 };
+  const emptySecond = () => ({
+    sent: 0,
+    inTime: 0,
+    moves: 0,
+    keysMoved: 0,
+    planMs: 0,
+    usual: { sent: 0, served: 0 },
+    short: { sent: 0, served: 0 },
+  });
+  let second = emptySecond();
+  let admittedShares: AdmittedShares = new Map();
 
   const after = (ms: number, run: () => void) => {
     events.add(now + ms, run);
   };
+  /** Returns whether the router sends a request to the owner of its key. */
+  function isAdmitted(known: ServerLoad, id: number, deadlineAt: number): boolean {
+    if (!load.deadlines) return true;
+    if (draw() >= (admittedShares.get(String(id)) ?? 1)) return false;
+    const admission = admit({
+      expectedMs: expectedMs({ ...loadStateOf(known, now), warmUpRemaining: 0 }),
+      remainingMs: deadlineAt - now,
+      objectiveMs: OBJECTIVE_MS,
+      serviceMs: known.serviceMs(),
+      priority: 0,
+      urgentObjectiveMs: Infinity,
+    });
+    return admission.kind === 'send';
+  }
+
   /** Runs a request at the time at which its range has an owner. */
-  function run(router: (typeof routers)[number], key: number, arrivedAt: number): void {
+  function run(
+    router: (typeof routers)[number],
+    key: number,
+    arrivedAt: number,
+    isShort: boolean,
+  ): void {
+    const { usualMs = Infinity, shortMs = Infinity } = load.deadlines ?? {};
+    const deadlineMs = isShort ? shortMs : usualMs;
     const range = findRange(table.ranges, key);
     if (range?.busy !== false || !range.owner) {
-      if (now - arrivedAt < OBJECTIVE_MS) after(10, () => { run(router, key, arrivedAt); }); // prettier-ignore
+      if (now - arrivedAt < OBJECTIVE_MS) after(10, () => { run(router, key, arrivedAt, isShort); }); // prettier-ignore
       return;
     }
     const id = Number(range.owner.incarnation.server);
     const [server, known] = [servers[id], router.loads[id]];
     if (!server || !known) return;
+    if (!isAdmitted(known, id, arrivedAt + deadlineMs)) return;
     const serviceTimes = expectedServiceTimes({
       inFlight: known.totalInFlight(now),
       slots: SLOTS,
@@ -181,18 +230,21 @@
       known.recordReport(now, report);
       known.recordLatency(serviceTimes, now - sentAt, reportedServiceTimes(report));
       if (now - arrivedAt <= OBJECTIVE_MS) second.inTime += 1;
+      if (now - arrivedAt <= deadlineMs) second[isShort ? 'short' : 'usual'].served += 1;
     });
   }
 
   function arrive(): void {
     after((-Math.log(1 - random.next()) * 1_000) / load.perSecond, () => {
       const isHot = random.next() < load.hotShare(now);
-      const draw = random.next();
-      const key = Math.floor(isHot ? FIRST_HOT_KEY + draw * HOT_KEYS : draw ** 1.5 * KEYS);
+      const position = random.next();
+      const key = Math.floor(isHot ? FIRST_HOT_KEY + position * HOT_KEYS : position ** 1.5 * KEYS);
       const router = routers[random.below(routers.length)];
       router?.keys.push(key);
       second.sent += 1;
-      if (router) run(router, key, now);
+      const isShort = load.deadlines !== undefined && draw() < load.deadlines.shortShare;
+      second[isShort ? 'short' : 'usual'].sent += 1;
+      if (router) run(router, key, now, isShort);
       arrive();
     });
   }
@@ -210,6 +262,10 @@
     const startedAt = process.cpuUsage();
     const joined = joinUnderNewFence(table, MAX_JOINS_PER_PLAN, ctx.nextFence);
     const moved = planner.plan('s', table, true);
+    if (load.deadlines) {
+      const shares = planner.overloads('s', table, load.routers);
+      if (isSignificantChange(admittedShares, shares)) admittedShares = shares;
+    }
     const used = process.cpuUsage(startedAt);
     second.planMs = Math.max(second.planMs, (used.user + used.system) / 1_000);
     second.moves += moved.length;
@@ -239,10 +295,18 @@
   }
 
   function endSecond(): void {
-    const { sent, inTime, ...rest } = second;
+    const { sent, inTime, usual, short, ...rest } = second;
     const ranges = table.ranges.length;
-    seconds.push({ ...rest, sent, inTime: inTime / sent, imbalance: imbalance(), ranges });
-    second = { sent: 0, inTime: 0, moves: 0, keysMoved: 0, planMs: 0 };
+    seconds.push({
+      ...rest,
+      sent,
+      inTime: inTime / sent,
+      imbalance: imbalance(),
+      ranges,
+      usualServed: usual.served / usual.sent,
+      shortServed: short.served / short.sent,
+    });
+    second = emptySecond();
     after(1_000, endSecond);
   }
 
