--- a/packages/platform/src/lib/input-gate.ts
+++ b/packages/platform/src/lib/input-gate.ts
@@ -3,6 +3,9 @@
 import type { ParseTurns } from './parse-turns.js';
 import { type BodyFraming, createRequestFraming } from './request-framing.js';
 
+/** Most reads of a connection that wait for the parser: each takes memory besides its bytes. */
+const MAX_HELD_READS = 64;
+
 /** What the owner of a connection decides about its input. */
 export interface InputGateContext {
   /** Returns whether the parser may get more; asked again after each request head. */
@@ -111,7 +114,8 @@
   }
 
   function readOnOrPause(): void {
-    const mayRead = heldBytes === 0 || ctx.mayReadAhead(heldBytes);
+    const hasPlace = held.length < MAX_HELD_READS;
+    const mayRead = heldBytes === 0 || (hasPlace && ctx.mayReadAhead(heldBytes));
     if (mayRead && isPausedHere) {
       isPausedHere = false;
       socket.resume();
--- a/packages/platform/src/test/input-gate_test.ts
+++ b/packages/platform/src/test/input-gate_test.ts
@@ -2,7 +2,7 @@
 import { type IncomingMessage, createServer } from 'node:http';
 import { type AddressInfo, connect } from 'node:net';
 import { test } from 'node:test';
-import { setImmediate as nextTurn } from 'node:timers/promises';
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
@@ -13,6 +13,8 @@
 type BodyOfHead = BodyFraming | undefined;
 
 const MAX_SLICE_BYTES = 16_384;
+/** Time after which a byte counts as not read, in milliseconds. */
+const UNREAD_MS = 500;
 const head = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 const post = 'POST / HTTP/1.1\r\nhost: a\r\n';
 
@@ -171,3 +173,42 @@
   const args = ['--input-type=module', '--eval', FAILING_TURN, module];
   expect(execFileSync(process.execPath, args, { encoding: 'utf8' })).toEqual('goes on\n');
 });
+
+/** Sends single bytes to a gate that lets nothing pass, until none is read; returns how many were. */
+async function countHeldReads(): Promise<number> {
+  let reads = 0;
+  let noteRead: (() => void) | undefined;
+  const server = createServer();
+  server.on('connection', (socket) => {
+    createInputGate(socket, {
+      mayParse: () => false,
+      mayReadAhead: () => true,
+      turns: createParseTurns(),
+      bodyFraming: () => undefined,
+      onHeld(difference) {
+        reads += Math.sign(difference);
+        noteRead?.();
+      },
+      receivedAt: () => performance.now(),
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = connect({ port, host: '127.0.0.1', noDelay: true });
+  client.on('error', () => undefined);
+  for (let known = -1; known < reads && reads < 1_000;) {
+    known = reads;
+    const read = new Promise<void>((resolve) => (noteRead = resolve));
+    client.write('x');
+    await Promise.race([read, sleep(UNREAD_MS)]);
+  }
+  const held = reads;
+  client.resetAndDestroy();
+  await new Promise((resolve) => server.close(resolve));
+  return held;
+}
+
+// Guards against input of single bytes that is read ahead, of which each byte takes an object.
+test('a connection whose requests wait holds a limited number of reads', async () => {
+  expect(await countHeldReads()).toEqual(64);
+});
