--- a/packages/router/src/test/key-placement-simulation.ts
+++ b/packages/router/src/test/key-placement-simulation.ts
@@ -15,6 +15,7 @@
 import { expectedMs, expectedServiceTimes, reportedServiceTimes } from '../lib/choose-server.js';
 import { type ServerLoad, createServerLoad, loadStateOf } from '../lib/server-load.js';
 import { createEventQueue } from './event-queue.js';
+import { endOfWork, slowdownAt, slowdownStarts } from './momentary-slowdowns.js';
 
 /** A partitioned service under load; the routers' and the leader's decisions are the product's. */
 export interface KeyedLoad {
@@ -69,43 +70,16 @@
 const PLAN_MS = 500;
 /** Time for which a range has no owner while it moves, in milliseconds. */
 const HAND_OVER_MS = 50;
-/** Length of a momentary slowdown, and the factor; it takes a fifth of the time. */
-const SLOWDOWN_MS = 300;
-const SLOWDOWN = 3;
+
+/** Returns the mean of a figure over some seconds. */
+export const meanOfSeconds = (
+  seconds: readonly KeyedSecond[],
+  figureOf: (second: KeyedSecond) => number,
+) => seconds.reduce((sum, it) => sum + figureOf(it), 0) / seconds.length;
 
 /** Share of all keys' requests below a key, without hot keys: low keys are asked for more often. */
 const shareBelow = (key: number) => (key / KEYS) ** (1 / 1.5);
 
-/** Draws when a server slows down. */
-function slowdownStarts(seconds: number, draw: () => number): number[] {
-  const starts: number[] = [];
-  let at = draw() * SLOWDOWN_MS * 5;
-  while (at < seconds * 1_000) {
-    starts.push(at);
-    at += SLOWDOWN_MS - Math.log(1 - draw()) * SLOWDOWN_MS * 4;
-  }
-  return starts;
-}
-
-const slowdownAt = (starts: readonly number[], at: number) =>
-  starts.some((it) => it <= at && at < it + SLOWDOWN_MS) ? SLOWDOWN : 1;
-
-/** Returns when work that takes `workMs` at the usual speed ends. */
-function endOfWork(starts: readonly number[], startAt: number, workMs: number): number {
-  let [at, left] = [startAt, workMs];
-  for (const slowAt of starts) {
-    if (slowAt + SLOWDOWN_MS <= at) continue;
-    const usualMs = Math.max(0, slowAt - at);
-    if (usualMs >= left) break;
-    left -= usualMs;
-    at += usualMs;
-    const slowMs = Math.min(slowAt + SLOWDOWN_MS - at, left * SLOWDOWN);
-    left -= slowMs / SLOWDOWN;
-    at += slowMs;
-  }
-  return at + left;
-}
-
 /** Simulates a service whose ranges are placed by the product; equal seeds give equal results. */
 export function simulateKeys(load: KeyedLoad, seed: number): KeyedSecond[] {
   const random = createRandom(seed);
--- a/packages/router/src/test/key-placement_test.ts
+++ b/packages/router/src/test/key-placement_test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'earl';
 
-import { type KeyedLoad, type KeyedSecond, simulateKeys } from './key-placement-simulation.js';
+import { type KeyedLoad, meanOfSeconds, simulateKeys } from './key-placement-simulation.js';
 
 const SEEDS = [1, 2];
 const HOT_FROM_S = 25;
@@ -19,9 +19,6 @@
   hotShare: (nowMs) => (nowMs > HOT_FROM_S * 1_000 ? 0.4 : 0),
 };
 
-const mean = (seconds: readonly KeyedSecond[], figureOf: (second: KeyedSecond) => number) =>
-  seconds.reduce((sum, it) => sum + figureOf(it), 0) / seconds.length;
-
 const outcomes = SEEDS.map((seed) => simulateKeys(uneven, seed));
 const steady = outcomes.map((it) => it.slice(15, HOT_FROM_S));
 
@@ -29,15 +26,17 @@
 // server's lasting speed, and against tolerances that are wider than they need to be: the busiest
 // server had 1.5 times the mean.
 test('servers are used in proportion to their speeds', () => {
-  expect(Math.max(...steady.map((it) => mean(it, ({ imbalance }) => imbalance)))).toBeLessThan(
-    1.47,
-  );
-  expect(Math.min(...steady.map((it) => mean(it, ({ inTime }) => inTime)))).toBeGreaterThan(0.92);
+  expect(
+    Math.max(...steady.map((it) => meanOfSeconds(it, ({ imbalance }) => imbalance))),
+  ).toBeLessThan(1.47);
+  expect(
+    Math.min(...steady.map((it) => meanOfSeconds(it, ({ inTime }) => inTime))),
+  ).toBeGreaterThan(0.92);
 });
 
 // Guards against moves for random differences, which were 9 a second.
 test('random variation of a large service moves at most three ranges a second', () => {
-  expect(Math.max(...steady.map((it) => mean(it, ({ moves }) => moves)))).toBeLessThan(3);
+  expect(Math.max(...steady.map((it) => meanOfSeconds(it, ({ moves }) => moves)))).toBeLessThan(3);
 });
 
 // Guards against a run of hot keys that stays with a few servers until it ends: with one halving a
@@ -54,5 +53,5 @@
 test('equal servers under even load keep their ranges', () => {
   const even = { ...uneven, servers: 24, perSecond: 200, speed: () => 1, seconds: 25 };
   const seconds = simulateKeys({ ...even, slowdowns: false, hotShare: () => 0 }, 3).slice(15);
-  expect(mean(seconds, ({ moves }) => moves)).toBeLessThan(0.5);
+  expect(meanOfSeconds(seconds, ({ moves }) => moves)).toBeLessThan(0.5);
 });
--- a/packages/router/src/test/short-deadlines_test.ts
+++ b/packages/router/src/test/short-deadlines_test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'earl';
 
-import { type KeyedLoad, type KeyedSecond, simulateKeys } from './key-placement-simulation.js';
+import { type KeyedLoad, meanOfSeconds, simulateKeys } from './key-placement-simulation.js';
 
 const SEEDS = [1, 2];
 /** Seconds after which speeds are known and keys are spread. */
@@ -23,16 +23,13 @@
   deadlines: { usualMs: 8_000, shortMs: 800, shortShare: 0.03 },
 };
 
-const mean = (seconds: readonly KeyedSecond[], figureOf: (second: KeyedSecond) => number) =>
-  seconds.reduce((sum, it) => sum + figureOf(it), 0) / seconds.length;
-
 // Guards against queues that stay so long that requests with little time left, such as those on a
 // route that was just added, are never served, while requests with much time are.
 test('requests with a short deadline are served while a large partitioned service is overloaded', () => {
   for (const seed of SEEDS) {
     const seconds = simulateKeys(overloaded, seed).slice(SETTLED_S);
-    const usual = mean(seconds, ({ usualServed }) => usualServed);
-    const short = mean(seconds, ({ shortServed }) => shortServed);
+    const usual = meanOfSeconds(seconds, ({ usualServed }) => usualServed);
+    const short = meanOfSeconds(seconds, ({ shortServed }) => shortServed);
     expect(short).toBeGreaterThanOrEqual(usual * MIN_RELATIVE_SHARE);
   }
 });
