--- a/packages/router/src/test/held-bytes-metric_test.ts
+++ b/packages/router/src/test/held-bytes-metric_test.ts
@@ -4,16 +4,13 @@
 
 import { createClientBudget } from '../lib/client-budget.js';
 import { createRouterMetrics } from '../lib/router-metrics.js';
+import { IDLE_SOURCES } from './metrics-sources.js';
 
 // Guards against an instance that runs out of memory without a sign of who holds it.
 test('the metrics tell what bytes are held for, and that they are given back', async () => {
   const budget = createClientBudget(1_000);
   const metrics = createRouterMetrics({
-    openRequests: () => 0,
-    lostIncarnations: () => 0,
-    evacuatedZones: () => 0,
-    evacuatedRanges: () => 0,
-    balance: () => new Map(),
+    ...IDLE_SOURCES,
     heldBytes: (kind) => budget.held(kind),
   });
   budget.add('responses', 300);
--- a/packages/router/src/test/listener-harness.ts
+++ b/packages/router/src/test/listener-harness.ts
@@ -2,7 +2,11 @@
 
 import type { ClosedConnection, FleetConfig, HeaderCodec } from '@boragepoint/platform';
 
-import { type CallerListener, createCallerListener } from '../lib/caller-listener.js';
+import {
+  type CallerListener,
+  type ListenerWait,
+  createCallerListener,
+} from '../lib/caller-listener.js';
 import type { CallerRequest } from '../lib/caller-request.js';
 import { type RouteTable, createRouteTable } from '../lib/route-table.js';
 import type { CallerAnswer } from '../lib/caller-answer.js';
@@ -81,6 +85,8 @@
   readonly listener: CallerListener;
   /** Connections that the listener closed and that have ended. */
   readonly closed: readonly ClosedConnection[];
+  /** Waits of input and of answers. */
+  readonly waits: readonly ListenerWait[];
 }
 
 /** Errors that were passed to `onUnexpectedError`. */
@@ -94,6 +100,7 @@
 ): Promise<Running> {
   const port = await freePort();
   const closed: ClosedConnection[] = [];
+  const waits: ListenerWait[] = [];
   const listener = await createCallerListener(
     {
       codec,
@@ -103,14 +110,14 @@
       stopsAt: () => stopsAt,
       readDelayMs: () => readDelayMs,
       onAnswer: () => undefined,
-      onWaited: () => undefined,
+      onWaited: (it) => waits.push(it),
       onUnexpectedError: (err) => unexpectedErrors.push(err),
       onConnectionClosed: (it) => closed.push(it),
     },
     '127.0.0.1',
     port,
   );
-  return { port, listener, closed };
+  return { port, listener, closed, waits };
 }
 
 /** Creates a promise and the function that resolves it. */
