--- a/packages/placement/src/lib/overload.ts
+++ b/packages/placement/src/lib/overload.ts
@@ -3,23 +3,15 @@
 import type { LoadMap } from './load-map.js';
 import type { PlannedServer } from './plan-moves.js';
 
-/** From which ratio of demand to capacity the leader limits admission, and to which ratio. */
-interface AdmissionRatios {
-  readonly overload: number;
-  readonly admitted: number;
-}
-
 /**
- * Ratios for a slow server of a service whose other queues routers see: they decide by the queue
- * lengths in the answers as long as they can, and the server's queue chooses among the admitted.
+ * Ratio of demand to capacity above which the leader limits admission. Below it, routers decide by
+ * the queue lengths in the server's answers.
  */
-const SLOW_SERVER_RATIOS: AdmissionRatios = { overload: 4, admitted: 2 };
+const OVERLOAD_RATIO = 4;
 /**
- * Ratios for a service whose queues no router sees. More requests than the server can run would
- * keep its queue full, so that those with little time are never served; the measured capacity leaves
- * out momentary slowdowns.
+ * Ratio of admitted requests to capacity; above 1, so that the server's queue chooses among them.
  */
-const UNSEEN_QUEUE_RATIOS: AdmissionRatios = { overload: 0.7, admitted: 0.7 };
+const ADMITTED_RATIO = 2;
 /** Rate of answers per second and router from which a router knows the owner's queue by itself. */
 const MIN_ANSWERS_PER_S = 0.5;
 /** Requests per second below which demand is too noisy to judge. */
@@ -49,10 +41,6 @@
   return demands;
 }
 
-function meanCapacity(servers: readonly PlannedServer[]): number {
-  return servers.reduce((sum, it) => sum + it.capacity, 0) / servers.length;
-}
-
 /**
  * Finds owners whose demand exceeds their capacity, as a hot key causes, and to which so many
  * routers send that each gets too few answers to know the owner's queue. `recent` should have a
@@ -66,13 +54,11 @@
 ): AdmittedShares {
   const demands = demandByOwner(ranges, recent);
   const shares = new Map<string, number>();
-  const isQueueSeen = (capacity: number) => capacity / routers >= MIN_ANSWERS_PER_S;
-  const ratios = isQueueSeen(meanCapacity(servers)) ? SLOW_SERVER_RATIOS : UNSEEN_QUEUE_RATIOS;
   for (const { id, capacity } of servers) {
     const demand = demands.get(id) ?? 0;
-    const isOverloaded = demand >= MIN_DEMAND_PER_S && demand > capacity * ratios.overload;
-    if (isOverloaded && !isQueueSeen(capacity))
-      shares.set(id, (capacity * ratios.admitted) / demand);
+    const isQueueVisible = capacity / routers >= MIN_ANSWERS_PER_S;
+    const isOverloaded = demand >= MIN_DEMAND_PER_S && demand > capacity * OVERLOAD_RATIO;
+    if (isOverloaded && !isQueueVisible) shares.set(id, (capacity * ADMITTED_RATIO) / demand);
   }
   return shares;
 }
