--- a/packages/platform/src/lib/input-gate.ts
+++ b/packages/platform/src/lib/input-gate.ts
@@ -26,7 +26,7 @@
 export interface InputGate {
   /** Passes on what the parser may get now. */
   update(): void;
-  /** When the input that the parser got last was received, as of its read. */
+  /** When the input that the parser got last was received, in milliseconds of the monotonic clock. */
   receivedAt(): number;
 }
 
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -433,7 +433,9 @@
     writeOwn(req, res, found.kind === 'own' ? found : UNWRITABLE_ANSWER);
   }
 
-  const attemptIdOf = (req: IncomingMessage) => ctx.codec.readRequest(req.headers).attemptId;
+  function attemptIdOf(req: IncomingMessage): string | undefined {
+    return ctx.codec.readRequest(req.headers).attemptId;
+  }
 
   function writeOwn(req: IncomingMessage, res: ServerResponse, own: OwnAnswer): void {
     const id = attemptIdOf(req);
--- a/packages/router/src/lib/route-outcomes.ts
+++ b/packages/router/src/lib/route-outcomes.ts
@@ -23,7 +23,7 @@
   let added: Record<string, OutcomeCounts | undefined> = {};
   let since = now();
 
-  function tell(): void {
+  function logAndReset(): void {
     const forMs = Math.round(now() - since);
     if (Object.keys(added).length > 0)
       log.info('answers by version of the route', { forMs, first, added });
@@ -36,7 +36,7 @@
     record({ addedBy }, outcome) {
       const counts = addedBy === undefined ? first : (added[addedBy] ??= {});
       counts[outcome] = (counts[outcome] ?? 0) + 1;
-      if (now() >= since + LOG_INTERVAL_MS) tell();
+      if (now() >= since + LOG_INTERVAL_MS) logAndReset();
     },
   };
 }
