--- a/packages/router/src/test/settings-digest_test.ts
+++ b/packages/router/src/test/settings-digest_test.ts
@@ -5,6 +5,7 @@
 
 import { createRouterMetrics } from '../lib/router-metrics.js';
 import { settingsDigest } from '../lib/settings-digest.js';
+import { IDLE_SOURCES } from './metrics-sources.js';
 
 const settingsOf = (id: string, more = '') =>
   loadFleetSettings(`
@@ -29,14 +30,7 @@
 });
 
 test('the metrics name only the active configuration and settings', async () => {
-  const metrics = createRouterMetrics({
-    openRequests: () => 0,
-    lostIncarnations: () => 0,
-    evacuatedZones: () => 0,
-    evacuatedRanges: () => 0,
-    balance: () => new Map(),
-    heldBytes: () => 0,
-  });
+  const metrics = createRouterMetrics(IDLE_SOURCES);
   metrics.setConfigurationVersion(11);
   metrics.setConfigurationVersion(12);
   metrics.setSettingsDigest('abc');
