Placement: the leader knows and shows the queues of owners

Reports to the leader now carry, for each measured server, the number of answers that told its load and the requests per slot that waited by them. The leader logs 'queues of owners' every 2 s while a queue is long, and shows the mean and the longest delay as gauges. Its admission of requests for overloaded owners is in a module of its own; it decides as before.

--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -18,7 +18,9 @@
 import { LEADER_LEASE_MS, type LeaderLease, RENEWAL_GRACE_MS } from './leader-lease.js';
 import { type LeaseTimes, maxLeaseMs } from './lease-bound.js';
 import { grantJoined, renewLeases } from './lease-renewals.js';
-import { type AdmittedShares, isSignificantChange } from './overload.js';
+import type { AdmittedShares } from './overload.js';
+import { createOwnerAdmission } from './owner-admission.js';
+import type { QueueFigures } from './owner-queues.js';
 import type { Placement } from './placement-record.js';
 import type { PlacementView, RangeView } from './placement-view.js';
 import { createPlacementWriter } from './placement-writer.js';
@@ -69,6 +71,8 @@
   balance(): ReadonlyMap<string, PlacementBalance>;
   /** Shares of requests that routers forward to overloaded servers. */
   admitted(): AdmittedShares;
+  /** Queues of the owners of keys, by service. */
+  queues(): ReadonlyMap<string, QueueFigures>;
   /**
    * Waits until the view is newer than the change with a number, for at most `waitMs` milliseconds.
    */
@@ -188,7 +192,6 @@
   let hasSteppedDown = false;
   let successor: string | undefined;
   let invalidatedAt = -Infinity;
-  let admitted: AdmittedShares = new Map();
 
   /**
    * Returns when a holder can't hold its range any more, on the store's clock; 0 if it has released
@@ -272,6 +275,13 @@
     nextFence: () => nextFence++,
   };
   const planner = createServicePlanner(ctx);
+  const admission = createOwnerAdmission({
+    epoch: leaderLease.epoch,
+    planner,
+    log,
+    routers: () => options.routers(),
+    now: clocks.monotonic,
+  });
 
   /** Divides the keys of new services, once their servers have had time to register. */
   function divideNewServices(): void {
@@ -317,28 +327,13 @@
     }
   }
 
-  /** Finds overloaded owners, and notifies waiting routers if the shares changed significantly. */
-  function updateOverloads(): void {
-    const found = [...tables].flatMap(([service, table]) => [
-      ...planner.overloads(service, table, options.routers()),
-    ]);
-    const shares = new Map(found);
-    if (!isSignificantChange(admitted, shares)) return;
-    admitted = shares;
-    feed.note();
-    log.info('admitted shares of overloaded owners changed', {
-      epoch: leaderLease.epoch,
-      admitted: Object.fromEntries(shares),
-    });
-  }
-
   async function planAll(): Promise<void> {
     let balanceAt = -Infinity;
     while (!orderAbort.signal.aborted) {
       const now = clocks.monotonic();
       const balance = now >= balanceAt;
       if (balance) balanceAt = now + BALANCE_INTERVAL_MS;
-      if (balance) updateOverloads();
+      if (balance && admission.update(tables)) feed.note();
       if (ctx.mayOrder() && directory.isLoaded()) await runTask(ctx, () => plan(balance));
       await planWakeSignal.wait(Math.max(1, balanceAt - clocks.monotonic()));
     }
@@ -491,7 +486,8 @@
     startedAt,
     view: () => feed.view(),
     balance: () => planner.balance(),
-    admitted: () => admitted,
+    admitted: () => admission.shares(),
+    queues: () => admission.queues(),
     changedSince: (knownChange) => feed.since(knownChange),
     waitForChange: (knownChange, waitMs) => feed.wait(knownChange, waitMs),
     report: (load) => {
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -17,6 +17,7 @@
 import { type Candidate, type LeaderLeaseReading, readLeaderLease } from './leader-lease.js';
 import { createLeadershipTransfer } from './leadership-transfer.js';
 import type { AdmittedShares } from './overload.js';
+import type { QueueFigures } from './owner-queues.js';
 import {
   type PermitAllocator,
   type PermitsReply,
@@ -112,6 +113,8 @@
   isLeading(): boolean;
   /** How evenly keys are placed, by service; empty unless this router leads. */
   balance(): ReadonlyMap<string, PlacementBalance>;
+  /** Queues of the owners of keys, by service; empty unless this router leads. */
+  queues(): ReadonlyMap<string, QueueFigures>;
   /**
    * Returns whether the router has received the suspect runs of other routers, if there are any, or
    * has waited for them for `CAUGHT_UP_AFTER_MS`.
@@ -597,6 +600,7 @@
     position: () => position,
     isLeading,
     balance: () => leader?.balance() ?? new Map<string, PlacementBalance>(),
+    queues: () => leader?.queues() ?? new Map<string, QueueFigures>(),
     isCaughtUp: () => isCaughtUp || clocks.monotonic() > createdAt + CAUGHT_UP_AFTER_MS,
     anyPeer: () => knownPeers.any(),
     noteStoreChange() {
--- a/packages/placement/src/lib/report-responder.ts
+++ b/packages/placement/src/lib/report-responder.ts
@@ -81,7 +81,9 @@
   return {
     service,
     keys: keys.filter((it) => it <= LAST_KEY),
-    servers: servers.filter((it) => isSum(it.latencyMs) && isSum(it.units)),
+    servers: servers.filter(
+      (it) => isSum(it.latencyMs) && isSum(it.units) && isSum(it.queuedPerSlot),
+    ),
   };
 }
 
--- a/packages/placement/src/lib/server-speed.ts
+++ b/packages/placement/src/lib/server-speed.ts
@@ -9,6 +9,10 @@
   readonly units: number;
   readonly answered: number;
   readonly failed: number;
+  /** Number of answers that told the server's load. */
+  readonly loadReports: number;
+  /** Sum of the requests per slot that waited at the server by these answers. */
+  readonly queuedPerSlot: number;
 }
 
 /** Share of the decaying sums that each new request replaces. */
@@ -33,7 +37,9 @@
   record(report: SpeedReport): void;
   /** Returns the requests per second that a server is expected to handle. */
   capacityOf(server: string, slots: number, isCold: boolean): number;
-  /** Relative standard deviation of that number. */
+  /** Returns the expected time of a request at a server without queueing, in milliseconds. */
+  serviceMsOf(server: string): number;
+  /** Relative standard deviation of the capacity. */
   deviationOf(server: string): number;
   /** Forgets the failures of a server that got more requests than it can handle. */
   forgiveFailures(server: string): void;
@@ -71,6 +77,13 @@
     return times[times.length >> 1] ?? INITIAL_SERVICE_MS;
   }
 
+  function boundedServiceMs(server: string): number {
+    const speed = speeds.get(server);
+    const medianMs = (cachedMedianMs ??= medianServiceMs());
+    const deviation = speed ? serviceMsOf(speed, medianMs) / medianMs : 1;
+    return medianMs * Math.min(MAX_DEVIATION, Math.max(1 / MAX_DEVIATION, deviation));
+  }
+
   return {
     deviationOf(server) {
       return RESPONSE_DEVIATION / Math.sqrt((speeds.get(server)?.units ?? 0) + 1);
@@ -89,12 +102,10 @@
       speed.requests = speed.requests * kept + answered + failed;
       speed.failed = speed.failed * kept + failed;
     },
+    serviceMsOf: boundedServiceMs,
     capacityOf(server, slots, isCold) {
       const speed = speeds.get(server);
-      const medianMs = (cachedMedianMs ??= medianServiceMs());
-      const deviation = speed ? serviceMsOf(speed, medianMs) / medianMs : 1;
-      const bounded = Math.min(MAX_DEVIATION, Math.max(1 / MAX_DEVIATION, deviation));
-      const perSecond = (slots * 1_000) / (medianMs * bounded);
+      const perSecond = (slots * 1_000) / boundedServiceMs(server);
       const failureShare = speed ? speed.failed / (speed.requests + ASSUMED_SUCCESSES) : 0;
       const isFailing = failureShare > MAX_FAILURE_SHARE;
       return (
--- a/packages/placement/src/lib/service-planner.ts
+++ b/packages/placement/src/lib/service-planner.ts
@@ -5,6 +5,7 @@
 import { type LoadChanges, type ObservedLoad, createLoadChanges } from './load-changes.js';
 import { type LoadMap, createLoadMap } from './load-map.js';
 import { type AdmittedShares, type OwnedRange, demandByOwner, findOverloads } from './overload.js';
+import { type OwnerQueues, type QueueDelays, createOwnerQueues } from './owner-queues.js';
 import { planJoins } from './plan-joins.js';
 import {
   type PlannedMove,
@@ -66,6 +67,7 @@
   readonly changes: LoadChanges;
   /** What the ranges of a small service are placed by. */
   readonly shortTerm: LoadMap;
+  readonly queues: OwnerQueues;
 }
 
 /** How evenly a service's keys are placed, and what was moved so far. */
@@ -96,6 +98,8 @@
   plan(service: string, table: RangeTable, balance: boolean): HeldRange[];
   /** By service, as of the last plans. */
   balance(): ReadonlyMap<string, PlacementBalance>;
+  /** Returns the queueing delays at a service's servers since the last call. */
+  takeQueueDelays(service: string): QueueDelays;
   /** Finds the overloaded owners of a service's keys; see {@link findOverloads}. */
   overloads(service: string, table: RangeTable, routers: number): AdmittedShares;
 }
@@ -151,6 +155,7 @@
       latest: createLoadMap(now, LATEST_HALF_LIFE_MS),
       changes: createLoadChanges(),
       shortTerm: createLoadMap(now, SMALL_SERVICE_HALF_LIFE_MS),
+      queues: createOwnerQueues(),
     };
     loads.set(service, load);
     return load;
@@ -264,11 +269,15 @@
 
   return {
     record(report) {
-      const { smoothed, recent, latest, shortTerm } = loadOf(report.service);
+      const { smoothed, recent, latest, shortTerm, queues } = loadOf(report.service);
       for (const it of [smoothed, recent, latest, shortTerm]) it.record(report.keys);
-      for (const server of report.servers) speeds.record(server);
+      for (const server of report.servers) {
+        speeds.record(server);
+        queues.record(server);
+      }
     },
     balance: () => balances,
+    takeQueueDelays: (service) => loadOf(service).queues.take((it) => speeds.serviceMsOf(it)),
     overloads(service, table, routers) {
       const now = clocks.monotonic();
       const { recent } = loadOf(service);
--- a/packages/placement/src/test/report-responder_test.ts
+++ b/packages/placement/src/test/report-responder_test.ts
@@ -142,11 +142,20 @@
       return true;
     },
   };
-  const sound = { server: 'a', latencyMs: 1, units: 2, answered: 3, failed: 0 };
+  const sound = {
+    server: 'a',
+    latencyMs: 1,
+    units: 2,
+    answered: 3,
+    failed: 0,
+    loadReports: 0,
+    queuedPerSlot: 0,
+  };
   const odd = [
     { ...sound, latencyMs: NaN },
     { ...sound, units: Infinity },
     { ...sound, latencyMs: -1 },
+    { ...sound, queuedPerSlot: -1 },
   ];
   const reporters = createReporters(processClocks);
   await createResponder({ leader: () => leader, directory, reporters })(
--- a/packages/placement/src/test/server-speed_test.ts
+++ b/packages/placement/src/test/server-speed_test.ts
@@ -11,6 +11,8 @@
   units: answered,
   answered,
   failed: 0,
+  loadReports: 0,
+  queuedPerSlot: 0,
 });
 
 test('one slow request hardly changes the estimated capacity of a server', () => {
@@ -32,7 +34,15 @@
   const speeds = createServerSpeeds();
   speeds.record(report(200, 20));
   const before = speeds.capacityOf('a', 2, false);
-  speeds.record({ server: 'a', latencyMs: 8_000, units: 40, answered: 10, failed: 0 });
+  speeds.record({
+    server: 'a',
+    latencyMs: 8_000,
+    units: 40,
+    answered: 10,
+    failed: 0,
+    loadReports: 0,
+    queuedPerSlot: 0,
+  });
   expect(Math.abs(speeds.capacityOf('a', 2, false) - before) < 0.01).toEqual(true);
 });
 
--- a/packages/placement/src/test/service-planner_test.ts
+++ b/packages/placement/src/test/service-planner_test.ts
@@ -53,7 +53,15 @@
     for (let second = 0; second < seconds; second += 1) {
       now += 1_000;
       const servers = SERVERS.map((server) => {
-        return { server, latencyMs: 800, units: 8, answered: 8, failed: 0 };
+        return {
+          server,
+          latencyMs: 800,
+          units: 8,
+          answered: 8,
+          failed: 0,
+          loadReports: 0,
+          queuedPerSlot: 0,
+        };
       });
       planner.record({ service: SERVICE, keys: KEYS, servers });
       finish(planner.plan(SERVICE, table, true));
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -155,6 +155,7 @@
     evacuatedZones: () => [...evacuations.zones()].filter(isKnownZone).length,
     evacuatedRanges: () => countEvacuatedRanges(member.view(), directory, eligibility),
     balance: () => member.balance(),
+    queues: () => member.queues(),
     heldBytes: (kind) => clientBudget.held(kind),
   });
   metrics.setSettingsDigest(settingsDigest(settings));
--- a/packages/router/src/lib/router-metrics.ts
+++ b/packages/router/src/lib/router-metrics.ts
@@ -1,4 +1,4 @@
-import type { PlacementBalance } from '@boragepoint/placement';
+import type { PlacementBalance, QueueFigures } from '@boragepoint/placement';
 import type { CloseReason } from '@boragepoint/platform';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
@@ -91,6 +91,8 @@
   readonly evacuatedRanges: () => number;
   /** How evenly keys are placed, by service; empty unless this router leads. */
   readonly balance: () => ReadonlyMap<string, PlacementBalance>;
+  /** Queues of the owners of keys, by service; empty unless this router leads. */
+  readonly queues: () => ReadonlyMap<string, QueueFigures>;
   /** Bytes that the process holds for clients and of responses, by kind. */
   readonly heldBytes: (kind: HeldKind) => number;
 }
@@ -102,6 +104,7 @@
   evacuatedZones,
   evacuatedRanges,
   balance,
+  queues,
   heldBytes,
 }: MetricsSources): RouterMetrics {
   const registry = new Registry();
@@ -283,6 +286,27 @@
         for (const [service, it] of balance()) this.set({ service }, it[figure]);
       },
     });
+  const registerQueue = (name: string, help: string, delayMsOf: (it: QueueFigures) => number) =>
+    new Gauge({
+      name,
+      help,
+      labelNames: ['service'],
+      registers: [registry],
+      collect() {
+        this.reset();
+        for (const [service, it] of queues()) this.set({ service }, delayMsOf(it) / MS_PER_S);
+      },
+    });
+  registerQueue(
+    'boragepoint_owner_queue_mean_seconds',
+    'Mean queueing delay at the owners of keys.',
+    (it) => it.meanDelayMs,
+  );
+  registerQueue(
+    'boragepoint_owner_queue_longest_seconds',
+    'Longest mean queueing delay of an owner of keys.',
+    (it) => it.longestDelayMs,
+  );
   registerBalance(
     'boragepoint_key_imbalance',
     'Utilization of the busiest server of a partitioned service as a multiple of the mean.',
--- a/packages/router/src/lib/server-load.ts
+++ b/packages/router/src/lib/server-load.ts
@@ -70,7 +70,14 @@
   takeMeasured(): Omit<SpeedReport, 'server'>;
 }
 
-const NOTHING_MEASURED = { latencyMs: 0, units: 0, answered: 0, failed: 0 };
+const NOTHING_MEASURED = {
+  latencyMs: 0,
+  units: 0,
+  answered: 0,
+  failed: 0,
+  loadReports: 0,
+  queuedPerSlot: 0,
+};
 
 /**
  * Creates the estimate of a server without measurements; `initialServiceMs` is that of equal
@@ -154,6 +161,11 @@
       reportedOthers = Math.max(0, load.running + load.waiting - sentTimes.length);
       averageOthers += (reportedOthers - averageOthers) * REPORT_WEIGHT;
       reportedAt = now;
+      measured = {
+        ...measured,
+        loadReports: measured.loadReports + 1,
+        queuedPerSlot: measured.queuedPerSlot + load.waiting / slots,
+      };
     },
     oldestInFlightMs: (now) => now - (sentTimes[0] ?? now),
     ownInFlight: () => sentTimes.length,
--- a/packages/router/src/test/metrics-sources.ts
+++ b/packages/router/src/test/metrics-sources.ts
@@ -7,5 +7,6 @@
   evacuatedZones: () => 0,
   evacuatedRanges: () => 0,
   balance: () => new Map(),
+  queues: () => new Map(),
   heldBytes: () => 0,
 };
--- a/packages/router/src/test/server-load_test.ts
+++ b/packages/router/src/test/server-load_test.ts
@@ -77,9 +77,12 @@
   const load = createServerLoad(2);
   load.recordSent(0);
   load.recordDone(0, false);
+  load.recordReport(80, { running: 2, waiting: 3, slots: 2, slowdown: 1 });
   load.recordLatency(1.5, 80);
-  expect(load.takeMeasured()).toEqual({ latencyMs: 80, units: 1.5, answered: 1, failed: 0 });
-  expect(load.takeMeasured()).toEqual({ latencyMs: 0, units: 0, answered: 0, failed: 0 });
+  const answers = { latencyMs: 80, units: 1.5, answered: 1, failed: 0 };
+  expect(load.takeMeasured()).toEqual({ ...answers, loadReports: 1, queuedPerSlot: 1.5 });
+  const nothing = { latencyMs: 0, units: 0, answered: 0, failed: 0 };
+  expect(load.takeMeasured()).toEqual({ ...nothing, loadReports: 0, queuedPerSlot: 0 });
 });
 
 // Guards against time in a queue, or a momentary slowdown, that the leader takes for slowness.
