Placement: the leader limits the queues of owners in large fleets

Cause: a router of a large fleet sends to an owner every few seconds, so that its estimate of the queue has faded when it sends again, and all routers together fill it. The leader limited admission only from four times an owner's capacity on. Class: each of many admits by its own view of a queue that all of them fill.

The leader now takes the queueing delay from reports, and moves the share that routers refuse by proportional-integral control, as PIE (RFC 8033). It uses neither capacity nor demand, the two that misled the limit that was taken out. A share fades without answers of the owner or of the leader, a new leader starts from the former one's shares, and answers carry only shares that changed.

The loop now has callers that come back, and routers that learn of shares with their next report.

--- a/packages/placement/src/lib/overload.ts
+++ b/packages/placement/src/lib/overload.ts
@@ -19,6 +19,13 @@
 /** Relative change of a share from which routers are notified. */
 const MIN_SHARE_CHANGE = 0.25;
 
+/**
+ * Returns whether each router gets so many answers of a server with this capacity that it knows the
+ * server's queue by itself.
+ */
+export const isQueueVisible = (capacity: number, routers: number): boolean =>
+  capacity / routers >= MIN_ANSWERS_PER_S;
+
 /** A key range and the server that owns it, if any. */
 export interface OwnedRange extends KeySpan {
   readonly owner: string | undefined;
@@ -56,9 +63,9 @@
   const shares = new Map<string, number>();
   for (const { id, capacity } of servers) {
     const demand = demands.get(id) ?? 0;
-    const isQueueVisible = capacity / routers >= MIN_ANSWERS_PER_S;
     const isOverloaded = demand >= MIN_DEMAND_PER_S && demand > capacity * OVERLOAD_RATIO;
-    if (isOverloaded && !isQueueVisible) shares.set(id, (capacity * ADMITTED_RATIO) / demand);
+    if (isOverloaded && !isQueueVisible(capacity, routers))
+      shares.set(id, (capacity * ADMITTED_RATIO) / demand);
   }
   return shares;
 }
--- a/packages/placement/src/lib/placement-leader.ts
+++ b/packages/placement/src/lib/placement-leader.ts
@@ -18,8 +18,7 @@
 import { LEADER_LEASE_MS, type LeaderLease, RENEWAL_GRACE_MS } from './leader-lease.js';
 import { type LeaseTimes, maxLeaseMs } from './lease-bound.js';
 import { grantJoined, renewLeases } from './lease-renewals.js';
-import type { AdmittedShares } from './overload.js';
-import { createOwnerAdmission } from './owner-admission.js';
+import { type OwnerAdmission, createOwnerAdmission } from './owner-admission.js';
 import type { QueueFigures } from './owner-queues.js';
 import type { Placement } from './placement-record.js';
 import type { PlacementView, RangeView } from './placement-view.js';
@@ -70,7 +69,7 @@
   /** How evenly keys are placed, by service. */
   balance(): ReadonlyMap<string, PlacementBalance>;
   /** Shares of requests that routers forward to overloaded servers. */
-  admitted(): AdmittedShares;
+  readonly admitted: OwnerAdmission['shares'];
   /** Queues of the owners of keys, by service. */
   queues(): ReadonlyMap<string, QueueFigures>;
   /**
@@ -137,6 +136,10 @@
   readonly log: PlacementLogger;
   /** Names of the partitioned services in the configuration. */
   partitionedServices(): readonly string[];
+  /** Usual latency objective of a service's requests, in milliseconds; `undefined` if unknown. */
+  objectiveMsOf(service: string): number | undefined;
+  /** Share of the requests for a server's keys that the former leader admitted. */
+  readonly formerShare: (server: string) => number;
   /**
    * Returns whether the keys of a service may be given to its servers in an availability zone; those
    * of the others are moved away.
@@ -279,6 +282,8 @@
     epoch: leaderLease.epoch,
     planner,
     log,
+    formerShare: options.formerShare,
+    objectiveMsOf: (service) => options.objectiveMsOf(service),
     routers: () => options.routers(),
     now: clocks.monotonic,
   });
@@ -486,7 +491,7 @@
     startedAt,
     view: () => feed.view(),
     balance: () => planner.balance(),
-    admitted: () => admission.shares(),
+    admitted: admission.shares,
     queues: () => admission.queues(),
     changedSince: (knownChange) => feed.since(knownChange),
     waitForChange: (knownChange, waitMs) => feed.wait(knownChange, waitMs),
--- a/packages/placement/src/lib/placement-member.ts
+++ b/packages/placement/src/lib/placement-member.ts
@@ -3,6 +3,7 @@
 import type { OrderOutcome, RowStore, ServerOrders } from '@boragepoint/platform';
 import type { ReportRequest, RequestPermitsRequest } from '@boragepoint/protocol';
 
+import { createKnownShares } from './admitted-shares.js';
 import { becomeLeader } from './become-leader.js';
 import { createCandidacy } from './candidacy.js';
 import { createChangeSignal } from './change-signal.js';
@@ -16,7 +17,6 @@
 import { createLimitExchange } from './limit-exchange.js';
 import { type Candidate, type LeaderLeaseReading, readLeaderLease } from './leader-lease.js';
 import { createLeadershipTransfer } from './leadership-transfer.js';
-import type { AdmittedShares } from './overload.js';
 import type { QueueFigures } from './owner-queues.js';
 import {
   type PermitAllocator,
@@ -70,8 +70,6 @@
 const UNCLAIMED_RETRY_MS = 600;
 /** Number of routers beyond which that pause grows with the fleet. */
 const ROUTERS_PER_CLAIM_PAUSE = 60;
-/** Time for which the leader's admitted shares are valid, in milliseconds. */
-const ADMITTED_TTL_MS = 3_000;
 /**
  * Time between two checks whether the lease of a leader that the store does not confirm is free, in
  * milliseconds.
@@ -195,6 +193,8 @@
   readonly log: PlacementLogger;
   /** Names of the partitioned services; `undefined` until the configuration is known. */
   partitionedServices(): readonly string[] | undefined;
+  /** Usual latency objective of a service's requests, in milliseconds; `undefined` if unknown. */
+  objectiveMsOf(service: string): number | undefined;
   /**
    * Returns whether the keys of a service may be given to its servers in an availability zone; those
    * of the others are moved away.
@@ -225,6 +225,7 @@
   const knownPeers = createKnownPeers(self.address);
   const known = createKnownPlacement();
   const memory = createLeaderMemory({ self, clocks, log: options.log });
+  const admitted = createKnownShares(clocks.monotonic);
   const viewSignal = createChangeSignal();
   const pacer = createReportPacer();
   const storeChanges = createChangeSignal();
@@ -261,6 +262,7 @@
     exchange,
     limitExchange,
     view: () => known.view(),
+    knownAdmitted: admitted.knownChange,
     isServedByStore: () => isServedByStore(),
     isStopping: () => isStopping,
   });
@@ -272,7 +274,6 @@
   const candidacy = createCandidacy(self, options.capacity, clocks.monotonic);
   let routers = 1;
   let position: FleetPosition | undefined;
-  let admitted: { shares: AdmittedShares; until: number } = { shares: new Map(), until: 0 };
   let leader: PlacementLeader | undefined;
   /** Gives permits out while this router leads. */
   let allocator: PermitAllocator | undefined;
@@ -295,10 +296,6 @@
     if (known.update(view)) viewSignal.wakeAll();
   }
 
-  function updateAdmitted(shares: AdmittedShares): void {
-    admitted = { shares, until: clocks.monotonic() + ADMITTED_TTL_MS };
-  }
-
   /** Returns whether the store answers this router. */
   const isServedByStore = () => options.directory.currentSince() < Infinity;
   const countRouters = () => reporters.count() + 1;
@@ -344,6 +341,7 @@
       ...options,
       requestStepDown,
       partitionedServices,
+      formerShare: admitted.shareOf,
       routers: countRouters,
       suspects: () => exchange.runsToStore(),
       knownPeers: () => knownPeers.all(),
@@ -468,7 +466,12 @@
   function leadOnce(leading: PlacementLeader): void {
     for (const load of options.takeLoad()) leading.report(load);
     updateView(leading.view());
-    updateAdmitted(leading.admitted());
+    admitted.apply({
+      epoch: leading.epoch,
+      shares: leading.admitted.all(),
+      change: leading.admitted.change(),
+      isComplete: true,
+    });
     routers = countRouters();
     updatePosition(positionOf(selfPlaced));
     transferLeadership(leading, reporters.strongest());
@@ -514,7 +517,7 @@
       updateView(answer.isComplete ? answer.view : withChanges(known.view(), answer.view));
     routers = Math.max(1, answer.routers);
     updatePosition(answer.position);
-    updateAdmitted(answer.admitted);
+    if (answer.admitted) admitted.apply(answer.admitted);
     options.onTableReports(answer.tables);
     isLeaderLeaseExpired = answer.isLeaseExpired;
     return true;
@@ -612,8 +615,7 @@
       // A leader shares its runs with all other routers itself.
       if (hasChanged && update.from !== followedLeader?.address) await exchange.passOn();
     },
-    admittedShare: (server) =>
-      clocks.monotonic() < admitted.until ? (admitted.shares.get(server) ?? 1) : 1,
+    admittedShare: admitted.shareOf,
     requestPermits: (wanted, areCallersWaiting) => permits.request(wanted, areCallersWaiting),
     shareLimits() {
       if (leader) storeChanges.wakeAll();
--- a/packages/placement/src/lib/placement-peers.ts
+++ b/packages/placement/src/lib/placement-peers.ts
@@ -7,10 +7,11 @@
   type StoredRow,
   createProgressTimeout,
 } from '@boragepoint/platform';
-import { type FetchTablePart, PlacementService } from '@boragepoint/protocol';
+import { type FetchTablePart, PlacementService, type ReportResponse } from '@boragepoint/protocol';
 import { type Client, ConnectError, createClient } from '@connectrpc/connect';
 import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
 
+import type { ReceivedShares } from './admitted-shares.js';
 import { type OnUnusable, decodeList } from './decode-list.js';
 import { decodeLimit, encodeLimit } from './limit-exchange.js';
 import type { FetchedPlacement } from './leader-messages.js';
@@ -130,6 +131,17 @@
   return head && { version: requireCount(head.version), keys: head.keys, changed };
 }
 
+/** Decodes the admitted shares of an epoch's leader; shares out of range count as 1. */
+function decodeAdmitted(res: ReportResponse, epoch: number): ReceivedShares {
+  const usable = (share: number) => (share >= 0 && share <= 1 ? share : 1);
+  return {
+    epoch,
+    shares: new Map(res.admitted.map(({ server, share }) => [server, usable(share)])),
+    change: requireCount(res.knownAdmitted),
+    isComplete: !res.admittedChanges,
+  };
+}
+
 /**
  * Creates a client that keeps one connection to each router; `onUnusable` is called with each
  * answer of which a part can't be used.
@@ -174,7 +186,6 @@
           each: (it: W) => T | undefined,
         ) => decodeList(items, each, { source, from: address }, onUnusable);
         const suspects = decode('suspect runs', res.suspects, decodeRun);
-        const admitted = new Map(res.admitted.map(({ server, share }) => [server, share]));
         return {
           leads,
           view,
@@ -185,7 +196,7 @@
           knownSuspects: requireCount(res.knownSuspects),
           limits: decode('limits', res.limits, decodeLimit),
           knownLimits: requireCount(res.knownLimits),
-          admitted,
+          admitted: view && decodeAdmitted(res, view.epoch),
           isLeaseExpired: res.tenureOver,
           peers: decode('router addresses', res.peers, decodeAddress),
           witnesses: decode('router addresses', res.witnesses, decodeAddress),
--- a/packages/placement/src/lib/report-client.ts
+++ b/packages/placement/src/lib/report-client.ts
@@ -23,6 +23,8 @@
   readonly limitExchange: LimitExchange;
   /** Returns the newest placement known. */
   view(): PlacementView;
+  /** Number of the last change of admitted shares known of an epoch's leader. */
+  knownAdmitted(epoch: number): number;
   /** Returns whether the store answers this router. */
   isServedByStore(): boolean;
   /** Returns whether this process is about to end. */
@@ -74,6 +76,7 @@
       startedMs: BigInt(self.startedMs),
       knownEpoch: BigInt(known.epoch),
       knownChange: BigInt(known.change),
+      knownAdmitted: BigInt(options.knownAdmitted(known.epoch)),
       knownServers: BigInt(directory.knownVersion()),
       waitMs,
       services: loads.map((it) => ({
--- a/packages/placement/src/lib/report-messages.ts
+++ b/packages/placement/src/lib/report-messages.ts
@@ -2,9 +2,9 @@
 import type { ReportRequestSchema } from '@boragepoint/protocol';
 import type { MessageInitShape } from '@bufbuild/protobuf';
 
+import type { ReceivedShares } from './admitted-shares.js';
 import type { LeaderAddress } from './leader-messages.js';
 import type { AgedLimit } from './limit-exchange.js';
-import type { AdmittedShares } from './overload.js';
 import type { PlacementView } from './placement-view.js';
 import type { AgedRun } from './suspect-run.js';
 
@@ -32,7 +32,8 @@
    * includes.
    */
   readonly knownSuspects: number;
-  readonly admitted: AdmittedShares;
+  /** `undefined` if the answering router does not lead. */
+  readonly admitted: ReceivedShares | undefined;
   /**
    * The leader's lease has expired without confirmation by the store: a router that reaches the
    * store may acquire it.
--- a/packages/placement/src/lib/report-responder.ts
+++ b/packages/placement/src/lib/report-responder.ts
@@ -127,6 +127,17 @@
     return { limits: limits.map(encodeLimit), knownLimits: BigInt(knownLimits) };
   }
 
+  /** Returns the admitted shares that the reporting router does not know. */
+  function admittedFieldsFor(req: ReportRequest, { epoch, admitted }: PlacementLeader) {
+    const known = Number(req.knownEpoch) === epoch ? Number(req.knownAdmitted) : 0;
+    const shares = known > 0 ? admitted.since(known) : admitted.all();
+    return {
+      admitted: [...shares].map(([server, share]) => ({ server, share })),
+      admittedChanges: known > 0,
+      knownAdmitted: BigInt(admitted.change()),
+    };
+  }
+
   function applyReport(req: ReportRequest, leading: PlacementLeader): void {
     // A router whose processor time is no number is not made the leader because of it.
     reporters.note({ ...req, capacity: Number.isFinite(req.capacity) ? req.capacity : 0 });
@@ -184,7 +195,7 @@
       ...limitFieldsFor(req),
       ...(servers && { servers }),
       tables: options.tables().map((it) => encodeTable(it, arrivedAt)),
-      admitted: [...leading.admitted()].map(([server, share]) => ({ server, share })),
+      ...admittedFieldsFor(req, leading),
       services: encodeServices(services),
     };
   };
--- a/packages/placement/src/lib/service-planner.ts
+++ b/packages/placement/src/lib/service-planner.ts
@@ -4,7 +4,13 @@
 import { type EndContext, type LeaderContext, hasEnded } from './leader-context.js';
 import { type LoadChanges, type ObservedLoad, createLoadChanges } from './load-changes.js';
 import { type LoadMap, createLoadMap } from './load-map.js';
-import { type AdmittedShares, type OwnedRange, demandByOwner, findOverloads } from './overload.js';
+import {
+  type AdmittedShares,
+  type OwnedRange,
+  demandByOwner,
+  findOverloads,
+  isQueueVisible,
+} from './overload.js';
 import { type OwnerQueues, type QueueDelays, createOwnerQueues } from './owner-queues.js';
 import { planJoins } from './plan-joins.js';
 import {
@@ -100,6 +106,8 @@
   balance(): ReadonlyMap<string, PlacementBalance>;
   /** Returns the queueing delays at a service's servers since the last call. */
   takeQueueDelays(service: string): QueueDelays;
+  /** Returns the servers of a service whose queues no router can know by itself. */
+  withHiddenQueues(service: string, routers: number): string[];
   /** Finds the overloaded owners of a service's keys; see {@link findOverloads}. */
   overloads(service: string, table: RangeTable, routers: number): AdmittedShares;
 }
@@ -278,6 +286,14 @@
     },
     balance: () => balances,
     takeQueueDelays: (service) => loadOf(service).queues.take((it) => speeds.serviceMsOf(it)),
+    withHiddenQueues(service, routers) {
+      const now = clocks.monotonic();
+      return directory
+        .ofService(service)
+        .map((it) => plannedServer(it, now))
+        .filter((it) => !isQueueVisible(it.capacity, routers))
+        .map((it) => it.id);
+    },
     overloads(service, table, routers) {
       const now = clocks.monotonic();
       const { recent } = loadOf(service);
--- a/packages/placement/src/test/placement-leader_test.ts
+++ b/packages/placement/src/test/placement-leader_test.ts
@@ -98,6 +98,8 @@
     clocks: processClocks,
     log: { info: () => undefined, warn: () => undefined },
     partitionedServices: () => ['s'],
+    objectiveMsOf: () => undefined,
+    formerShare: () => 1,
     mayOwnKeys: () => true,
     routers: () => 1,
     suspects: () => [],
--- a/packages/placement/src/test/report-responder_test.ts
+++ b/packages/placement/src/test/report-responder_test.ts
@@ -4,6 +4,7 @@
 import { type MessageInitShape, create } from '@bufbuild/protobuf';
 import { expect } from 'earl';
 
+import { createPublishedShares } from '../lib/admitted-shares.js';
 import { createChangeSignal } from '../lib/change-signal.js';
 import { createLimitExchange } from '../lib/limit-exchange.js';
 import type { PlacementLeader } from '../lib/placement-leader.js';
@@ -25,7 +26,7 @@
   startedAt: 0,
   view: () => ({ epoch: 3, change: 5, services: new Map() }),
   changedSince: () => new Map(),
-  admitted: () => new Map(),
+  admitted: createPublishedShares(),
   waitForChange: () => new Promise<void>(() => undefined),
   witnesses: () => [],
   isLeaseExpired: () => false,
--- a/packages/router/src/lib/fleet-router.ts
+++ b/packages/router/src/lib/fleet-router.ts
@@ -205,6 +205,7 @@
       .table()
       ?.cfg.services.filter((it) => it.partitioned)
       .map((it) => it.name);
+  const demand = createServiceDemand(clocks.monotonic);
   const rates = createServerRates({
     limits,
     directory,
@@ -229,6 +230,7 @@
     clocks,
     log,
     partitionedServices,
+    objectiveMsOf: (service) => demand.meanObjectiveMs(service),
     mayOwnKeys: createKeyOwnerRule({
       config: () => config.table()?.cfg,
       eligibility,
@@ -331,7 +333,7 @@
       keyLoad.record(service, key);
     },
     routeTimes: createRouteTimes(clocks.monotonic),
-    demand: createServiceDemand(clocks.monotonic),
+    demand,
     subsets: createSubsetChoice({
       position: () => member.position(),
       regionOf: (zone) => settings.regions[zone],
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -8,6 +8,7 @@
   expectedMs,
   expectedServiceTimes,
 } from './choose-server.js';
+import { refusalChance } from './refusal-chance.js';
 import type { RouteTimes } from './route-times.js';
 import { retryAfterBackoffMs, isBackingOff } from './server-backoff.js';
 import type { ServerEligibility } from './server-eligibility.js';
@@ -404,6 +405,17 @@
     return pick.kind === 'server' ? pick : undefined;
   }
 
+  /** Chance that a request is refused where a share of all is admitted. */
+  function refusalChanceOf(req: CallerRequest, admittedShare: number): number {
+    const { objectiveMs, priority } = req.route.cfg;
+    return refusalChance({
+      refusedShare: 1 - admittedShare,
+      remainingMs: req.answerBy - ctx.now(),
+      objectiveMs,
+      hasMoreUrgent: ctx.demand.urgentObjectiveMs(req.service, priority) < Infinity,
+    });
+  }
+
   return {
     async pickAny(req, tried) {
       const { cfg } = req.route;
@@ -430,7 +442,7 @@
       if (!server) return refuseUnowned(req, key);
       if (isBackingOff(server, ctx.now())) return refuseBackingOff([server]);
       const share = ctx.admittedShare(server.entry.id);
-      if (misdirectedTo === undefined && ctx.random() >= share)
+      if (misdirectedTo === undefined && ctx.random() < refusalChanceOf(req, share))
         return refuseOverload(server, share);
       const candidate = candidateOf(server, 0, ctx.now());
       const pick = pickIfAdmitted(req, server, candidate, 'the owner is full');
--- a/packages/router/src/lib/service-demand.ts
+++ b/packages/router/src/lib/service-demand.ts
@@ -4,6 +4,8 @@
   weight: number;
   /** The strictest latency objective among the recent ones, in milliseconds. */
   objectiveMs: number;
+  /** Sum of the latency objectives, decaying like `weight`, in milliseconds. */
+  objectiveSumMs: number;
   /** When `weight` was last updated, in milliseconds of the monotonic clock. */
   at: number;
 }
@@ -22,15 +24,16 @@
    * of the requests, in milliseconds; `Infinity` without any.
    */
   urgentObjectiveMs(service: string, priority: number): number;
+  /** Mean latency objective of recent requests, in milliseconds; `undefined` without any. */
+  meanObjectiveMs(service: string): number | undefined;
 }
 
 /** Creates an empty record; `now` is in milliseconds of a monotonic clock. */
 export function createServiceDemand(now: () => number): ServiceDemand {
   const services = new Map<string, Map<number, PriorityDemand>>();
 
-  function weightNow({ weight, at }: PriorityDemand): number {
-    return weight * 0.5 ** ((now() - at) / HALF_LIFE_MS);
-  }
+  const decayOf = ({ at }: PriorityDemand) => 0.5 ** ((now() - at) / HALF_LIFE_MS);
+  const weightNow = (demand: PriorityDemand) => demand.weight * decayOf(demand);
 
   return {
     record(service, priority, objectiveMs) {
@@ -41,7 +44,13 @@
       // The strictest objective is reset once the requests that had it have decayed.
       const strictest =
         before < 1 ? objectiveMs : Math.min(known?.objectiveMs ?? Infinity, objectiveMs);
-      priorities.set(priority, { weight: before + 1, objectiveMs: strictest, at: now() });
+      const sumBefore = known ? known.objectiveSumMs * decayOf(known) : 0;
+      priorities.set(priority, {
+        weight: before + 1,
+        objectiveMs: strictest,
+        objectiveSumMs: sumBefore + objectiveMs,
+        at: now(),
+      });
     },
     urgentObjectiveMs(service, priority) {
       const priorities = [...(services.get(service) ?? [])];
@@ -51,5 +60,11 @@
       );
       return Math.min(Infinity, ...urgent.map(([, it]) => it.objectiveMs));
     },
+    meanObjectiveMs(service) {
+      const demands = [...(services.get(service)?.values() ?? [])];
+      const weight = demands.reduce((sum, it) => sum + weightNow(it), 0);
+      const sumMs = demands.reduce((sum, it) => sum + it.objectiveSumMs * decayOf(it), 0);
+      return weight > 0 ? sumMs / weight : undefined;
+    },
   };
 }
--- a/packages/router/src/test/key-placement-simulation.ts
+++ b/packages/router/src/test/key-placement-simulation.ts
@@ -1,19 +1,20 @@
 import {
-  type AdmittedShares,
   MAX_JOINS_PER_PLAN,
   NEVER_COLD,
   type PlannerContext,
+  createKnownShares,
+  createOwnerAdmission,
   createRangeTable,
   createServicePlanner,
   findRange,
-  isSignificantChange,
   joinUnderNewFence,
 } from '@boragepoint/placement';
 import { createRandom } from '@boragepoint/standin';
 
 import { admit } from '../lib/admission.js';
 import { expectedMs, expectedServiceTimes, reportedServiceTimes } from '../lib/choose-server.js';
-import { type ServerLoad, createServerLoad, loadStateOf } from '../lib/server-load.js';
+import { refusalChance } from '../lib/refusal-chance.js';
+import { createServerLoad, loadStateOf } from '../lib/server-load.js';
 import { createEventQueue } from './event-queue.js';
 import { endOfWork, slowdownAt, slowdownStarts } from './momentary-slowdowns.js';
 
@@ -40,6 +41,8 @@
   /** Deadline of a small share of the requests. */
   readonly shortMs: number;
   readonly shortShare: number;
+  /** How often a caller with the usual deadline comes back after a refusal. */
+  readonly retries: number;
 }
 
 /** Result of a second. */
@@ -67,6 +70,8 @@
 const OBJECTIVE_MS = 1_033;
 const NETWORK_MS = 3;
 const REPORT_MS = 750;
+/** Shortest time after which a refused caller comes back, in milliseconds. */
+const RETRY_AFTER_MS = 500;
 const PLAN_MS = 500;
 /** Time for which a range has no owner while it moves, in milliseconds. */
 const HAND_OVER_MS = 50;
@@ -94,6 +99,7 @@
   const routers = Array.from({ length: load.routers }, () => ({
     loads: ids.map(() => createServerLoad(SLOTS)),
     keys: [] as number[],
+    admitted: createKnownShares(() => now),
   }));
   const table = createRangeTable(load.servers * 2);
   const entries = ids.map((id) => ({
@@ -122,6 +128,15 @@
     nextFence: () => (fence += 1),
   };
   const planner = createServicePlanner(ctx);
+  const admission = createOwnerAdmission({
+    epoch: 1,
+    planner,
+    log: { info: () => undefined, warn: () => undefined },
+    formerShare: () => 1,
+    objectiveMsOf: () => OBJECTIVE_MS,
+    routers: () => load.routers,
+    now: () => now,
+  });
   const seconds: KeyedSecond[] = [];
   const emptySecond = () => ({
     sent: 0,
@@ -133,16 +148,26 @@
     short: { sent: 0, served: 0 },
   });
   let second = emptySecond();
-  let admittedShares: AdmittedShares = new Map();
 
   const after = (ms: number, run: () => void) => {
     events.add(now + ms, run);
   };
   /** Returns whether the router sends a request to the owner of its key. */
-  function isAdmitted(known: ServerLoad, id: number, deadlineAt: number): boolean {
-    if (!load.deadlines) return true;
-    if (draw() >= (admittedShares.get(String(id)) ?? 1)) return false;
-    const admission = admit({
+  function isAdmitted(
+    { loads, admitted }: (typeof routers)[number],
+    id: number,
+    deadlineAt: number,
+  ): boolean {
+    const known = loads[id];
+    if (!load.deadlines || !known) return true;
+    const chance = refusalChance({
+      refusedShare: 1 - admitted.shareOf(String(id)),
+      remainingMs: deadlineAt - now,
+      objectiveMs: OBJECTIVE_MS,
+      hasMoreUrgent: false,
+    });
+    if (draw() < chance) return false;
+    const decision = admit({
       expectedMs: expectedMs({ ...loadStateOf(known, now), warmUpRemaining: 0 }),
       remainingMs: deadlineAt - now,
       objectiveMs: OBJECTIVE_MS,
@@ -150,7 +175,7 @@
       priority: 0,
       urgentObjectiveMs: Infinity,
     });
-    return admission.kind === 'send';
+    return decision.kind === 'send';
   }
 
   /** Runs a request at the time at which its range has an owner. */
@@ -159,18 +184,24 @@
     key: number,
     arrivedAt: number,
     isShort: boolean,
+    retries: number,
   ): void {
     const { usualMs = Infinity, shortMs = Infinity } = load.deadlines ?? {};
     const deadlineMs = isShort ? shortMs : usualMs;
     const range = findRange(table.ranges, key);
     if (range?.busy !== false || !range.owner) {
-      if (now - arrivedAt < OBJECTIVE_MS) after(10, () => { run(router, key, arrivedAt, isShort); }); // prettier-ignore
+      if (now - arrivedAt < OBJECTIVE_MS) after(10, () => { run(router, key, arrivedAt, isShort, retries); }); // prettier-ignore
       return;
     }
     const id = Number(range.owner.incarnation.server);
     const [server, known] = [servers[id], router.loads[id]];
     if (!server || !known) return;
-    if (!isAdmitted(known, id, arrivedAt + deadlineMs)) return;
+    if (!isAdmitted(router, id, arrivedAt + deadlineMs)) {
+      const backInMs = RETRY_AFTER_MS * (1 + draw());
+      const comesBack = retries > 0 && !isShort && now + backInMs < arrivedAt + deadlineMs;
+      if (comesBack) after(backInMs, () => { run(router, key, arrivedAt, isShort, retries - 1); }); // prettier-ignore
+      return;
+    }
     const serviceTimes = expectedServiceTimes({
       inFlight: known.totalInFlight(now),
       slots: SLOTS,
@@ -218,7 +249,7 @@
       second.sent += 1;
       const isShort = load.deadlines !== undefined && draw() < load.deadlines.shortShare;
       second[isShort ? 'short' : 'usual'].sent += 1;
-      if (router) run(router, key, now, isShort);
+      if (router) run(router, key, now, isShort, load.deadlines?.retries ?? 0);
       arrive();
     });
   }
@@ -229,6 +260,13 @@
       .filter((it) => it.units + it.failed > 0);
     planner.record({ service: 's', keys: router.keys, servers: measured });
     router.keys = [];
+    const { shares } = admission;
+    router.admitted.apply({
+      epoch: 1,
+      shares: shares.all(),
+      change: shares.change(),
+      isComplete: true,
+    });
     after(REPORT_MS, () => { report(router); }); // prettier-ignore
   }
 
@@ -236,10 +274,7 @@
     const startedAt = process.cpuUsage();
     const joined = joinUnderNewFence(table, MAX_JOINS_PER_PLAN, ctx.nextFence);
     const moved = planner.plan('s', table, true);
-    if (load.deadlines) {
-      const shares = planner.overloads('s', table, load.routers);
-      if (isSignificantChange(admittedShares, shares)) admittedShares = shares;
-    }
+    if (load.deadlines) admission.update(new Map([['s', table]]));
     const used = process.cpuUsage(startedAt);
     second.planMs = Math.max(second.planMs, (used.user + used.system) / 1_000);
     second.moves += moved.length;
--- a/packages/router/src/test/short-deadlines_test.ts
+++ b/packages/router/src/test/short-deadlines_test.ts
@@ -20,7 +20,7 @@
   speed: (server) => (server % 3 === 2 ? 1.6 : 0.7),
   slowdowns: true,
   hotShare: () => 0,
-  deadlines: { usualMs: 8_000, shortMs: 800, shortShare: 0.03 },
+  deadlines: { usualMs: 8_000, shortMs: 800, shortShare: 0.03, retries: 0 },
 };
 
 // Guards against queues that stay so long that requests with little time left, such as those on a
