Router: time in a queue that the router did not know of is no slowness

What callers saw: after the return of all routers, requests were refused at servers that were nearly idle.

Cause: a response time was compared with the queue that the router had expected when it sent. In a large fleet it knows little of the queue, and nothing after a start. Time in the queue counted as slowness of the server and, as a ratio of up to eight, of the route. Class: an estimate that blames what it does not know on what it measures, and whose refusals keep it from being corrected.

--- a/packages/router/src/lib/server-load.ts
+++ b/packages/router/src/lib/server-load.ts
@@ -41,7 +41,8 @@
   /**
    * Records the latency of an answer, or the lower bound of a cancelled one, and the expected time
    * to that answer in service times. `reportedTimes` is the same by the load that the answer reports,
-   * if it does, and in view of the server's momentary slowdown; the placement leader gets it.
+   * if it does, and in view of the server's momentary slowdown: time in a queue that this router did
+   * not know of is no slowness of the server.
    */
   recordLatency(serviceTimes: number, latencyMs: number, reportedTimes?: number): void;
   /** Records the load that an answer reports; to be called after the request's `recordDone`. */
@@ -146,7 +147,7 @@
       measuredWeight = Math.min(MAX_MEASURED_WEIGHT, measuredWeight + 1);
       const weight = Math.max(MIN_LATENCY_WEIGHT, 1 / (latencyCount + INITIAL_SAMPLES));
       average.latencyMs += (latencyMs - average.latencyMs) * weight;
-      average.serviceTimes += (serviceTimes - average.serviceTimes) * weight;
+      average.serviceTimes += (reportedTimes - average.serviceTimes) * weight;
       const recentWeight = Math.min(1, 1 / measuredWeight);
       recent.latencyMs += (latencyMs - recent.latencyMs) * recentWeight;
       recent.serviceTimes += (serviceTimes - recent.serviceTimes) * recentWeight;
--- a/packages/router/src/lib/server-observer.ts
+++ b/packages/router/src/lib/server-observer.ts
@@ -141,10 +141,11 @@
     const isCancelled = outcome.kind === 'unknown' && outcome.why === 'cancelled';
     const isLongerThanExpected = isCancelled && latencyMs > serviceTimes * load.serviceMs();
     const isAnswered = outcome.kind === 'answer' && outcome.answer.status < HTTP_SERVER_ERROR;
-    if (isAnswered)
-      ctx.routeTimes.record(req.route.cfg.name, latencyMs, serviceTimes, load.serviceMs());
     const reported = isAnswered ? outcome.answer.meta.load : undefined;
     const reportedTimes = reported && reportedServiceTimes(reported);
+    const explainedTimes = reportedTimes ?? serviceTimes;
+    if (isAnswered)
+      ctx.routeTimes.record(req.route.cfg.name, latencyMs, explainedTimes, load.serviceMs());
     if (isAnswered || isLongerThanExpected)
       load.recordLatency(serviceTimes, latencyMs, reportedTimes);
   }
