Router: a request is not refused for a queue where a slot is free

Cause: a route whose work takes longer than 1.6 objectives may be sent where nobody waits, but one other request at the server, or a tenth of one that is suspected there, counted as a queue.

The limit now allows for the cost of running beside others. The test fails before.

--- a/packages/router/src/lib/admission.ts
+++ b/packages/router/src/lib/admission.ts
@@ -1,3 +1,5 @@
+import { MAX_UNQUEUED_SERVICE_TIMES } from './choose-server.js';
+
 /** Inputs to the decision whether a request is sent to a server or refused. */
 export interface AdmissionInput {
   /** Expected time to the answer, in milliseconds. */
@@ -47,7 +49,12 @@
   const queueLimitMs = objectiveMs * MAX_QUEUE_OBJECTIVES * (1 - QUEUE_SHARE_PER_PRIORITY * rank);
   const limits: readonly AdmissionLimit[] = [
     { cause: 'time left', limitMs: remainingMs * USABLE_TIME_SHARE },
-    { cause: 'objective', limitMs: Math.max(queueLimitMs, serviceMs) },
+    // A request whose work takes longer than its objective is late in any case, and waits for no
+    // other one while a slot is free.
+    {
+      cause: 'objective',
+      limitMs: Math.max(queueLimitMs, serviceMs * MAX_UNQUEUED_SERVICE_TIMES),
+    },
     // Server queues are FIFO, so more urgent requests wait behind the less urgent ones admitted
     // before.
     { cause: 'more urgent requests', limitMs: serviceMs + urgentObjectiveMs },
--- a/packages/router/src/lib/choose-server.ts
+++ b/packages/router/src/lib/choose-server.ts
@@ -49,6 +49,8 @@
  * time.
  */
 const CONCURRENCY_COST = 0.15;
+/** Largest expected time to an answer while a slot is free, in service times. */
+export const MAX_UNQUEUED_SERVICE_TIMES = 1 + CONCURRENCY_COST;
 /**
  * Cost of a failure, in latency objectives: the request has to be retried, where that is allowed.
  */
--- a/packages/router/src/test/pick-server_test.ts
+++ b/packages/router/src/test/pick-server_test.ts
@@ -11,7 +11,7 @@
 } from '../lib/pick-server.js';
 import { createRouteTimes } from '../lib/route-times.js';
 import { createServerLoad } from '../lib/server-load.js';
-import type { PooledServer } from '../lib/server-pool.js';
+import type { PooledServer, ServerPool } from '../lib/server-pool.js';
 import { createServiceDemand } from '../lib/service-demand.js';
 
 const owner = {
@@ -84,6 +84,26 @@
   expect((await picker.pickOwner(req, 7, 'b')).kind).toEqual('server');
 });
 
+// Guards against a route whose work takes longer than its objective, and that is refused as soon as a
+// server runs any other request.
+test('a request is sent to a server with a free slot although it will be late', async () => {
+  const load = createServerLoad(2);
+  const routeTimes = createRouteTimes(() => 0);
+  for (let count = 0; count < 50; count += 1) {
+    load.recordLatency(1, 250);
+    routeTimes.record('long', 1_000, 1, 250);
+  }
+  load.recordSent(0);
+  const pool = { get: () => ({ ...owner, load }), ofService: () => [], refresh: () => undefined };
+  const picker = pickerOf({
+    routeTimes,
+    pool: { ...pool, leaving: () => [], all: () => [] } as unknown as ServerPool,
+  });
+  const route = { cfg: { ...req.route.cfg, name: 'long' } };
+  const pick = await picker.pickOwner({ ...req, route } as unknown as CallerRequest, 7);
+  expect(pick.kind).toEqual('server');
+});
+
 test('a slow owner that can be reached is not skipped', async () => {
   const slow = { ...owner, avoidUntil: Infinity };
   const pool = {
