Router, tests: the simulation of key placement learns as the product does

Its routers learned from outcomes by code of their own, without estimates of routes, and refused by the server's estimate alone. They now use the product's observer and the expected time of a route, which the picker shares.

--- a/packages/router/src/lib/choose-server.ts
+++ b/packages/router/src/lib/choose-server.ts
@@ -109,6 +109,14 @@
   return queueMs + Math.max(0, server.oldestInFlightMs - OVERDUE_FACTOR * queueMs);
 }
 
+/**
+ * The same for a request whose service time differs from the mean of its server, in milliseconds:
+ * only its own work takes longer or shorter, not its time in the queue.
+ */
+export function expectedAnswerMs(server: QueueState, requestMs: number): number {
+  return Math.max(requestMs, expectedMs(server) + requestMs - server.serviceMs);
+}
+
 /** Median of the measured service times, in milliseconds; of all estimates if none is measured. */
 function typicalServiceMs(servers: readonly ServerCandidate[]): number {
   const measured = servers.filter((it) => it.measuredWeight >= 1);
--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -5,6 +5,7 @@
 import {
   type ServerCandidate,
   chooseServer,
+  expectedAnswerMs,
   expectedMs,
   expectedServiceTimes,
 } from './choose-server.js';
@@ -223,7 +224,7 @@
   ): ServerPick {
     const { cfg } = req.route;
     const routeMs = ctx.routeTimes.routeServiceMs(cfg.name, candidate.serviceMs);
-    const answerMs = Math.max(routeMs, expectedMs(candidate) + routeMs - candidate.serviceMs);
+    const answerMs = expectedAnswerMs(candidate, routeMs);
     const input = {
       expectedMs: answerMs,
       remainingMs: req.answerBy - ctx.now(),
--- a/packages/router/src/test/key-placement-simulation.ts
+++ b/packages/router/src/test/key-placement-simulation.ts
@@ -5,16 +5,23 @@
   createKnownShares,
   createOwnerAdmission,
   createRangeTable,
+  createServerLimits,
   createServicePlanner,
   findRange,
   joinUnderNewFence,
 } from '@boragepoint/placement';
+import type { ReportedLoad } from '@boragepoint/platform';
 import { createRandom } from '@boragepoint/standin';
 
 import { admit } from '../lib/admission.js';
-import { expectedMs, expectedServiceTimes, reportedServiceTimes } from '../lib/choose-server.js';
+import { expectedAnswerMs, expectedServiceTimes } from '../lib/choose-server.js';
+import type { GuardedRun } from '../lib/crash-guard.js';
 import { refusalChance } from '../lib/refusal-chance.js';
+import { createRouteTimes } from '../lib/route-times.js';
+import type { RouterLog } from '../lib/router-log.js';
+import type { SendOutcome } from '../lib/send-request.js';
 import { createServerLoad, loadStateOf } from '../lib/server-load.js';
+import { createServerObserver } from '../lib/server-observer.js';
 import { createEventQueue } from './event-queue.js';
 import { endOfWork, slowdownAt, slowdownStarts } from './momentary-slowdowns.js';
 
@@ -62,6 +69,7 @@
   readonly shortServed: number;
 }
 
+const ROUTE = 'r';
 const KEYS = 65_536;
 const FIRST_HOT_KEY = 20_000;
 const HOT_KEYS = 200;
@@ -85,6 +93,44 @@
 /** Share of all keys' requests below a key, without hot keys: low keys are asked for more often. */
 const shareBelow = (key: number) => (key / KEYS) ** (1 / 1.5);
 
+/** What a router knows of the servers, as the product learns it from outcomes. */
+function startSimulatedRouter(servers: number, now: () => number) {
+  const routeTimes = createRouteTimes(now);
+  const observer = createServerObserver({
+    log: { info: () => undefined, warn: () => undefined } as unknown as RouterLog,
+    limits: createServerLimits(now),
+    shareLimits: () => undefined,
+    noteLeaving: () => false,
+    routeTimes,
+    metrics: { recordAnnouncement: () => undefined },
+    now,
+  });
+  const connections = { closeExtra: () => undefined, replacePools: () => undefined };
+  const known = Array.from({ length: servers }, (_, id) => {
+    const entry = { id: String(id), startedMs: 1 };
+    return { entry, load: createServerLoad(SLOTS), cold: NEVER_COLD, connections };
+  });
+  const req = { route: { cfg: { name: ROUTE } }, disconnectSignal: { aborted: false } };
+  function note(id: number, outcome: unknown, startedAt: number, serviceTimes: number): void {
+    const run = { req, server: known[id] } as unknown as GuardedRun;
+    observer.noteOutcome(run, outcome as SendOutcome, { startedAt, serviceTimes });
+  }
+  return {
+    servers: known,
+    routeTimes,
+    keys: [] as number[],
+    admitted: createKnownShares(now),
+    noteAnswer(id: number, load: ReportedLoad, sentAt: number, serviceTimes: number) {
+      note(id, { kind: 'answer', answer: { status: 200, meta: { load } } }, sentAt, serviceTimes);
+    },
+    noteReset(id: number, sentAt: number, serviceTimes: number) {
+      note(id, { kind: 'unknown', why: 'broken-off', detail: '' }, sentAt, serviceTimes);
+    },
+  };
+}
+
+type SimulatedRouter = ReturnType<typeof startSimulatedRouter>;
+
 /** Simulates a service whose ranges are placed by the product; equal seeds give equal results. */
 export function simulateKeys(load: KeyedLoad, seed: number): KeyedSecond[] {
   const random = createRandom(seed);
@@ -96,11 +142,9 @@
   const servers = ids.map(() => ({ freeAt: new Array<number>(SLOTS).fill(0), inFlight: 0 }));
   /** Starts of the slowdowns of each server. */
   const slowdowns = ids.map(() => (load.slowdowns ? slowdownStarts(load.seconds, draw) : []));
-  const routers = Array.from({ length: load.routers }, () => ({
-    loads: ids.map(() => createServerLoad(SLOTS)),
-    keys: [] as number[],
-    admitted: createKnownShares(() => now),
-  }));
+  const routers = Array.from({ length: load.routers }, () =>
+    startSimulatedRouter(load.servers, () => now),
+  );
   const table = createRangeTable(load.servers * 2);
   const entries = ids.map((id) => ({
     entry: {
@@ -154,12 +198,12 @@
   };
   /** Returns whether the router sends a request to the owner of its key. */
   function isAdmitted(
-    { loads, admitted }: (typeof routers)[number],
+    { servers: known, admitted, routeTimes }: SimulatedRouter,
     id: number,
     deadlineAt: number,
   ): boolean {
-    const known = loads[id];
-    if (!load.deadlines || !known) return true;
+    const server = known[id]?.load;
+    if (!load.deadlines || !server) return true;
     const chance = refusalChance({
       refusedShare: 1 - admitted.shareOf(String(id)),
       remainingMs: deadlineAt - now,
@@ -167,11 +211,13 @@
       hasMoreUrgent: false,
     });
     if (draw() < chance) return false;
+    const state = { ...loadStateOf(server, now), warmUpRemaining: 0 };
+    const routeMs = routeTimes.routeServiceMs(ROUTE, state.serviceMs);
     const decision = admit({
-      expectedMs: expectedMs({ ...loadStateOf(known, now), warmUpRemaining: 0 }),
+      expectedMs: expectedAnswerMs(state, routeMs),
       remainingMs: deadlineAt - now,
       objectiveMs: OBJECTIVE_MS,
-      serviceMs: known.serviceMs(),
+      serviceMs: routeMs,
       priority: 0,
       urgentObjectiveMs: Infinity,
     });
@@ -180,7 +226,7 @@
 
   /** Runs a request at the time at which its range has an owner. */
   function run(
-    router: (typeof routers)[number],
+    router: SimulatedRouter,
     key: number,
     arrivedAt: number,
     isShort: boolean,
@@ -194,8 +240,9 @@
       return;
     }
     const id = Number(range.owner.incarnation.server);
-    const [server, known] = [servers[id], router.loads[id]];
-    if (!server || !known) return;
+    const [server, knownServer] = [servers[id], router.servers[id]];
+    if (!server || !knownServer) return;
+    const known = knownServer.load;
     if (!isAdmitted(router, id, arrivedAt + deadlineMs)) {
       const backInMs = RETRY_AFTER_MS * (1 + draw());
       const comesBack = retries > 0 && !isShort && now + backInMs < arrivedAt + deadlineMs;
@@ -215,7 +262,7 @@
     const tail = random.next() < 0.01 ? 4 : 1;
     const unslowedMs = (load.workMs * (0.7 + 0.6 * random.next()) * tail) / load.speed(id);
     if (isFull) {
-      after(NETWORK_MS, () => { known.recordDone(sentAt, true); }); // prettier-ignore
+      after(NETWORK_MS, () => { router.noteReset(id, sentAt, serviceTimes); }); // prettier-ignore
       return;
     }
     server.inFlight += 1;
@@ -223,7 +270,6 @@
     server.freeAt[slot] = endAt;
     after(endAt - now + NETWORK_MS, () => {
       server.inFlight -= 1;
-      known.recordDone(sentAt, false);
       const running = Math.min(SLOTS, server.inFlight);
       const waiting = server.inFlight - running;
       const report = {
@@ -232,8 +278,7 @@
         slots: SLOTS,
         slowdown: slowdownAt(slowdowns[id] ?? [], now),
       };
-      known.recordReport(now, report);
-      known.recordLatency(serviceTimes, now - sentAt, reportedServiceTimes(report));
+      router.noteAnswer(id, report, sentAt, serviceTimes);
       if (now - arrivedAt <= OBJECTIVE_MS) second.inTime += 1;
       if (now - arrivedAt <= deadlineMs) second[isShort ? 'short' : 'usual'].served += 1;
     });
@@ -254,9 +299,9 @@
     });
   }
 
-  function report(router: (typeof routers)[number]): void {
-    const measured = router.loads
-      .map((it, id) => ({ server: String(id), ...it.takeMeasured() }))
+  function report(router: SimulatedRouter): void {
+    const measured = router.servers
+      .map(({ load: known }, id) => ({ server: String(id), ...known.takeMeasured() }))
       .filter((it) => it.units + it.failed > 0);
     planner.record({ service: 's', keys: router.keys, servers: measured });
     router.keys = [];
