--- a/packages/router/src/test/key-placement-simulation.ts
+++ b/packages/router/src/test/key-placement-simulation.ts
@@ -2,28 +2,21 @@
   MAX_JOINS_PER_PLAN,
   NEVER_COLD,
   type PlannerContext,
-  createKnownShares,
   createOwnerAdmission,
   createRangeTable,
-  createServerLimits,
   createServicePlanner,
   findRange,
   joinUnderNewFence,
 } from '@boragepoint/placement';
-import type { ReportedLoad } from '@boragepoint/platform';
 import { createRandom } from '@boragepoint/standin';
 
 import { admit } from '../lib/admission.js';
 import { expectedAnswerMs, expectedServiceTimes } from '../lib/choose-server.js';
-import type { GuardedRun } from '../lib/crash-guard.js';
 import { refusalChance } from '../lib/refusal-chance.js';
-import { createRouteTimes } from '../lib/route-times.js';
-import type { RouterLog } from '../lib/router-log.js';
-import type { SendOutcome } from '../lib/send-request.js';
-import { createServerLoad, loadStateOf } from '../lib/server-load.js';
-import { createServerObserver } from '../lib/server-observer.js';
+import { loadStateOf } from '../lib/server-load.js';
 import { createEventQueue } from './event-queue.js';
 import { endOfWork, slowdownAt, slowdownStarts } from './momentary-slowdowns.js';
+import { SIMULATED_ROUTE, type SimulatedRouter, startSimulatedRouter } from './simulated-router.js';
 
 /** A partitioned service under load; the routers' and the leader's decisions are the product's. */
 export interface KeyedLoad {
@@ -69,7 +62,6 @@
   readonly shortServed: number;
 }
 
-const ROUTE = 'r';
 const KEYS = 65_536;
 const FIRST_HOT_KEY = 20_000;
 const HOT_KEYS = 200;
@@ -93,44 +85,6 @@
 /** Share of all keys' requests below a key, without hot keys: low keys are asked for more often. */
 const shareBelow = (key: number) => (key / KEYS) ** (1 / 1.5);
 
-/** What a router knows of the servers, as the product learns it from outcomes. */
-function startSimulatedRouter(servers: number, now: () => number) {
-  const routeTimes = createRouteTimes(now);
-  const observer = createServerObserver({
-    log: { info: () => undefined, warn: () => undefined } as unknown as RouterLog,
-    limits: createServerLimits(now),
-    shareLimits: () => undefined,
-    noteLeaving: () => false,
-    routeTimes,
-    metrics: { recordAnnouncement: () => undefined },
-    now,
-  });
-  const connections = { closeExtra: () => undefined, replacePools: () => undefined };
-  const known = Array.from({ length: servers }, (_, id) => {
-    const entry = { id: String(id), startedMs: 1 };
-    return { entry, load: createServerLoad(SLOTS), cold: NEVER_COLD, connections };
-  });
-  const req = { route: { cfg: { name: ROUTE } }, disconnectSignal: { aborted: false } };
-  function note(id: number, outcome: unknown, startedAt: number, serviceTimes: number): void {
-    const run = { req, server: known[id] } as unknown as GuardedRun;
-    observer.noteOutcome(run, outcome as SendOutcome, { startedAt, serviceTimes });
-  }
-  return {
-    servers: known,
-    routeTimes,
-    keys: [] as number[],
-    admitted: createKnownShares(now),
-    noteAnswer(id: number, load: ReportedLoad, sentAt: number, serviceTimes: number) {
-      note(id, { kind: 'answer', answer: { status: 200, meta: { load } } }, sentAt, serviceTimes);
-    },
-    noteReset(id: number, sentAt: number, serviceTimes: number) {
-      note(id, { kind: 'unknown', why: 'broken-off', detail: '' }, sentAt, serviceTimes);
-    },
-  };
-}
-
-type SimulatedRouter = ReturnType<typeof startSimulatedRouter>;
-
 /** Simulates a service whose ranges are placed by the product; equal seeds give equal results. */
 export function simulateKeys(load: KeyedLoad, seed: number): KeyedSecond[] {
   const random = createRandom(seed);
@@ -143,7 +97,7 @@
   /** Starts of the slowdowns of each server. */
   const slowdowns = ids.map(() => (load.slowdowns ? slowdownStarts(load.seconds, draw) : []));
   const routers = Array.from({ length: load.routers }, () =>
-    startSimulatedRouter(load.servers, () => now),
+    startSimulatedRouter(load.servers, SLOTS, () => now),
   );
   const table = createRangeTable(load.servers * 2);
   const entries = ids.map((id) => ({
@@ -212,7 +166,7 @@
     });
     if (draw() < chance) return false;
     const state = { ...loadStateOf(server, now), warmUpRemaining: 0 };
-    const routeMs = routeTimes.routeServiceMs(ROUTE, state.serviceMs);
+    const routeMs = routeTimes.routeServiceMs(SIMULATED_ROUTE, state.serviceMs);
     const decision = admit({
       expectedMs: expectedAnswerMs(state, routeMs),
       remainingMs: deadlineAt - now,
