Callers' listener: the lines of large heads take from the budget for requests

What an operator saw: a router on 210 MB ended (heap limit) with some 1,030 connections that each sent a head of 1,990 empty fields (12.6 KB) and kept the body open.

Cause: the HTTP library holds some 100 KB for such a head, and it counted as 8 KiB. The first request of a connection was not checked, and unfinished heads and trailers did not count at all. Class: memory that is counted by bytes or requests where it is held by line.

The lines beyond 64 of a head or of trailers are counted before the parser gets them, by 64 bytes each, until their request ends. Without room, the connection that sends them is closed (reason large-head). Ordinary heads are read as before. Readiness and metrics count theirs too.

--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -4,7 +4,11 @@
 export * from './lib/lease-bound.js';
 export * from './lib/load-map.js';
 export { type AdmittedShares, isSignificantChange } from './lib/overload.js';
-export { type KnownShares, createKnownShares, createPublishedShares } from './lib/admitted-shares.js';
+export {
+  type KnownShares,
+  createKnownShares,
+  createPublishedShares,
+} from './lib/admitted-shares.js';
 export { createOwnerAdmission } from './lib/owner-admission.js';
 export type { QueueFigures } from './lib/owner-queues.js';
 export * from './lib/permit-allocator.js';
--- a/packages/platform/src/lib/connection-close.ts
+++ b/packages/platform/src/lib/connection-close.ts
@@ -22,6 +22,7 @@
   | 'body-refused'
   | 'unread'
   | 'stalled'
+  | 'large-head'
   | 'exit';
 
 /** What became of a connection that a listener closed. */
--- a/packages/platform/src/lib/input-gate.ts
+++ b/packages/platform/src/lib/input-gate.ts
@@ -16,6 +16,11 @@
   bodyFraming(): BodyFraming | undefined;
   /** Turns that chunked bodies wait for; shared by the connections of a listener. */
   readonly turns: ParseTurns;
+  /**
+   * Called with the number of lines of a head or of trailers that the parser is about to get. It gets
+   * none if the connection is closed then.
+   */
+  onLines(lines: number): void;
   /** Called when the bytes that wait for the parser change in number. */
   onHeld(difference: number): void;
   /** When input that is read now was received, in milliseconds of the monotonic clock. */
@@ -82,9 +87,11 @@
 
   function passSlice(read: HeldRead): void {
     const { input } = read;
-    const { length, chunks } = framing.nextPart(input);
+    const { length, chunks, lines } = framing.nextPart(input);
     hadChunks = chunks > 0;
     ctx.turns.note(chunks);
+    if (lines > 0) ctx.onLines(lines);
+    if (socket.destroyed) return;
     if (length < input.length) held[0] = { ...read, input: input.subarray(length) };
     else held.shift();
     noteHeld(-length);
--- a/packages/platform/src/lib/request-framing.ts
+++ b/packages/platform/src/lib/request-framing.ts
@@ -33,6 +33,8 @@
   readonly length: number;
   /** Number of chunks that begin in it. */
   readonly chunks: number;
+  /** Number of lines of a head or of trailers that end in it. */
+  readonly lines: number;
 }
 
 /** Follows the requests in the input of a connection. */
@@ -50,6 +52,8 @@
   take(input: Buffer, limit: number): number;
   /** Number of chunks that began in what it took last. */
   chunks?(): number;
+  /** Number of lines of a head or of trailers that ended in what it took last. */
+  lines?(): number;
   isDone(): boolean;
 }
 
@@ -71,16 +75,26 @@
   return Buffer.concat([before, part]).subarray(-keep);
 }
 
+function countLines(input: Buffer, end: number): number {
+  let lines = 0;
+  for (let at = input.indexOf(LINE_END); at >= 0 && at < end; at = input.indexOf(LINE_END, at + 1))
+    lines += 1;
+  return lines;
+}
+
 function createHeadStep(): Step {
   let before: Buffer = NOTHING;
   let isDone = false;
+  let lines = 0;
   return {
     take(input, limit) {
       const end = findHeadEnd(before, input, limit);
       isDone = end !== undefined;
       if (end === undefined) before = endOfHead(before, input.subarray(0, limit));
+      lines = countLines(input, end ?? limit);
       return end ?? limit;
     },
+    lines: () => lines,
     isDone: () => isDone,
   };
 }
@@ -104,10 +118,12 @@
   let left = 0;
   let isInTrailers = false;
   let chunks = 0;
+  let trailers = 0;
   let isDone = false;
 
   function endLine(): void {
     if (isInTrailers) {
+      trailers += 1;
       isDone = line === '' || line === '\r';
     } else {
       const size = parseInt(`0${line}`, 16);
@@ -143,6 +159,7 @@
     take(input, limit) {
       let at = 0;
       chunks = 0;
+      trailers = 0;
       while (at < limit && chunks < MAX_SLICE_CHUNKS && !isDone) {
         const skipped = Math.min(left, limit - at);
         left -= skipped;
@@ -152,6 +169,7 @@
       return at;
     },
     chunks: () => chunks,
+    lines: () => trailers,
     isDone: () => isDone,
   };
 }
@@ -177,7 +195,7 @@
     nextPart(input) {
       advance();
       const length = step.take(input, Math.min(input.length, MAX_SLICE_BYTES));
-      return { length, chunks: step.chunks?.() ?? 0 };
+      return { length, chunks: step.chunks?.() ?? 0, lines: step.lines?.() ?? 0 };
     },
   };
 }
--- a/packages/platform/src/test/input-gate_test.ts
+++ b/packages/platform/src/test/input-gate_test.ts
@@ -52,6 +52,7 @@
       turns: createParseTurns(),
       bodyFraming: () => bodyFramingOf(latest),
       onHeld: () => undefined,
+      onLines: () => undefined,
       receivedAt: () => performance.now(),
     });
   });
@@ -185,6 +186,7 @@
       mayReadAhead: () => true,
       turns: createParseTurns(),
       bodyFraming: () => undefined,
+      onLines: () => undefined,
       onHeld(difference) {
         reads += Math.sign(difference);
         noteRead?.();
--- a/packages/router/src/lib/caller-listener.ts
+++ b/packages/router/src/lib/caller-listener.ts
@@ -18,6 +18,7 @@
 import { type ConnectionBacklog, MAX_TOTAL_BYTES, createCallerBacklog } from './caller-backlog.js';
 import { createBodyMemory } from './body-memory.js';
 import { type ClientBudget, createClientBudget } from './client-budget.js';
+import { createHeadMemory } from './head-memory.js';
 import { createStalledClients } from './stalled-clients.js';
 import {
   type FoundAnswer,
@@ -131,6 +132,7 @@
     },
   );
   const reader = createRequestReader(ctx, hasRoom, createBodyMemory(budget));
+  const heads = createHeadMemory<Socket>(budget);
   const turns = createParseTurns();
   const gates = new WeakMap<Socket, InputGate>();
   /** The latest request that was read on a connection. */
@@ -176,13 +178,20 @@
       closer.close(socket, pipelineOf(socket).closeReason);
     };
     sockets.add(socket);
-    socket.once('close', () => sockets.delete(socket));
+    socket.once('close', () => {
+      sockets.delete(socket);
+      heads.end(socket);
+    });
     const gate = createInputGate(socket, {
       mayParse: () => mayParse(socket),
       mayReadAhead: (heldBytes) =>
         heldBytes < READ_AHEAD_BYTES && budget.hasRoom('input', READ_AHEAD_BYTES),
       turns,
       bodyFraming: () => bodyFramingOf(latestRead.get(socket)),
+      onLines(lines) {
+        const hasLinesRoom = heads.note(socket, lines);
+        if (!hasLinesRoom && !closer.isClosing(socket)) closer.cut(socket, 'large-head', 0);
+      },
       onHeld(difference) {
         budget.add('input', difference);
       },
@@ -346,24 +355,30 @@
       return;
     }
     const own = backlogOf(socket);
+    const headBytes = heads.take(socket);
     budget.add('requests', REQUEST_BYTES);
-    if (!own.tryEnter() && !(await own.enter())) {
+    const release = () => {
       budget.add('requests', -REQUEST_BYTES);
+      heads.free(headBytes);
+    };
+    if (!own.tryEnter() && !(await own.enter())) {
+      release();
       return;
     }
     if (own.isClosed() || isAtEnd(socket)) {
       refuseToTake(socket);
-      budget.add('requests', -REQUEST_BYTES);
+      release();
       own.leave();
       return;
     }
-    await answerEntered(req, res, arrival);
+    await answerEntered(req, res, arrival, release);
   }
 
   async function answerEntered(
     req: IncomingMessage,
     res: ServerResponse,
     arrival: Arrival,
+    release: () => void,
   ): Promise<void> {
     const pipeline = pipelineOf(req.socket);
     const own = backlogOf(req.socket);
@@ -376,7 +391,7 @@
     const finish = () => {
       if (!pipeline.endListeners.delete(finish)) return;
       openCount -= 1;
-      budget.add('requests', -REQUEST_BYTES);
+      release();
       own.leave(heldBytes);
       closer.noteAnswer(req.socket);
       const waitedMs = ctx.now() - readyAt;
--- a/packages/router/src/lib/http-endpoints.ts
+++ b/packages/router/src/lib/http-endpoints.ts
@@ -13,6 +13,7 @@
 import { listenWhenFree } from './listen-when-free.js';
 import type { RouterLog } from './router-log.js';
 import type { ClientBudget } from './client-budget.js';
+import { createHeadMemory } from './head-memory.js';
 import type { RouterMetrics } from './router-metrics.js';
 
 const HTTP_OK = 200;
@@ -40,6 +41,7 @@
 export function limitToOneRequest(server: Server, budget?: ClientBudget): void {
   const connections = new WeakMap<Socket, EndpointConnection>();
   const turns = createParseTurns();
+  const heads = budget && createHeadMemory<Socket>(budget);
   server.setTimeout(STALL_TIMEOUT_MS);
   server.on('connection', (socket: Socket) => {
     const gate = createInputGate(socket, {
@@ -51,12 +53,16 @@
       mayReadAhead: () => false,
       turns,
       bodyFraming: () => bodyFramingOf(connections.get(socket)?.latest),
+      onLines(lines) {
+        if (heads?.note(socket, lines) === false) socket.destroy();
+      },
       onHeld(difference) {
         budget?.add('input', difference);
       },
       receivedAt: () => performance.now(),
     });
     connections.set(socket, { openRequests: 0, requests: 0, gate });
+    socket.once('close', () => heads?.end(socket));
   });
   // The HTTP server would answer an unknown expectation itself, and read its body without a bound.
   server.on('checkExpectation', (req, res) => {
@@ -68,6 +74,8 @@
     connection.openRequests += 1;
     connection.requests += 1;
     connection.latest = req;
+    // Requests are answered at once.
+    heads?.end(req.socket);
     // No body is read here; Node.js would parse the rest of it after the answer.
     const isLast = connection.requests === MAX_REQUESTS_PER_CONNECTION || bodyFramingOf(req);
     if (isLast) res.setHeader('connection', 'close');
