Router: a server's estimate starts from the typical service time of its equals

Cause: a router that starts takes each server for one of 250 ms until it has some ten answers of that server, which takes a minute where there are 107 servers and 66 routers. Longer answers then count as a slow route, whose factor stays when the servers' own estimates rise. Class: a default that counts as a measurement.

An estimate now begins with the median of what the router has measured at equal servers, as a server that joined later did already, and keeps following it until its own answers outweigh it.

The new case of server-load_test: 250 ms counted however long the others took.

--- a/packages/router/src/lib/server-load.ts
+++ b/packages/router/src/lib/server-load.ts
@@ -1,13 +1,14 @@
 import type { SpeedReport } from '@boragepoint/placement';
 import type { ReportedLoad } from '@boragepoint/platform';
 
+/** Service time assumed before any measurement, in milliseconds. */
+export const INITIAL_SERVICE_MS = 250;
 /** Weight of one report in the moving average of other routers' requests. */
 const REPORT_WEIGHT = 0.2;
 /** Least weight of one latency in the moving averages; the first ones weigh more. */
 const MIN_LATENCY_WEIGHT = 0.1;
-const INITIAL_SERVICE_MS = 250;
-/** The initial service time weighs as much as this many latencies. */
-const INITIAL_SAMPLES = 2;
+/** The typical service time of equal servers weighs as much as this many latencies. */
+const TYPICAL_SAMPLES = 2;
 /** Largest weight of the measured service time, as a number of latencies. */
 const MAX_MEASURED_WEIGHT = 10;
 /**
@@ -55,8 +56,8 @@
   totalInFlight(now: number): number;
   /** Estimated service time of a request without queueing, in milliseconds. */
   serviceMs(): number;
-  /** Whether the service time was measured at this server. */
-  isMeasured(): boolean;
+  /** The same by its own answers alone; `undefined` before the first one. */
+  ownServiceMs(): number | undefined;
   slots(): number;
   /**
    * Service time by its own answers, the recent ones above all, in milliseconds; 0 before the first
@@ -81,23 +82,24 @@
 };
 
 /**
- * Creates the estimate of a server without measurements; `initialServiceMs` is that of equal
- * servers.
+ * Creates the estimate of a server without measurements; `typicalServiceMs` returns the present
+ * estimate of equal servers.
  */
 export function createServerLoad(
   initialSlots: number,
-  initialServiceMs: number = INITIAL_SERVICE_MS,
+  typicalServiceMs: () => number = () => INITIAL_SERVICE_MS,
 ): ServerLoad {
   let slots = initialSlots;
   /** When this router's in-flight requests were sent, in order. */
   const sentTimes: number[] = [];
   /**
    * Moving averages of latencies and of the service times expected; their quotient is the service
-   * time.
+   * time. They begin at 0, and `typicalWeight` is what the typical service time still weighs.
    */
-  const average = { latencyMs: initialServiceMs, serviceTimes: 1 };
+  const average = { latencyMs: 0, serviceTimes: 0 };
+  let typicalWeight = 1;
   let latencyCount = 0;
-  /** The same without the initial guess, and with less of what was before idle times. */
+  /** The same with less of what was before idle times. */
   const recent = { latencyMs: 0, serviceTimes: 1 };
   /** Number of latencies, less for those before idle times. */
   let measuredWeight = 0;
@@ -108,7 +110,14 @@
   let reportedAt = -Infinity;
   let measured = NOTHING_MEASURED;
 
-  const serviceMs = () => average.latencyMs / average.serviceTimes;
+  const ownServiceMs = () =>
+    latencyCount > 0 ? average.latencyMs / average.serviceTimes : undefined;
+
+  /** A few latencies say little: without the others', a new router takes all servers for fast. */
+  function serviceMs(): number {
+    const latencyMs = average.latencyMs + typicalServiceMs() * typicalWeight;
+    return latencyMs / (average.serviceTimes + typicalWeight);
+  }
 
   /** Factor by which what was measured has lost weight since the last request. */
   function idleDecay(now: number, halfLifeMs: number): number {
@@ -145,7 +154,8 @@
     recordLatency(serviceTimes, latencyMs, reportedTimes = serviceTimes) {
       latencyCount += 1;
       measuredWeight = Math.min(MAX_MEASURED_WEIGHT, measuredWeight + 1);
-      const weight = Math.max(MIN_LATENCY_WEIGHT, 1 / (latencyCount + INITIAL_SAMPLES));
+      const weight = Math.max(MIN_LATENCY_WEIGHT, 1 / (latencyCount + TYPICAL_SAMPLES));
+      typicalWeight *= 1 - weight;
       average.latencyMs += (latencyMs - average.latencyMs) * weight;
       average.serviceTimes += (reportedTimes - average.serviceTimes) * weight;
       const recentWeight = Math.min(1, 1 / measuredWeight);
@@ -172,7 +182,7 @@
     ownInFlight: () => sentTimes.length,
     totalInFlight,
     serviceMs,
-    isMeasured: () => latencyCount > 0,
+    ownServiceMs,
     slots: () => slots,
     measuredServiceMs: () => recent.latencyMs / recent.serviceTimes,
     measuredWeight: (now) => measuredWeight * idleDecay(now, MEASURED_HALF_LIFE_MS),
--- a/packages/router/src/lib/server-pool.ts
+++ b/packages/router/src/lib/server-pool.ts
@@ -10,6 +10,7 @@
   createServerConnections,
 } from './server-connections.js';
 import { type ServerLoad, createServerLoad, loadStateOf } from './server-load.js';
+import { createTypicalServiceTime } from './typical-service-time.js';
 import { type BackoffState, cancelUnsent, createUnsentAbort } from './server-backoff.js';
 
 /** Interval between checks for connections that were idle for too long, in milliseconds. */
@@ -86,6 +87,7 @@
   const { directory } = options;
   const servers = new Map<string, PooledServer>();
   const groups = new Map<string, readonly PooledServer[]>();
+  const typicalTimes = new Map<string, () => number>();
   const responseLimits = { memory: options.answerMemory, turns: createResponseTurns() };
   let knownRouters = options.routers();
   const connectionCheckTimer = setInterval(() => {
@@ -105,13 +107,15 @@
     }
   }
 
-  /** Median of the service times measured at a service's servers; `undefined` without any. */
-  function medianServiceMs(service: string): number | undefined {
-    const times = [...servers.values()]
-      .filter((it) => it.entry.service === service && it.load.isMeasured())
-      .map((it) => it.load.serviceMs())
-      .sort((a, b) => a - b);
-    return times[times.length >> 1];
+  /** Returns the function for the typical service time of a service's servers. */
+  function typicalServiceMsOf(service: string): () => number {
+    const known = typicalTimes.get(service);
+    if (known) return known;
+    const loads = () =>
+      [...servers.values()].filter((it) => it.entry.service === service).map((it) => it.load);
+    const created = createTypicalServiceTime(loads, () => options.now());
+    typicalTimes.set(service, created);
+    return created;
   }
 
   /**
@@ -167,7 +171,7 @@
     }
     const created: PooledServer = {
       entry,
-      load: createServerLoad(entry.slots, medianServiceMs(entry.service)),
+      load: createServerLoad(entry.slots, typicalServiceMsOf(entry.service)),
       connections: createServerConnections(
         entry.address,
         shareOf(entry.service),
--- a/packages/router/src/test/pick-server_test.ts
+++ b/packages/router/src/test/pick-server_test.ts
@@ -350,7 +350,7 @@
   const servers = Array.from({ length: count }, (_, index) => ({
     ...owner,
     entry: { ...owner.entry, id: `s${index}` },
-    load: createServerLoad(2, 50),
+    load: createServerLoad(2, () => 50),
     backoffUntil: -Infinity,
     ...changesOf(index),
   }));
@@ -386,7 +386,7 @@
 });
 
 function failingLoad() {
-  const load = createServerLoad(2, 50);
+  const load = createServerLoad(2, () => 50);
   for (let index = 0; index < 20; index += 1) {
     load.recordSent(0);
     load.recordDone(0, true);
@@ -396,7 +396,7 @@
 
 /** A full server, where an answer would come long after the latency objective. */
 function fullLoad() {
-  const load = createServerLoad(2, 50);
+  const load = createServerLoad(2, () => 50);
   load.recordReport(0, { running: 2, waiting: 24, slots: 2, slowdown: 1 });
   return load;
 }
--- a/packages/router/src/test/server-load_test.ts
+++ b/packages/router/src/test/server-load_test.ts
@@ -40,6 +40,19 @@
   expect(Math.round(load.serviceMs())).toEqual(100);
 });
 
+// Guards against a new router that takes servers for fast after one or two answers of each, and then
+// a route for slow, whose answers take longer than that.
+test('a few latencies change the typical service time of equal servers little', () => {
+  let typicalMs = 250;
+  const load = createServerLoad(2, () => typicalMs);
+  expect(load.serviceMs()).toEqual(typicalMs);
+  typicalMs = 600;
+  load.recordLatency(1, 700);
+  expect(load.serviceMs()).toBeGreaterThan(600);
+  expect(load.serviceMs()).toBeLessThan(650);
+  expect(load.ownServiceMs()).toEqual(700);
+});
+
 // Guards against an estimate that misses how much a server slows down when it is busy.
 test('latencies beyond what the queue explains raise the service time', () => {
   const load = createServerLoad(2);
--- a/packages/router/src/test/simulated-router.ts
+++ b/packages/router/src/test/simulated-router.ts
@@ -11,6 +11,7 @@
 import type { RouterLog } from '../lib/router-log.js';
 import type { SendOutcome } from '../lib/send-request.js';
 import { createServerLoad } from '../lib/server-load.js';
+import { createTypicalServiceTime } from '../lib/typical-service-time.js';
 import { createServerObserver } from '../lib/server-observer.js';
 
 /** The only route of a simulated router. */
@@ -31,9 +32,13 @@
     now,
   });
   const connections = { closeExtra: () => undefined, replacePools: () => undefined };
-  const servers = Array.from({ length: serverCount }, (_, id) => {
+  const typicalServiceMs = createTypicalServiceTime(() => loads, now);
+  const loads = Array.from({ length: serverCount }, () =>
+    createServerLoad(slots, typicalServiceMs),
+  );
+  const servers = loads.map((load, id) => {
     const entry = { id: String(id), startedMs: 1 };
-    return { entry, load: createServerLoad(slots), cold: NEVER_COLD, connections };
+    return { entry, load, cold: NEVER_COLD, connections };
   });
   const req = { route: { cfg: { name: SIMULATED_ROUTE } }, disconnectSignal: { aborted: false } };
 
--- a/packages/router/src/test/zone-simulation.ts
+++ b/packages/router/src/test/zone-simulation.ts
@@ -84,7 +84,7 @@
   const zones = pattern.servers.length;
   const routers = Array.from({ length: zones * ROUTERS_PER_ZONE }, (_, it) => ({
     zone: it % zones,
-    loads: servers.map(() => createServerLoad(SLOTS, WORK_MS)),
+    loads: servers.map(() => createServerLoad(SLOTS, () => WORK_MS)),
   }));
   const outcome: ZoneOutcome = {
     sent: 0,
