Router: the service time of a route is relative to the estimate it is applied to

What callers saw: restock orders refused at idle servers for 15 s and more after all routers had started ('servers are full', 5 to 6 s expected for work of 0.46 s, one request at the server).

Cause: of a service without keys, the picker expects the service time that it believes of a server in view of the others. The factor of a route was learned relative to the mean of that server's own answers, which is another estimate, and lower by half after a start; the product of the two was four times too long. Class: a ratio whose two halves come from different measurements.

The pick now carries the service time that it rests on, and the factor is learned relative to that.

--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -97,6 +97,8 @@
   readonly server: PooledServer;
   /** Expected time to the answer, in service times. */
   readonly serviceTimes: number;
+  /** Service time of the server without queueing that this rests on, in milliseconds. */
+  readonly serviceMs: number;
   /** True if the server has a rate limit, so that the request has taken a permit. */
   readonly hasPermit: boolean;
 }
@@ -239,6 +241,7 @@
         kind: 'server',
         server,
         serviceTimes: expectedServiceTimes(candidate),
+        serviceMs: candidate.serviceMs,
         hasPermit: false,
       };
     const { limitMs, cause } = admissionLimit(input);
@@ -365,8 +368,15 @@
   }
 
   function pickWithPermit(server: PooledServer): PickedServer {
-    const serviceTimes = expectedServiceTimes(describe(server));
-    return { kind: 'server', server, serviceTimes, hasPermit: true };
+    const candidate = describe(server);
+    const serviceTimes = expectedServiceTimes(candidate);
+    return {
+      kind: 'server',
+      server,
+      serviceTimes,
+      serviceMs: candidate.serviceMs,
+      hasPermit: true,
+    };
   }
 
   /** Picks a server, and another one if the best one has a rate limit and there is no permit. */
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -128,7 +128,7 @@
     earlierSends: number,
   ): Promise<SendOutcome> {
     const { req, server } = run;
-    const { serviceTimes } = pick;
+    const { serviceTimes, serviceMs } = pick;
     const { load, entry } = server;
     const startedAt = ctx.now();
     const leftMs = Math.max(1, Math.floor(req.deadlineAt - startedAt));
@@ -162,7 +162,7 @@
     });
     clearTimeout(timer);
     req.disconnectSignal.removeEventListener('abort', cancel);
-    observer.noteOutcome(run, outcome, { startedAt, serviceTimes });
+    observer.noteOutcome(run, outcome, { startedAt, serviceTimes, serviceMs });
     if (outcome.kind === 'unknown') {
       log.info('request outcome unknown', {
         request: req.attemptId,
--- a/packages/router/src/lib/server-observer.ts
+++ b/packages/router/src/lib/server-observer.ts
@@ -46,6 +46,8 @@
   readonly startedAt: number;
   /** Number of service times that an answer was expected to take, with those of the queue. */
   readonly serviceTimes: number;
+  /** Service time of the server that the pick was based on, in milliseconds. */
+  readonly serviceMs: number;
 }
 
 /** Learns from the outcomes of sends how servers are and what they say of themselves. */
@@ -135,7 +137,7 @@
   function noteLatency(
     { req, server: { load } }: GuardedRun,
     outcome: SendOutcome,
-    serviceTimes: number,
+    { serviceTimes, serviceMs }: SendTimes,
     latencyMs: number,
   ): void {
     const isCancelled = outcome.kind === 'unknown' && outcome.why === 'cancelled';
@@ -145,7 +147,9 @@
     const reportedTimes = reported && reportedServiceTimes(reported);
     const explainedTimes = reportedTimes ?? serviceTimes;
     if (isAnswered)
-      ctx.routeTimes.record(req.route.cfg.name, latencyMs, explainedTimes, load.serviceMs());
+      // Relative to the service time with which the ratio is applied again, which may not be the mean of
+      // the server's answers.
+      ctx.routeTimes.record(req.route.cfg.name, latencyMs, explainedTimes, serviceMs);
     if (isAnswered || isLongerThanExpected)
       load.recordLatency(serviceTimes, latencyMs, reportedTimes);
   }
@@ -158,12 +162,12 @@
   }
 
   return {
-    noteOutcome(run, outcome, { startedAt, serviceTimes }) {
+    noteOutcome(run, outcome, times) {
+      const { startedAt } = times;
       const { server } = run;
       noteAvailability(server, outcome, startedAt);
       // Latencies during warm-up do not predict those of a warm server.
-      if (!isWarmingUp(server, startedAt))
-        noteLatency(run, outcome, serviceTimes, ctx.now() - startedAt);
+      if (!isWarmingUp(server, startedAt)) noteLatency(run, outcome, times, ctx.now() - startedAt);
       noteTimeout(run, outcome, startedAt);
     },
   };
--- a/packages/router/src/test/burst-simulation.ts
+++ b/packages/router/src/test/burst-simulation.ts
@@ -39,6 +39,12 @@
 const TAIL_SHARE = 0.01;
 const TAIL_FACTOR = 4;
 
+/** A server for a request, and the service time by which it was chosen. */
+interface Picked {
+  readonly id: number;
+  readonly serviceMs: number;
+}
+
 /** Simulates routers that choose and admit as the product does; equal seeds give equal results. */
 export function simulateBurst(burst: Burst, seed: number): BurstSecond[] {
   const random = createRandom(seed);
@@ -63,7 +69,7 @@
   };
 
   /** Returns the server for a request, or the time after which its caller may come back. */
-  function pick(router: SimulatedRouter): { readonly id: number } | { readonly waitMs: number } {
+  function pick(router: SimulatedRouter): Picked | { readonly waitMs: number } {
     const candidates = router.servers.map(({ entry, load }) => ({
       id: entry.id,
       ...loadStateOf(load, now),
@@ -82,22 +88,23 @@
       urgentObjectiveMs: Infinity,
     });
     return decision.kind === 'send'
-      ? { id: Number(chosen.id) }
+      ? { id: Number(chosen.id), serviceMs: chosen.serviceMs }
       : { waitMs: decision.retryAfterMs * (1 + draw()) };
   }
 
-  function send(router: SimulatedRouter, id: number, arrivedAt: number): void {
+  function send(router: SimulatedRouter, { id, serviceMs }: Picked, arrivedAt: number): void {
     const [server, known] = [servers[id], router.servers[id]];
     if (!server || !known) return;
-    const sentAt = now;
+    const startedAt = now;
     const serviceTimes = expectedServiceTimes({
       inFlight: known.load.totalInFlight(now),
       slots: SLOTS,
       warmUpRemaining: 0,
     });
-    known.load.recordSent(sentAt);
+    known.load.recordSent(startedAt);
+    const times = { startedAt, serviceTimes, serviceMs };
     if (server.inFlight >= SLOTS + MAX_QUEUE) {
-      after(NETWORK_MS, () => { router.noteReset(id, sentAt, serviceTimes); }); // prettier-ignore
+      after(NETWORK_MS, () => { router.noteReset(id, times); }); // prettier-ignore
       return;
     }
     server.inFlight += 1;
@@ -112,7 +119,7 @@
       const running = Math.min(SLOTS, server.inFlight);
       const waiting = server.inFlight - running;
       const slowdown = slowdownAt(server.slowdowns, now);
-      router.noteAnswer(id, { running, waiting, slots: SLOTS, slowdown }, sentAt, serviceTimes);
+      router.noteAnswer(id, { running, waiting, slots: SLOTS, slowdown }, times);
       if (now - arrivedAt <= OBJECTIVE_MS) second.inTime += 1;
     });
   }
@@ -120,7 +127,7 @@
   function handle(router: SimulatedRouter, arrivedAt: number, retries: number): void {
     const picked = pick(router);
     if ('id' in picked) {
-      send(router, picked.id, arrivedAt);
+      send(router, picked, arrivedAt);
       return;
     }
     second.refused += 1;
--- a/packages/router/src/test/key-placement-simulation.ts
+++ b/packages/router/src/test/key-placement-simulation.ts
@@ -208,15 +208,16 @@
       slots: SLOTS,
       warmUpRemaining: 0,
     });
-    const sentAt = now;
-    known.recordSent(sentAt);
+    const startedAt = now;
+    known.recordSent(startedAt);
+    const times = { startedAt, serviceTimes, serviceMs: known.serviceMs() };
     const isFull = server.inFlight >= SLOTS + MAX_QUEUE;
     const slot = server.freeAt.indexOf(Math.min(...server.freeAt));
     const startAt = Math.max(now, server.freeAt[slot] ?? 0) + NETWORK_MS;
     const tail = random.next() < 0.01 ? 4 : 1;
     const unslowedMs = (load.workMs * (0.7 + 0.6 * random.next()) * tail) / load.speed(id);
     if (isFull) {
-      after(NETWORK_MS, () => { router.noteReset(id, sentAt, serviceTimes); }); // prettier-ignore
+      after(NETWORK_MS, () => { router.noteReset(id, times); }); // prettier-ignore
       return;
     }
     server.inFlight += 1;
@@ -232,7 +233,7 @@
         slots: SLOTS,
         slowdown: slowdownAt(slowdowns[id] ?? [], now),
       };
-      router.noteAnswer(id, report, sentAt, serviceTimes);
+      router.noteAnswer(id, report, times);
       if (now - arrivedAt <= OBJECTIVE_MS) second.inTime += 1;
       if (now - arrivedAt <= deadlineMs) second[isShort ? 'short' : 'usual'].served += 1;
     });
--- a/packages/router/src/test/server-observer_test.ts
+++ b/packages/router/src/test/server-observer_test.ts
@@ -18,8 +18,11 @@
 /** Time that an answer of a server with such a queue takes. */
 const FULL_LATENCY_MS = reportedServiceTimes(FULL) * SERVICE_MS;
 
-/** Returns what is known of a server and a route after answers of a server with a long queue. */
-function learnFromAnswers(answers: number) {
+/**
+ * Returns what is known of a server and a route after answers of a server with a long queue, for
+ * which the picker assumes a service time; by default that of the server.
+ */
+function learnFromAnswers(answers: number, assumedMs?: number) {
   const load = createServerLoad(SLOTS);
   const routeTimes = createRouteTimes(() => FULL_LATENCY_MS);
   const observer = createServerObserver({
@@ -41,9 +44,16 @@
   const outcome = { kind: 'answer', answer: { status: 200, meta: { load: FULL } } };
   for (let count = 0; count < answers; count += 1) {
     load.recordSent(0);
-    observer.noteOutcome(run, outcome as unknown as SendOutcome, { startedAt: 0, serviceTimes: 1 });
+    observer.noteOutcome(run, outcome as unknown as SendOutcome, {
+      startedAt: 0,
+      serviceTimes: 1,
+      serviceMs: assumedMs ?? load.serviceMs(),
+    });
   }
-  return { serviceMs: load.serviceMs(), routeMs: routeTimes.routeServiceMs(ROUTE, SERVICE_MS) };
+  return {
+    serviceMs: load.serviceMs(),
+    routeMs: routeTimes.routeServiceMs(ROUTE, assumedMs ?? SERVICE_MS),
+  };
 }
 
 // Guards against requests with little time left that are refused whatever the queue is, because the
@@ -54,3 +64,10 @@
   expect(serviceMs).toBeLessThan(SERVICE_MS * 1.1);
   expect(routeMs).toBeLessThan(SERVICE_MS * 1.1);
 });
+
+// Guards against the service time of a route that is several times too long, because it is learned
+// relative to one estimate of the server and applied to another.
+test('the service time of a route fits the estimate with which the picker applies it', () => {
+  const { routeMs } = learnFromAnswers(100, 4 * SERVICE_MS);
+  expect(routeMs).toBeLessThan(2 * SERVICE_MS);
+});
--- a/packages/router/src/test/simulated-router.ts
+++ b/packages/router/src/test/simulated-router.ts
@@ -12,7 +12,7 @@
 import type { SendOutcome } from '../lib/send-request.js';
 import { createServerLoad } from '../lib/server-load.js';
 import { createTypicalServiceTime } from '../lib/typical-service-time.js';
-import { createServerObserver } from '../lib/server-observer.js';
+import { type SendTimes, createServerObserver } from '../lib/server-observer.js';
 
 /** The only route of a simulated router. */
 export const SIMULATED_ROUTE = 'r';
@@ -42,9 +42,9 @@
   });
   const req = { route: { cfg: { name: SIMULATED_ROUTE } }, disconnectSignal: { aborted: false } };
 
-  function note(id: number, outcome: unknown, startedAt: number, serviceTimes: number): void {
+  function note(id: number, outcome: unknown, times: SendTimes): void {
     const run = { req, server: servers[id] } as unknown as GuardedRun;
-    observer.noteOutcome(run, outcome as SendOutcome, { startedAt, serviceTimes });
+    observer.noteOutcome(run, outcome as SendOutcome, times);
   }
 
   const admitted: KnownShares = createKnownShares(now);
@@ -54,11 +54,11 @@
     /** Keys of requests since the last report to the leader. */
     keys: [] as number[],
     admitted,
-    noteAnswer(id: number, load: ReportedLoad, sentAt: number, serviceTimes: number) {
-      note(id, { kind: 'answer', answer: { status: 200, meta: { load } } }, sentAt, serviceTimes);
+    noteAnswer(id: number, load: ReportedLoad, times: SendTimes) {
+      note(id, { kind: 'answer', answer: { status: 200, meta: { load } } }, times);
     },
-    noteReset(id: number, sentAt: number, serviceTimes: number) {
-      note(id, { kind: 'unknown', why: 'broken-off', detail: '' }, sentAt, serviceTimes);
+    noteReset(id: number, times: SendTimes) {
+      note(id, { kind: 'unknown', why: 'broken-off', detail: '' }, times);
     },
   };
 }
