--- a/packages/placement/src/lib/admitted-shares.ts
+++ b/packages/placement/src/lib/admitted-shares.ts
@@ -1,7 +1,7 @@
 import type { AdmittedShares } from './overload.js';
 
 /** Absolute and relative change from which a share is published; the smaller one counts. */
-const MIN_CHANGE = 0.05;
+const MIN_CHANGE = 0.1;
 const MIN_RELATIVE_CHANGE = 0.25;
 
 /** Shares that a leader publishes; their changes are numbered, so that answers carry only the news. */
--- a/packages/placement/src/test/report-responder_test.ts
+++ b/packages/placement/src/test/report-responder_test.ts
@@ -127,6 +127,30 @@
   expect((await large(report({ knownServers: 8n }))).servers).toEqual(undefined);
 });
 
+// Guards against answers that grow with the number of limited servers, and against a limit that is not
+// lifted at a router that knows a change of another epoch.
+test('an answer contains the admitted shares that changed since the reported change of its epoch', async () => {
+  const admitted = createPublishedShares();
+  admitted.update(
+    new Map([
+      ['a', 0.5],
+      ['b', 0.5],
+    ]),
+  );
+  const known = admitted.change();
+  admitted.update(new Map([['a', 0.5]]));
+  const leader = { ...idleLeader, admitted };
+  const respond = createResponder({ leader: () => leader });
+  const sharesFor = async (fields: Parameters<typeof report>[0]) => {
+    const reply = await respond(report({ ...fields, waitMs: 1 }));
+    return [reply.admittedChanges, reply.admitted?.map((it) => [it.server, it.share])];
+  };
+  expect(await sharesFor({ knownAdmitted: BigInt(known) })).toEqual([true, [['b', 1]]]);
+  const all = [false, [['a', 0.5]]];
+  expect(await sharesFor({ knownAdmitted: 0n })).toEqual(all);
+  expect(await sharesFor({ knownEpoch: 2n, knownAdmitted: BigInt(known) })).toEqual(all);
+});
+
 // Guards against measurements of another router that make every plan of the leader a guess, and
 // against ids of incarnations that no message can carry.
 test('odd measurements and incarnations in a report are ignored, and the others are used', async () => {
