--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -1,6 +1,6 @@
 import { type PlacementView, rangeOf } from '@boragepoint/placement';
 
-import { type AdmissionLimitCause, admissionLimit, admit, clampRetryAfterMs } from './admission.js';
+import { admissionLimit, admit } from './admission.js';
 import type { CallerRequest } from './caller-request.js';
 import {
   type ServerCandidate,
@@ -10,8 +10,15 @@
   expectedServiceTimes,
 } from './choose-server.js';
 import { refusalChance } from './refusal-chance.js';
+import {
+  type Refusal,
+  refuse,
+  refuseBackingOff,
+  refuseIneligible,
+  refuseOverload,
+} from './refusals.js';
 import type { RouteTimes } from './route-times.js';
-import { retryAfterBackoffMs, isBackingOff } from './server-backoff.js';
+import { isBackingOff } from './server-backoff.js';
 import type { ServerEligibility } from './server-eligibility.js';
 import type { ServerPermits } from './server-permits.js';
 import { type PooledServer, type ServerPool, candidateOf, usableNoticeMs } from './server-pool.js';
@@ -24,20 +31,6 @@
  */
 const RANGE_WAIT_SHARE = 0.6;
 const RANGE_POLL_INTERVAL_MS = 250;
-/** `Retry-After` for keys without an owner and services without a server, in milliseconds. */
-const NO_SERVER_RETRY_AFTER_MS = 400;
-/**
- * `Retry-After` for keys of an overloaded owner, in milliseconds; it is divided by the share of the
- * requests that is admitted.
- */
-const OVERLOAD_RETRY_AFTER_MS = 400;
-/**
- * Shortest `Retry-After` for requests without an eligible server, and the time over which callers
- * that come back are spread, in milliseconds. Only an operator can change that they have none.
- */
-const INELIGIBLE_RETRY_AFTER_MS = 2_000;
-const INELIGIBLE_SPREAD_MS = 2_000;
-
 /** Random part of the order of cold servers; less than what a zone counts. */
 const ORDER_JITTER = 0.01;
 /**
@@ -103,29 +96,6 @@
   readonly hasPermit: boolean;
 }
 
-/** Why a request is refused, and the figures behind the decision. */
-export interface Refusal {
-  readonly kind: 'refuse';
-  readonly reason: string;
-  readonly retryAfterMs: number;
-  /** Result of the refusal, if it is not that servers are overloaded. */
-  readonly result?: 'noEligibleServer';
-  readonly decidedBy?:
-    | {
-        readonly server: string;
-        readonly expectedMs: number;
-        readonly inHand: number;
-        /** Service time of the route and that of the server, in milliseconds. */
-        readonly routeMs: number;
-        readonly serviceMs: number;
-        readonly limitMs: number;
-        readonly limitedBy: AdmissionLimitCause;
-      }
-    | { readonly server: string; readonly admittedShare: number }
-    | { readonly server: string; readonly pausedForMs: number }
-    | { readonly server: string; readonly limitPerS: number };
-}
-
 /** Picks the server for a request. */
 export interface ServerPicker {
   /**
@@ -141,23 +111,6 @@
   pickOwner(req: CallerRequest, key: number, misdirectedTo?: string): Promise<ServerPick>;
 }
 
-function refuse(reason: string): Refusal {
-  return { kind: 'refuse', reason, retryAfterMs: NO_SERVER_RETRY_AFTER_MS };
-}
-
-/**
- * Creates the refusal of a request beyond the admitted share of an overloaded owner, whatever its
- * current queue is.
- */
-function refuseOverload(server: PooledServer, share: number): Refusal {
-  return {
-    kind: 'refuse',
-    reason: 'the owner is asked for more than it can run',
-    retryAfterMs: clampRetryAfterMs(OVERLOAD_RETRY_AFTER_MS / share),
-    decidedBy: { server: server.entry.id, admittedShare: Math.round(share * 100) / 100 },
-  };
-}
-
 /** Creates a picker. */
 export function createServerPicker(ctx: ServerPickerContext): ServerPicker {
   const { pool, permits, eligibility } = ctx;
@@ -190,33 +143,6 @@
     return servers.length > 0 && eligibleOf(req, servers).length === 0;
   }
 
-  function refuseIneligible(): Refusal {
-    return {
-      kind: 'refuse',
-      result: 'noEligibleServer',
-      reason: 'all servers are in evacuated zones or outside the allowed regions',
-      retryAfterMs: INELIGIBLE_RETRY_AFTER_MS + ctx.random() * INELIGIBLE_SPREAD_MS,
-    };
-  }
-
-  /**
-   * Creates the refusal of a request while all servers ask for back-off; the caller may retry when
-   * the first back-off has ended.
-   */
-  function refuseBackingOff(servers: readonly PooledServer[]): Refusal {
-    const now = ctx.now();
-    const [first] = [...servers].sort((a, b) => a.backoffUntil - b.backoffUntil);
-    return {
-      kind: 'refuse',
-      reason: 'servers ask for a pause',
-      retryAfterMs: retryAfterBackoffMs(servers, now, ctx.random),
-      decidedBy: {
-        server: first?.entry.id ?? '',
-        pausedForMs: Math.round((first?.backoffUntil ?? now) - now),
-      },
-    };
-  }
-
   /** Picks a server if its answer can be expected in time. */
   function pickIfAdmitted(
     req: CallerRequest,
@@ -315,7 +241,7 @@
 
   function refuseUnowned(req: CallerRequest, key: number): Refusal {
     const owner = pool.get(rangeOf(ctx.view(), req.service, key)?.owner ?? '');
-    if (staysIneligible(req, owner)) return refuseIneligible();
+    if (staysIneligible(req, owner)) return refuseIneligible(ctx.random);
     const unknownForMs = ctx.ownersUnknownForMs();
     if (unknownForMs === 0) return refuse('no owner of the key');
     return { kind: 'refuse', reason: 'owners of keys are not known', retryAfterMs: unknownForMs };
@@ -440,10 +366,11 @@
       }
       const now = ctx.now();
       const eligible = serversFor(req);
-      if (eligible.length === 0 && lacksEligibleServer(req)) return refuseIneligible();
+      if (eligible.length === 0 && lacksEligibleServer(req)) return refuseIneligible(ctx.random);
       const servers = eligible.filter((it) => !tried.includes(it.entry.id));
       const available = servers.filter((it) => !isBackingOff(it, now));
-      if (servers.length > 0 && available.length === 0) return refuseBackingOff(servers);
+      if (servers.length > 0 && available.length === 0)
+        return refuseBackingOff(servers, ctx.now(), ctx.random);
       const preferred = available.filter((it) => now >= it.avoidUntil);
       const usable = preferred.length > 0 ? preferred : available;
       return pickAmong(req, usable);
@@ -451,7 +378,7 @@
     async pickOwner(req, key, misdirectedTo) {
       const server = await findOwner(req, key, misdirectedTo);
       if (!server) return refuseUnowned(req, key);
-      if (isBackingOff(server, ctx.now())) return refuseBackingOff([server]);
+      if (isBackingOff(server, ctx.now())) return refuseBackingOff([server], ctx.now(), ctx.random);
       const share = ctx.admittedShare(server.entry.id);
       if (misdirectedTo === undefined && ctx.random() < refusalChanceOf(req, share))
         return refuseOverload(server, share);
--- a/packages/router/src/lib/request-handler.ts
+++ b/packages/router/src/lib/request-handler.ts
@@ -10,7 +10,6 @@
 import { identityOf } from './request-identity.js';
 import {
   type PickedServer,
-  type Refusal,
   type ServerPick,
   type ServerPickerContext,
   createServerPicker,
@@ -24,6 +23,7 @@
   mayRetry,
 } from './request-outcome.js';
 import { type CallerAnswer, ownAnswer } from './caller-answer.js';
+import type { Refusal } from './refusals.js';
 import type { RouterLog } from './router-log.js';
 import type { RouterMetrics } from './router-metrics.js';
 import { type SendOutcome, sendRequest } from './send-request.js';
--- a/packages/router/src/lib/request-outcome.ts
+++ b/packages/router/src/lib/request-outcome.ts
@@ -2,7 +2,7 @@
 
 import { clampRetryAfterMs } from './admission.js';
 import type { CallerRequest } from './caller-request.js';
-import type { Refusal } from './pick-server.js';
+import type { Refusal } from './refusals.js';
 import { type CallerAnswer, ownAnswer } from './caller-answer.js';
 import type { SendOutcome } from './send-request.js';
 import type { PooledServer } from './server-pool.js';
