--- a/packages/router/src/test/burst-simulation.ts
+++ b/packages/router/src/test/burst-simulation.ts
@@ -4,8 +4,9 @@
 import { chooseServer, expectedAnswerMs, expectedServiceTimes } from '../lib/choose-server.js';
 import { loadStateOf } from '../lib/server-load.js';
 import { createEventQueue } from './event-queue.js';
-import { endOfWork, slowdownAt, slowdownStarts } from './momentary-slowdowns.js';
+import { slowdownStarts } from './momentary-slowdowns.js';
 import { SIMULATED_ROUTE, type SimulatedRouter, startSimulatedRouter } from './simulated-router.js';
+import { NETWORK_MS, createSimulatedServer, drawWorkMs } from './simulated-server.js';
 
 /** A service without keys, all of whose servers each router uses, and a burst of requests. */
 export interface Burst {
@@ -35,9 +36,6 @@
 const TIMEOUT_MS = 6_000;
 /** How often a caller comes back after a refusal. */
 const RETRIES = 2;
-const NETWORK_MS = 3;
-const TAIL_SHARE = 0.01;
-const TAIL_FACTOR = 4;
 
 /** A server for a request, and the service time by which it was chosen. */
 interface Picked {
@@ -51,12 +49,14 @@
   const draw = () => random.next();
   const events = createEventQueue();
   let now = 0;
-  const servers = Array.from({ length: burst.servers }, (_, id) => ({
-    speed: burst.speed(id),
-    freeAt: new Array<number>(SLOTS).fill(0),
-    inFlight: 0,
-    slowdowns: slowdownStarts(burst.seconds, draw),
-  }));
+  const servers = Array.from({ length: burst.servers }, (_, id) =>
+    createSimulatedServer({
+      slots: SLOTS,
+      maxQueue: MAX_QUEUE,
+      speed: burst.speed(id),
+      slowdowns: slowdownStarts(burst.seconds, draw),
+    }),
+  );
   const routers = Array.from({ length: burst.routers }, () =>
     startSimulatedRouter(burst.servers, SLOTS, () => now),
   );
@@ -103,23 +103,13 @@
     });
     known.load.recordSent(startedAt);
     const times = { startedAt, serviceTimes, serviceMs };
-    if (server.inFlight >= SLOTS + MAX_QUEUE) {
+    const endAt = server.take(now, drawWorkMs(burst.workMs, draw));
+    if (endAt === undefined) {
       after(NETWORK_MS, () => { router.noteReset(id, times); }); // prettier-ignore
       return;
     }
-    server.inFlight += 1;
-    const slot = server.freeAt.indexOf(Math.min(...server.freeAt));
-    const startAt = Math.max(now, server.freeAt[slot] ?? 0) + NETWORK_MS;
-    const tail = draw() < TAIL_SHARE ? TAIL_FACTOR : 1;
-    const workMs = (burst.workMs * (0.7 + 0.6 * draw()) * tail) / server.speed;
-    const endAt = endOfWork(server.slowdowns, startAt, workMs);
-    server.freeAt[slot] = endAt;
     after(endAt - now + NETWORK_MS, () => {
-      server.inFlight -= 1;
-      const running = Math.min(SLOTS, server.inFlight);
-      const waiting = server.inFlight - running;
-      const slowdown = slowdownAt(server.slowdowns, now);
-      router.noteAnswer(id, { running, waiting, slots: SLOTS, slowdown }, times);
+      router.noteAnswer(id, server.end(now), times);
       if (now - arrivedAt <= OBJECTIVE_MS) second.inTime += 1;
     });
   }
--- a/packages/router/src/test/key-placement-simulation.ts
+++ b/packages/router/src/test/key-placement-simulation.ts
@@ -15,8 +15,9 @@
 import { refusalChance } from '../lib/refusal-chance.js';
 import { loadStateOf } from '../lib/server-load.js';
 import { createEventQueue } from './event-queue.js';
-import { endOfWork, slowdownAt, slowdownStarts } from './momentary-slowdowns.js';
+import { slowdownStarts } from './momentary-slowdowns.js';
 import { SIMULATED_ROUTE, type SimulatedRouter, startSimulatedRouter } from './simulated-router.js';
+import { NETWORK_MS, createSimulatedServer, drawWorkMs } from './simulated-server.js';
 
 /** A partitioned service under load; the routers' and the leader's decisions are the product's. */
 export interface KeyedLoad {
@@ -68,7 +69,6 @@
 const SLOTS = 6;
 const MAX_QUEUE = 24;
 const OBJECTIVE_MS = 1_033;
-const NETWORK_MS = 3;
 const REPORT_MS = 750;
 /** Shortest time after which a refused caller comes back, in milliseconds. */
 const RETRY_AFTER_MS = 500;
@@ -93,9 +93,14 @@
   let now = 0;
   let fence = 0;
   const ids = Array.from({ length: load.servers }, (_, it) => it);
-  const servers = ids.map(() => ({ freeAt: new Array<number>(SLOTS).fill(0), inFlight: 0 }));
-  /** Starts of the slowdowns of each server. */
-  const slowdowns = ids.map(() => (load.slowdowns ? slowdownStarts(load.seconds, draw) : []));
+  const servers = ids.map((id) =>
+    createSimulatedServer({
+      slots: SLOTS,
+      maxQueue: MAX_QUEUE,
+      speed: load.speed(id),
+      slowdowns: load.slowdowns ? slowdownStarts(load.seconds, draw) : [],
+    }),
+  );
   const routers = Array.from({ length: load.routers }, () =>
     startSimulatedRouter(load.servers, SLOTS, () => now),
   );
@@ -211,29 +216,13 @@
     const startedAt = now;
     known.recordSent(startedAt);
     const times = { startedAt, serviceTimes, serviceMs: known.serviceMs() };
-    const isFull = server.inFlight >= SLOTS + MAX_QUEUE;
-    const slot = server.freeAt.indexOf(Math.min(...server.freeAt));
-    const startAt = Math.max(now, server.freeAt[slot] ?? 0) + NETWORK_MS;
-    const tail = random.next() < 0.01 ? 4 : 1;
-    const unslowedMs = (load.workMs * (0.7 + 0.6 * random.next()) * tail) / load.speed(id);
-    if (isFull) {
+    const endAt = server.take(now, drawWorkMs(load.workMs, draw));
+    if (endAt === undefined) {
       after(NETWORK_MS, () => { router.noteReset(id, times); }); // prettier-ignore
       return;
     }
-    server.inFlight += 1;
-    const endAt = endOfWork(slowdowns[id] ?? [], startAt, unslowedMs);
-    server.freeAt[slot] = endAt;
     after(endAt - now + NETWORK_MS, () => {
-      server.inFlight -= 1;
-      const running = Math.min(SLOTS, server.inFlight);
-      const waiting = server.inFlight - running;
-      const report = {
-        running,
-        waiting,
-        slots: SLOTS,
-        slowdown: slowdownAt(slowdowns[id] ?? [], now),
-      };
-      router.noteAnswer(id, report, times);
+      router.noteAnswer(id, server.end(now), times);
       if (now - arrivedAt <= OBJECTIVE_MS) second.inTime += 1;
       if (now - arrivedAt <= deadlineMs) second[isShort ? 'short' : 'usual'].served += 1;
     });
