Router: a route is probed while its estimate refuses all its requests

Cause: what a route's first answers say is learned while the servers' own estimates are still defaults. If it speaks against all requests, none is sent, and only after ten seconds without an answer does it begin to fade. Class: an estimate whose refusals keep it from being corrected.

Where the estimate of the server alone would admit a request, one a second is sent.

Evidence: 'one request a second is sent where only the estimate of its route speaks against it' (none sent before) and 'a route without answers is probed once a second'.

--- a/packages/router/src/lib/pick-server.ts
+++ b/packages/router/src/lib/pick-server.ts
@@ -1,6 +1,6 @@
 import { type PlacementView, rangeOf } from '@boragepoint/placement';
 
-import { admissionLimit, admit } from './admission.js';
+import { type AdmissionInput, admissionLimit, admit } from './admission.js';
 import type { CallerRequest } from './caller-request.js';
 import {
   type ServerCandidate,
@@ -143,6 +143,16 @@
     return servers.length > 0 && eligibleOf(req, servers).length === 0;
   }
 
+  /** Returns whether a request is sent to measure its route, which alone speaks against sending it. */
+  function isProbe(input: AdmissionInput, candidate: ServerCandidate, route: string): boolean {
+    const serverInput = {
+      ...input,
+      expectedMs: expectedMs(candidate),
+      serviceMs: candidate.serviceMs,
+    };
+    return admit(serverInput).kind === 'send' && ctx.routeTimes.takeProbe(route);
+  }
+
   /** Picks a server if its answer can be expected in time. */
   function pickIfAdmitted(
     req: CallerRequest,
@@ -162,7 +172,7 @@
       urgentObjectiveMs: ctx.demand.urgentObjectiveMs(req.service, cfg.priority),
     };
     const admission = admit(input);
-    if (admission.kind === 'send')
+    if (admission.kind === 'send' || isProbe(input, candidate, cfg.name))
       return {
         kind: 'server',
         server,
--- a/packages/router/src/lib/route-times.ts
+++ b/packages/router/src/lib/route-times.ts
@@ -10,6 +10,8 @@
  * requests may be refused because of it, so that nothing else would correct it.
  */
 const FADE_AFTER_MS = 10_000;
+/** Time without an answer or a probe after which a route may be probed, in milliseconds. */
+const PROBE_INTERVAL_MS = 1_000;
 /** Time in which what is known of a route then fades by half, in milliseconds. */
 const FADE_HALF_LIFE_MS = 5_000;
 
@@ -24,6 +26,11 @@
    * Service time of the route at a server with a mean service time of `serviceMs`, in milliseconds.
    */
   routeServiceMs(route: string, serviceMs: number): number;
+  /**
+   * Returns whether a request may be sent although the service time of its route speaks against it, and
+   * notes that it is: while all requests of a route are refused, nothing else corrects what is known.
+   */
+  takeProbe(route: string): boolean;
 }
 
 interface RouteAverage {
@@ -51,6 +58,8 @@
  */
 export function createRouteTimes(now: () => number): RouteTimes {
   const routes = new Map<string, RouteAverage>();
+  /** When routes were last probed, on the monotonic clock. */
+  const probedAt = new Map<string, number>();
 
   function averageOf(route: string): RouteAverage {
     const known = routes.get(route) ?? { ratio: 1, requests: 0, lastAnswerAt: now() };
@@ -70,8 +79,19 @@
         lastAnswerAt: now(),
       });
       const [oldest] = routes.keys();
-      if (routes.size > MAX_ROUTES && oldest !== undefined) routes.delete(oldest);
+      probedAt.delete(route);
+      if (routes.size <= MAX_ROUTES || oldest === undefined) return;
+      routes.delete(oldest);
+      probedAt.delete(oldest);
     },
     routeServiceMs: (route, serviceMs) => serviceMs * averageOf(route).ratio,
+    takeProbe(route) {
+      const known = routes.get(route);
+      if (!known) return false;
+      const lastAt = Math.max(known.lastAnswerAt, probedAt.get(route) ?? -Infinity);
+      if (now() < lastAt + PROBE_INTERVAL_MS) return false;
+      probedAt.set(route, now());
+      return true;
+    },
   };
 }
--- a/packages/router/src/test/pick-server_test.ts
+++ b/packages/router/src/test/pick-server_test.ts
@@ -104,6 +104,31 @@
   expect(pick.kind).toEqual('server');
 });
 
+// Guards against a route whose requests are all refused because of former answers, at a server that
+// would answer in time by its own estimate.
+test('one request a second is sent where only the estimate of its route speaks against it', async () => {
+  let now = 0;
+  const load = createServerLoad(2);
+  const routeTimes = createRouteTimes(() => now);
+  for (let count = 0; count < 50; count += 1) {
+    load.recordLatency(1, 250);
+    routeTimes.record('slow', 2_000, 1, 250);
+  }
+  const pool = { get: () => ({ ...owner, load }), ofService: () => [], refresh: () => undefined };
+  const picker = pickerOf({
+    now: () => now,
+    routeTimes,
+    pool: { ...pool, leaving: () => [], all: () => [] } as unknown as ServerPool,
+  });
+  const route = { cfg: { ...req.route.cfg, name: 'slow' } };
+  let sent = 0;
+  for (; now < 2_950; now += 100) {
+    const slowReq = { ...req, route, answerBy: now + 1_500 } as unknown as CallerRequest;
+    if ((await picker.pickOwner(slowReq, 7)).kind === 'server') sent += 1;
+  }
+  expect(sent).toEqual(2);
+});
+
 test('a slow owner that can be reached is not skipped', async () => {
   const slow = { ...owner, avoidUntil: Infinity };
   const pool = {
--- a/packages/router/src/test/route-times_test.ts
+++ b/packages/router/src/test/route-times_test.ts
@@ -70,3 +70,15 @@
   demand.record('a', 0, 300);
   expect(demand.urgentObjectiveMs('b', 1)).toEqual(Infinity);
 });
+
+// Guards against a route that is refused for ten seconds and more, as only answers would correct a
+// service time that is too long.
+test('a route without answers is probed once a second', () => {
+  let now = 0;
+  const times = createRouteTimes(() => now);
+  expect(times.takeProbe('r')).toEqual(false);
+  times.record('r', 800, 1, 100);
+  const probes: number[] = [];
+  for (; now < 3_000; now += 100) if (times.takeProbe('r')) probes.push(now);
+  expect(probes).toEqual([1_000, 2_000]);
+});
