Placement: queues count as hidden by speed alone, and those of cold servers are reported

From reading the control of queues again: a server that fails counts with a quarter of its capacity, so that a small fleet would have taken its queue for one that no router sees; and a server whose answers told only its load, as while it warms up, was left out of reports.

--- a/packages/placement/src/lib/service-planner.ts
+++ b/packages/placement/src/lib/service-planner.ts
@@ -60,6 +60,8 @@
  */
 const MAX_LEAVING_OWNER_MS = 1_500;
 
+const MS_PER_S = 1_000;
+
 /** Load of one partitioned service, as reported by one router. */
 export interface ServiceLoadReport {
   readonly service: string;
@@ -287,12 +289,13 @@
     balance: () => balances,
     takeQueueDelays: (service) => loadOf(service).queues.take((it) => speeds.serviceMsOf(it)),
     withHiddenQueues(service, routers) {
-      const now = clocks.monotonic();
+      // By its speed alone: how often a server answers does not change while it fails or warms up.
+      const perSecond = ({ id, slots }: KnownServer['entry']) =>
+        (slots * MS_PER_S) / speeds.serviceMsOf(id);
       return directory
         .ofService(service)
-        .map((it) => plannedServer(it, now))
-        .filter((it) => !isQueueVisible(it.capacity, routers))
-        .map((it) => it.id);
+        .filter(({ entry }) => !isQueueVisible(perSecond(entry), routers))
+        .map(({ entry }) => entry.id);
     },
     overloads(service, table, routers) {
       const now = clocks.monotonic();
--- a/packages/placement/src/test/service-planner_test.ts
+++ b/packages/placement/src/test/service-planner_test.ts
@@ -69,6 +69,7 @@
   }
 
   return {
+    planner,
     play,
     ownedBy,
     ownedByA,
@@ -131,3 +132,17 @@
   play(5);
   expect(SERVERS.map(ownedBy)).toEqual(before);
 });
+
+// Guards against a small fleet whose leader limits admission to a server that fails, although each
+// router knows the server's queue.
+test('whether routers know the queue of a server does not depend on its failures', () => {
+  const { planner, play } = setUp();
+  play(10);
+  const routers = 30;
+  expect(planner.withHiddenQueues(SERVICE, routers)).toEqual([]);
+  const failing = { server: 'a', latencyMs: 0, units: 0, answered: 0, failed: 100 };
+  const servers = [{ ...failing, loadReports: 0, queuedPerSlot: 0 }];
+  planner.record({ service: SERVICE, keys: [], servers });
+  expect(planner.withHiddenQueues(SERVICE, routers)).toEqual([]);
+  expect(planner.withHiddenQueues(SERVICE, 1_000)).toEqual(SERVERS);
+});
--- a/packages/router/src/lib/key-load.ts
+++ b/packages/router/src/lib/key-load.ts
@@ -14,12 +14,12 @@
 export function createKeyLoad(pool: () => ServerPool): KeyLoad {
   let keys = new Map<string, number[]>();
 
-  /** Latencies and outcomes of those servers of a service that have any. */
+  /** Latencies, outcomes and queues of those servers of a service that have any. */
   function takeMeasured(service: string) {
     return pool()
       .ofService(service)
       .map(({ entry, load }) => ({ server: entry.id, ...load.takeMeasured() }))
-      .filter((it) => it.units + it.failed > 0);
+      .filter((it) => it.units + it.failed + it.loadReports > 0);
   }
 
   return {
