Callers' listener: slow bodies in tiny chunks hold no places of others

What callers saw: while four clients each sent a body of more than 4,096 tiny chunks and went on with one chunk each 200 ms, every other such body got 503.

Cause: a place was held until the body ended, however little it cost the parser.

'bodies whose tiny chunks come slowly hold no places of others' fails without the rate.

--- a/packages/router/src/lib/request-reader.ts
+++ b/packages/router/src/lib/request-reader.ts
@@ -59,7 +59,7 @@
   hasRoom: () => boolean,
   bodies: BodyMemory,
 ): RequestReader {
-  const chunkAllowance = createChunkAllowance();
+  const chunkAllowance = createChunkAllowance(() => ctx.now());
 
   async function readWithin(
     req: IncomingMessage,
