Router: the queue of a server without slots is reported as a number

Read, not seen: a server that names no slots gave an infinite or undefined sum, and the leader drops reports that are no numbers, speeds included.

--- a/packages/router/src/lib/server-load.ts
+++ b/packages/router/src/lib/server-load.ts
@@ -175,7 +175,7 @@
       measured = {
         ...measured,
         loadReports: measured.loadReports + 1,
-        queuedPerSlot: measured.queuedPerSlot + load.waiting / slots,
+        queuedPerSlot: measured.queuedPerSlot + load.waiting / Math.max(1, slots),
       };
     },
     oldestInFlightMs: (now) => now - (sentTimes[0] ?? now),
--- a/packages/router/src/test/server-load_test.ts
+++ b/packages/router/src/test/server-load_test.ts
@@ -98,6 +98,13 @@
   expect(load.takeMeasured()).toEqual({ ...nothing, loadReports: 0, queuedPerSlot: 0 });
 });
 
+// Guards against a measurement that the leader drops because it is no number.
+test('a server without slots is reported with its queue', () => {
+  const load = createServerLoad(0);
+  load.recordReport(0, { running: 0, waiting: 3, slots: 0, slowdown: 1 });
+  expect(load.takeMeasured().queuedPerSlot).toEqual(3);
+});
+
 // Guards against time in a queue, or a momentary slowdown, that the leader takes for slowness.
 test('a report to the leader compares latencies with the load that answers report', () => {
   const load = createServerLoad(2);
