--- a/packages/router/src/test/route-times_test.ts
+++ b/packages/router/src/test/route-times_test.ts
@@ -82,3 +82,16 @@
   for (; now < 3_000; now += 100) if (times.takeProbe('r')) probes.push(now);
   expect(probes).toEqual([1_000, 2_000]);
 });
+
+// Guards against a target for queues that one route of few requests, with a strict objective, sets.
+test('the usual objective of a service is the mean over its recent requests', () => {
+  let now = 0;
+  const demand = createServiceDemand(() => now);
+  expect(demand.meanObjectiveMs('s')).toEqual(undefined);
+  for (let count = 0; count < 90; count += 1) demand.record('s', 0, 1_000);
+  for (let count = 0; count < 10; count += 1) demand.record('s', 2, 3_000);
+  expect(demand.meanObjectiveMs('s')).toEqual(1_200);
+  now = 60_000;
+  demand.record('s', 1, 500);
+  expect(demand.meanObjectiveMs('s') ?? 0).toBeLessThan(600);
+});
