--- a/packages/router/src/lib/router-metrics.ts
+++ b/packages/router/src/lib/router-metrics.ts
@@ -275,7 +275,12 @@
       for (const kind of HELD_KINDS) this.set({ kind }, heldBytes(kind));
     },
   });
-  const registerBalance = (name: string, help: string, figure: keyof PlacementBalance) =>
+  function registerByService<T>(
+    name: string,
+    help: string,
+    figures: () => ReadonlyMap<string, T>,
+    valueOf: (it: T) => number,
+  ): void {
     new Gauge({
       name,
       help,
@@ -283,20 +288,16 @@
       registers: [registry],
       collect() {
         this.reset();
-        for (const [service, it] of balance()) this.set({ service }, it[figure]);
-      },
-    });
-  const registerQueue = (name: string, help: string, delayMsOf: (it: QueueFigures) => number) =>
-    new Gauge({
-      name,
-      help,
-      labelNames: ['service'],
-      registers: [registry],
-      collect() {
-        this.reset();
-        for (const [service, it] of queues()) this.set({ service }, delayMsOf(it) / MS_PER_S);
+        for (const [service, it] of figures()) this.set({ service }, valueOf(it));
       },
     });
+  }
+  const registerBalance = (name: string, help: string, figure: keyof PlacementBalance) => {
+    registerByService(name, help, balance, (it) => it[figure]);
+  };
+  const registerQueue = (name: string, help: string, delayMsOf: (it: QueueFigures) => number) => {
+    registerByService(name, help, queues, (it) => delayMsOf(it) / MS_PER_S);
+  };
   registerQueue(
     'boragepoint_owner_queue_mean_seconds',
     'Mean queueing delay at the owners of keys.',
