Router, tests: simulated requests are sent in one place; unused exports of placement

The simulations of bursts and of key placement each sent a request, and learned of its outcome, by equal lines.

--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -3,7 +3,7 @@
 export * from './lib/leader-messages.js';
 export * from './lib/lease-bound.js';
 export * from './lib/load-map.js';
-export { type AdmittedShares, isSignificantChange } from './lib/overload.js';
+
 export {
   type KnownShares,
   createKnownShares,
--- a/packages/router/src/test/burst-simulation.ts
+++ b/packages/router/src/test/burst-simulation.ts
@@ -1,12 +1,17 @@
 import { createRandom } from '@boragepoint/standin';
 
 import { admit } from '../lib/admission.js';
-import { chooseServer, expectedAnswerMs, expectedServiceTimes } from '../lib/choose-server.js';
+import { chooseServer, expectedAnswerMs } from '../lib/choose-server.js';
 import { loadStateOf } from '../lib/server-load.js';
 import { createEventQueue } from './event-queue.js';
 import { slowdownStarts } from './momentary-slowdowns.js';
-import { SIMULATED_ROUTE, type SimulatedRouter, startSimulatedRouter } from './simulated-router.js';
-import { NETWORK_MS, createSimulatedServer, drawWorkMs } from './simulated-server.js';
+import {
+  SIMULATED_ROUTE,
+  type SimulatedRouter,
+  sendSimulated,
+  startSimulatedRouter,
+} from './simulated-router.js';
+import { createSimulatedServer } from './simulated-server.js';
 
 /** A service without keys, all of whose servers each router uses, and a burst of requests. */
 export interface Burst {
@@ -67,6 +72,7 @@
   const after = (ms: number, run: () => void) => {
     events.add(now + ms, run);
   };
+  const ctx = { now: () => now, after, draw };
 
   /** Returns the server for a request, or the time after which its caller may come back. */
   function pick(router: SimulatedRouter): Picked | { readonly waitMs: number } {
@@ -93,25 +99,12 @@
   }
 
   function send(router: SimulatedRouter, { id, serviceMs }: Picked, arrivedAt: number): void {
-    const [server, known] = [servers[id], router.servers[id]];
-    if (!server || !known) return;
-    const startedAt = now;
-    const serviceTimes = expectedServiceTimes({
-      inFlight: known.load.totalInFlight(now),
-      slots: SLOTS,
-      warmUpRemaining: 0,
-    });
-    known.load.recordSent(startedAt);
-    const times = { startedAt, serviceTimes, serviceMs };
-    const endAt = server.take(now, drawWorkMs(burst.workMs, draw));
-    if (endAt === undefined) {
-      after(NETWORK_MS, () => { router.noteReset(id, times); }); // prettier-ignore
-      return;
-    }
-    after(endAt - now + NETWORK_MS, () => {
-      router.noteAnswer(id, server.end(now), times);
+    const server = servers[id];
+    if (!server) return;
+    const onAnswer = () => {
       if (now - arrivedAt <= OBJECTIVE_MS) second.inTime += 1;
-    });
+    };
+    sendSimulated({ router, id, server, serviceMs, workMs: burst.workMs, onAnswer }, ctx);
   }
 
   function handle(router: SimulatedRouter, arrivedAt: number, retries: number): void {
--- a/packages/router/src/test/key-placement-simulation.ts
+++ b/packages/router/src/test/key-placement-simulation.ts
@@ -11,13 +11,18 @@
 import { createRandom } from '@boragepoint/standin';
 
 import { admit } from '../lib/admission.js';
-import { expectedAnswerMs, expectedServiceTimes } from '../lib/choose-server.js';
+import { expectedAnswerMs } from '../lib/choose-server.js';
 import { refusalChance } from '../lib/refusal-chance.js';
 import { loadStateOf } from '../lib/server-load.js';
 import { createEventQueue } from './event-queue.js';
 import { slowdownStarts } from './momentary-slowdowns.js';
-import { SIMULATED_ROUTE, type SimulatedRouter, startSimulatedRouter } from './simulated-router.js';
-import { NETWORK_MS, createSimulatedServer, drawWorkMs } from './simulated-server.js';
+import {
+  SIMULATED_ROUTE,
+  type SimulatedRouter,
+  sendSimulated,
+  startSimulatedRouter,
+} from './simulated-router.js';
+import { createSimulatedServer } from './simulated-server.js';
 
 /** A partitioned service under load; the routers' and the leader's decisions are the product's. */
 export interface KeyedLoad {
@@ -155,6 +160,8 @@
   const after = (ms: number, run: () => void) => {
     events.add(now + ms, run);
   };
+  const simulation = { now: () => now, after, draw };
+
   /** Returns whether the router sends a request to the owner of its key. */
   function isAdmitted(
     { servers: known, admitted, routeTimes }: SimulatedRouter,
@@ -199,33 +206,20 @@
       return;
     }
     const id = Number(range.owner.incarnation.server);
-    const [server, knownServer] = [servers[id], router.servers[id]];
-    if (!server || !knownServer) return;
-    const known = knownServer.load;
+    const [server, known] = [servers[id], router.servers[id]];
+    if (!server || !known) return;
     if (!isAdmitted(router, id, arrivedAt + deadlineMs)) {
       const backInMs = RETRY_AFTER_MS * (1 + draw());
       const comesBack = retries > 0 && !isShort && now + backInMs < arrivedAt + deadlineMs;
       if (comesBack) after(backInMs, () => { run(router, key, arrivedAt, isShort, retries - 1); }); // prettier-ignore
       return;
     }
-    const serviceTimes = expectedServiceTimes({
-      inFlight: known.totalInFlight(now),
-      slots: SLOTS,
-      warmUpRemaining: 0,
-    });
-    const startedAt = now;
-    known.recordSent(startedAt);
-    const times = { startedAt, serviceTimes, serviceMs: known.serviceMs() };
-    const endAt = server.take(now, drawWorkMs(load.workMs, draw));
-    if (endAt === undefined) {
-      after(NETWORK_MS, () => { router.noteReset(id, times); }); // prettier-ignore
-      return;
-    }
-    after(endAt - now + NETWORK_MS, () => {
-      router.noteAnswer(id, server.end(now), times);
+    const onAnswer = () => {
       if (now - arrivedAt <= OBJECTIVE_MS) second.inTime += 1;
       if (now - arrivedAt <= deadlineMs) second[isShort ? 'short' : 'usual'].served += 1;
-    });
+    };
+    const serviceMs = known.load.serviceMs();
+    sendSimulated({ router, id, server, serviceMs, workMs: load.workMs, onAnswer }, simulation);
   }
 
   function arrive(): void {
--- a/packages/router/src/test/simulated-router.ts
+++ b/packages/router/src/test/simulated-router.ts
@@ -6,6 +6,7 @@
 } from '@boragepoint/placement';
 import type { ReportedLoad } from '@boragepoint/platform';
 
+import { expectedServiceTimes } from '../lib/choose-server.js';
 import type { GuardedRun } from '../lib/crash-guard.js';
 import { createRouteTimes } from '../lib/route-times.js';
 import type { RouterLog } from '../lib/router-log.js';
@@ -13,6 +14,7 @@
 import { createServerLoad } from '../lib/server-load.js';
 import { createTypicalServiceTime } from '../lib/typical-service-time.js';
 import { type SendTimes, createServerObserver } from '../lib/server-observer.js';
+import { NETWORK_MS, type SimulatedServer, drawWorkMs } from './simulated-server.js';
 
 /** The only route of a simulated router. */
 export const SIMULATED_ROUTE = 'r';
@@ -49,6 +51,7 @@
 
   const admitted: KnownShares = createKnownShares(now);
   return {
+    slots,
     servers,
     routeTimes,
     /** Keys of requests since the last report to the leader. */
@@ -62,3 +65,50 @@
     },
   };
 }
+
+/** A request that a simulated router sends to a server. */
+export interface SimulatedSend {
+  readonly router: SimulatedRouter;
+  readonly id: number;
+  readonly server: SimulatedServer;
+  /** Service time of the server that the pick was based on, in milliseconds. */
+  readonly serviceMs: number;
+  /** Mean work at a server of speed 1, in milliseconds. */
+  readonly workMs: number;
+  /** Called with the answer; not if the queue is full. */
+  onAnswer(): void;
+}
+
+/** The clock, the events and the random numbers of a simulation. */
+export interface SimulationContext {
+  now(): number;
+  after(ms: number, run: () => void): void;
+  /** Uniform in [0, 1). */
+  draw(): number;
+}
+
+/** Sends a request, and lets the router learn of its outcome. */
+export function sendSimulated(send: SimulatedSend, ctx: SimulationContext): void {
+  const { router, id, server, serviceMs } = send;
+  const load = router.servers[id]?.load;
+  if (!load) return;
+  const startedAt = ctx.now();
+  const inFlight = load.totalInFlight(startedAt);
+  const queue = { inFlight, slots: router.slots, warmUpRemaining: 0 };
+  const times = { startedAt, serviceTimes: expectedServiceTimes(queue), serviceMs };
+  load.recordSent(startedAt);
+  const endAt = server.take(
+    startedAt,
+    drawWorkMs(send.workMs, () => ctx.draw()),
+  );
+  if (endAt === undefined) {
+    ctx.after(NETWORK_MS, () => {
+      router.noteReset(id, times);
+    });
+    return;
+  }
+  ctx.after(endAt - startedAt + NETWORK_MS, () => {
+    router.noteAnswer(id, server.end(ctx.now()), times);
+    send.onAnswer();
+  });
+}
